feat: the whole path, thin

Cause: nothing ran yet. The borders come first (wire, plat, target, state, conf), so that the rest can grow side by side without touching each other.

Before: nothing. After: `dev` answers a streamed chat through entry, agent and stand-in engine, and a call of a plain service; the golden session in crates/itest passes under the paused clock.

--- /dev/null
+++ b/crates/agent/src/error.rs
@@ -0,0 +1,12 @@
+//! What can stop an agent.
+
+/// The result of running an agent.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An error that stops an agent.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A connection failed.
+    #[error(transparent)]
+    Wire(#[from] wire::Error),
+}
--- /dev/null
+++ b/crates/cli/src/dev.rs
@@ -0,0 +1,193 @@
+//! `lapismast dev`: everything in one process over loopback, with stand-ins.
+
+use crate::daemons::stop_on_signal;
+use crate::{logs, runtime};
+use agent::Backend;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use compact_str::{CompactString, ToCompactString, format_compact};
+use conf::{Kind, settings};
+use eyre::{Result, WrapErr};
+use fake::http::Serving;
+use fake::{EngineModel, MemoryEngine, MemoryLog, MemoryService, MemoryVms, MemoryWeights};
+use plat::Log;
+use plat::http::HttpClient;
+use serde_json::{Value, json};
+use state::Appender;
+use state::record::{Body, Change};
+use std::sync::Arc;
+use target::http::{HttpEngine, HttpService};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use wire::{TcpDialler, TcpListener};
+
+/// The secret between the processes of `dev`, which never leaves this machine.
+const PEER_KEY: &str = "dev";
+
+/// SHA-256 of the token `dev-token`, for the caller that has one.
+const TOKEN_SHA256: &str = "c91cbbedf8c712e8e2b7517ddeca8fe4fde839ebd8339e0b2001363002b37712";
+
+/// The subcommand's arguments.
+pub(crate) fn command() -> Command {
+    let port = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_name("PORT")
+            .value_parser(value_parser!(u16))
+            .default_value(default)
+            .help(help)
+    };
+    Command::new("dev")
+        .about("Runs everything in one process over loopback, with stand-ins")
+        .arg(port(
+            "callers-port",
+            "8080",
+            "Port of the first entry for callers; 0 takes a free one",
+        ))
+        .arg(port("admin-port", "8081", "Port for operators; 0 takes a free one"))
+}
+
+/// Runs until SIGTERM or SIGINT.
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    logs::start("warn");
+    let port = |name| matches.get_one::<u16>(name).copied().unwrap_or_default();
+    let callers_port = port("callers-port");
+    runtime()?.block_on(async {
+        let stop = stop_on_signal()?;
+        let dev = Dev::start(callers_port, stop.clone()).await?;
+        dev.print();
+        stop.cancelled().await;
+        dev.tasks.close();
+        dev.tasks.wait().await;
+        Ok(())
+    })
+}
+
+/// Everything in one process.
+struct Dev {
+    tasks: TaskTracker,
+    stop: CancellationToken,
+    log: Arc<dyn Log>,
+    platform: settings::Platform,
+    entries: Vec<std::net::SocketAddr>,
+}
+
+impl Dev {
+    async fn start(callers_port: u16, stop: CancellationToken) -> Result<Self> {
+        let tasks = TaskTracker::new();
+        let platform = start_platform().await?;
+        let log = HttpClient::new(platform.log.clone(), platform.timeout);
+        let log: Arc<dyn Log> = Arc::new(log);
+        let mut dev = Self { tasks, stop, log, platform, entries: Vec::new() };
+        dev.start_targets().await?;
+        dev.start_entry(1, callers_port).await?;
+        dev.start_entry(2, 0).await?;
+        Ok(dev)
+    }
+
+    async fn start_targets(&self) -> Result<()> {
+        self.publish(Kind::Model, "lapis-small", json!({})).await?;
+        self.publish(Kind::Caller, "open", json!({"urgent": true})).await?;
+        let caller = json!({"token_sha256": TOKEN_SHA256, "weight": 4, "urgent": true});
+        self.publish(Kind::Caller, "desk", caller).await?;
+        for number in 1..=4 {
+            let engine = MemoryEngine::new(EngineModel::default(), &["lapis-small"]);
+            let serving = serve(fake::http::engine_router(Arc::new(engine))).await?;
+            let backend = Backend::Engine(Arc::new(HttpEngine::new(serving)));
+            let spec = json!({"models": ["lapis-small"]});
+            self.start_agent(&format!("engine-{number}"), number, backend, spec).await?;
+        }
+        for (number, (name, repeatable)) in [(1, ("ledger", false)), (2, ("tiles", true))] {
+            let router = fake::http::service_router(Arc::new(MemoryService::default()));
+            let backend = Backend::Service(Arc::new(HttpService::new(serve(router).await?)));
+            let spec = json!({"service": name, "repeatable": repeatable});
+            self.start_agent(&format!("{name}-1"), number, backend, spec).await?;
+        }
+        Ok(())
+    }
+
+    async fn start_agent(
+        &self,
+        name: &str,
+        number: usize,
+        backend: Backend,
+        mut spec: Value,
+    ) -> Result<()> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let domain = format_compact!("domain-{}", number % 2 + 1);
+        spec["agent"] = json!(listener.address()?);
+        spec["domain"] = json!(domain);
+        self.publish(Kind::Target, name, spec).await?;
+        let settings = settings::Agent {
+            name: format_compact!("agent-{name}"),
+            target: name.to_compact_string(),
+            domain,
+            peer_key: CompactString::const_new(PEER_KEY),
+            platform: self.platform.clone(),
+            ..settings::Agent::default()
+        };
+        let (log, stop) = (self.log.clone(), self.stop.clone());
+        let listener = Box::new(listener);
+        let context = agent::Context { settings, log, backend, listener, stop };
+        self.tasks.spawn(async move {
+            if let Err(error) = agent::Daemon::new(context).run().await {
+                log::error!(error:% = error; "agent-failed");
+            }
+        });
+        Ok(())
+    }
+
+    async fn start_entry(&mut self, number: usize, port: u16) -> Result<()> {
+        let settings = settings::Entry {
+            name: format_compact!("entry-{number}"),
+            domain: format_compact!("domain-{number}"),
+            callers: format_compact!("127.0.0.1:{port}"),
+            peer_key: CompactString::const_new(PEER_KEY),
+            platform: self.platform.clone(),
+            ..settings::Entry::default()
+        };
+        let (log, stop) = (self.log.clone(), self.stop.clone());
+        let context = entry::Context { settings, log, dialler: Arc::new(TcpDialler), stop };
+        let daemon = entry::Daemon::bind(context).await?;
+        self.entries.push(daemon.address());
+        self.tasks.spawn(async move {
+            if let Err(error) = daemon.run().await {
+                log::error!(error:% = error; "entry-failed");
+            }
+        });
+        Ok(())
+    }
+
+    async fn publish(&self, kind: Kind, name: &str, spec: Value) -> Result<()> {
+        let appender = Appender::new(self.log.clone(), CompactString::const_new("dev"));
+        let change = Change {
+            kind: kind.name().to_owned(),
+            name: name.to_owned(),
+            spec: Some(spec.to_string()),
+            expects: Some(0),
+        };
+        let appended = appender.append(plat::CONFIG_STREAM, Body::Change(change)).await;
+        appended.map(drop).wrap_err_with(|| format!("publish {name}"))
+    }
+
+    fn print(&self) {
+        for address in &self.entries {
+            println!("callers: http://{address}");
+        }
+        println!("platform log: http://{}", self.platform.log);
+    }
+}
+
+async fn start_platform() -> Result<settings::Platform> {
+    let log = serve(fake::http::log_router(Arc::new(MemoryLog::new()))).await?;
+    let weights = serve(fake::http::weights_router(Arc::new(MemoryWeights::default()))).await?;
+    let vms = serve(fake::http::vms_router(Arc::new(MemoryVms::default()))).await?;
+    Ok(settings::Platform { log, weights, vms, ..settings::Platform::default() })
+}
+
+/// Serves a stand-in on a free port of loopback and returns its address.
+async fn serve(router: salvo::Router) -> Result<CompactString> {
+    let serving = Serving::bind("127.0.0.1:0", router).await?;
+    let address = serving.address.to_compact_string();
+    tokio::spawn(serving.run());
+    Ok(address)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The `lapismast` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/fake/src/engine.rs
@@ -0,0 +1,364 @@
+//! A language-model engine in memory: continuous batching in outline, and its faults.
+//!
+//! The answer depends on the prompt alone, token by token, so that any engine goes on exactly
+//! where another stopped and a test can tell a whole answer from a torn one.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString, format_compact};
+use futures_util::stream;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use target::{Engine, Error, Fence, Finish, Job, Order, Output, Outputs, Result, Status, Usage};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+
+/// Length of each token of the stand-in's answers, in bytes.
+pub const TOKEN_BYTES: usize = 4;
+
+/// Speeds and faults of a stand-in engine.
+#[derive(Debug, Clone)]
+pub struct EngineModel {
+    /// Prompt tokens a second; prompts are read one after another.
+    pub prefill_rate: u32,
+    /// Time between two tokens of one job when it runs alone.
+    pub token_time: Duration,
+    /// Jobs that run side by side; the time between tokens doubles when all do.
+    pub slots: u32,
+    /// How long a change of role takes.
+    pub role_change: Duration,
+    /// How long loading weights takes.
+    pub load: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// A prompt that contains this text crashes the engine.
+    pub crash_on: Option<String>,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self {
+            prefill_rate: 20_000,
+            token_time: Duration::from_millis(2),
+            slots: 16,
+            role_change: Duration::from_secs(3),
+            load: Duration::from_millis(500),
+            checks_fencing: true,
+            crash_on: None,
+        }
+    }
+}
+
+/// A stand-in engine; clones share it.
+#[derive(Clone)]
+pub struct MemoryEngine {
+    inner: Arc<Mutex<Inner>>,
+    slots: Arc<Semaphore>,
+    prefill: Arc<tokio::sync::Mutex<()>>,
+    crashed: Arc<Notify>,
+}
+
+struct Inner {
+    model: EngineModel,
+    status: Status,
+    cancelled: HashSet<CompactString>,
+    imported: HashMap<CompactString, Bytes>,
+    prefixes: HashSet<u64>,
+    down: bool,
+    orders: Vec<(Fence, Order)>,
+    conflicts: u32,
+}
+
+impl MemoryEngine {
+    /// Makes an engine that serves the names in `serves`.
+    pub fn new(model: EngineModel, serves: &[&str]) -> Self {
+        let serves = serves.iter().map(|name| name.to_compact_string()).collect();
+        let status = Status { serves, incarnation: 1, ..Status::default() };
+        let slots = Arc::new(Semaphore::new(usize::try_from(model.slots).unwrap_or(usize::MAX)));
+        let inner = Inner {
+            model,
+            status,
+            cancelled: HashSet::new(),
+            imported: HashMap::new(),
+            prefixes: HashSet::new(),
+            down: false,
+            orders: Vec::new(),
+            conflicts: 0,
+        };
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            slots,
+            prefill: Arc::default(),
+            crashed: Arc::default(),
+        }
+    }
+
+    /// Changes speeds and faults.
+    pub fn change(&self, change: impl FnOnce(&mut EngineModel)) {
+        change(&mut self.lock().model);
+    }
+
+    /// Crashes the engine: running jobs are cut, and it takes none until it is started.
+    pub fn crash(&self) {
+        self.lock().down = true;
+        self.crashed.notify_waiters();
+    }
+
+    /// Starts a crashed engine afresh, in the role and with the models it began with.
+    pub fn start(&self) {
+        let mut inner = self.lock();
+        inner.down = false;
+        inner.status.busy = false;
+        inner.status.incarnation += 1;
+        inner.prefixes.clear();
+        inner.imported.clear();
+    }
+
+    /// The orders that took effect, in the order in which they did.
+    pub fn orders(&self) -> Vec<(Fence, Order)> {
+        self.lock().orders.clone()
+    }
+
+    /// How many orders came while another was still being carried out.
+    pub fn conflicts(&self) -> u32 {
+        self.lock().conflicts
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn up(&self, step: &'static str) -> Result<EngineModel> {
+        let inner = self.lock();
+        if inner.down { Err(not_reached(step)) } else { Ok(inner.model.clone()) }
+    }
+
+    fn admit(&self, job: &Job) -> Result<EngineModel> {
+        let model = self.up("generate")?;
+        let inner = self.lock();
+        let unserved = !inner.status.serves.contains(&job.serve);
+        if unserved || inner.status.busy {
+            let detail = format_compact!("{} is not in service", job.serve);
+            return Err(refused("generate", detail));
+        }
+        Ok(model)
+    }
+
+    /// Waits for a slot and reads the prompt; returns the cached tokens.
+    async fn prefill(&self, job: &Job, model: &EngineModel) -> u32 {
+        let prompt_tokens = tokens_of(&job.prompt);
+        let prefix = xxhash_rust::xxh3::xxh3_64(head_of(&job.prompt).as_bytes());
+        let imported = self.lock().imported.remove(&job.id).is_some();
+        let cached = if imported || !self.lock().prefixes.insert(prefix) {
+            if imported { prompt_tokens } else { prompt_tokens / 2 }
+        } else {
+            0
+        };
+        let _turn = self.prefill.lock().await;
+        let fresh = f64::from(prompt_tokens - cached + job.resume_tokens / 8);
+        tokio::time::sleep(Duration::from_secs_f64(fresh / f64::from(model.prefill_rate))).await;
+        cached
+    }
+}
+
+/// Length of a text in tokens, as the stand-in counts it.
+fn tokens_of(text: &str) -> u32 {
+    u32::try_from(text.len().div_ceil(TOKEN_BYTES)).unwrap_or(u32::MAX)
+}
+
+/// The part of a prompt that counts as its prefix.
+fn head_of(text: &str) -> &str {
+    const PREFIX_BYTES: usize = 64;
+    let end = (0..=PREFIX_BYTES.min(text.len())).rev().find(|end| text.is_char_boundary(*end));
+    &text[..end.unwrap_or(0)]
+}
+
+/// The token at `index` of the answer to `prompt`: always [`TOKEN_BYTES`] long.
+fn token(prompt: u64, index: u32) -> String {
+    const LETTERS: &[u8; 16] = b"abdefgiklmnoprst";
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&index.to_le_bytes(), prompt);
+    let letter = |shift: u32| char::from(LETTERS[(hash >> shift & 15) as usize]);
+    format!(" {}{}{}", letter(0), letter(8), letter(16))
+}
+
+/// How long the answer to `prompt` is, if it may be long enough.
+fn answer_tokens(prompt: u64, sampling: &Bytes) -> u32 {
+    let wanted = serde_json::from_slice::<serde_json::Value>(sampling).ok();
+    let wanted = wanted.and_then(|value| value.get("fake_tokens")?.as_u64());
+    wanted.map_or(8 + (prompt % 57) as u32, |tokens| u32::try_from(tokens).unwrap_or(u32::MAX))
+}
+
+/// One running job.
+struct Running {
+    engine: MemoryEngine,
+    job: Job,
+    incarnation: u64,
+    prompt: u64,
+    next: u32,
+    length: u32,
+    cached: Option<u32>,
+    slot: Option<OwnedSemaphorePermit>,
+    ended: bool,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut inner = self.engine.lock();
+        inner.status.running = inner.status.running.saturating_sub(1);
+        inner.cancelled.remove(&self.job.id);
+    }
+}
+
+impl Running {
+    async fn step(&mut self) -> Result<Output> {
+        let engine = self.engine.clone();
+        let mut crashed = std::pin::pin!(engine.crashed.notified());
+        crashed.as_mut().enable();
+        if self.engine.lock().status.incarnation != self.incarnation || self.engine.lock().down {
+            return Err(broken("generate", "the engine crashed"));
+        }
+        tokio::select! {
+            output = self.work() => output,
+            () = crashed => Err(broken("generate", "the engine crashed")),
+        }
+    }
+
+    async fn work(&mut self) -> Result<Output> {
+        let model = self.engine.lock().model.clone();
+        if self.slot.is_none() {
+            self.slot = self.engine.slots.clone().acquire_owned().await.ok();
+        }
+        if self.cached.is_none() {
+            self.cached = Some(self.engine.prefill(&self.job, &model).await);
+        }
+        if model.crash_on.as_ref().is_some_and(|text| self.job.prompt.contains(text.as_str())) {
+            self.engine.crash();
+            return Err(broken("generate", "the engine crashed"));
+        }
+        if self.engine.lock().cancelled.contains(&self.job.id) {
+            return Err(broken("generate", "cancelled"));
+        }
+        if self.next >= self.length {
+            return Ok(self.end());
+        }
+        let busy = self.engine.slots.available_permits();
+        let slots = f64::from(model.slots);
+        let share = 1.0 - f64::from(u32::try_from(busy).unwrap_or(u32::MAX)) / slots;
+        tokio::time::sleep(model.token_time.mul_f64(1.0 + share)).await;
+        let text = token(self.prompt, self.next);
+        self.next += 1;
+        Ok(Output::Text { text, tokens: 1 })
+    }
+
+    fn end(&self) -> Output {
+        let whole = answer_tokens(self.prompt, &self.job.sampling);
+        let finish = if whole > self.job.max_tokens { Finish::Length } else { Finish::Stop };
+        let usage = Usage {
+            prompt_tokens: tokens_of(&self.job.prompt),
+            completion_tokens: self.length,
+            cached_tokens: self.cached.unwrap_or_default(),
+        };
+        Output::End { finish, usage }
+    }
+}
+
+#[async_trait]
+impl Engine for MemoryEngine {
+    async fn generate(&self, job: Job) -> Result<Outputs> {
+        self.admit(&job)?;
+        let prompt = xxhash_rust::xxh3::xxh3_64(job.prompt.as_bytes());
+        let length = answer_tokens(prompt, &job.sampling).min(job.max_tokens);
+        let next = job.resume_tokens;
+        let incarnation = {
+            let mut inner = self.lock();
+            inner.status.running += 1;
+            inner.status.incarnation
+        };
+        let engine = self.clone();
+        let (cached, slot) = (None, None);
+        let running =
+            Running { engine, job, incarnation, prompt, next, length, cached, slot, ended: false };
+        Ok(Box::pin(stream::unfold(running, |mut running| async move {
+            if running.ended {
+                return None;
+            }
+            let output = running.step().await;
+            running.ended = !matches!(output, Ok(Output::Text { .. }));
+            Some((output, running))
+        })))
+    }
+
+    async fn cancel(&self, id: &str) -> Result<()> {
+        self.up("cancel")?;
+        self.lock().cancelled.insert(id.to_compact_string());
+        Ok(())
+    }
+
+    async fn order(&self, fence: Fence, order: &Order) -> Result<()> {
+        let model = self.up("order")?;
+        {
+            let mut inner = self.lock();
+            if model.checks_fencing && fence < inner.status.fence {
+                let newest = inner.status.fence;
+                return Err(Error::Fenced { step: "order", peer: PEER, newest });
+            }
+            if model.checks_fencing {
+                inner.status.fence = fence;
+            }
+            if inner.status.busy {
+                inner.conflicts += 1;
+                return Err(refused("order", CompactString::const_new("an order is under way")));
+            }
+            inner.status.busy = true;
+        }
+        let time = match order {
+            Order::SetRole { .. } => model.role_change,
+            Order::Load { .. } => model.load,
+            Order::Unload { .. } => Duration::ZERO,
+        };
+        tokio::time::sleep(time).await;
+        let mut inner = self.lock();
+        if inner.down {
+            return Err(broken("order", "the engine crashed"));
+        }
+        inner.status.busy = false;
+        inner.orders.push((fence, order.clone()));
+        match order {
+            Order::SetRole { role } => inner.status.role = *role,
+            Order::Load { serve, .. } if inner.status.serves.contains(serve) => {}
+            Order::Load { serve, .. } => inner.status.serves.push(serve.clone()),
+            Order::Unload { serve } => inner.status.serves.retain(|name| name != serve),
+        }
+        Ok(())
+    }
+
+    async fn status(&self) -> Result<Status> {
+        self.up("status")?;
+        Ok(self.lock().status.clone())
+    }
+
+    async fn export_kv(&self, id: &str) -> Result<Bytes> {
+        self.up("export KV")?;
+        Ok(Bytes::from(format!("kv:{id}")))
+    }
+
+    async fn import_kv(&self, id: &str, cache: Bytes) -> Result<()> {
+        self.up("import KV")?;
+        self.lock().imported.insert(id.to_compact_string(), cache);
+        Ok(())
+    }
+}
+
+const PEER: CompactString = CompactString::const_new("memory-engine");
+
+fn not_reached(step: &'static str) -> Error {
+    Error::NotReached { step, peer: PEER, detail: CompactString::const_new("the engine is down") }
+}
+
+fn broken(step: &'static str, detail: &str) -> Error {
+    Error::Broken { step, peer: PEER, detail: detail.to_compact_string() }
+}
+
+fn refused(step: &'static str, detail: CompactString) -> Error {
+    Error::Refused { step, peer: PEER, status: 503, detail }
+}
--- /dev/null
+++ b/crates/fake/src/http.rs
@@ -0,0 +1,50 @@
+//! The stand-ins behind the protocols that the real system speaks, each a `salvo` service.
+
+mod engine;
+mod log;
+mod service;
+mod vms;
+mod weights;
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::{Router, Server};
+use std::io;
+use std::net::SocketAddr;
+
+pub use engine::engine_router;
+pub use log::log_router;
+pub use service::service_router;
+pub use vms::vms_router;
+pub use weights::weights_router;
+
+/// A stand-in's server, bound but not yet running.
+pub struct Serving {
+    acceptor: TcpAcceptor,
+    router: Router,
+    /// The address really bound.
+    pub address: SocketAddr,
+}
+
+impl Serving {
+    /// Binds `address`, `host:port`; port 0 takes a free one.
+    pub async fn bind(address: &str, router: Router) -> io::Result<Self> {
+        let socket = tokio::net::TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        Ok(Self { acceptor: socket.try_into()?, router, address })
+    }
+
+    /// Serves until the task is dropped.
+    pub async fn run(self) {
+        Server::new(self.acceptor).serve(self.router).await;
+    }
+}
+
+/// Answers with JSON and a status.
+fn render<T: serde::Serialize + Send>(
+    response: &mut salvo::Response,
+    status: salvo::http::StatusCode,
+    body: T,
+) {
+    response.status_code(status);
+    response.render(salvo::writing::Json(body));
+}
--- /dev/null
+++ b/crates/fake/src/log.rs
@@ -0,0 +1,159 @@
+//! An append-only log in memory, with the faults of a real one.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use plat::{Batch, Entry, Error, Log, Offset, Result};
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// A log in memory; clones share it.
+#[derive(Clone, Default)]
+pub struct MemoryLog {
+    inner: Arc<Mutex<Inner>>,
+    grown: Arc<Notify>,
+}
+
+#[derive(Default)]
+struct Inner {
+    streams: HashMap<CompactString, Stream>,
+    out: bool,
+    delay: Duration,
+    lost_replies: u32,
+    retention: Option<Duration>,
+    appends: u64,
+}
+
+#[derive(Default)]
+struct Stream {
+    first: Offset,
+    records: VecDeque<(Instant, Bytes)>,
+}
+
+impl MemoryLog {
+    /// Makes an empty log.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the log out of service, or puts it back.
+    pub fn set_out(&self, out: bool) {
+        self.lock().out = out;
+        self.grown.notify_waiters();
+    }
+
+    /// Makes each call take this long.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    /// Loses the replies of the next `count` appends, after the write.
+    pub fn lose_replies(&self, count: u32) {
+        self.lock().lost_replies = count;
+    }
+
+    /// Keeps records only this long.
+    pub fn set_retention(&self, retention: Duration) {
+        self.lock().retention = Some(retention);
+    }
+
+    /// How many append calls took effect.
+    pub fn appends(&self) -> u64 {
+        self.lock().appends
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn reach(&self, step: &'static str) -> Result<()> {
+        let (out, delay) = {
+            let inner = self.lock();
+            (inner.out, inner.delay)
+        };
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        if out { Err(unavailable(step)) } else { Ok(()) }
+    }
+
+    fn look(&self, stream: &str, from: Offset, limit: usize) -> Result<Batch> {
+        let mut inner = self.lock();
+        if inner.out {
+            return Err(unavailable("read"));
+        }
+        let retention = inner.retention;
+        let Some(kept) = inner.streams.get_mut(stream) else { return Ok(Batch::default()) };
+        kept.expire(retention);
+        if from < kept.first {
+            return Err(Error::Gone { stream: stream.to_compact_string(), oldest: kept.first });
+        }
+        let end = kept.first + kept.records.len() as u64;
+        let skipped = usize::try_from(from - kept.first).unwrap_or(usize::MAX);
+        let records = kept.records.iter().skip(skipped).take(limit);
+        let entries = (from..)
+            .zip(records)
+            .map(|(offset, (_, bytes))| Entry { offset, bytes: bytes.clone() });
+        Ok(Batch { entries: entries.collect(), oldest: kept.first, end })
+    }
+}
+
+impl Stream {
+    fn expire(&mut self, retention: Option<Duration>) {
+        let Some(retention) = retention else { return };
+        while self.records.front().is_some_and(|(at, _)| at.elapsed() > retention) {
+            self.records.pop_front();
+            self.first += 1;
+        }
+    }
+}
+
+#[async_trait]
+impl Log for MemoryLog {
+    async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<Offset> {
+        self.reach("append").await?;
+        let mut inner = self.lock();
+        inner.appends += 1;
+        let lost = inner.lost_replies > 0;
+        inner.lost_replies = inner.lost_replies.saturating_sub(1);
+        let kept = inner.streams.entry(stream.to_compact_string()).or_default();
+        let offset = kept.first + kept.records.len() as u64;
+        let now = Instant::now();
+        kept.records.extend(records.into_iter().map(|bytes| (now, bytes)));
+        drop(inner);
+        self.grown.notify_waiters();
+        if lost { Err(unsettled("append")) } else { Ok(offset) }
+    }
+
+    async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: usize,
+        wait: Duration,
+    ) -> Result<Batch> {
+        self.reach("read").await?;
+        let until = Instant::now() + wait;
+        loop {
+            let mut grown = std::pin::pin!(self.grown.notified());
+            grown.as_mut().enable();
+            let batch = self.look(stream, from, limit)?;
+            if !batch.entries.is_empty() || tokio::time::timeout_at(until, grown).await.is_err() {
+                return Ok(batch);
+            }
+        }
+    }
+}
+
+const PEER: CompactString = CompactString::const_new("memory-log");
+
+fn unavailable(step: &'static str) -> Error {
+    Error::Unavailable { step, peer: PEER, detail: CompactString::const_new("set out of service") }
+}
+
+fn unsettled(step: &'static str) -> Error {
+    Error::Unsettled { step, peer: PEER, detail: CompactString::const_new("reply lost on purpose") }
+}
--- /dev/null
+++ b/crates/itest/src/lib.rs
@@ -0,0 +1,192 @@
+//! A whole fleet in one test: entries, agents and stand-ins over in-memory links.
+//!
+//! Under the paused clock of a current-thread runtime a run is the same each time.
+
+use agent::Backend;
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use conf::{Kind, settings};
+use fake::{EngineModel, MemoryEngine, MemoryLog, MemoryService};
+use http_body_util::BodyExt;
+use salvo::http::uri::Scheme;
+use serde_json::{Value, json};
+use state::Appender;
+use state::record::{Body, Change};
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+use wire::Memory;
+
+/// The secret between the fleet's processes.
+const PEER_KEY: &str = "test";
+
+/// The model that all stand-in engines serve.
+pub const MODEL: &str = "lapis-small";
+
+/// A fleet in memory.
+#[derive(Default)]
+pub struct Fleet {
+    /// The platform's log.
+    pub log: MemoryLog,
+    /// The network between entries and agents; agents listen at their target's name plus `:1`.
+    pub network: Memory,
+}
+
+/// A running agent.
+pub struct Agent {
+    /// Cancelling it stops the agent gracefully.
+    pub stop: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// What a caller received.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers, in the order in which they came.
+    pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
+    pub body: String,
+    /// Whether the body broke off.
+    pub cut: bool,
+}
+
+impl Fleet {
+    /// Makes an empty fleet with one open caller and one model.
+    pub async fn new() -> Self {
+        let fleet = Self::default();
+        fleet.publish(Kind::Model, MODEL, json!({})).await;
+        fleet.publish(Kind::Caller, "open", json!({"urgent": true})).await;
+        fleet
+    }
+
+    /// Appends a change of a resource as an operator would.
+    pub async fn publish(&self, kind: Kind, name: &str, spec: Value) {
+        let appender = Appender::new(Arc::new(self.log.clone()), "operator".into());
+        let change = Change {
+            kind: kind.name().to_owned(),
+            name: name.to_owned(),
+            spec: Some(spec.to_string()),
+            expects: None,
+        };
+        appender.append(plat::CONFIG_STREAM, Body::Change(change)).await.expect("the log is up");
+    }
+
+    /// Adds an engine of the usual speed with its agent, and its resource.
+    pub async fn add_engine(&self, name: &str, domain: &str) -> (MemoryEngine, Agent) {
+        let engine = MemoryEngine::new(EngineModel::default(), &[MODEL]);
+        let spec = json!({"models": [MODEL], "domain": domain, "agent": agent_address(name)});
+        self.publish(Kind::Target, name, spec).await;
+        let agent = self.start_agent(name, domain, Backend::Engine(Arc::new(engine.clone())));
+        (engine, agent)
+    }
+
+    /// Adds an instance of a plain service with its agent, and its resource.
+    pub async fn add_service(
+        &self,
+        service: &str,
+        name: &str,
+        domain: &str,
+        repeatable: bool,
+    ) -> (MemoryService, Agent) {
+        let backend = MemoryService::default();
+        let agent = agent_address(name);
+        let spec = json!({
+            "service": service, "domain": domain, "agent": agent, "repeatable": repeatable,
+        });
+        self.publish(Kind::Target, name, spec).await;
+        let agent = self.start_agent(name, domain, Backend::Service(Arc::new(backend.clone())));
+        (backend, agent)
+    }
+
+    /// Starts the agent of the target `name`; also anew, after a crash.
+    pub fn start_agent(&self, name: &str, domain: &str, backend: Backend) -> Agent {
+        let address = agent_address(name);
+        let settings = settings::Agent {
+            name: format_compact!("agent-{name}"),
+            target: name.into(),
+            domain: domain.into(),
+            peer_key: PEER_KEY.into(),
+            ..settings::Agent::default()
+        };
+        let stop = CancellationToken::new();
+        let context = agent::Context {
+            settings,
+            log: Arc::new(self.log.clone()),
+            backend,
+            listener: Box::new(self.network.listen(&address)),
+            stop: stop.clone(),
+        };
+        let task = tokio::spawn(async move {
+            // A test sees an agent that failed by what callers receive.
+            let _ = agent::Daemon::new(context).run().await;
+        });
+        Agent { stop, task }
+    }
+
+    /// Starts an entry.
+    pub fn start_entry(&self, name: &str, domain: &str) -> entry::Entry {
+        let settings = settings::Entry {
+            name: name.into(),
+            domain: domain.into(),
+            peer_key: PEER_KEY.into(),
+            ..settings::Entry::default()
+        };
+        entry::Entry::start(entry::Context {
+            settings,
+            log: Arc::new(self.log.clone()),
+            dialler: Arc::new(self.network.at(name)),
+            stop: CancellationToken::new(),
+        })
+    }
+}
+
+impl Agent {
+    /// Kills the agent: it says and does nothing more.
+    pub fn kill(self) {
+        self.task.abort();
+    }
+
+    /// Waits until a stopped agent has ended.
+    pub async fn ended(self) {
+        // A killed agent has ended too.
+        let _ = self.task.await;
+    }
+}
+
+/// Where the agent of a target listens.
+pub fn agent_address(target: &str) -> CompactString {
+    format_compact!("{target}:1")
+}
+
+/// Sends a request to an entry and collects what the caller receives.
+pub async fn send(entry: &entry::Entry, request: http::Request<Bytes>) -> Answer {
+    let request = request.map(salvo::http::ReqBody::Once);
+    let request = salvo::Request::from_hyper(request, Scheme::HTTP);
+    let mut response = salvo::Service::new(entry.router()).handle(request).await;
+    let status = response.status_code.map_or(200, |status| status.as_u16());
+    let headers = response.headers().iter().map(|(name, value)| {
+        (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
+    });
+    let headers = headers.collect();
+    let (body, cut) = collect(response.take_body()).await;
+    Answer { status, headers, body, cut }
+}
+
+/// Sends a JSON body by POST.
+pub async fn post(entry: &entry::Entry, path: &str, body: Value) -> Answer {
+    let request = http::Request::post(path).header("content-type", "application/json");
+    let request = request.body(Bytes::from(body.to_string())).expect("the request is valid");
+    send(entry, request).await
+}
+
+async fn collect(mut body: salvo::http::ResBody) -> (String, bool) {
+    let mut text = String::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return (text, true) };
+        if let Ok(data) = frame.into_data() {
+            text.push_str(&String::from_utf8_lossy(&data));
+        }
+    }
+    (text, false)
+}
--- /dev/null
+++ b/crates/target/src/http/engine.rs
@@ -0,0 +1,193 @@
+//! An engine that speaks the OpenAI-compatible protocol and the order routes.
+
+use super::exchange::{Exchange, JSON};
+use super::shapes::{Choice, Chunk, CompletionBody, FencedBody, OrderBody};
+use crate::{Engine, Error, Fence, Finish, Job, Order, Output, Outputs, Result, Status, Usage};
+use async_trait::async_trait;
+use bytes::{Buf, Bytes, BytesMut};
+use compact_str::CompactString;
+use futures_util::stream;
+use http_body_util::BodyExt;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+
+/// An engine at an address.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    exchange: Exchange,
+}
+
+impl HttpEngine {
+    /// Makes a client of the engine at `address`, `host:port`.
+    pub fn new(address: CompactString) -> Self {
+        Self { exchange: Exchange::new(address) }
+    }
+
+    fn parse<T: serde::de::DeserializeOwned>(&self, step: &'static str, body: &[u8]) -> Result<T> {
+        serde_json::from_slice(body).map_err(|error| self.exchange.broken(step, &error))
+    }
+}
+
+/// Priorities as the engine reads them.
+const URGENT_PRIORITY: u32 = 10;
+const ORDINARY_PRIORITY: u32 = 1;
+
+#[async_trait]
+impl Engine for HttpEngine {
+    async fn generate(&self, job: Job) -> Result<Outputs> {
+        const STEP: &str = "generate";
+        let body = completion_body(&job);
+        let body = serde_json::to_vec(&body).map_err(|e| self.exchange.not_reached(STEP, &e))?;
+        let kind = (CompactString::const_new("content-type"), Bytes::from_static(JSON));
+        let headers = std::iter::once(kind);
+        let sent = self.exchange.send(STEP, "POST", "/v1/completions", headers, body.into());
+        let response = sent.await?;
+        let status = response.status();
+        if status != StatusCode::OK {
+            let reason = self.exchange.collect(STEP, response.into_body()).await?;
+            return Err(self.exchange.refused(STEP, status, &reason));
+        }
+        Ok(outputs(self.exchange.clone(), response.into_body()))
+    }
+
+    async fn cancel(&self, id: &str) -> Result<()> {
+        let path = format!("/v1/requests/{id}");
+        self.exchange.json("cancel", "DELETE", &path, Bytes::new()).await.map(drop)
+    }
+
+    async fn order(&self, fence: Fence, order: &Order) -> Result<()> {
+        const STEP: &str = "order";
+        let body = OrderBody { fence, order: order.clone() };
+        let body = serde_json::to_vec(&body).map_err(|e| self.exchange.not_reached(STEP, &e))?;
+        let kind = (CompactString::const_new("content-type"), Bytes::from_static(JSON));
+        let headers = std::iter::once(kind);
+        let sent = self.exchange.send(STEP, "POST", "/orders", headers, body.into());
+        let response = sent.await?;
+        let status = response.status();
+        let body = self.exchange.collect(STEP, response.into_body()).await?;
+        match status {
+            StatusCode::CONFLICT => {
+                let newest = self.parse::<FencedBody>(STEP, &body)?.newest;
+                Err(Error::Fenced { step: STEP, peer: self.exchange.peer().clone(), newest })
+            }
+            _ if status.is_success() => Ok(()),
+            _ => Err(self.exchange.refused(STEP, status, &body)),
+        }
+    }
+
+    async fn status(&self) -> Result<Status> {
+        const STEP: &str = "status";
+        let body = self.exchange.json(STEP, "GET", "/status", Bytes::new()).await?;
+        self.parse(STEP, &body)
+    }
+
+    async fn export_kv(&self, id: &str) -> Result<Bytes> {
+        self.exchange.json("export KV", "GET", &format!("/kv/{id}"), Bytes::new()).await
+    }
+
+    async fn import_kv(&self, id: &str, cache: Bytes) -> Result<()> {
+        self.exchange.json("import KV", "PUT", &format!("/kv/{id}"), cache).await.map(drop)
+    }
+}
+
+fn completion_body(job: &Job) -> CompletionBody {
+    CompletionBody {
+        model: job.serve.clone(),
+        prompt: job.prompt.clone(),
+        max_tokens: job.max_tokens,
+        stream: true,
+        request_id: job.id.clone(),
+        priority: if job.urgent { URGENT_PRIORITY } else { ORDINARY_PRIORITY },
+        resume_text: job.resume_text.clone(),
+        resume_tokens: job.resume_tokens,
+        sampling: serde_json::from_slice(&job.sampling).unwrap_or_default(),
+    }
+}
+
+/// What is left to read of a streamed completion.
+struct Reading {
+    exchange: Exchange,
+    body: Incoming,
+    buffer: BytesMut,
+    finish: Option<Finish>,
+    usage: Option<Usage>,
+    done: bool,
+}
+
+fn outputs(exchange: Exchange, body: Incoming) -> Outputs {
+    let buffer = BytesMut::new();
+    let reading = Reading { exchange, body, buffer, finish: None, usage: None, done: false };
+    Box::pin(stream::unfold(reading, |mut reading| async move {
+        if reading.done {
+            return None;
+        }
+        let output = reading.next().await;
+        reading.done = !matches!(output, Ok(Output::Text { .. }));
+        Some((output, reading))
+    }))
+}
+
+const STEP: &str = "read stream";
+
+/// The longest event accepted, in bytes, so that a broken engine can't fill our memory.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+impl Reading {
+    /// Reads on until there is text or the end.
+    async fn next(&mut self) -> Result<Output> {
+        loop {
+            while let Some(data) = take_event(&mut self.buffer) {
+                if let Some(output) = self.event(&data)? {
+                    return Ok(output);
+                }
+            }
+            if self.buffer.len() > MAX_EVENT_BYTES {
+                return Err(self.exchange.broken(STEP, &"an event is too long"));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buffer.extend_from_slice(data);
+                    }
+                }
+                Some(Err(error)) => return Err(self.exchange.broken(STEP, &error)),
+                None => return Err(self.exchange.broken(STEP, &"the stream ended early")),
+            }
+        }
+    }
+
+    fn event(&mut self, data: &[u8]) -> Result<Option<Output>> {
+        if data == b"[DONE]" {
+            let (Some(finish), Some(usage)) = (self.finish, self.usage) else {
+                return Err(self.exchange.broken(STEP, &"done without a reason or usage"));
+            };
+            return Ok(Some(Output::End { finish, usage }));
+        }
+        let chunk: Chunk =
+            serde_json::from_slice(data).map_err(|error| self.exchange.broken(STEP, &error))?;
+        self.usage = chunk.usage.or(self.usage);
+        let Some(choice) = chunk.choices.into_iter().next() else { return Ok(None) };
+        self.finish = finish(&choice).or(self.finish);
+        let Choice { text, tokens, .. } = choice;
+        Ok((!text.is_empty()).then_some(Output::Text { text, tokens }))
+    }
+}
+
+fn finish(choice: &Choice) -> Option<Finish> {
+    match choice.finish_reason.as_deref()? {
+        "length" => Some(Finish::Length),
+        _ => Some(Finish::Stop),
+    }
+}
+
+/// Takes the next whole event off the buffer and returns its data; comments are passed over.
+fn take_event(buffer: &mut BytesMut) -> Option<Bytes> {
+    loop {
+        let end = buffer.windows(2).position(|pair| pair == b"\n\n")?;
+        let event = buffer.split_to(end).freeze();
+        buffer.advance(2);
+        if let Some(data) = event.strip_prefix(b"data: ") {
+            return Some(event.slice_ref(data));
+        }
+    }
+}
--- /dev/null
+++ b/crates/target/src/http/exchange.rs
@@ -0,0 +1,106 @@
+//! One HTTP exchange with a target, with errors that tell whether it was reached.
+
+use crate::{Error, Result};
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
+
+/// A client of one target.
+#[derive(Debug, Clone)]
+pub(super) struct Exchange {
+    client: Client<HttpConnector, Full<Bytes>>,
+    peer: CompactString,
+}
+
+/// The most bytes of a refusal's body that go into an error.
+const MAX_REASON_BYTES: usize = 512;
+
+impl Exchange {
+    /// Makes a client of the target at `peer`, `host:port`.
+    pub(super) fn new(peer: CompactString) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        // A reused connection may be closed just as a call is written to it, and the client would
+        // then send the call again by itself: a second run of a call that may not be repeated.
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .build::<_, Full<Bytes>>(connector);
+        Self { client, peer }
+    }
+
+    /// Sends a request and returns the response once its head is there, whatever its status.
+    pub(super) async fn send(
+        &self,
+        step: &'static str,
+        method: &str,
+        path: &str,
+        headers: impl Iterator<Item = (CompactString, Bytes)>,
+        body: Bytes,
+    ) -> Result<Response<Incoming>> {
+        let mut request =
+            Request::builder().method(method).uri(format!("http://{}{path}", self.peer));
+        for (name, value) in headers {
+            request = request.header(name.as_str(), value.as_ref());
+        }
+        let request =
+            request.body(Full::new(body)).map_err(|error| self.not_reached(step, &error))?;
+        self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                self.not_reached(step, &error)
+            } else {
+                self.broken(step, &error)
+            }
+        })
+    }
+
+    /// Reads a body whole.
+    pub(super) async fn collect(&self, step: &'static str, body: Incoming) -> Result<Bytes> {
+        let body = body.collect().await.map_err(|error| self.broken(step, &error))?;
+        Ok(body.to_bytes())
+    }
+
+    /// Sends JSON and reads JSON; any status but success is a refusal.
+    pub(super) async fn json(
+        &self,
+        step: &'static str,
+        method: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes> {
+        let kind = (CompactString::const_new("content-type"), Bytes::from_static(JSON));
+        let response = self.send(step, method, path, std::iter::once(kind), body).await?;
+        let status = response.status();
+        let body = self.collect(step, response.into_body()).await?;
+        if status.is_success() { Ok(body) } else { Err(self.refused(step, status, &body)) }
+    }
+
+    pub(super) fn not_reached(&self, step: &'static str, detail: &dyn std::fmt::Display) -> Error {
+        Error::NotReached { step, peer: self.peer.clone(), detail: detail.to_compact_string() }
+    }
+
+    pub(super) fn broken(&self, step: &'static str, detail: &dyn std::fmt::Display) -> Error {
+        Error::Broken { step, peer: self.peer.clone(), detail: detail.to_compact_string() }
+    }
+
+    pub(super) fn refused(
+        &self,
+        step: &'static str,
+        status: hyper::StatusCode,
+        body: &[u8],
+    ) -> Error {
+        let reason = &body[..body.len().min(MAX_REASON_BYTES)];
+        let detail = String::from_utf8_lossy(reason).to_compact_string();
+        Error::Refused { step, peer: self.peer.clone(), status: status.as_u16(), detail }
+    }
+
+    pub(super) fn peer(&self) -> &CompactString {
+        &self.peer
+    }
+}
+
+/// The media type of JSON.
+pub(super) const JSON: &[u8] = b"application/json";
--- /dev/null
+++ b/crates/target/src/service.rs
@@ -0,0 +1,52 @@
+//! A plain service.
+
+use crate::Result;
+use async_trait::async_trait;
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::stream::BoxStream;
+
+/// A header field.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Header {
+    /// The name in lower case.
+    pub name: CompactString,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// A call as the service receives it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The HTTP method.
+    pub method: CompactString,
+    /// Path and query, beginning with `/`.
+    pub path: String,
+    /// Headers that are passed on.
+    pub headers: Vec<Header>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// The pieces of a response body.
+pub type Parts = BoxStream<'static, Result<Bytes>>;
+
+/// A service's response.
+pub struct Response {
+    /// The HTTP status.
+    pub status: u16,
+    /// Headers that are passed on.
+    pub headers: Vec<Header>,
+    /// The body, piece by piece.
+    pub body: Parts,
+}
+
+/// An instance of a plain service.
+#[async_trait]
+pub trait Service: Send + Sync {
+    /// Performs one call and returns when the response's head is there.
+    async fn call(&self, call: Call) -> Result<Response>;
+
+    /// Finds out whether the service is up.
+    async fn probe(&self) -> Result<()>;
+}
--- /dev/null
+++ b/crates/wire/src/request.rs
@@ -0,0 +1,107 @@
+//! A request as an entry hands it to an agent.
+
+use bytes::Bytes;
+
+/// One caller's request, complete and checked by the entry that took it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Request {
+    /// The request's id, unique in the fleet and shown to the caller.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// The Caller resource's name; scopes idempotency keys and event ids.
+    #[prost(string, tag = "2")]
+    pub caller: String,
+    /// Milliseconds that the caller still waits, counted from the frame's arrival.
+    #[prost(uint64, tag = "3")]
+    pub deadline_ms: u64,
+    /// Whether the request goes before ordinary ones.
+    #[prost(bool, tag = "4")]
+    pub urgent: bool,
+    /// A hash of caller and content, the same each time the same content is sent.
+    #[prost(uint64, tag = "5")]
+    pub fingerprint: u64,
+    /// The caller's W3C `traceparent`, or empty.
+    #[prost(string, tag = "6")]
+    pub traceparent: String,
+    /// What is to be done.
+    #[prost(oneof = "Work", tags = "10, 11")]
+    pub work: Option<Work>,
+}
+
+/// What a request asks of its target.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Work {
+    /// Generation by a language-model engine.
+    #[prost(message, tag = "10")]
+    Prompt(Prompt),
+    /// A call of a plain service.
+    #[prost(message, tag = "11")]
+    Call(Call),
+}
+
+/// A generation: always repeatable, since an engine keeps nothing of it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Prompt {
+    /// The model's name.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// The version's name, or empty for the one in service.
+    #[prost(string, tag = "2")]
+    pub version: String,
+    /// The adapter's name, or empty.
+    #[prost(string, tag = "3")]
+    pub adapter: String,
+    /// The prompt, with a chat already rendered to text.
+    #[prost(string, tag = "4")]
+    pub text: String,
+    /// Length of the prompt, in tokens, as estimated by the entry.
+    #[prost(uint32, tag = "5")]
+    pub prompt_tokens: u32,
+    /// The most tokens to generate, counted from the request's beginning, also when resumed.
+    #[prost(uint32, tag = "6")]
+    pub max_tokens: u32,
+    /// Tokens to generate that the entry expects, for the work estimate.
+    #[prost(uint32, tag = "7")]
+    pub expected_tokens: u32,
+    /// Tokens that the caller already has, when a stream is resumed.
+    #[prost(uint32, tag = "8")]
+    pub resume_tokens: u32,
+    /// The text of those tokens.
+    #[prost(string, tag = "9")]
+    pub resume_text: String,
+    /// A hash of the prompt's beginning, for prefix caches.
+    #[prost(uint64, tag = "10")]
+    pub prefix: u64,
+    /// Sampling parameters as a JSON object, passed on to the engine as they came.
+    #[prost(bytes = "bytes", tag = "11")]
+    pub sampling: Bytes,
+    /// Name of a target from which the KV cache can be imported, or empty.
+    #[prost(string, tag = "12")]
+    pub kv_source: String,
+}
+
+/// A call of a plain service.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Call {
+    /// The service's name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The HTTP method.
+    #[prost(string, tag = "2")]
+    pub method: String,
+    /// Path and query below the service's root, beginning with `/`.
+    #[prost(string, tag = "3")]
+    pub path: String,
+    /// Headers that are passed on.
+    #[prost(message, repeated, tag = "4")]
+    pub headers: Vec<crate::Header>,
+    /// The body.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub body: Bytes,
+    /// Whether running the call twice does no harm.
+    #[prost(bool, tag = "6")]
+    pub repeatable: bool,
+    /// The caller's idempotency key, or empty.
+    #[prost(string, tag = "7")]
+    pub key: String,
+}
