feat(wire): pings carry sightings of entries

Cause: the planner needs offered demand, and an operator needs to know when a configuration is in force everywhere.

Before: Observed records.

Conclusion: heartbeats carry membership, demand and applied offsets.

--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -62,7 +62,8 @@
             }
             Some(Body::Ping(ping)) => {
                 let load = Some(shared.meter.load());
-                let pong = Frame::new(Body::Pong(Pong { nonce: ping.nonce, load }));
+                let pong =
+                    Frame::new(Body::Pong(Pong { nonce: ping.nonce, load, sightings: Vec::new() }));
                 if outbox.send(pong).await.is_err() {
                     return;
                 }
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -28,7 +28,7 @@
     #[prost(uint64, tag = "4")]
     pub written_ms: u64,
     /// What it says.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18")]
     pub body: Option<Body>,
 }
 
@@ -62,9 +62,6 @@
     /// The state of the stream up to an offset.
     #[prost(message, tag = "18")]
     Checkpoint(Checkpoint),
-    /// How far a process has applied the config stream.
-    #[prost(message, tag = "19")]
-    Observed(Observed),
 }
 
 /// A change of a resource.
@@ -247,17 +244,6 @@
     pub sha256: Bytes,
 }
 
-/// How far a process has applied the config stream.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Observed {
-    /// The process's name.
-    #[prost(string, tag = "1")]
-    pub process: String,
-    /// The offset of the first config record not yet applied.
-    #[prost(uint64, tag = "2")]
-    pub config_end: Offset,
-}
-
 impl Record {
     /// Makes a record of the current version.
     pub fn new(id: u64, author: &str, written_ms: u64, body: Body) -> Self {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -268,12 +268,18 @@
     pub detail: String,
 }
 
-/// Asks whether the peer is there.
+/// Asks whether the peer is there, and tells it about the sender.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ping {
     /// Sent back in the [`Pong`].
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
+    /// What the sender says of itself; absent if it takes no requests from callers.
+    #[prost(message, optional, tag = "2")]
+    pub sender: Option<Sighting>,
+    /// Whether the answer should tell which entries the agent has heard from.
+    #[prost(bool, tag = "3")]
+    pub wants_sightings: bool,
 }
 
 /// Answers a ping.
@@ -282,9 +288,36 @@
     /// The ping's nonce.
     #[prost(uint64, tag = "1")]
     pub nonce: u64,
-    /// The agent's load; absent from an entry.
+    /// The agent's load.
     #[prost(message, optional, tag = "2")]
     pub load: Option<Load>,
+    /// The entries that the agent has heard from, if they were asked for.
+    #[prost(message, repeated, tag = "3")]
+    pub sightings: Vec<Sighting>,
+}
+
+/// An entry as an agent last heard from it; carries membership and offered demand to the planner
+/// and to whoever asks whether a configuration is in force everywhere.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Sighting {
+    /// The entry's name.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// The entry's incarnation.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// The offset up to which it has applied the config stream.
+    #[prost(uint64, tag = "3")]
+    pub config_offset: u64,
+    /// Prompt tokens a second that callers offer it, refused ones among them.
+    #[prost(uint64, tag = "4")]
+    pub prompt_rate: u64,
+    /// Output tokens a second that callers offer it, refused ones among them.
+    #[prost(uint64, tag = "5")]
+    pub output_rate: u64,
+    /// Milliseconds since the agent heard this.
+    #[prost(uint64, tag = "6")]
+    pub age_ms: u64,
 }
 
 /// A question outside any attempt.
--- a/crates/wire/src/load.rs
+++ b/crates/wire/src/load.rs
@@ -43,4 +43,10 @@
     /// The offset up to which the agent has applied the config stream.
     #[prost(uint64, tag = "13")]
     pub config_offset: u64,
+    /// Milliseconds that a new ordinary request would wait for a slot, as the agent estimates it.
+    #[prost(uint64, tag = "14")]
+    pub wait_ms: u64,
+    /// The median time between two tokens of late, in microseconds; 0 if unknown.
+    #[prost(uint64, tag = "15")]
+    pub token_time_us: u64,
 }
--- a/crates/wire/src/request.rs
+++ b/crates/wire/src/request.rs
@@ -78,6 +78,10 @@
     /// Name of a target from which the KV cache can be imported, or empty.
     #[prost(string, tag = "12")]
     pub kv_source: String,
+    /// Whether only the prompt is to be read: the attempt ends after the first token, and the KV
+    /// cache is kept for the target that goes on.
+    #[prost(bool, tag = "13")]
+    pub prefill_only: bool,
 }
 
 /// A call of a plain service.
