--- /dev/null
+++ b/crates/agent/src/asks.rs
@@ -0,0 +1,48 @@
+//! Questions of peers outside any attempt.
+
+use crate::Backend;
+use crate::shared::Shared;
+use bytes::Bytes;
+use std::time::Duration;
+use wire::{Ask, AskKind, Reply};
+
+/// How long the engine may take to hand out a KV cache.
+const KV_TIME: Duration = Duration::from_secs(2);
+
+/// Answers a question; an empty body says that there is no answer.
+pub(crate) async fn answer(shared: &Shared, ask: Ask) -> Reply {
+    let body = match AskKind::try_from(ask.kind) {
+        Ok(AskKind::Snapshot) => Bytes::new(),
+        Ok(AskKind::Explain) => explain(shared, &ask.body),
+        Ok(AskKind::KvCache) => kv_cache(shared, &ask.body).await.unwrap_or_default(),
+        // A kind of a newer version has no answer here.
+        Err(_) => Bytes::new(),
+    };
+    Reply { id: ask.id, body }
+}
+
+async fn kv_cache(shared: &Shared, request: &[u8]) -> Option<Bytes> {
+    let request = std::str::from_utf8(request).ok()?;
+    let (job, cache) = shared.answers.job(request)?;
+    if let Some(cache) = cache {
+        return Some(cache);
+    }
+    let Backend::Engine(engine) = &shared.backend else { return None };
+    let exporting = engine.export_kv(&job);
+    match tokio::time::timeout(KV_TIME, exporting).await {
+        Ok(Ok(cache)) => Some(cache),
+        Ok(Err(error)) => {
+            log::warn!(request = request, error:% = error; "kv-export-failed");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn explain(shared: &Shared, request: &[u8]) -> Bytes {
+    let Ok(request) = std::str::from_utf8(request) else { return Bytes::new() };
+    let Some((job, cache)) = shared.answers.job(request) else { return Bytes::new() };
+    let cache = cache.map_or(0, |cache| cache.len());
+    let target = &shared.target;
+    Bytes::from(format!("target={target} job={job} kv_cache_bytes={cache}\n"))
+}
--- a/crates/agent/src/context.rs
+++ b/crates/agent/src/context.rs
@@ -25,6 +25,8 @@
     pub backend: Backend,
     /// Where entries connect.
     pub listener: Box<dyn wire::Listener>,
+    /// How other agents are reached.
+    pub dialler: Arc<dyn wire::Dialler>,
     /// Cancelled when the process is asked to stop gracefully.
     pub stop: CancellationToken,
 }
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,18 +1,31 @@
 //! The agent's process: its tasks and how it stops.
 
-use crate::load::Meter;
-use crate::session::{self, Shared};
-use crate::{Context, Result};
+use crate::answers::Answers;
+use crate::dispatcher::Dispatcher;
+use crate::health::Health;
+use crate::meter::Meter;
+use crate::shared::Shared;
+use crate::sightings::Sightings;
+use crate::tasks::Tasks;
+use crate::{Context, Result, session};
 use state::{Config, Follower};
 use std::sync::Arc;
-use tokio_util::task::TaskTracker;
-use wire::{Hello, Key};
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+use tokio::sync::watch;
+use wire::Key;
 
 /// The agent of one target.
 pub struct Daemon {
     context: Context,
 }
 
+/// Requests that a target runs side by side until its resource says otherwise.
+const DEFAULT_SLOTS: u32 = 16;
+
+/// How long a stopping agent gives what it has written to leave for its entries.
+const FLUSH: Duration = Duration::from_millis(200);
+
 impl Daemon {
     /// Makes an agent that sees the world through `context`.
     pub fn new(context: Context) -> Self {
@@ -21,40 +34,61 @@
 
     /// Runs until the context's token is cancelled and the requests in flight are answered.
     pub async fn run(self) -> Result<()> {
-        let Context { settings, log, backend, mut listener, stop } = self.context;
+        let Context { settings, log, backend, mut listener, dialler, stop } = self.context;
         let follower = Follower::<Config>::new(log, plat::CONFIG_STREAM.into());
-        let _config = follower.state();
-        let following = tokio::spawn(follower.run());
         let shared = Arc::new(Shared {
             name: settings.name.clone(),
+            target: settings.target.clone(),
             incarnation: rand::random(),
             key: Key::new(settings.peer_key.as_bytes().to_vec()),
-            meter: Meter::new(settings.target.clone(), DEFAULT_SLOTS),
             backend,
+            dialler,
+            config: follower.state(),
+            dispatcher: Dispatcher::new(DEFAULT_SLOTS),
+            meter: Meter::default(),
+            health: Health::default(),
+            answers: Answers::default(),
+            sightings: Sightings::default(),
+            stop: stop.clone(),
+            moves: watch::Sender::new(0),
+            sequence: AtomicU64::new(0),
         });
-        let sessions = TaskTracker::new();
+        // All tasks end with this future, also when it is dropped.
+        let (tasks, _closing) = Tasks::new();
+        tasks.duty(follower.run());
+        tasks.duty(watch_health(shared.clone()));
+        tasks.duty(follow_resource(shared.clone()));
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
                 accepted = listener.accept() => {
                     let (pipe, peer) = accepted?;
-                    sessions.spawn(session::serve(shared.clone(), pipe, peer));
+                    tasks.duty(session::serve(shared.clone(), tasks.clone(), pipe, peer));
                 }
             }
         }
-        sessions.close();
-        let _ = tokio::time::timeout(settings.drain, sessions.wait()).await;
-        following.abort();
+        let ended = tokio::time::timeout(settings.drain, tasks.finish()).await;
+        if ended.is_err() {
+            log::error!(running = shared.dispatcher.counts().1; "stop-cut-requests");
+        }
+        tokio::time::sleep(FLUSH).await;
         Ok(())
     }
 }
 
-/// Requests that a target runs side by side until its resource says otherwise.
-const DEFAULT_SLOTS: u32 = 16;
+async fn watch_health(shared: Arc<Shared>) {
+    shared.health.watch(&shared.backend, &shared.target).await;
+}
 
-impl Shared {
-    /// The greeting for a new connection.
-    pub(crate) fn hello(&self) -> Hello {
-        Hello::new(&self.name, self.incarnation, rand::random())
+/// Keeps the number of slots as the Target resource says.
+async fn follow_resource(shared: Arc<Shared>) {
+    let mut config = shared.config.clone();
+    loop {
+        if let Some(target) = shared.resource() {
+            shared.dispatcher.set_slots(target.slots);
+        }
+        if config.changed().await.is_err() {
+            return;
+        }
     }
 }
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -1,156 +1,124 @@
-//! One attempt at the target, written straight down.
+//! One request from its arrival to the end of its answer, written straight down.
 
-use crate::Backend;
-use crate::session::Shared;
-use compact_str::{CompactString, ToCompactString, format_compact};
-use futures_util::StreamExt;
-use target::{Engine, Error, Job, Output, Service};
-use tokio::sync::mpsc;
-use wire::{
-    AttemptId, Body, Call, Delta, End, Event, EventKind, Finish, Frame, Head, Header, Part,
-    Progress, Prompt, Refusal, Request, Submit, Work,
-};
+use crate::answer::Answer;
+use crate::dispatcher::{Denied, Turn};
+use crate::queue::Item;
+use crate::refusal::{self, not_run};
+use crate::shared::Shared;
+use crate::{Backend, perform, prompt};
+use compact_str::ToCompactString;
+use conf::{Kind, Spec};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use wire::{EventKind, Offer, Refusal, Request, Work};
 
-/// Sends the events of one attempt.
-struct Reporter<'a> {
-    shared: &'a Shared,
-    attempt: AttemptId,
-    outbox: &'a mpsc::Sender<Frame>,
+/// A request on its way through the agent.
+pub(crate) struct Job {
+    /// The request.
+    pub(crate) request: Request,
+    /// Where its events go.
+    pub(crate) answer: Arc<Answer>,
+    /// Fired when the entry begins an offered request; none if it need not be offered.
+    pub(crate) begin: Option<oneshot::Receiver<()>>,
+    /// Identifies the job at the engine, together with the request's id.
+    pub(crate) attempt: u64,
+    /// When the caller stops waiting for it to start.
+    pub(crate) expires: Instant,
 }
 
-impl Reporter<'_> {
-    async fn send(&self, kind: EventKind) {
-        let load = Some(self.shared.meter.load());
-        let event = Event { attempt: self.attempt, load, kind: Some(kind) };
-        // A closed connection ends the job by its token; there is nobody to tell.
-        let _ = self.outbox.send(Frame::new(Body::Event(event))).await;
-    }
-
-    async fn refuse(&self, reason: &str, progress: Progress, detail: String) {
-        let refusal = Refusal {
-            reason: reason.to_owned(),
-            progress: progress.into(),
-            retry_after_ms: 0,
-            detail,
-        };
-        self.send(EventKind::Refusal(refusal)).await;
-    }
+/// How long an offered slot is kept for the entry's answer: some round trips between sites. A
+/// slot kept longer for an entry that is gone would idle, shorter would break slow links.
+const OFFER_TIME: Duration = Duration::from_millis(250);
 
-    async fn fail(&self, error: &Error) {
-        let (reason, progress) = match error {
-            Error::NotReached { .. } => ("target-down", Progress::NotRun),
-            Error::Refused { .. } | Error::Fenced { .. } => ("target-refused", Progress::NotRun),
-            Error::Broken { .. } => ("target-broken", Progress::Started),
-        };
-        self.refuse(reason, progress, error.to_string()).await;
+/// Runs a job to its end; the answer's last event is its end or a refusal.
+pub(crate) async fn run(shared: Arc<Shared>, mut job: Job) {
+    let done = match admit(&shared, &job) {
+        Ok(()) => dispatch(&shared, &mut job).await,
+        Err(refusal) => Err(refusal),
+    };
+    if let Err(refusal) = done {
+        log::info!(
+            request = job.request.id.as_str(), reason = refusal.reason.as_str(),
+            progress:? = refusal.progress(), detail = refusal.detail.as_str();
+            "request-refused"
+        );
+        // The last event never waits, so it cannot stall.
+        let _ = job.answer.push(EventKind::Refusal(refusal)).await;
     }
 }
 
-/// Runs an attempt to its end.
-pub(crate) async fn run(shared: &Shared, submit: Submit, outbox: &mpsc::Sender<Frame>) {
-    let reporter = Reporter { shared, attempt: submit.attempt, outbox };
-    let request = submit.request.unwrap_or_default();
-    match (&shared.backend, request.work.clone()) {
-        (Backend::Engine(engine), Some(Work::Prompt(prompt))) => {
-            generate(&reporter, engine.as_ref(), &request, prompt).await;
-        }
-        (Backend::Service(service), Some(Work::Call(call))) => {
-            perform(&reporter, service.as_ref(), call).await;
-        }
-        _ => {
-            let detail = "this target does other work".to_owned();
-            reporter.refuse("wrong-target", Progress::NotRun, detail).await;
-        }
+/// Refuses what would not start here anyway.
+fn admit(shared: &Shared, job: &Job) -> Result<(), Refusal> {
+    let able = matches!(
+        (&shared.backend, &job.request.work),
+        (Backend::Engine(_), Some(Work::Prompt(_))) | (Backend::Service(_), Some(Work::Call(_)))
+    );
+    if !able {
+        return Err(not_run("wrong-target", "this target does other work"));
     }
+    shared.accepting().map_err(|why| refusal::retry_after(not_run("moving", why), MOVING_RETRY))
 }
 
-async fn generate(reporter: &Reporter<'_>, engine: &dyn Engine, request: &Request, prompt: Prompt) {
-    let expected = u64::from(prompt.expected_tokens);
-    let _share = reporter.shared.meter.add(u64::from(prompt.prompt_tokens), expected);
-    let mut from_token = prompt.resume_tokens;
-    let job = engine_job(reporter.attempt, request, prompt);
-    let mut outputs = match engine.generate(job).await {
-        Ok(outputs) => outputs,
-        Err(error) => return reporter.fail(&error).await,
-    };
-    while let Some(output) = outputs.next().await {
-        match output {
-            Ok(Output::Text { text, tokens }) => {
-                reporter.send(EventKind::Delta(Delta { from_token, tokens, text })).await;
-                from_token += tokens;
-            }
-            Ok(Output::End { finish, usage }) => {
-                let finish = match finish {
-                    target::Finish::Stop => Finish::Stop,
-                    target::Finish::Length => Finish::Length,
-                };
-                let end = End {
-                    finish: finish.into(),
-                    prompt_tokens: usage.prompt_tokens,
-                    output_tokens: from_token,
-                    cached_tokens: usage.cached_tokens,
-                };
-                return reporter.send(EventKind::End(end)).await;
-            }
-            Err(error) => return reporter.fail(&error).await,
-        }
-    }
-    reporter.refuse("target-broken", Progress::Started, "the stream ended early".to_owned()).await;
-}
+/// When another try here is worth it after a planned change began: its usual length.
+const MOVING_RETRY: Duration = Duration::from_secs(5);
 
-fn engine_job(attempt: AttemptId, request: &Request, prompt: Prompt) -> Job {
-    Job {
-        id: format_compact!("{}.{attempt}", request.id),
-        serve: served_name(&prompt),
-        prompt: prompt.text,
-        resume_text: prompt.resume_text,
-        resume_tokens: prompt.resume_tokens,
-        max_tokens: prompt.max_tokens,
-        urgent: request.urgent,
-        sampling: prompt.sampling,
+async fn dispatch(shared: &Arc<Shared>, job: &mut Job) -> Result<(), Refusal> {
+    match job.request.work.clone() {
+        Some(Work::Prompt(work)) => prompt::run(shared, job, work).await,
+        Some(Work::Call(work)) => perform::run(shared, job, work).await,
+        None => Err(not_run("wrong-target", "the request is empty")),
     }
 }
 
-/// The name under which the engine serves what the prompt asks for.
-fn served_name(prompt: &Prompt) -> CompactString {
-    let mut name = prompt.model.to_compact_string();
-    if !prompt.version.is_empty() {
-        name = format_compact!("{name}@{}", prompt.version);
-    }
-    if !prompt.adapter.is_empty() {
-        name = format_compact!("{name}+{}", prompt.adapter);
+/// Waits for a slot, and for the entry's consent if the request waits elsewhere too.
+pub(crate) async fn take_turn(
+    shared: &Arc<Shared>,
+    job: &mut Job,
+    tokens: u64,
+    alone: bool,
+) -> Result<Turn, Refusal> {
+    let item = item(shared, job, tokens);
+    let turn = tokio::select! {
+        turn = shared.dispatcher.turn(item, alone) => turn.map_err(|denied| deny(shared, denied))?,
+        () = job.answer.unread() => return Err(not_run("cancelled", "nobody waits for it")),
+    };
+    let Some(begin) = job.begin.take() else { return Ok(turn) };
+    // A stalled reader has not seen the offer, and then nobody begins it in time.
+    let _ = job.answer.push(EventKind::Offer(Offer {})).await;
+    tokio::select! {
+        begun = tokio::time::timeout(OFFER_TIME, begin) => match begun {
+            Ok(Ok(())) => Ok(turn),
+            Ok(Err(_)) | Err(_) => Err(not_run("offer-expired", "it was not begun in time")),
+        },
+        () = job.answer.unread() => Err(not_run("cancelled", "nobody waits for it")),
     }
-    name
 }
 
-async fn perform(reporter: &Reporter<'_>, service: &dyn Service, call: Call) {
-    let _share = reporter.shared.meter.add(0, 0);
-    let headers = call.headers.into_iter().map(|header| target::Header {
-        name: header.name.to_compact_string(),
-        value: header.value,
-    });
-    let call = target::Call {
-        method: call.method.to_compact_string(),
-        path: call.path,
-        headers: headers.collect(),
-        body: call.body,
+fn item(shared: &Shared, job: &Job, tokens: u64) -> Item {
+    let caller = job.request.caller.to_compact_string();
+    let weight = match shared.config.borrow().get(Kind::Caller, &caller).map(|entry| &entry.spec) {
+        Some(Spec::Caller(caller)) => caller.weight,
+        _ => 1,
     };
-    let mut response = match service.call(call).await {
-        Ok(response) => response,
-        Err(error) => return reporter.fail(&error).await,
-    };
-    let headers = response
-        .headers
-        .into_iter()
-        .map(|header| Header { name: header.name.to_string(), value: header.value });
-    let status = u32::from(response.status);
-    let head = Head { status, headers: headers.collect(), replayed: false };
-    reporter.send(EventKind::Head(head)).await;
-    while let Some(part) = response.body.next().await {
-        match part {
-            Ok(bytes) => reporter.send(EventKind::Part(Part { bytes })).await,
-            Err(error) => return reporter.fail(&error).await,
+    Item { caller, weight, urgent: job.request.urgent, tokens, expires: job.expires }
+}
+
+fn deny(shared: &Shared, denied: Denied) -> Refusal {
+    let wait = shared.wait().max(MIN_RETRY);
+    match denied {
+        Denied::Full => {
+            refusal::retry_after(not_run("queue-full", "too much waits at the target"), wait)
+        }
+        Denied::Expired => {
+            refusal::retry_after(not_run("expired", "no slot was free in time"), wait)
+        }
+        Denied::Moved => {
+            refusal::retry_after(not_run("moving", "a planned change is under way"), MOVING_RETRY)
         }
     }
-    reporter.send(EventKind::End(End::default())).await;
 }
+
+/// Sooner than this no backlog changes much.
+const MIN_RETRY: Duration = Duration::from_millis(100);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,12 +6,25 @@
 //! - [`Context`]: what the agent sees of the world, which tests replace.
 //! - [`Daemon`]: the process itself.
 
+mod answer;
+mod answers;
+mod asks;
+mod attempts;
 mod context;
 mod daemon;
+mod dispatcher;
 mod error;
+mod health;
 mod job;
-mod load;
+mod meter;
+mod perform;
+mod prompt;
+mod queue;
+mod refusal;
 mod session;
+mod shared;
+mod sightings;
+mod tasks;
 
 pub use context::{Backend, Context};
 pub use daemon::Daemon;
--- /dev/null
+++ b/crates/agent/src/perform.rs
@@ -0,0 +1,75 @@
+//! One call of a plain service.
+
+use crate::Backend;
+use crate::job::{Job, take_turn};
+use crate::refusal::{self, not_run, started};
+use crate::shared::Shared;
+use compact_str::ToCompactString;
+use futures_util::StreamExt;
+use std::sync::Arc;
+use target::Service;
+use wire::{Call, End, EventKind, Head, Header, Part, Refusal};
+
+/// Runs a call to the end of its response.
+pub(crate) async fn run(shared: &Arc<Shared>, job: &mut Job, call: Call) -> Result<(), Refusal> {
+    let Backend::Service(service) = &shared.backend else {
+        return Err(not_run("wrong-target", "this target is no service"));
+    };
+    let mut share = shared.meter.add(0, 0);
+    let _turn = take_turn(shared, job, 1, false).await?;
+    share.start();
+    let performed = tokio::select! {
+        done = stream(service.as_ref(), job, call) => done,
+        () = job.answer.unread() => Err(started("cancelled", "nobody waits for it")),
+    };
+    share.answered();
+    performed
+}
+
+/// Hands the response on piece by piece.
+async fn stream(service: &dyn Service, job: &Job, call: Call) -> Result<(), Refusal> {
+    let call = target_call(call, &job.request.traceparent);
+    let response = service.call(call).await;
+    let mut response = response.map_err(|error| refusal::from_target(&error))?;
+    let head = head(response.status, &response.headers);
+    push(job, EventKind::Head(head)).await?;
+    while let Some(part) = response.body.next().await {
+        let bytes = part.map_err(|error| refusal::from_target(&error))?;
+        push(job, EventKind::Part(Part { bytes })).await?;
+    }
+    push(job, EventKind::End(End::default())).await
+}
+
+async fn push(job: &Job, kind: EventKind) -> Result<(), Refusal> {
+    let slow = |_| started("slow-reader", "the caller took nothing for too long");
+    job.answer.push(kind).await.map_err(slow)
+}
+
+/// The call as the service receives it.
+pub(crate) fn target_call(call: Call, traceparent: &str) -> target::Call {
+    let headers = call.headers.into_iter().filter(|header| header.name != TRACEPARENT);
+    let headers = headers.map(|header| target::Header {
+        name: header.name.to_compact_string(),
+        value: header.value,
+    });
+    let trace = (!traceparent.is_empty()).then(|| target::Header {
+        name: TRACEPARENT.to_compact_string(),
+        value: traceparent.to_owned().into(),
+    });
+    target::Call {
+        method: call.method.to_compact_string(),
+        path: call.path,
+        headers: headers.chain(trace).collect(),
+        body: call.body,
+    }
+}
+
+const TRACEPARENT: &str = "traceparent";
+
+/// The response's head as an event.
+pub(crate) fn head(status: u16, headers: &[target::Header]) -> Head {
+    let headers = headers
+        .iter()
+        .map(|header| Header { name: header.name.to_string(), value: header.value.clone() });
+    Head { status: u32::from(status), headers: headers.collect(), replayed: false }
+}
--- /dev/null
+++ b/crates/agent/src/prompt.rs
@@ -0,0 +1,169 @@
+//! One generation at the engine.
+
+use crate::Backend;
+use crate::job::{Job, take_turn};
+use crate::meter::Share;
+use crate::refusal::{self, not_run, started};
+use crate::shared::Shared;
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString, format_compact};
+use futures_util::StreamExt;
+use std::sync::Arc;
+use std::time::Duration;
+use target::{Engine, Output};
+use wire::{Delta, End, EventKind, Finish, Prompt, Refusal};
+
+/// Runs a prompt to the end of its answer.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    job: &mut Job,
+    prompt: Prompt,
+) -> Result<(), Refusal> {
+    let Backend::Engine(engine) = &shared.backend else {
+        return Err(not_run("wrong-target", "this target is no engine"));
+    };
+    let expected = prompt.expected_tokens.saturating_sub(prompt.resume_tokens);
+    let (read, write) = (u64::from(prompt.prompt_tokens), u64::from(expected));
+    let mut share = shared.meter.add(read, write);
+    let _turn = take_turn(shared, job, read + write, false).await?;
+    // Whoever moves streams pauses the dispatcher first, so none is missed in between.
+    let moves = shared.moves.subscribe();
+    share.start();
+    let id = format_compact!("{}.{}", job.request.id, job.attempt);
+    shared.answers.insert(&job.answer, id.clone());
+    let run = Run { shared, engine: engine.as_ref(), job, id, moves };
+    let (result, cache) = run.to_end(prompt, &mut share).await;
+    shared.answers.finish(&job.answer, cache);
+    result
+}
+
+/// A generation under way.
+struct Run<'a> {
+    shared: &'a Shared,
+    engine: &'a dyn Engine,
+    job: &'a Job,
+    /// The job's id at the engine.
+    id: CompactString,
+    moves: tokio::sync::watch::Receiver<u64>,
+}
+
+/// How long the engine may take to hand out or take a KV cache; longer costs more than reading
+/// the prompt again.
+const KV_TIME: Duration = Duration::from_secs(2);
+
+impl Run<'_> {
+    /// Generates until the end, unless the answer is abandoned or must move; a cache is returned
+    /// if it was taken from the engine.
+    async fn to_end(
+        &self,
+        prompt: Prompt,
+        share: &mut Share<'_>,
+    ) -> (Result<(), Refusal>, Option<Bytes>) {
+        let mut moves = self.moves.clone();
+        tokio::select! {
+            result = self.generate(prompt, share) => (result, None),
+            () = self.job.answer.abandoned() => {
+                self.cancel().await;
+                (Err(started("cancelled", "nobody waits for it")), None)
+            }
+            // The sender lives in `shared`, so this is a change.
+            _ = moves.changed() => {
+                let cache = self.export().await;
+                self.cancel().await;
+                (Err(started("moving", "the target is being taken out of service")), cache)
+            }
+        }
+    }
+
+    async fn generate(&self, prompt: Prompt, share: &mut Share<'_>) -> Result<(), Refusal> {
+        let mut from_token = prompt.resume_tokens;
+        let job = self.engine_job(prompt);
+        let outputs = self.engine.generate(job).await;
+        let mut outputs = outputs.map_err(|error| self.failed(&error))?;
+        while let Some(output) = outputs.next().await {
+            match output.map_err(|error| self.failed(&error))? {
+                Output::Text { text, tokens } => {
+                    share.advance(tokens);
+                    self.push(EventKind::Delta(Delta { from_token, tokens, text })).await?;
+                    from_token += tokens;
+                }
+                Output::End { finish, usage } => {
+                    let finish = match finish {
+                        target::Finish::Stop => Finish::Stop,
+                        target::Finish::Length => Finish::Length,
+                    };
+                    let end = End {
+                        finish: finish.into(),
+                        prompt_tokens: usage.prompt_tokens,
+                        output_tokens: from_token,
+                        cached_tokens: usage.cached_tokens,
+                    };
+                    return self.push(EventKind::End(end)).await;
+                }
+            }
+        }
+        Err(started("target-broken", "the stream ended early"))
+    }
+
+    async fn push(&self, kind: EventKind) -> Result<(), Refusal> {
+        match self.job.answer.push(kind).await {
+            Ok(()) => Ok(()),
+            Err(_) => {
+                self.cancel().await;
+                Err(started("slow-reader", "the caller took nothing for too long"))
+            }
+        }
+    }
+
+    fn failed(&self, error: &target::Error) -> Refusal {
+        self.shared.health.look();
+        refusal::from_target(error)
+    }
+
+    /// Stops the job at the engine too; without this it would go on generating for nobody.
+    async fn cancel(&self) {
+        if let Err(error) = self.engine.cancel(&self.id).await {
+            log::warn!(job = self.id.as_str(), error:% = error; "cancel-failed");
+        }
+    }
+
+    async fn export(&self) -> Option<Bytes> {
+        let exporting = self.engine.export_kv(&self.id);
+        match tokio::time::timeout(KV_TIME, exporting).await {
+            Ok(Ok(cache)) => Some(cache),
+            Ok(Err(error)) => {
+                log::warn!(job = self.id.as_str(), error:% = error; "kv-export-failed");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+
+    fn engine_job(&self, prompt: Prompt) -> target::Job {
+        let request = &self.job.request;
+        // After the first token the prompt has been read, which is all that was asked.
+        let most = if prompt.prefill_only { prompt.resume_tokens + 1 } else { u32::MAX };
+        target::Job {
+            id: self.id.clone(),
+            serve: served_name(&prompt),
+            max_tokens: prompt.max_tokens.min(most),
+            prompt: prompt.text,
+            resume_text: prompt.resume_text,
+            resume_tokens: prompt.resume_tokens,
+            urgent: request.urgent,
+            sampling: prompt.sampling,
+        }
+    }
+}
+
+/// The name under which the engine serves what the prompt asks for.
+fn served_name(prompt: &Prompt) -> CompactString {
+    let mut name = prompt.model.to_compact_string();
+    if !prompt.version.is_empty() {
+        name = format_compact!("{name}@{}", prompt.version);
+    }
+    if !prompt.adapter.is_empty() {
+        name = format_compact!("{name}+{}", prompt.adapter);
+    }
+    name
+}
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,102 +1,160 @@
-//! One connection from an entry: reads its frames and runs a job for each attempt.
+//! One connection: the handshake, its frames, and how it ends.
 
-use crate::Backend;
-use crate::job;
-use crate::load::Meter;
+use crate::asks;
+use crate::attempts::Attempts;
+use crate::shared::Shared;
+use crate::tasks::Tasks;
 use compact_str::CompactString;
-use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
-use wire::{AttemptId, Body, Connection, Frame, Key, Pipe, Pong, Reader, Submit, Writer};
+use tokio::time::Instant;
+use wire::{Ask, Body, Connection, Frame, Hello, Ping, Pipe, Pong, Reader, Writer};
 
-/// What all sessions of an agent share.
-pub(crate) struct Shared {
-    pub(crate) name: CompactString,
-    pub(crate) incarnation: u64,
-    pub(crate) key: Key,
-    pub(crate) meter: Meter,
-    pub(crate) backend: Backend,
+/// One connection and what its tasks share.
+pub(crate) struct Session {
+    shared: Arc<Shared>,
+    tasks: Tasks,
+    attempts: Attempts,
+    outbox: mpsc::Sender<Frame>,
+    peer: CompactString,
 }
 
-/// How many frames wait for the connection before jobs wait for it.
+/// How many frames wait for the connection before streams wait for it.
 const OUTBOX_FRAMES: usize = 1_024;
 
-/// Serves one connection until it closes.
-pub(crate) async fn serve(shared: Arc<Shared>, pipe: Pipe, peer: CompactString) {
-    let mut connection = Connection::new(pipe, peer.clone());
-    let hello = match wire::accept(&mut connection, &shared.key, shared.hello()).await {
-        Ok(hello) => hello,
-        Err(error) => return log::warn!(peer = peer.as_str(), error:% = error; "peer-refused"),
-    };
-    log::info!(peer = hello.name.as_str(), address = peer.as_str(); "peer-connected");
+/// How long a stranger may hold a connection without having proved that it knows the key.
+const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
+
+/// After this long without a frame the peer is asked whether it is there.
+const PING_AFTER: Duration = Duration::from_secs(5);
+
+/// After this long without a frame the connection counts as lost: a peer that was cut off or
+/// paused leaves a connection that looks open for many minutes, and its attempts would keep their
+/// slots all that time.
+const LOST_AFTER: Duration = Duration::from_secs(15);
+
+/// How long a frame may take to be written; a peer that takes none in is as good as lost.
+const WRITE_TIME: Duration = Duration::from_secs(15);
+
+/// Serves one connection until it closes; its jobs may outlive it.
+pub(crate) async fn serve(shared: Arc<Shared>, tasks: Tasks, pipe: Pipe, address: CompactString) {
+    let mut connection = Connection::new(pipe, address.clone());
+    let Some(hello) = greet(&shared, &mut connection, &address).await else { return };
+    let peer = CompactString::from(hello.name);
+    log::info!(peer = peer.as_str(), address = address.as_str(); "peer-connected");
     let (reader, writer) = connection.split();
     let (outbox, frames) = mpsc::channel(OUTBOX_FRAMES);
-    let writing = tokio::spawn(write(writer, frames));
-    read(&shared, reader, outbox).await;
-    writing.abort();
-    log::info!(peer = hello.name.as_str(); "peer-disconnected");
+    let attempts = Attempts::new(shared.clone(), tasks.clone(), outbox.clone());
+    let session = Session { shared, tasks, attempts, outbox, peer: peer.clone() };
+    let why = tokio::select! {
+        why = session.read(reader) => why,
+        why = write(writer, frames) => why,
+    };
+    log::info!(peer = peer.as_str(), reason = why.as_str(); "peer-disconnected");
 }
 
-/// Handles frames until the connection closes, then stops the work that it asked for.
-async fn read(shared: &Arc<Shared>, mut reader: Reader, outbox: mpsc::Sender<Frame>) {
-    let closing = CancellationToken::new();
-    let _stop_all = closing.clone().drop_guard();
-    let mut attempts: HashMap<AttemptId, CancellationToken> = HashMap::new();
-    while let Some(frame) = reader.next().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(error) => return log::warn!(error:% = error; "peer-broken"),
-        };
-        attempts.retain(|_, token| !token.is_cancelled());
-        match frame.body {
-            Some(Body::Submit(submit)) => {
-                let token = closing.child_token();
-                attempts.insert(submit.attempt, token.clone());
-                spawn(shared.clone(), submit, outbox.clone(), token);
-            }
-            Some(Body::Cancel(cancel)) => {
-                if let Some(token) = attempts.remove(&cancel.attempt) {
-                    token.cancel();
+async fn greet(
+    shared: &Shared,
+    connection: &mut Connection,
+    address: &CompactString,
+) -> Option<Hello> {
+    let greeting = wire::accept(connection, &shared.key, shared.hello());
+    match tokio::time::timeout(HANDSHAKE_TIME, greeting).await {
+        Ok(Ok(hello)) => Some(hello),
+        Ok(Err(error)) => {
+            log::warn!(peer = address.as_str(), error:% = error; "peer-refused");
+            None
+        }
+        Err(_) => {
+            log::warn!(peer = address.as_str(); "peer-handshake-timeout");
+            None
+        }
+    }
+}
+
+impl Session {
+    /// Handles frames until the connection is lost; returns why it is.
+    async fn read(mut self, mut reader: Reader) -> String {
+        let mut heard = Instant::now();
+        loop {
+            match tokio::time::timeout(PING_AFTER, reader.next()).await {
+                Ok(Some(Ok(frame))) => {
+                    heard = Instant::now();
+                    if !self.handle(frame).await {
+                        return "the connection is closed".to_owned();
+                    }
                 }
-            }
-            Some(Body::Ping(ping)) => {
-                let load = Some(shared.meter.load());
-                let pong =
-                    Frame::new(Body::Pong(Pong { nonce: ping.nonce, load, sightings: Vec::new() }));
-                if outbox.send(pong).await.is_err() {
-                    return;
+                Ok(Some(Err(error))) => return error.to_string(),
+                Ok(None) => return "the peer closed it".to_owned(),
+                Err(_) if heard.elapsed() >= LOST_AFTER => return "the peer is silent".to_owned(),
+                Err(_) => {
+                    let ping = Ping { nonce: rand::random(), sender: None, wants_sightings: false };
+                    // A full outbox is no sign of life either; the next frame decides.
+                    let _ = self.outbox.try_send(Frame::new(Body::Ping(ping)));
                 }
             }
-            _ => {}
         }
     }
-}
 
-fn spawn(
-    shared: Arc<Shared>,
-    submit: Submit,
-    outbox: mpsc::Sender<Frame>,
-    token: CancellationToken,
-) {
-    tokio::spawn(async move {
-        let done = token.clone().drop_guard();
-        tokio::select! {
-            () = job::run(&shared, submit, &outbox) => {}
-            () = token.cancelled() => {}
+    /// Handles one frame; false once nothing can be sent any more.
+    async fn handle(&mut self, frame: Frame) -> bool {
+        match frame.body {
+            Some(Body::Submit(submit)) => self.attempts.submit(submit).await,
+            Some(Body::Begin(begin)) => self.attempts.begin(begin).await,
+            Some(Body::Cancel(cancel)) => self.attempts.cancel(cancel.attempt),
+            Some(Body::Credit(credit)) => self.attempts.credit(credit),
+            Some(Body::Attach(attach)) => self.attempts.attach(attach).await,
+            Some(Body::Ping(ping)) => return self.pong(ping).await,
+            Some(Body::Ask(ask)) => self.ask(ask),
+            // Answers to our pings are signs of life, which the reader has noted.
+            Some(Body::Pong(_) | Body::Reply(_)) => {}
+            Some(Body::Hello(_) | Body::Proof(_) | Body::Event(_)) => {
+                log::warn!(peer = self.peer.as_str(); "frame-unexpected");
+            }
+            // A kind of a newer version; whoever sends it copes with its being ignored.
+            None => {}
         }
-        drop(done);
-    });
+        !self.outbox.is_closed()
+    }
+
+    async fn pong(&self, ping: Ping) -> bool {
+        if let Some(sender) = ping.sender {
+            self.shared.sightings.hear(sender);
+        }
+        let sightings =
+            if ping.wants_sightings { self.shared.sightings.list() } else { Vec::new() };
+        let load = Some(self.shared.load());
+        let pong = Pong { nonce: ping.nonce, load, sightings };
+        self.outbox.send(Frame::new(Body::Pong(pong))).await.is_ok()
+    }
+
+    /// Answers a question in a task of its own, since an engine may take its time.
+    fn ask(&self, ask: Ask) {
+        let (shared, outbox) = (self.shared.clone(), self.outbox.clone());
+        self.tasks.job(async move {
+            let reply = asks::answer(&shared, ask).await;
+            // A peer that is gone needs no reply.
+            let _ = outbox.send(Frame::new(Body::Reply(reply))).await;
+        });
+    }
 }
 
-/// Writes frames, flushing once for all that are ready.
-async fn write(mut writer: Writer, mut frames: mpsc::Receiver<Frame>) -> wire::Result<()> {
+/// Writes frames, flushing once for all that are ready; returns why it ended.
+async fn write(mut writer: Writer, mut frames: mpsc::Receiver<Frame>) -> String {
     while let Some(frame) = frames.recv().await {
-        writer.feed(frame).await?;
-        while let Ok(frame) = frames.try_recv() {
+        let writing = async {
             writer.feed(frame).await?;
+            while let Ok(frame) = frames.try_recv() {
+                writer.feed(frame).await?;
+            }
+            writer.flush().await
+        };
+        match tokio::time::timeout(WRITE_TIME, writing).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "the peer takes nothing in".to_owned(),
         }
-        writer.flush().await?;
     }
-    Ok(())
+    "nothing is left to write".to_owned()
 }
--- a/crates/cli/src/daemons.rs
+++ b/crates/cli/src/daemons.rs
@@ -60,7 +60,8 @@
             false => Backend::Engine(Arc::new(HttpEngine::new(address))),
         };
         let listener = Box::new(TcpListener::bind(&settings.peers_listen).await?);
-        let context = agent::Context { settings, log, backend, listener, stop };
+        let dialler = Arc::new(TcpDialler);
+        let context = agent::Context { settings, log, backend, listener, dialler, stop };
         agent::Daemon::new(context).run().await?;
         Ok(())
     })
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -127,7 +127,8 @@
         };
         let (log, stop) = (self.log.clone(), self.stop.clone());
         let listener = Box::new(listener);
-        let context = agent::Context { settings, log, backend, listener, stop };
+        let dialler = Arc::new(TcpDialler);
+        let context = agent::Context { settings, log, backend, listener, dialler, stop };
         self.tasks.spawn(async move {
             if let Err(error) = agent::Daemon::new(context).run().await {
                 log::error!(error:% = error; "agent-failed");
--- a/crates/itest/src/lib.rs
+++ b/crates/itest/src/lib.rs
@@ -115,6 +115,7 @@
             log: Arc::new(self.log.clone()),
             backend,
             listener: Box::new(self.network.listen(&address)),
+            dialler: Arc::new(self.network.at(&address)),
             stop: stop.clone(),
         };
         let task = tokio::spawn(async move {
