feat(fake): stand-ins as processes, with faults set while they run

Cause: trials need each stand-in as a process of its own, and a call that a service broke off came back as status 500, which is a complete answer: the doubt after a lost reply never arose over HTTP.

lapismast fake log|weights|vms|engine|service serve the same in-memory types and POST /faults, GET /faults. A call that is broken off now closes the connection without an answer. Engines differ by role, the weight store limits calls, the list of VMs lags.

--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -2,13 +2,13 @@
 
 use crate::daemons::stop_on_signal;
 use crate::{logs, runtime};
+use ::fake::http::Serving;
+use ::fake::{EngineModel, MemoryEngine, MemoryLog, MemoryService, MemoryVms, MemoryWeights};
 use agent::Backend;
 use clap::{Arg, ArgMatches, Command, value_parser};
 use compact_str::{CompactString, ToCompactString, format_compact};
 use conf::{Kind, settings};
 use eyre::{Result, WrapErr};
-use fake::http::Serving;
-use fake::{EngineModel, MemoryEngine, MemoryLog, MemoryService, MemoryVms, MemoryWeights};
 use plat::Log;
 use plat::http::HttpClient;
 use serde_json::{Value, json};
@@ -91,13 +91,13 @@
         self.publish(Kind::Caller, "desk", caller).await?;
         for number in 1..=4 {
             let engine = MemoryEngine::new(EngineModel::default(), &["lapis-small"]);
-            let serving = serve(fake::http::engine_router(Arc::new(engine))).await?;
+            let serving = serve(::fake::http::engine_router(Arc::new(engine))).await?;
             let backend = Backend::Engine(Arc::new(HttpEngine::new(serving)));
             let spec = json!({"models": ["lapis-small"]});
             self.start_agent(&format!("engine-{number}"), number, backend, spec).await?;
         }
         for (number, (name, repeatable)) in [(1, ("ledger", false)), (2, ("tiles", true))] {
-            let router = fake::http::service_router(Arc::new(MemoryService::default()));
+            let router = ::fake::http::service_router(Arc::new(MemoryService::default()));
             let backend = Backend::Service(Arc::new(HttpService::new(serve(router).await?)));
             let spec = json!({"service": name, "repeatable": repeatable});
             self.start_agent(&format!("{name}-1"), number, backend, spec).await?;
@@ -178,9 +178,9 @@
 }
 
 async fn start_platform() -> Result<settings::Platform> {
-    let log = serve(fake::http::log_router(Arc::new(MemoryLog::new()))).await?;
-    let weights = serve(fake::http::weights_router(Arc::new(MemoryWeights::default()))).await?;
-    let vms = serve(fake::http::vms_router(Arc::new(MemoryVms::default()))).await?;
+    let log = serve(::fake::http::log_router(Arc::new(MemoryLog::new()))).await?;
+    let weights = serve(::fake::http::weights_router(Arc::new(MemoryWeights::default()))).await?;
+    let vms = serve(::fake::http::vms_router(Arc::new(MemoryVms::default()))).await?;
     Ok(settings::Platform { log, weights, vms, ..settings::Platform::default() })
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 mod check;
 mod daemons;
 mod dev;
+mod fake;
 mod logs;
 
 use clap::{Arg, ArgMatches, Command};
@@ -45,6 +46,7 @@
         .subcommand(daemons::entry_command())
         .subcommand(daemons::agent_command())
         .subcommand(check::command())
+        .subcommand(fake::command())
 }
 
 fn dispatch(matches: &ArgMatches) -> Result<()> {
@@ -53,6 +55,7 @@
         Some(("entry", matches)) => daemons::run_entry(matches),
         Some(("agent", matches)) => daemons::run_agent(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("fake", matches)) => fake::run(matches),
         _ => unreachable!("clap lets only known subcommands through"),
     }
 }
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -6,6 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
+use conf::resource::Role;
 use futures_util::stream;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +34,14 @@
     pub checks_fencing: bool,
     /// A prompt that contains this text crashes the engine.
     pub crash_on: Option<String>,
+    /// Everything takes this many times as long.
+    pub slow: f64,
+    /// How much faster than a mixed engine an engine of a role does the work of its role.
+    pub suited: f64,
+    /// How much faster than a mixed engine an engine of a role does other work: below 1.
+    pub unsuited: f64,
+    /// How much longer a mixed engine takes to the next token while it reads a prompt.
+    pub interference: f64,
 }
 
 impl Default for EngineModel {
@@ -45,10 +54,38 @@
             load: Duration::from_millis(500),
             checks_fencing: true,
             crash_on: None,
+            slow: 1.0,
+            suited: 1.5,
+            unsuited: 0.25,
+            interference: 1.5,
         }
     }
 }
 
+impl EngineModel {
+    /// Time to read `tokens` tokens of a prompt in a role.
+    fn prefill_time(&self, role: Role, tokens: u32) -> Duration {
+        let speed = match role {
+            Role::Prefill => self.suited,
+            Role::Decode => self.unsuited,
+            Role::Mixed => 1.0,
+        };
+        let seconds = f64::from(tokens) / (f64::from(self.prefill_rate) * speed);
+        Duration::from_secs_f64(seconds * self.slow)
+    }
+
+    /// Time to the next token in a role, with `share` (0 to 1) of the slots taken.
+    fn decode_time(&self, role: Role, share: f64, prefilling: bool) -> Duration {
+        let factor = match role {
+            Role::Prefill => 1.0 / self.unsuited,
+            Role::Decode => 1.0 / self.suited,
+            Role::Mixed if prefilling => self.interference,
+            Role::Mixed => 1.0,
+        };
+        self.token_time.mul_f64((1.0 + share) * factor * self.slow)
+    }
+}
+
 /// A stand-in engine; clones share it.
 #[derive(Clone)]
 pub struct MemoryEngine {
@@ -67,6 +104,9 @@
     down: bool,
     orders: Vec<(Fence, Order)>,
     conflicts: u32,
+    crashes: u32,
+    started: u64,
+    finished: u64,
 }
 
 impl MemoryEngine {
@@ -84,6 +124,9 @@
             down: false,
             orders: Vec::new(),
             conflicts: 0,
+            crashes: 0,
+            started: 0,
+            finished: 0,
         };
         Self {
             inner: Arc::new(Mutex::new(inner)),
@@ -100,7 +143,11 @@
 
     /// Crashes the engine: running jobs are cut, and it takes none until it is started.
     pub fn crash(&self) {
-        self.lock().down = true;
+        {
+            let mut inner = self.lock();
+            inner.crashes += u32::from(!inner.down);
+            inner.down = true;
+        }
         self.crashed.notify_waiters();
     }
 
@@ -124,6 +171,22 @@
         self.lock().conflicts
     }
 
+    /// Whether the engine has crashed and was not started again.
+    pub fn is_down(&self) -> bool {
+        self.lock().down
+    }
+
+    /// How often the engine crashed.
+    pub fn crashes(&self) -> u32 {
+        self.lock().crashes
+    }
+
+    /// How many jobs were started, and how many of them came to their end.
+    pub fn jobs(&self) -> (u64, u64) {
+        let inner = self.lock();
+        (inner.started, inner.finished)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -155,8 +218,9 @@
             0
         };
         let _turn = self.prefill.lock().await;
-        let fresh = f64::from(prompt_tokens - cached + job.resume_tokens / 8);
-        tokio::time::sleep(Duration::from_secs_f64(fresh / f64::from(model.prefill_rate))).await;
+        let fresh = prompt_tokens - cached + job.resume_tokens / 8;
+        let role = self.lock().status.role;
+        pause(model.prefill_time(role, fresh)).await;
         cached
     }
 }
@@ -188,6 +252,20 @@
     wanted.map_or(8 + (prompt % 57) as u32, |tokens| u32::try_from(tokens).unwrap_or(u32::MAX))
 }
 
+/// The whole answer to `prompt`, so that a reader can tell it from a torn one.
+pub fn answer(prompt: &str, sampling: &Bytes, max_tokens: u32) -> String {
+    let hash = xxhash_rust::xxh3::xxh3_64(prompt.as_bytes());
+    let length = answer_tokens(hash, sampling).min(max_tokens);
+    (0..length).map(|index| token(hash, index)).collect()
+}
+
+/// Sleeps; no time at all costs no turn of the timer, which goes by milliseconds.
+async fn pause(time: Duration) {
+    if !time.is_zero() {
+        tokio::time::sleep(time).await;
+    }
+}
+
 /// One running job.
 struct Running {
     engine: MemoryEngine,
@@ -244,13 +322,16 @@
         let busy = self.engine.slots.available_permits();
         let slots = f64::from(model.slots);
         let share = 1.0 - f64::from(u32::try_from(busy).unwrap_or(u32::MAX)) / slots;
-        tokio::time::sleep(model.token_time.mul_f64(1.0 + share)).await;
+        let role = self.engine.lock().status.role;
+        let prefilling = self.engine.prefill.try_lock().is_err();
+        pause(model.decode_time(role, share, prefilling)).await;
         let text = token(self.prompt, self.next);
         self.next += 1;
         Ok(Output::Text { text, tokens: 1 })
     }
 
     fn end(&self) -> Output {
+        self.engine.lock().finished += 1;
         let whole = answer_tokens(self.prompt, &self.job.sampling);
         let finish = if whole > self.job.max_tokens { Finish::Length } else { Finish::Stop };
         let usage = Usage {
@@ -272,6 +353,7 @@
         let incarnation = {
             let mut inner = self.lock();
             inner.status.running += 1;
+            inner.started += 1;
             inner.status.incarnation
         };
         let engine = self.clone();
@@ -316,7 +398,7 @@
             Order::Load { .. } => model.load,
             Order::Unload { .. } => Duration::ZERO,
         };
-        tokio::time::sleep(time).await;
+        pause(time.mul_f64(model.slow)).await;
         let mut inner = self.lock();
         if inner.down {
             return Err(broken("order", "the engine crashed"));
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -1,5 +1,6 @@
 //! The stand-ins behind the protocols that the real system speaks, each a `salvo` service.
 
+mod control;
 mod engine;
 mod log;
 mod service;
@@ -11,6 +12,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+pub use control::control_router;
 pub use engine::engine_router;
 pub use log::log_router;
 pub use service::service_router;
@@ -39,6 +41,13 @@
     }
 }
 
+/// Closes the connection without an answer, as a process that is killed does.
+async fn break_off(flow: &salvo::FlowCtrl) {
+    flow.conn().abort();
+    // The server drops this handler as it closes the connection.
+    std::future::pending().await
+}
+
 /// Answers with JSON and a status.
 fn render<T: serde::Serialize + Send>(
     response: &mut salvo::Response,
--- a/crates/fake/src/http/engine.rs
+++ b/crates/fake/src/http/engine.rs
@@ -1,6 +1,6 @@
 //! A language-model engine.
 
-use super::render;
+use super::{break_off, render};
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -48,32 +48,34 @@
         request: &mut Request,
         _: &mut Depot,
         response: &mut Response,
-        _: &mut FlowCtrl,
+        flow: &mut FlowCtrl,
     ) {
         let id = request.param::<String>("id").unwrap_or_default();
         let body = request.payload_with_max_size(MAX_BODY_BYTES).await.cloned();
         let body = body.unwrap_or_default();
         match self.action {
-            Action::Complete => self.complete(&body, response).await,
-            Action::Cancel => done(response, self.engine.cancel(&id).await),
-            Action::Order => self.order(&body, response).await,
+            Action::Complete => self.complete(&body, response, flow).await,
+            Action::Cancel => done(response, flow, self.engine.cancel(&id).await).await,
+            Action::Order => self.order(&body, response, flow).await,
             Action::Status => match self.engine.status().await {
                 Ok(status) => render(response, StatusCode::OK, status),
-                Err(error) => fail(response, &error),
+                Err(error) => fail(response, flow, &error).await,
             },
             Action::Export => match self.engine.export_kv(&id).await {
                 Ok(cache) => {
                     response.write_body(cache).ok();
                 }
-                Err(error) => fail(response, &error),
+                Err(error) => fail(response, flow, &error).await,
             },
-            Action::Import => done(response, self.engine.import_kv(&id, body).await),
+            Action::Import => {
+                done(response, flow, self.engine.import_kv(&id, body).await).await;
+            }
         }
     }
 }
 
 impl Route {
-    async fn complete(&self, body: &[u8], response: &mut Response) {
+    async fn complete(&self, body: &[u8], response: &mut Response, flow: &FlowCtrl) {
         let body: CompletionBody = match serde_json::from_slice(body) {
             Ok(body) => body,
             Err(error) => return render(response, StatusCode::BAD_REQUEST, error.to_string()),
@@ -84,13 +86,16 @@
                 response.headers_mut().insert(header::CONTENT_TYPE, kind);
                 response.stream(events(outputs));
             }
-            Err(error) => fail(response, &error),
+            Err(error) => fail(response, flow, &error).await,
         }
     }
 
-    async fn order(&self, body: &[u8], response: &mut Response) {
+    async fn order(&self, body: &[u8], response: &mut Response, flow: &FlowCtrl) {
         match serde_json::from_slice::<OrderBody>(body) {
-            Ok(body) => done(response, self.engine.order(body.fence, &body.order).await),
+            Ok(body) => {
+                let outcome = self.engine.order(body.fence, &body.order).await;
+                done(response, flow, outcome).await;
+            }
             Err(error) => render(response, StatusCode::BAD_REQUEST, error.to_string()),
         }
     }
@@ -142,14 +147,14 @@
     Bytes::from(format!("data: {json}\n\n"))
 }
 
-fn done(response: &mut Response, result: target::Result<()>) {
+async fn done(response: &mut Response, flow: &FlowCtrl, result: target::Result<()>) {
     match result {
         Ok(()) => render(response, StatusCode::OK, serde_json::json!({})),
-        Err(error) => fail(response, &error),
+        Err(error) => fail(response, flow, &error).await,
     }
 }
 
-fn fail(response: &mut Response, error: &Error) {
+async fn fail(response: &mut Response, flow: &FlowCtrl, error: &Error) {
     match error {
         Error::Fenced { newest, .. } => {
             render(response, StatusCode::CONFLICT, FencedBody { newest: *newest });
@@ -157,8 +162,6 @@
         Error::Refused { .. } | Error::NotReached { .. } => {
             render(response, StatusCode::SERVICE_UNAVAILABLE, error.to_string());
         }
-        Error::Broken { .. } => {
-            render(response, StatusCode::INTERNAL_SERVER_ERROR, error.to_string());
-        }
+        Error::Broken { .. } => break_off(flow).await,
     }
 }
--- a/crates/fake/src/http/service.rs
+++ b/crates/fake/src/http/service.rs
@@ -1,5 +1,6 @@
 //! A plain service.
 
+use super::break_off;
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::ToCompactString;
@@ -34,10 +35,9 @@
         let body = body.unwrap_or_default();
         let answer = self.service.call(call(request, body)).await;
         let Ok(answer) = answer else {
-            // A service that breaks off must look like one: the connection ends without an answer.
-            response.status_code(StatusCode::INTERNAL_SERVER_ERROR);
-            flow.skip_rest();
-            return;
+            // Any status would be a complete answer, from which an agent learns that the call
+            // ran; a service that is killed half-way leaves a closed connection and a doubt.
+            return break_off(flow).await;
         };
         response.status_code(StatusCode::from_u16(answer.status).unwrap_or_default());
         for header in &answer.headers {
--- a/crates/fake/src/http/weights.rs
+++ b/crates/fake/src/http/weights.rs
@@ -28,7 +28,10 @@
         let name = request.param::<String>("name").unwrap_or_default();
         match self.weights.stat(&name).await {
             Ok(artifact) => render(response, StatusCode::OK, artifact),
-            Err(error) => render(response, StatusCode::NOT_FOUND, error.to_string()),
+            Err(error @ plat::Error::Refused { .. }) => {
+                render(response, StatusCode::NOT_FOUND, error.to_string());
+            }
+            Err(error) => render(response, StatusCode::TOO_MANY_REQUESTS, error.to_string()),
         }
     }
 }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in lives in memory and implements the trait at the border, with faults that can be
 //! set; [`http`] puts it behind the protocol that the real system speaks.
 
+mod control;
 mod engine;
 pub mod http;
 mod log;
@@ -10,7 +11,8 @@
 mod vms;
 mod weights;
 
-pub use engine::{EngineModel, MemoryEngine, TOKEN_BYTES};
+pub use control::Control;
+pub use engine::{EngineModel, MemoryEngine, TOKEN_BYTES, answer};
 pub use log::MemoryLog;
 pub use service::MemoryService;
 pub use vms::MemoryVms;
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
 use plat::{Batch, Entry, Error, Log, Offset, Result};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -25,6 +25,7 @@
     lost_replies: u32,
     retention: Option<Duration>,
     appends: u64,
+    bytes: u64,
 }
 
 #[derive(Default)]
@@ -60,6 +61,18 @@
         self.lock().retention = Some(retention);
     }
 
+    /// How many bytes of records were appended.
+    pub fn bytes(&self) -> u64 {
+        self.lock().bytes
+    }
+
+    /// The offset of the next record of each stream.
+    pub fn streams(&self) -> BTreeMap<CompactString, Offset> {
+        let inner = self.lock();
+        let ends = inner.streams.iter();
+        ends.map(|(name, kept)| (name.clone(), kept.first + kept.records.len() as u64)).collect()
+    }
+
     /// How many append calls took effect.
     pub fn appends(&self) -> u64 {
         self.lock().appends
@@ -117,6 +130,7 @@
         self.reach("append").await?;
         let mut inner = self.lock();
         inner.appends += 1;
+        inner.bytes += records.iter().map(|record| record.len() as u64).sum::<u64>();
         let lost = inner.lost_replies > 0;
         inner.lost_replies = inner.lost_replies.saturating_sub(1);
         let kept = inner.streams.entry(stream.to_compact_string()).or_default();
--- a/crates/fake/src/vms.rs
+++ b/crates/fake/src/vms.rs
@@ -1,25 +1,73 @@
-//! A list of VMs in memory.
+//! A list of VMs in memory, which lags when told to.
 
 use async_trait::async_trait;
-use plat::{Result, Vm, VmList};
-use std::sync::{Arc, Mutex, PoisonError};
+use compact_str::CompactString;
+use plat::{Error, Result, Vm, VmList};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A list of VMs; clones share it.
 #[derive(Clone, Default)]
 pub struct MemoryVms {
-    vms: Arc<Mutex<Vec<Vm>>>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    out: bool,
+    lag: Duration,
+    /// Each list with the time since which it is true, oldest first.
+    lists: VecDeque<(Instant, Vec<Vm>)>,
 }
 
 impl MemoryVms {
-    /// Replaces the list.
+    /// Replaces the list; readers see it after the lag.
     pub fn set(&self, vms: Vec<Vm>) {
-        *self.vms.lock().unwrap_or_else(PoisonError::into_inner) = vms;
+        self.lock().lists.push_back((Instant::now(), vms));
+    }
+
+    /// Makes changes show only after `lag`.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Takes the list out of service, or puts it back.
+    pub fn set_out(&self, out: bool) {
+        self.lock().out = out;
+    }
+
+    /// The list as it is, without the lag.
+    pub fn newest(&self) -> Vec<Vm> {
+        self.lock().lists.back().map(|(_, vms)| vms.clone()).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 #[async_trait]
 impl VmList for MemoryVms {
     async fn list(&self) -> Result<Vec<Vm>> {
-        Ok(self.vms.lock().unwrap_or_else(PoisonError::into_inner).clone())
+        let mut inner = self.lock();
+        if inner.out {
+            return Err(unavailable());
+        }
+        let lag = inner.lag;
+        while inner.lists.get(1).is_some_and(|(since, _)| since.elapsed() >= lag) {
+            inner.lists.pop_front();
+        }
+        let shown = inner.lists.front().filter(|(since, _)| since.elapsed() >= lag);
+        Ok(shown.map(|(_, vms)| vms.clone()).unwrap_or_default())
+    }
+}
+
+fn unavailable() -> Error {
+    Error::Unavailable {
+        step: "list VMs",
+        peer: CompactString::const_new("memory-vms"),
+        detail: CompactString::const_new("set out of service"),
     }
 }
--- a/crates/fake/src/weights.rs
+++ b/crates/fake/src/weights.rs
@@ -1,14 +1,26 @@
-//! A weight store in memory.
+//! A weight store in memory, which limits how often it is read.
 
 use async_trait::async_trait;
-use compact_str::{CompactString, ToCompactString};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use plat::{Artifact, Error, Result, WeightStore};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A weight store; clones share it.
 #[derive(Clone, Default)]
 pub struct MemoryWeights {
-    artifacts: Arc<Mutex<Vec<Artifact>>>,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    artifacts: Vec<Artifact>,
+    out: bool,
+    calls: u64,
+    limited: u64,
+    limit: Option<u32>,
+    second: Option<(Instant, u32)>,
 }
 
 impl MemoryWeights {
@@ -16,19 +28,72 @@
     pub fn put(&self, name: &str, bytes: u64) {
         let sha256 = CompactString::default();
         let artifact = Artifact { name: name.to_compact_string(), bytes, sha256 };
-        self.artifacts.lock().unwrap_or_else(PoisonError::into_inner).push(artifact);
+        self.lock().artifacts.push(artifact);
+    }
+
+    /// Refuses calls beyond so many a second; 0 takes the limit away.
+    pub fn limit(&self, calls_per_second: u32) {
+        self.lock().limit = (calls_per_second > 0).then_some(calls_per_second);
+    }
+
+    /// Takes the store out of service, or puts it back.
+    pub fn set_out(&self, out: bool) {
+        self.lock().out = out;
+    }
+
+    /// How many calls were answered.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// How many calls were refused because of the limit.
+    pub fn limited(&self) -> u64 {
+        self.lock().limited
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Counts a call against the limit and says whether it may go on.
+    fn admit(&mut self) -> bool {
+        const SECOND: Duration = Duration::from_secs(1);
+        let Some(limit) = self.limit else { return true };
+        let (since, used) = match self.second {
+            Some((since, used)) if since.elapsed() < SECOND => (since, used),
+            Some(_) | None => (Instant::now(), 0),
+        };
+        self.second = Some((since, used + 1));
+        used < limit
     }
 }
 
 #[async_trait]
 impl WeightStore for MemoryWeights {
     async fn stat(&self, name: &str) -> Result<Artifact> {
-        let artifacts = self.artifacts.lock().unwrap_or_else(PoisonError::into_inner);
-        let found = artifacts.iter().find(|artifact| artifact.name == name).cloned();
+        let mut inner = self.lock();
+        if inner.out {
+            return Err(unavailable("set out of service"));
+        }
+        if !inner.admit() {
+            inner.limited += 1;
+            return Err(unavailable("too many calls in this second"));
+        }
+        inner.calls += 1;
+        let found = inner.artifacts.iter().find(|artifact| artifact.name == name).cloned();
         found.ok_or_else(|| Error::Refused {
-            step: "look up weights",
-            peer: CompactString::const_new("memory-weights"),
-            detail: compact_str::format_compact!("there is no artifact {name}"),
+            step: STEP,
+            peer: PEER,
+            detail: format_compact!("there is no artifact {name}"),
         })
     }
 }
+
+const STEP: &str = "look up weights";
+const PEER: CompactString = CompactString::const_new("memory-weights");
+
+fn unavailable(detail: &'static str) -> Error {
+    Error::Unavailable { step: STEP, peer: PEER, detail: CompactString::const_new(detail) }
+}
