feat(agent): a bounded fair queue, late binding, credit, answers read on, KV moves

The agent took every request at once, let one slow reader fill the connection, and lost a stream with its entry. A queue refused a single item larger than its capacity even when empty, which a test of a long stream showed; it may now wait alone.

--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use wire::EventKind;
 
 /// Unread bytes after which the job waits; a second of the fastest stream is far below it.
@@ -39,6 +40,8 @@
     written: Notify,
     /// An event was read, or a reader came or went.
     read: Notify,
+    /// Cancelled when what is unread was thrown away, because its readers took nothing.
+    given_up: CancellationToken,
 }
 
 #[derive(Default)]
@@ -94,6 +97,7 @@
             state: Mutex::default(),
             written: Notify::new(),
             read: Notify::new(),
+            given_up: CancellationToken::new(),
         });
         let reader = answer.reader(Cursor::default());
         (answer, reader)
@@ -119,6 +123,18 @@
         }
     }
 
+    /// Throws away what is unread; the readers' next event is the one that is pushed next.
+    pub(crate) fn give_up(&self) {
+        let mut state = self.lock();
+        state.first += u64::try_from(state.events.len()).unwrap_or(u64::MAX);
+        state.kept = 0;
+        state.events.clear();
+        let end = Cursor { index: state.first, bytes: state.written };
+        state.readers.values_mut().for_each(|cursor| *cursor = end);
+        drop(state);
+        self.given_up.cancel();
+    }
+
     /// A reader that goes on after the first `token` tokens.
     pub(crate) fn attach(self: &Arc<Self>, token: u32) -> Result<Reader, Missing> {
         let cursor = self.lock().find(token).ok_or(Missing)?;
@@ -243,6 +259,11 @@
         }
     }
 
+    /// Waits until what this reader holds or has not read is of no use any more.
+    pub(crate) async fn given_up(&self) {
+        self.answer.given_up.cancelled().await;
+    }
+
     /// Reads without waiting: `None` if nothing is there yet.
     fn step(&self) -> Option<Option<EventKind>> {
         let mut state = self.answer.lock();
--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -209,9 +209,14 @@
         while let Some(kind) = reader.next().await {
             let free = is_last(&kind) || matches!(kind, EventKind::Offer(_));
             if !free {
-                // The semaphore is never closed.
-                let Ok(permit) = credits.acquire().await else { return };
-                permit.forget();
+                tokio::select! {
+                    permit = credits.acquire() => match permit {
+                        Ok(permit) => permit.forget(),
+                        // The semaphore is never closed.
+                        Err(_) => return,
+                    },
+                    () = reader.given_up() => continue,
+                }
             }
             self.send(kind).await;
         }
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -8,6 +8,7 @@
 use crate::sightings::Sightings;
 use crate::tasks::Tasks;
 use crate::{Context, Result, session};
+use conf::resource::Phase;
 use state::{Config, Follower};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -86,6 +87,10 @@
     loop {
         if let Some(target) = shared.resource() {
             shared.dispatcher.set_slots(target.slots);
+            if target.phase == Phase::Leaving {
+                // What waits can start elsewhere sooner; what runs is finished here.
+                shared.dispatcher.move_waiting();
+            }
         }
         if config.changed().await.is_err() {
             return;
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -1,13 +1,14 @@
 //! One request from its arrival to the end of its answer, written straight down.
 
 use crate::answer::Answer;
-use crate::dispatcher::{Denied, Turn};
-use crate::queue::Item;
+use crate::dispatcher::{Ask, Denied, Turn};
 use crate::refusal::{self, not_run};
 use crate::shared::Shared;
 use crate::{Backend, perform, prompt};
 use compact_str::ToCompactString;
 use conf::{Kind, Spec};
+use policy::admission::{self, Admission, View};
+use policy::estimate::Cost;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -76,12 +77,12 @@
 pub(crate) async fn take_turn(
     shared: &Arc<Shared>,
     job: &mut Job,
-    tokens: u64,
+    cost: Cost,
     alone: bool,
 ) -> Result<Turn, Refusal> {
-    let item = item(shared, job, tokens);
+    let ask = ask(shared, job, cost, alone);
     let turn = tokio::select! {
-        turn = shared.dispatcher.turn(item, alone) => turn.map_err(|denied| deny(shared, denied))?,
+        turn = shared.dispatcher.turn(ask) => turn.map_err(|denied| deny(shared, denied))?,
         () = job.answer.unread() => return Err(not_run("cancelled", "nobody waits for it")),
     };
     let Some(begin) = job.begin.take() else { return Ok(turn) };
@@ -96,13 +97,30 @@
     }
 }
 
-fn item(shared: &Shared, job: &Job, tokens: u64) -> Item {
+fn ask(shared: &Shared, job: &Job, cost: Cost, alone: bool) -> Ask {
     let caller = job.request.caller.to_compact_string();
     let weight = match shared.config.borrow().get(Kind::Caller, &caller).map(|entry| &entry.spec) {
         Some(Spec::Caller(caller)) => caller.weight,
         _ => 1,
     };
-    Item { caller, weight, urgent: job.request.urgent, tokens, expires: job.expires }
+    Ask { caller, weight, urgent: job.request.urgent, cost, expires: job.expires, alone }
+}
+
+/// Refuses at once what could not start in time: its caller can still go elsewhere now.
+pub(crate) fn check_deadline(shared: &Shared, job: &Job, cost: Cost) -> Result<(), Refusal> {
+    // A guess at the speed would refuse what fits; late work is dropped from the queue anyway.
+    if !shared.is_measured() {
+        return Ok(());
+    }
+    let ahead = shared.ahead(&job.request.caller, job.request.urgent);
+    let view = View { ahead, rates: shared.rates(), accepting: true };
+    let left = job.expires.saturating_duration_since(Instant::now());
+    let asked = admission::Ask { cost, deadline: Some(left) };
+    let decided = Admission::default().decide(&asked, &view, Duration::ZERO);
+    decided.map(drop).map_err(|refused| {
+        let refusal = not_run(refused.reason.name(), "the work ahead takes longer than that");
+        refusal::retry_after(refusal, refused.retry_after)
+    })
 }
 
 fn deny(shared: &Shared, denied: Denied) -> Refusal {
--- a/crates/agent/src/meter.rs
+++ b/crates/agent/src/meter.rs
@@ -30,8 +30,6 @@
 pub(crate) struct Rates {
     /// Prompt tokens a second, 0 if unknown.
     pub(crate) prefill: u64,
-    /// Output tokens a second over the whole batch, 0 if unknown.
-    pub(crate) decode: u64,
     /// The median time between two tokens of one stream; zero if unknown.
     pub(crate) token_time: Duration,
     /// The mean time that a call of a service takes; zero if unknown.
@@ -41,34 +39,21 @@
 #[derive(Default)]
 struct Speed {
     prefill: Mean,
-    decode: Mean,
     call: Mean,
     /// The latest times between two tokens, in microseconds.
     token_times: VecDeque<u64>,
-    window: Option<Window>,
 }
 
 /// A running mean that forgets.
 #[derive(Default)]
 struct Mean(Option<f64>);
 
-struct Window {
-    began: Instant,
-    tokens: u32,
-}
-
 /// Share of a new value in a running mean: about the last ten values count.
 const MEAN_SHARE: f64 = 0.2;
 
 /// How many times between tokens the median is taken of: a second or two of one busy engine.
 const TOKEN_TIMES: usize = 64;
 
-/// How long tokens are counted for one value of the decode speed.
-const WINDOW: Duration = Duration::from_millis(250);
-
-/// A window longer than this had a pause in it, and says nothing of the speed.
-const MAX_WINDOW: Duration = Duration::from_millis(500);
-
 impl Meter {
     /// Counts a request until the share is dropped.
     pub(crate) fn add(&self, prompt_tokens: u64, output_tokens: u64) -> Share<'_> {
@@ -92,7 +77,6 @@
         let median = times.get(times.len() / 2).copied().unwrap_or_default();
         Rates {
             prefill: speed.prefill.rounded(),
-            decode: speed.decode.rounded(),
             token_time: Duration::from_micros(median),
             call_time: Duration::from_micros(speed.call.rounded()),
         }
@@ -117,7 +101,6 @@
             Some(last) => speed.token_time(now - last, tokens),
             None => speed.first_token(now - self.began, self.prompt_tokens),
         }
-        speed.count(now, tokens);
         drop(speed);
         let read = std::mem::take(&mut self.prompt_tokens);
         self.meter.prompt_tokens.fetch_sub(read, Ordering::Relaxed);
@@ -157,20 +140,6 @@
             self.token_times.pop_front();
         }
     }
-
-    fn count(&mut self, now: Instant, tokens: u32) {
-        let window = self.window.get_or_insert(Window { began: now, tokens: 0 });
-        let length = now - window.began;
-        if length < WINDOW {
-            window.tokens = window.tokens.saturating_add(tokens);
-            return;
-        }
-        if length < MAX_WINDOW {
-            let rate = f64::from(window.tokens) / length.as_secs_f64();
-            self.decode.add(rate);
-        }
-        self.window = Some(Window { began: now, tokens });
-    }
 }
 
 impl Mean {
--- a/crates/agent/src/perform.rs
+++ b/crates/agent/src/perform.rs
@@ -1,11 +1,12 @@
 //! One call of a plain service.
 
 use crate::Backend;
-use crate::job::{Job, take_turn};
+use crate::job::{Job, check_deadline, take_turn};
 use crate::refusal::{self, not_run, started};
-use crate::shared::Shared;
+use crate::shared::{CALL_TOKENS, Shared};
 use compact_str::ToCompactString;
 use futures_util::StreamExt;
+use policy::estimate::Cost;
 use std::sync::Arc;
 use target::Service;
 use wire::{Call, End, EventKind, Head, Header, Part, Refusal};
@@ -15,8 +16,10 @@
     let Backend::Service(service) = &shared.backend else {
         return Err(not_run("wrong-target", "this target is no service"));
     };
-    let mut share = shared.meter.add(0, 0);
-    let _turn = take_turn(shared, job, 1, false).await?;
+    let cost = Cost::new(0, u64::from(CALL_TOKENS));
+    check_deadline(shared, job, cost)?;
+    let mut share = shared.meter.add(cost.prefill, cost.decode);
+    let _turn = take_turn(shared, job, cost, false).await?;
     share.start();
     let performed = tokio::select! {
         done = stream(service.as_ref(), job, call) => done,
@@ -41,8 +44,10 @@
 }
 
 async fn push(job: &Job, kind: EventKind) -> Result<(), Refusal> {
-    let slow = |_| started("slow-reader", "the caller took nothing for too long");
-    job.answer.push(kind).await.map_err(slow)
+    job.answer.push(kind).await.map_err(|_| {
+        job.answer.give_up();
+        started("slow-reader", "the caller took nothing for too long")
+    })
 }
 
 /// The call as the service receives it.
--- a/crates/agent/src/prompt.rs
+++ b/crates/agent/src/prompt.rs
@@ -1,13 +1,14 @@
 //! One generation at the engine.
 
-use crate::Backend;
-use crate::job::{Job, take_turn};
+use crate::job::{Job, check_deadline, take_turn};
 use crate::meter::Share;
 use crate::refusal::{self, not_run, started};
 use crate::shared::Shared;
+use crate::{Backend, kv};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
+use policy::estimate::Cost;
 use std::sync::Arc;
 use std::time::Duration;
 use target::{Engine, Output};
@@ -23,9 +24,10 @@
         return Err(not_run("wrong-target", "this target is no engine"));
     };
     let expected = prompt.expected_tokens.saturating_sub(prompt.resume_tokens);
-    let (read, write) = (u64::from(prompt.prompt_tokens), u64::from(expected));
-    let mut share = shared.meter.add(read, write);
-    let _turn = take_turn(shared, job, read + write, false).await?;
+    let cost = Cost::new(u64::from(prompt.prompt_tokens), u64::from(expected));
+    check_deadline(shared, job, cost)?;
+    let mut share = shared.meter.add(cost.prefill, cost.decode);
+    let _turn = take_turn(shared, job, cost, false).await?;
     // Whoever moves streams pauses the dispatcher first, so none is missed in between.
     let moves = shared.moves.subscribe();
     share.start();
@@ -77,6 +79,9 @@
 
     async fn generate(&self, prompt: Prompt, share: &mut Share<'_>) -> Result<(), Refusal> {
         let mut from_token = prompt.resume_tokens;
+        if !prompt.kv_source.is_empty() {
+            self.import(&prompt.kv_source).await;
+        }
         let job = self.engine_job(prompt);
         let outputs = self.engine.generate(job).await;
         let mut outputs = outputs.map_err(|error| self.failed(&error))?;
@@ -109,6 +114,7 @@
         match self.job.answer.push(kind).await {
             Ok(()) => Ok(()),
             Err(_) => {
+                self.job.answer.give_up();
                 self.cancel().await;
                 Err(started("slow-reader", "the caller took nothing for too long"))
             }
@@ -127,6 +133,20 @@
         }
     }
 
+    /// Hands the engine the KV cache of the target where the stream ran before, if it can be had.
+    async fn import(&self, source: &str) {
+        let request = &self.job.request.id;
+        let Some(cache) = kv::fetch(self.shared, source, request).await else { return };
+        let importing = self.engine.import_kv(&self.id, cache);
+        match tokio::time::timeout(KV_TIME, importing).await {
+            Ok(Ok(())) => log::info!(request = request.as_str(), source = source; "kv-imported"),
+            Ok(Err(error)) => {
+                log::warn!(request = request.as_str(), error:% = error; "kv-import-failed");
+            }
+            Err(_) => log::warn!(request = request.as_str(); "kv-import-timeout"),
+        }
+    }
+
     async fn export(&self) -> Option<Bytes> {
         let exporting = self.engine.export_kv(&self.id);
         match tokio::time::timeout(KV_TIME, exporting).await {
@@ -151,6 +171,7 @@
             resume_text: prompt.resume_text,
             resume_tokens: prompt.resume_tokens,
             urgent: request.urgent,
+            traceparent: request.traceparent.to_compact_string(),
             sampling: prompt.sampling,
         }
     }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -2,7 +2,7 @@
 
 use crate::Backend;
 use crate::answers::Answers;
-use crate::dispatcher::Dispatcher;
+use crate::dispatcher::{self, Dispatcher};
 use crate::health::{Health, State};
 use crate::meter::Meter;
 use crate::sightings::Sightings;
@@ -10,6 +10,7 @@
 use conf::Kind;
 use conf::Spec;
 use conf::resource::{Phase, Target};
+use policy::estimate::{Cost, Rates};
 use state::Config;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -42,6 +43,10 @@
 /// Assumed time between tokens until it is measured: the 48 ms that 95 in 100 must keep.
 const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(48);
 
+/// A call counts as this many tokens, so that calls share the queue's bounds in tokens: some
+/// 1,200 of them may wait.
+pub(crate) const CALL_TOKENS: u32 = 50;
+
 impl Shared {
     /// The greeting for a new connection.
     pub(crate) fn hello(&self) -> Hello {
@@ -108,7 +113,7 @@
             waiting,
             slots: self.dispatcher.slots(),
             prefill_rate: narrow(rates.prefill),
-            decode_rate: narrow(rates.decode),
+            decode_rate: narrow(whole(self.rates().decode)),
             accepting: self.accepting().is_ok(),
             serves: serves.iter().map(ToString::to_string).collect(),
             role,
@@ -121,31 +126,42 @@
 
     /// How long a new ordinary request would wait for a slot.
     pub(crate) fn wait(&self) -> Duration {
-        let (waiting, running) = self.dispatcher.counts();
-        let slots = self.dispatcher.slots();
-        if running < slots && waiting == 0 {
-            return Duration::ZERO;
-        }
-        let rates = self.meter.rates();
-        if !rates.call_time.is_zero() {
-            return rates.call_time * (waiting + 1) / slots.max(1);
-        }
+        self.ahead("", false).time(&self.rates())
+    }
+
+    /// The work that goes before a new request of `caller`, and its share of what runs: the first
+    /// slot is free after that, and all slots work off what waits.
+    pub(crate) fn ahead(&self, caller: &str, urgent: bool) -> Cost {
+        let Some(waiting) = self.dispatcher.ahead(caller, urgent) else { return Cost::default() };
         let (prompt_tokens, output_tokens) = self.meter.tokens();
-        let token_time =
-            if rates.token_time.is_zero() { DEFAULT_TOKEN_TIME } else { rates.token_time };
-        // Each slot makes a token in `token_time`; those that wait are worked off by all slots,
-        // and the first slot is free after a share of what runs.
-        let share = f64::from(waiting + 1) / f64::from(waiting + running.max(1));
-        let per_slot = narrow(output_tokens / u64::from(slots.max(1)));
-        let decode = token_time * per_slot;
-        let prefill = match rates.prefill {
-            0 => Duration::ZERO,
-            rate => Duration::from_millis(prompt_tokens.saturating_mul(1_000) / rate),
+        let runs = Cost::new(prompt_tokens, output_tokens) - self.dispatcher.backlog();
+        let slots = u64::from(self.dispatcher.slots().max(1));
+        waiting + Cost::new(runs.prefill / slots, runs.decode / slots)
+    }
+
+    /// Whether the target's speed has been measured yet.
+    pub(crate) fn is_measured(&self) -> bool {
+        let rates = self.meter.rates();
+        !rates.token_time.is_zero() || !rates.call_time.is_zero()
+    }
+
+    /// The target's speed when all its slots are busy.
+    pub(crate) fn rates(&self) -> Rates {
+        let rates = self.meter.rates();
+        let known = |time: Duration, otherwise| if time.is_zero() { otherwise } else { time };
+        let token_time = match self.backend {
+            Backend::Engine(_) => known(rates.token_time, DEFAULT_TOKEN_TIME),
+            Backend::Service(_) => known(rates.call_time, DEFAULT_TOKEN_TIME) / CALL_TOKENS,
         };
-        (decode + prefill).mul_f64(share.min(1.0))
+        dispatcher::rates(rates.prefill, self.dispatcher.slots(), token_time)
     }
 }
 
 fn narrow(value: u64) -> u32 {
     u32::try_from(value).unwrap_or(u32::MAX)
 }
+
+/// A rate as a whole number; the conversion by way of a span of time saturates and never panics.
+fn whole(rate: f64) -> u64 {
+    Duration::try_from_secs_f64(rate).map_or(0, |span| span.as_secs())
+}
--- /dev/null
+++ b/crates/agent/tests/common/mod.rs
@@ -0,0 +1,210 @@
+//! An agent between a stand-in target and an entry that the test plays frame by frame.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use agent::Backend;
+use bytes::Bytes;
+use compact_str::format_compact;
+use conf::{Kind, settings};
+use fake::{EngineModel, MemoryEngine, MemoryLog};
+use serde_json::{Value, json};
+use state::Appender;
+use state::record::{Body as RecordBody, Change};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+use wire::{
+    Attach, Begin, Body, Cancel, Connection, Credit, Dialler, Event, EventKind, Frame, Hello, Key,
+    Memory, Pong, Prompt, Refusal, Request, Submit, Work,
+};
+
+pub const MODEL: &str = "lapis-small";
+const KEY: &str = "test";
+
+/// A log, a network, and the agents that a test starts.
+#[derive(Default)]
+pub struct World {
+    pub log: MemoryLog,
+    pub network: Memory,
+}
+
+/// A running agent.
+pub struct Agent {
+    pub stop: CancellationToken,
+    task: tokio::task::JoinHandle<()>,
+}
+
+/// An entry's connection to an agent.
+pub struct Entry {
+    pub connection: Connection,
+}
+
+impl World {
+    pub async fn publish(&self, kind: Kind, name: &str, spec: Value) {
+        let appender = Appender::new(Arc::new(self.log.clone()), "operator".into());
+        let change = Change {
+            kind: kind.name().to_owned(),
+            name: name.to_owned(),
+            spec: Some(spec.to_string()),
+            expects: None,
+        };
+        let appended = appender.append(plat::CONFIG_STREAM, RecordBody::Change(change));
+        appended.await.expect("the log is up");
+    }
+
+    /// An engine with `slots` slots, its resource and its agent, ready for work.
+    pub async fn engine(&self, name: &str, slots: u32) -> (MemoryEngine, Agent) {
+        let model = EngineModel { slots, ..EngineModel::default() };
+        let engine = MemoryEngine::new(model, &[MODEL]);
+        self.publish(Kind::Target, name, engine_spec(name, slots)).await;
+        let agent = self.agent(name, Backend::Engine(Arc::new(engine.clone())));
+        settle().await;
+        (engine, agent)
+    }
+
+    pub fn agent(&self, name: &str, backend: Backend) -> Agent {
+        let address = format!("{name}:1");
+        let settings = settings::Agent {
+            name: format_compact!("agent-{name}"),
+            target: name.into(),
+            peer_key: KEY.into(),
+            ..settings::Agent::default()
+        };
+        let stop = CancellationToken::new();
+        let context = agent::Context {
+            settings,
+            log: Arc::new(self.log.clone()),
+            backend,
+            listener: Box::new(self.network.listen(&address)),
+            dialler: Arc::new(self.network.at(&address)),
+            stop: stop.clone(),
+        };
+        let task = tokio::spawn(async move {
+            agent::Daemon::new(context).run().await.expect("the agent ends well");
+        });
+        Agent { stop, task }
+    }
+
+    pub async fn entry(&self, name: &str, target: &str) -> Entry {
+        let address = format_compact!("{target}:1");
+        let pipe = self.network.at(name).dial(&address).await.expect("the agent listens");
+        let mut connection = Connection::new(pipe, address);
+        let hello = Hello::new(&name.into(), 1, [7; 16]);
+        let key = Key::new(Bytes::from_static(KEY.as_bytes()));
+        wire::connect(&mut connection, &key, hello).await.expect("the key is right");
+        Entry { connection }
+    }
+}
+
+/// The Target resource of an engine.
+pub fn engine_spec(name: &str, slots: u32) -> Value {
+    json!({"models": [MODEL], "domain": "sofia-1", "agent": format!("{name}:1"), "slots": slots})
+}
+
+/// Lets everything that is ready run.
+pub async fn settle() {
+    tokio::time::sleep(Duration::from_millis(5)).await;
+}
+
+impl Agent {
+    pub fn kill(self) {
+        self.task.abort();
+    }
+
+    pub async fn ended(self) {
+        let _ = self.task.await;
+    }
+}
+
+/// A prompt of `caller` whose answer has `tokens` tokens.
+pub fn prompt(id: &str, caller: &str, tokens: u32) -> Request {
+    Request {
+        id: id.into(),
+        caller: caller.into(),
+        deadline_ms: 30_000,
+        work: Some(Work::Prompt(Prompt {
+            model: MODEL.into(),
+            text: format!("question {id}"),
+            prompt_tokens: 4,
+            max_tokens: tokens,
+            expected_tokens: tokens,
+            sampling: json!({"fake_tokens": tokens}).to_string().into(),
+            ..Prompt::default()
+        })),
+        ..Request::default()
+    }
+}
+
+impl Entry {
+    pub async fn send(&mut self, body: Body) {
+        self.connection.send(Frame::new(body)).await.expect("the agent reads");
+    }
+
+    pub async fn submit(&mut self, attempt: u64, request: Request, credit: u32) {
+        let submit = Submit { attempt, request: Some(request), hold: false, credit };
+        self.send(Body::Submit(submit)).await;
+    }
+
+    pub async fn hold(&mut self, attempt: u64, request: Request) {
+        let submit = Submit { attempt, request: Some(request), hold: true, credit: 1_000 };
+        self.send(Body::Submit(submit)).await;
+    }
+
+    pub async fn begin(&mut self, attempt: u64) {
+        self.send(Body::Begin(Begin { attempt })).await;
+    }
+
+    pub async fn cancel(&mut self, attempt: u64) {
+        self.send(Body::Cancel(Cancel { attempt })).await;
+    }
+
+    pub async fn credit(&mut self, attempt: u64, events: u32) {
+        self.send(Body::Credit(Credit { attempt, events })).await;
+    }
+
+    pub async fn attach(&mut self, attempt: u64, request: &str, caller: &str, from_token: u32) {
+        let (request, caller) = (request.to_owned(), caller.to_owned());
+        let attach = Attach { attempt, request, caller, from_token, credit: 1_000 };
+        self.send(Body::Attach(attach)).await;
+    }
+
+    /// The next event of any attempt; pings are answered meanwhile.
+    pub async fn event(&mut self) -> Event {
+        loop {
+            let frame = self.connection.expect("event").await.expect("the connection stands");
+            match frame.body {
+                Some(Body::Event(event)) => return event,
+                Some(Body::Ping(ping)) => {
+                    let pong = Pong { nonce: ping.nonce, load: None, sightings: Vec::new() };
+                    self.send(Body::Pong(pong)).await;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The next event of any attempt, unless none comes for a while.
+    pub async fn quiet(&mut self, time: Duration) -> Option<Event> {
+        tokio::time::timeout(time, self.event()).await.ok()
+    }
+
+    /// Reads one attempt to its end: its text, its tokens, and the refusal if it was refused.
+    pub async fn finish(&mut self, attempt: u64) -> (String, u32, Option<Refusal>) {
+        let (mut text, mut tokens) = (String::new(), 0);
+        loop {
+            let event = self.event().await;
+            if event.attempt != attempt {
+                continue;
+            }
+            match event.kind.expect("an event has a kind") {
+                EventKind::Delta(delta) => {
+                    text.push_str(&delta.text);
+                    tokens = delta.from_token + delta.tokens;
+                }
+                EventKind::End(_) => return (text, tokens, None),
+                EventKind::Refusal(refusal) => return (text, tokens, Some(refusal)),
+                EventKind::Offer(_) | EventKind::Head(_) | EventKind::Part(_) => {}
+            }
+        }
+    }
+}
--- a/crates/fake/src/http/engine.rs
+++ b/crates/fake/src/http/engine.rs
@@ -114,6 +114,7 @@
         max_tokens: body.max_tokens,
         urgent: body.priority > ORDINARY_PRIORITY,
         sampling: serde_json::to_vec(&body.sampling).unwrap_or_default().into(),
+        traceparent: CompactString::default(),
     }
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -165,7 +165,12 @@
             self.last_short = Some(now);
         }
         let mut displaced = Vec::new();
-        while self.backlog.work() + item.cost.work() > self.settings.capacity {
+        // An item larger than the whole capacity may still wait alone, or it could never run.
+        let over = |queue: &Self| {
+            let work = queue.backlog.work() + item.cost.work();
+            !queue.waiting.is_empty() && work > queue.settings.capacity
+        };
+        while over(self) {
             match self.displace_for(&item) {
                 Some(loser) => displaced.push(loser),
                 None if displaced.is_empty() => return Pushed::Full(item),
--- a/crates/target/src/engine.rs
+++ b/crates/target/src/engine.rs
@@ -27,6 +27,8 @@
     pub urgent: bool,
     /// Sampling parameters as a JSON object, or empty.
     pub sampling: Bytes,
+    /// The caller's W3C `traceparent`, passed on as a header, or empty.
+    pub traceparent: CompactString,
 }
 
 /// Why generation ended.
--- a/crates/target/src/http/engine.rs
+++ b/crates/target/src/http/engine.rs
@@ -39,7 +39,9 @@
         let body = completion_body(&job);
         let body = serde_json::to_vec(&body).map_err(|e| self.exchange.not_reached(STEP, &e))?;
         let kind = (CompactString::const_new("content-type"), Bytes::from_static(JSON));
-        let headers = std::iter::once(kind);
+        let trace = Bytes::copy_from_slice(job.traceparent.as_bytes());
+        let trace = (CompactString::const_new("traceparent"), trace);
+        let headers = std::iter::once(kind).chain((!trace.1.is_empty()).then_some(trace));
         let sent = self.exchange.send(STEP, "POST", "/v1/completions", headers, body.into());
         let response = sent.await?;
         let status = response.status();
