--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,13 +4,14 @@
 //! in as [`Time`] and random numbers as `&mut dyn rand::Rng`. So each decision can be read, tested
 //! and measured by itself. Each module's page says which load pattern it answers, what happens
 //! without it, and the grounds for its figures. `docs/DECISIONS.md` holds the measurements, which
-//! the example `decisions` makes with these same types.
+//! [`model`] makes with these same types.
 
 pub mod admission;
 pub mod binding;
 pub mod drain;
 pub mod estimate;
 pub mod limits;
+pub mod model;
 pub mod outlier;
 pub mod quarantine;
 pub mod queue;
--- /dev/null
+++ b/crates/policy/src/model.rs
@@ -0,0 +1,13 @@
+//! A small deterministic model of a pool, which drives the decisions of this crate.
+//!
+//! It is no simulator of a cluster: engines are fluids with a rate for prompts and a rate for
+//! output, links take no time but where said, and only what the decisions see is modelled. The
+//! decisions themselves are the types that the daemons use. All arrivals and lengths come from one
+//! seed, so each figure is the same in every run and every way of deciding meets the same arrivals.
+
+pub mod late;
+pub mod table;
+
+mod random;
+
+pub use random::Random;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -10,6 +10,10 @@
 //! the caller with the most waiting loses its newest item. Items whose deadline has passed are
 //! handed out by [`Queue::expire`] and never start. **Figures.** See [`Settings`].
 
+mod discipline;
+
+pub use discipline::{Discipline, Fifo};
+
 use crate::estimate::Cost;
 use crate::number::float;
 use crate::{CallerId, Time};
@@ -210,7 +214,9 @@
     /// Takes out an item that waits, because it was cancelled or started elsewhere.
     pub fn remove(&mut self, id: ItemId) -> Option<Item<T>> {
         let index = self.waiting.iter().position(|w| w.item.id == id)?;
-        Some(self.take(index).item)
+        let item = self.take(index).item;
+        self.refund(&item);
+        Some(item)
     }
 
     /// Takes out all items whose deadline has passed; they are refused as not run.
@@ -219,7 +225,9 @@
         let mut index = 0;
         while index < self.waiting.len() {
             if self.waiting[index].item.deadline.is_some_and(|deadline| deadline < now) {
-                expired.push(self.take(index).item);
+                let item = self.take(index).item;
+                self.refund(&item);
+                expired.push(item);
             } else {
                 index += 1;
             }
@@ -318,10 +326,15 @@
             return None;
         }
         let loser = self.take(index).item;
-        let paid = float(loser.cost.work()) / f64::from(loser.weight.max(1));
-        if let Some(flow) = self.flows.get_mut(&loser.caller) {
+        self.refund(&loser);
+        Some(loser)
+    }
+
+    /// Gives a caller back what it was charged for an item that does not run here.
+    fn refund(&mut self, item: &Item<T>) {
+        let paid = float(item.cost.work()) / f64::from(item.weight.max(1));
+        if let Some(flow) = self.flows.get_mut(&item.caller) {
             flow.finish -= paid;
         }
-        Some(loser)
     }
 }
--- /dev/null
+++ b/crates/policy/src/queue/discipline.rs
@@ -0,0 +1,136 @@
+//! What the model needs of a queue, and first come, first served, for comparison.
+
+use super::{Item, ItemId, Pushed, Queue};
+use crate::Time;
+use crate::estimate::Cost;
+use std::collections::VecDeque;
+
+/// An order of service.
+pub trait Discipline<T>: Send {
+    /// The order's name in tables.
+    fn name(&self) -> &'static str;
+
+    /// Adds an item.
+    fn push(&mut self, item: Item<T>, now: Time) -> Pushed<T>;
+
+    /// Hands out the item that starts now, if a slot is free.
+    fn pop(&mut self, now: Time) -> Option<Item<T>>;
+
+    /// Frees the slot of an item that was handed out.
+    fn done(&mut self, id: ItemId);
+
+    /// Takes out an item that waits.
+    fn remove(&mut self, id: ItemId) -> Option<Item<T>>;
+
+    /// Takes out all items that are too late to start.
+    fn expire(&mut self, now: Time) -> Vec<Item<T>>;
+
+    /// The waiting work that would start before an item of this kind.
+    fn ahead(&self, caller: &str, urgent: bool) -> Cost;
+
+    /// Requests that wait and their work.
+    fn backlog(&self) -> super::Backlog;
+
+    /// Requests that were handed out and are not done.
+    fn running(&self) -> usize;
+}
+
+impl<T: Send> Discipline<T> for Queue<T> {
+    fn name(&self) -> &'static str {
+        "fair queue"
+    }
+
+    fn push(&mut self, item: Item<T>, now: Time) -> Pushed<T> {
+        Queue::push(self, item, now)
+    }
+
+    fn pop(&mut self, now: Time) -> Option<Item<T>> {
+        Queue::pop(self, now)
+    }
+
+    fn done(&mut self, id: ItemId) {
+        Queue::done(self, id);
+    }
+
+    fn remove(&mut self, id: ItemId) -> Option<Item<T>> {
+        Queue::remove(self, id)
+    }
+
+    fn expire(&mut self, now: Time) -> Vec<Item<T>> {
+        Queue::expire(self, now)
+    }
+
+    fn ahead(&self, caller: &str, urgent: bool) -> Cost {
+        Queue::ahead(self, caller, urgent)
+    }
+
+    fn backlog(&self) -> super::Backlog {
+        Queue::backlog(self)
+    }
+
+    fn running(&self) -> usize {
+        Queue::running(self)
+    }
+}
+
+/// First come, first served, without bound and without deadlines.
+#[derive(Debug)]
+pub struct Fifo<T> {
+    slots: usize,
+    waiting: VecDeque<Item<T>>,
+    running: Vec<ItemId>,
+}
+
+impl<T> Fifo<T> {
+    /// Makes an empty queue before `slots` slots.
+    pub fn new(slots: u32) -> Self {
+        let slots = usize::try_from(slots).unwrap_or(usize::MAX);
+        Self { slots, waiting: VecDeque::new(), running: Vec::new() }
+    }
+}
+
+impl<T: Send> Discipline<T> for Fifo<T> {
+    fn name(&self) -> &'static str {
+        "first come, first served"
+    }
+
+    fn push(&mut self, item: Item<T>, _: Time) -> Pushed<T> {
+        self.waiting.push_back(item);
+        Pushed::Queued
+    }
+
+    fn pop(&mut self, _: Time) -> Option<Item<T>> {
+        if self.running.len() >= self.slots {
+            return None;
+        }
+        let item = self.waiting.pop_front()?;
+        self.running.push(item.id);
+        Some(item)
+    }
+
+    fn done(&mut self, id: ItemId) {
+        self.running.retain(|running| *running != id);
+    }
+
+    fn remove(&mut self, id: ItemId) -> Option<Item<T>> {
+        let index = self.waiting.iter().position(|item| item.id == id)?;
+        self.waiting.remove(index)
+    }
+
+    fn expire(&mut self, _: Time) -> Vec<Item<T>> {
+        Vec::new()
+    }
+
+    fn ahead(&self, _: &str, _: bool) -> Cost {
+        self.backlog().cost
+    }
+
+    fn backlog(&self) -> super::Backlog {
+        let cost = self.waiting.iter().fold(Cost::default(), |sum, item| sum + item.cost);
+        super::Backlog { requests: self.waiting.len(), cost }
+    }
+
+    fn running(&self) -> usize {
+        self.running.len()
+    }
+}
