feat(policy): a model of a pool that drives the decisions

Fluid engines, entries and calls under one seed; load patterns against round robin, least connections and first come first served.

--- a/crates/policy/src/model.rs
+++ b/crates/policy/src/model.rs
@@ -5,9 +5,17 @@
 //! decisions themselves are the types that the daemons use. All arrivals and lengths come from one
 //! seed, so each figure is the same in every run and every way of deciding meets the same arrivals.
 
+pub mod compare;
+pub mod figures;
 pub mod late;
+pub mod pool;
+pub mod scenario;
+pub mod setup;
 pub mod table;
+pub mod work;
 
+mod engine;
 mod random;
 
+pub use engine::EngineSetup;
 pub use random::Random;
