feat(state): claims, orders, calls, leases, group commit and checkpoints as folds

Authority, orders and calls that may not be repeated had records but no fold. System and Calls now fold them by log order alone; Appender groups records, keeps a budget and settles lost replies by reading; Lease claims and renews; Follower goes on from a checkpoint or a peer's state over a gap and stops at a record that it cannot read; Registry reads a change back before it says accepted. Rules between resources (references, unique tokens and agents) hold at each reader.

An answer now names the claim under which it was written.

--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -1,11 +1,14 @@
 //! The fold of the `config` stream: which resources are in force, and who changed them.
 
 use crate::record::{Body, Change};
-use crate::{Fold, Record};
+use crate::{Fold, Record, rules, shape};
+use bytes::Bytes;
+use compact_str::CompactString;
 use conf::resource::{Caller, Target};
 use conf::{Generation, Kind, Name, Resource, Spec};
+use imbl::{OrdMap, Vector};
 use plat::Offset;
-use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// A resource as it is in force.
 #[derive(Debug, Clone, PartialEq)]
@@ -42,27 +45,57 @@
     /// The spec asked for, as JSON; none deletes.
     pub after: Option<String>,
     /// The generation it got, or why it was refused.
-    pub outcome: Result<Generation, String>,
+    pub outcome: Result<Generation, Refusal>,
+}
+
+/// Why a change was refused where it stands in the log.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// Another change got in first; names its author.
+    #[error("{0}")]
+    Conflict(String),
+    /// It breaks a rule; names the field's path.
+    #[error("{0}")]
+    Invalid(String),
+}
+
+impl From<Refusal> for crate::Error {
+    fn from(refusal: Refusal) -> Self {
+        match refusal {
+            Refusal::Conflict(detail) => Self::Conflict { detail },
+            Refusal::Invalid(detail) => Self::Refused { detail },
+        }
+    }
 }
 
 /// How many changes the audit trail keeps in memory; the log keeps all until its horizon.
 pub const AUDIT_KEPT: usize = 2_000;
 
+/// How many deleted names are remembered, so that a name that is used again goes on counting its
+/// generations: a change meant for the deleted resource then never fits the new one.
+pub const DELETED_KEPT: usize = 10_000;
+
+/// A kind and a name.
+pub(crate) type ResourceKey = (Kind, Name);
+
 /// All resources in force at one offset of the `config` stream.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Config {
-    entries: BTreeMap<(Kind, Name), Entry>,
-    audit: VecDeque<Audit>,
-    end: Offset,
+    pub(crate) entries: OrdMap<ResourceKey, Arc<Entry>>,
+    pub(crate) deleted: OrdMap<ResourceKey, (Offset, Generation)>,
+    pub(crate) audit: Vector<Arc<Audit>>,
+    pub(crate) end: Offset,
 }
 
 impl Fold for Config {
+    const STATE_VERSION: u32 = 1;
+
     fn apply(&mut self, offset: Offset, record: &Record) {
         self.end = offset + 1;
         let Some(Body::Change(change)) = &record.body else { return };
         let before = self.find(&change.kind, &change.name).map(|e| e.resource.spec.to_string());
         let outcome = self.change(offset, record, change);
-        self.audit.push_back(Audit {
+        self.audit.push_back(Arc::new(Audit {
             offset,
             id: record.id,
             author: record.author.clone(),
@@ -72,7 +105,7 @@
             before,
             after: change.spec.clone(),
             outcome,
-        });
+        }));
         if self.audit.len() > AUDIT_KEPT {
             self.audit.pop_front();
         }
@@ -81,6 +114,14 @@
     fn end(&self) -> Offset {
         self.end
     }
+
+    fn encode(&self) -> Bytes {
+        shape::config::encode(self)
+    }
+
+    fn decode(bytes: &[u8]) -> Result<Self, CompactString> {
+        shape::config::decode(bytes)
+    }
 }
 
 impl Config {
@@ -91,14 +132,14 @@
 
     /// The resource of a kind and name.
     pub fn get(&self, kind: Kind, name: &str) -> Option<&Entry> {
-        self.entries.get(&(kind, Name::from(name)))
+        self.entries.get(&(kind, Name::from(name))).map(|entry| &**entry)
     }
 
     /// All resources of a kind, by name.
     pub fn list(&self, kind: Kind) -> impl Iterator<Item = &Entry> {
         self.entries
             .range((kind, Name::default())..)
-            .map(|(_, entry)| entry)
+            .map(|(_, entry)| &**entry)
             .take_while(move |entry| entry.resource.kind == kind)
     }
 
@@ -120,7 +161,17 @@
 
     /// What became of recent changes, oldest first.
     pub fn audit(&self) -> impl Iterator<Item = &Audit> {
-        self.audit.iter()
+        self.audit.iter().map(|audit| &**audit)
+    }
+
+    /// What became of the change at an offset, if it is recent.
+    pub fn outcome(&self, offset: Offset) -> Option<&Audit> {
+        self.audit().find(|audit| audit.offset == offset)
+    }
+
+    /// All resources, by kind and name.
+    pub fn resources(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|entry| &**entry)
     }
 
     fn find(&self, kind: &str, name: &str) -> Option<&Entry> {
@@ -133,28 +184,55 @@
         offset: Offset,
         record: &Record,
         change: &Change,
-    ) -> Result<Generation, String> {
-        let kind = Kind::from_name(&change.kind).map_err(|error| error.to_string())?;
+    ) -> Result<Generation, Refusal> {
+        let kind = Kind::from_name(&change.kind).map_err(invalid)?;
         let key = (kind, Name::from(change.name.as_str()));
         let old = self.entries.get(&key);
         let generation = old.map_or(0, |entry| entry.generation);
         if change.expects.is_some_and(|expected| expected != generation) {
-            return Err(conflict(change, old));
+            return Err(Refusal::Conflict(conflict(change, old.map(|entry| &**entry))));
         }
         let Some(spec) = &change.spec else {
-            return match self.entries.remove(&key) {
-                Some(_) => Ok(generation + 1),
-                None => Err(format!("there is no {} {}", change.kind, change.name)),
-            };
+            return self.delete(offset, &key);
         };
-        let spec = serde_json::from_str(spec).map_err(|error| format!("spec: {error}"))?;
+        let spec = serde_json::from_str(spec).map_err(|error| invalid(format!("spec: {error}")))?;
         let resource = Resource { kind, name: key.1.clone(), spec };
-        let spec = resource.check().map_err(|error| error.to_string())?;
-        let generation = generation + 1;
+        let spec = resource.check().map_err(invalid)?;
+        rules::check(self, &resource.name, &spec).map_err(invalid)?;
+        let before = self.deleted.get(&key).map_or(generation, |(_, generation)| *generation);
+        let generation = before + 1;
         let author = record.author.clone();
-        self.entries.insert(key, Entry { resource, spec, generation, offset, author });
+        self.put(Entry { resource, spec, generation, offset, author });
         Ok(generation)
     }
+
+    pub(crate) fn put(&mut self, entry: Entry) {
+        let key = (entry.resource.kind, entry.resource.name.clone());
+        self.deleted.remove(&key);
+        self.entries.insert(key, Arc::new(entry));
+    }
+
+    fn delete(&mut self, offset: Offset, key: &ResourceKey) -> Result<Generation, Refusal> {
+        let (kind, name) = (key.0, &key.1);
+        let Some(old) = self.entries.get(key) else {
+            return Err(invalid(format!("there is no {} {name}", kind.name())));
+        };
+        let generation = old.generation + 1;
+        rules::check_unused(self, kind, name).map_err(invalid)?;
+        self.entries.remove(key);
+        self.deleted.insert(key.clone(), (offset, generation));
+        if self.deleted.len() > DELETED_KEPT {
+            let oldest = self.deleted.iter().min_by_key(|(_, (offset, _))| *offset);
+            if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+                self.deleted.remove(&key);
+            }
+        }
+        Ok(generation)
+    }
+}
+
+fn invalid(error: impl std::fmt::Display) -> Refusal {
+    Refusal::Invalid(error.to_string())
 }
 
 fn conflict(change: &Change, old: Option<&Entry>) -> String {
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -5,18 +5,44 @@
 //! and then read them back, since only the log's order says what became of them.
 //!
 //! - [`record`]: the records as they stand in the log.
-//! - [`config`]: the fold of the `config` stream into resources.
-//! - [`Follower`]: follows a stream and publishes its folded state.
-//! - [`Appender`]: appends records and settles lost replies by reading.
+//! - [`config`], [`system`], [`calls`]: the folds of the three kinds of streams.
+//! - [`rules`]: rules between resources, the same at each reader.
+//! - [`Follower`]: follows a stream and publishes its folded state and [`Health`].
+//! - [`snapshot`]: folded states as bytes, for checkpoints and for peers.
+//! - [`Appender`]: appends records in groups and settles lost replies by reading.
+//! - [`Lease`]: claims and renews a scope.
+//! - [`Registry`]: the commands on resources.
 
 mod appender;
+mod authority;
+mod budget;
+pub mod calls;
 pub mod config;
 mod error;
+mod flight;
 mod follower;
+mod health;
+mod lease;
 pub mod record;
+mod registry;
+pub mod rules;
+mod scopes;
+mod shape;
+pub mod snapshot;
+mod suspects;
+pub mod system;
 
-pub use appender::Appender;
+pub use appender::{Appended, Appender, AppenderSettings};
+pub use authority::Authority;
+pub use calls::{CallEntry, CallStatus, Calls};
 pub use config::Config;
 pub use error::{Error, Result};
 pub use follower::{Fold, Follower};
+pub use health::{Health, Trouble};
+pub use lease::{Held, Lease, LeaseSettings};
 pub use record::Record;
+pub use registry::{Accepted, Registry};
+pub use scopes::Holder;
+pub use snapshot::{Snapshot, Snapshots};
+pub use suspects::{Crash, Suspect};
+pub use system::{OrderEntry, Outcome, System};
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -208,6 +208,10 @@
     /// Whether the target was never reached, so that the key is free again.
     #[prost(bool, tag = "6")]
     pub not_run: bool,
+    /// Offset of the author's claim. Only under the intent's own claim may an answer say that
+    /// the call was answered or never run; a later holder may only say that nobody knows.
+    #[prost(uint64, tag = "7")]
+    pub claim: Offset,
 }
 
 /// A request was running when its target crashed, or is cleared of that.
@@ -230,18 +234,27 @@
     pub cleared: bool,
 }
 
-/// The state of a stream up to an offset.
+/// The state of a stream up to an offset, or one part of it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Checkpoint {
     /// The offset of the first record that is not in the state.
     #[prost(uint64, tag = "1")]
     pub end: Offset,
-    /// The encoded state.
+    /// The encoded state, or this part of it.
     #[prost(bytes = "bytes", tag = "2")]
     pub state: Bytes,
-    /// SHA-256 of the encoded state, to meet a torn one.
+    /// SHA-256 of the whole encoded state, to meet a torn one.
     #[prost(bytes = "bytes", tag = "3")]
     pub sha256: Bytes,
+    /// Which part this is, from 0.
+    #[prost(uint32, tag = "4")]
+    pub part: u32,
+    /// How many parts there are; 0 and 1 both mean that this is the whole.
+    #[prost(uint32, tag = "5")]
+    pub parts: u32,
+    /// The version of the state's layout.
+    #[prost(uint32, tag = "6")]
+    pub state_version: u32,
 }
 
 impl Record {
--- /dev/null
+++ b/crates/state/src/registry.rs
@@ -0,0 +1,96 @@
+//! The commands on resources: what operators publish.
+
+use crate::record::{Body, Change};
+use crate::{Appended, Appender, Config, Error, Result, rules};
+use conf::{Generation, Kind, Name, Resource};
+use plat::Offset;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// Publishes resources in operators' names.
+#[derive(Clone)]
+pub struct Registry {
+    appender: Appender,
+    config: watch::Receiver<Arc<Config>>,
+}
+
+/// An accepted change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Accepted {
+    /// The change's offset; a process that has applied it has the change in force.
+    pub offset: Offset,
+    /// The generation that the resource has now.
+    pub generation: Generation,
+}
+
+/// How long to wait until an appended change is read back. Then its outcome is unsettled.
+const READ_BACK: Duration = Duration::from_secs(10);
+
+impl Registry {
+    /// Makes a registry on the followed `config` stream.
+    pub fn new(appender: Appender, config: watch::Receiver<Arc<Config>>) -> Self {
+        Self { appender, config }
+    }
+
+    /// Publishes a resource; `expects` is the generation that the operator saw, 0 for a new
+    /// one, none to take any.
+    ///
+    /// Refuses an invalid resource before it is appended. Success means that the change was
+    /// read back from the log and found accepted there, which never reverts.
+    pub async fn apply(
+        &self,
+        operator: &str,
+        resource: &Resource,
+        expects: Option<Generation>,
+    ) -> Result<Accepted> {
+        let spec = resource.check()?;
+        rules::check(&self.config.borrow(), &resource.name, &spec)?;
+        let change = Change {
+            kind: resource.kind.name().to_owned(),
+            name: resource.name.to_string(),
+            spec: Some(resource.spec.to_string()),
+            expects,
+        };
+        self.publish(operator, change).await
+    }
+
+    /// Deletes a resource.
+    pub async fn delete(
+        &self,
+        operator: &str,
+        kind: Kind,
+        name: &Name,
+        expects: Option<Generation>,
+    ) -> Result<Accepted> {
+        rules::check_unused(&self.config.borrow(), kind, name)?;
+        let (kind, name) = (kind.name().to_owned(), name.to_string());
+        self.publish(operator, Change { kind, name, spec: None, expects }).await
+    }
+
+    async fn publish(&self, operator: &str, change: Change) -> Result<Accepted> {
+        let body = Body::Change(change);
+        let appended = self.appender.append_as(operator, plat::CONFIG_STREAM, body).await?;
+        let unsettled = |detail: &'static str| Error::Unsettled {
+            stream: plat::CONFIG_STREAM.into(),
+            id: appended.id,
+            detail: detail.into(),
+        };
+        let mut config = self.config.clone();
+        let applied = config.wait_for(|config| config.end() > appended.offset);
+        let config = match tokio::time::timeout(READ_BACK, applied).await {
+            Ok(Ok(config)) => config.clone(),
+            Ok(Err(_)) => return Err(unsettled("the process stops")),
+            Err(_) => return Err(unsettled("the log cannot be read back")),
+        };
+        outcome(&config, appended).unwrap_or_else(|| Err(unsettled("its outcome is forgotten")))
+    }
+}
+
+fn outcome(config: &Config, appended: Appended) -> Option<Result<Accepted>> {
+    let audit = config.outcome(appended.offset)?;
+    Some(match &audit.outcome {
+        Ok(generation) => Ok(Accepted { offset: audit.offset, generation: *generation }),
+        Err(refusal) => Err(refusal.clone().into()),
+    })
+}
--- /dev/null
+++ b/crates/state/src/shape/calls.rs
@@ -0,0 +1,93 @@
+//! The folded `calls` stream as a message.
+
+use super::scopes::{self, HolderShape};
+use crate::calls::{CallEntry, CallStatus, Calls};
+use crate::record::{Answer, Intent};
+use bytes::Bytes;
+use compact_str::CompactString;
+use plat::Offset;
+use prost::Message;
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct CallsShape {
+    #[prost(uint64, tag = "1")]
+    end: Offset,
+    #[prost(message, repeated, tag = "2")]
+    holders: Vec<HolderShape>,
+    #[prost(message, repeated, tag = "3")]
+    calls: Vec<CallShape>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct CallShape {
+    #[prost(uint64, tag = "1")]
+    offset: Offset,
+    #[prost(string, tag = "2")]
+    author: String,
+    #[prost(message, optional, tag = "3")]
+    intent: Option<Intent>,
+    #[prost(message, optional, tag = "4")]
+    answer: Option<Answer>,
+    #[prost(bool, tag = "5")]
+    not_run: bool,
+    #[prost(bool, tag = "6")]
+    unknown: bool,
+}
+
+pub(crate) fn encode(calls: &Calls) -> Bytes {
+    let shape = CallsShape {
+        end: calls.end,
+        holders: scopes::encode(&calls.scopes),
+        calls: calls.iter().map(|(key, call)| encode_call(key, call)).collect(),
+    };
+    shape.encode_to_vec().into()
+}
+
+pub(crate) fn decode(bytes: &[u8]) -> Result<Calls, CompactString> {
+    let shape: CallsShape = super::message(bytes)?;
+    let mut calls = Calls::at(scopes::decode(shape.holders), shape.end);
+    for call in shape.calls {
+        let (key, call) = decode_call(call)?;
+        calls.put(key, call);
+    }
+    Ok(calls)
+}
+
+fn encode_call(key: &Bytes, call: &CallEntry) -> CallShape {
+    let answer = match &call.status {
+        CallStatus::Answered(answer) => Some(answer.clone()),
+        CallStatus::Pending | CallStatus::NotRun | CallStatus::Unknown => None,
+    };
+    CallShape {
+        offset: call.intent,
+        author: call.author.to_string(),
+        intent: Some(Intent {
+            key: key.clone(),
+            digest: call.digest.clone(),
+            scope: String::new(),
+            claim: call.claim,
+        }),
+        answer,
+        not_run: call.status == CallStatus::NotRun,
+        unknown: call.status == CallStatus::Unknown,
+    }
+}
+
+fn decode_call(shape: CallShape) -> Result<(Bytes, CallEntry), CompactString> {
+    let missing = || CompactString::const_new("a call without its intent");
+    let intent = shape.intent.ok_or_else(missing)?;
+    let status = match shape.answer {
+        Some(answer) => CallStatus::Answered(answer),
+        None if shape.not_run => CallStatus::NotRun,
+        None if shape.unknown => CallStatus::Unknown,
+        None => CallStatus::Pending,
+    };
+    let call = CallEntry {
+        intent: shape.offset,
+        digest: intent.digest,
+        claim: intent.claim,
+        author: shape.author.into(),
+        status,
+    };
+    Ok((intent.key, call))
+}
