feat(conf): checked settings, documents with right lines, backend from settings

Cause: the kind of target was a flag and so could disagree with the settings file; line numbers began anew in each document; a process reachable by strangers started without a key.

Settings are checked: addresses are IP numbers with a port, an empty peer_key or operators' token is an error unless the address is loopback (decided as an error, since a warning is read after the harm). Daemons end at the drain deadline with exit code 3.

--- a/crates/cli/src/daemons.rs
+++ b/crates/cli/src/daemons.rs
@@ -2,13 +2,13 @@
 
 use crate::{logs, runtime, settings_arg};
 use agent::Backend;
-use clap::{Arg, ArgMatches, Command};
-use conf::{check, settings};
+use clap::{ArgMatches, Command};
+use conf::settings;
 use eyre::{Result, WrapErr, eyre};
 use plat::Log;
 use plat::http::HttpClient;
-use serde::de::DeserializeOwned;
 use std::sync::Arc;
+use std::time::Duration;
 use target::http::{HttpEngine, HttpService};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -16,29 +16,34 @@
 
 /// The arguments of `entry`.
 pub(crate) fn entry_command() -> Command {
-    Command::new("entry")
-        .about("Runs an entry: callers' HTTP and the way to the agents")
-        .arg(settings_arg())
+    daemon("entry", "Runs an entry: callers' HTTP and the way to the agents")
 }
 
 /// The arguments of `agent`.
 pub(crate) fn agent_command() -> Command {
-    Command::new("agent").about("Runs the agent beside a target").arg(settings_arg()).arg(
-        Arg::new("backend")
-            .long("backend")
-            .value_parser(["engine", "service"])
-            .default_value("engine")
-            .help("What the target is"),
-    )
+    daemon("agent", "Runs the agent beside a target")
 }
 
+fn daemon(name: &'static str, about: &'static str) -> Command {
+    Command::new(name).about(about).after_help(STOP_HELP).arg(settings_arg())
+}
+
+/// What the help says of stopping.
+const STOP_HELP: &str = "\
+SIGTERM or SIGINT stops it gracefully: it takes no new requests and answers those in flight. A
+second signal, or the deadline drain_ms in the settings, ends it.
+
+Exit codes: 0 stopped gracefully, 1 failed, 2 wrong command line, 3 stopped with requests cut.";
+
 /// Runs an entry until it is told to stop.
 pub(crate) fn run_entry(matches: &ArgMatches) -> Result<()> {
     logs::start("info");
-    let settings: settings::Entry = read(matches)?;
+    let (file, text) = read(matches)?;
+    let settings = settings::Entry::parse(&text).wrap_err(file)?;
     runtime()?.block_on(async {
         let log = log_client(&settings.platform);
         let stop = stop_on_signal()?;
+        stop_at_deadline(stop.clone(), settings.drain);
         let dialler = Arc::new(TcpDialler);
         let context = entry::Context { settings, log, dialler, stop };
         entry::Daemon::bind(context).await?.run().await?;
@@ -49,15 +54,16 @@
 /// Runs an agent until it is told to stop.
 pub(crate) fn run_agent(matches: &ArgMatches) -> Result<()> {
     logs::start("info");
-    let settings: settings::Agent = read(matches)?;
-    let service = matches.get_one::<String>("backend").is_some_and(|kind| kind == "service");
+    let (file, text) = read(matches)?;
+    let settings = settings::Agent::parse(&text).wrap_err(file)?;
     runtime()?.block_on(async {
         let log = log_client(&settings.platform);
         let stop = stop_on_signal()?;
+        stop_at_deadline(stop.clone(), settings.drain);
         let address = settings.target_address.clone();
-        let backend = match service {
-            true => Backend::Service(Arc::new(HttpService::new(address))),
-            false => Backend::Engine(Arc::new(HttpEngine::new(address))),
+        let backend = match settings.backend {
+            settings::Backend::Service => Backend::Service(Arc::new(HttpService::new(address))),
+            settings::Backend::Engine => Backend::Engine(Arc::new(HttpEngine::new(address))),
         };
         let listener = Box::new(TcpListener::bind(&settings.peers_listen).await?);
         let context = agent::Context { settings, log, backend, listener, stop };
@@ -66,20 +72,35 @@
     })
 }
 
-fn read<T: DeserializeOwned>(matches: &ArgMatches) -> Result<T> {
+/// Reads the settings file: its name, for errors, and its text.
+fn read(matches: &ArgMatches) -> Result<(String, String)> {
     let file: &String = matches.get_one("settings").ok_or_else(|| eyre!("no settings"))?;
     let text = std::fs::read_to_string(file).wrap_err_with(|| format!("read {file}"))?;
-    check::parse(&text).wrap_err_with(|| file.clone())
+    Ok((file.clone(), text))
 }
 
 fn log_client(platform: &settings::Platform) -> Arc<dyn Log> {
     Arc::new(HttpClient::new(platform.log.clone(), platform.timeout))
 }
 
+/// Exit code of a stop that cut requests in flight.
+const FORCED: i32 = 3;
+
+/// Time beyond the drain deadline in which a daemon says goodbye by itself.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// Ends the process if a stop takes longer than the settings allow.
+fn stop_at_deadline(stop: CancellationToken, drain: Duration) {
+    tokio::spawn(async move {
+        stop.cancelled().await;
+        tokio::time::sleep(drain + GRACE).await;
+        log::error!(drain_ms = drain.as_millis(); "stop-deadline-passed");
+        std::process::exit(FORCED);
+    });
+}
+
 /// A token that the first SIGTERM or SIGINT cancels; the second ends the process.
 pub(crate) fn stop_on_signal() -> Result<CancellationToken> {
-    /// Exit code of a stop that cut requests in flight.
-    const FORCED: i32 = 3;
     let stop = CancellationToken::new();
     let token = stop.clone();
     let mut terminate = signal(SignalKind::terminate())?;
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -46,6 +46,7 @@
         .subcommand(daemons::entry_command())
         .subcommand(daemons::agent_command())
         .subcommand(check::command())
+        .subcommand(check::settings_command())
         .subcommand(fake::command())
 }
 
@@ -55,6 +56,7 @@
         Some(("entry", matches)) => daemons::run_entry(matches),
         Some(("agent", matches)) => daemons::run_agent(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("settings", matches)) => check::run_settings(matches),
         Some(("fake", matches)) => fake::run(matches),
         _ => unreachable!("clap lets only known subcommands through"),
     }
--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -1,8 +1,11 @@
 //! Parsing of YAML with errors that help: place, path and the nearest valid name.
 
-use crate::{Error, Result};
+use crate::document::{self, Document};
+use crate::resource::{Adapter, Caller, Kind, Model, Policy, Resource, Target, Version};
+use crate::{Error, Name, Result};
 use compact_str::format_compact;
-use serde::de::DeserializeOwned;
+use serde::Deserialize;
+use serde::de::{DeserializeOwned, IgnoredAny};
 
 /// Parses one YAML document into `T`; unknown fields are errors.
 pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
@@ -11,13 +14,77 @@
         let path = error.path().to_string();
         let inner = error.into_inner();
         let place = match inner.location() {
+            Some(at) if path == ROOT => format_compact!("line {}", at.line()),
             Some(at) => format_compact!("line {}, {path}", at.line()),
             None => format_compact!("{path}"),
         };
-        Error::Syntax { place, detail: with_nearest(&inner.to_string()) }
+        Error::Syntax { place, detail: with_nearest(bare(&inner.to_string())) }
     })
 }
 
+/// The path of the document itself.
+const ROOT: &str = ".";
+
+/// The parser's message without the place that it puts around it and we have already.
+fn bare(message: &str) -> &str {
+    let message = message.rsplit_once(" at line ").map_or(message, |(message, _)| message);
+    match message.split_once(": ") {
+        Some((path, rest)) if !path.contains([' ', '`']) => rest,
+        Some(_) | None => message,
+    }
+}
+
+/// Parses and checks the resources of a file, which may hold several documents.
+///
+/// Unlike [`Resource::check`], which only sees a resource's JSON, errors name the file's line.
+pub fn resources(text: &str) -> Result<Vec<Resource>> {
+    document::split(text).iter().map(resource).collect()
+}
+
+/// What a resource is, whatever its spec holds.
+#[derive(Deserialize)]
+struct Head {
+    kind: Kind,
+}
+
+/// A resource with the spec of its kind, so that errors in it know their line.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Typed<T> {
+    #[serde(rename = "kind")]
+    _kind: IgnoredAny,
+    #[serde(rename = "name")]
+    _name: Name,
+    #[serde(rename = "spec")]
+    _spec: T,
+}
+
+fn resource(document: &Document) -> Result<Resource> {
+    let text = &document.text;
+    match parse::<Head>(text)?.kind {
+        Kind::Model => parse::<Typed<Model>>(text).map(drop)?,
+        Kind::Adapter => parse::<Typed<Adapter>>(text).map(drop)?,
+        Kind::Version => parse::<Typed<Version>>(text).map(drop)?,
+        Kind::Target => parse::<Typed<Target>>(text).map(drop)?,
+        Kind::Caller => parse::<Typed<Caller>>(text).map(drop)?,
+        Kind::Policy => parse::<Typed<Policy>>(text).map(drop)?,
+    }
+    let resource: Resource = parse(text)?;
+    resource.check().map_err(|error| placed(document, error))?;
+    Ok(resource)
+}
+
+/// Adds the line to the error of a value that breaks a rule.
+fn placed(document: &Document, error: Error) -> Error {
+    match error {
+        Error::Invalid { path, detail } => match document.line_of(&path) {
+            Some(line) => Error::Syntax { place: format_compact!("line {line}, {path}"), detail },
+            None => Error::Invalid { path, detail },
+        },
+        Error::Syntax { .. } => error,
+    }
+}
+
 /// Appends the nearest valid name to serde's message about an unknown field or variant.
 fn with_nearest(message: &str) -> String {
     let mut quoted = message.split('`').skip(1).step_by(2);
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`check`]: parsing with the line, the field's path and the nearest valid name in errors.
 
 pub mod check;
+mod document;
 mod error;
 pub mod resource;
 pub mod settings;
--- a/crates/conf/src/resource.rs
+++ b/crates/conf/src/resource.rs
@@ -281,8 +281,8 @@
 impl Resource {
     /// Reads the resources of a YAML file, which may hold several documents.
     pub fn parse_all(text: &str) -> Result<Vec<Resource>> {
-        let documents = text.split("\n---").map(str::trim).filter(|part| !part.is_empty());
-        documents.map(crate::check::parse).collect()
+        let documents = crate::document::split(text);
+        documents.iter().map(|document| crate::check::parse(&document.text)).collect()
     }
 
     /// Checks the spec by the rules of its kind; all readers of the log use this same rule.
@@ -345,15 +345,9 @@
 }
 
 impl Caller {
-    /// Length of a SHA-256 digest in hexadecimal.
-    const DIGEST_CHARS: usize = 64;
-
     fn check(&self) -> Result<()> {
-        let digest = &self.token_sha256;
-        let hex = digest.chars().all(|c| c.is_ascii_hexdigit());
-        if !digest.is_empty() && (digest.len() != Self::DIGEST_CHARS || !hex) {
-            let detail = "a SHA-256 digest has 64 hexadecimal digits";
-            return Err(Error::invalid("spec.token_sha256", detail));
+        if !self.token_sha256.is_empty() {
+            check_digest("spec.token_sha256", &self.token_sha256)?;
         }
         if self.weight == 0 {
             return Err(Error::invalid("spec.weight", "a caller's weight is at least 1"));
@@ -362,10 +356,23 @@
     }
 }
 
+/// Length of a SHA-256 digest in hexadecimal.
+const DIGEST_CHARS: usize = 64;
+
+pub(crate) fn check_digest(path: &str, digest: &str) -> Result<()> {
+    // Upper case would never match the digest that a token is compared by.
+    let valid = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+    if digest.len() != DIGEST_CHARS || !digest.chars().all(valid) {
+        let detail = "a SHA-256 digest has 64 hexadecimal digits in lower case";
+        return Err(Error::invalid(path, detail));
+    }
+    Ok(())
+}
+
 /// The longest name of a resource, in bytes.
 const MAX_NAME_BYTES: usize = 120;
 
-fn check_name(path: &str, name: &str) -> Result<()> {
+pub(crate) fn check_name(path: &str, name: &str) -> Result<()> {
     let valid = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(valid) {
         let rule = "a name has 1 to 120 letters, digits, `-`, `_` or `.`";
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -1,9 +1,10 @@
 //! What a process is told at its start.
 
-use crate::Name;
+use crate::{Error, Name, Result};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// Where the platform's services are, and how long to wait for them.
@@ -77,6 +78,17 @@
     }
 }
 
+/// What stands behind an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Backend {
+    /// A language-model engine.
+    #[default]
+    Engine,
+    /// An instance of a plain service.
+    Service,
+}
+
 /// The settings of an agent.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -92,6 +104,8 @@
     pub peers_listen: CompactString,
     /// Where metrics are read, `host:port`.
     pub metrics: CompactString,
+    /// What the target is: `engine` or `service`.
+    pub backend: Backend,
     /// The target's own address, `host:port`.
     pub target_address: CompactString,
     /// The secret shared by all processes of the fleet.
@@ -114,6 +128,7 @@
             domain: CompactString::const_new("domain-1"),
             peers_listen: CompactString::const_new("127.0.0.1:7001"),
             metrics: CompactString::const_new("127.0.0.1:7002"),
+            backend: Backend::default(),
             target_address: CompactString::const_new("127.0.0.1:6001"),
             peer_key: CompactString::default(),
             peers: Vec::new(),
@@ -122,3 +137,108 @@
         }
     }
 }
+
+impl Entry {
+    /// Parses the settings and checks their values.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Self = crate::check::parse(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the values against each other.
+    pub fn check(&self) -> Result<()> {
+        crate::resource::check_name("name", &self.name)?;
+        crate::resource::check_name("domain", &self.domain)?;
+        check_address("callers", &self.callers)?;
+        if !self.admin.is_empty() {
+            check_address("admin", &self.admin)?;
+            check_admin(&self.admin, &self.admin_token_sha256)?;
+        }
+        check_peer_key(&self.peer_key, &self.callers)?;
+        check_peers(&self.peers)?;
+        self.platform.check()
+    }
+}
+
+impl Agent {
+    /// Parses the settings and checks their values.
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Self = crate::check::parse(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Checks the values against each other.
+    pub fn check(&self) -> Result<()> {
+        crate::resource::check_name("name", &self.name)?;
+        crate::resource::check_name("target", &self.target)?;
+        crate::resource::check_name("domain", &self.domain)?;
+        check_address("peers_listen", &self.peers_listen)?;
+        if !self.metrics.is_empty() {
+            check_address("metrics", &self.metrics)?;
+        }
+        check_address("target_address", &self.target_address)?;
+        check_peer_key(&self.peer_key, &self.peers_listen)?;
+        check_peers(&self.peers)?;
+        self.platform.check()
+    }
+}
+
+impl Platform {
+    fn check(&self) -> Result<()> {
+        check_address("platform.log", &self.log)?;
+        check_address("platform.weights", &self.weights)?;
+        check_address("platform.vms", &self.vms)?;
+        if self.timeout.is_zero() {
+            return Err(Error::invalid("platform.timeout_ms", "a call needs some time"));
+        }
+        Ok(())
+    }
+}
+
+/// Processes reach each other by IP numbers, so that no name service stands in between.
+fn check_address(path: &str, address: &str) -> Result<SocketAddr> {
+    address.parse().map_err(|_| {
+        let detail = format!("`{address}` is no IP number and port, such as 10.0.0.1:7001");
+        Error::invalid(path, detail)
+    })
+}
+
+fn check_peers(peers: &[CompactString]) -> Result<()> {
+    peers
+        .iter()
+        .enumerate()
+        .try_for_each(|(index, peer)| check_address(&format!("peers[{index}]"), peer).map(drop))
+}
+
+/// Without a key anyone who reaches a peer port could run requests past all limits and read
+/// answers. Only a process on loopback, where strangers are not, may do without.
+fn check_peer_key(key: &str, listens: &str) -> Result<()> {
+    if key.is_empty() && !is_loopback(listens) {
+        let detail = format!(
+            "a process at {listens} needs the fleet's key; only on loopback may it be empty"
+        );
+        return Err(Error::invalid("peer_key", detail));
+    }
+    Ok(())
+}
+
+/// Without a token anyone who reaches the port could change resources.
+fn check_admin(address: &str, digest: &str) -> Result<()> {
+    const PATH: &str = "admin_token_sha256";
+    if digest.is_empty() && !is_loopback(address) {
+        let detail =
+            format!("operators at {address} need a token; only on loopback may it be empty");
+        return Err(Error::invalid(PATH, detail));
+    }
+    if !digest.is_empty() {
+        crate::resource::check_digest(PATH, digest)?;
+    }
+    Ok(())
+}
+
+/// Whether only processes of the same machine reach an address.
+pub fn is_loopback(address: &str) -> bool {
+    address.parse::<SocketAddr>().map(|socket| socket.ip()).is_ok_and(|ip: IpAddr| ip.is_loopback())
+}
--- /dev/null
+++ b/crates/conf/tests/check.rs
@@ -0,0 +1,115 @@
+//! What an operator is told of a file that is wrong, and that no file at all makes a process fail.
+
+use conf::{check, settings};
+
+fn wrong(text: &str) -> String {
+    check::resources(text).expect_err("the file is wrong").to_string()
+}
+
+#[test]
+fn errors_name_line_path_and_the_nearest_valid_name() {
+    let second = "# callers\nkind: Caller\nname: desk\nspec: {weight: 2}\n---\nkind: Target\nname: e-1\nspec:\n";
+    let cases = [
+        "kind: Modell\nname: m\nspec: {}\n".to_owned(),
+        format!("{second}  domain: d\n  agent: 10.0.0.1:7001\n  modles: [m]\n"),
+        format!("{second}  domain: d d\n  agent: 10.0.0.1:7001\n  models: [m]\n"),
+        format!("{second}  domain: d\n  agent: 10.0.0.1:7001\n  models: [m]\n  role: prefil\n"),
+        format!("{second}  domain: d\n  agent: 10.0.0.1:7001\n  models: [m]\n  slots: many\n"),
+        "kind: Caller\nname: desk\nspec: {weight: 0}\n".to_owned(),
+        "kind: Caller\nspec: {}\n".to_owned(),
+        "kind: Caller\nname: [\n".to_owned(),
+    ];
+    let told: Vec<String> = cases.iter().map(|text| wrong(text)).collect();
+    insta::assert_snapshot!(told.join("\n"));
+}
+
+#[test]
+fn several_documents_of_a_file_are_read_whatever_stands_between_them() {
+    let text = "---\n# nothing\n---\nkind: Model\nname: a\nspec: {}\n--- # b\nkind: Model\nname: b\nspec: {}\n---\n";
+    let all = check::resources(text).expect("the file is right");
+    assert_eq!(all.iter().map(|r| r.name.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+    assert_eq!(all, conf::Resource::parse_all(text).expect("the file is right"));
+}
+
+// An operator copies the settings of a trial on one machine to a VM and forgets the key. Were the
+// process to start, anyone in the network could run requests past all limits.
+#[test]
+fn a_process_that_strangers_can_reach_needs_a_key_and_operators_a_token() {
+    let digest = "0".repeat(64);
+    let told = [
+        "callers: 10.0.0.1:8080\n".to_owned(),
+        "admin: 10.0.0.1:8081\npeer_key: k\n".to_owned(),
+        "admin: 10.0.0.1:8081\npeer_key: k\nadmin_token_sha256: ABC\n".to_owned(),
+        format!("admin: 10.0.0.1:8081\ncallers: 10.0.0.1:8080\npeer_key: k\nadmin_token_sha256: '{digest}'\n"),
+        "callers: entry.example:8080\n".to_owned(),
+        "peers: ['10.0.0.1']\n".to_owned(),
+        "peer_kye: x\n".to_owned(),
+        String::new(),
+    ]
+    .map(|text| match settings::Entry::parse(&text) {
+        Ok(_) => "ok".to_owned(),
+        Err(error) => error.to_string(),
+    });
+    insta::assert_snapshot!(told.join("\n"));
+    assert!(settings::Agent::parse("peers_listen: 10.0.0.1:7001\n").is_err());
+    assert!(settings::Agent::parse("peers_listen: 10.0.0.1:7001\npeer_key: k\n").is_ok());
+}
+
+#[test]
+fn arbitrary_bytes_are_read_as_settings_and_resources_without_a_panic() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let text = String::from_utf8_lossy(bytes);
+        // Only that there is an answer matters here, not which.
+        let _ = check::resources(&text);
+        let _ = settings::Entry::parse(&text);
+        let _ = settings::Agent::parse(&text);
+    });
+}
+
+#[test]
+fn files_that_are_nearly_right_are_read_without_a_panic() {
+    let words = [
+        "kind: ",
+        "Target",
+        "Caller",
+        "Policy",
+        "\n",
+        "---\n",
+        "name: a\n",
+        "spec:\n",
+        "  ",
+        "domain: d\n",
+        "agent: ",
+        "10.0.0.1:1\n",
+        "models: [m]\n",
+        "- ",
+        "{",
+        "}",
+        "[",
+        "]",
+        "&a ",
+        "*a ",
+        "? ",
+        ": ",
+        "!!int ",
+        "'",
+        "\"",
+        "|\n",
+        "weight: ",
+        "-1",
+        "1e400",
+        "\u{fe0f}",
+        "deadline_ms: 18446744073709551616\n",
+        "horizon_ms: ",
+        "null",
+        "<<: *a\n",
+        "#",
+        "\t",
+    ];
+    bolero::check!().with_type::<Vec<u8>>().for_each(|picks| {
+        let text: String =
+            picks.iter().map(|pick| words[usize::from(*pick) % words.len()]).collect();
+        let _ = check::resources(&text);
+        let _ = settings::Agent::parse(&text);
+    });
+}
