feat(load): sends a described mix and judges what callers receive

Cause: nothing told a lost token, a call run twice or a false "not-run" from a good answer on real processes.

Exit code 4 if something happened that must never happen.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 mod daemons;
 mod dev;
 mod fake;
+mod load;
 mod logs;
 
 use clap::{Arg, ArgMatches, Command};
@@ -48,6 +49,7 @@
         .subcommand(check::command())
         .subcommand(check::settings_command())
         .subcommand(fake::command())
+        .subcommand(load::command())
 }
 
 fn dispatch(matches: &ArgMatches) -> Result<()> {
@@ -58,6 +60,7 @@
         Some(("check", matches)) => check::run(matches),
         Some(("settings", matches)) => check::run_settings(matches),
         Some(("fake", matches)) => fake::run(matches),
+        Some(("load", matches)) => load::run(matches),
         _ => unreachable!("clap lets only known subcommands through"),
     }
 }
--- /dev/null
+++ b/crates/cli/src/load.rs
@@ -0,0 +1,103 @@
+//! `lapismast load FILE`: sends a described mix to entries and reports what callers received.
+
+use crate::runtime;
+use ::load::{Aim, Mix};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use compact_str::CompactString;
+use eyre::{Result, WrapErr, bail, eyre};
+use std::time::Duration;
+
+/// What the help says beyond the arguments.
+const HELP: &str = "\
+Requests arrive when the mix says so, whatever becomes of those before them. Each answer is
+compared with the one that a stand-in engine must give, so that a lost, doubled or foreign token is
+seen. Examples of mixes are in trials/. The exit code is 4 if something happened that must never
+happen: an answer that is not the request's own, a call that ran twice or ran though refused, or
+conflicting orders to an engine.
+
+  lapismast load trials/short.yaml --entries 127.0.0.1:8080";
+
+/// The subcommand's arguments.
+pub(crate) fn command() -> Command {
+    Command::new("load")
+        .about("Sends a described mix of requests to entries and reports what callers received")
+        .after_help(HELP)
+        .arg(Arg::new("file").value_name("FILE").required(true).help("The mix, in YAML"))
+        .arg(
+            addresses("entries", "Entries; a request that fails goes on through the next")
+                .required(true),
+        )
+        .arg(addresses("direct", "Stand-in engines that get every second prompt directly"))
+        .arg(addresses("services", "Stand-in services, to count how often each call ran"))
+        .arg(addresses("engines", "Stand-in engines, to count changes of role"))
+        .arg(
+            Arg::new("duration")
+                .long("duration")
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u32).range(1..))
+                .help("Instead of the mix's own duration"),
+        )
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .value_name("PER_SECOND")
+                .value_parser(value_parser!(f64))
+                .help("Instead of the mix's own rate"),
+        )
+        .arg(
+            Arg::new("output")
+                .short('o')
+                .long("output")
+                .value_parser(["table", "json"])
+                .default_value("table")
+                .help("Form of the report"),
+        )
+}
+
+fn addresses(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("HOST:PORT,...")
+        .value_delimiter(',')
+        .action(ArgAction::Append)
+        .help(help)
+}
+
+/// Exit code of a run in which something happened that must never happen.
+const BROKEN: i32 = 4;
+
+/// Sends the mix and prints the report.
+pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
+    let file: &String = matches.get_one("file").ok_or_else(|| eyre!("no file"))?;
+    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("read {file}"))?;
+    let mut mix = Mix::parse(&text).wrap_err_with(|| file.clone())?;
+    if let Some(seconds) = matches.get_one::<u32>("duration") {
+        mix.duration = Duration::from_secs(u64::from(*seconds));
+    }
+    if let Some(rate) = matches.get_one::<f64>("rate").copied() {
+        if !(rate > 0.0 && rate.is_finite()) {
+            bail!("--rate: a rate is above 0");
+        }
+        mix.rate = rate;
+    }
+    let list = |name| -> Vec<CompactString> {
+        let all = matches.get_many::<String>(name).unwrap_or_default();
+        all.filter(|address| !address.is_empty()).map(CompactString::from).collect()
+    };
+    let aim = Aim {
+        entries: list("entries"),
+        direct: list("direct"),
+        services: list("services"),
+        engines: list("engines"),
+    };
+    let report = runtime()?.block_on(::load::run(mix, aim))?;
+    match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => println!("{}", serde_json::to_string_pretty(&report)?),
+        _ => print!("{}", report.table()),
+    }
+    if report.is_broken() {
+        eprintln!("lapismast: something happened that must never happen");
+        std::process::exit(BROKEN);
+    }
+    Ok(())
+}
