--- /dev/null
+++ b/crates/slopes/src/memory.rs
@@ -0,0 +1,84 @@
+//! Memory and time of the folded configuration.
+
+use crate::ALLOCATOR;
+use crate::table::Row;
+use serde_json::{Value, json};
+use state::record::{Body, Change};
+use state::{Config, Fold, Record};
+use stats_alloc::Region;
+use std::time::Instant;
+
+/// Sizes up to twice the plan's 700 targets.
+const TARGETS: [u32; 4] = [175, 350, 700, 1_400];
+
+/// Sizes up to twice the plan's 4,500 callers.
+const CALLERS: [u32; 4] = [1_125, 2_250, 4_500, 9_000];
+
+/// Changes, up to the plan's day of 1,500.
+const CHANGES: [u32; 4] = [375, 750, 1_125, 1_500];
+
+/// The rows of this module.
+pub(crate) fn rows() -> Vec<Row> {
+    let row = |cost, per, points| Row { role: "every process", cost, per, points };
+    let sized = |kind: &'static str, sizes: [u32; 4]| {
+        sizes.map(|size| (f64::from(size), folded_bytes(kind, size))).to_vec()
+    };
+    vec![
+        row("folded state, bytes", "target", sized("Target", TARGETS)),
+        row("folded state, bytes", "caller", sized("Caller", CALLERS)),
+        row(
+            "fold of a change at the plan's size, ns of CPU",
+            "change",
+            CHANGES.map(|size| (f64::from(size), change_nanos(size))).to_vec(),
+        ),
+    ]
+}
+
+/// Bytes in use for a configuration of `size` resources of one kind.
+fn folded_bytes(kind: &str, size: u32) -> f64 {
+    let records: Vec<Record> = (0..size).map(|number| created(kind, number)).collect();
+    let region = Region::new(ALLOCATOR);
+    let mut config = Config::default();
+    fold(&mut config, &records);
+    let used = region.change();
+    let bytes = used.bytes_allocated.saturating_sub(used.bytes_deallocated);
+    drop(config);
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
+}
+
+/// Time to apply `size` changes to a configuration of the plan's size.
+fn change_nanos(size: u32) -> f64 {
+    let targets = (0..700).map(|number| created("Target", number));
+    let callers = (0..4_500).map(|number| created("Caller", number));
+    let records: Vec<Record> = targets.chain(callers).collect();
+    let mut config = Config::default();
+    fold(&mut config, &records);
+    let changes: Vec<Record> = (0..size).map(|number| created("Caller", number)).collect();
+    let begun = Instant::now();
+    fold(&mut config, &changes);
+    begun.elapsed().as_secs_f64() * 1e9
+}
+
+fn fold(config: &mut Config, records: &[Record]) {
+    for record in records {
+        let offset = config.end();
+        config.apply(offset, record);
+    }
+}
+
+fn created(kind: &str, number: u32) -> Record {
+    let spec = spec(kind, number).to_string();
+    let name = format!("{}-{number}", kind.to_lowercase());
+    let change = Change { kind: kind.to_owned(), name, spec: Some(spec), expects: None };
+    Record::new(u64::from(number), "operator", 0, Body::Change(change))
+}
+
+fn spec(kind: &str, number: u32) -> Value {
+    if kind == "Target" {
+        let agent = format!("10.0.{}.{}:7001", number / 250, number % 250);
+        let models = ["model-1", "model-2", "model-3", "model-4"];
+        json!({"agent": agent, "domain": format!("domain-{}", number % 6), "models": models})
+    } else {
+        json!({"token_sha256": format!("{number:064x}"), "weight": 2, "tokens_per_second": 900})
+    }
+}
