--- /dev/null
+++ b/crates/slopes/src/relay.rs
@@ -0,0 +1,62 @@
+//! A relay that counts the bytes it carries, headers of TCP and IP not among them.
+
+use eyre::Result;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// A relay in front of one address.
+#[derive(Clone)]
+pub(crate) struct Relay {
+    /// Where the relay listens, `host:port`.
+    pub(crate) address: String,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Relay {
+    /// Starts a relay to `target`, `host:port`, which adds to `bytes`.
+    pub(crate) async fn start(target: String, bytes: Arc<AtomicU64>) -> Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?.to_string();
+        let counted = bytes.clone();
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                tokio::spawn(carry(near, target.clone(), counted.clone()));
+            }
+        });
+        Ok(Self { address, bytes })
+    }
+
+    /// Bytes carried so far, both ways.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+async fn carry(near: TcpStream, target: String, bytes: Arc<AtomicU64>) {
+    let Ok(far) = TcpStream::connect(target).await else { return };
+    // Without this the system would hold small frames back and change what is measured.
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    tokio::select! {
+        () = copy(near_read, far_write, &bytes) => {}
+        () = copy(far_read, near_write, &bytes) => {}
+    }
+}
+
+async fn copy(
+    mut from: impl AsyncRead + Unpin,
+    mut to: impl AsyncWrite + Unpin,
+    bytes: &AtomicU64,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    while let Ok(length) = from.read(&mut buffer).await {
+        let piece = &buffer[..length];
+        if length == 0 || to.write_all(piece).await.is_err() {
+            return;
+        }
+        bytes.fetch_add(piece.iter().map(|_| 1).sum(), Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/slopes/src/traffic.rs
@@ -0,0 +1,216 @@
+//! Processor time and bytes of a request, a token, a byte of prompt, a connection and a change.
+
+use crate::fleet::{Fleet, MODEL};
+use crate::table::Row;
+use bytes::Bytes;
+use conf::Kind;
+use eyre::{Result, ensure};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// Requests in one measurement.
+const REQUESTS: [u32; 4] = [1_000, 2_000, 3_000, 4_000];
+
+/// Tokens of each answer.
+const TOKENS: [u32; 4] = [16, 64, 128, 256];
+
+/// Bytes of each prompt.
+const PROMPT_BYTES: [u32; 4] = [1_000, 16_000, 32_000, 64_000];
+
+/// Agents to which one entry is connected.
+const AGENTS: [u32; 4] = [2, 8, 16, 32];
+
+/// Changes of configuration published in one measurement.
+const CHANGES: [u32; 4] = [100, 200, 400, 800];
+
+/// Answers whose tokens or prompts are varied.
+const ANSWERS: u32 = 200;
+
+/// Requests in flight.
+const CONCURRENCY: usize = 32;
+
+/// How long idle connections are watched.
+const WATCH: Duration = Duration::from_secs(5);
+
+/// What one measurement saw.
+#[derive(Clone, Copy)]
+struct Cost {
+    entry: f64,
+    agents: f64,
+    peer_bytes: f64,
+    log_bytes: f64,
+}
+
+/// The rows of this module.
+pub(crate) async fn rows() -> Result<Vec<Row>> {
+    let mut rows = Vec::new();
+    rows.extend(of_requests().await?);
+    rows.extend(of_connections().await?);
+    rows.extend(of_changes().await?);
+    Ok(rows)
+}
+
+async fn of_requests() -> Result<Vec<Row>> {
+    let fleet = Fleet::start(1).await?;
+    send(&fleet, 500, 1, 100).await?;
+    let (mut requests, mut tokens, mut prompts) = (Vec::new(), Vec::new(), Vec::new());
+    for size in REQUESTS {
+        let cost = measure(&fleet, send(&fleet, size, 1, 100)).await?;
+        requests.push((f64::from(size), cost));
+    }
+    for size in TOKENS {
+        let cost = measure(&fleet, send(&fleet, ANSWERS, size, 100)).await?;
+        tokens.push((f64::from(size * ANSWERS), cost));
+    }
+    for size in PROMPT_BYTES {
+        let cost = measure(&fleet, send(&fleet, ANSWERS, 1, size)).await?;
+        prompts.push((f64::from(size * ANSWERS) / 1_000.0, cost));
+    }
+    let mut rows = cpu_rows("request of 1 token", &requests);
+    rows.extend(cpu_rows("token", &tokens));
+    rows.extend(cpu_rows("1,000 bytes of prompt", &prompts));
+    rows.push(row("entry and agent", "peer link, bytes", "request of 1 token", &requests, |c| {
+        c.peer_bytes
+    }));
+    rows.push(row("entry and agent", "peer link, bytes", "token", &tokens, |c| c.peer_bytes));
+    Ok(rows)
+}
+
+async fn of_connections() -> Result<Vec<Row>> {
+    let mut idle = Vec::new();
+    for agents in AGENTS {
+        let fleet = Fleet::start(agents).await?;
+        // Each agent is reached once, so that the connection is open.
+        send(&fleet, agents * 20, 1, 100).await?;
+        let watching = async {
+            tokio::time::sleep(WATCH).await;
+            Ok(())
+        };
+        let cost = measure(&fleet, watching).await?;
+        idle.push((f64::from(agents), cost.over(WATCH)));
+    }
+    let mut rows = cpu_rows("idle connection, a second", &idle);
+    let per = "idle connection, a second";
+    rows.push(row("entry", "peer links, bytes", per, &idle, |c| c.peer_bytes));
+    rows.push(row("entry", "log, bytes", per, &idle, |c| c.log_bytes));
+    Ok(rows)
+}
+
+async fn of_changes() -> Result<Vec<Row>> {
+    let fleet = Fleet::start(1).await?;
+    let mut changes = Vec::new();
+    for size in CHANGES {
+        let publishing = async {
+            for number in 0..size {
+                let name = format!("caller-{number}");
+                let spec = json!({"token_sha256": format!("{number:064x}"), "weight": 2});
+                fleet.publish(Kind::Caller, &name, spec).await?;
+            }
+            tokio::time::sleep(WATCH / 5).await;
+            Ok(())
+        };
+        changes.push((f64::from(size), measure(&fleet, publishing).await?));
+    }
+    let mut rows = cpu_rows("change of configuration", &changes);
+    let per = "change of configuration";
+    rows.push(row("every process", "log, bytes", per, &changes, |c| c.log_bytes));
+    Ok(rows)
+}
+
+impl Cost {
+    /// The cost of one second of `time`.
+    fn over(self, time: Duration) -> Self {
+        let seconds = time.as_secs_f64();
+        Self {
+            entry: self.entry / seconds,
+            agents: self.agents / seconds,
+            peer_bytes: self.peer_bytes / seconds,
+            log_bytes: self.log_bytes / seconds,
+        }
+    }
+}
+
+fn cpu_rows(per: &'static str, points: &[(f64, Cost)]) -> Vec<Row> {
+    vec![
+        row("entry", "CPU, ns", per, points, |cost| cost.entry),
+        row("agent", "CPU, ns", per, points, |cost| cost.agents),
+    ]
+}
+
+fn row(
+    role: &'static str,
+    cost: &'static str,
+    per: &'static str,
+    points: &[(f64, Cost)],
+    of: impl Fn(&Cost) -> f64,
+) -> Row {
+    Row { role, cost, per, points: points.iter().map(|(size, cost)| (*size, of(cost))).collect() }
+}
+
+/// What the fleet spends while `work` runs.
+async fn measure(fleet: &Fleet, work: impl Future<Output = Result<()>>) -> Result<Cost> {
+    let before = spent(fleet)?;
+    work.await?;
+    let after = spent(fleet)?;
+    Ok(Cost {
+        entry: after.entry - before.entry,
+        agents: after.agents - before.agents,
+        peer_bytes: after.peer_bytes - before.peer_bytes,
+        log_bytes: after.log_bytes - before.log_bytes,
+    })
+}
+
+fn spent(fleet: &Fleet) -> Result<Cost> {
+    let nanos = |time: Duration| time.as_secs_f64() * 1e9;
+    let count = |bytes: u64| f64::from(u32::try_from(bytes).unwrap_or(u32::MAX));
+    Ok(Cost {
+        entry: nanos(fleet.entry.cpu()?),
+        agents: nanos(fleet.agents.cpu()?),
+        peer_bytes: count(fleet.peers.load(Ordering::Relaxed)),
+        log_bytes: count(fleet.log_relay.bytes()),
+    })
+}
+
+/// Sends `requests` streamed completions, some side by side; each must be answered whole.
+async fn send(fleet: &Fleet, requests: u32, tokens: u32, prompt_bytes: u32) -> Result<()> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let permits = Arc::new(Semaphore::new(CONCURRENCY));
+    let uri = format!("http://{}/v1/completions", fleet.callers);
+    let mut sending = JoinSet::new();
+    for number in 0..requests {
+        let permit = permits.clone().acquire_owned().await?;
+        let (client, uri) = (client.clone(), uri.clone());
+        let body = body(number, tokens, prompt_bytes);
+        sending.spawn(async move {
+            let _permit = permit;
+            let request = hyper::Request::post(uri).header("content-type", "application/json");
+            let response = client.request(request.body(Full::new(body))?).await?;
+            let status = response.status();
+            let answer = response.into_body().collect().await?.to_bytes();
+            let answer = String::from_utf8_lossy(&answer);
+            ensure!(status.is_success(), "{status}: {answer}");
+            ensure!(answer.ends_with("data: [DONE]\n\n"), "a cut answer: {answer}");
+            Ok(())
+        });
+    }
+    while let Some(sent) = sending.join_next().await {
+        sent??;
+    }
+    Ok(())
+}
+
+fn body(number: u32, tokens: u32, prompt_bytes: u32) -> Bytes {
+    let filler = "x".repeat(usize::try_from(prompt_bytes).unwrap_or(0));
+    let body = json!({
+        "model": MODEL, "prompt": format!("{number} {filler}"), "stream": true,
+        "max_tokens": tokens, "fake_tokens": tokens,
+    });
+    Bytes::from(body.to_string())
+}
