feat(entry): the decisions of policy in force, state from agents

Routing, admission, limits, retry budgets, outliers, quarantine, drain and the subset of connections come from the policy crate, over a board of candidates that news changes in place. Limits hear of other entries' callers by pings (Sighting.usages). While the log gives nothing, agents are asked for the folded state. Retries that add no load (nothing reached the target, or the answer goes on from its last token) are not paid from the budget; two crashes under one request end it.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -7,6 +7,7 @@
 use crate::Reason;
 use crate::attempt::Attempt;
 use crate::daemon::Shared;
+use crate::decisions::Past;
 use crate::explain::Account;
 use crate::outcome::{Failure, Trail};
 use crate::problem::Problem;
@@ -60,7 +61,19 @@
                 Err(failure) => failure,
             };
             self.report(&failure);
-            let wait = self.shared.retries.next(&failure, &trail, retries);
+            let target = tried.last().cloned().unwrap_or_default();
+            if failure.reason.is_targets_fault() {
+                self.shared.decisions.failed(&target);
+            }
+            let past = Past {
+                caller: &self.request.caller.as_str().into(),
+                target: &target,
+                trail: &trail,
+                retries,
+                crashes: 0,
+                delivered: false,
+            };
+            let wait = self.shared.decisions.retry(&failure, &past);
             let Some(wait) = wait.filter(|_| self.call.repeatable) else {
                 return Err(Problem::new(failure, &trail));
             };
@@ -82,6 +95,10 @@
         let site = site.ok_or_else(|| {
             Failure::not_run(Reason::NoTarget, "no target of this service is in service")
         })?;
+        if tried.is_empty() {
+            let caller = self.request.caller.as_str().into();
+            self.shared.decisions.earn(&caller, &site.name);
+        }
         tried.push(site.name.clone());
         self.account.sent(&site.name);
         let mut attempt = self.submit(&site).await?;
@@ -103,8 +120,8 @@
     fn choose(&self, tried: &[Name]) -> Option<Arc<Site>> {
         let Call { service, key, repeatable, .. } = &self.call;
         if *repeatable {
-            let choices = router::for_call(self.shared, service, tried);
-            return choices.into_iter().next().map(|choice| choice.site);
+            let picks = router::for_call(self.shared, service, tried);
+            return picks.into_iter().next().map(|pick| pick.site);
         }
         router::home(self.shared, service, &self.request.caller, key)
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,20 +1,21 @@
 //! The entry's process: its tasks and how it stops.
 
+use crate::bootstrap::Bootstrap;
+use crate::decisions::Decisions;
 use crate::explain::{Accounts, Explanation};
 use crate::gate::Gate;
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::peers::{Link, Peers};
 use crate::random::Random;
-use crate::retries::Retries;
 use crate::routes;
 use crate::view::View;
-use crate::{Context, Error, Result, view_task};
+use crate::{Context, Error, Result, upkeep};
 use compact_str::CompactString;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::{Router, Server};
-use state::{Config, Follower};
+use state::{Config, Follower, System};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,7 +45,8 @@
     pub(crate) peers: Peers,
     pub(crate) members: Arc<Members>,
     pub(crate) gate: Arc<Gate>,
-    pub(crate) retries: Retries,
+    pub(crate) decisions: Arc<Decisions>,
+    pub(crate) system: watch::Receiver<Arc<System>>,
     pub(crate) random: Arc<Random>,
     pub(crate) accounts: Accounts,
     pub(crate) metrics: Metrics,
@@ -55,11 +57,15 @@
     /// Starts following the log and keeps connections to agents.
     pub fn start(context: Context) -> Self {
         let Context { settings, log, vms, dialler, seed, stop } = context;
-        let follower = Follower::<Config>::new(log, plat::CONFIG_STREAM.into());
-        let config = follower.state();
+        let follower = Follower::<Config>::new(log.clone(), plat::CONFIG_STREAM.into());
+        let system = Follower::<System>::new(log, plat::SYSTEM_STREAM.into());
+        let (config, health) = (follower.state(), follower.health());
+        let offers = (follower.offers(), system.offers());
         let random = Arc::new(Random::new(seed));
         let key = Key::new(settings.peer_key.as_bytes().to_vec());
-        let link = Link::new(dialler, key, settings.name.clone(), random.clone());
+        let decisions = Arc::new(Decisions::new(random.clone()));
+        let name = settings.name.clone();
+        let link = Link::new(dialler, key, name, random.clone(), decisions.clone());
         let (views, view) = watch::channel(Arc::new(View::default()));
         let shared = Arc::new(Shared {
             domain: settings.domain.clone(),
@@ -67,7 +73,8 @@
             peers: Peers::new(Arc::new(link)),
             members: Arc::default(),
             gate: Arc::default(),
-            retries: Retries::new(random.clone()),
+            decisions,
+            system: system.state(),
             random,
             accounts: Accounts::default(),
             metrics: Metrics::new(),
@@ -75,7 +82,17 @@
         });
         let mut tasks = JoinSet::new();
         tasks.spawn(follower.run());
-        tasks.spawn(view_task::run(shared.clone(), config.clone(), views));
+        tasks.spawn(system.run());
+        tasks.spawn(upkeep::follow(shared.clone(), config.clone(), views));
+        tasks.spawn(upkeep::tick(shared.clone()));
+        let bootstrap = Bootstrap {
+            shared: shared.clone(),
+            peers: settings.peers.clone(),
+            health,
+            config: offers.0,
+            system: offers.1,
+        };
+        tasks.spawn(bootstrap.run());
         tasks.spawn(shared.members.clone().run(vms));
         Self { shared, config, _tasks: tasks }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,9 +12,12 @@
 mod ask;
 mod attempt;
 mod auth;
+mod board;
+mod bootstrap;
 mod calls;
 mod context;
 mod daemon;
+mod decisions;
 mod error;
 mod explain;
 mod gate;
@@ -30,12 +33,11 @@
 mod random;
 mod reason;
 mod relay;
-mod retries;
 mod router;
 mod routes;
 mod session;
+mod upkeep;
 mod view;
-mod view_task;
 
 pub use context::Context;
 pub use daemon::{Daemon, Entry};
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -30,11 +30,9 @@
     wake: Notify,
 }
 
-/// A load and when it was heard.
-#[derive(Clone)]
-pub(crate) struct Heard {
-    pub(crate) load: Arc<Load>,
-    pub(crate) at: Instant,
+/// Which load of which process was heard last.
+struct Heard {
+    sequence: u64,
     incarnation: u64,
 }
 
@@ -76,19 +74,16 @@
         up.ok()?.ok()?.clone()
     }
 
-    /// The load as last heard.
-    pub(crate) fn heard(&self) -> Option<Heard> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
     /// Takes a load in unless a newer one of the same process was heard.
-    pub(crate) fn hear(&self, load: Load, incarnation: u64) {
+    pub(crate) fn hear(&self, link: &Link, load: &Load, incarnation: u64) {
         let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
         let late = heard.as_ref().is_some_and(|heard| {
-            heard.incarnation == incarnation && heard.load.sequence >= load.sequence
+            heard.incarnation == incarnation && heard.sequence >= load.sequence
         });
         if !late {
-            *heard = Some(Heard { load: Arc::new(load), at: Instant::now(), incarnation });
+            *heard = Some(Heard { sequence: load.sequence, incarnation });
+            drop(heard);
+            link.decisions.board.hear(&self.address, load, link.decisions.now());
         }
     }
 
@@ -99,24 +94,30 @@
         !kept && session.open_attempts() == 0 && used.elapsed() > IDLE_LIMIT
     }
 
+    fn tell_board(&self, link: &Link, up: bool) {
+        link.decisions.board.set_up(&self.address, up, link.decisions.now());
+    }
+
     /// Keeps the agent connected while it is wanted.
     pub(crate) async fn run(self: Arc<Self>, link: Arc<Link>) {
         let mut backoff = FIRST_BACKOFF;
         loop {
+            if !self.kept.load(Ordering::Relaxed) {
+                self.wake.notified().await;
+            }
             match Session::connect(&link, &self.address).await {
                 Ok((session, reader, frames, writer)) => {
                     backoff = FIRST_BACKOFF;
                     self.session.send_replace(Some(session.clone()));
+                    self.tell_board(&link, true);
                     session.run(&link, &self, reader, frames, writer).await;
                     self.session.send_replace(None);
+                    self.tell_board(&link, false);
                 }
                 Err(error) => {
                     log::warn!(peer = self.address.as_str(), error:% = error; "peer-unreachable");
                 }
             }
-            if !self.kept.load(Ordering::Relaxed) {
-                self.wake.notified().await;
-            }
             tokio::time::sleep(link.random.jitter(backoff)).await;
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,11 +1,13 @@
 //! All agents that the entry knows, by address.
 
+use crate::decisions::Decisions;
 use crate::peer::Peer;
 use crate::random::Random;
 use compact_str::CompactString;
 use std::collections::{HashMap, HashSet};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::Duration;
 use tokio::task::AbortHandle;
 use wire::{AttemptId, Dialler, Key, Sighting};
 
@@ -16,8 +18,11 @@
     pub(crate) name: CompactString,
     pub(crate) incarnation: u64,
     pub(crate) random: Arc<Random>,
+    pub(crate) decisions: Arc<Decisions>,
     next_attempt: AtomicU64,
     sighting: RwLock<Sighting>,
+    asked: Mutex<Option<Duration>>,
+    kept: AtomicUsize,
 }
 
 /// All agents.
@@ -38,11 +43,24 @@
         key: Key,
         name: CompactString,
         random: Arc<Random>,
+        decisions: Arc<Decisions>,
     ) -> Self {
         let incarnation = random.number();
         let sighting = Sighting { entry: name.to_string(), incarnation, ..Sighting::default() };
         let (next_attempt, sighting) = (AtomicU64::new(1), RwLock::new(sighting));
-        Self { dialler, key, name, incarnation, random, next_attempt, sighting }
+        let (asked, kept) = (Mutex::default(), AtomicUsize::new(0));
+        Self {
+            dialler,
+            key,
+            name,
+            incarnation,
+            random,
+            decisions,
+            next_attempt,
+            sighting,
+            asked,
+            kept,
+        }
     }
 
     /// A fresh id. One counter serves all connections, so an id is never used again and a late
@@ -53,7 +71,47 @@
 
     /// What the entry says of itself with each ping.
     pub(crate) fn sighting(&self) -> Sighting {
-        self.sighting.read().unwrap_or_else(PoisonError::into_inner).clone()
+        /// Callers told about when there are many agents to tell.
+        const FEW_USAGES: usize = 4;
+        let mut sighting = self.sighting.read().unwrap_or_else(PoisonError::into_inner).clone();
+        if self.is_large() {
+            sighting.usages.truncate(FEW_USAGES);
+        }
+        sighting
+    }
+
+    /// Whether an agent should be asked now which entries it hears from.
+    pub(crate) fn wants_sightings(&self) -> bool {
+        /// Each answer holds some 36 sightings of up to 0.4 KB at the size to design for, so that
+        /// one every five seconds stays under 3 KB/s.
+        const INTERVAL: Duration = Duration::from_secs(5);
+        let now = self.decisions.now();
+        let mut asked = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = asked.is_none_or(|asked| now.saturating_sub(asked) >= INTERVAL);
+        if due {
+            *asked = Some(now);
+        }
+        due
+    }
+
+    /// Sets how many agents are kept in touch with.
+    pub(crate) fn set_kept(&self, kept: usize) {
+        self.kept.store(kept, Ordering::Relaxed);
+    }
+
+    /// How often each agent is pinged: its answers carry its load, so this bounds the load's age.
+    /// With many agents it is twice as long, to stay under the 7 KB/s that control may cost.
+    pub(crate) fn ping_interval(&self) -> Duration {
+        match self.is_large() {
+            true => Duration::from_secs(2),
+            false => Duration::from_secs(1),
+        }
+    }
+
+    fn is_large(&self) -> bool {
+        /// Agents up to which each is pinged every second with all that there is to tell.
+        const FEW: usize = 24;
+        self.kept.load(Ordering::Relaxed) > FEW
     }
 
     /// Changes what the entry says of itself.
@@ -87,17 +145,24 @@
         known.get(address).map(|known| known.peer.clone())
     }
 
-    /// Keeps connections to these agents, and lets others close once they have no work.
-    pub(crate) fn keep(&self, addresses: &HashSet<CompactString>) {
-        for address in addresses {
+    /// Keeps connections to `kept`, lets others close once they have no work, and forgets those
+    /// not in `configured` that are closed.
+    pub(crate) fn keep(&self, kept: &HashSet<CompactString>, configured: &HashSet<CompactString>) {
+        self.link.set_kept(kept.len());
+        for address in kept {
             if self.find(address).is_none() {
                 self.add(address, true);
             }
         }
-        let known = self.known.read().unwrap_or_else(PoisonError::into_inner);
-        for (address, known) in known.iter() {
-            known.peer.keep(addresses.contains(address));
-        }
+        let mut known = self.known.write().unwrap_or_else(PoisonError::into_inner);
+        known.retain(|address, known| {
+            known.peer.keep(kept.contains(address));
+            let stays = configured.contains(address) || known.peer.is_up();
+            if !stays {
+                known.task.abort();
+            }
+            stays
+        });
     }
 
     fn add(&self, address: &CompactString, kept: bool) -> Arc<Peer> {
--- a/crates/entry/src/race.rs
+++ b/crates/entry/src/race.rs
@@ -6,9 +6,9 @@
 
 use crate::Reason;
 use crate::attempt::Attempt;
+use crate::board::Pick;
 use crate::daemon::Shared;
 use crate::outcome::Failure;
-use crate::router::Choice;
 use compact_str::format_compact;
 use conf::resource::Role;
 use std::time::Duration;
@@ -31,14 +31,14 @@
     prefilling: bool,
 }
 
-/// Starts a prompt at the first of `choices` that is free.
+/// Starts a prompt at the first of `picks` that is free.
 pub(crate) async fn start(
     shared: &Shared,
     request: &Request,
-    mut choices: Vec<Choice>,
+    mut picks: Vec<Pick>,
 ) -> Result<Started, Failure> {
-    let second = (choices.len() > 1).then(|| choices.remove(1));
-    let Some(first) = choices.pop() else {
+    let second = (picks.len() > 1).then(|| picks.remove(1));
+    let Some(first) = picks.pop() else {
         return Err(Failure::not_run(Reason::NoTarget, "no target in service can do this"));
     };
     match second {
@@ -56,8 +56,8 @@
 async fn race(
     shared: &Shared,
     request: &Request,
-    first: &Choice,
-    second: &Choice,
+    first: &Pick,
+    second: &Pick,
 ) -> Result<Started, Failure> {
     let left = submit(shared, request, first, true).await;
     let right = submit(shared, request, second, true).await;
@@ -116,17 +116,17 @@
 async fn submit(
     shared: &Shared,
     request: &Request,
-    choice: &Choice,
+    pick: &Pick,
     hold: bool,
 ) -> Result<Runner, Failure> {
-    let site = &choice.site;
+    let site = &pick.site;
     let unreachable = |detail: &str| {
         Failure::not_run(Reason::AgentUnreachable, format!("{}: {detail}", site.name))
     };
     let session = site.peer.session(CONNECT_PATIENCE).await;
     let session = session.ok_or_else(|| unreachable("its agent can't be reached"))?;
     let mut request = request.clone();
-    let prefilling = mark_prefill(&mut request, choice);
+    let prefilling = mark_prefill(&mut request, pick);
     let link = shared.peers.link();
     let attempt = session.submit(link, site.name.clone(), request, hold).await;
     let attempt = attempt.ok_or_else(|| unreachable("the connection to its agent was lost"))?;
@@ -135,19 +135,19 @@
 }
 
 /// Asks a prefill engine for the prompt's part only; returns whether it did.
-fn mark_prefill(request: &mut Request, choice: &Choice) -> bool {
+fn mark_prefill(request: &mut Request, pick: &Pick) -> bool {
     let Some(Work::Prompt(prompt)) = &mut request.work else { return false };
-    let prefilling = choice.role == Role::Prefill && prompt.resume_tokens == 0;
+    let prefilling = pick.role == Role::Prefill && prompt.resume_tokens == 0;
     prompt.prefill_only = prefilling;
     prefilling
 }
 
 /// Says for an explanation where a prompt goes.
-pub(crate) fn describe(choices: &[Choice]) -> compact_str::CompactString {
+pub(crate) fn describe(picks: &[Pick]) -> compact_str::CompactString {
     let mut text = compact_str::CompactString::const_new("candidates");
-    for choice in choices {
-        let (name, wait, idle) = (&choice.site.name, choice.wait.as_millis(), choice.idle);
-        text += &format_compact!(" {name} (wait {wait} ms, idle {idle})");
+    for pick in picks {
+        let (name, wait) = (&pick.site.name, pick.ahead.time(&pick.rates).as_millis());
+        text += &format_compact!(" {name} (wait {wait} ms, idle {})", pick.idle);
     }
     text
 }
--- a/crates/entry/src/random.rs
+++ b/crates/entry/src/random.rs
@@ -1,7 +1,7 @@
 //! The entry's random numbers, from one seed, so that a test's session is the same each time.
 
+use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha12Rng;
-use rand_chacha::rand_core::{Rng, SeedableRng};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
@@ -16,7 +16,12 @@
 
     /// Any number.
     pub(crate) fn number(&self) -> u64 {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).next_u64()
+        self.with(|rng| rng.next_u64())
+    }
+
+    /// Hands the source to a decision.
+    pub(crate) fn with<T>(&self, decide: impl FnOnce(&mut dyn Rng) -> T) -> T {
+        decide(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// A time between half of `most` and `most`, so that many waiters do not come back at once.
--- a/crates/entry/src/reason.rs
+++ b/crates/entry/src/reason.rs
@@ -92,6 +92,55 @@
 }
 
 impl Reason {
+    /// Whether another target may do what one did not, for this reason.
+    pub(crate) fn may_differ_elsewhere(self) -> bool {
+        match self {
+            Reason::NoTarget
+            | Reason::AgentUnreachable
+            | Reason::AgentLost
+            | Reason::TargetDown
+            | Reason::TargetRefused
+            | Reason::TargetBroken
+            | Reason::WrongTarget
+            | Reason::Draining
+            | Reason::QueueFull
+            | Reason::Overloaded
+            | Reason::LogUnavailable
+            | Reason::NoClaim
+            | Reason::Other => true,
+            Reason::BadBody
+            | Reason::BadHeader
+            | Reason::UnknownCaller
+            | Reason::UnknownModel
+            | Reason::UnknownService
+            | Reason::UnknownAnswer
+            | Reason::UnknownPath
+            | Reason::BodyTimeout
+            | Reason::BodyTooLarge
+            | Reason::KeyReused
+            | Reason::RateLimited
+            | Reason::TooManyOpen
+            | Reason::EntryFull
+            | Reason::NotReady
+            | Reason::DeadlineExceeded
+            | Reason::Quarantined
+            | Reason::InProgress
+            | Reason::OutcomeUnknown => false,
+        }
+    }
+
+    /// Whether the target failed, and was not merely full or the wrong one.
+    pub(crate) fn is_targets_fault(self) -> bool {
+        matches!(
+            self,
+            Reason::AgentUnreachable
+                | Reason::AgentLost
+                | Reason::TargetDown
+                | Reason::TargetRefused
+                | Reason::TargetBroken
+        )
+    }
+
     /// Finds a reason by its stable name.
     pub fn from_name(name: &str) -> Self {
         let found = Self::ALL.iter().find(|reason| reason.name() == name);
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,7 +7,9 @@
 
 use crate::Reason;
 use crate::attempt::Attempt;
+use crate::board::Pick;
 use crate::daemon::Shared;
+use crate::decisions::Past;
 use crate::explain::Account;
 use crate::outcome::{Failure, Trail};
 use crate::problem::Problem;
@@ -15,6 +17,8 @@
 use crate::router;
 use compact_str::format_compact;
 use conf::Name;
+use policy::estimate::Cost;
+use policy::quarantine::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -49,10 +53,15 @@
     prefilling: bool,
     tried: Vec<Name>,
     retries: u32,
+    crashes: u32,
+    /// How many tokens the caller had when this entry took the request.
+    had: u32,
     /// Whether the answer can be resumed elsewhere: all its text is known here.
     resumable: bool,
     deadline: Deadline,
     begun: Instant,
+    /// When the attempt's first piece came, and the token at its end.
+    first_token: Option<(Instant, u32)>,
 }
 
 /// Until when an answer is worth something.
@@ -89,9 +98,12 @@
             prefilling: false,
             tried: Vec::new(),
             retries: 0,
+            crashes: 0,
+            had: 0,
             resumable: true,
             deadline,
             begun: Instant::now(),
+            first_token: None,
         }
     }
 
@@ -99,6 +111,7 @@
     pub(crate) fn attached(mut self, attempt: Attempt, from_token: u32) -> Self {
         self.attempt = Some(attempt);
         self.prompt.resume_tokens = from_token;
+        self.had = from_token;
         self.resumable = false;
         self
     }
@@ -147,19 +160,49 @@
     }
 
     async fn start(&mut self) -> Result<Started, Failure> {
-        let choices = router::for_prompt(&self.shared, &self.prompt, &self.tried);
-        self.account.add(race::describe(&choices));
-        let names: Vec<_> = choices.iter().map(|choice| choice.site.name.clone()).collect();
+        let picks = self.pick()?;
+        self.account.add(race::describe(&picks));
+        let names: Vec<_> = picks.iter().map(|pick| pick.site.name.clone()).collect();
         let left = self.limit().saturating_duration_since(Instant::now());
+        if self.retries == 0 {
+            self.admit(&picks, left)?;
+        }
         self.request.deadline_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         self.request.work = Some(Work::Prompt(self.prompt.clone()));
-        let started = race::start(&self.shared, &self.request, choices).await;
+        let started = race::start(&self.shared, &self.request, picks).await;
         if started.is_err() {
             self.tried.extend(names.into_iter().take(1));
         }
         started
     }
 
+    /// The targets to try, by the log's records of crashes and by load.
+    fn pick(&self) -> Result<Vec<Pick>, Failure> {
+        let fingerprint = self.request.fingerprint;
+        let verdict = self.shared.decisions.judge(&self.shared.system.borrow(), fingerprint);
+        match verdict {
+            Verdict::Normal => Ok(router::for_prompt(&self.shared, &self.prompt, &self.tried)),
+            Verdict::Alone | Verdict::Wait => {
+                Ok(router::for_suspect(&self.shared, &self.prompt, fingerprint))
+            }
+            Verdict::Refuse => {
+                let detail = "this very request crashed targets and is not run any more";
+                Err(Failure::not_run(Reason::Quarantined, detail))
+            }
+        }
+    }
+
+    fn admit(&self, picks: &[Pick], left: Duration) -> Result<(), Failure> {
+        let cost =
+            Cost::new(u64::from(self.prompt.prompt_tokens), u64::from(self.prompt.expected_tokens));
+        self.shared.decisions.admit(picks, cost, left)?;
+        if let Some(pick) = picks.first() {
+            let caller = self.request.caller.as_str().into();
+            self.shared.decisions.earn(&caller, &pick.site.name);
+        }
+        Ok(())
+    }
+
     fn turn(&mut self, kind: EventKind) -> Result<Turn, Failure> {
         match kind {
             EventKind::Delta(delta) => self.take(delta),
@@ -180,6 +223,9 @@
         if delta.from_token != have {
             return Err(garbled("a gap between tokens"));
         }
+        if self.first_token.is_none() {
+            self.first_token = Some((Instant::now(), end));
+        }
         if have == 0 {
             self.shared.metrics.first_token(self.begun.elapsed());
         }
@@ -201,6 +247,7 @@
             self.hand_over();
             return Ok(Turn::Again);
         }
+        self.learn(end.output_tokens);
         self.attempt = None;
         self.account.add(format_compact!("complete after {} tokens", end.output_tokens));
         self.shared.metrics.goodput_tokens.inc_by(u64::from(end.output_tokens));
@@ -208,6 +255,17 @@
         Ok(Turn::Piece(Piece::End(end)))
     }
 
+    /// Learns from a complete answer: its length, and how fast its target generated.
+    fn learn(&mut self, tokens: u32) {
+        let decisions = &self.shared.decisions;
+        decisions.learn(&self.request.caller, &self.prompt.model, tokens);
+        let (Some(attempt), Some((at, from))) = (&self.attempt, self.first_token) else { return };
+        if let Some(later) = tokens.checked_sub(from).filter(|later| *later > 0) {
+            let pace = at.elapsed().as_secs_f64() / f64::from(later);
+            decisions.done(attempt.target(), pace);
+        }
+    }
+
     /// Goes on at a decode engine, which imports the KV cache of the prefill engine.
     fn hand_over(&mut self) {
         if let Some(attempt) = self.attempt.take() {
@@ -241,11 +299,26 @@
             request = self.request.id.as_str(), peer = name, reason = reason, tokens = tokens,
             detail = failure.detail.as_str(); "attempt-failed"
         );
-        self.tried.extend(target);
+        let fault = target.as_ref().filter(|_| failure.reason.is_targets_fault());
+        if let Some(target) = fault {
+            self.shared.decisions.failed(target);
+        }
+        self.crashes += u32::from(failure.reason == Reason::TargetBroken);
+        self.first_token = None;
         self.prefilling = false;
         // The cache may be what failed, or be gone with its engine.
         self.prompt.kv_source.clear();
-        let wait = self.shared.retries.next(&failure, &self.trail, self.retries);
+        let nowhere = Name::default();
+        let past = Past {
+            caller: &self.request.caller.as_str().into(),
+            target: target.as_ref().unwrap_or(&nowhere),
+            trail: &self.trail,
+            retries: self.retries,
+            crashes: self.crashes,
+            delivered: tokens > self.had,
+        };
+        let wait = self.shared.decisions.retry(&failure, &past);
+        self.tried.extend(target);
         let Some(wait) = wait.filter(|_| self.resumable) else {
             return Err(Problem::new(failure, &self.trail));
         };
--- a/crates/entry/src/routes/completions.rs
+++ b/crates/entry/src/routes/completions.rs
@@ -2,13 +2,15 @@
 
 use super::answer::{Answer, Shape};
 use super::intake::{self, Admitted};
-use super::sse::{EventId, Streaming};
+use super::sse::{EventId, Streaming, tokens_of};
 use crate::Reason;
 use crate::daemon::Shared;
+use crate::outcome::Trail;
 use crate::problem::Problem;
 use crate::relay::{Deadline, Piece, Relay};
 use async_trait::async_trait;
 use futures_util::StreamExt;
+use policy::estimate::Cost;
 use salvo::http::{HeaderMap, HeaderValue, header};
 use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
@@ -98,7 +100,7 @@
         let body: Body = serde_json::from_slice(&admitted.body)
             .map_err(|error| Problem::not_run(Reason::BadBody, error.to_string()))?;
         let last_event = last_event(http.headers())?;
-        let Admitted { mut request, patience, pass, .. } = admitted;
+        let Admitted { mut request, client, patience, mut pass, .. } = admitted;
         if let Some(event) = &last_event {
             request.id.clone_from(&event.request);
         }
@@ -114,7 +116,10 @@
             true => Deadline::FirstToken(deadline),
             false => Deadline::Complete(deadline),
         };
-        let prompt = self.prompt(body)?;
+        let prompt = self.prompt(body, &request.caller)?;
+        let cost = Cost::new(u64::from(prompt.prompt_tokens), u64::from(prompt.expected_tokens));
+        let booked = pass.book(&self.shared.decisions, &client, cost);
+        booked.map_err(|failure| Problem::new(failure, &Trail::new(true)))?;
         let account = self.shared.accounts.open(&request.id, &request.caller, &asked);
         let caller = request.caller.clone();
         let mut relay = Relay::new(self.shared.clone(), request, prompt, account, deadline);
@@ -124,7 +129,7 @@
         if streamed {
             let first = relay.next().await?;
             let shared = self.shared.clone();
-            let streaming = Streaming { shared, answer, relay, _pass: pass, begun };
+            let streaming = Streaming { shared, answer, relay, pass, begun };
             let kind = HeaderValue::from_static("text/event-stream");
             response.headers_mut().insert(header::CONTENT_TYPE, kind);
             response.stream(streaming.start(first).boxed());
@@ -136,6 +141,7 @@
                     Piece::End(end) => break end,
                 }
             };
+            pass.used(tokens_of(&end));
             self.shared.metrics.finished(begun.elapsed());
             response.render(Json(answer.complete(&text, &end)));
         }
@@ -157,7 +163,7 @@
         Ok(relay.attached(attempt.ok_or_else(unknown)?, event.token))
     }
 
-    fn prompt(&self, body: Body) -> Result<Prompt, Problem> {
+    fn prompt(&self, body: Body, caller: &str) -> Result<Prompt, Problem> {
         let text = match self.shape {
             Shape::Text => body.prompt,
             Shape::Chat => {
@@ -177,6 +183,8 @@
         let model = view.model(name).ok_or_else(|| {
             Problem::not_run(Reason::UnknownModel, format!("there is no model `{name}`"))
         })?;
+        let decisions = &self.shared.decisions;
+        let cost = decisions.cost(caller, name, prompt_tokens, max_tokens);
         let version = if version.is_empty() { model.version.as_str() } else { version };
         Ok(Prompt {
             model: name.to_owned(),
@@ -186,7 +194,7 @@
             text,
             prompt_tokens,
             max_tokens,
-            expected_tokens: max_tokens,
+            expected_tokens: u32::try_from(cost.decode).unwrap_or(max_tokens),
             sampling: serde_json::to_vec(&body.sampling).unwrap_or_default().into(),
             ..Prompt::default()
         })
--- a/crates/entry/src/routes/intake.rs
+++ b/crates/entry/src/routes/intake.rs
@@ -27,6 +27,7 @@
 pub(super) struct Admitted {
     /// The request, without its work.
     pub(super) request: wire::Request,
+    pub(super) client: Arc<Client>,
     pub(super) body: Bytes,
     /// How long the caller waits.
     pub(super) patience: Duration,
@@ -50,7 +51,7 @@
         bad_header("x-deadline-ms is a number of milliseconds, from 1 to 3600000")
     })?;
     let size = announced(http.headers(), most)?;
-    let pass = shared.gate.enter(&client, size);
+    let pass = shared.gate.enter(size);
     let pass = pass.map_err(|failure| Problem::new(failure, &crate::outcome::Trail::new(true)))?;
     let body = read(http, size).await?;
     let header = |name: &str| http.headers().get(name).and_then(|value| value.to_str().ok());
@@ -62,7 +63,7 @@
         traceparent: header("traceparent").filter(|text| is_traceparent(text)).unwrap_or("").into(),
         ..wire::Request::default()
     };
-    Ok(Admitted { request, body, patience, pass })
+    Ok(Admitted { request, client, body, patience, pass })
 }
 
 /// Finds the caller by the bearer token.
--- a/crates/entry/src/routes/services.rs
+++ b/crates/entry/src/routes/services.rs
@@ -5,11 +5,13 @@
 use crate::calls::{Answer, Errand};
 use crate::daemon::Shared;
 use crate::gate::Pass;
+use crate::outcome::Trail;
 use crate::problem::Problem;
 use crate::{Reason, headers};
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
+use policy::estimate::Cost;
 use salvo::http::StatusCode;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response};
 use std::io;
@@ -56,8 +58,10 @@
     ) -> Result<(), Problem> {
         let begun = Instant::now();
         let admitted = intake::admit(&self.shared, http, depot, MAX_BODY_BYTES).await?;
-        let Admitted { request, body, patience, pass, .. } = admitted;
+        let Admitted { request, client, body, patience, mut pass } = admitted;
         let call = self.read(http, body, &request.id)?;
+        let booked = pass.book(&self.shared.decisions, &client, Cost::default());
+        booked.map_err(|failure| Problem::new(failure, &Trail::new(true)))?;
         let asked = format!("{} {}", call.method, call.service);
         let account = self.shared.accounts.open(&request.id, &request.caller, &asked);
         let deadline = begun + patience;
--- a/crates/entry/src/routes/sse.rs
+++ b/crates/entry/src/routes/sse.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use wire::End;
 
 /// How long a caller may take nothing of what waits for it.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
@@ -49,7 +50,7 @@
     pub(super) answer: Answer,
     pub(super) relay: Relay,
     /// Held until the stream ends.
-    pub(super) _pass: Pass,
+    pub(super) pass: Pass,
     pub(super) begun: Instant,
 }
 
@@ -78,6 +79,9 @@
     async fn drive(mut self, first: Piece, sender: mpsc::Sender<Part>) {
         let mut piece = Ok(first);
         loop {
+            if let Ok(Piece::End(end)) = &piece {
+                self.pass.used(tokens_of(end));
+            }
             let part = self.part(piece);
             let last = matches!(part, Part::Last(_));
             if sender.send_timeout(part, READ_TIMEOUT).await.is_err() {
@@ -110,3 +114,8 @@
         log::info!(request = self.answer.id.as_str(), event = event; "stream-given-up");
     }
 }
+
+/// Tokens that an answer used, prompt and output.
+pub(super) fn tokens_of(end: &End) -> u64 {
+    u64::from(end.prompt_tokens) + u64::from(end.output_tokens)
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -23,11 +23,9 @@
 /// How long a dial with its handshake may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How often an agent is pinged; its answers carry its load, so this bounds the load's age.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
-
-/// After what silence a connection counts as half open: two pings lost and a half.
-const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+/// After how many ping intervals of silence a connection counts as half open: an answer that is
+/// late by a whole interval does not end it.
+const SILENT_INTERVALS: f64 = 2.5;
 
 /// A live connection to an agent.
 pub(crate) struct Session {
@@ -131,7 +129,8 @@
         writer: Writer,
     ) {
         let writing = tokio::spawn(write(writer, frames));
-        let mut pings = tokio::time::interval(PING_INTERVAL);
+        let interval = link.ping_interval();
+        let mut pings = tokio::time::interval(interval);
         pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut heard = Instant::now();
         loop {
@@ -139,12 +138,12 @@
                 frame = reader.next() => {
                     let Some(Ok(frame)) = frame else { break };
                     heard = Instant::now();
-                    self.take(peer, frame);
+                    self.take(link, peer, frame);
                 }
                 _ = pings.tick() => {
                     // A peer that vanished without closing (a paused VM, a partition) would keep
                     // its requests waiting for ever; silence ends them, and they go elsewhere.
-                    if heard.elapsed() > SILENCE_LIMIT {
+                    if heard.elapsed() > interval.mul_f64(SILENT_INTERVALS) {
                         log::warn!(peer = reader.peer().as_str(); "peer-silent");
                         break;
                     }
@@ -164,24 +163,27 @@
     fn ping(&self, link: &Link) {
         let nonce = self.next_ask.fetch_add(1, Ordering::Relaxed);
         let sender = Some(link.sighting());
-        let ping = Ping { nonce, sender, wants_sightings: false };
+        let ping = Ping { nonce, sender, wants_sightings: link.wants_sightings() };
         // A full queue shows by itself that the peer does not read; silence ends it.
         let _ = self.outbox.try_send(Frame::new(Body::Ping(ping)));
     }
 
-    fn take(&self, peer: &Peer, frame: Frame) {
+    fn take(&self, link: &Link, peer: &Peer, frame: Frame) {
         match frame.body {
             Some(Body::Event(event)) => {
-                if let Some(load) = event.load {
-                    peer.hear(load, self.incarnation);
+                if let Some(load) = &event.load {
+                    peer.hear(link, load, self.incarnation);
                 }
                 if let Some(kind) = event.kind {
                     self.inbox.hand_on(event.attempt, kind);
                 }
             }
             Some(Body::Pong(pong)) => {
-                if let Some(load) = pong.load {
-                    peer.hear(load, self.incarnation);
+                if let Some(load) = &pong.load {
+                    peer.hear(link, load, self.incarnation);
+                }
+                if !pong.sightings.is_empty() {
+                    link.decisions.hear_entries(&link.name, &pong.sightings);
                 }
             }
             Some(Body::Reply(Reply { id, body })) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -318,6 +318,23 @@
     /// Milliseconds since the agent heard this.
     #[prost(uint64, tag = "6")]
     pub age_ms: u64,
+    /// The callers that use it most, so that limits hold over all entries.
+    #[prost(message, repeated, tag = "7")]
+    pub usages: Vec<Usage>,
+}
+
+/// One caller's traffic at one entry.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Usage {
+    /// Hash of the caller's name.
+    #[prost(fixed64, tag = "1")]
+    pub caller: u64,
+    /// Tokens a second that it asks for there.
+    #[prost(uint64, tag = "2")]
+    pub rate: u64,
+    /// Its open requests there.
+    #[prost(uint32, tag = "3")]
+    pub open: u32,
 }
 
 /// A question outside any attempt.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 pub use error::{Error, Result};
 pub use frame::{
     Ask, AskKind, Attach, Begin, Body, Cancel, Credit, Delta, End, Event, EventKind, Finish, Frame,
-    Head, Header, Offer, Part, Ping, Pong, Progress, Refusal, Reply, Sighting, Submit,
+    Head, Header, Offer, Part, Ping, Pong, Progress, Refusal, Reply, Sighting, Submit, Usage,
 };
 pub use handshake::{Hello, Key, PROTOCOL_VERSION, Proof, accept, connect};
 pub use link::{
