--- a/crates/policy/examples/decisions.rs
+++ b/crates/policy/examples/decisions.rs
@@ -2,12 +2,29 @@
 //! `cargo run --release -p policy --example decisions -- NAME`.
 
 use policy::model::compare::{capacity_tokens, compare, setups};
-use policy::model::late;
 use policy::model::scenario::{self, ENGINES, Scale};
 use policy::model::table::Table;
+use policy::model::{late, swing};
 
 const FULL: Scale = Scale(1.0);
 
+/// The policies that the project ships.
+fn policies() -> Vec<(&'static str, conf::resource::Policy)> {
+    let shipped = [
+        ("sredets.yaml", include_str!("../policies/sredets.yaml")),
+        ("relieve.yaml", include_str!("../policies/relieve.yaml")),
+    ];
+    shipped.map(|(name, text)| (name, policy(text))).into()
+}
+
+fn policy(text: &str) -> conf::resource::Policy {
+    let resources = conf::Resource::parse_all(text).expect("a shipped policy is valid YAML");
+    match resources.first().map(conf::Resource::check) {
+        Some(Ok(conf::Spec::Policy(policy))) => policy,
+        other => panic!("a shipped policy passes the check: {other:?}"),
+    }
+}
+
 fn table(name: &str) -> Option<Table> {
     let late = late::Setup::default();
     let table = match name {
@@ -31,6 +48,8 @@
         "overload-3" => compare(&scenario::overload(3.0, FULL), &setups(), &["short", "urgent"]),
         "poison" => compare(&scenario::poison(FULL), &setups(), &["short", "poison"]),
         "retry-storm" => compare(&scenario::retry_storm(FULL), &setups(), &["short"]),
+        "swing" => swing::compare(FULL, 0.85, &policies()),
+        "swing-costly-mixing" => swing::compare(FULL, 0.6, &policies()),
         _ => return None,
     };
     Some(table)
--- a/crates/policy/src/model.rs
+++ b/crates/policy/src/model.rs
@@ -8,9 +8,11 @@
 pub mod compare;
 pub mod figures;
 pub mod late;
+pub mod oracle;
 pub mod pool;
 pub mod scenario;
 pub mod setup;
+pub mod swing;
 pub mod table;
 pub mod work;
 
--- a/crates/policy/src/model/engine.rs
+++ b/crates/policy/src/model/engine.rs
@@ -20,18 +20,29 @@
     pub slowness: f64,
     /// Whether it fails everything at once, looking idle.
     pub failing: bool,
+    /// The part of its rates that it keeps while it reads and writes at the same time: a prompt's
+    /// chunk in the batch delays every output in it.
+    pub mixed_efficiency: f64,
 }
 
 /// Requests that run side by side.
 pub(super) const SLOTS: u32 = 16;
 
-/// The part of its rates that an engine keeps while it reads and writes at the same time: a
-/// prompt's chunk in the batch delays every output in it.
+/// What engines keep of their rates while they mix, unless a scenario says otherwise. Chunked
+/// prefill costs some tenths; no engine was measured for this.
 pub(super) const MIXED_EFFICIENCY: f64 = 0.85;
 
 /// The share of an engine that reading may take while there is output to write.
 pub(super) const MOST_PREFILL: f64 = 0.6;
 
+/// What reading beside outputs costs them, as a part of its own time: as
+/// [`crate::roles::Settings::mixing`] counts it.
+pub(super) fn mixing(efficiency: f64) -> f64 {
+    let reading = MOST_PREFILL * efficiency;
+    let writing = (1.0 - MOST_PREFILL) * efficiency;
+    (1.0 - writing) / reading - 1.0
+}
+
 /// Shared prefixes that an engine's cache holds.
 const CACHED_PREFIXES: usize = 32;
 
@@ -149,7 +160,7 @@
         }
         let reading = (1.0 - wanted).clamp(MOST_PREFILL, 1.0);
         let writing = wanted.min(1.0 - reading);
-        let keep = MIXED_EFFICIENCY;
+        let keep = self.setup.mixed_efficiency;
         (prefill * reading * keep, decode * writing * keep / outputs)
     }
 
--- /dev/null
+++ b/crates/policy/src/model/oracle.rs
@@ -0,0 +1,167 @@
+//! A planner of roles that knows the future, as the bound for those that don't.
+//!
+//! It knows the tokens of every arrival, and finds by dynamic programming over steps of one outage
+//! the roles with the most goodput, counting what is lost while engines change.
+
+use super::pool::Plan;
+use super::work::Arrival;
+use crate::Time;
+use crate::estimate::Rates;
+use crate::number::{count, float};
+use crate::roles::{Change, Demand, Engine, Fleet, Planner, Settings};
+use conf::resource::Role;
+use std::collections::HashMap;
+
+/// How many engines read only, and how many write only; the others are mixed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Split {
+    prefill: usize,
+    decode: usize,
+}
+
+/// Engines that may change in one step, to bound the search.
+const MOST_CHANGES: usize = 4;
+
+/// Work that one change must win at least, so that none is made for nothing.
+const CHANGE_COST: f64 = 200.0;
+
+/// The planner that knows the future.
+#[derive(Debug)]
+pub struct Oracle {
+    step: f64,
+    splits: Vec<Split>,
+}
+
+impl Oracle {
+    /// Plans for all arrivals of a plan.
+    pub fn new(plan: &Plan, settings: &Settings) -> Self {
+        let step = settings.outage.as_secs_f64();
+        let demands = demands(&plan.arrivals, step, plan.end);
+        let search = Search { engines: plan.engines.len(), mixing: settings.mixing, step };
+        Self { step, splits: search.best(&demands) }
+    }
+
+    /// How many changes the plan has.
+    pub fn changes(&self) -> usize {
+        let search = Search { engines: 0, mixing: 0.0, step: 0.0 };
+        self.splits.windows(2).map(|pair| search.changes(pair[0], pair[1])).sum()
+    }
+}
+
+impl Planner for Oracle {
+    fn name(&self) -> &'static str {
+        "knows the future"
+    }
+
+    fn observe(&mut self, _: Demand, _: Time) {}
+
+    fn decide(&mut self, engines: &[Engine], now: Time) -> Vec<Change> {
+        let index = usize::try_from(count((now.as_secs_f64() / self.step).floor())).unwrap_or(0);
+        let Some(split) = self.splits.get(index + 1).or(self.splits.last()) else {
+            return Vec::new();
+        };
+        if engines.iter().any(|engine| engine.changing) {
+            return Vec::new();
+        }
+        let mixed = engines.len().saturating_sub(split.prefill + split.decode);
+        let wanted =
+            [(Role::Prefill, split.prefill), (Role::Decode, split.decode), (Role::Mixed, mixed)];
+        let have = |role| engines.iter().filter(|engine| engine.role == role).count();
+        let mut roles = Vec::new();
+        for (role, want) in wanted {
+            roles.extend(std::iter::repeat_n(role, want.saturating_sub(have(role))));
+        }
+        let mut spare = Vec::new();
+        for (role, want) in wanted {
+            let of_role = engines.iter().filter(|engine| engine.role == role);
+            spare.extend(of_role.take(have(role).saturating_sub(want)));
+        }
+        let pairs = spare.into_iter().zip(roles);
+        pairs.map(|(engine, role)| Change { target: engine.name.clone(), role }).collect()
+    }
+}
+
+/// The demand of each step.
+fn demands(arrivals: &[Arrival], step: f64, end: f64) -> Vec<Demand> {
+    let steps = usize::try_from(count((end / step).ceil())).unwrap_or(0);
+    let mut demands = vec![Demand::default(); steps];
+    for arrival in arrivals {
+        let index = usize::try_from(count((arrival.at / step).floor())).unwrap_or(0);
+        if let Some(demand) = demands.get_mut(index) {
+            demand.prompt += float(arrival.prompt) / step;
+            demand.output += float(arrival.output) / step;
+        }
+    }
+    demands
+}
+
+struct Search {
+    engines: usize,
+    mixing: f64,
+    step: f64,
+}
+
+impl Search {
+    /// The split of each step, beginning with all engines mixed.
+    fn best(&self, demands: &[Demand]) -> Vec<Split> {
+        let start = Split { prefill: 0, decode: 0 };
+        let mut values: HashMap<Split, f64> = HashMap::from([(start, 0.0)]);
+        let mut came: Vec<HashMap<Split, Split>> = Vec::new();
+        for demand in demands {
+            let mut next: HashMap<Split, f64> = HashMap::new();
+            let mut from: HashMap<Split, Split> = HashMap::new();
+            let mut known: Vec<(Split, f64)> = values.into_iter().collect();
+            known.sort_by_key(|(split, _)| *split);
+            for (split, value) in known {
+                for after in self.near(split) {
+                    let value = value + self.value(split, after, demand);
+                    if next.get(&after).is_none_or(|best| value > *best) {
+                        next.insert(after, value);
+                        from.insert(after, split);
+                    }
+                }
+            }
+            values = next;
+            came.push(from);
+        }
+        let last = values.iter().max_by(|a, b| a.1.total_cmp(b.1).then(b.0.cmp(a.0)));
+        let mut path = vec![last.map_or(start, |(split, _)| *split)];
+        for from in came.iter().rev() {
+            let previous = path.last().and_then(|split| from.get(split)).copied();
+            path.push(previous.unwrap_or(start));
+        }
+        path.reverse();
+        path
+    }
+
+    /// All splits within reach of one step.
+    fn near(&self, split: Split) -> Vec<Split> {
+        let all = (0..=self.engines)
+            .flat_map(|p| (0..=self.engines - p).map(move |d| Split { prefill: p, decode: d }));
+        all.filter(|after| self.changes(split, *after) <= MOST_CHANGES).collect()
+    }
+
+    /// How many engines change between two splits of the same number of engines.
+    fn changes(&self, from: Split, to: Split) -> usize {
+        let prefill = to.prefill.cast_signed() - from.prefill.cast_signed();
+        let decode = to.decode.cast_signed() - from.decode.cast_signed();
+        let mixed = -(prefill + decode);
+        [prefill, decode, mixed].iter().map(|n| n.unsigned_abs()).sum::<usize>() / 2
+    }
+
+    /// The goodput of a step in which engines go from one split to another.
+    fn value(&self, from: Split, to: Split, demand: &Demand) -> f64 {
+        let mixed = |split: Split| self.engines - split.prefill - split.decode;
+        let rates = Rates::default();
+        let groups = [
+            (Role::Prefill, from.prefill.min(to.prefill)),
+            (Role::Decode, from.decode.min(to.decode)),
+            (Role::Mixed, mixed(from).min(mixed(to))),
+        ];
+        let fleet = groups.into_iter().fold(Fleet::default(), |fleet, (role, many)| {
+            (0..many).fold(fleet, |fleet, _| fleet.with(role, rates))
+        });
+        let changes = float(u64::try_from(self.changes(from, to)).unwrap_or(0));
+        fleet.goodput(demand, self.mixing) * self.step - changes * CHANGE_COST
+    }
+}
--- a/crates/policy/src/model/pool/serve.rs
+++ b/crates/policy/src/model/pool/serve.rs
@@ -26,7 +26,7 @@
 const PATIENCE: f64 = 0.15;
 
 /// Seconds of output that may wait for slots after its prompt was read.
-const GAP: f64 = 0.3;
+const GAP: f64 = 0.6;
 
 /// Seconds that a poisonous request runs before it crashes its engine.
 const FUSE: f64 = 0.3;
@@ -107,7 +107,7 @@
         let Some(choice) = entry.route.choose(&query, &entry.candidates, now, rng) else {
             return Vec::new();
         };
-        let many = if self.setup.late && stage != Stage::Decode { 2 } else { 1 };
+        let many = if self.setup.late { 2 } else { 1 };
         let chosen: Vec<usize> = choice.indexes().take(many).collect();
         for &index in &chosen {
             entry.candidates[index].send(cost);
@@ -245,7 +245,8 @@
     fn may_start(&self, engine: usize) -> bool {
         let engine = &self.engines[engine];
         let free = engine.works() && engine.exclusive.is_none();
-        free && (engine.role != Role::Prefill || self.has_room())
+        let urgent = engine.queue.backlog().urgent > 0;
+        free && (engine.role != Role::Prefill || urgent || self.has_room())
     }
 
     pub(super) fn start(&mut self, call: CallIndex, engine: usize) {
@@ -303,25 +304,30 @@
         self.engines[engine].add_decode(call, left);
     }
 
+    /// Offers a call whose prompt was read to engines that write.
     pub(super) fn hand_over(&mut self, call: CallIndex) {
         if self.calls[call].ended || !self.calls[call].places.is_empty() {
             return;
         }
-        let engine = self.choose(call, Stage::Decode).first().copied();
-        let placed = engine.filter(|&engine| match self.push(call, engine) {
-            Pushed::Queued => true,
-            Pushed::Displaced(items) => {
-                items.into_iter().for_each(|item| self.leave(item.value, engine, Reason::Full));
-                true
+        let chosen = self.choose(call, Stage::Decode);
+        for &engine in &chosen {
+            self.figures.messages += 1;
+            match self.push(call, engine) {
+                Pushed::Queued => {}
+                Pushed::Displaced(items) => {
+                    items.into_iter().for_each(|item| self.leave(item.value, engine, Reason::Full));
+                }
+                Pushed::Full(_) => continue,
             }
-            Pushed::Full(_) => false,
-        });
-        match placed {
-            Some(engine) => {
-                self.calls[call].places.push(engine);
+            self.calls[call].places.push(engine);
+        }
+        if self.calls[call].places.is_empty() {
+            return self.after(AGAIN, Event::HandOver(call));
+        }
+        for engine in chosen {
+            if self.calls[call].engine.is_none() {
                 self.kick(engine);
             }
-            None => self.after(AGAIN, Event::HandOver(call)),
         }
     }
 
--- a/crates/policy/src/model/scenario.rs
+++ b/crates/policy/src/model/scenario.rs
@@ -1,6 +1,6 @@
 //! The load patterns that the decisions are measured under.
 
-use super::engine::{EngineSetup, MIXED_EFFICIENCY, MOST_PREFILL};
+use super::engine::{EngineSetup, MIXED_EFFICIENCY, mixing};
 use super::pool::Plan;
 use super::setup::engines;
 use super::work::{Stream, arrivals};
@@ -28,9 +28,8 @@
 /// While an engine reads a prompt it writes at the rest of its speed, less what the mixing costs.
 pub fn capacity(many: usize, prompt: f64, output: f64) -> f64 {
     let rates = Rates::default();
-    let reading = prompt / rates.prefill / (MOST_PREFILL * MIXED_EFFICIENCY);
-    let lost = 1.0 - (1.0 - MOST_PREFILL) * MIXED_EFFICIENCY;
-    let seconds = output / rates.decode + reading * lost;
+    let reading = prompt / rates.prefill * (1.0 + mixing(MIXED_EFFICIENCY));
+    let seconds = output / rates.decode + reading;
     float(u64::try_from(many).unwrap_or(0)) / seconds
 }
 
@@ -45,7 +44,7 @@
     Stream { class: "urgent", callers: 6, urgent: true, deadline: 3.0, ..short(load) }
 }
 
-fn plan(streams: &[Stream], engines: Vec<EngineSetup>, end: f64) -> Plan {
+pub(super) fn plan(streams: &[Stream], engines: Vec<EngineSetup>, end: f64) -> Plan {
     Plan {
         engines,
         entries: ENTRIES,
--- a/crates/policy/src/model/setup.rs
+++ b/crates/policy/src/model/setup.rs
@@ -1,6 +1,6 @@
 //! Which decisions are in force in a run, as trait objects and switches.
 
-use super::engine::{CallIndex, EngineSetup, SLOTS};
+use super::engine::{CallIndex, EngineSetup, MIXED_EFFICIENCY, SLOTS};
 use crate::limits::Limit;
 use crate::queue::{self, Discipline, Fifo, Queue};
 use crate::roles::{self, Planner, Roles, Static};
@@ -100,6 +100,7 @@
         role: Role::Mixed,
         slowness: 1.0,
         failing: false,
+        mixed_efficiency: MIXED_EFFICIENCY,
     };
     (0..many).map(engine).collect()
 }
--- /dev/null
+++ b/crates/policy/src/model/swing.rs
@@ -0,0 +1,139 @@
+//! The balance of prompt and output swings: planners of roles against each other.
+
+use super::compare::percent;
+use super::engine::mixing;
+use super::figures::Figures;
+use super::oracle::Oracle;
+use super::pool::{self, Plan};
+use super::scenario::{DOMAINS, ENGINES, Scale, plan};
+use super::setup::{Setup, engines};
+use super::table::Table;
+use super::work::Stream;
+use crate::estimate::Rates;
+use crate::number::float;
+use crate::roles::Settings;
+use conf::resource::{Policy, Role};
+
+/// Prompt and output tokens of a request that mostly reads: a verdict on a long document.
+const READING: (f64, f64) = (4_000.0, 40.0);
+
+/// Prompt and output tokens of a request that mostly writes: a drafted reply.
+const WRITING: (f64, f64) = (200.0, 300.0);
+
+/// The whole load as a part of what the engines could do if none ever mixed.
+const LOAD: f64 = 0.9;
+
+/// The part of the work that is reading prompts, before and after, and at its height.
+const SHARES: (f64, f64) = (0.2, 0.7);
+
+/// Seconds of engine time that a request needs: reading and writing.
+fn seconds((prompt, output): (f64, f64)) -> (f64, f64) {
+    let Rates { prefill, decode } = Rates::default();
+    (prompt / prefill, output / decode)
+}
+
+/// The part of the work that requests that mostly read must be for this share of reading.
+fn reading_part(share: f64) -> f64 {
+    let part = |(read, write): (f64, f64)| read / (read + write);
+    let (most, least) = (part(seconds(READING)), part(seconds(WRITING)));
+    (share - least) / (most - least)
+}
+
+/// Reading is 0.2 of the work, rises to 0.7 within a minute, stays for one, and falls back.
+pub fn swing(scale: Scale) -> Plan {
+    let minute = 60.0 * scale.0;
+    let share = |at: f64| {
+        let up = ((at - minute) / minute).clamp(0.0, 1.0);
+        let down = ((at - 3.0 * minute) / minute).clamp(0.0, 1.0);
+        SHARES.0 + (SHARES.1 - SHARES.0) * (up - down)
+    };
+    let work = LOAD * float(u64::try_from(ENGINES).unwrap_or(0));
+    let rate = |at: f64, reading: bool| {
+        let part = reading_part(share(at));
+        let (size, part) = if reading { (READING, part) } else { (WRITING, 1.0 - part) };
+        let (read, write) = seconds(size);
+        work * part / (read + write)
+    };
+    let pieces = |reading| {
+        let steps = (0..60u32).map(f64::from).map(|step| step * 5.0 * scale.0);
+        steps.map(|at| (at, rate(at, reading))).collect()
+    };
+    let stream = |class, (prompt, output), reading| Stream {
+        class,
+        prompt,
+        output,
+        sigma: 0.6,
+        rate: pieces(reading),
+        ..Stream::default()
+    };
+    let streams = [stream("reading", READING, true), stream("writing", WRITING, false)];
+    plan(&streams, engines(ENGINES, DOMAINS), 5.0 * minute)
+}
+
+/// The swing among engines that keep this part of their rates while they mix.
+fn swing_with(scale: Scale, efficiency: f64) -> Plan {
+    let mut plan = swing(scale);
+    for engine in &mut plan.engines {
+        engine.mixed_efficiency = efficiency;
+    }
+    plan
+}
+
+/// Compares planners of roles at the swing.
+pub fn compare(scale: Scale, efficiency: f64, policies: &[(&'static str, Policy)]) -> Table {
+    let head = [
+        "way",
+        "goodput, tokens/s",
+        "of the bound",
+        "work/s",
+        "of the bound",
+        "reading in time",
+        "writing in time",
+        "refused",
+        "late",
+        "role changes",
+        "for an engine",
+    ];
+    let mut table = Table::new(&head);
+    let plan = swing_with(scale, efficiency);
+    let mut all = Setup::all();
+    all.roles.mixing = mixing(efficiency);
+    let bound = pool::run_planned(&plan, &all, Box::new(Oracle::new(&plan, &all.roles)));
+    table.row(row("knows the future", &bound, &bound));
+    for (name, policy) in policies {
+        let roles = Settings { mixing: mixing(efficiency), ..Settings::from(policy) };
+        let setup = Setup { name, roles, ..Setup::all() };
+        table.row(row(name, &pool::run(&plan, &setup), &bound));
+    }
+    let mixed = Setup::static_roles();
+    table.row(row("all mixed", &pool::run(&plan, &mixed), &bound));
+    let mut fixed = swing_with(scale, efficiency);
+    for (index, engine) in fixed.engines.iter_mut().enumerate() {
+        engine.role = if index < 6 { Role::Prefill } else { Role::Decode };
+    }
+    table.row(row("6 prefill, 8 decode", &pool::run(&fixed, &mixed), &bound));
+    table.row(row("round robin", &pool::run(&plan, &Setup::round_robin()), &bound));
+    table.row(row("least connections", &pool::run(&plan, &Setup::least_connections()), &bound));
+    table
+}
+
+fn row(name: &str, figures: &Figures, bound: &Figures) -> Vec<String> {
+    let work = |figures: &Figures| float(figures.work.work()) / figures.seconds;
+    let total = figures.total();
+    let share = |part: u64| percent(float(part) / float(total.asked.max(1)));
+    let in_time = |class| percent(figures.classes.get(class).map_or(0.0, |t| t.hit_rate()));
+    let engines = float(u64::try_from(ENGINES).unwrap_or(1));
+    vec![
+        name.to_owned(),
+        format!("{:.0}", figures.goodput()),
+        percent(figures.goodput() / bound.goodput()),
+        format!("{:.0}", work(figures)),
+        percent(work(figures) / work(bound)),
+        in_time("reading"),
+        in_time("writing"),
+        share(total.refused),
+        share(total.late),
+        figures.role_changes.to_string(),
+        format!("{:.1}", float(figures.role_changes) / engines),
+    ]
+}
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -70,7 +70,7 @@
     /// When it must have started, if there is a deadline.
     pub deadline: Option<Time>,
     /// Whether its output has begun elsewhere, as after prefill or a move: its caller is reading,
-    /// so it goes before all that has not begun, and is never put out. Fairness was done where the
+    /// so it goes before all that is not urgent, and is never put out. Fairness was done where the
     /// prompt waited.
     pub begun: bool,
     /// What is queued.
@@ -95,8 +95,11 @@
     pub requests: usize,
     /// Their predicted work.
     pub cost: Cost,
-    /// The part of it whose output has begun elsewhere, which goes first.
+    /// The part of it whose output has begun elsewhere, which goes before other work that is not
+    /// urgent.
     pub begun: Cost,
+    /// Urgent requests.
+    pub urgent: usize,
 }
 
 /// The bounded queue of a target.
@@ -248,10 +251,6 @@
         if self.running.len() >= free {
             return None;
         }
-        let begun = self.waiting.iter().enumerate().filter(|(_, w)| w.item.begun);
-        if let Some((index, _)) = begun.min_by_key(|(_, w)| w.sequence) {
-            return Some(index);
-        }
         let long_allowed = self.long_allowed(now);
         let may_start = |w: &Waiting<T>| {
             w.item.deadline.is_none_or(|deadline| deadline >= now)
@@ -265,7 +264,9 @@
             })
         };
         let urgent = least(true).map(|(index, _)| index);
-        let normal = least(false).map(|(index, _)| index);
+        let begun = self.waiting.iter().enumerate().filter(|(_, w)| w.item.begun);
+        let begun = begun.min_by_key(|(_, w)| w.sequence);
+        let normal = begun.map(|(index, _)| index).or(least(false).map(|(index, _)| index));
         if self.urgent_credit < 0.0 { normal.or(urgent) } else { urgent.or(normal) }
     }
 
@@ -320,6 +321,7 @@
         self.backlog.requests += 1;
         self.backlog.cost += item.cost;
         self.backlog.begun += if item.begun { item.cost } else { Cost::default() };
+        self.backlog.urgent += usize::from(item.urgent);
         self.pushes += 1;
         self.waiting.push(Waiting { start, sequence: self.pushes, item });
     }
@@ -330,6 +332,7 @@
         self.backlog.requests -= 1;
         self.backlog.cost -= item.cost;
         self.backlog.begun -= if item.begun { item.cost } else { Cost::default() };
+        self.backlog.urgent -= usize::from(item.urgent);
         waiting
     }
 
--- a/crates/policy/src/queue/discipline.rs
+++ b/crates/policy/src/queue/discipline.rs
@@ -16,6 +16,9 @@
     /// Hands out the item that starts now, if a slot is free.
     fn pop(&mut self, now: Time) -> Option<Item<T>>;
 
+    /// Changes how many requests may run side by side.
+    fn set_slots(&mut self, slots: u32);
+
     /// Frees the slot of an item that was handed out.
     fn done(&mut self, id: ItemId);
 
@@ -48,6 +51,10 @@
         Queue::pop(self, now)
     }
 
+    fn set_slots(&mut self, slots: u32) {
+        Queue::set_slots(self, slots);
+    }
+
     fn done(&mut self, id: ItemId) {
         Queue::done(self, id);
     }
@@ -108,6 +115,10 @@
         Some(item)
     }
 
+    fn set_slots(&mut self, slots: u32) {
+        self.slots = usize::try_from(slots).unwrap_or(usize::MAX);
+    }
+
     fn done(&mut self, id: ItemId) {
         self.running.retain(|running| *running != id);
     }
@@ -133,6 +144,7 @@
             requests: self.waiting.len(),
             cost: sum(&mut self.waiting.iter()),
             begun: sum(&mut self.waiting.iter().filter(|item| item.begun)),
+            urgent: self.waiting.iter().filter(|item| item.urgent).count(),
         }
     }
 
