--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -23,6 +23,7 @@
     out: bool,
     delay: Duration,
     lost_replies: u32,
+    late: (u32, Duration),
     retention: Option<Duration>,
     appends: u64,
     bytes: u64,
@@ -56,6 +57,11 @@
         self.lock().lost_replies = count;
     }
 
+    /// Loses the replies of the next `count` appends, and writes only `delay` later.
+    pub fn land_late(&self, count: u32, delay: Duration) {
+        self.lock().late = (count, delay);
+    }
+
     /// Keeps records only this long.
     pub fn set_retention(&self, retention: Duration) {
         self.lock().retention = Some(retention);
@@ -93,6 +99,26 @@
         if out { Err(unavailable(step)) } else { Ok(()) }
     }
 
+    fn take_late(&self) -> Option<Duration> {
+        let mut inner = self.lock();
+        let (count, delay) = inner.late;
+        inner.late.0 = count.saturating_sub(1);
+        (count > 0).then_some(delay)
+    }
+
+    fn write(&self, stream: &str, records: Vec<Bytes>) -> Offset {
+        let mut inner = self.lock();
+        inner.appends += 1;
+        inner.bytes += records.iter().map(|record| record.len() as u64).sum::<u64>();
+        let kept = inner.streams.entry(stream.to_compact_string()).or_default();
+        let offset = kept.first + kept.records.len() as u64;
+        let now = Instant::now();
+        kept.records.extend(records.into_iter().map(|bytes| (now, bytes)));
+        drop(inner);
+        self.grown.notify_waiters();
+        offset
+    }
+
     fn look(&self, stream: &str, from: Offset, limit: usize) -> Result<Batch> {
         let mut inner = self.lock();
         if inner.out {
@@ -128,17 +154,18 @@
 impl Log for MemoryLog {
     async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<Offset> {
         self.reach("append").await?;
+        if let Some(delay) = self.take_late() {
+            let (log, stream) = (self.clone(), stream.to_compact_string());
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                log.write(&stream, records);
+            });
+            return Err(unsettled("append"));
+        }
+        let offset = self.write(stream, records);
         let mut inner = self.lock();
-        inner.appends += 1;
-        inner.bytes += records.iter().map(|record| record.len() as u64).sum::<u64>();
         let lost = inner.lost_replies > 0;
         inner.lost_replies = inner.lost_replies.saturating_sub(1);
-        let kept = inner.streams.entry(stream.to_compact_string()).or_default();
-        let offset = kept.first + kept.records.len() as u64;
-        let now = Instant::now();
-        kept.records.extend(records.into_iter().map(|bytes| (now, bytes)));
-        drop(inner);
-        self.grown.notify_waiters();
         if lost { Err(unsettled("append")) } else { Ok(offset) }
     }
 
--- /dev/null
+++ b/crates/state/src/checkpointer.rs
@@ -0,0 +1,118 @@
+//! Writes checkpoints well before the records that they stand for expire.
+
+use crate::appender::Appender;
+use crate::health::Health;
+use crate::lease::Held;
+use crate::{Fold, Result, Snapshot};
+use plat::{Offset, StreamName};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// When a checkpoint is due.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CheckpointerSettings {
+    /// At the latest so long after the last one. A log that keeps records for less than three
+    /// times this can lose the last checkpoint before the next one stands.
+    pub age: Duration,
+    /// At the latest so many records after the last one: what a starting process must read.
+    pub records: u64,
+}
+
+impl Default for CheckpointerSettings {
+    fn default() -> Self {
+        Self {
+            // Six in an hour: three can fail before an hour's retention bites.
+            age: Duration::from_secs(10 * 60),
+            // A second's work to read and apply.
+            records: 20_000,
+        }
+    }
+}
+
+/// Writes checkpoints of one stream; [`Checkpointer::run`] is its task.
+pub struct Checkpointer<F> {
+    settings: CheckpointerSettings,
+    stream: StreamName,
+    appender: Appender,
+    state: watch::Receiver<Arc<F>>,
+    health: watch::Receiver<Health>,
+    held: watch::Receiver<Option<Held>>,
+    last: Option<(Offset, Instant)>,
+}
+
+/// How often it looks whether a checkpoint is due.
+const CHECK_EVERY: Duration = Duration::from_secs(5);
+
+impl<F: Fold> Checkpointer<F> {
+    /// Makes a writer for `stream` that writes while the lease is held.
+    ///
+    /// The lease only keeps many from writing the same: a checkpoint by someone who lost it
+    /// meanwhile is as right as any, since the state depends on the records alone.
+    pub fn new(
+        stream: StreamName,
+        appender: Appender,
+        state: watch::Receiver<Arc<F>>,
+        health: watch::Receiver<Health>,
+        held: watch::Receiver<Option<Held>>,
+    ) -> Self {
+        let settings = CheckpointerSettings::default();
+        Self { settings, stream, appender, state, health, held, last: None }
+    }
+
+    /// Sets when a checkpoint is due.
+    pub fn settings(mut self, settings: CheckpointerSettings) -> Self {
+        self.settings = settings;
+        self
+    }
+
+    /// Writes checkpoints until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            if self.is_held() && self.is_due() {
+                self.write().await;
+            }
+            tokio::time::sleep(CHECK_EVERY).await;
+        }
+    }
+
+    fn is_held(&self) -> bool {
+        self.held.borrow().is_some_and(|held| held.is_valid())
+    }
+
+    fn is_due(&self) -> bool {
+        let health = self.health.borrow();
+        // A state that is behind or broken must not be passed on as the newest.
+        if health.trouble.is_some() || !health.is_fresh(self.settings.age) || health.end == 0 {
+            return false;
+        }
+        let last = self.last.into_iter().chain(health.checkpoint).max_by_key(|(at, _)| *at);
+        last.is_none_or(|(offset, at)| {
+            let records = health.end.saturating_sub(offset);
+            records >= self.settings.records || at.elapsed() >= self.settings.age
+        })
+    }
+
+    async fn write(&mut self) {
+        let snapshot = Snapshot::of(&self.stream, &**self.state.borrow());
+        let end = snapshot.end;
+        let stream = self.stream.as_str();
+        match self.append(&snapshot).await {
+            Ok(offset) => {
+                self.last = Some((offset, Instant::now()));
+                log::info!(stream, end, offset, bytes = snapshot.state.len(); "checkpoint-written");
+            }
+            Err(error) => log::warn!(stream, error:% = error; "checkpoint-failed"),
+        }
+    }
+
+    /// Appends all parts and returns the last one's offset.
+    async fn append(&self, snapshot: &Snapshot) -> Result<Offset> {
+        let mut last = snapshot.end;
+        for part in snapshot.checkpoint() {
+            last = self.appender.append(&self.stream, part).await?.offset;
+        }
+        Ok(last)
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -11,12 +11,14 @@
 //! - [`snapshot`]: folded states as bytes, for checkpoints and for peers.
 //! - [`Appender`]: appends records in groups and settles lost replies by reading.
 //! - [`Lease`]: claims and renews a scope.
+//! - [`Checkpointer`]: writes checkpoints before records expire.
 //! - [`Registry`]: the commands on resources.
 
 mod appender;
 mod authority;
 mod budget;
 pub mod calls;
+mod checkpointer;
 pub mod config;
 mod error;
 mod flight;
@@ -35,6 +37,7 @@
 pub use appender::{Appended, Appender, AppenderSettings};
 pub use authority::Authority;
 pub use calls::{CallEntry, CallStatus, Calls};
+pub use checkpointer::{Checkpointer, CheckpointerSettings};
 pub use config::Config;
 pub use error::{Error, Result};
 pub use follower::{Fold, Follower};
