--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -170,9 +170,7 @@
                 continue;
             };
             let Some(Body::Checkpoint(checkpoint)) = &record.body else { continue };
-            let least = seeking.least;
-            let whole = seeking.collector.add(&self.stream, checkpoint);
-            if let Some(snapshot) = whole.filter(|snapshot| snapshot.end >= least) {
+            if let Some(snapshot) = seeking.collector.add(&self.stream, checkpoint) {
                 self.rebase(&snapshot);
             }
         }
--- a/crates/state/tests/appender.rs
+++ b/crates/state/tests/appender.rs
@@ -106,6 +106,7 @@
     let log = MemoryLog::new();
     let mut a = Process::<System>::start(&log, "a", SYSTEM_STREAM);
     let b = Process::<System>::start(&log, "b", SYSTEM_STREAM);
+    log.set_delay(Duration::from_millis(20));
     log.lose_replies(4);
     let (first, second) = tokio::join!(
         a.appender.append(SYSTEM_STREAM, renewal("s", 0)),
