perf(state): an index of values that no two resources may share

Cause: the slopes showed 140 us to fold one change at 700 targets and 4,500 callers; each change of a caller looked through all callers for the same token. Ruled out: the persistent map, which alone was 4 us before the rule came.

--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -85,8 +85,15 @@
     pub(crate) deleted: OrdMap<ResourceKey, (Offset, Generation)>,
     pub(crate) audit: Vector<Arc<Audit>>,
     pub(crate) end: Offset,
+    /// Which resource has a value that no other of its kind may have. Without this index each
+    /// change would look through all callers: 140 us at 4,500 of them, against 9 us.
+    pub(crate) owners: OrdMap<UniqueValue, Name>,
 }
 
+/// A kind and the value that no two resources of it may share: a caller's token digest, in lower
+/// case, or the address of a target's agent.
+pub(crate) type UniqueValue = (Kind, CompactString);
+
 impl Fold for Config {
     const STATE_VERSION: u32 = 1;
 
@@ -209,9 +216,30 @@
     pub(crate) fn put(&mut self, entry: Entry) {
         let key = (entry.resource.kind, entry.resource.name.clone());
         self.deleted.remove(&key);
+        self.forget_owner(&key);
+        if let Some(value) = unique_value(&entry.spec) {
+            self.owners.insert((key.0, value), key.1.clone());
+        }
         self.entries.insert(key, Arc::new(entry));
     }
 
+    /// The resource that has the value of `spec` which no other of its kind may have.
+    pub(crate) fn owner(&self, spec: &Spec) -> Option<&Name> {
+        let kind = match spec {
+            Spec::Target(_) => Kind::Target,
+            Spec::Caller(_) => Kind::Caller,
+            Spec::Model(_) | Spec::Adapter(_) | Spec::Version(_) | Spec::Policy(_) => return None,
+        };
+        self.owners.get(&(kind, unique_value(spec)?))
+    }
+
+    fn forget_owner(&mut self, key: &ResourceKey) {
+        let old = self.entries.get(key).and_then(|old| unique_value(&old.spec));
+        if let Some(value) = old {
+            self.owners.remove(&(key.0, value));
+        }
+    }
+
     fn delete(&mut self, offset: Offset, key: &ResourceKey) -> Result<Generation, Refusal> {
         let (kind, name) = (key.0, &key.1);
         let Some(old) = self.entries.get(key) else {
@@ -219,6 +247,7 @@
         };
         let generation = old.generation + 1;
         rules::check_unused(self, kind, name).map_err(invalid)?;
+        self.forget_owner(key);
         self.entries.remove(key);
         self.deleted.insert(key.clone(), (offset, generation));
         if self.deleted.len() > DELETED_KEPT {
@@ -231,6 +260,15 @@
     }
 }
 
+/// The value of a spec that no other resource of its kind may have.
+fn unique_value(spec: &Spec) -> Option<CompactString> {
+    match spec {
+        Spec::Target(target) => Some(target.agent.clone()),
+        Spec::Caller(caller) => Some(caller.token_sha256.to_ascii_lowercase()),
+        Spec::Model(_) | Spec::Adapter(_) | Spec::Version(_) | Spec::Policy(_) => None,
+    }
+}
+
 fn invalid(error: impl std::fmt::Display) -> Refusal {
     Refusal::Invalid(error.to_string())
 }
--- a/crates/state/src/rules.rs
+++ b/crates/state/src/rules.rs
@@ -4,7 +4,7 @@
 //! it was appended without the administration API. Errors name the field's path.
 
 use crate::Config;
-use conf::resource::{Adapter, Caller, Model, Policy, Target, Version};
+use conf::resource::{Adapter, Model, Policy, Target, Version};
 use conf::{Error, Kind, Name, Result, Spec};
 
 /// Checks a spec that is to come into force under `name` against the other resources.
@@ -13,8 +13,11 @@
         Spec::Model(model) => check_model(config, name, model),
         Spec::Adapter(adapter) => check_adapter(config, name, adapter),
         Spec::Version(version) => check_version(config, name, version),
-        Spec::Target(target) => check_target(config, name, target),
-        Spec::Caller(caller) => check_caller(config, name, caller),
+        Spec::Target(target) => {
+            check_target(config, target)?;
+            check_unique(config, name, spec)
+        }
+        Spec::Caller(_) => check_unique(config, name, spec),
         Spec::Policy(policy) => check_policy(config, policy),
     }
 }
@@ -62,21 +65,14 @@
     }
 }
 
-fn check_target(config: &Config, name: &Name, target: &Target) -> Result<()> {
+fn check_target(config: &Config, target: &Target) -> Result<()> {
     for model in &target.models {
         must_exist(config, "spec.models", Kind::Model, model)?;
     }
     for adapter in &target.adapters {
         check_target_adapter(config, target, adapter)?;
     }
-    let mut others = config.targets().filter(|(other, _)| *other != name);
-    match others.find(|(_, other)| other.agent == target.agent) {
-        Some((other, _)) => {
-            let detail = format!("{} is the agent of Target {other}", target.agent);
-            Err(Error::invalid("spec.agent", detail))
-        }
-        None => Ok(()),
-    }
+    Ok(())
 }
 
 fn check_target_adapter(config: &Config, target: &Target, adapter: &Name) -> Result<()> {
@@ -91,15 +87,20 @@
     }
 }
 
-/// Two callers with one token could not be told apart, and would see each other's answers.
-fn check_caller(config: &Config, name: &Name, caller: &Caller) -> Result<()> {
-    let mut others = config.callers().filter(|(other, _)| *other != name);
-    match others.find(|(_, other)| other.token_sha256.eq_ignore_ascii_case(&caller.token_sha256)) {
-        Some((other, _)) => {
-            let detail = format!("Caller {other} has the same token");
+/// Two callers with one token could not be told apart, and would see each other's answers; of two
+/// targets with one agent, one would be given the other's work.
+fn check_unique(config: &Config, name: &Name, spec: &Spec) -> Result<()> {
+    let Some(owner) = config.owner(spec).filter(|owner| *owner != name) else { return Ok(()) };
+    match spec {
+        Spec::Target(target) => {
+            let detail = format!("{} is the agent of Target {owner}", target.agent);
+            Err(Error::invalid("spec.agent", detail))
+        }
+        Spec::Caller(_) => {
+            let detail = format!("Caller {owner} has the same token");
             Err(Error::invalid("spec.token_sha256", detail))
         }
-        None => Ok(()),
+        Spec::Model(_) | Spec::Adapter(_) | Spec::Version(_) | Spec::Policy(_) => Ok(()),
     }
 }
 
