test(itest): failures of the way to the agents, each with its protection out

A scripted agent shows what a real one never does: doubled, missing and late pieces, an early end, silence on an open connection, overrun credit, an offer at two places.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -207,12 +207,23 @@
         match kind {
             EventKind::Delta(delta) => self.take(delta),
             EventKind::End(end) => self.end(end),
+            EventKind::Refusal(refusal) if self.is_unanswered_attach() => {
+                // Whatever the agent's reason, it must not tell whether others have this answer.
+                let detail = "you have no answer of this id".to_owned();
+                let failure = Failure::refused(refusal);
+                Err(Failure { reason: Reason::UnknownAnswer, detail, ..failure })
+            }
             EventKind::Refusal(refusal) => Err(Failure::refused(refusal)),
             EventKind::Offer(_) => Ok(Turn::Again),
             EventKind::Head(_) | EventKind::Part(_) => Err(garbled("a service's answer")),
         }
     }
 
+    /// Whether this goes on with another entry's answer and has not got any of it yet.
+    fn is_unanswered_attach(&self) -> bool {
+        !self.resumable && self.prompt.resume_tokens == self.had
+    }
+
     /// Passes a piece on if it is the next one; one that the caller already has is dropped.
     fn take(&mut self, delta: Delta) -> Result<Turn, Failure> {
         let have = self.prompt.resume_tokens;
--- a/crates/itest/src/lib.rs
+++ b/crates/itest/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! Under the paused clock of a current-thread runtime a run is the same each time.
 
+mod script;
+
 use agent::Backend;
 use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
@@ -17,6 +19,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::Memory;
 
+pub use script::{Script, Wire};
+
 /// The secret between the fleet's processes.
 const PEER_KEY: &str = "test";
 
@@ -104,6 +108,28 @@
         (backend, agent)
     }
 
+    /// Adds an engine whose agent does what the test tells it to.
+    pub async fn add_script(&self, name: &str, domain: &str) -> Script {
+        let spec = json!({"models": [MODEL], "domain": domain, "agent": agent_address(name)});
+        self.publish(Kind::Target, name, spec).await;
+        self.listen_script(name)
+    }
+
+    /// Adds an instance of a plain service whose agent does what the test tells it to.
+    pub async fn add_service_script(&self, service: &str, name: &str, repeatable: bool) -> Script {
+        let agent = agent_address(name);
+        let spec = json!({
+            "service": service, "domain": "sofia-1", "agent": agent, "repeatable": repeatable,
+        });
+        self.publish(Kind::Target, name, spec).await;
+        self.listen_script(name)
+    }
+
+    /// Starts a scripted agent of the target `name` that the fleet has already.
+    pub fn listen_script(&self, name: &str) -> Script {
+        Script::new(name, self.network.listen(&agent_address(name)), PEER_KEY)
+    }
+
     /// Starts the agent of the target `name`; also anew, after a crash.
     pub fn start_agent(&self, name: &str, domain: &str, backend: Backend) -> Agent {
         let address = agent_address(name);
@@ -168,9 +194,7 @@
 
 /// Sends a request to an entry and collects what the caller receives.
 pub async fn send(entry: &entry::Entry, request: http::Request<Bytes>) -> Answer {
-    let request = request.map(salvo::http::ReqBody::Once);
-    let request = salvo::Request::from_hyper(request, Scheme::HTTP);
-    let mut response = salvo::Service::new(entry.router()).handle(request).await;
+    let mut response = handle(entry, request).await;
     let status = response.status_code.map_or(200, |status| status.as_u16());
     let headers = response.headers().iter().map(|(name, value)| {
         (name.to_string(), String::from_utf8_lossy(value.as_bytes()).into_owned())
@@ -187,6 +211,57 @@
     send(entry, request).await
 }
 
+/// A streamed answer that a test reads at its own pace; dropping it is a caller that vanishes.
+pub struct Stream {
+    body: salvo::http::ResBody,
+}
+
+impl Stream {
+    /// The next part of the body; `None` at its end, an error if it broke off.
+    pub async fn next(&mut self) -> Option<Result<String, String>> {
+        let frame = self.body.frame().await?;
+        let data = frame.map(|frame| frame.into_data().unwrap_or_default());
+        let text = data.map(|data| String::from_utf8_lossy(&data).into_owned());
+        Some(text.map_err(|error| error.to_string()))
+    }
+}
+
+/// Sends a request for a streamed chat answer, with headers, and returns its status and body.
+pub async fn stream_chat(
+    entry: &entry::Entry,
+    headers: &[(&'static str, &str)],
+    content: &str,
+) -> (u16, Stream) {
+    let body = json!({
+        "model": MODEL, "stream": true, "max_tokens": 64,
+        "messages": [{"role": "user", "content": content}],
+    });
+    let mut request = http::Request::post("/v1/chat/completions");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Bytes::from(body.to_string())).expect("the request is valid");
+    let mut response = handle(entry, request).await;
+    let status = response.status_code.map_or(200, |status| status.as_u16());
+    (status, Stream { body: response.take_body() })
+}
+
+/// The text of an answer that came as server-sent events.
+pub fn text_of(events: &str) -> String {
+    let data = events.lines().filter_map(|line| line.strip_prefix("data: "));
+    let values = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    let texts = values.filter_map(|value| {
+        value["choices"][0]["delta"]["content"].as_str().map(ToOwned::to_owned)
+    });
+    texts.collect()
+}
+
+async fn handle(entry: &entry::Entry, request: http::Request<Bytes>) -> salvo::Response {
+    let request = request.map(salvo::http::ReqBody::Once);
+    let request = salvo::Request::from_hyper(request, Scheme::HTTP);
+    salvo::Service::new(entry.router()).handle(request).await
+}
+
 async fn collect(mut body: salvo::http::ResBody) -> (String, bool) {
     let mut text = String::new();
     while let Some(frame) = body.frame().await {
--- /dev/null
+++ b/crates/itest/tests/answers.rs
@@ -0,0 +1,227 @@
+//! One whole answer for each prompt, whatever happens to the attempts at it.
+
+use itest::{Answer, Fleet, MODEL, Script, Wire, post, stream_chat, text_of};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use wire::{Body, Progress, Work};
+
+async fn chat(entry: &entry::Entry) -> Answer {
+    let body = json!({
+        "model": MODEL, "stream": true, "max_tokens": 64,
+        "messages": [{"role": "user", "content": "Which tiles cover the slope?"}],
+    });
+    post(entry, "/v1/chat/completions", body).await
+}
+
+/// A fleet of two scripted engines and one entry that knows their load.
+async fn two_scripts(room: bool) -> (Fleet, Arc<entry::Entry>, Script, Wire, Script, Wire) {
+    let fleet = Fleet::new().await;
+    let mut one = fleet.add_script("engine-1", "sofia-1").await;
+    let mut two = fleet.add_script("engine-2", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    let (wire_one, wire_two) = (one.accept(room).await, two.accept(room).await);
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    (fleet, entry, one, wire_one, two, wire_two)
+}
+
+/// Which of the two got the submission, and the other.
+async fn first<'a>(
+    one: &'a mut Wire,
+    two: &'a mut Wire,
+) -> (wire::Submit, &'a mut Wire, &'a mut Wire) {
+    tokio::select! {
+        submit = one.submit() => (submit, one, two),
+        submit = two.submit() => (submit, two, one),
+    }
+}
+
+fn resumed(submit: &wire::Submit) -> (u32, String) {
+    match &submit.request.as_ref().expect("a request").work {
+        Some(Work::Prompt(prompt)) => (prompt.resume_tokens, prompt.resume_text.clone()),
+        other => panic!("expected a prompt, got {other:?}"),
+    }
+}
+
+// A lossy path or a confused agent sends a piece twice and leaves another out. Passed on as they
+// come, the caller would read garbled text and take it for the answer.
+#[tokio::test(start_paused = true)]
+async fn doubled_and_missing_pieces_are_mended_by_resuming_elsewhere() {
+    let (_fleet, entry, _one, mut one, _two, mut two) = two_scripts(true).await;
+    let asking = tokio::spawn({
+        let entry = entry.clone();
+        async move { chat(&entry).await }
+    });
+    let (submit, bad, good) = first(&mut one, &mut two).await;
+    bad.token(submit.attempt, 0, "A");
+    bad.token(submit.attempt, 0, "A");
+    bad.token(submit.attempt, 2, "C");
+    let again = good.submit().await;
+    assert_eq!(resumed(&again), (1, "A".to_owned()));
+    good.token(again.attempt, 1, "B");
+    good.token(again.attempt, 2, "C");
+    good.end(again.attempt, 3);
+    let answer = asking.await.expect("the caller is answered");
+    assert_eq!(text_of(&answer.body), "ABC");
+    assert!(answer.body.ends_with("data: [DONE]\n\n"), "{}", answer.body);
+}
+
+// An engine says that its answer is complete although a piece of it never came. The caller would
+// take a cut answer for the whole one.
+#[tokio::test(start_paused = true)]
+async fn an_end_that_does_not_follow_the_last_token_is_not_taken_for_the_end() {
+    let (_fleet, entry, _one, mut one, _two, mut two) = two_scripts(true).await;
+    let asking = tokio::spawn({
+        let entry = entry.clone();
+        async move { chat(&entry).await }
+    });
+    let (submit, bad, good) = first(&mut one, &mut two).await;
+    bad.token(submit.attempt, 0, "A");
+    bad.end(submit.attempt, 2);
+    let again = good.submit().await;
+    good.token(again.attempt, 1, "B");
+    good.end(again.attempt, 2);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "AB");
+}
+
+// An agent gives an attempt up, the request goes elsewhere, and then the first agent's pieces
+// come after all. Another request's caller, or the same one, would see text twice.
+#[tokio::test(start_paused = true)]
+async fn late_frames_of_an_abandoned_attempt_are_dropped() {
+    let fleet = Fleet::new().await;
+    let mut script = fleet.add_script("engine-1", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    let mut wire = script.accept(true).await;
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let asking = tokio::spawn(async move { chat(&entry).await });
+    let late = wire.submit().await;
+    wire.refuse(late.attempt, "queue-full", Progress::NotRun);
+    let again = wire.submit().await;
+    assert_ne!(late.attempt, again.attempt);
+    wire.token(late.attempt, 0, "X");
+    wire.token(again.attempt, 0, "A");
+    wire.token(late.attempt, 1, "Y");
+    wire.end(late.attempt, 2);
+    wire.token(again.attempt, 1, "B");
+    wire.end(again.attempt, 2);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "AB");
+}
+
+// An agent's VM is killed in the middle of a stream. The caller would see its answer break off.
+#[tokio::test(start_paused = true)]
+async fn an_agent_killed_in_the_middle_of_a_stream_is_not_noticed_by_the_caller() {
+    let fleet = Fleet::new().await;
+    let (_one, agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let (_two, agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
+    let entry = fleet.start_entry("entry-1", "sofia-1");
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let whole = text_of(&chat(&entry).await.body);
+    let (status, mut stream) = stream_chat(&entry, &[], "Which tiles cover the slope?").await;
+    assert_eq!(status, 200);
+    let mut events = stream.next().await.expect("a piece").expect("no error");
+    let on_first = events.starts_with("id: engine-1/");
+    let (killed, _other) = if on_first { (agent_one, agent_two) } else { (agent_two, agent_one) };
+    killed.kill();
+    fleet.network.cut("entry-1", if on_first { "engine-1:1" } else { "engine-2:1" });
+    while let Some(part) = stream.next().await {
+        events += &part.expect("the stream is not cut");
+    }
+    assert_eq!(text_of(&events), whole);
+    assert!(entry.metrics().contains("resumes_total 1"), "it went on at the other engine");
+}
+
+// A VM is paused: its connection stays open, but nothing comes. The caller would wait until its
+// deadline although other engines are free.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_falls_silent_is_given_up_and_the_answer_goes_on_elsewhere() {
+    let (_fleet, entry, _one, mut one, _two, mut two) = two_scripts(true).await;
+    let asking = tokio::spawn({
+        let entry = entry.clone();
+        async move { chat(&entry).await }
+    });
+    let (submit, paused, good) = first(&mut one, &mut two).await;
+    paused.token(submit.attempt, 0, "A");
+    tokio::time::sleep(Duration::from_millis(10)).await;
+    paused.freeze();
+    let begun = tokio::time::Instant::now();
+    let again = good.submit().await;
+    assert!(begun.elapsed() < Duration::from_secs(5), "took {:?}", begun.elapsed());
+    good.token(again.attempt, 1, "B");
+    good.end(again.attempt, 2);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "AB");
+}
+
+// Both engines are full, and nobody knows which is free first. Bound to one of them, the request
+// would wait although the other is idle; started at both, it would cost twice.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_waits_at_two_engines_starts_at_the_first_that_is_free_only() {
+    let (_fleet, entry, _one, mut one, _two, mut two) = two_scripts(false).await;
+    let asking = tokio::spawn({
+        let entry = entry.clone();
+        async move { chat(&entry).await }
+    });
+    let (left, right) = (one.submit().await, two.submit().await);
+    assert!(left.hold && right.hold);
+    two.offer(right.attempt);
+    assert!(matches!(two.next().await, Body::Begin(begin) if begin.attempt == right.attempt));
+    one.offer(left.attempt);
+    assert!(matches!(one.next().await, Body::Cancel(cancel) if cancel.attempt == left.attempt));
+    two.token(right.attempt, 0, "A");
+    two.end(right.attempt, 1);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "A");
+    assert!(one.next_within(Duration::from_secs(1)).await.is_none(), "no begin at the other");
+}
+
+// One of the two engines dies while a request waits at both. The caller should not notice.
+#[tokio::test(start_paused = true)]
+async fn a_candidate_that_dies_while_a_request_waits_is_covered_by_the_other() {
+    let (_fleet, entry, _one, mut one, _two, mut two) = two_scripts(false).await;
+    let asking = tokio::spawn({
+        let entry = entry.clone();
+        async move { chat(&entry).await }
+    });
+    let (_left, right) = (one.submit().await, two.submit().await);
+    one.cut();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    two.offer(right.attempt);
+    assert!(matches!(two.next().await, Body::Begin(_)));
+    two.token(right.attempt, 0, "A");
+    two.end(right.attempt, 1);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "A");
+}
+
+// Prompts are read by one engine and answered by another. If the second one took the request
+// from its beginning, the prompt would be read twice; if the first went on, roles would mean
+// nothing.
+#[tokio::test(start_paused = true)]
+async fn a_prompt_is_read_by_a_prefill_engine_and_answered_by_a_decode_engine() {
+    let fleet = Fleet::new().await;
+    for (name, role) in [("engine-1", "prefill"), ("engine-2", "decode")] {
+        let spec = json!({
+            "models": [MODEL], "domain": "sofia-1", "role": role,
+            "agent": itest::agent_address(name),
+        });
+        fleet.publish(conf::Kind::Target, name, spec).await;
+    }
+    let (mut one, mut two) = (fleet.listen_script("engine-1"), fleet.listen_script("engine-2"));
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    let mut prefill = one.accept_as("prefill").await;
+    let mut decode = two.accept_as("decode").await;
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    let asking = tokio::spawn(async move { chat(&entry).await });
+    let submit = prefill.submit().await;
+    let prompt = |submit: &wire::Submit| match &submit.request.as_ref().expect("a request").work {
+        Some(Work::Prompt(prompt)) => prompt.clone(),
+        other => panic!("expected a prompt, got {other:?}"),
+    };
+    assert!(prompt(&submit).prefill_only);
+    prefill.token(submit.attempt, 0, "A");
+    prefill.end_early(submit.attempt, 1);
+    let again = decode.submit().await;
+    let went_on = prompt(&again);
+    assert_eq!((went_on.resume_tokens, went_on.kv_source.as_str()), (1, "engine-1"));
+    assert!(!went_on.prefill_only);
+    decode.token(again.attempt, 1, "B");
+    decode.end(again.attempt, 2);
+    assert_eq!(text_of(&asking.await.expect("answered").body), "AB");
+}
