--- a/crates/agent/src/dispatcher.rs
+++ b/crates/agent/src/dispatcher.rs
@@ -34,6 +34,8 @@
     pub(crate) cost: Cost,
     /// When its caller stops waiting.
     pub(crate) expires: Instant,
+    /// Whether its output has begun elsewhere.
+    pub(crate) begun: bool,
     /// Whether it must run alone.
     pub(crate) alone: bool,
 }
@@ -196,6 +198,7 @@
             urgent: ask.urgent,
             cost: ask.cost,
             deadline: Some(ask.expires.saturating_duration_since(self.epoch)),
+            begun: ask.begun,
             value: Ticket { alone: ask.alone, turn },
         };
         inner.waiting.insert(id);
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -103,7 +103,11 @@
         Some(Spec::Caller(caller)) => caller.weight,
         _ => 1,
     };
-    Ask { caller, weight, urgent: job.request.urgent, cost, expires: job.expires, alone }
+    let begun = match &job.request.work {
+        Some(Work::Prompt(prompt)) => prompt.resume_tokens > 0,
+        Some(Work::Call(_)) | None => false,
+    };
+    Ask { caller, weight, urgent: job.request.urgent, cost, expires: job.expires, begun, alone }
 }
 
 /// Refuses at once what could not start in time: its caller can still go elsewhere now.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -4,6 +4,7 @@
 mod daemons;
 mod dev;
 mod fake;
+mod load;
 mod logs;
 
 use clap::{Arg, ArgMatches, Command};
@@ -46,7 +47,9 @@
         .subcommand(daemons::entry_command())
         .subcommand(daemons::agent_command())
         .subcommand(check::command())
+        .subcommand(check::settings_command())
         .subcommand(fake::command())
+        .subcommand(load::command())
 }
 
 fn dispatch(matches: &ArgMatches) -> Result<()> {
@@ -55,7 +58,9 @@
         Some(("entry", matches)) => daemons::run_entry(matches),
         Some(("agent", matches)) => daemons::run_agent(matches),
         Some(("check", matches)) => check::run(matches),
+        Some(("settings", matches)) => check::run_settings(matches),
         Some(("fake", matches)) => fake::run(matches),
+        Some(("load", matches)) => load::run(matches),
         _ => unreachable!("clap lets only known subcommands through"),
     }
 }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -1,25 +1,77 @@
-//! Where a request goes: the target with the least load among those that serve it.
+//! Where a request goes: what it needs, put to the board of targets.
 
+use crate::board::{Pick, Wanted, service_key};
 use crate::daemon::Shared;
-use compact_str::CompactString;
-use conf::resource::{Phase, Target};
-use wire::{Request, Work};
+use crate::view::Site;
+use conf::Name;
+use policy::estimate::Cost;
+use policy::route::{Query, Stage};
+use std::sync::Arc;
+use wire::Prompt;
 
-/// Chooses the agent's address for a request.
-pub(crate) fn choose(shared: &Shared, request: &Request) -> Option<CompactString> {
-    let config = shared.config.borrow().clone();
-    let able = config.targets().filter(|(_, target)| serves(target, request));
-    let loads = able.map(|(_, target)| (target, shared.peers.load(&target.agent)));
-    let least = loads.min_by_key(|(_, load)| load.as_ref().map_or(0, |load| load.running));
-    least.map(|(target, _)| target.agent.clone())
+/// The best targets for a prompt, best first, at most two.
+///
+/// A fresh prompt goes to a prefill or mixed engine, a resumed one to a decode or mixed engine;
+/// an engine of the wrong role is better than none.
+pub(crate) fn for_prompt(shared: &Shared, prompt: &Prompt, tried: &[Name]) -> Vec<Pick> {
+    let (stage, or_else) = match prompt.resume_tokens {
+        0 => (Stage::Prefill, Stage::Decode),
+        _ => (Stage::Decode, Stage::Prefill),
+    };
+    let query = query(shared, prompt, stage);
+    let wanted = Wanted { query, or_else: &[or_else], tried };
+    let decisions = &shared.decisions;
+    decisions.board.choose(&wanted, decisions.now(), decisions.random())
 }
 
-fn serves(target: &Target, request: &Request) -> bool {
-    let active = matches!(target.phase, Phase::Active);
-    active
-        && match &request.work {
-            Some(Work::Prompt(prompt)) => target.models.iter().any(|m| *m == prompt.model),
-            Some(Work::Call(call)) => !call.service.is_empty() && target.service == call.service,
-            None => false,
-        }
+/// The one target for a prompt that was running when a target crashed, whichever entry its caller
+/// sends it to: there it runs alone, and takes down nothing else.
+pub(crate) fn for_suspect(shared: &Shared, prompt: &Prompt, fingerprint: u64) -> Vec<Pick> {
+    let query = query(shared, prompt, Stage::Whole);
+    shared.decisions.board.rendezvous(&query, fingerprint).into_iter().collect()
+}
+
+/// The best targets for a call that may be repeated, best first, at most two.
+pub(crate) fn for_call(shared: &Shared, service: &str, tried: &[Name]) -> Vec<Pick> {
+    let domain = policy::hash(&shared.domain);
+    let query = Query { serves: service_key(service), domain, ..Query::default() };
+    let wanted = Wanted { query, or_else: &[], tried };
+    let decisions = &shared.decisions;
+    decisions.board.choose(&wanted, decisions.now(), decisions.random())
+}
+
+/// The home of a key: the one target that runs the call, by rendezvous hash over the targets that
+/// the configuration has in service, whether they are alive or not.
+///
+/// Were it over the live ones, two entries that see different ones alive would send a call to two
+/// targets. The log would still let only one run it, but the caller would be refused for nothing.
+pub(crate) fn home(shared: &Shared, service: &str, caller: &str, key: &str) -> Option<Arc<Site>> {
+    use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+    let view = shared.view.borrow().clone();
+    let seed = xxh3_64(format!("{service}\n{caller}\n{key}").as_bytes());
+    let sites = view.service(service)?.sites.iter().filter(|site| site.is_active());
+    sites.max_by_key(|site| xxh3_64_with_seed(site.name.as_bytes(), seed)).cloned()
+}
+
+fn query(shared: &Shared, prompt: &Prompt, stage: Stage) -> Query {
+    let left = prompt.expected_tokens.saturating_sub(prompt.resume_tokens).max(1);
+    Query {
+        serves: policy::hash(&served_name(prompt)),
+        cost: Cost::new(u64::from(prompt.prompt_tokens), u64::from(left)),
+        prefix: prompt.prefix,
+        domain: policy::hash(&shared.domain),
+        stage,
+    }
+}
+
+/// The name under which an engine serves what a prompt asks for.
+fn served_name(prompt: &Prompt) -> String {
+    let mut name = prompt.model.clone();
+    if !prompt.version.is_empty() {
+        name = format!("{name}@{}", prompt.version);
+    }
+    if !prompt.adapter.is_empty() {
+        name = format!("{name}+{}", prompt.adapter);
+    }
+    name
 }
--- /dev/null
+++ b/crates/policy/examples/decisions.rs
@@ -0,0 +1,67 @@
+//! Makes the tables of `docs/DECISIONS.md`:
+//! `cargo run --release -p policy --example decisions -- NAME`.
+
+use policy::model::compare::{capacity_tokens, compare, setups};
+use policy::model::scenario::{self, ENGINES, Scale};
+use policy::model::table::Table;
+use policy::model::{late, swing};
+
+const FULL: Scale = Scale(1.0);
+
+/// The policies that the project ships.
+fn policies() -> Vec<(&'static str, conf::resource::Policy)> {
+    let shipped = [
+        ("sredets.yaml", include_str!("../policies/sredets.yaml")),
+        ("relieve.yaml", include_str!("../policies/relieve.yaml")),
+    ];
+    shipped.map(|(name, text)| (name, policy(text))).into()
+}
+
+fn policy(text: &str) -> conf::resource::Policy {
+    let resources = conf::Resource::parse_all(text).expect("a shipped policy is valid YAML");
+    match resources.first().map(conf::Resource::check) {
+        Some(Ok(conf::Spec::Policy(policy))) => policy,
+        other => panic!("a shipped policy passes the check: {other:?}"),
+    }
+}
+
+fn table(name: &str) -> Option<Table> {
+    let late = late::Setup::default();
+    let table = match name {
+        "late-binding" => late::compare(&late),
+        "late-binding-slots" => late::compare(&late::Setup { targets: ENGINES, slots: 16, ..late }),
+        "late-binding-paper" => {
+            late::compare(&late::Setup { lengths: late::Lengths::Paper, ..late })
+        }
+        "burst" => compare(&scenario::burst(FULL), &setups(), &["short", "urgent"]),
+        "hot-caller" => compare(&scenario::hot_caller(FULL), &setups(), &["short", "hot"]),
+        "hot-prefix" => compare(&scenario::hot_prefix(FULL), &setups(), &["hot-prefix", "prefix"]),
+        "slow-target" => compare(&scenario::slow_target(FULL), &setups(), &["short", "urgent"]),
+        "failing-target" => {
+            compare(&scenario::failing_target(FULL), &setups(), &["short", "urgent"])
+        }
+        "long-among-short" => {
+            compare(&scenario::long_among_short(FULL), &setups(), &["short", "long"])
+        }
+        "short-alone" => compare(&scenario::short_alone(FULL), &setups(), &["short"]),
+        "overload-1.5" => compare(&scenario::overload(1.5, FULL), &setups(), &["short", "urgent"]),
+        "overload-3" => compare(&scenario::overload(3.0, FULL), &setups(), &["short", "urgent"]),
+        "poison" => compare(&scenario::poison(FULL), &setups(), &["short", "poison"]),
+        "retry-storm" => compare(&scenario::retry_storm(FULL), &setups(), &["short"]),
+        "swing" => swing::compare(FULL, 0.85, &policies()),
+        "swing-costly-mixing" => swing::compare(FULL, 0.6, &policies()),
+        _ => return None,
+    };
+    Some(table)
+}
+
+fn main() -> std::process::ExitCode {
+    for name in std::env::args().skip(1) {
+        let Some(table) = table(&name) else {
+            eprintln!("unknown table `{name}`");
+            return std::process::ExitCode::FAILURE;
+        };
+        println!("{name} (capacity {:.0} output tokens/s)\n\n{table}", capacity_tokens(ENGINES));
+    }
+    std::process::ExitCode::SUCCESS
+}
