test(itest): entries cut off, and on a real socket

An entry that starts while the log is out serves from an agent's state within a second of reaching it; it took 1.05 s, since a read that fails at once could win over the state that a peer had sent, half a second each time. The follower takes offers first now.

The hidden request is also stopped by the HTTP library alone. Targets that are not connected but chosen all the same are covered by retries, so that no test fails.

Connections whose callers stall in a body or take nothing of a response are closed (10 s, 30 s).

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -135,6 +135,13 @@
 /// How long a caller may take to send the headers of a request.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a caller may pause in the middle of a body.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+
+/// How long a caller may take nothing of a response; its connection is closed then, which also
+/// ends what the response still held.
+const WRITE_STALL: Duration = Duration::from_secs(30);
+
 /// The largest headers of a request, in bytes, together.
 const MAX_HEADER_BYTES: usize = 64 * 1024;
 
@@ -163,9 +170,12 @@
         let drain = self.context.settings.drain;
         let stop = self.context.stop.clone();
         let entry = Entry::start(self.context);
-        let fuse = FuseConfig::default().with_http1_header_timeout(HEADER_TIMEOUT);
-        let server = Server::new(self.acceptor).max_connections(MAX_CONNECTIONS).fuse_config(fuse);
-        let mut server = server;
+        let fuse = FuseConfig::default()
+            .with_http1_header_timeout(HEADER_TIMEOUT)
+            .with_request_body_timeout(BODY_PAUSE)
+            .with_write_stall_timeout(WRITE_STALL);
+        let mut server =
+            Server::new(self.acceptor).max_connections(MAX_CONNECTIONS).fuse_config(fuse);
         server.http1_mut().max_buf_size(MAX_HEADER_BYTES);
         let handle = server.handle();
         let stopping = tokio::spawn(async move {
--- a/crates/itest/src/lib.rs
+++ b/crates/itest/src/lib.rs
@@ -157,20 +157,25 @@
 
     /// Starts an entry.
     pub fn start_entry(&self, name: &str, domain: &str) -> entry::Entry {
+        entry::Entry::start(self.entry_context(name, domain))
+    }
+
+    /// What the entry `name` sees of the fleet.
+    pub fn entry_context(&self, name: &str, domain: &str) -> entry::Context {
         let settings = settings::Entry {
             name: name.into(),
             domain: domain.into(),
             peer_key: PEER_KEY.into(),
             ..settings::Entry::default()
         };
-        entry::Entry::start(entry::Context {
+        entry::Context {
             settings,
             log: Arc::new(self.log.clone()),
             vms: Arc::new(self.vms.clone()),
             dialler: Arc::new(self.network.at(name)),
             seed: self.entries.fetch_add(1, Ordering::Relaxed),
             stop: CancellationToken::new(),
-        })
+        }
     }
 }
 
--- /dev/null
+++ b/crates/itest/tests/sockets.rs
@@ -0,0 +1,91 @@
+//! An entry on a real socket: how it stops, and what it makes of raw bytes.
+
+use itest::{Fleet, text_of};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+struct Running {
+    address: SocketAddr,
+    stop: CancellationToken,
+    task: tokio::task::JoinHandle<entry::Result<()>>,
+}
+
+async fn start(fleet: &Fleet) -> Running {
+    let mut context = fleet.entry_context("entry-1", "sofia-1");
+    context.settings.callers = "127.0.0.1:0".into();
+    let stop = context.stop.clone();
+    let daemon = entry::Daemon::bind(context).await.expect("a free port");
+    let address = daemon.address();
+    let task = tokio::spawn(daemon.run());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    Running { address, stop, task }
+}
+
+async fn exchange(address: SocketAddr, request: &str) -> String {
+    let mut socket = TcpStream::connect(address).await.expect("the entry listens");
+    socket.write_all(request.as_bytes()).await.expect("written");
+    let mut answer = Vec::new();
+    let reading = socket.read_to_end(&mut answer);
+    tokio::time::timeout(Duration::from_secs(20), reading).await.expect("in time").expect("read");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn status(answer: &str) -> &str {
+    answer.lines().next().unwrap_or_default()
+}
+
+const READYZ: &str = "GET /readyz HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n";
+
+// An operator replaces an entry while an answer is streamed. The balancer must be told before
+// connections are refused, and the answer must not be cut.
+#[tokio::test]
+async fn a_stop_fails_readiness_first_and_cuts_no_stream() {
+    let fleet = Fleet::new().await;
+    let (engine, _agent) = fleet.add_engine("engine-1", "sofia-1").await;
+    engine.change(|model| model.token_time = Duration::from_millis(100));
+    let running = start(&fleet).await;
+    assert!(status(&exchange(running.address, READYZ).await).contains("200"));
+    let body =
+        r#"{"model":"lapis-small","stream":true,"max_tokens":20,"fake_tokens":20,"prompt":"a"}"#;
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: e\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let address = running.address;
+    let streaming = tokio::spawn(async move { exchange(address, &request).await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    running.stop.cancel();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert!(status(&exchange(running.address, READYZ).await).contains("503"));
+    let answer = streaming.await.expect("answered");
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    assert!(answer.ends_with("0\r\n\r\n"), "the body ends properly");
+    running.task.await.expect("ended").expect("without an error");
+    assert!(TcpStream::connect(running.address).await.is_err());
+    assert_eq!(text_of(&answer), "");
+}
+
+// A second request hides in the body of a first one whose length is told in two ways. Whoever
+// takes it for a request runs it without its caller's token.
+#[tokio::test]
+async fn a_request_that_hides_in_another_is_not_run() {
+    let fleet = Fleet::new().await;
+    let (service, _agent) = fleet.add_service("ledger", "ledger-1", "sofia-1", true).await;
+    let running = start(&fleet).await;
+    let hidden = "POST /services/ledger/hidden HTTP/1.1\r\nhost: e\r\ncontent-length: 0\r\n\r\n";
+    let smuggled = format!(
+        "POST /services/ledger/seen HTTP/1.1\r\nhost: e\r\ncontent-length: {}\r\n\
+         transfer-encoding: chunked\r\nconnection: close\r\n\r\n0\r\n\r\n{hidden}",
+        hidden.len() + 5
+    );
+    let answer = exchange(running.address, &smuggled).await;
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+    assert!(!service.runs().keys().any(|run| run.contains("hidden")), "{:?}", service.runs());
+    let invalid = "GET /readyz HTTP/1.1\r\nhost : e\r\nbad name: 1\r\n\r\n";
+    assert!(status(&exchange(running.address, invalid).await).contains("400"));
+    running.stop.cancel();
+    running.task.await.expect("ended").expect("without an error");
+}
--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -96,11 +96,14 @@
             let started = Instant::now();
             let from = self.seeking.as_ref().map_or_else(|| self.end(), |seeking| seeking.at);
             let read = tokio::select! {
-                read = self.log.read(&self.stream, from, READ_LIMIT, READ_WAIT) => read,
+                // A read that fails at once would otherwise win again and again, half a second
+                // each, over a state that a peer has sent while the log is out.
+                biased;
                 Some(offer) = self.offers.1.recv() => {
                     self.take(offer);
                     continue;
                 }
+                read = self.log.read(&self.stream, from, READ_LIMIT, READ_WAIT) => read,
             };
             match read {
                 Ok(batch) if self.seeking.is_some() => self.seek(&batch),
