--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -19,6 +19,9 @@
 };
 
 pub const MODEL: &str = "lapis-small";
+/// Longer than anything that a test waits for, by the paused clock.
+const BOUND: Duration = Duration::from_secs(600);
+
 const KEY: &str = "test";
 
 /// A log, a network, and the agents that a test starts.
@@ -56,6 +59,7 @@
     pub async fn engine(&self, name: &str, slots: u32) -> (MemoryEngine, Agent) {
         let model = EngineModel { slots, ..EngineModel::default() };
         let engine = MemoryEngine::new(model, &[MODEL]);
+        self.publish(Kind::Model, MODEL, json!({})).await;
         self.publish(Kind::Target, name, engine_spec(name, slots)).await;
         let agent = self.agent(name, Backend::Engine(Arc::new(engine.clone())));
         settle().await;
@@ -171,7 +175,8 @@
     /// The next event of any attempt; pings are answered meanwhile.
     pub async fn event(&mut self) -> Event {
         loop {
-            let frame = self.connection.expect("event").await.expect("the connection stands");
+            let frame = tokio::time::timeout(BOUND, self.connection.expect("event")).await;
+            let frame = frame.expect("an event comes").expect("the connection stands");
             match frame.body {
                 Some(Body::Event(event)) => return event,
                 Some(Body::Ping(ping)) => {
@@ -190,6 +195,11 @@
 
     /// Reads one attempt to its end: its text, its tokens, and the refusal if it was refused.
     pub async fn finish(&mut self, attempt: u64) -> (String, u32, Option<Refusal>) {
+        let finished = tokio::time::timeout(BOUND, self.read_to_end(attempt)).await;
+        finished.expect("the attempt ends")
+    }
+
+    async fn read_to_end(&mut self, attempt: u64) -> (String, u32, Option<Refusal>) {
         let (mut text, mut tokens) = (String::new(), 0);
         loop {
             let event = self.event().await;
