--- /dev/null
+++ b/crates/duty/src/decide.rs
@@ -0,0 +1,34 @@
+//! Which engines change role under load: the border to crate `policy`.
+
+use conf::resource::Policy;
+use policy::Time;
+use policy::roles::{Change, Demand, Engine, Planner, Settings};
+
+/// Weighs changes of role.
+pub trait Decide: Send {
+    /// Takes on the operators' weights and bounds.
+    fn set(&mut self, policy: &Policy);
+
+    /// The changes to order now, for the engines of a pool and what callers ask of them.
+    fn decide(&mut self, engines: &[Engine], demand: Demand, now: Time) -> Vec<Change>;
+}
+
+/// Decides by [`policy::roles::Roles`].
+pub struct Roles(policy::roles::Roles);
+
+impl Default for Roles {
+    fn default() -> Self {
+        Self(policy::roles::Roles::new(Settings::default()))
+    }
+}
+
+impl Decide for Roles {
+    fn set(&mut self, policy: &Policy) {
+        self.0.set(Settings::from(policy));
+    }
+
+    fn decide(&mut self, engines: &[Engine], demand: Demand, now: Time) -> Vec<Change> {
+        self.0.observe(demand, now);
+        self.0.decide(engines, now)
+    }
+}
