feat(admin): administration API, operators' commands, dev with operators' port

Cause: resources could only be appended to the log by hand, and nobody could tell whether a change was in force everywhere.

Each entry serves resources with generation and conditions, the audit trail (long poll), fleet, orders, leases, explain and metrics, behind a token that is compared by digest in constant time. A change is answered once it was read back from the log; a change from an old generation is a conflict that names the winner. "In force" asks each agent's and each entry's own word and names who lags. apply, get, delete, wait, audit, explain, bug-report, settings and completions use it, with stable exit codes. Entries keep what other processes last said of themselves.

--- /dev/null
+++ b/crates/admin/src/audit.rs
@@ -0,0 +1,81 @@
+//! The audit trail: operators' changes, and what processes did in the log.
+
+use crate::Context;
+use crate::api::{Act, Audit};
+use compact_str::format_compact;
+use plat::Offset;
+use serde_json::Value;
+use std::time::Duration;
+
+/// The longest that a call waits for news; a proxy may cut longer ones.
+const LONGEST_WAIT: Duration = Duration::from_secs(25);
+
+/// The trail from the two offsets on; waits up to `wait` for something to be there.
+pub(crate) async fn read(
+    context: &Context,
+    config_from: Offset,
+    system_from: Offset,
+    wait: Duration,
+) -> Audit {
+    let (mut config, mut system) = (context.config.clone(), context.system.clone());
+    let news = async {
+        tokio::select! {
+            _ = config.wait_for(|config| config.end() > config_from) => {}
+            _ = system.wait_for(|system| state::Fold::end(&**system) > system_from) => {}
+        }
+    };
+    // Whether or not there is news, the answer says where to read on.
+    let _ = tokio::time::timeout(wait.min(LONGEST_WAIT), news).await;
+    trail(context, config_from, system_from)
+}
+
+fn trail(context: &Context, config_from: Offset, system_from: Offset) -> Audit {
+    let (config, system) = (context.config.borrow().clone(), context.system.borrow().clone());
+    let changes = config.audit().filter(|audit| audit.offset >= config_from).map(change);
+    let acts = system.audit().filter(|act| act.offset >= system_from).map(act);
+    Audit {
+        acts: changes.chain(acts).collect(),
+        config_end: config.end(),
+        system_end: state::Fold::end(&*system),
+    }
+}
+
+fn change(audit: &state::config::Audit) -> Act {
+    let spec = |text: &Option<String>| -> Option<Value> {
+        text.as_ref().and_then(|text| serde_json::from_str(text).ok())
+    };
+    let what = match &audit.after {
+        Some(_) if audit.before.is_some() => "change",
+        Some(_) => "create",
+        None => "delete",
+    };
+    Act {
+        stream: plat::CONFIG_STREAM.into(),
+        offset: audit.offset,
+        at_ms: audit.written_ms,
+        author: audit.author.as_str().into(),
+        subject: format_compact!("{}/{}", audit.kind, audit.name),
+        what: what.to_owned(),
+        outcome: match &audit.outcome {
+            Ok(generation) => format!("accepted as generation {generation}"),
+            Err(refusal) => format!("refused: {refusal}"),
+        },
+        before: spec(&audit.before),
+        after: spec(&audit.after),
+    }
+}
+
+fn act(act: &state::system::Act) -> Act {
+    let outcome = if act.valid { "accepted" } else { "void: its author did not hold the scope" };
+    Act {
+        stream: plat::SYSTEM_STREAM.into(),
+        offset: act.offset,
+        at_ms: act.written_ms,
+        author: act.author.clone(),
+        subject: act.subject.clone(),
+        what: act.what.to_string(),
+        outcome: outcome.to_owned(),
+        before: None,
+        after: None,
+    }
+}
--- /dev/null
+++ b/crates/admin/src/auth.rs
@@ -0,0 +1,45 @@
+//! Who may use the administration API: whoever has the token whose digest is in the settings.
+
+use compact_str::CompactString;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+use subtle::ConstantTimeEq;
+
+/// The rule for requests.
+#[derive(Clone)]
+pub enum Token {
+    /// All may use it: only for an address on loopback.
+    Open,
+    /// Only requests with the token of this digest may, SHA-256 in lower-case hexadecimal.
+    Digest(CompactString),
+}
+
+impl Token {
+    /// The rule for an address and the digest in the settings, which may be empty on loopback
+    /// only; elsewhere an empty digest lets nobody in.
+    pub fn for_address(address: &str, digest: &str) -> Self {
+        match digest.is_empty() && conf::settings::is_loopback(address) {
+            true => Self::Open,
+            false => Self::Digest(digest.into()),
+        }
+    }
+
+    /// Whether a request with this `Authorization` header may go on.
+    pub(crate) fn admits(&self, authorization: Option<&str>) -> bool {
+        let Self::Digest(expected) = self else { return true };
+        let Some(token) = authorization.and_then(|header| header.strip_prefix("Bearer ")) else {
+            return false;
+        };
+        // Compared in constant time, so that response times tell nothing of the digest.
+        digest_of(token).as_bytes().ct_eq(expected.as_bytes()).into()
+    }
+}
+
+/// SHA-256 of a token in lower-case hexadecimal.
+fn digest_of(token: &str) -> String {
+    Sha256::digest(token.as_bytes()).iter().fold(String::new(), |mut hex, byte| {
+        // Writing to a string cannot fail.
+        let _ = write!(hex, "{byte:02x}");
+        hex
+    })
+}
--- /dev/null
+++ b/crates/admin/src/server.rs
@@ -0,0 +1,59 @@
+//! The administration API on its own address.
+
+use crate::{Context, Token, routes};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::{Router, Server as Salvo};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// The administration API of one entry, bound but not yet running.
+pub struct Server {
+    acceptor: TcpAcceptor,
+    router: Router,
+    address: SocketAddr,
+}
+
+/// Connections of operators at a time; callers have an address of their own.
+const MAX_CONNECTIONS: usize = 64;
+
+/// How long an operator may take to send the headers of a request.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long calls under way may take once the entry stops.
+const STOP_PATIENCE: Duration = Duration::from_secs(2);
+
+impl Server {
+    /// Binds `address` and puts the API behind the token.
+    pub async fn bind(address: &str, token: Token, context: Context) -> io::Result<Self> {
+        let socket = tokio::net::TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        let router = routes::router(context, token);
+        Ok(Self { acceptor: socket.try_into()?, router, address })
+    }
+
+    /// The address really bound.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The routes, for tests without a socket.
+    pub fn router(context: Context, token: Token) -> Router {
+        routes::router(context, token)
+    }
+
+    /// Serves until `stop` is cancelled.
+    pub async fn run(self, stop: CancellationToken) {
+        let fuse = FuseConfig::default().with_http1_header_timeout(HEADER_TIMEOUT);
+        let server = Salvo::new(self.acceptor).max_connections(MAX_CONNECTIONS).fuse_config(fuse);
+        let handle = server.handle();
+        let stopping = tokio::spawn(async move {
+            stop.cancelled().await;
+            handle.stop_graceful(STOP_PATIENCE);
+        });
+        server.serve(self.router).await;
+        stopping.abort();
+    }
+}
--- /dev/null
+++ b/crates/cli/src/api/audit.rs
@@ -0,0 +1,60 @@
+//! `lapismast audit [--follow]`: who did what, and what came of it.
+
+use super::{output, output_arg};
+use admin::Client;
+use admin::api::Act;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use eyre::Result;
+use std::time::Duration;
+
+/// The subcommand's arguments.
+pub(crate) fn command() -> Command {
+    Command::new("audit")
+        .about("Shows who changed what, and the claims and orders of processes")
+        .arg(
+            Arg::new("follow")
+                .long("follow")
+                .action(ArgAction::SetTrue)
+                .help("Goes on with what is done from now on, until it is interrupted"),
+        )
+        .arg(output_arg())
+}
+
+/// How long one call waits for news.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// How long to wait after a failed call while following.
+const RETRY_WAIT: Duration = Duration::from_secs(1);
+
+/// Shows the trail, and follows it if told to.
+pub(crate) async fn run(client: &Client, matches: &ArgMatches) -> Result<()> {
+    let form = output(matches);
+    let mut trail = client.audit(0, 0, Duration::ZERO).await?;
+    show(form, &trail.acts)?;
+    while matches.get_flag("follow") {
+        match client.audit(trail.config_end, trail.system_end, WAIT).await {
+            Ok(next) => trail = next,
+            Err(error) => {
+                eprintln!("lapismast: {error}");
+                trail.acts.clear();
+                tokio::time::sleep(RETRY_WAIT).await;
+            }
+        }
+        show(form, &trail.acts)?;
+    }
+    Ok(())
+}
+
+fn show(form: &str, acts: &[Act]) -> Result<()> {
+    for act in acts {
+        match form {
+            "json" => println!("{}", serde_json::to_string(act)?),
+            "yaml" => print!("---\n{}", serde_yaml_ng::to_string(act)?),
+            _ => {
+                let Act { stream, offset, author, subject, what, outcome, .. } = act;
+                println!("{stream} {offset}  {author}  {subject}  {what}  {outcome}");
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/api/report.rs
@@ -0,0 +1,60 @@
+//! `lapismast bug-report`: what a maintainer needs to know, without secrets.
+
+use admin::Client;
+use clap::Command;
+use eyre::Result;
+use std::time::Duration;
+
+/// The subcommand's arguments.
+pub(crate) fn command() -> Command {
+    Command::new("bug-report")
+        .about("Prints version, fleet, resources, orders, audit trail and metrics for a bug report")
+}
+
+/// How many lines of the audit trail are printed.
+const ACTS: usize = 50;
+
+/// Prints what can be learnt; a part that fails says so and doesn't stop the others.
+pub(crate) async fn run(client: &Client) -> Result<()> {
+    println!("# Version\n\nlapismast {} on {}\n", clap::crate_version!(), std::env::consts::OS);
+    part("Fleet", client.fleet().await)?;
+    part("Leases", client.leases().await)?;
+    part("Orders", client.orders().await)?;
+    part("Resources", client.list(None).await.map(without_digests))?;
+    let trail = client.audit(0, 0, Duration::ZERO).await;
+    part("Audit", trail.map(|trail| last(&trail.acts)))?;
+    match client.metrics().await {
+        Ok(metrics) => println!("# Metrics\n\n```text\n{metrics}```"),
+        Err(error) => println!("# Metrics\n\n{error}"),
+    }
+    Ok(())
+}
+
+fn part<T: serde::Serialize>(title: &str, read: Result<T, admin::Error>) -> Result<()> {
+    println!("# {title}\n");
+    match read {
+        Ok(value) => println!("```yaml\n{}```\n", serde_yaml_ng::to_string(&value)?),
+        Err(error) => println!("{error}\n"),
+    }
+    Ok(())
+}
+
+/// A digest lets whoever has it try tokens at leisure, and reports are often public.
+fn without_digests(mut resources: Vec<admin::api::Resource>) -> Vec<admin::api::Resource> {
+    for resource in &mut resources {
+        if let Some(digest) = resource.spec.get_mut("token_sha256") {
+            *digest = serde_json::json!("(hidden)");
+        }
+    }
+    resources
+}
+
+/// The last acts without specs, which may hold digests.
+fn last(acts: &[admin::api::Act]) -> Vec<String> {
+    let last = acts.iter().skip(acts.len().saturating_sub(ACTS));
+    let lines = last.map(|act| {
+        let admin::api::Act { stream, offset, author, subject, what, outcome, .. } = act;
+        format!("{stream} {offset} {author} {subject} {what}: {outcome}")
+    });
+    lines.collect()
+}
--- a/crates/cli/src/daemons.rs
+++ b/crates/cli/src/daemons.rs
@@ -1,6 +1,6 @@
 //! `lapismast entry` and `lapismast agent`: the daemons.
 
-use crate::{logs, runtime, settings_arg};
+use crate::{exit, logs, operators, runtime, settings_arg};
 use agent::Backend;
 use clap::{ArgMatches, Command};
 use conf::settings;
@@ -47,12 +47,42 @@
         let dialler = Arc::new(TcpDialler);
         let vms = vm_list(&settings.platform);
         let seed = rand::random();
-        let context = entry::Context { settings, log, vms, dialler, seed, stop };
-        entry::Daemon::bind(context).await?.run().await?;
-        Ok(())
+        Bound::bind(entry::Context { settings, log, vms, dialler, seed, stop }).await?.run().await
     })
 }
 
+/// An entry with its administration API, both bound.
+pub(crate) struct Bound {
+    pub(crate) daemon: entry::Daemon,
+    pub(crate) admin: Option<admin::Server>,
+    stop: CancellationToken,
+}
+
+impl Bound {
+    /// Binds both addresses; an empty one for operators leaves them out.
+    pub(crate) async fn bind(context: entry::Context) -> Result<Self> {
+        let (settings, log) = (context.settings.clone(), context.log.clone());
+        let stop = context.stop.clone();
+        let daemon = entry::Daemon::bind(context).await?;
+        let admin = match settings.admin.is_empty() {
+            true => None,
+            false => Some(operators::bind(&settings, log, daemon.entry()).await?),
+        };
+        Ok(Self { daemon, admin, stop })
+    }
+
+    /// Runs both until the entry is told to stop.
+    pub(crate) async fn run(self) -> Result<()> {
+        let operators = async {
+            if let Some(admin) = self.admin {
+                admin.run(self.stop).await;
+            }
+        };
+        let (served, ()) = tokio::join!(self.daemon.run(), operators);
+        Ok(served?)
+    }
+}
+
 /// Runs an agent until it is told to stop.
 pub(crate) fn run_agent(matches: &ArgMatches) -> Result<()> {
     logs::start("info");
@@ -90,9 +120,6 @@
     Arc::new(HttpClient::new(platform.vms.clone(), platform.timeout))
 }
 
-/// Exit code of a stop that cut requests in flight.
-const FORCED: i32 = 3;
-
 /// Time beyond the drain deadline in which a daemon says goodbye by itself.
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -102,7 +129,7 @@
         stop.cancelled().await;
         tokio::time::sleep(drain + GRACE).await;
         log::error!(drain_ms = drain.as_millis(); "stop-deadline-passed");
-        std::process::exit(FORCED);
+        std::process::exit(exit::FORCED);
     });
 }
 
@@ -120,7 +147,7 @@
             }
             if token.is_cancelled() {
                 log::error!("stop-forced");
-                std::process::exit(FORCED);
+                std::process::exit(exit::FORCED);
             }
             log::info!("stop-requested");
             token.cancel();
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -1,8 +1,8 @@
 //! `lapismast dev`: everything in one process over loopback, with stand-ins.
 
-use crate::daemons::{stop_on_signal, vm_list};
+use crate::daemons::{Bound, stop_on_signal, vm_list};
 use crate::{logs, runtime};
-use ::fake::http::Serving;
+use ::fake::http::{Serving, control_router};
 use ::fake::{EngineModel, MemoryEngine, MemoryLog, MemoryService, MemoryVms, MemoryWeights};
 use agent::Backend;
 use clap::{Arg, ArgMatches, Command, value_parser};
@@ -14,7 +14,9 @@
 use serde_json::{Value, json};
 use state::Appender;
 use state::record::{Body, Change};
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use target::http::{HttpEngine, HttpService};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -50,11 +52,13 @@
 pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
     logs::start("warn");
     let port = |name| matches.get_one::<u16>(name).copied().unwrap_or_default();
-    let callers_port = port("callers-port");
+    let (callers_port, admin_port) = (port("callers-port"), port("admin-port"));
+    let begun = Instant::now();
     runtime()?.block_on(async {
         let stop = stop_on_signal()?;
-        let dev = Dev::start(callers_port, stop.clone()).await?;
-        dev.print();
+        let dev = Dev::start(callers_port, admin_port, stop.clone()).await?;
+        dev.ready().await?;
+        dev.print(begun.elapsed());
         stop.cancelled().await;
         dev.tasks.close();
         dev.tasks.wait().await;
@@ -68,39 +72,58 @@
     stop: CancellationToken,
     log: Arc<dyn Log>,
     platform: settings::Platform,
-    entries: Vec<std::net::SocketAddr>,
+    entries: Vec<Arc<entry::Entry>>,
+    callers: Vec<SocketAddr>,
+    operators: Vec<SocketAddr>,
+    targets: Vec<(CompactString, CompactString)>,
 }
 
 impl Dev {
-    async fn start(callers_port: u16, stop: CancellationToken) -> Result<Self> {
+    async fn start(callers_port: u16, admin_port: u16, stop: CancellationToken) -> Result<Self> {
         let tasks = TaskTracker::new();
         let platform = start_platform().await?;
         let log = HttpClient::new(platform.log.clone(), platform.timeout);
         let log: Arc<dyn Log> = Arc::new(log);
-        let mut dev = Self { tasks, stop, log, platform, entries: Vec::new() };
+        let mut dev = Self {
+            tasks,
+            stop,
+            log,
+            platform,
+            entries: Vec::new(),
+            callers: Vec::new(),
+            operators: Vec::new(),
+            targets: Vec::new(),
+        };
         dev.start_targets().await?;
-        dev.start_entry(1, callers_port).await?;
-        dev.start_entry(2, 0).await?;
+        dev.start_entry(1, callers_port, admin_port).await?;
+        dev.start_entry(2, 0, 0).await?;
         Ok(dev)
     }
 
-    async fn start_targets(&self) -> Result<()> {
+    async fn start_targets(&mut self) -> Result<()> {
         self.publish(Kind::Model, "lapis-small", json!({})).await?;
         self.publish(Kind::Caller, "open", json!({"urgent": true})).await?;
         let caller = json!({"token_sha256": TOKEN_SHA256, "weight": 4, "urgent": true});
         self.publish(Kind::Caller, "desk", caller).await?;
         for number in 1..=4 {
-            let engine = MemoryEngine::new(EngineModel::default(), &["lapis-small"]);
-            let serving = serve(::fake::http::engine_router(Arc::new(engine))).await?;
-            let backend = Backend::Engine(Arc::new(HttpEngine::new(serving)));
-            let spec = json!({"models": ["lapis-small"]});
-            self.start_agent(&format!("engine-{number}"), number, backend, spec).await?;
+            let name = format_compact!("engine-{number}");
+            let engine = Arc::new(MemoryEngine::new(EngineModel::default(), &["lapis-small"]));
+            let routes = ::fake::http::engine_router(engine.clone());
+            let address = serve(control_router(engine, routes)).await?;
+            self.targets.push((name.clone(), address.clone()));
+            let backend = Backend::Engine(Arc::new(HttpEngine::new(address)));
+            let spec = json!({"models": ["lapis-small"], "checks_fencing": true});
+            self.start_agent(&name, number, backend, spec).await?;
         }
         for (number, (name, repeatable)) in [(1, ("ledger", false)), (2, ("tiles", true))] {
-            let router = ::fake::http::service_router(Arc::new(MemoryService::default()));
-            let backend = Backend::Service(Arc::new(HttpService::new(serve(router).await?)));
+            let service = Arc::new(MemoryService::default());
+            let routes = ::fake::http::service_router(service.clone());
+            let address = serve(control_router(service, routes)).await?;
+            let target = format_compact!("{name}-1");
+            self.targets.push((target.clone(), address.clone()));
+            let backend = Backend::Service(Arc::new(HttpService::new(address)));
             let spec = json!({"service": name, "repeatable": repeatable});
-            self.start_agent(&format!("{name}-1"), number, backend, spec).await?;
+            self.start_agent(&target, number, backend, spec).await?;
         }
         Ok(())
     }
@@ -136,11 +159,12 @@
         Ok(())
     }
 
-    async fn start_entry(&mut self, number: usize, port: u16) -> Result<()> {
+    async fn start_entry(&mut self, number: usize, port: u16, admin_port: u16) -> Result<()> {
         let settings = settings::Entry {
             name: format_compact!("entry-{number}"),
             domain: format_compact!("domain-{number}"),
             callers: format_compact!("127.0.0.1:{port}"),
+            admin: format_compact!("127.0.0.1:{admin_port}"),
             peer_key: CompactString::const_new(PEER_KEY),
             platform: self.platform.clone(),
             ..settings::Entry::default()
@@ -149,10 +173,12 @@
         let vms = vm_list(&settings.platform);
         let (dialler, seed) = (Arc::new(TcpDialler), rand::random());
         let context = entry::Context { settings, log, vms, dialler, seed, stop };
-        let daemon = entry::Daemon::bind(context).await?;
-        self.entries.push(daemon.address());
+        let bound = Bound::bind(context).await?;
+        self.entries.push(bound.daemon.entry().clone());
+        self.callers.push(bound.daemon.address());
+        self.operators.extend(bound.admin.as_ref().map(admin::Server::address));
         self.tasks.spawn(async move {
-            if let Err(error) = daemon.run().await {
+            if let Err(error) = bound.run().await {
                 log::error!(error:% = error; "entry-failed");
             }
         });
@@ -171,18 +197,65 @@
         appended.map(drop).wrap_err_with(|| format!("publish {name}"))
     }
 
-    fn print(&self) {
-        for address in &self.entries {
-            println!("callers: http://{address}");
+    /// Waits until each entry knows all resources and hears all agents.
+    async fn ready(&self) -> Result<()> {
+        /// Far beyond what loopback needs; then something is wrong that is better said.
+        const PATIENCE: Duration = Duration::from_secs(10);
+        for entry in &self.entries {
+            let (agents, hearing) = (self.targets.len(), async {
+                while entry.processes().0.iter().filter(|(_, heard)| heard.is_some()).count()
+                    < self.targets.len()
+                {
+                    entry.hear_all(PATIENCE).await;
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            });
+            let heard = tokio::time::timeout(PATIENCE, hearing).await;
+            heard.wrap_err_with(|| format!("an entry doesn't hear all {agents} agents"))?;
         }
-        println!("platform log: http://{}", self.platform.log);
+        Ok(())
     }
+
+    fn print(&self, took: Duration) {
+        let list = |addresses: &[SocketAddr]| {
+            let all: Vec<_> = addresses.iter().map(|address| format!("http://{address}")).collect();
+            all.join(" and ")
+        };
+        println!("callers    {}", list(&self.callers));
+        println!("operators  {}", list(&self.operators));
+        println!("log        http://{}", self.platform.log);
+        for (name, address) in &self.targets {
+            println!("{name:<10} http://{address}");
+        }
+        println!("ready in {} ms; stops on Ctrl-C\n", took.as_millis());
+        let (Some(callers), Some(operators)) = (self.callers.first(), self.operators.first())
+        else {
+            return;
+        };
+        println!("{}", commands(callers, operators));
+    }
+}
+
+/// Commands to go on with, as they can be pasted.
+fn commands(callers: &SocketAddr, operators: &SocketAddr) -> String {
+    format!(
+        "\
+Try in another terminal:
+  curl -N http://{callers}/v1/chat/completions -H 'Authorization: Bearer dev-token' \\
+    -d '{{\"model\":\"lapis-small\",\"stream\":true,\"messages\":[{{\"role\":\"user\",\"content\":\"Why?\"}}]}}'
+  curl http://{callers}/services/ledger/transfers -H 'Idempotency-Key: t-1' -d '{{\"amount\":5}}'
+  lapismast get all --admin {operators}
+  lapismast load trials/mixed.yaml --entries {callers}"
+    )
 }
 
 async fn start_platform() -> Result<settings::Platform> {
-    let log = serve(::fake::http::log_router(Arc::new(MemoryLog::new()))).await?;
-    let weights = serve(::fake::http::weights_router(Arc::new(MemoryWeights::default()))).await?;
-    let vms = serve(::fake::http::vms_router(Arc::new(MemoryVms::default()))).await?;
+    let (log, weights) = (Arc::new(MemoryLog::new()), Arc::new(MemoryWeights::default()));
+    let vms = Arc::new(MemoryVms::default());
+    let log = serve(control_router(log.clone(), ::fake::http::log_router(log))).await?;
+    let routes = ::fake::http::weights_router(weights.clone());
+    let weights = serve(control_router(weights, routes)).await?;
+    let vms = serve(control_router(vms.clone(), ::fake::http::vms_router(vms))).await?;
     Ok(settings::Platform { log, weights, vms, ..settings::Platform::default() })
 }
 
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,26 +1,28 @@
 //! The command line: one module a subcommand, thin over the libraries.
 
+mod api;
 mod check;
+mod completions;
 mod daemons;
 mod dev;
+mod exit;
 mod fake;
 mod load;
 mod logs;
+mod operators;
 
 use clap::{Arg, ArgMatches, Command};
 use eyre::Result;
 use std::ffi::OsString;
 use std::process::ExitCode;
 
-/// Exit code of a command line that makes no sense, as `clap` has it.
-const USAGE: u8 = 2;
-
 /// Runs the program with its arguments and returns its exit code.
 pub fn run(args: impl IntoIterator<Item = OsString>) -> ExitCode {
     let matches = match command().try_get_matches_from(args) {
         Ok(matches) => matches,
         Err(error) => {
-            let code = if error.use_stderr() { ExitCode::from(USAGE) } else { ExitCode::SUCCESS };
+            let code =
+                if error.use_stderr() { ExitCode::from(exit::USAGE) } else { ExitCode::SUCCESS };
             // Nothing can be done about a terminal that can't be written to.
             let _ = error.print();
             return code;
@@ -30,26 +32,33 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("lapismast: {error:#}");
-            ExitCode::FAILURE
+            exit::code(&error)
         }
     }
 }
 
+/// Where to begin.
+const HELP: &str = "\
+Try `lapismast dev`: everything in one process, with stand-ins, and commands to go on with.
+On VMs, `entry` and `agent` are the daemons; `apply`, `get` and `wait` are for operators.";
+
 /// The command line.
 pub fn command() -> Command {
     Command::new("lapismast")
         .version(clap::crate_version!())
         .about("Serves language-model requests on a fixed fleet of engines")
-        .after_help("Try `lapismast dev`: everything in one process, with stand-ins.")
+        .after_help(HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(dev::command())
         .subcommand(daemons::entry_command())
         .subcommand(daemons::agent_command())
+        .subcommands(api::commands())
         .subcommand(check::command())
         .subcommand(check::settings_command())
         .subcommand(fake::command())
         .subcommand(load::command())
+        .subcommand(completions::command())
 }
 
 fn dispatch(matches: &ArgMatches) -> Result<()> {
@@ -61,7 +70,9 @@
         Some(("settings", matches)) => check::run_settings(matches),
         Some(("fake", matches)) => fake::run(matches),
         Some(("load", matches)) => load::run(matches),
-        _ => unreachable!("clap lets only known subcommands through"),
+        Some(("completions", matches)) => completions::run(matches),
+        Some((name, matches)) => api::run(name, matches),
+        None => unreachable!("clap requires a subcommand"),
     }
 }
 
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,6 +1,6 @@
 //! `lapismast load FILE`: sends a described mix to entries and reports what callers received.
 
-use crate::runtime;
+use crate::{exit, runtime};
 use ::load::{Aim, Mix};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use compact_str::CompactString;
@@ -63,9 +63,6 @@
         .help(help)
 }
 
-/// Exit code of a run in which something happened that must never happen.
-const BROKEN: i32 = 4;
-
 /// Sends the mix and prints the report.
 pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
     let file: &String = matches.get_one("file").ok_or_else(|| eyre!("no file"))?;
@@ -97,7 +94,7 @@
     }
     if report.is_broken() {
         eprintln!("lapismast: something happened that must never happen");
-        std::process::exit(BROKEN);
+        std::process::exit(exit::BROKEN);
     }
     Ok(())
 }
--- /dev/null
+++ b/crates/cli/src/operators.rs
@@ -0,0 +1,90 @@
+//! The administration API of an entry: what it sees of the fleet, and where it listens.
+
+use admin::{Context, Process, Server, Sort, Token};
+use async_trait::async_trait;
+use compact_str::{CompactString, ToCompactString};
+use conf::settings;
+use entry::Entry;
+use eyre::{Result, WrapErr};
+use plat::Log;
+use state::{Appender, Registry};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An entry as the administration API sees the fleet.
+struct Fleet {
+    entry: Arc<Entry>,
+    name: CompactString,
+}
+
+/// How long to wait for agents that the entry is not connected to, so that an agent that is gone
+/// doesn't hold up the answer for long.
+const HEAR_PATIENCE: Duration = Duration::from_millis(300);
+
+#[async_trait]
+impl admin::Fleet for Fleet {
+    async fn processes(&self) -> Vec<Process> {
+        self.entry.hear_all(HEAR_PATIENCE).await;
+        let (agents, entries) = self.entry.processes();
+        let agents = agents.into_iter().map(|(name, heard)| process(Sort::Agent, name, heard));
+        let entries = entries.into_iter();
+        let entries = entries.map(|heard| process(Sort::Entry, heard.name.clone(), Some(heard)));
+        let own = Process {
+            config_offset: Some(self.entry.config().borrow().end()),
+            age: Some(Duration::ZERO),
+            ..process(Sort::Entry, self.name.clone(), None)
+        };
+        agents.chain([own]).chain(entries).collect()
+    }
+
+    async fn explain(&self, request: &str) -> Option<Vec<String>> {
+        let explanation = self.entry.explain(request).await?;
+        let mut lines = vec![format!("{} asked for {}", explanation.caller, explanation.asked)];
+        let steps = explanation.steps.iter();
+        lines.extend(steps.map(|step| format!("{:>6} ms  {}", step.at_ms, step.text)));
+        for report in explanation.agents {
+            let told = report.text.lines();
+            lines.extend(told.map(|line| format!("agent of {}: {line}", report.target)));
+        }
+        Some(lines)
+    }
+
+    fn metrics(&self) -> String {
+        self.entry.metrics()
+    }
+}
+
+fn process(sort: Sort, name: CompactString, heard: Option<entry::Process>) -> Process {
+    let (config_offset, age) = match &heard {
+        Some(heard) => (Some(heard.config_offset), Some(heard.age)),
+        None => (None, None),
+    };
+    let load = heard.and_then(|heard| heard.load).unwrap_or_default();
+    Process {
+        sort,
+        name,
+        config_offset,
+        age,
+        accepting: load.accepting,
+        role: load.role.to_compact_string(),
+        serves: load.serves.iter().map(CompactString::from).collect(),
+        running: load.running,
+        waiting: load.waiting,
+    }
+}
+
+/// Binds the administration API of an entry.
+pub(crate) async fn bind(
+    settings: &settings::Entry,
+    log: Arc<dyn Log>,
+    entry: &Arc<Entry>,
+) -> Result<Server> {
+    let name = settings.name.clone();
+    let registry = Registry::new(Appender::new(log, name.clone()), entry.config());
+    let fleet = Arc::new(Fleet { entry: entry.clone(), name: name.clone() });
+    let (config, system) = (entry.config(), entry.system());
+    let context = Context { name, config, system, registry, fleet };
+    let token = Token::for_address(&settings.admin, &settings.admin_token_sha256);
+    let server = Server::bind(&settings.admin, token, context).await;
+    server.wrap_err_with(|| format!("listen for operators at {}", settings.admin))
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,11 +7,13 @@
 use crate::members::Members;
 use crate::metrics::Metrics;
 use crate::peers::{Link, Peers};
+use crate::processes::Process;
 use crate::random::Random;
 use crate::routes;
 use crate::view::View;
 use crate::{Context, Error, Result, upkeep};
 use compact_str::CompactString;
+use conf::Name;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::{Router, Server};
@@ -33,9 +35,11 @@
 
 /// The entry of one VM, bound to its address but not yet running.
 pub struct Daemon {
-    context: Context,
+    entry: Arc<Entry>,
     acceptor: TcpAcceptor,
     address: SocketAddr,
+    drain: Duration,
+    stop: CancellationToken,
 }
 
 /// What all requests of an entry share.
@@ -115,6 +119,32 @@
         self.config.clone()
     }
 
+    /// The claims, orders and suspects as far as this entry has applied them.
+    pub fn system(&self) -> watch::Receiver<Arc<System>> {
+        self.shared.system.clone()
+    }
+
+    /// What the other processes last said of themselves: the agents of all configured targets,
+    /// `None` for those that were not heard, and the entries heard of lately.
+    pub fn processes(&self) -> (Vec<(Name, Option<Process>)>, Vec<Process>) {
+        let link = self.shared.peers.link();
+        let view = self.shared.view.borrow().clone();
+        let agents = view.targets().map(|site| {
+            let heard = link.processes.agent(&site.name, &site.spec.agent);
+            (site.name.clone(), heard)
+        });
+        let entries = link.processes.entries_heard().into_iter();
+        (agents.collect(), entries.filter(|entry| entry.name != link.name).collect())
+    }
+
+    /// Connects to the agents outside the entry's subset, so that they are heard too; an agent
+    /// that is connected already costs nothing.
+    pub async fn hear_all(&self, patience: Duration) {
+        let view = self.shared.view.borrow().clone();
+        let sites = view.targets().map(|site| site.peer.session(patience));
+        futures_util::future::join_all(sites).await;
+    }
+
     /// The metrics in the text form that Prometheus reads.
     pub fn metrics(&self) -> String {
         self.shared.metrics_text()
@@ -143,14 +173,21 @@
 const NOTICE: Duration = Duration::from_secs(1);
 
 impl Daemon {
-    /// Binds the address for callers.
+    /// Binds the address for callers and starts following the log.
     pub async fn bind(context: Context) -> Result<Self> {
         let address = context.settings.callers.clone();
         let listen = |source| Error::Listen { address: address.clone(), source };
         let socket = tokio::net::TcpListener::bind(address.as_str()).await.map_err(listen)?;
         let bound = socket.local_addr().map_err(listen)?;
         let acceptor = socket.try_into().map_err(listen)?;
-        Ok(Self { context, acceptor, address: bound })
+        let (drain, stop) = (context.settings.drain, context.stop.clone());
+        let entry = Arc::new(Entry::start(context));
+        Ok(Self { entry, acceptor, address: bound, drain, stop })
+    }
+
+    /// The entry itself, for the administration API.
+    pub fn entry(&self) -> &Arc<Entry> {
+        &self.entry
     }
 
     /// The address for callers, really bound.
@@ -160,11 +197,9 @@
 
     /// Runs until the context's token is cancelled and the requests in flight are answered.
     pub async fn run(self) -> Result<()> {
-        let drain = self.context.settings.drain;
-        let stop = self.context.stop.clone();
-        let entry = Entry::start(self.context);
+        let Self { entry, acceptor, drain, stop, .. } = self;
         let fuse = FuseConfig::default().with_http1_header_timeout(HEADER_TIMEOUT);
-        let server = Server::new(self.acceptor).max_connections(MAX_CONNECTIONS).fuse_config(fuse);
+        let server = Server::new(acceptor).max_connections(MAX_CONNECTIONS).fuse_config(fuse);
         let mut server = server;
         server.http1_mut().max_buf_size(MAX_HEADER_BYTES);
         let handle = server.handle();
--- a/crates/entry/src/peer.rs
+++ b/crates/entry/src/peer.rs
@@ -83,6 +83,7 @@
         if !late {
             *heard = Some(Heard { sequence: load.sequence, incarnation });
             drop(heard);
+            link.processes.hear_agent(&self.address, load);
             link.decisions.board.hear(&self.address, load, link.decisions.now());
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::decisions::Decisions;
 use crate::peer::Peer;
+use crate::processes::Processes;
 use crate::random::Random;
 use compact_str::CompactString;
 use std::collections::{HashMap, HashSet};
@@ -19,6 +20,7 @@
     pub(crate) incarnation: u64,
     pub(crate) random: Arc<Random>,
     pub(crate) decisions: Arc<Decisions>,
+    pub(crate) processes: Processes,
     next_attempt: AtomicU64,
     sighting: RwLock<Sighting>,
     asked: Mutex<Option<Duration>>,
@@ -56,6 +58,7 @@
             incarnation,
             random,
             decisions,
+            processes: Processes::default(),
             next_attempt,
             sighting,
             asked,
--- /dev/null
+++ b/crates/entry/src/processes.rs
@@ -0,0 +1,97 @@
+//! How far the other processes have applied the configuration, as their own words tell it.
+//!
+//! Agents say it with each load, entries through the agents that hear them. From this operators
+//! learn whether a change is in force everywhere, and which process lags.
+
+use compact_str::{CompactString, ToCompactString};
+use plat::Offset;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use wire::{Load, Sighting};
+
+/// What another process last said of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Process {
+    /// The entry's name, or the name of the target that the agent stands beside.
+    pub name: CompactString,
+    /// The offset up to which it has applied the `config` stream.
+    pub config_offset: Offset,
+    /// How long ago it said so.
+    pub age: Duration,
+    /// The target's load, if it is an agent.
+    pub load: Option<Load>,
+}
+
+/// What the other processes last said of themselves.
+#[derive(Default)]
+pub(crate) struct Processes {
+    agents: Mutex<HashMap<CompactString, (Load, Instant)>>,
+    entries: Mutex<HashMap<CompactString, (Offset, Instant)>>,
+}
+
+/// After what silence an entry counts as gone: several of the rounds in which agents are asked.
+const ENTRY_SILENCE: Duration = Duration::from_secs(20);
+
+impl Processes {
+    /// Notes what the agent at an address says.
+    pub(crate) fn hear_agent(&self, address: &CompactString, load: &Load) {
+        let mut agents = self.agents();
+        match agents.get_mut(address) {
+            Some(heard) => *heard = (load.clone(), Instant::now()),
+            None => {
+                agents.insert(address.clone(), (load.clone(), Instant::now()));
+            }
+        }
+    }
+
+    /// Notes what an agent says of the entries that it hears.
+    pub(crate) fn hear_entries(&self, sightings: &[Sighting]) {
+        let now = Instant::now();
+        let mut entries = self.entries();
+        for sighting in sightings {
+            let age = Duration::from_millis(sighting.age_ms);
+            let at = now.checked_sub(age).unwrap_or(now);
+            let heard = (sighting.config_offset, at);
+            let known = entries.entry(sighting.entry.to_compact_string()).or_insert(heard);
+            // Several agents tell of one entry; an old sighting must not replace a newer one.
+            if at >= known.1 {
+                *known = heard;
+            }
+        }
+    }
+
+    /// What the agent at an address last said.
+    pub(crate) fn agent(&self, target: &str, address: &CompactString) -> Option<Process> {
+        let agents = self.agents();
+        let (load, at) = agents.get(address)?;
+        Some(Process {
+            name: target.into(),
+            config_offset: load.config_offset,
+            age: at.elapsed(),
+            load: Some(load.clone()),
+        })
+    }
+
+    /// The entries that were heard of lately.
+    pub(crate) fn entries_heard(&self) -> Vec<Process> {
+        let mut entries = self.entries();
+        entries.retain(|_, (_, at)| at.elapsed() < ENTRY_SILENCE);
+        let heard = entries.iter().map(|(name, (offset, at))| Process {
+            name: name.clone(),
+            config_offset: *offset,
+            age: at.elapsed(),
+            load: None,
+        });
+        heard.collect()
+    }
+
+    fn agents(&self) -> MutexGuard<'_, HashMap<CompactString, (Load, Instant)>> {
+        self.agents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn entries(&self) -> MutexGuard<'_, HashMap<CompactString, (Offset, Instant)>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -183,6 +183,7 @@
                     peer.hear(link, load, self.incarnation);
                 }
                 if !pong.sightings.is_empty() {
+                    link.processes.hear_entries(&pong.sightings);
                     link.decisions.hear_entries(&link.name, &pong.sightings);
                 }
             }
