--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -179,7 +179,12 @@
             self.last_short = Some(now);
         }
         let mut displaced = Vec::new();
-        while !item.begun && self.backlog.cost.work() + item.cost.work() > self.settings.capacity {
+        // An item larger than the whole capacity may still wait alone, or it could never run.
+        let over = |queue: &Self| {
+            let work = queue.backlog.cost.work() + item.cost.work();
+            !queue.waiting.is_empty() && work > queue.settings.capacity
+        };
+        while !item.begun && over(self) {
             match self.displace_for(&item) {
                 Some(loser) => displaced.push(loser),
                 None if displaced.is_empty() => return Pushed::Full(item),
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -127,6 +127,7 @@
         log,
         backend: Backend::Engine(Arc::new(HttpEngine::new(engine))),
         listener: Box::new(listener),
+        dialler: Arc::new(TcpDialler),
         stop: CancellationToken::new(),
     };
     tokio::spawn(agent::Daemon::new(context).run());
