--- a/crates/itest/examples/latency.rs
+++ b/crates/itest/examples/latency.rs
@@ -167,6 +167,7 @@
         log: Arc::new(fleet.log.clone()),
         backend,
         listener: Box::new(listener),
+        dialler: Arc::new(wire::TcpDialler),
         stop: CancellationToken::new(),
     };
     tokio::spawn(agent::Daemon::new(context).run());
