--- a/crates/policy/examples/decisions.rs
+++ b/crates/policy/examples/decisions.rs
@@ -25,6 +25,10 @@
     }
 }
 
+fn pool(engines: usize, domains: usize, efficiency: f64) -> swing::Pool {
+    swing::Pool { engines, domains, efficiency }
+}
+
 fn table(name: &str) -> Option<Table> {
     let late = late::Setup::default();
     let table = match name {
@@ -48,8 +52,10 @@
         "overload-3" => compare(&scenario::overload(3.0, FULL), &setups(), &["short", "urgent"]),
         "poison" => compare(&scenario::poison(FULL), &setups(), &["short", "poison"]),
         "retry-storm" => compare(&scenario::retry_storm(FULL), &setups(), &["short"]),
-        "swing" => swing::compare(FULL, 0.85, &policies()),
-        "swing-costly-mixing" => swing::compare(FULL, 0.6, &policies()),
+        "swing" => swing::compare(FULL, &pool(14, 3, 0.85), &policies()),
+        "swing-costly-mixing" => swing::compare(FULL, &pool(14, 3, 0.6), &policies()),
+        "swing-small" => swing::compare(FULL, &pool(9, 4, 0.85), &policies()),
+        "swing-small-costly-mixing" => swing::compare(FULL, &pool(9, 4, 0.6), &policies()),
         _ => return None,
     };
     Some(table)
--- a/crates/policy/src/model/figures.rs
+++ b/crates/policy/src/model/figures.rs
@@ -84,10 +84,12 @@
     pub messages: u64,
     /// Seconds that were measured.
     pub seconds: f64,
+    /// Engines of the pool.
+    pub engines: usize,
 }
 
 impl Figures {
-    pub(super) fn new(seconds: f64) -> Self {
+    pub(super) fn new(seconds: f64, engines: usize) -> Self {
         Self {
             classes: BTreeMap::new(),
             callers: BTreeMap::new(),
@@ -101,6 +103,7 @@
             role_changes: 0,
             messages: 0,
             seconds,
+            engines,
         }
     }
 
--- a/crates/policy/src/model/pool.rs
+++ b/crates/policy/src/model/pool.rs
@@ -148,7 +148,7 @@
             random: Random::new(7),
             demand: Demand::default(),
             now: 0.0,
-            figures: Figures::new(plan.end),
+            figures: Figures::new(plan.end, plan.engines.len()),
         };
         for (call, arrival) in plan.arrivals.iter().enumerate() {
             pool.at(arrival.at, Event::Arrive(call));
--- a/crates/policy/src/model/swing.rs
+++ b/crates/policy/src/model/swing.rs
@@ -5,11 +5,11 @@
 use super::figures::Figures;
 use super::oracle::Oracle;
 use super::pool::{self, Plan};
-use super::scenario::{DOMAINS, ENGINES, Scale, plan};
+use super::scenario::{Scale, plan};
 use super::setup::{Setup, engines};
 use super::table::Table;
-use super::work::Stream;
-use crate::estimate::Rates;
+use super::work::{Arrival, Stream};
+use crate::estimate::{Cost, Rates};
 use crate::number::float;
 use crate::roles::Settings;
 use conf::resource::{Policy, Role};
@@ -39,15 +39,26 @@
     (share - least) / (most - least)
 }
 
+/// The pool that swings.
+#[derive(Debug, Clone, Copy)]
+pub struct Pool {
+    /// Engines, all mixed at the start.
+    pub engines: usize,
+    /// Failure domains.
+    pub domains: usize,
+    /// The part of its rates that an engine keeps while it reads and writes at the same time.
+    pub efficiency: f64,
+}
+
 /// Reading is 0.2 of the work, rises to 0.7 within a minute, stays for one, and falls back.
-pub fn swing(scale: Scale) -> Plan {
+pub fn swing(scale: Scale, pool: &Pool) -> Plan {
     let minute = 60.0 * scale.0;
     let share = |at: f64| {
         let up = ((at - minute) / minute).clamp(0.0, 1.0);
         let down = ((at - 3.0 * minute) / minute).clamp(0.0, 1.0);
         SHARES.0 + (SHARES.1 - SHARES.0) * (up - down)
     };
-    let work = LOAD * float(u64::try_from(ENGINES).unwrap_or(0));
+    let work = LOAD * float(u64::try_from(pool.engines).unwrap_or(0));
     let rate = |at: f64, reading: bool| {
         let part = reading_part(share(at));
         let (size, part) = if reading { (READING, part) } else { (WRITING, 1.0 - part) };
@@ -67,20 +78,15 @@
         ..Stream::default()
     };
     let streams = [stream("reading", READING, true), stream("writing", WRITING, false)];
-    plan(&streams, engines(ENGINES, DOMAINS), 5.0 * minute)
-}
-
-/// The swing among engines that keep this part of their rates while they mix.
-fn swing_with(scale: Scale, efficiency: f64) -> Plan {
-    let mut plan = swing(scale);
-    for engine in &mut plan.engines {
-        engine.mixed_efficiency = efficiency;
+    let mut engines = engines(pool.engines, pool.domains);
+    for engine in &mut engines {
+        engine.mixed_efficiency = pool.efficiency;
     }
-    plan
+    plan(&streams, engines, 5.0 * minute)
 }
 
 /// Compares planners of roles at the swing.
-pub fn compare(scale: Scale, efficiency: f64, policies: &[(&'static str, Policy)]) -> Table {
+pub fn compare(scale: Scale, pool: &Pool, policies: &[(&'static str, Policy)]) -> Table {
     let head = [
         "way",
         "goodput, tokens/s",
@@ -95,34 +101,50 @@
         "for an engine",
     ];
     let mut table = Table::new(&head);
-    let plan = swing_with(scale, efficiency);
+    let plan = swing(scale, pool);
     let mut all = Setup::all();
-    all.roles.mixing = mixing(efficiency);
+    all.roles.mixing = mixing(pool.efficiency);
     let bound = pool::run_planned(&plan, &all, Box::new(Oracle::new(&plan, &all.roles)));
     table.row(row("knows the future", &bound, &bound));
+    table.row(offered(&plan, &bound));
     for (name, policy) in policies {
-        let roles = Settings { mixing: mixing(efficiency), ..Settings::from(policy) };
+        let roles = Settings { mixing: mixing(pool.efficiency), ..Settings::from(policy) };
         let setup = Setup { name, roles, ..Setup::all() };
         table.row(row(name, &pool::run(&plan, &setup), &bound));
     }
     let mixed = Setup::static_roles();
     table.row(row("all mixed", &pool::run(&plan, &mixed), &bound));
-    let mut fixed = swing_with(scale, efficiency);
+    let mut fixed = swing(scale, pool);
+    let readers = pool.engines * 3 / 7;
     for (index, engine) in fixed.engines.iter_mut().enumerate() {
-        engine.role = if index < 6 { Role::Prefill } else { Role::Decode };
+        engine.role = if index < readers { Role::Prefill } else { Role::Decode };
     }
-    table.row(row("6 prefill, 8 decode", &pool::run(&fixed, &mixed), &bound));
+    let name = format!("{readers} prefill, {} decode", pool.engines - readers);
+    table.row(row(&name, &pool::run(&fixed, &mixed), &bound));
     table.row(row("round robin", &pool::run(&plan, &Setup::round_robin()), &bound));
     table.row(row("least connections", &pool::run(&plan, &Setup::least_connections()), &bound));
     table
 }
 
+/// What is asked for, of which nobody can serve more.
+fn offered(plan: &Plan, bound: &Figures) -> Vec<String> {
+    let cost = |arrival: &Arrival| Cost::new(arrival.prompt, arrival.output);
+    let asked = plan.arrivals.iter().fold(Cost::default(), |sum, arrival| sum + cost(arrival));
+    let (tokens, work) = (float(asked.decode) / plan.end, float(asked.work()) / plan.end);
+    let reached = float(bound.work.work()) / bound.seconds;
+    let mut cells = vec!["all that is asked for".to_owned(), format!("{tokens:.0}")];
+    cells.push(percent(tokens / bound.goodput()));
+    cells.extend([format!("{work:.0}"), percent(work / reached)]);
+    cells.extend(["100.0 %", "100.0 %", "", "", "", ""].map(str::to_owned));
+    cells
+}
+
 fn row(name: &str, figures: &Figures, bound: &Figures) -> Vec<String> {
     let work = |figures: &Figures| float(figures.work.work()) / figures.seconds;
     let total = figures.total();
     let share = |part: u64| percent(float(part) / float(total.asked.max(1)));
     let in_time = |class| percent(figures.classes.get(class).map_or(0.0, |t| t.hit_rate()));
-    let engines = float(u64::try_from(ENGINES).unwrap_or(1));
+    let engines = float(u64::try_from(figures.engines).unwrap_or(1));
     vec![
         name.to_owned(),
         format!("{:.0}", figures.goodput()),
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -58,6 +58,9 @@
     pub heard: Option<Time>,
     /// What this entry sent there since, which the load doesn't hold yet.
     pub sent: Cost,
+    /// The wait that follows, in seconds; worked out by [`Candidate::hear`] and
+    /// [`Candidate::send`], since a decision looks at hundreds of candidates.
+    wait: f64,
 }
 
 impl Candidate {
@@ -73,6 +76,7 @@
             load: Load::default(),
             heard: None,
             sent: Cost::default(),
+            wait: 0.0,
         }
     }
 
@@ -81,11 +85,32 @@
         self.load = load;
         self.heard = Some(now);
         self.sent = Cost::default();
+        self.wait = self.estimate();
     }
 
     /// Books work sent there.
     pub fn send(&mut self, cost: Cost) {
         self.sent += cost;
+        self.wait = self.estimate();
+    }
+
+    /// The estimated seconds until a request sent there now would have its first token, and a part
+    /// of the time that its output would take from others.
+    ///
+    /// While slots are free it waits for the prompts that are read only. What is being written
+    /// delays it the more slots are taken.
+    pub fn wait(&self) -> f64 {
+        self.wait
+    }
+
+    fn estimate(&self) -> f64 {
+        let load = &self.load;
+        let cost = load.cost + self.sent;
+        let requests = f64::from(load.running + load.waiting);
+        let filled = requests / f64::from(load.slots.max(1));
+        let reading = Cost::new(cost.prefill, 0).seconds(&load.rates);
+        let writing = Cost::new(0, cost.decode).seconds(&load.rates);
+        reading + writing * filled.min(1.0)
     }
 
     /// Whether it can do this query's stage of the work.
--- a/crates/policy/src/route/weighted.rs
+++ b/crates/policy/src/route/weighted.rs
@@ -37,14 +37,19 @@
 #[derive(Debug, Default)]
 pub struct Weighted {
     settings: Settings,
+    /// The able candidates, those of the own failure domain first.
     able: Vec<Able>,
+    homes: usize,
+    mean: f64,
 }
 
-/// An able candidate and the estimated wait there.
+/// An able candidate and the estimated wait there, as it was when last heard.
 #[derive(Debug, Clone, Copy)]
 struct Able {
     index: usize,
+    key: Hash,
     wait: f64,
+    heard: Option<Time>,
     home: bool,
     role: Role,
 }
@@ -52,65 +57,87 @@
 impl Weighted {
     /// Makes the way with these settings.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, able: Vec::new() }
+        Self { settings, ..Self::default() }
     }
 
-    /// Collects the able candidates with their waits and returns the mean wait.
-    fn collect(&mut self, query: &Query, candidates: &[Candidate], now: Time) -> f64 {
+    /// Collects the able candidates with their waits, and the mean.
+    fn collect(&mut self, query: &Query, candidates: &[Candidate]) {
         self.able.clear();
+        self.homes = 0;
+        let mut total = 0.0;
         for (index, candidate) in candidates.iter().enumerate() {
-            if candidate.is_able(query) {
-                let home = candidate.domain == query.domain;
-                self.able.push(Able { index, wait: wait(candidate), home, role: candidate.role });
+            if !candidate.is_able(query) {
+                continue;
+            }
+            let home = candidate.domain == query.domain;
+            let wait = candidate.wait();
+            total += wait;
+            self.able.push(Able {
+                index,
+                wait,
+                heard: candidate.heard,
+                home,
+                role: candidate.role,
+            });
+            if home {
+                let last = self.able.len() - 1;
+                self.able.swap(self.homes, last);
+                self.homes += 1;
             }
         }
-        let total: f64 = self.able.iter().map(|able| able.wait).sum();
-        let mean = total / float(u64::try_from(self.able.len()).unwrap_or(1)).max(1.0);
-        let memory = self.settings.memory.as_secs_f64();
-        for able in &mut self.able {
-            let heard = candidates[able.index].heard;
-            let age = heard.map_or(f64::INFINITY, |at| now.saturating_sub(at).as_secs_f64());
-            able.wait = mean + (able.wait - mean) * (-age / memory).exp();
-        }
-        mean
+        self.mean = total / float(u64::try_from(self.able.len()).unwrap_or(1)).max(1.0);
+    }
+
+    /// The wait now: what was heard long ago says no more than the mean.
+    fn wait_now(&self, able: &Able, now: Time) -> f64 {
+        let age = able.heard.map_or(f64::INFINITY, |at| now.saturating_sub(at).as_secs_f64());
+        let weight = (-age / self.settings.memory.as_secs_f64()).exp();
+        self.mean + (able.wait - self.mean) * weight
     }
 
     /// The wait with the price of leaving the own failure domain.
-    fn price(&self, able: &Able) -> f64 {
-        able.wait + if able.home { 0.0 } else { self.settings.spill.as_secs_f64() }
+    fn price(&self, able: &Able, now: Time) -> f64 {
+        let leaving = if able.home { 0.0 } else { self.settings.spill.as_secs_f64() };
+        self.wait_now(able, now) + leaving
     }
 
     /// The least of a few drawn among those allowed, half of them from the own failure domain.
-    fn draw(&self, allow: impl Fn(&Able) -> bool, rng: &mut dyn Rng) -> Option<Able> {
-        let allowed = || self.able.iter().filter(|able| allow(able));
-        let all = allowed().count();
-        let homes = allowed().filter(|able| able.home).count();
-        let mut best: Option<Able> = None;
-        for draw in 0..self.settings.drawn.max(1) {
-            let drawn = if draw % 2 == 0 && homes > 0 {
-                allowed().filter(|able| able.home).nth(below(homes, rng))
-            } else {
-                allowed().nth(below(all, rng))
-            };
-            let Some(&drawn) = drawn else { continue };
-            if best.is_none_or(|best| self.price(&drawn) < self.price(&best)) {
-                best = Some(drawn);
-            }
+    fn draw(&self, allow: impl Fn(&Able) -> bool, now: Time, rng: &mut dyn Rng) -> Option<Able> {
+        let drawn = (0..self.settings.drawn.max(1)).filter_map(|draw| {
+            let from = if draw % 2 == 0 && self.homes > 0 { self.homes } else { self.able.len() };
+            self.draw_one(&self.able[..from], &allow, rng)
+        });
+        let priced = drawn.map(|able| (self.price(able, now), able));
+        let least = priced.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        least.map(|(_, able)| *able)
+    }
+
+    /// One of those allowed: a few tries at random, then the next in turn from a random place.
+    fn draw_one<'a>(
+        &self,
+        able: &'a [Able],
+        allow: &impl Fn(&Able) -> bool,
+        rng: &mut dyn Rng,
+    ) -> Option<&'a Able> {
+        const TRIES: usize = 4;
+        let at_random = (0..TRIES).filter_map(|_| able.get(below(able.len(), rng)));
+        if let Some(found) = at_random.into_iter().find(|able| allow(able)) {
+            return Some(found);
         }
-        best
+        let (before, after) = able.split_at(below(able.len(), rng).min(able.len()));
+        after.iter().chain(before).find(|able| allow(able))
     }
 
     /// The one for late binding or a retry. Where prompts may be read by engines that do only that,
     /// it is of the other role: a queue of each kind is fair by itself, and whichever of the two
     /// kinds of engine is short then does not decide alone how long a caller waits.
-    fn second(&self, query: &Query, first: &Able, rng: &mut dyn Rng) -> Option<Able> {
+    fn second(&self, query: &Query, first: &Able, now: Time, rng: &mut dyn Rng) -> Option<Able> {
         let differs = |able: &Able| able.index != first.index;
         let other_role = match query.stage {
-            Stage::Prefill => self.draw(|able| differs(able) && able.role != first.role, rng),
+            Stage::Prefill => self.draw(|able| differs(able) && able.role != first.role, now, rng),
             Stage::Whole | Stage::Decode => None,
         };
-        let other = other_role.or_else(|| self.draw(differs, rng));
-        other.or_else(|| self.able.iter().copied().find(differs))
+        other_role.or_else(|| self.draw(differs, now, rng))
     }
 
     /// The first two targets in the prefix's rendezvous order that are not loaded far beyond the
@@ -120,25 +147,26 @@
     /// overflows to the next ones in order, so that a few targets cache it and not all. Each
     /// failure domain keeps its own order only if reading the prompt again is cheaper than leaving
     /// the domain: else a prefix would be cached once in every domain, and fewer fit.
-    fn affine(&self, query: &Query, candidates: &[Candidate], mean: f64) -> [Option<Able>; 2] {
+    fn affine(&self, query: &Query, candidates: &[Candidate], now: Time) -> [Option<Able>; 2] {
         let mut best: [Option<(Rank, Able)>; 2] = [None; 2];
         if query.prefix == 0 {
             return [None; 2];
         }
+        let Some(any) = self.able.first() else { return [None; 2] };
+        let reading = Cost::new(query.cost.prefill, 0).seconds(&candidates[any.index].load.rates);
+        let stays = reading < self.settings.spill.as_secs_f64();
         for able in &self.able {
-            let candidate = &candidates[able.index];
-            let rates = &candidate.load.rates;
-            if able.wait > (mean + query.cost.seconds(rates)) * self.settings.bound {
+            let rank = (able.home && stays, mix(query.prefix, able.key));
+            let place = best.iter().position(|best| best.is_none_or(|(found, _)| rank > found));
+            let Some(place) = place else { continue };
+            let own = query.cost.seconds(&candidates[able.index].load.rates);
+            if self.wait_now(able, now) > (self.mean + own) * self.settings.bound {
                 continue;
             }
-            let reading = Cost::new(query.cost.prefill, 0).seconds(rates);
-            let home = able.home && reading < self.settings.spill.as_secs_f64();
-            let rank = (home, mix(query.prefix, candidate.key));
-            if best[0].is_none_or(|(first, _)| rank > first) {
-                best = [Some((rank, *able)), best[0]];
-            } else if best[1].is_none_or(|(second, _)| rank > second) {
-                best[1] = Some((rank, *able));
+            if place == 0 {
+                best[1] = best[0];
             }
+            best[place] = Some((rank, *able));
         }
         best.map(|found| found.map(|(_, able)| able))
     }
@@ -147,21 +175,6 @@
 /// The place of a target in a prefix's order, the highest first.
 type Rank = (bool, Hash);
 
-/// The estimated seconds until a request sent there now would have its first token, and a part of
-/// the time that its output would take from others.
-///
-/// While slots are free it waits for the prompts that are read only. What is being written delays
-/// it when all slots are taken, and then for the time in which a slot's share of it ends.
-fn wait(candidate: &Candidate) -> f64 {
-    let load = &candidate.load;
-    let cost = load.cost + candidate.sent;
-    let requests = f64::from(load.running + load.waiting);
-    let filled = requests / f64::from(load.slots.max(1));
-    let reading = Cost::new(cost.prefill, 0).seconds(&load.rates);
-    let writing = Cost::new(0, cost.decode).seconds(&load.rates);
-    reading + writing * filled.min(1.0)
-}
-
 impl Route for Weighted {
     fn name(&self) -> &'static str {
         "weighted"
@@ -174,15 +187,14 @@
         now: Time,
         rng: &mut dyn Rng,
     ) -> Option<Choice> {
-        let mean = self.collect(query, candidates, now);
-        let [affine, next] = self.affine(query, candidates, mean);
-        let first = affine.or_else(|| self.draw(|_| true, rng))?;
-        let second = if affine.is_some() { next } else { self.second(query, &first, rng) };
-        let homes = self.able.iter().any(|able| able.home);
+        self.collect(query, candidates);
+        let [affine, next] = self.affine(query, candidates, now);
+        let first = affine.or_else(|| self.draw(|_| true, now, rng))?;
+        let second = if affine.is_some() { next } else { self.second(query, &first, now, rng) };
         Some(Choice {
             first: first.index,
             second: second.map(|able| able.index),
-            spilled: homes && !first.home,
+            spilled: self.homes > 0 && !first.home,
             affine: affine.is_some(),
         })
     }
