--- a/crates/policy/src/route/weighted.rs
+++ b/crates/policy/src/route/weighted.rs
@@ -72,13 +72,8 @@
             let home = candidate.domain == query.domain;
             let wait = candidate.wait();
             total += wait;
-            self.able.push(Able {
-                index,
-                wait,
-                heard: candidate.heard,
-                home,
-                role: candidate.role,
-            });
+            let (key, heard, role) = (candidate.key, candidate.heard, candidate.role);
+            self.able.push(Able { index, key, wait, heard, home, role });
             if home {
                 let last = self.able.len() - 1;
                 self.able.swap(self.homes, last);
