feat(entry): one list of reasons with the agents', planned changes move along

Reasons carry the names that agents and policy give (rate-limit, concurrency-limit, deadline-unreachable, expired, moving, offer-expired, ...). After a planned change the next target is told where the KV cache is kept, and the retry is not paid from the budget. The entry's own refusal for want of time is final: it was tried again for over 0.1 s although all targets were weighed.

--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -65,7 +65,7 @@
 /// What a request has gone through when a retry is asked for.
 pub(crate) struct Past<'a> {
     pub(crate) caller: &'a CompactString,
-    /// The target that failed.
+    /// The target that failed; empty if none was tried.
     pub(crate) target: &'a CompactString,
     pub(crate) trail: &'a Trail,
     pub(crate) retries: u32,
@@ -191,17 +191,23 @@
 
     /// How long to wait before another attempt; `None` if there is to be none.
     ///
-    /// The budget is for retries that add load. Two kinds add none: after an attempt that never
-    /// reached its target, and the resumption of an answer under way, which goes on where the
-    /// lost one stopped. A crash with 16 streams would otherwise cut 12 of them.
+    /// The budget is for retries that add load. Three kinds add none: after an attempt that never
+    /// reached its target, the resumption of an answer under way, which goes on where the lost one
+    /// stopped, and a planned change, after which the KV cache moves along. A crash with 16 streams
+    /// would otherwise cut 12 of them, and so would a change that operators planned.
     pub(crate) fn retry(&self, failure: &Failure, past: &Past<'_>) -> Option<Duration> {
         let mut trail = *past.trail;
         trail.note(failure.progress);
+        // This entry's own refusal has weighed all targets already; an agent's speaks for its own.
+        if failure.reason == Reason::DeadlineUnreachable && past.target.is_empty() {
+            return None;
+        }
         let spent = past.retries >= MAX_RETRIES || past.crashes >= MAX_CRASHES;
         if spent || !trail.may_retry() || !failure.reason.may_differ_elsewhere() {
             return None;
         }
-        let free = failure.progress == wire::Progress::NotRun || past.delivered;
+        let planned = failure.reason == Reason::Moving;
+        let free = planned || failure.progress == wire::Progress::NotRun || past.delivered;
         if free {
             let doubled = FREE_WAIT * 2_u32.saturating_pow(past.retries);
             // The first goes out at once: the target that failed is out of the way already.
@@ -267,11 +273,13 @@
 
 fn refused(refusal: admission::Refusal) -> Failure {
     let (reason, detail) = match refusal.reason {
-        admission::Reason::Late => (Reason::Overloaded, "it can't begin before its deadline"),
+        admission::Reason::Late => {
+            (Reason::DeadlineUnreachable, "it can't begin before its deadline")
+        }
         admission::Reason::NoTarget => (Reason::NoTarget, "no target takes new work"),
         admission::Reason::Full => (Reason::QueueFull, "the queue is full"),
-        admission::Reason::Rate => (Reason::RateLimited, "your tokens a second are used up"),
-        admission::Reason::Concurrency => (Reason::TooManyOpen, "too many requests are open"),
+        admission::Reason::Rate => (Reason::RateLimit, "your tokens a second are used up"),
+        admission::Reason::Concurrency => (Reason::ConcurrencyLimit, "too many requests are open"),
         admission::Reason::Quarantined => (Reason::Quarantined, "it crashed targets"),
     };
     Failure::not_run(reason, detail).retry_after(refusal.retry_after)
--- a/crates/entry/src/reason.rs
+++ b/crates/entry/src/reason.rs
@@ -48,15 +48,17 @@
     /// The idempotency key was used for another call.
     KeyReused = "key-reused", UNPROCESSABLE_ENTITY;
     /// The caller used more tokens a second than it may.
-    RateLimited = "rate-limited", TOO_MANY_REQUESTS;
+    RateLimit = "rate-limit", TOO_MANY_REQUESTS;
     /// The caller has more requests open than it may.
-    TooManyOpen = "too-many-open", TOO_MANY_REQUESTS;
+    ConcurrencyLimit = "concurrency-limit", TOO_MANY_REQUESTS;
     /// The entry holds as many requests or bytes as it can.
     EntryFull = "entry-full", SERVICE_UNAVAILABLE;
     /// The entry does not know the configuration yet.
     NotReady = "not-ready", SERVICE_UNAVAILABLE;
-    /// The fleet can't answer within the deadline.
-    Overloaded = "overloaded", SERVICE_UNAVAILABLE;
+    /// It can't begin before its deadline, behind the work that is ahead of it.
+    DeadlineUnreachable = "deadline-unreachable", SERVICE_UNAVAILABLE;
+    /// No slot was free before the deadline.
+    Expired = "expired", GATEWAY_TIMEOUT;
     /// The deadline passed.
     DeadlineExceeded = "deadline-exceeded", GATEWAY_TIMEOUT;
     /// No target in service can do this.
@@ -75,8 +77,18 @@
     TargetBroken = "target-broken", BAD_GATEWAY;
     /// The target does other work.
     WrongTarget = "wrong-target", SERVICE_UNAVAILABLE;
-    /// The target takes no new work.
-    Draining = "draining", SERVICE_UNAVAILABLE;
+    /// A planned change is under way at the target.
+    Moving = "moving", SERVICE_UNAVAILABLE;
+    /// The target was free, but the entry did not begin in time.
+    OfferExpired = "offer-expired", SERVICE_UNAVAILABLE;
+    /// The agent has as many attempts of this entry as it takes.
+    TooManyAttempts = "too-many-attempts", SERVICE_UNAVAILABLE;
+    /// The attempt's id is in use at the agent.
+    AttemptReused = "attempt-reused", SERVICE_UNAVAILABLE;
+    /// The attempt was cancelled at the agent.
+    Cancelled = "cancelled", SERVICE_UNAVAILABLE;
+    /// The caller took nothing for too long.
+    SlowReader = "slow-reader", REQUEST_TIMEOUT;
     /// The agent's queue is full.
     QueueFull = "queue-full", SERVICE_UNAVAILABLE;
     /// The log is out, without which a call that may not be repeated is not begun.
@@ -102,9 +114,13 @@
             | Reason::TargetRefused
             | Reason::TargetBroken
             | Reason::WrongTarget
-            | Reason::Draining
+            | Reason::Moving
+            | Reason::OfferExpired
+            | Reason::TooManyAttempts
+            | Reason::AttemptReused
+            | Reason::Cancelled
             | Reason::QueueFull
-            | Reason::Overloaded
+            | Reason::DeadlineUnreachable
             | Reason::LogUnavailable
             | Reason::NoClaim
             | Reason::Other => true,
@@ -118,8 +134,10 @@
             | Reason::BodyTimeout
             | Reason::BodyTooLarge
             | Reason::KeyReused
-            | Reason::RateLimited
-            | Reason::TooManyOpen
+            | Reason::RateLimit
+            | Reason::ConcurrencyLimit
+            | Reason::SlowReader
+            | Reason::Expired
             | Reason::EntryFull
             | Reason::NotReady
             | Reason::DeadlineExceeded
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -317,8 +317,12 @@
         self.crashes += u32::from(failure.reason == Reason::TargetBroken);
         self.first_token = None;
         self.prefilling = false;
-        // The cache may be what failed, or be gone with its engine.
+        // The cache may be what failed, or be gone with its engine; only after a planned change is
+        // it kept, for the target that goes on.
         self.prompt.kv_source.clear();
+        if let Some(target) = target.as_ref().filter(|_| moved(&failure)) {
+            self.prompt.kv_source = target.to_string();
+        }
         let nowhere = Name::default();
         let past = Past {
             caller: &self.request.caller.as_str().into(),
@@ -343,6 +347,11 @@
     }
 }
 
+/// Whether a planned change took the attempt out of a target that keeps its KV cache.
+fn moved(failure: &Failure) -> bool {
+    failure.reason == Reason::Moving && failure.progress == Progress::Started
+}
+
 fn garbled(what: &str) -> Failure {
     let detail = format!("the target's agent sent {what}");
     Failure { reason: Reason::TargetBroken, progress: Progress::Started, retry_after: None, detail }
