--- a/crates/state/src/calls.rs
+++ b/crates/state/src/calls.rs
@@ -46,12 +46,13 @@
 }
 
 /// Keys that a target remembers; beyond it the oldest that is not pending is forgotten, and a
-/// retry with it would run anew. At one call a second these are more than two days.
-pub const KEYS_KEPT: usize = 200_000;
+/// retry with it would run anew. At one call a second these are 14 hours. More would make the
+/// checkpoints of a busy target cost its node more than control may.
+pub const KEYS_KEPT: usize = 50_000;
 
 /// Bytes of answers' bodies that a target remembers; beyond it the oldest bodies are left out,
-/// and a retry learns status and headers only. An eighth of an agent's memory.
-pub const ANSWER_BYTES_KEPT: usize = 32 * 1024 * 1024;
+/// and a retry learns status and headers only. Bounded for the checkpoints, as the keys are.
+pub const ANSWER_BYTES_KEPT: usize = 8 * 1024 * 1024;
 
 /// The folded `calls` stream of one target.
 #[derive(Debug, Clone, Default, PartialEq)]
--- a/crates/state/src/checkpointer.rs
+++ b/crates/state/src/checkpointer.rs
@@ -31,6 +31,14 @@
     }
 }
 
+impl CheckpointerSettings {
+    /// The settings for a `calls` stream, whose state is the largest: one checkpoint of all keys
+    /// that are kept is about 10 MB, which twice an hour stays below 7 KB a second.
+    pub fn calls() -> Self {
+        Self { age: Duration::from_secs(30 * 60), records: 2 * crate::calls::KEYS_KEPT as u64 }
+    }
+}
+
 /// Writes checkpoints of one stream; [`Checkpointer::run`] is its task.
 pub struct Checkpointer<F> {
     settings: CheckpointerSettings,
