--- a/crates/policy/examples/decisions.rs
+++ b/crates/policy/examples/decisions.rs
@@ -3,6 +3,7 @@
 
 use policy::model::compare::{capacity_tokens, compare, setups};
 use policy::model::scenario::{self, ENGINES, Scale};
+use policy::model::setup::Setup;
 use policy::model::table::Table;
 use policy::model::{late, swing};
 
@@ -45,7 +46,9 @@
             compare(&scenario::failing_target(FULL), &setups(), &["short", "urgent"])
         }
         "long-among-short" => {
-            compare(&scenario::long_among_short(FULL), &setups(), &["short", "long"])
+            let mut setups = setups();
+            setups.insert(2, Setup::one_class());
+            compare(&scenario::long_among_short(FULL), &setups, &["short", "long"])
         }
         "short-alone" => compare(&scenario::short_alone(FULL), &setups(), &["short"]),
         "overload-1.5" => compare(&scenario::overload(1.5, FULL), &setups(), &["short", "urgent"]),
--- a/crates/policy/src/model/scenario.rs
+++ b/crates/policy/src/model/scenario.rs
@@ -102,10 +102,10 @@
     plan(&[short(0.6), urgent(0.05)], engines, 120.0 * scale.0)
 }
 
-/// Long jobs, 25 times as long, make a third of the work; the whole load is 0.8 of the capacity.
+/// Long jobs, 25 times as long, make half of the work; the whole load is 0.9 of the capacity.
 pub fn long_among_short(scale: Scale) -> Plan {
     let (prompt, output) = (4_000.0, 4_000.0);
-    let rate = 0.27 * capacity(ENGINES, prompt, output);
+    let rate = 0.45 * capacity(ENGINES, prompt, output);
     let long = Stream {
         class: "long",
         callers: 4,
@@ -116,12 +116,12 @@
         rate: vec![(0.0, rate)],
         ..short(0.0)
     };
-    plan(&[short(0.53), long], engines(ENGINES, DOMAINS), 300.0 * scale.0)
+    plan(&[short(0.45), long], engines(ENGINES, DOMAINS), 300.0 * scale.0)
 }
 
 /// The short ones alone at the same whole load, to compare with.
 pub fn short_alone(scale: Scale) -> Plan {
-    plan(&[short(0.8)], engines(ENGINES, DOMAINS), 300.0 * scale.0)
+    plan(&[short(0.9)], engines(ENGINES, DOMAINS), 300.0 * scale.0)
 }
 
 /// A steady load of a multiple of the capacity.
--- a/crates/policy/src/model/setup.rs
+++ b/crates/policy/src/model/setup.rs
@@ -57,6 +57,18 @@
         Self { name: "lapismast, static roles", planner: |_| Box::new(Static), ..Self::all() }
     }
 
+    /// All, but long and short requests in one class.
+    pub fn one_class() -> Self {
+        Self {
+            name: "lapismast, one size class",
+            queue: || {
+                let default = queue::Settings::default();
+                Box::new(Queue::new(queue::Settings { slots: SLOTS, long_share: 1.0, ..default }))
+            },
+            ..Self::all()
+        }
+    }
+
     /// All but the queue's order and admission.
     pub fn first_come() -> Self {
         Self {
--- a/crates/policy/src/route/weighted.rs
+++ b/crates/policy/src/route/weighted.rs
@@ -18,6 +18,9 @@
     pub memory: Duration,
     /// How much longer a wait in the own failure domain may be before a request leaves it.
     pub spill: Duration,
+    /// Waits that differ by less count as equal: nobody notices less than some tens of
+    /// milliseconds.
+    pub noise: Duration,
     /// How far beyond the mean work a target may be loaded for the sake of a prefix.
     pub bound: f64,
 }
@@ -28,6 +31,7 @@
             drawn: 4,
             memory: Duration::from_secs(3),
             spill: Duration::from_millis(250),
+            noise: Duration::from_millis(20),
             bound: 1.25,
         }
     }
@@ -97,30 +101,23 @@
     }
 
     /// The least of a few drawn among those allowed, half of them from the own failure domain.
+    ///
+    /// A difference too small to notice does not count, else all entries would still run to the
+    /// target that looked the least loaded when they last heard.
     fn draw(&self, allow: impl Fn(&Able) -> bool, now: Time, rng: &mut dyn Rng) -> Option<Able> {
-        let drawn = (0..self.settings.drawn.max(1)).filter_map(|draw| {
-            let from = if draw % 2 == 0 && self.homes > 0 { self.homes } else { self.able.len() };
-            self.draw_one(&self.able[..from], &allow, rng)
-        });
-        let priced = drawn.map(|able| (self.price(able, now), able));
-        let least = priced.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        least.map(|(_, able)| *able)
-    }
-
-    /// One of those allowed: a few tries at random, then the next in turn from a random place.
-    fn draw_one<'a>(
-        &self,
-        able: &'a [Able],
-        allow: &impl Fn(&Able) -> bool,
-        rng: &mut dyn Rng,
-    ) -> Option<&'a Able> {
-        const TRIES: usize = 4;
-        let at_random = (0..TRIES).filter_map(|_| able.get(below(able.len(), rng)));
-        if let Some(found) = at_random.into_iter().find(|able| allow(able)) {
-            return Some(found);
+        let (homes, away) = self.able.split_at(self.homes);
+        let noise = self.settings.noise.as_secs_f64();
+        let mut best: Option<(f64, Able)> = None;
+        for draw in 0..self.settings.drawn.max(1) {
+            let from =
+                if away.is_empty() || (draw % 2 == 0 && !homes.is_empty()) { homes } else { away };
+            let Some(drawn) = draw_one(from, &allow, rng) else { continue };
+            let price = self.price(&drawn, now);
+            if best.is_none_or(|(least, _)| price < least - noise) {
+                best = Some((price, drawn));
+            }
         }
-        let (before, after) = able.split_at(below(able.len(), rng).min(able.len()));
-        after.iter().chain(before).find(|able| allow(able))
+        best.map(|(_, able)| able)
     }
 
     /// The one for late binding or a retry. Where prompts may be read by engines that do only that,
@@ -167,6 +164,19 @@
     }
 }
 
+/// One of those allowed: a few tries at random, then the next in turn from a random place.
+fn draw_one(able: &[Able], allow: &impl Fn(&Able) -> bool, rng: &mut dyn Rng) -> Option<Able> {
+    const TRIES: usize = 4;
+    for _ in 0..TRIES {
+        let drawn = able.get(below(able.len(), rng)).filter(|able| allow(able));
+        if drawn.is_some() {
+            return drawn.copied();
+        }
+    }
+    let (before, after) = able.split_at(below(able.len(), rng).min(able.len()));
+    after.iter().chain(before).find(|able| allow(able)).copied()
+}
+
 /// The place of a target in a prefix's order, the highest first.
 type Rank = (bool, Hash);
 
