--- /dev/null
+++ b/crates/agent/src/shared.rs
@@ -0,0 +1,167 @@
+//! What all tasks of an agent share, and what it says of its target.
+
+use crate::Backend;
+use crate::answers::Answers;
+use crate::dispatcher::{self, Dispatcher};
+use crate::health::{Health, State};
+use crate::meter::Meter;
+use crate::sightings::Sightings;
+use compact_str::CompactString;
+use conf::Kind;
+use conf::Spec;
+use conf::resource::{Phase, Target};
+use policy::estimate::{Cost, Rates};
+use state::Config;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use wire::{Dialler, Hello, Key, Load};
+
+/// What all tasks of an agent share.
+pub(crate) struct Shared {
+    pub(crate) name: CompactString,
+    pub(crate) target: CompactString,
+    pub(crate) incarnation: u64,
+    pub(crate) key: Key,
+    pub(crate) backend: Backend,
+    pub(crate) dialler: Arc<dyn Dialler>,
+    pub(crate) config: watch::Receiver<Arc<Config>>,
+    pub(crate) dispatcher: Arc<Dispatcher>,
+    pub(crate) meter: Meter,
+    pub(crate) health: Health,
+    pub(crate) answers: Answers,
+    pub(crate) sightings: Sightings,
+    /// Cancelled when the agent is asked to stop.
+    pub(crate) stop: CancellationToken,
+    /// Counts up each time running streams must move to other targets.
+    pub(crate) moves: watch::Sender<u64>,
+    pub(crate) sequence: AtomicU64,
+}
+
+/// Assumed time between tokens until it is measured: the 48 ms that 95 in 100 must keep.
+const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(48);
+
+/// A call counts as this many tokens, so that calls share the queue's bounds in tokens: some
+/// 1,200 of them may wait.
+pub(crate) const CALL_TOKENS: u32 = 50;
+
+impl Shared {
+    /// The greeting for a new connection.
+    pub(crate) fn hello(&self) -> Hello {
+        Hello::new(&self.name, self.incarnation, rand::random())
+    }
+
+    /// The target's resource, if it is known.
+    pub(crate) fn resource(&self) -> Option<Target> {
+        let config = self.config.borrow();
+        match &config.get(Kind::Target, &self.target)?.spec {
+            Spec::Target(target) => Some((**target).clone()),
+            Spec::Model(_)
+            | Spec::Adapter(_)
+            | Spec::Version(_)
+            | Spec::Caller(_)
+            | Spec::Policy(_) => None,
+        }
+    }
+
+    /// Whether the target takes new work, or why it doesn't.
+    pub(crate) fn accepting(&self) -> Result<(), &'static str> {
+        if self.stop.is_cancelled() {
+            return Err("its agent is stopping");
+        }
+        if self.dispatcher.is_paused() {
+            return Err("a planned change is under way");
+        }
+        match self.phase() {
+            Some(Phase::Active) => {}
+            Some(Phase::Joining) => return Err("it is joining"),
+            Some(Phase::Leaving) => return Err("it is leaving"),
+            None => return Err("it is not configured"),
+        }
+        match self.health.state() {
+            State::Down => Err("it does not answer"),
+            State::Engine(status) if status.busy => Err("it is changing its role or models"),
+            State::Engine(_) | State::Service | State::Unknown => Ok(()),
+        }
+    }
+
+    /// The target's phase; an agent that has read no configuration yet leaves it to the entry,
+    /// which sends work by its own.
+    fn phase(&self) -> Option<Phase> {
+        if self.config.borrow().end() == 0 {
+            return Some(Phase::Active);
+        }
+        self.resource().map(|target| target.phase)
+    }
+
+    /// The load now.
+    pub(crate) fn load(&self) -> Load {
+        let (waiting, running) = self.dispatcher.counts();
+        let (prompt_tokens, output_tokens) = self.meter.tokens();
+        let rates = self.meter.rates();
+        let (serves, role) = match self.health.state() {
+            State::Engine(status) => (status.serves, status.role.name().to_owned()),
+            State::Unknown | State::Down | State::Service => (Vec::new(), String::new()),
+        };
+        Load {
+            target: self.target.to_string(),
+            prompt_tokens,
+            output_tokens,
+            running,
+            waiting,
+            slots: self.dispatcher.slots(),
+            prefill_rate: narrow(rates.prefill),
+            decode_rate: narrow(whole(self.rates().decode)),
+            accepting: self.accepting().is_ok(),
+            serves: serves.iter().map(ToString::to_string).collect(),
+            role,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            config_offset: self.config.borrow().end(),
+            wait_ms: u64::try_from(self.wait().as_millis()).unwrap_or(u64::MAX),
+            token_time_us: u64::try_from(rates.token_time.as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// How long a new ordinary request would wait for a slot.
+    pub(crate) fn wait(&self) -> Duration {
+        self.ahead("", false).time(&self.rates())
+    }
+
+    /// The work that goes before a new request of `caller`, and its share of what runs: the first
+    /// slot is free after that, and all slots work off what waits.
+    pub(crate) fn ahead(&self, caller: &str, urgent: bool) -> Cost {
+        let Some(waiting) = self.dispatcher.ahead(caller, urgent) else { return Cost::default() };
+        let (prompt_tokens, output_tokens) = self.meter.tokens();
+        let runs = Cost::new(prompt_tokens, output_tokens) - self.dispatcher.backlog();
+        let slots = u64::from(self.dispatcher.slots().max(1));
+        waiting + Cost::new(runs.prefill / slots, runs.decode / slots)
+    }
+
+    /// Whether the target's speed has been measured yet.
+    pub(crate) fn is_measured(&self) -> bool {
+        let rates = self.meter.rates();
+        !rates.token_time.is_zero() || !rates.call_time.is_zero()
+    }
+
+    /// The target's speed when all its slots are busy.
+    pub(crate) fn rates(&self) -> Rates {
+        let rates = self.meter.rates();
+        let known = |time: Duration, otherwise| if time.is_zero() { otherwise } else { time };
+        let token_time = match self.backend {
+            Backend::Engine(_) => known(rates.token_time, DEFAULT_TOKEN_TIME),
+            Backend::Service(_) => known(rates.call_time, DEFAULT_TOKEN_TIME) / CALL_TOKENS,
+        };
+        dispatcher::rates(rates.prefill, self.dispatcher.slots(), token_time)
+    }
+}
+
+fn narrow(value: u64) -> u32 {
+    u32::try_from(value).unwrap_or(u32::MAX)
+}
+
+/// A rate as a whole number; the conversion by way of a span of time saturates and never panics.
+fn whole(rate: f64) -> u64 {
+    Duration::try_from_secs_f64(rate).map_or(0, |span| span.as_secs())
+}
