--- a/crates/fake/tests/control.rs
+++ b/crates/fake/tests/control.rs
@@ -77,6 +77,7 @@
         max_tokens: tokens,
         urgent: false,
         sampling: Bytes::from(json!({"fake_tokens": tokens}).to_string()),
+        traceparent: Default::default(),
     };
     let outputs = engine.generate(job).await.expect("the engine is up");
     futures_util::StreamExt::count(outputs).await;
--- a/crates/policy/examples/decisions.rs
+++ b/crates/policy/examples/decisions.rs
@@ -3,6 +3,7 @@
 
 use policy::model::compare::{capacity_tokens, compare, setups};
 use policy::model::scenario::{self, ENGINES, Scale};
+use policy::model::setup::Setup;
 use policy::model::table::Table;
 use policy::model::{late, swing};
 
@@ -25,6 +26,10 @@
     }
 }
 
+fn pool(engines: usize, domains: usize, efficiency: f64) -> swing::Pool {
+    swing::Pool { engines, domains, efficiency }
+}
+
 fn table(name: &str) -> Option<Table> {
     let late = late::Setup::default();
     let table = match name {
@@ -41,15 +46,19 @@
             compare(&scenario::failing_target(FULL), &setups(), &["short", "urgent"])
         }
         "long-among-short" => {
-            compare(&scenario::long_among_short(FULL), &setups(), &["short", "long"])
+            let mut setups = setups();
+            setups.insert(2, Setup::one_class());
+            compare(&scenario::long_among_short(FULL), &setups, &["short", "long"])
         }
         "short-alone" => compare(&scenario::short_alone(FULL), &setups(), &["short"]),
         "overload-1.5" => compare(&scenario::overload(1.5, FULL), &setups(), &["short", "urgent"]),
         "overload-3" => compare(&scenario::overload(3.0, FULL), &setups(), &["short", "urgent"]),
         "poison" => compare(&scenario::poison(FULL), &setups(), &["short", "poison"]),
         "retry-storm" => compare(&scenario::retry_storm(FULL), &setups(), &["short"]),
-        "swing" => swing::compare(FULL, 0.85, &policies()),
-        "swing-costly-mixing" => swing::compare(FULL, 0.6, &policies()),
+        "swing" => swing::compare(FULL, &pool(14, 3, 0.85), &policies()),
+        "swing-costly-mixing" => swing::compare(FULL, &pool(14, 3, 0.6), &policies()),
+        "swing-small" => swing::compare(FULL, &pool(9, 4, 0.85), &policies()),
+        "swing-small-costly-mixing" => swing::compare(FULL, &pool(9, 4, 0.6), &policies()),
         _ => return None,
     };
     Some(table)
