feat(agent): orders, calls that may not be repeated, and suspects through the log

The agent ignored the log's system and calls streams. It now carries out orders one at a time in offset order after reading the engine's real state back and draining its target, holds a claim on targets that do not fence themselves, runs a key only behind an intent that it read back as the one that counts, records answers for retries, and names the requests that ran when an engine crashed, so that the fleet runs them alone once and then refuses them.

--- a/crates/agent/src/answer.rs
+++ b/crates/agent/src/answer.rs
@@ -141,6 +141,12 @@
         Ok(self.reader(cursor))
     }
 
+    /// A reader that begins with the first event, if nothing is forgotten yet.
+    pub(crate) fn attach_start(self: &Arc<Self>) -> Option<Reader> {
+        let whole = self.lock().first == 0;
+        whole.then(|| self.reader(Cursor::default()))
+    }
+
     /// Waits until nobody reads, be it for a moment only.
     pub(crate) async fn unread(&self) {
         self.wait_unread(Duration::ZERO).await;
--- a/crates/agent/src/asks.rs
+++ b/crates/agent/src/asks.rs
@@ -1,7 +1,7 @@
 //! Questions of peers outside any attempt.
 
-use crate::Backend;
 use crate::shared::Shared;
+use crate::{Backend, bootstrap};
 use bytes::Bytes;
 use std::time::Duration;
 use wire::{Ask, AskKind, Reply};
@@ -12,7 +12,7 @@
 /// Answers a question; an empty body says that there is no answer.
 pub(crate) async fn answer(shared: &Shared, ask: Ask) -> Reply {
     let body = match AskKind::try_from(ask.kind) {
-        Ok(AskKind::Snapshot) => Bytes::new(),
+        Ok(AskKind::Snapshot) => bootstrap::snapshot(shared),
         Ok(AskKind::Explain) => explain(shared, &ask.body),
         Ok(AskKind::KvCache) => kv_cache(shared, &ask.body).await.unwrap_or_default(),
         // A kind of a newer version has no answer here.
--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -116,7 +116,7 @@
             Some(reader) => self.forward(attach.attempt, reader, attach.credit, None),
             // Another caller's request is not told from one that is not here.
             None => {
-                let refusal = unknown("answer-gone", "no such answer is kept here");
+                let refusal = unknown("unknown-answer", "no such answer is kept here");
                 self.refuse(attach.attempt, refusal).await;
             }
         }
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -1,19 +1,24 @@
 //! The agent's process: its tasks and how it stops.
 
 use crate::answers::Answers;
+use crate::bootstrap::Bootstrap;
+use crate::calls::Flights;
 use crate::dispatcher::Dispatcher;
 use crate::health::Health;
 use crate::meter::Meter;
+use crate::metrics::Metrics;
 use crate::shared::Shared;
 use crate::sightings::Sightings;
+use crate::suspects::Suspects;
 use crate::tasks::Tasks;
-use crate::{Context, Result, session};
+use crate::{Context, Result, claim, metrics, orders, session};
 use conf::resource::Phase;
-use state::{Config, Follower};
+use state::{Appender, Calls, Config, Follower, System};
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use wire::Key;
 
 /// The agent of one target.
@@ -27,6 +32,9 @@
 /// How long a stopping agent gives what it has written to leave for its entries.
 const FLUSH: Duration = Duration::from_millis(200);
 
+/// How long giving up the claim may take; without it a successor waits the lease out.
+const RELEASE: Duration = Duration::from_secs(5);
+
 impl Daemon {
     /// Makes an agent that sees the world through `context`.
     pub fn new(context: Context) -> Self {
@@ -36,11 +44,16 @@
     /// Runs until the context's token is cancelled and the requests in flight are answered.
     pub async fn run(self) -> Result<()> {
         let Context { settings, log, backend, mut listener, dialler, stop } = self.context;
-        let follower = Follower::<Config>::new(log, plat::CONFIG_STREAM.into());
+        let incarnation = rand::random();
+        let follower = Follower::<Config>::new(log.clone(), plat::CONFIG_STREAM.into());
+        let system = Follower::<System>::new(log.clone(), plat::SYSTEM_STREAM.into());
+        let calls = Follower::<Calls>::new(log.clone(), plat::calls_stream(&settings.target));
+        // All tasks end with this future, also when it is dropped.
+        let (tasks, _closing) = Tasks::new();
         let shared = Arc::new(Shared {
             name: settings.name.clone(),
             target: settings.target.clone(),
-            incarnation: rand::random(),
+            incarnation,
             key: Key::new(settings.peer_key.as_bytes().to_vec()),
             backend,
             dialler,
@@ -50,13 +63,35 @@
             health: Health::default(),
             answers: Answers::default(),
             sightings: Sightings::default(),
+            system: system.state(),
+            system_health: system.health(),
+            calls: calls.state(),
+            calls_health: calls.health(),
+            appender: Appender::new(log, settings.name.clone()),
+            held: watch::Sender::new(None),
+            flights: Flights::default(),
+            suspects: Suspects::default(),
+            metrics: Metrics::new(),
+            tasks: tasks.clone(),
             stop: stop.clone(),
             moves: watch::Sender::new(0),
             sequence: AtomicU64::new(0),
         });
-        // All tasks end with this future, also when it is dropped.
-        let (tasks, _closing) = Tasks::new();
+        let bootstrap = Bootstrap {
+            shared: shared.clone(),
+            peers: settings.peers.clone(),
+            health: follower.health(),
+            config: follower.offers(),
+            system: system.offers(),
+        };
+        tasks.duty(bootstrap.run());
         tasks.duty(follower.run());
+        tasks.duty(system.run());
+        tasks.duty(calls.run());
+        tasks.duty(metrics::serve(shared.clone(), settings.metrics.to_string()));
+        tasks.duty(orders::carry_out(shared.clone()));
+        let release = CancellationToken::new();
+        let claiming = tasks.duty(claim::keep(shared.clone(), release.clone()));
         tasks.duty(watch_health(shared.clone()));
         tasks.duty(follow_resource(shared.clone()));
         loop {
@@ -72,6 +107,9 @@
         if ended.is_err() {
             log::error!(running = shared.dispatcher.counts().1; "stop-cut-requests");
         }
+        // Only now, when nothing is done under the claim any more, may a successor take it.
+        release.cancel();
+        let _ = tokio::time::timeout(RELEASE, claiming).await;
         tokio::time::sleep(FLUSH).await;
         Ok(())
     }
--- a/crates/agent/src/dispatcher.rs
+++ b/crates/agent/src/dispatcher.rs
@@ -66,7 +66,6 @@
 }
 
 /// While it lives, nothing starts.
-#[allow(dead_code, reason = "orders use it")]
 pub(crate) struct Pause {
     dispatcher: Arc<Dispatcher>,
 }
@@ -132,7 +131,6 @@
     }
 
     /// Lets nothing start until the pause is dropped.
-    #[allow(dead_code, reason = "orders use it")]
     pub(crate) fn pause(self: &Arc<Self>) -> Pause {
         self.lock().pauses += 1;
         Pause { dispatcher: self.clone() }
@@ -152,7 +150,6 @@
     }
 
     /// Waits until nothing runs.
-    #[allow(dead_code, reason = "orders use it")]
     pub(crate) async fn idle(&self) {
         let mut running = self.running.subscribe();
         // The sender lives as long as the dispatcher, so this ends with a match.
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -71,7 +71,6 @@
     }
 
     /// The engine's incarnation as last seen.
-    #[allow(dead_code, reason = "orders use it")]
     pub(crate) fn incarnation(&self) -> Option<u64> {
         match &*self.state.borrow() {
             State::Engine(status) => Some(status.incarnation),
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -4,16 +4,15 @@
 use crate::dispatcher::{Ask, Denied, Turn};
 use crate::refusal::{self, not_run};
 use crate::shared::Shared;
-use crate::{Backend, perform, prompt};
+use crate::{Backend, calls, perform, prompt};
 use compact_str::ToCompactString;
-use conf::{Kind, Spec};
 use policy::admission::{self, Admission, View};
 use policy::estimate::Cost;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use wire::{EventKind, Offer, Refusal, Request, Work};
+use wire::{Call, EventKind, Offer, Refusal, Request, Work};
 
 /// A request on its way through the agent.
 pub(crate) struct Job {
@@ -40,6 +39,7 @@
         Err(refusal) => Err(refusal),
     };
     if let Err(refusal) = done {
+        shared.metrics.refused(&refusal.reason);
         log::info!(
             request = job.request.id.as_str(), reason = refusal.reason.as_str(),
             progress:? = refusal.progress(), detail = refusal.detail.as_str();
@@ -59,7 +59,7 @@
     if !able {
         return Err(not_run("wrong-target", "this target does other work"));
     }
-    shared.accepting().map_err(|why| refusal::retry_after(not_run("moving", why), MOVING_RETRY))
+    shared.accepting().map_err(|why| refusal::retry_after(not_run("draining", why), MOVING_RETRY))
 }
 
 /// When another try here is worth it after a planned change began: its usual length.
@@ -67,10 +67,23 @@
 
 async fn dispatch(shared: &Arc<Shared>, job: &mut Job) -> Result<(), Refusal> {
     match job.request.work.clone() {
-        Some(Work::Prompt(work)) => prompt::run(shared, job, work).await,
-        Some(Work::Call(work)) => perform::run(shared, job, work).await,
-        None => Err(not_run("wrong-target", "the request is empty")),
+        Some(Work::Prompt(work)) => prompt::run(shared, job, work).await?,
+        Some(Work::Call(work)) if is_repeatable(shared, &work) => {
+            perform::run(shared, job, work).await?;
+        }
+        Some(Work::Call(work)) if work.key.is_empty() => {
+            perform::run_once(shared, job, work).await?
+        }
+        Some(Work::Call(work)) => calls::run(shared, job, work).await?,
+        None => return Err(not_run("wrong-target", "the request is empty")),
     }
+    shared.metrics.completed.inc();
+    Ok(())
+}
+
+/// Whether running the call twice does no harm.
+fn is_repeatable(shared: &Shared, call: &Call) -> bool {
+    call.repeatable || shared.resource().is_some_and(|target| target.repeatable)
 }
 
 /// Waits for a slot, and for the entry's consent if the request waits elsewhere too.
@@ -99,10 +112,7 @@
 
 fn ask(shared: &Shared, job: &Job, cost: Cost, alone: bool) -> Ask {
     let caller = job.request.caller.to_compact_string();
-    let weight = match shared.config.borrow().get(Kind::Caller, &caller).map(|entry| &entry.spec) {
-        Some(Spec::Caller(caller)) => caller.weight,
-        _ => 1,
-    };
+    let weight = shared.weight(&caller);
     let begun = match &job.request.work {
         Some(Work::Prompt(prompt)) => prompt.resume_tokens > 0,
         Some(Work::Call(_)) | None => false,
@@ -122,7 +132,7 @@
     let asked = admission::Ask { cost, deadline: Some(left) };
     let decided = Admission::default().decide(&asked, &view, Duration::ZERO);
     decided.map(drop).map_err(|refused| {
-        let refusal = not_run(refused.reason.name(), "the work ahead takes longer than that");
+        let refusal = not_run("overloaded", "the work ahead takes longer than that");
         refusal::retry_after(refusal, refused.retry_after)
     })
 }
@@ -134,10 +144,10 @@
             refusal::retry_after(not_run("queue-full", "too much waits at the target"), wait)
         }
         Denied::Expired => {
-            refusal::retry_after(not_run("expired", "no slot was free in time"), wait)
+            refusal::retry_after(not_run("deadline-exceeded", "no slot was free in time"), wait)
         }
         Denied::Moved => {
-            refusal::retry_after(not_run("moving", "a planned change is under way"), MOVING_RETRY)
+            refusal::retry_after(not_run("draining", "a planned change is under way"), MOVING_RETRY)
         }
     }
 }
--- a/crates/agent/src/kv.rs
+++ b/crates/agent/src/kv.rs
@@ -2,12 +2,13 @@
 //!
 //! Every failure on this way only costs time: the engine then reads prompt and text anew.
 
+use crate::peer;
 use crate::shared::Shared;
 use bytes::Bytes;
-use compact_str::{CompactString, format_compact};
+use compact_str::CompactString;
 use conf::{Kind, Spec};
 use std::time::Duration;
-use wire::{Ask, AskKind, Body, Connection, Error, Frame};
+use wire::AskKind;
 
 /// How long fetching a cache may take; reading even a long prompt anew takes a few seconds.
 const FETCH_TIME: Duration = Duration::from_secs(3);
@@ -15,7 +16,8 @@
 /// Fetches the KV cache of `request` from the target `source`; `None` if there is none.
 pub(crate) async fn fetch(shared: &Shared, source: &str, request: &str) -> Option<Bytes> {
     let address = agent_of(shared, source)?;
-    let asking = ask(shared, &address, request);
+    let question = Bytes::copy_from_slice(request.as_bytes());
+    let asking = peer::ask(shared, &address, AskKind::KvCache, question);
     match tokio::time::timeout(FETCH_TIME, asking).await {
         Ok(Ok(cache)) if cache.is_empty() => None,
         Ok(Ok(cache)) => Some(cache),
@@ -37,22 +39,3 @@
         _ => None,
     }
 }
-
-/// Asks over a connection of its own, since caches are few and large.
-async fn ask(shared: &Shared, address: &CompactString, request: &str) -> wire::Result<Bytes> {
-    let pipe = shared.dialler.dial(address).await?;
-    let mut connection = Connection::new(pipe, address.clone());
-    wire::connect(&mut connection, &shared.key, shared.hello()).await?;
-    let body = Bytes::copy_from_slice(request.as_bytes());
-    let question = Ask { id: 1, kind: AskKind::KvCache.into(), body };
-    connection.send(Frame::new(Body::Ask(question))).await?;
-    let frame = connection.expect("fetch KV").await?;
-    match frame.body {
-        Some(Body::Reply(reply)) => Ok(reply.body),
-        _ => Err(Error::Protocol {
-            step: "fetch KV",
-            peer: address.clone(),
-            detail: format_compact!("a reply was due"),
-        }),
-    }
-}
--- /dev/null
+++ b/crates/agent/src/peer.rs
@@ -0,0 +1,28 @@
+//! Asks another agent one question.
+
+use crate::shared::Shared;
+use bytes::Bytes;
+use compact_str::CompactString;
+use wire::{Ask, AskKind, Body, Connection, Error, Frame};
+
+/// Asks over a connection of its own, since such questions are few and their answers large.
+pub(crate) async fn ask(
+    shared: &Shared,
+    address: &CompactString,
+    kind: AskKind,
+    body: Bytes,
+) -> wire::Result<Bytes> {
+    let pipe = shared.dialler.dial(address).await?;
+    let mut connection = Connection::new(pipe, address.clone());
+    wire::connect(&mut connection, &shared.key, shared.hello()).await?;
+    connection.send(Frame::new(Body::Ask(Ask { id: 1, kind: kind.into(), body }))).await?;
+    let frame = connection.expect("ask").await?;
+    match frame.body {
+        Some(Body::Reply(reply)) => Ok(reply.body),
+        _ => Err(Error::Protocol {
+            step: "ask",
+            peer: address.clone(),
+            detail: CompactString::const_new("a reply was due"),
+        }),
+    }
+}
--- a/crates/agent/src/perform.rs
+++ b/crates/agent/src/perform.rs
@@ -9,7 +9,7 @@
 use policy::estimate::Cost;
 use std::sync::Arc;
 use target::Service;
-use wire::{Call, End, EventKind, Head, Header, Part, Refusal};
+use wire::{Call, End, EventKind, Head, Header, Part, Progress, Refusal};
 
 /// Runs a call to the end of its response.
 pub(crate) async fn run(shared: &Arc<Shared>, job: &mut Job, call: Call) -> Result<(), Refusal> {
@@ -29,6 +29,21 @@
     performed
 }
 
+/// Runs a call that may not be repeated and carries no key: once, with an honest word of it.
+pub(crate) async fn run_once(
+    shared: &Arc<Shared>,
+    job: &mut Job,
+    call: Call,
+) -> Result<(), Refusal> {
+    run(shared, job, call).await.map_err(|refusal| match refusal.progress() {
+        Progress::NotRun => refusal,
+        // Without a key nobody can ask later what became of it.
+        Progress::Started | Progress::Unknown => {
+            Refusal { progress: Progress::Unknown.into(), ..refusal }
+        }
+    })
+}
+
 /// Hands the response on piece by piece.
 async fn stream(service: &dyn Service, job: &Job, call: Call) -> Result<(), Refusal> {
     let call = target_call(call, &job.request.traceparent);
--- a/crates/agent/src/prompt.rs
+++ b/crates/agent/src/prompt.rs
@@ -1,14 +1,17 @@
 //! One generation at the engine.
 
+use crate::dispatcher::Turn;
+use crate::health::State;
 use crate::job::{Job, check_deadline, take_turn};
 use crate::meter::Share;
 use crate::refusal::{self, not_run, started};
 use crate::shared::Shared;
-use crate::{Backend, kv};
+use crate::{Backend, kv, suspects};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use futures_util::StreamExt;
 use policy::estimate::Cost;
+use policy::quarantine::Verdict;
 use std::sync::Arc;
 use std::time::Duration;
 use target::{Engine, Output};
@@ -27,18 +30,42 @@
     let cost = Cost::new(u64::from(prompt.prompt_tokens), u64::from(expected));
     check_deadline(shared, job, cost)?;
     let mut share = shared.meter.add(cost.prefill, cost.decode);
-    let _turn = take_turn(shared, job, cost, false).await?;
+    let turn = fair_trial(shared, job, cost).await?;
     // Whoever moves streams pauses the dispatcher first, so none is missed in between.
     let moves = shared.moves.subscribe();
     share.start();
     let id = format_compact!("{}.{}", job.request.id, job.attempt);
     shared.answers.insert(&job.answer, id.clone());
-    let run = Run { shared, engine: engine.as_ref(), job, id, moves };
+    let incarnation = shared.health.incarnation();
+    let run =
+        Run { shared, engine: engine.as_ref(), job, id, moves, alone: turn.alone, incarnation };
     let (result, cache) = run.to_end(prompt, &mut share).await;
     shared.answers.finish(&job.answer, cache);
+    if result.is_ok() && turn.alone {
+        suspects::clear(shared, job.request.fingerprint);
+    }
     result
 }
 
+/// Waits for a slot, alone if the request is a suspect; what was read from the log while it
+/// waited counts too.
+async fn fair_trial(shared: &Arc<Shared>, job: &mut Job, cost: Cost) -> Result<Turn, Refusal> {
+    loop {
+        let alone = match suspects::verdict(shared, job.request.fingerprint) {
+            Verdict::Normal => false,
+            Verdict::Alone | Verdict::Wait => true,
+            Verdict::Refuse => {
+                return Err(not_run("quarantined", "the request crashed the engines that ran it"));
+            }
+        };
+        let turn = take_turn(shared, job, cost, alone).await?;
+        let verdict = suspects::verdict(shared, job.request.fingerprint);
+        if verdict == Verdict::Normal || (alone && verdict != Verdict::Refuse) {
+            return Ok(turn);
+        }
+    }
+}
+
 /// A generation under way.
 struct Run<'a> {
     shared: &'a Shared,
@@ -47,6 +74,10 @@
     /// The job's id at the engine.
     id: CompactString,
     moves: tokio::sync::watch::Receiver<u64>,
+    /// Whether nothing else runs beside it.
+    alone: bool,
+    /// The engine's incarnation when it began.
+    incarnation: Option<u64>,
 }
 
 /// How long the engine may take to hand out or take a KV cache; longer costs more than reading
@@ -72,7 +103,7 @@
             _ = moves.changed() => {
                 let cache = self.export().await;
                 self.cancel().await;
-                (Err(started("moving", "the target is being taken out of service")), cache)
+                (Err(started("draining", "the target is being taken out of service")), cache)
             }
         }
     }
@@ -84,11 +115,19 @@
         }
         let job = self.engine_job(prompt);
         let outputs = self.engine.generate(job).await;
-        let mut outputs = outputs.map_err(|error| self.failed(&error))?;
+        let mut outputs = match outputs {
+            Ok(outputs) => outputs,
+            Err(error) => return Err(self.failed(&error).await),
+        };
         while let Some(output) = outputs.next().await {
-            match output.map_err(|error| self.failed(&error))? {
+            let output = match output {
+                Ok(output) => output,
+                Err(error) => return Err(self.failed(&error).await),
+            };
+            match output {
                 Output::Text { text, tokens } => {
                     share.advance(tokens);
+                    self.shared.metrics.output_tokens.inc_by(u64::from(tokens));
                     self.push(EventKind::Delta(Delta { from_token, tokens, text })).await?;
                     from_token += tokens;
                 }
@@ -121,11 +160,30 @@
         }
     }
 
-    fn failed(&self, error: &target::Error) -> Refusal {
+    /// What an error means; if the engine crashed, the request becomes a suspect first.
+    async fn failed(&self, error: &target::Error) -> Refusal {
+        if matches!(error, target::Error::Broken { .. })
+            && let Some(crashed) = self.crashed().await
+        {
+            self.shared.metrics.suspicions.inc();
+            let fingerprint = self.job.request.fingerprint;
+            suspects::accuse(self.shared, fingerprint, crashed, self.alone).await;
+        }
         self.shared.health.look();
         refusal::from_target(error)
     }
 
+    /// The incarnation that crashed, if the engine is down or another one by now. A stream that
+    /// breaks while the engine lives is no crash.
+    async fn crashed(&self) -> Option<u64> {
+        let before = self.incarnation;
+        match self.shared.health.refresh(&self.shared.backend, &self.shared.target).await {
+            State::Down => Some(before.unwrap_or_default()),
+            State::Engine(status) => before.filter(|before| *before != status.incarnation),
+            State::Service | State::Unknown => None,
+        }
+    }
+
     /// Stops the job at the engine too; without this it would go on generating for nobody.
     async fn cancel(&self) {
         if let Err(error) = self.engine.cancel(&self.id).await {
@@ -139,7 +197,10 @@
         let Some(cache) = kv::fetch(self.shared, source, request).await else { return };
         let importing = self.engine.import_kv(&self.id, cache);
         match tokio::time::timeout(KV_TIME, importing).await {
-            Ok(Ok(())) => log::info!(request = request.as_str(), source = source; "kv-imported"),
+            Ok(Ok(())) => {
+                self.shared.metrics.kv_imports.inc();
+                log::info!(request = request.as_str(), source = source; "kv-imported");
+            }
             Ok(Err(error)) => {
                 log::warn!(request = request.as_str(), error:% = error; "kv-import-failed");
             }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -2,16 +2,20 @@
 
 use crate::Backend;
 use crate::answers::Answers;
+use crate::calls::Flights;
 use crate::dispatcher::{self, Dispatcher};
 use crate::health::{Health, State};
 use crate::meter::Meter;
+use crate::metrics::Metrics;
 use crate::sightings::Sightings;
-use compact_str::CompactString;
+use crate::suspects::Suspects;
+use crate::tasks::Tasks;
+use compact_str::{CompactString, format_compact};
 use conf::Kind;
 use conf::Spec;
 use conf::resource::{Phase, Target};
 use policy::estimate::{Cost, Rates};
-use state::Config;
+use state::{Appender, Calls, Config, Held, System};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -33,6 +37,17 @@
     pub(crate) health: Health,
     pub(crate) answers: Answers,
     pub(crate) sightings: Sightings,
+    pub(crate) system: watch::Receiver<Arc<System>>,
+    pub(crate) system_health: watch::Receiver<state::Health>,
+    pub(crate) calls: watch::Receiver<Arc<Calls>>,
+    pub(crate) calls_health: watch::Receiver<state::Health>,
+    pub(crate) appender: Appender,
+    /// The claim on the target, while it is held.
+    pub(crate) held: watch::Sender<Option<Held>>,
+    pub(crate) flights: Flights,
+    pub(crate) suspects: Suspects,
+    pub(crate) metrics: Metrics,
+    pub(crate) tasks: Tasks,
     /// Cancelled when the agent is asked to stop.
     pub(crate) stop: CancellationToken,
     /// Counts up each time running streams must move to other targets.
@@ -66,6 +81,19 @@
         }
     }
 
+    /// The scope of the claim on the target.
+    pub(crate) fn scope(&self) -> CompactString {
+        format_compact!("target/{}", self.target)
+    }
+
+    /// A caller's weight, 1 if it is not known.
+    pub(crate) fn weight(&self, caller: &str) -> u32 {
+        match self.config.borrow().get(Kind::Caller, caller).map(|entry| &entry.spec) {
+            Some(Spec::Caller(caller)) => caller.weight,
+            _ => 1,
+        }
+    }
+
     /// Whether the target takes new work, or why it doesn't.
     pub(crate) fn accepting(&self) -> Result<(), &'static str> {
         if self.stop.is_cancelled() {
--- a/crates/agent/src/tasks.rs
+++ b/crates/agent/src/tasks.rs
@@ -1,6 +1,7 @@
 //! The tasks of one agent: a graceful stop waits for them, and the agent's end ends them.
 
 use std::future::Future;
+use tokio::task::JoinHandle;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tokio_util::task::TaskTracker;
 
@@ -29,11 +30,11 @@
     }
 
     /// Spawns a task that goes on until the agent ends.
-    pub(crate) fn duty(&self, duty: impl Future<Output = ()> + Send + 'static) {
+    pub(crate) fn duty(&self, duty: impl Future<Output = ()> + Send + 'static) -> JoinHandle<()> {
         let closing = self.closing.clone();
         tokio::spawn(async move {
             closing.run_until_cancelled(duty).await;
-        });
+        })
     }
 
     /// Waits until all jobs have ended.
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -72,6 +72,7 @@
             name: format_compact!("agent-{name}"),
             target: name.into(),
             peer_key: KEY.into(),
+            metrics: Default::default(),
             ..settings::Agent::default()
         };
         let stop = CancellationToken::new();
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -88,7 +88,7 @@
     let (_, tokens, refusal) = entry.finish(2).await;
     let refusal = refusal.expect("it is refused");
     assert_eq!((tokens, refusal.progress()), (0, Progress::NotRun));
-    assert!(["expired", "deadline-unreachable"].contains(&refusal.reason.as_str()), "{refusal:?}");
+    assert!(["deadline-exceeded", "overloaded"].contains(&refusal.reason.as_str()), "{refusal:?}");
     assert!(refusal.retry_after_ms > 0);
     assert!(asked.elapsed() <= Duration::from_millis(710), "it is told in time");
     let (_, tokens, _) = entry.finish(1).await;
@@ -112,7 +112,7 @@
     let asked = tokio::time::Instant::now();
     let (_, _, refusal) = entry.finish(99).await;
     let refusal = refusal.expect("it is refused");
-    assert_eq!(refusal.reason, "deadline-unreachable");
+    assert_eq!(refusal.reason, "overloaded");
     assert!(refusal.retry_after_ms >= 1_000);
     assert!(asked.elapsed() < Duration::from_millis(100));
 }
@@ -151,7 +151,7 @@
     entry.submit(2, prompt("r2", "desk", 5), 100).await;
     let (_, _, refusal) = entry.finish(2).await;
     let refusal = refusal.expect("no new work");
-    assert_eq!((refusal.reason.as_str(), refusal.progress()), ("moving", Progress::NotRun));
+    assert_eq!((refusal.reason.as_str(), refusal.progress()), ("draining", Progress::NotRun));
     let (_, tokens, refusal) = entry.finish(1).await;
     assert_eq!((tokens, refusal), (2_000, None));
 }
--- a/crates/agent/tests/streams.rs
+++ b/crates/agent/tests/streams.rs
@@ -77,7 +77,10 @@
     let mut second = world.entry("entry-2", "engine-1").await;
     second.attach(7, "r1", "tiles", 100).await;
     let (stolen, _, refusal) = second.finish(7).await;
-    assert_eq!((stolen.as_str(), refusal.expect("refused").reason.as_str()), ("", "answer-gone"));
+    assert_eq!(
+        (stolen.as_str(), refusal.expect("refused").reason.as_str()),
+        ("", "unknown-answer")
+    );
 
     second.attach(8, "r1", "desk", 100).await;
     let (rest, tokens, refusal) = second.finish(8).await;
--- a/crates/cli/src/dev.rs
+++ b/crates/cli/src/dev.rs
@@ -146,6 +146,7 @@
             domain,
             peer_key: CompactString::const_new(PEER_KEY),
             platform: self.platform.clone(),
+            metrics: Default::default(),
             ..settings::Agent::default()
         };
         let (log, stop) = (self.log.clone(), self.stop.clone());
--- a/crates/itest/src/lib.rs
+++ b/crates/itest/src/lib.rs
@@ -138,6 +138,7 @@
             target: name.into(),
             domain: domain.into(),
             peer_key: PEER_KEY.into(),
+            metrics: Default::default(),
             ..settings::Agent::default()
         };
         let stop = CancellationToken::new();
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -120,6 +120,7 @@
         domain: "domain-1".into(),
         peer_key: PEER_KEY.into(),
         platform,
+        metrics: Default::default(),
         ..settings::Agent::default()
     };
     let context = agent::Context {
