fix(agent): a starting agent claims its target at once

An instance of a service refused its first calls for up to half a second, since it waited a random time before claiming a free target; only its own replacement competes with it.

--- a/crates/agent/src/claim.rs
+++ b/crates/agent/src/claim.rs
@@ -72,6 +72,7 @@
     LeaseSettings::new(stream, shared.scope(), shared.incarnation)
         .lease(lease)
         .longest_order(longest)
-        // Only a replacement of this very agent competes for the claim.
-        .spread(Duration::from_millis(500))
+        // Only a replacement of this very agent competes for the claim, and an agent that starts
+        // must not refuse its first calls for longer than the log takes.
+        .spread(Duration::ZERO)
 }
