fix(entry): a resumed answer may wait for a slot longer than between two tokens

After the crash of one of three engines under 36 streams, those that went on waited at the others for more than the 20 s that count as silence, were taken for stuck twice and given up. An attempt without a piece yet has 60 s now (a fresh one its deadline), and silence is no crash any more.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -28,6 +28,11 @@
 /// between two tokens, also behind a long prompt in the same batch.
 const STALL_LIMIT: Duration = Duration::from_secs(20);
 
+/// How long an answer that goes on elsewhere may wait for a slot there. Its caller has a part of
+/// it already, so it waits longer than a fresh one would: after the crash of a third of the
+/// engines, until the first of the answers on the others end.
+const RESUME_LIMIT: Duration = Duration::from_secs(60);
+
 /// A piece of an answer.
 pub(crate) enum Piece {
     /// The next text.
@@ -135,11 +140,13 @@
 
     /// When to stop waiting for the next event.
     fn limit(&self) -> Instant {
-        let stall = Instant::now() + STALL_LIMIT;
+        let fresh = self.prompt.resume_tokens == 0;
+        let silence = if self.first_token.is_none() { RESUME_LIMIT } else { STALL_LIMIT };
+        let stall = Instant::now() + silence;
         match self.deadline {
-            Deadline::FirstToken(first) if self.prompt.resume_tokens == 0 => first,
+            Deadline::FirstToken(deadline) | Deadline::Complete(deadline) if fresh => deadline,
             Deadline::FirstToken(_) => stall,
-            Deadline::Complete(complete) => complete.min(stall),
+            Deadline::Complete(deadline) => deadline.min(stall),
         }
     }
 
@@ -314,7 +321,7 @@
         if let Some(target) = fault {
             self.shared.decisions.failed(target);
         }
-        self.crashes += u32::from(failure.reason == Reason::TargetBroken);
+        self.crashes += u32::from(crashed(&failure));
         self.first_token = None;
         self.prefilling = false;
         // The cache may be what failed, or be gone with its engine; only after a planned change is
@@ -347,6 +354,11 @@
     }
 }
 
+/// Whether the target crashed under the attempt, and did not merely fall silent.
+fn crashed(failure: &Failure) -> bool {
+    failure.reason == Reason::TargetBroken && failure.progress == Progress::Started
+}
+
 /// Whether a planned change took the attempt out of a target that keeps its KV cache.
 fn moved(failure: &Failure) -> bool {
     failure.reason == Reason::Moving && failure.progress == Progress::Started
