fix(wire): connections to our HTTP ports send small writes at once

Cause: callers', operators' and stand-ins' listeners left Nagle's algorithm on, so the second small write of an answer waited for the acknowledgement that the caller delays by 40 ms. Ruled out: the links between entry and agent and the client to the engine, which had it off already.

The stand-in engine no longer draws prompts of a few nanoseconds out to a millisecond each, which bounded it at 1,000 prompts a second.

--- a/crates/admin/src/server.rs
+++ b/crates/admin/src/server.rs
@@ -28,7 +28,7 @@
 impl Server {
     /// Binds `address` and puts the API behind the token.
     pub async fn bind(address: &str, token: Token, context: Context) -> io::Result<Self> {
-        let socket = tokio::net::TcpListener::bind(address).await?;
+        let socket = wire::listen(address).await?;
         let address = socket.local_addr()?;
         let router = routes::router(context, token);
         Ok(Self { acceptor: socket.try_into()?, router, address })
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -35,7 +35,7 @@
                 .long("duration")
                 .value_name("SECONDS")
                 .value_parser(value_parser!(u32).range(1..))
-                .help("Instead of the mix's own duration"),
+                .help("Stretches the mix, its swing and its bursts to this duration"),
         )
         .arg(
             Arg::new("rate")
@@ -63,13 +63,24 @@
         .help(help)
 }
 
+/// Gives the mix another duration, and its swing and bursts the same part of it as before.
+fn stretch(mix: &mut Mix, duration: Duration) {
+    let factor = duration.as_secs_f64() / mix.duration.as_secs_f64().max(f64::MIN_POSITIVE);
+    mix.duration = duration;
+    mix.swing = mix.swing.mul_f64(factor);
+    for burst in &mut mix.bursts {
+        burst.at = burst.at.mul_f64(factor);
+        burst.lasts = burst.lasts.mul_f64(factor);
+    }
+}
+
 /// Sends the mix and prints the report.
 pub(crate) fn run(matches: &ArgMatches) -> Result<()> {
     let file: &String = matches.get_one("file").ok_or_else(|| eyre!("no file"))?;
     let text = std::fs::read_to_string(file).wrap_err_with(|| format!("read {file}"))?;
     let mut mix = Mix::parse(&text).wrap_err_with(|| file.clone())?;
     if let Some(seconds) = matches.get_one::<u32>("duration") {
-        mix.duration = Duration::from_secs(u64::from(*seconds));
+        stretch(&mut mix, Duration::from_secs(u64::from(*seconds)));
     }
     if let Some(rate) = matches.get_one::<f64>("rate").copied() {
         if !(rate > 0.0 && rate.is_finite()) {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -184,7 +184,7 @@
     pub async fn bind(context: Context) -> Result<Self> {
         let address = context.settings.callers.clone();
         let listen = |source| Error::Listen { address: address.clone(), source };
-        let socket = tokio::net::TcpListener::bind(address.as_str()).await.map_err(listen)?;
+        let socket = wire::listen(&address).await.map_err(listen)?;
         let bound = socket.local_addr().map_err(listen)?;
         let acceptor = socket.try_into().map_err(listen)?;
         let (drain, stop) = (context.settings.drain, context.stop.clone());
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -259,9 +259,11 @@
     (0..length).map(|index| token(hash, index)).collect()
 }
 
-/// Sleeps; no time at all costs no turn of the timer, which goes by milliseconds.
+/// Sleeps. The timer goes by milliseconds and would draw a tiny time out to a whole one, which
+/// bounds an engine at a thousand prompts a second, however fast it is said to be.
 async fn pause(time: Duration) {
-    if !time.is_zero() {
+    const TINY: Duration = Duration::from_micros(50);
+    if time > TINY {
         tokio::time::sleep(time).await;
     }
 }
--- a/crates/fake/src/http.rs
+++ b/crates/fake/src/http.rs
@@ -30,7 +30,7 @@
 impl Serving {
     /// Binds `address`, `host:port`; port 0 takes a free one.
     pub async fn bind(address: &str, router: Router) -> io::Result<Self> {
-        let socket = tokio::net::TcpListener::bind(address).await?;
+        let socket = wire::listen(address).await?;
         let address = socket.local_addr()?;
         Ok(Self { acceptor: socket.try_into()?, router, address })
     }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 mod link;
 mod load;
 mod request;
+mod socket;
 
 pub use codec::{Codec, MAX_FRAME_BYTES};
 pub use connection::{Connection, Reader, Writer};
@@ -30,3 +31,4 @@
 ///
 /// Late frames of an abandoned attempt carry an id that nobody waits for and are dropped.
 pub type AttemptId = u64;
+pub use socket::listen;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -57,7 +57,7 @@
     /// Binds `address`, `host:port`; port 0 takes a free one.
     pub async fn bind(address: &str) -> Result<Self> {
         let io = |source| Error::Io { step: "listen", peer: address.to_compact_string(), source };
-        Ok(Self { socket: tokio::net::TcpListener::bind(address).await.map_err(io)? })
+        Ok(Self { socket: crate::listen(address).await.map_err(io)? })
     }
 
     /// The address really bound, `host:port`.
