--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -262,7 +262,7 @@
 /// Sleeps. The timer goes by milliseconds and would draw a tiny time out to a whole one, which
 /// bounds an engine at a thousand prompts a second, however fast it is said to be.
 async fn pause(time: Duration) {
-    const TINY: Duration = Duration::from_micros(50);
+    const TINY: Duration = Duration::from_micros(20);
     if time > TINY {
         tokio::time::sleep(time).await;
     }
