--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::sightings::Sightings;
 use crate::suspects::Suspects;
 use crate::tasks::Tasks;
-use crate::{Context, Result, claim, metrics, orders, session};
+use crate::{Context, Result, claim, metrics, orders, plan, session};
 use conf::resource::Phase;
 use state::{Appender, Calls, Config, Follower, System};
 use std::sync::Arc;
@@ -32,6 +32,9 @@
 /// How long a stopping agent gives what it has written to leave for its entries.
 const FLUSH: Duration = Duration::from_millis(200);
 
+/// How long to wait after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
 /// How long giving up the claim may take; without it a successor waits the lease out.
 const RELEASE: Duration = Duration::from_secs(5);
 
@@ -63,6 +66,7 @@
             health: Health::default(),
             answers: Answers::default(),
             sightings: Sightings::default(),
+            config_health: follower.health(),
             system: system.state(),
             system_health: system.health(),
             calls: calls.state(),
@@ -90,6 +94,7 @@
         tasks.duty(calls.run());
         tasks.duty(metrics::serve(shared.clone(), settings.metrics.to_string()));
         tasks.duty(orders::carry_out(shared.clone()));
+        tasks.job(plan::stand_ready(shared.clone()));
         let release = CancellationToken::new();
         let claiming = tasks.duty(claim::keep(shared.clone(), release.clone()));
         tasks.duty(watch_health(shared.clone()));
@@ -97,10 +102,16 @@
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
-                accepted = listener.accept() => {
-                    let (pipe, peer) = accepted?;
-                    tasks.duty(session::serve(shared.clone(), tasks.clone(), pipe, peer));
-                }
+                accepted = listener.accept() => match accepted {
+                    Ok((pipe, peer)) => {
+                        drop(tasks.duty(session::serve(shared.clone(), tasks.clone(), pipe, peer)));
+                    }
+                    // Out of sockets, perhaps; the requests in flight are worth more than to end.
+                    Err(error) => {
+                        log::error!(error:% = error; "accept-failed");
+                        tokio::time::sleep(ACCEPT_RETRY).await;
+                    }
+                },
             }
         }
         let ended = tokio::time::timeout(settings.drain, tasks.finish()).await;
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -37,6 +37,7 @@
     pub(crate) health: Health,
     pub(crate) answers: Answers,
     pub(crate) sightings: Sightings,
+    pub(crate) config_health: watch::Receiver<state::Health>,
     pub(crate) system: watch::Receiver<Arc<System>>,
     pub(crate) system_health: watch::Receiver<state::Health>,
     pub(crate) calls: watch::Receiver<Arc<Calls>>,
--- a/crates/agent/tests/orders.rs
+++ b/crates/agent/tests/orders.rs
@@ -14,7 +14,8 @@
 use target::{Engine, Order as EngineOrder};
 use wire::Request;
 
-const SCOPE: &str = "planner/main";
+/// Another pool than the engines', for which nobody else plans.
+const SCOPE: &str = "planner/test";
 
 /// A planner that holds its claim and gives orders.
 struct Planner {
