fix(entry): the agents' reasons are known, and a test keeps it so

Both sides had taken on the other's names, so `draining` and `overloaded` came as unknown reasons: an answer that a planned change had stopped before its first token was paid from the retry budget and its cache's place forgotten. One set of names now; a test reads the agent's code and fails at a name that the entry does not know (it failed on three: answer-not-kept, draining, overloaded). A call whose recorded answer was too large is told as run, not as unknown.

--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -199,14 +199,14 @@
         let mut trail = *past.trail;
         trail.note(failure.progress);
         // This entry's own refusal has weighed all targets already; an agent's speaks for its own.
-        if failure.reason == Reason::DeadlineUnreachable && past.target.is_empty() {
+        if failure.reason == Reason::Overloaded && past.target.is_empty() {
             return None;
         }
         let spent = past.retries >= MAX_RETRIES || past.crashes >= MAX_CRASHES;
         if spent || !trail.may_retry() || !failure.reason.may_differ_elsewhere() {
             return None;
         }
-        let planned = failure.reason == Reason::Moving;
+        let planned = failure.reason == Reason::Draining;
         let free = planned || failure.progress == wire::Progress::NotRun || past.delivered;
         if free {
             let doubled = FREE_WAIT * 2_u32.saturating_pow(past.retries);
@@ -273,9 +273,7 @@
 
 fn refused(refusal: admission::Refusal) -> Failure {
     let (reason, detail) = match refusal.reason {
-        admission::Reason::Late => {
-            (Reason::DeadlineUnreachable, "it can't begin before its deadline")
-        }
+        admission::Reason::Late => (Reason::Overloaded, "it can't begin before its deadline"),
         admission::Reason::NoTarget => (Reason::NoTarget, "no target takes new work"),
         admission::Reason::Full => (Reason::QueueFull, "the queue is full"),
         admission::Reason::Rate => (Reason::RateLimit, "your tokens a second are used up"),
--- a/crates/entry/src/problem.rs
+++ b/crates/entry/src/problem.rs
@@ -28,7 +28,9 @@
         let mut trail = *trail;
         trail.note(failure.progress);
         let Failure { reason, retry_after, detail, .. } = failure;
-        Self { reason, run: trail.run(), retry_after, detail }
+        // That its answer is gone does not make it unknown whether such a call ran.
+        let run = if reason == Reason::AnswerNotKept { Run::Run } else { trail.run() };
+        Self { reason, run, retry_after, detail }
     }
 
     /// The body on OpenAI's routes.
--- a/crates/entry/src/reason.rs
+++ b/crates/entry/src/reason.rs
@@ -56,9 +56,7 @@
     /// The entry does not know the configuration yet.
     NotReady = "not-ready", SERVICE_UNAVAILABLE;
     /// It can't begin before its deadline, behind the work that is ahead of it.
-    DeadlineUnreachable = "deadline-unreachable", SERVICE_UNAVAILABLE;
-    /// No slot was free before the deadline.
-    Expired = "expired", GATEWAY_TIMEOUT;
+    Overloaded = "overloaded", SERVICE_UNAVAILABLE;
     /// The deadline passed.
     DeadlineExceeded = "deadline-exceeded", GATEWAY_TIMEOUT;
     /// No target in service can do this.
@@ -78,7 +76,7 @@
     /// The target does other work.
     WrongTarget = "wrong-target", SERVICE_UNAVAILABLE;
     /// A planned change is under way at the target.
-    Moving = "moving", SERVICE_UNAVAILABLE;
+    Draining = "draining", SERVICE_UNAVAILABLE;
     /// The target was free, but the entry did not begin in time.
     OfferExpired = "offer-expired", SERVICE_UNAVAILABLE;
     /// The agent has as many attempts of this entry as it takes.
@@ -97,6 +95,8 @@
     NoClaim = "no-claim", SERVICE_UNAVAILABLE;
     /// The same call is under way.
     InProgress = "in-progress", CONFLICT;
+    /// The call ran and was answered, but its answer was too large to be kept.
+    AnswerNotKept = "answer-not-kept", GONE;
     /// The call was begun and its outcome is not known.
     OutcomeUnknown = "outcome-unknown", BAD_GATEWAY;
     /// The target or its agent gave a reason that this entry does not know yet.
@@ -114,13 +114,13 @@
             | Reason::TargetRefused
             | Reason::TargetBroken
             | Reason::WrongTarget
-            | Reason::Moving
+            | Reason::Draining
             | Reason::OfferExpired
             | Reason::TooManyAttempts
             | Reason::AttemptReused
             | Reason::Cancelled
             | Reason::QueueFull
-            | Reason::DeadlineUnreachable
+            | Reason::Overloaded
             | Reason::LogUnavailable
             | Reason::NoClaim
             | Reason::Other => true,
@@ -137,7 +137,7 @@
             | Reason::RateLimit
             | Reason::ConcurrencyLimit
             | Reason::SlowReader
-            | Reason::Expired
+            | Reason::AnswerNotKept
             | Reason::EntryFull
             | Reason::NotReady
             | Reason::DeadlineExceeded
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -361,7 +361,7 @@
 
 /// Whether a planned change took the attempt out of a target that keeps its KV cache.
 fn moved(failure: &Failure) -> bool {
-    failure.reason == Reason::Moving && failure.progress == Progress::Started
+    failure.reason == Reason::Draining && failure.progress == Progress::Started
 }
 
 fn garbled(what: &str) -> Failure {
--- a/crates/entry/tests/reasons.rs
+++ b/crates/entry/tests/reasons.rs
@@ -18,3 +18,23 @@
         assert_eq!(Reason::from_name(name), *reason);
     }
 }
+
+// An agent gives a reason that the entry does not know. Callers would read `other`, and a planned
+// change would be treated like a failure.
+#[test]
+fn every_reason_that_agents_give_is_known() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../agent/src");
+    let mut seen = 0;
+    for file in std::fs::read_dir(folder).expect("the agent's code lies beside") {
+        let text = std::fs::read_to_string(file.expect("a file").path()).expect("text");
+        for call in ["not_run(", "started(", "unknown("] {
+            for rest in text.split(call).skip(1) {
+                let Some(name) = rest.trim_start().strip_prefix('"') else { continue };
+                let name = name.split('"').next().unwrap_or_default();
+                assert_ne!(Reason::from_name(name), Reason::Other, "{name}");
+                seen += 1;
+            }
+        }
+    }
+    assert!(seen > 10, "only {seen} reasons found");
+}
--- a/crates/itest/tests/truth.rs
+++ b/crates/itest/tests/truth.rs
@@ -62,7 +62,7 @@
     let begun = tokio::time::Instant::now();
     let refused = chat(&entry, &[("x-deadline-ms", "5000")]).await;
     assert!(begun.elapsed() < Duration::from_millis(100));
-    assert_eq!(told(&refused), (503, "deadline-unreachable".into(), "not-run".into()));
+    assert_eq!(told(&refused), (503, "overloaded".into(), "not-run".into()));
     assert!((10..=20).contains(&retry_after(&refused).expect("a time")), "{refused:?}");
     let patient = tokio::spawn(async move { chat(&entry, &[("x-deadline-ms", "60000")]).await });
     wire.submit().await;
@@ -88,9 +88,9 @@
 
     let waited = asking(&[("x-deadline-ms", "500")]);
     let submit = wire.submit().await;
-    wire.refuse(submit.attempt, "expired", Progress::NotRun);
+    wire.refuse(submit.attempt, "deadline-exceeded", Progress::NotRun);
     let answer = waited.await.expect("answered");
-    assert_eq!(told(&answer), (504, "expired".into(), "not-run".into()));
+    assert_eq!(told(&answer), (504, "deadline-exceeded".into(), "not-run".into()));
 }
 
 // A caller uses up its tokens a second, by prompts that are long. Others must not pay for it.
@@ -131,7 +131,7 @@
     let mut second = other.accept(true).await;
     tokio::time::sleep(Duration::from_millis(1_100)).await;
     wire.token(submit.attempt, 0, "A");
-    wire.refuse(submit.attempt, "moving", Progress::Started);
+    wire.refuse(submit.attempt, "draining", Progress::Started);
     let again = second.submit().await;
     let Some(Work::Prompt(prompt)) = again.request.expect("a request").work else {
         panic!("expected a prompt")
