feat(agent): every agent stands by to plan for its target's pool

Cause: orders were carried out, but nobody gave any. Each agent now runs the planner's duty for the pool of its target, and follows its target to another pool.

The test of the whole (roles fixed by operators reach engines, also after the planner's agent was killed, takeover under 10 s) fails with the duty taken out of the agent.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::sightings::Sightings;
 use crate::suspects::Suspects;
 use crate::tasks::Tasks;
-use crate::{Context, Result, claim, metrics, orders, session};
+use crate::{Context, Result, claim, metrics, orders, planner, session};
 use conf::resource::Phase;
 use state::{Appender, Calls, Config, Follower, System};
 use std::sync::Arc;
@@ -77,6 +77,7 @@
             moves: watch::Sender::new(0),
             sequence: AtomicU64::new(0),
         });
+        let config_health = follower.health();
         let bootstrap = Bootstrap {
             shared: shared.clone(),
             peers: settings.peers.clone(),
@@ -92,6 +93,8 @@
         tasks.duty(orders::carry_out(shared.clone()));
         let release = CancellationToken::new();
         let claiming = tasks.duty(claim::keep(shared.clone(), release.clone()));
+        let planning = planner::stand_by(shared.clone(), config_health, release.clone());
+        let planning = tasks.duty(planning);
         tasks.duty(watch_health(shared.clone()));
         tasks.duty(follow_resource(shared.clone()));
         loop {
@@ -109,7 +112,7 @@
         }
         // Only now, when nothing is done under the claim any more, may a successor take it.
         release.cancel();
-        let _ = tokio::time::timeout(RELEASE, claiming).await;
+        let _ = tokio::time::timeout(RELEASE, async { tokio::join!(claiming, planning) }).await;
         tokio::time::sleep(FLUSH).await;
         Ok(())
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 mod orders;
 mod peer;
 mod perform;
+mod planner;
 mod prompt;
 mod refusal;
 mod session;
