--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -11,7 +11,7 @@
 use crate::sightings::Sightings;
 use crate::suspects::Suspects;
 use crate::tasks::Tasks;
-use crate::{Context, Result, claim, metrics, orders, planner, session};
+use crate::{Context, Result, claim, metrics, orders, plan, session};
 use conf::resource::Phase;
 use state::{Appender, Calls, Config, Follower, System};
 use std::sync::Arc;
@@ -32,6 +32,9 @@
 /// How long a stopping agent gives what it has written to leave for its entries.
 const FLUSH: Duration = Duration::from_millis(200);
 
+/// How long to wait after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(100);
+
 /// How long giving up the claim may take; without it a successor waits the lease out.
 const RELEASE: Duration = Duration::from_secs(5);
 
@@ -63,6 +66,7 @@
             health: Health::default(),
             answers: Answers::default(),
             sightings: Sightings::default(),
+            config_health: follower.health(),
             system: system.state(),
             system_health: system.health(),
             calls: calls.state(),
@@ -77,7 +81,6 @@
             moves: watch::Sender::new(0),
             sequence: AtomicU64::new(0),
         });
-        let config_health = follower.health();
         let bootstrap = Bootstrap {
             shared: shared.clone(),
             peers: settings.peers.clone(),
@@ -91,19 +94,24 @@
         tasks.duty(calls.run());
         tasks.duty(metrics::serve(shared.clone(), settings.metrics.to_string()));
         tasks.duty(orders::carry_out(shared.clone()));
+        tasks.job(plan::stand_ready(shared.clone()));
         let release = CancellationToken::new();
         let claiming = tasks.duty(claim::keep(shared.clone(), release.clone()));
-        let planning = planner::stand_by(shared.clone(), config_health, release.clone());
-        let planning = tasks.duty(planning);
         tasks.duty(watch_health(shared.clone()));
         tasks.duty(follow_resource(shared.clone()));
         loop {
             tokio::select! {
                 () = stop.cancelled() => break,
-                accepted = listener.accept() => {
-                    let (pipe, peer) = accepted?;
-                    tasks.duty(session::serve(shared.clone(), tasks.clone(), pipe, peer));
-                }
+                accepted = listener.accept() => match accepted {
+                    Ok((pipe, peer)) => {
+                        drop(tasks.duty(session::serve(shared.clone(), tasks.clone(), pipe, peer)));
+                    }
+                    // Out of sockets, perhaps; the requests in flight are worth more than to end.
+                    Err(error) => {
+                        log::error!(error:% = error; "accept-failed");
+                        tokio::time::sleep(ACCEPT_RETRY).await;
+                    }
+                },
             }
         }
         let ended = tokio::time::timeout(settings.drain, tasks.finish()).await;
@@ -112,7 +120,7 @@
         }
         // Only now, when nothing is done under the claim any more, may a successor take it.
         release.cancel();
-        let _ = tokio::time::timeout(RELEASE, async { tokio::join!(claiming, planning) }).await;
+        let _ = tokio::time::timeout(RELEASE, claiming).await;
         tokio::time::sleep(FLUSH).await;
         Ok(())
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,7 +26,7 @@
 mod orders;
 mod peer;
 mod perform;
-mod planner;
+mod plan;
 mod prompt;
 mod refusal;
 mod session;
