--- /dev/null
+++ b/crates/agent/examples/calls.rs
@@ -0,0 +1,113 @@
+//! Measures calls that may not be repeated: calls a second and latency against the log's delay.
+//!
+//! `cargo run --release -p agent --example calls` prints the table of `docs/MEASURED.md`. The clock
+//! is the paused one, so the figures are the same in each run and show waiting, not processor time.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use bytes::Bytes;
+use common::World;
+use conf::Kind;
+use fake::MemoryService;
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use wire::{Body, Call, EventKind, Request, Submit, Work};
+
+/// How long each row is measured.
+const SPAN: Duration = Duration::from_secs(30);
+
+fn main() {
+    println!("| log delay | callers | calls/s | p50 | p99 | appends/s | records an append |");
+    println!("| ---: | ---: | ---: | ---: | ---: | ---: | ---: |");
+    for delay in [5, 20, 300] {
+        for callers in [1, 32, 256] {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .start_paused(true)
+                .build()
+                .expect("a runtime can be built");
+            println!("{}", runtime.block_on(row(Duration::from_millis(delay), callers)));
+        }
+    }
+}
+
+async fn row(delay: Duration, callers: usize) -> String {
+    let world = World::default();
+    let service = MemoryService::default();
+    service.set_delay(Duration::from_millis(2));
+    let spec = json!({
+        "service": "ledger", "domain": "sofia-1", "agent": "ledger-1:1", "slots": 64,
+    });
+    world.publish(Kind::Target, "ledger-1", spec).await;
+    let _agent = world.agent("ledger-1", agent::Backend::Service(Arc::new(service)));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.log.set_delay(delay);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let appends = world.log.appends();
+    let until = Instant::now() + SPAN;
+    let tasks: Vec<_> = (0..callers)
+        .map(|caller| {
+            let network = world.network.clone();
+            tokio::spawn(async move {
+                call_until(World { network, ..World::default() }, caller, until).await
+            })
+        })
+        .collect();
+    let mut took = Vec::new();
+    for task in tasks {
+        took.extend(task.await.expect("the caller ends"));
+    }
+    took.sort_unstable();
+    let seconds = SPAN.as_secs();
+    let appends = world.log.appends() - appends;
+    let calls = took.len();
+    let at = |share: usize| took.get(calls * share / 100).copied().unwrap_or_default().as_millis();
+    let per_append = calls * 2 / usize::try_from(appends).unwrap_or(usize::MAX).max(1);
+    format!(
+        "| {} ms | {callers} | {} | {} ms | {} ms | {} | {per_append} |",
+        delay.as_millis(),
+        calls as u64 / seconds,
+        at(50),
+        at(99),
+        appends / seconds,
+    )
+}
+
+/// Sends calls one after the other, and returns how long each took.
+async fn call_until(world: World, caller: usize, until: Instant) -> Vec<Duration> {
+    let mut entry = world.entry(&format!("entry-{caller}"), "ledger-1").await;
+    let mut took = Vec::new();
+    let mut attempt = 0;
+    while Instant::now() < until {
+        attempt += 1;
+        let began = Instant::now();
+        let request = Request {
+            id: format!("{caller}-{attempt}"),
+            caller: "desk".into(),
+            deadline_ms: 60_000,
+            work: Some(Work::Call(Call {
+                service: "ledger".into(),
+                method: "POST".into(),
+                path: "/transfers".into(),
+                body: Bytes::from_static(b"5"),
+                key: format!("{caller}-{attempt}"),
+                ..Call::default()
+            })),
+            ..Request::default()
+        };
+        let submit = Submit { attempt, request: Some(request), hold: false, credit: 100 };
+        entry.send(Body::Submit(submit)).await;
+        loop {
+            let event = entry.event().await;
+            match event.kind {
+                Some(EventKind::End(_)) => break took.push(began.elapsed()),
+                Some(EventKind::Refusal(refusal)) => panic!("refused: {refusal:?}"),
+                _ => {}
+            }
+        }
+    }
+    took
+}
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -67,7 +67,17 @@
     }
 
     pub fn agent(&self, name: &str, backend: Backend) -> Agent {
-        let address = format!("{name}:1");
+        self.start(name, &format!("{name}:1"), Arc::new(self.log.clone()), backend)
+    }
+
+    /// An agent of the target `name` that listens at `address` and sees `log`.
+    pub fn start(
+        &self,
+        name: &str,
+        address: &str,
+        log: Arc<dyn plat::Log>,
+        backend: Backend,
+    ) -> Agent {
         let settings = settings::Agent {
             name: format_compact!("agent-{name}"),
             target: name.into(),
@@ -78,10 +88,10 @@
         let stop = CancellationToken::new();
         let context = agent::Context {
             settings,
-            log: Arc::new(self.log.clone()),
+            log,
             backend,
-            listener: Box::new(self.network.listen(&address)),
-            dialler: Arc::new(self.network.at(&address)),
+            listener: Box::new(self.network.listen(address)),
+            dialler: Arc::new(self.network.at(address)),
             stop: stop.clone(),
         };
         let task = tokio::spawn(async move {
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -393,6 +393,10 @@
             }
             inner.status.busy = true;
         }
+        if matches!(order, Order::SetRole { .. }) {
+            // A change of role takes the engine out of service: what still runs is cut.
+            self.crashed.notify_waiters();
+        }
         let time = match order {
             Order::SetRole { .. } => model.role_change,
             Order::Load { .. } => model.load,
--- /dev/null
+++ b/crates/itest/tests/planned.rs
@@ -0,0 +1,160 @@
+//! Planned changes under load, seen by callers: drains, role changes and restarts cut nothing.
+
+use conf::Kind;
+use conf::resource::Role;
+use itest::{Answer, Fleet, MODEL, agent_address, post};
+use serde_json::{Value, json};
+use state::Appender;
+use state::record::{Body, Claim, Order, OrderKind};
+use std::sync::Arc;
+use std::time::Duration;
+use target::Engine;
+
+fn question(number: u32, tokens: u32) -> Value {
+    json!({
+        "model": MODEL, "stream": true, "max_tokens": tokens, "fake_tokens": tokens,
+        "messages": [{"role": "user", "content": format!("question {number}")}],
+    })
+}
+
+/// Whether the caller has its whole answer.
+fn is_whole(answer: &Answer) -> bool {
+    answer.status == 200 && !answer.cut && answer.body.trim_end().ends_with("data: [DONE]")
+}
+
+/// Sends `count` questions over `over`, and returns what callers received.
+async fn load(entry: Arc<entry::Entry>, count: u32, tokens: u32, over: Duration) -> Vec<Answer> {
+    let mut asked = Vec::new();
+    for number in 0..count {
+        let entry = entry.clone();
+        asked.push(tokio::spawn(async move {
+            post(&entry, "/v1/chat/completions", question(number, tokens)).await
+        }));
+        tokio::time::sleep(over / count).await;
+    }
+    let mut answers = Vec::new();
+    for answer in asked {
+        answers.push(answer.await.expect("the caller waits"));
+    }
+    answers
+}
+
+async fn give_order(fleet: &Fleet, target: &str, role: &str) {
+    let appender = Appender::new(Arc::new(fleet.log.clone()), "planner-1".into());
+    let scope = "planner/test".to_owned();
+    let claim = Claim { scope: scope.clone(), supersedes: None, incarnation: 1, lease_ms: 5_000 };
+    let claim = appender.append(plat::SYSTEM_STREAM, Body::Claim(claim)).await;
+    let claim = claim.expect("the log is up").offset;
+    let kind = Some(OrderKind::SetRole(role.to_owned()));
+    let order = Order { scope, claim, target: target.to_owned(), kind };
+    appender.append(plat::SYSTEM_STREAM, Body::Order(order)).await.expect("the log is up");
+}
+
+// An operator drains an engine's VM under load. Nothing that runs there may be cut, no new work
+// may reach it after two seconds, and callers notice nothing.
+#[tokio::test(start_paused = true)]
+async fn a_drained_engine_cuts_nothing_and_gets_no_new_work() {
+    let fleet = Fleet::new().await;
+    let (one, _agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let (_two, _agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let loading = tokio::spawn(load(entry, 100, 200, Duration::from_secs(10)));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let spec = json!({
+        "models": [MODEL], "domain": "sofia-1", "agent": agent_address("engine-1"),
+        "phase": "leaving",
+    });
+    fleet.publish(Kind::Target, "engine-1", spec).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for _ in 0..10 {
+        assert_eq!(one.status().await.expect("up").running, 0, "no new work reaches it");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let answers = loading.await.expect("callers wait");
+    assert_eq!(answers.iter().filter(|answer| !is_whole(answer)).count(), 0);
+}
+
+// The planner changes an engine's role while it streams an answer that outlasts the drain. The
+// stream goes on at the other engine, and its caller receives one whole answer.
+#[tokio::test(start_paused = true)]
+async fn a_role_change_moves_a_long_stream_and_its_caller_gets_one_whole_answer() {
+    let fleet = Fleet::new().await;
+    let (one, _agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let expected = post(&entry, "/v1/chat/completions", question(1, 12_000)).await;
+    assert!(is_whole(&expected));
+
+    let asked = entry.clone();
+    let asking =
+        tokio::spawn(
+            async move { post(&asked, "/v1/chat/completions", question(1, 12_000)).await },
+        );
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let (_two, _agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
+    give_order(&fleet, "engine-1", "prefill").await;
+    let answer = asking.await.expect("the caller waits");
+    assert!(is_whole(&answer), "{} {}", answer.status, tail(&answer.body));
+    assert_eq!(text(&answer.body), text(&expected.body));
+    tokio::time::sleep(Duration::from_secs(30)).await;
+    assert_eq!(one.status().await.expect("up").role, Role::Prefill);
+}
+
+// Agents are restarted one after the other under load, as in an upgrade. Every caller gets its
+// whole answer.
+#[tokio::test(start_paused = true)]
+async fn restarting_agents_one_after_the_other_cuts_nothing() {
+    let fleet = Fleet::new().await;
+    let (one, agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let (two, agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let loading = tokio::spawn(load(entry, 150, 200, Duration::from_secs(15)));
+    let mut agents = Vec::new();
+    for (name, agent, engine) in [("engine-1", agent_one, one), ("engine-2", agent_two, two)] {
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        agent.stop.cancel();
+        agent.ended().await;
+        agents.push(fleet.start_agent(name, "sofia-1", agent::Backend::Engine(Arc::new(engine))));
+    }
+    let answers = loading.await.expect("callers wait");
+    let broken: Vec<_> = answers.iter().filter(|answer| !is_whole(answer)).collect();
+    assert!(broken.is_empty(), "{} broken, first {:?}", broken.len(), broken.first());
+}
+
+// Two things at once: the log goes out while an engine is being drained, and the other engine's
+// process crashes and comes back. Callers that ask meanwhile get their whole answers.
+#[tokio::test(start_paused = true)]
+async fn an_engine_crash_during_an_outage_of_the_log_cuts_no_answer() {
+    let fleet = Fleet::new().await;
+    let (one, _agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let (_two, _agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
+    let (_three, _agent_three) = fleet.add_engine("engine-3", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let loading = tokio::spawn(load(entry, 60, 300, Duration::from_secs(6)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.log.set_out(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    one.crash();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    one.start();
+    let answers = loading.await.expect("callers wait");
+    let broken: Vec<_> = answers.iter().filter(|answer| !is_whole(answer)).collect();
+    assert!(broken.is_empty(), "{} broken, first {:?}", broken.len(), broken.first());
+}
+
+/// The text of a streamed answer.
+fn text(body: &str) -> String {
+    let events = body.lines().filter_map(|line| line.strip_prefix("data: {"));
+    let chunks = events.filter_map(|rest| serde_json::from_str::<Value>(&format!("{{{rest}")).ok());
+    let pieces = chunks.filter_map(|chunk| {
+        Some(chunk["choices"].get(0)?["delta"]["content"].as_str()?.to_owned())
+    });
+    pieces.collect()
+}
+
+fn tail(body: &str) -> &str {
+    body.get(body.len().saturating_sub(300)..).unwrap_or(body)
+}
