feat(duty): agents that are not to plan stand in reserve

Cause: only the five agents chosen by hash stood ready, so a pool whose five failed together had no planner until an operator changed its targets. The others now wait 30 s longer and are spread as widely. The test of it fails without the longer wait.

--- a/crates/agent/src/plan.rs
+++ b/crates/agent/src/plan.rs
@@ -8,23 +8,26 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How many agents of a pool stand ready to plan for it. All 700 would race for the claim when a
-/// planner falls silent; five of them, chosen by hash, hardly fail together.
+/// How many agents of a pool are to plan for it. All 700 would race for the claim when a planner
+/// falls silent; five of them, chosen by hash, hardly fail together.
 const CANDIDATES: usize = 5;
 
+/// How long the other agents leave a silent pool to the candidates, should these fail together
+/// all the same, as with a whole failure domain. Spread as widely, few of 700 claim at once.
+const PATIENCE: Duration = Duration::from_secs(30);
+
 /// How often an agent looks whether it is a candidate.
 const EVERY: Duration = Duration::from_secs(2);
 
-/// Stands ready to plan while this agent is a candidate, until it stops and has given up what it
-/// holds.
+/// Stands ready to plan for the pool of its target, until it stops and has given up what it holds.
 pub(crate) async fn stand_ready(shared: Arc<Shared>) {
     while !shared.stop.is_cancelled() {
-        if let Some(pool) = candidate_for(&shared) {
+        if let Some(place) = place(&shared) {
             let ended = shared.stop.child_token();
-            let mut planning = std::pin::pin!(planner(&shared, pool.clone()).run(ended.clone()));
+            let mut planning = std::pin::pin!(planner(&shared, &place).run(ended.clone()));
             tokio::select! {
                 () = &mut planning => {}
-                () = no_longer(&shared, &pool) => {
+                () = no_longer(&shared, &place) => {
                     ended.cancel();
                     planning.await;
                 }
@@ -34,8 +37,10 @@
     }
 }
 
-/// The pool that this agent is a candidate to plan for.
-fn candidate_for(shared: &Shared) -> Option<CompactString> {
+/// The pool that this agent stands ready for, and how long it leaves it to others.
+type Place = (CompactString, Duration);
+
+fn place(shared: &Shared) -> Option<Place> {
     let pool = shared.resource().filter(|target| target.phase == Phase::Active)?.pool;
     let config = shared.config.borrow();
     let members =
@@ -44,21 +49,22 @@
         members.map(|(name, _)| (mix(hash(&pool), hash(name)), name.clone())).collect();
     ranked.sort();
     let chosen = ranked.iter().take(CANDIDATES).any(|(_, name)| *name == shared.target);
-    chosen.then_some(pool)
+    Some((pool, if chosen { Duration::ZERO } else { PATIENCE }))
 }
 
-async fn no_longer(shared: &Shared, pool: &CompactString) {
-    while candidate_for(shared).as_ref() == Some(pool) {
+async fn no_longer(shared: &Shared, place: &Place) {
+    while self::place(shared).as_ref() == Some(place) {
         tokio::time::sleep(EVERY).await;
     }
 }
 
-fn planner(shared: &Shared, pool: CompactString) -> Planner {
+fn planner(shared: &Shared, (pool, patience): &Place) -> Planner {
     let (dialler, key) = (shared.dialler.clone(), shared.key.clone());
     let fleet = Dial::new(dialler, key, shared.name.clone(), shared.incarnation);
     Planner::new(Context {
-        pool,
+        pool: pool.clone(),
         incarnation: shared.incarnation,
+        patience: *patience,
         appender: shared.appender.clone(),
         config: Followed { state: shared.config.clone(), health: shared.config_health.clone() },
         system: Followed { state: shared.system.clone(), health: shared.system_health.clone() },
--- a/crates/duty/src/planner.rs
+++ b/crates/duty/src/planner.rs
@@ -34,6 +34,8 @@
     pub pool: CompactString,
     /// The process's incarnation.
     pub incarnation: u64,
+    /// How long it leaves a silent pool to others first; zero for the few that are to plan.
+    pub patience: Duration,
     /// Appends in the process's name.
     pub appender: Appender,
     /// The `config` stream.
@@ -78,8 +80,9 @@
 
     /// Claims the pool when nobody plans for it, and plans while it holds it, until `stop`.
     pub async fn run(mut self, stop: CancellationToken) {
-        let Context { pool, incarnation, appender, system, .. } = &self.context;
+        let Context { pool, incarnation, patience, appender, system, .. } = &self.context;
         let settings = LeaseSettings::new(SYSTEM_STREAM.into(), scope(pool), *incarnation);
+        let settings = settings.patience(*patience);
         let lease = Lease::keep(settings, appender.clone(), system.state.clone());
         let held = lease.held();
         let mut checkpoints = JoinSet::new();
--- a/crates/duty/tests/planner.rs
+++ b/crates/duty/tests/planner.rs
@@ -70,11 +70,22 @@
 
 impl Standby {
     fn start(log: &MemoryLog, name: &str, incarnation: u64, engines: &Engines) -> Self {
+        Self::start_patient(log, name, incarnation, engines, Duration::ZERO)
+    }
+
+    fn start_patient(
+        log: &MemoryLog,
+        name: &str,
+        incarnation: u64,
+        engines: &Engines,
+        patience: Duration,
+    ) -> Self {
         let system = Process::<System>::start(log, name, SYSTEM_STREAM);
         let config = Process::<Config>::start(log, name, CONFIG_STREAM);
         let planner = Planner::new(Context {
             pool: POOL.into(),
             incarnation,
+            patience,
             appender: system.appender.clone(),
             config: Followed { state: config.state.clone(), health: config.health.clone() },
             system: Followed { state: system.state.clone(), health: system.health.clone() },
@@ -274,3 +285,22 @@
     let unload = |name: &str| (name.into(), OrderKind::Unload("m@v1".into()));
     assert_eq!(next(&new, &new).await, [unload("engine-1"), unload("engine-2")]);
 }
+
+// All processes that are to plan for a pool are in one failure domain, and it fails. The rest only
+// stand in reserve: the pool must not stay without a planner, nor may they come before the others.
+#[tokio::test(start_paused = true)]
+async fn a_reserve_plans_only_when_nobody_else_does() {
+    const PATIENCE: Duration = Duration::from_secs(30);
+    let (log, engines) = (MemoryLog::new(), Engines::default());
+    let mut reserve = Standby::start_patient(&log, "r", 3, &engines, PATIENCE);
+    let mut a = Standby::start(&log, "a", 1, &engines);
+    a.planned_by("a").await;
+    let mut b = Standby::start(&log, "b", 2, &engines);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    a.task.abort();
+    b.planned_by("b").await;
+    b.task.abort();
+    let failed = Instant::now();
+    reserve.planned_by("r").await;
+    assert!(failed.elapsed() > PATIENCE && failed.elapsed() < Duration::from_secs(70));
+}
--- a/crates/state/src/lease.rs
+++ b/crates/state/src/lease.rs
@@ -35,6 +35,8 @@
     pub longest_order: Duration,
     /// Claimants wait a random part of this, so that they do not all append at once.
     pub spread: Duration,
+    /// How much longer than others this claimant waits, for one that is only a reserve.
+    pub patience: Duration,
 }
 
 /// A scope as it is held.
@@ -76,6 +78,7 @@
             margin: lease / 10,
             longest_order: Duration::ZERO,
             spread: Duration::from_secs(1),
+            patience: Duration::ZERO,
         }
     }
 
@@ -95,6 +98,13 @@
         self
     }
 
+    /// Sets how much longer than others this claimant waits; reserves are spread as widely.
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self.spread = self.spread.max(patience);
+        self
+    }
+
     /// Sets the time over which claimants are spread.
     pub fn spread(mut self, spread: Duration) -> Self {
         self.spread = spread;
@@ -280,7 +290,7 @@
     /// What a claimant waits beyond the holder's lease.
     fn waited(&self, holder: Option<&Holder>) -> Duration {
         let longest = holder.map_or(Duration::ZERO, |_| self.settings.longest_order);
-        longest + self.settings.spread.mul_f64(rand::random())
+        longest + self.settings.patience + self.settings.spread.mul_f64(rand::random())
     }
 
     /// Tries a claim; the log's order decides whether it counts.
