feat(policy): room for handed-over output, slots by role and reading order as decisions

They stood in the model only; daemons need them too. A trial whose caller has given up is no longer run.

--- a/crates/policy/examples/decisions.rs
+++ b/crates/policy/examples/decisions.rs
@@ -35,6 +35,7 @@
     let table = match name {
         "late-binding" => late::compare(&late),
         "late-binding-slots" => late::compare(&late::Setup { targets: ENGINES, slots: 16, ..late }),
+        "late-binding-slow-link" => late::compare(&late::Setup { round_trip: 0.05, ..late }),
         "late-binding-paper" => {
             late::compare(&late::Setup { lengths: late::Lengths::Paper, ..late })
         }
@@ -54,6 +55,9 @@
         "overload-1.5" => compare(&scenario::overload(1.5, FULL), &setups(), &["short", "urgent"]),
         "overload-3" => compare(&scenario::overload(3.0, FULL), &setups(), &["short", "urgent"]),
         "poison" => compare(&scenario::poison(FULL), &setups(), &["short", "poison"]),
+        "poison-at-once" => {
+            compare(&scenario::poison_at_once(FULL), &setups(), &["short", "poison"])
+        }
         "retry-storm" => compare(&scenario::retry_storm(FULL), &setups(), &["short"]),
         "swing" => swing::compare(FULL, &pool(14, 3, 0.85), &policies()),
         "swing-costly-mixing" => swing::compare(FULL, &pool(14, 3, 0.6), &policies()),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,10 @@
     /// are off by some tens of per cent; what starts late is dropped from the queue anyway, so
     /// the margin only decides whether that is said at once.
     pub margin: f64,
+    /// Output whose prompt was read by an engine that only reads, and that waits for a slot
+    /// elsewhere, at most, in time. Less starves the engines that write between two hand-overs;
+    /// more makes callers see a first token and then a gap, and is served in order of arrival.
+    pub gap: Duration,
     /// The shortest Retry-After, so that refused callers don't come back within the same burst.
     pub least_retry: Duration,
     /// The longest Retry-After: after this the backlog is another one.
@@ -28,6 +32,7 @@
     fn default() -> Self {
         Self {
             margin: 1.0,
+            gap: Duration::from_millis(600),
             least_retry: Duration::from_secs(1),
             most_retry: Duration::from_secs(60),
         }
@@ -127,6 +132,15 @@
         Ok(wait)
     }
 
+    /// Whether an engine that only reads may start a prompt: `begun` is the output that waits for
+    /// slots elsewhere, at engines that write at these `rates` together.
+    ///
+    /// If all that comes were read at once, the queues in front of the reading engines, which are
+    /// fair, would be empty, and a flood would wait where nothing is fair.
+    pub fn has_room(&self, begun: Cost, rates: &Rates) -> bool {
+        Cost::new(0, begun.decode).time(rates) < self.settings.gap
+    }
+
     /// A refusal whose Retry-After is the time in which `excess` work drains, within bounds.
     pub fn refuse(&self, reason: Reason, excess: Duration) -> Refusal {
         let retry_after = excess.clamp(self.settings.least_retry, self.settings.most_retry);
--- a/crates/policy/src/binding.rs
+++ b/crates/policy/src/binding.rs
@@ -5,7 +5,9 @@
 //! its other candidate stands idle. **How.** After Sanders, "Asynchronous Scheduling of Redundant
 //! Disk Arrays": a request is offered to two targets, and the decision is put off until one of
 //! them would start it. The first that would start it claims it at the entry with one message; the
-//! other drops it. **Figures.** `docs/DECISIONS.md` compares the ways on the same arrivals.
+//! other drops it. If a target dies that holds an offer, the other still has it. **Figures.**
+//! `docs/DECISIONS.md` compares the ways on the same arrivals: [`LazyQueue`] has the shortest tail
+//! where lengths differ as much as outputs do, [`LazySharing`] the shortest mean.
 
 use crate::number::float;
 
@@ -157,6 +159,11 @@
     }
 }
 
+/// The way in force: the shortest tail, and it needs to know nothing of other queues.
+pub fn in_force() -> Box<dyn Binding> {
+    Box::new(LazyQueue)
+}
+
 /// All ways, for comparison.
 pub fn all() -> Vec<Box<dyn Binding>> {
     vec![Box::new(ShortestQueue), Box::new(Stealing), Box::new(LazyQueue), Box::new(LazySharing)]
--- a/crates/policy/src/model/pool/crash.rs
+++ b/crates/policy/src/model/pool/crash.rs
@@ -141,20 +141,34 @@
     }
 
     pub(super) fn wait_for_trial(&mut self, call: CallIndex) {
-        let arrival = &self.plan.arrivals[call];
-        // What has begun to stream resumes, so only calls without a token are given up on.
-        let late = self.now > arrival.at + arrival.deadline;
-        if late && self.calls[call].first_token.is_none() {
+        if self.is_given_up(call) {
             return self.end(call, Outcome::Refused(Reason::Late));
         }
         self.after(TRIAL_WAIT, Event::Submit(call));
     }
 
+    /// Whether a call is too late; what has begun to stream resumes and is never given up.
+    fn is_given_up(&self, call: CallIndex) -> bool {
+        let arrival = &self.plan.arrivals[call];
+        let late = self.now > arrival.at + arrival.deadline;
+        late && self.calls[call].first_token.is_none()
+    }
+
     /// Starts the trial for which an engine is reserved, once nothing else runs there.
     pub(super) fn start_trial(&mut self, engine: usize) {
         let Some(call) = self.engines[engine].exclusive else { return };
         let waits = self.calls[call].engine.is_none() && !self.calls[call].ended;
-        if waits && self.engines[engine].works() && self.engines[engine].is_idle() {
+        if !waits {
+            return;
+        }
+        if self.is_given_up(call) {
+            // A trial that nobody waits for would only risk a second engine.
+            let fingerprint = self.fingerprint(call);
+            self.crashes.0.entry(fingerprint).or_default().on_trial = false;
+            self.engines[engine].exclusive = None;
+            return self.end(call, Outcome::Refused(Reason::Late));
+        }
+        if self.engines[engine].works() && self.engines[engine].is_idle() {
             self.start(call, engine);
         }
     }
--- a/crates/policy/src/model/pool/roles.rs
+++ b/crates/policy/src/model/pool/roles.rs
@@ -3,6 +3,7 @@
 use super::{Event, Pool, TICK};
 use crate::model::engine::{CallIndex, SLOTS};
 use crate::number::{float, span};
+use crate::queue;
 use crate::roles::{self, Demand};
 use conf::resource::Role;
 
@@ -64,7 +65,7 @@
     pub(super) fn take_role(&mut self, engine: usize, role: Role) {
         let taken = &mut self.engines[engine];
         taken.role = role;
-        taken.queue.set_slots(slots(role));
+        taken.queue.set_slots(queue::slots(role, SLOTS));
         taken.changing = false;
         taken.since = self.now;
         self.progress(engine);
@@ -75,12 +76,3 @@
         self.calls[call].left.unwrap_or_else(|| float(self.plan.arrivals[call].output))
     }
 }
-
-/// Requests that an engine runs side by side. One that only reads does so one after the other; a
-/// second keeps it busy, and further ones wait better in the queue, which is fair.
-fn slots(role: Role) -> u32 {
-    match role {
-        Role::Prefill => 2,
-        Role::Decode | Role::Mixed => SLOTS,
-    }
-}
--- a/crates/policy/src/model/pool/serve.rs
+++ b/crates/policy/src/model/pool/serve.rs
@@ -2,13 +2,13 @@
 
 use super::{Call, Event, Pool, model};
 use crate::admission::{Ask, Reason, Result, View};
-use crate::estimate::Cost;
+use crate::estimate::{Cost, Rates};
 use crate::model::engine::{CallIndex, Done, Engine};
 use crate::model::figures::Outcome;
 use crate::number::{count, float, span};
 use crate::outlier::{Sample, Verdict};
 use crate::quarantine;
-use crate::queue::{Item, Pushed};
+use crate::queue::{self, Item, Pushed};
 use crate::route::{Load, Query, Stage};
 use conf::resource::Role;
 
@@ -25,9 +25,6 @@
 /// 48 ms.
 const PATIENCE: f64 = 0.15;
 
-/// Seconds of output that may wait for slots after its prompt was read.
-const GAP: f64 = 0.6;
-
 /// Seconds that a poisonous request runs before it crashes its engine.
 const FUSE: f64 = 0.3;
 
@@ -173,12 +170,11 @@
         self.engines.iter().filter(writes).map(|engine| engine.rates().decode).sum()
     }
 
-    /// Whether a prompt may be read because its output will soon find a slot. If all that came were
-    /// read at once, callers would see a first token and then a long gap, and the queues of the
-    /// prefill engines, which are fair, would be empty.
+    /// Whether a prompt may be read because its output will soon find a slot.
     fn has_room(&self) -> bool {
-        let begun: u64 = self.engines.iter().map(|e| e.queue.backlog().begun.decode).sum();
-        float(begun) < self.writing_rate() * GAP
+        let begun = self.engines.iter().map(|engine| engine.queue.backlog().begun);
+        let begun = begun.fold(Cost::default(), |sum, cost| sum + cost);
+        self.admission.has_room(begun, &Rates { decode: self.writing_rate(), ..Rates::default() })
     }
 
     fn push(&mut self, call: CallIndex, engine: usize) -> Pushed<CallIndex> {
@@ -271,8 +267,8 @@
         let read = if hit { 1.0 - arrival.prefix_share } else { 1.0 };
         let cached = float(arrival.prompt) * (1.0 - read);
         self.calls[call].cached = u32::try_from(count(cached)).unwrap_or(0);
-        let long = self.calls[call].cost.work() >= crate::queue::Settings::default().long_work;
-        let goes_first = self.setup.priorities && (arrival.urgent || !long);
+        let short = !queue::Settings::default().is_long(&self.calls[call].cost);
+        let goes_first = self.setup.priorities && (arrival.urgent || short);
         let tokens = float(arrival.prompt) * read + claim;
         self.engines[engine].add_prefill(call, tokens, goes_first);
         if arrival.poison {
--- a/crates/policy/src/model/scenario.rs
+++ b/crates/policy/src/model/scenario.rs
@@ -145,7 +145,15 @@
     plan(&[short(0.5), poison], engines(ENGINES, DOMAINS), 180.0 * scale.0)
 }
 
-/// Every 10 seconds a third of the engines crashes, one failure domain after the other.
+/// The same request is sent a dozen times within 0.2 seconds, through all entries.
+pub fn poison_at_once(scale: Scale) -> Plan {
+    let at = 20.0 * scale.0;
+    let rate = vec![(0.0, 0.0), (at, 60.0), (at + 0.2, 0.0)];
+    let poison = Stream { class: "poison", callers: 1, poison: true, rate, ..short(0.0) };
+    plan(&[short(0.5), poison], engines(ENGINES, DOMAINS), 60.0 * scale.0)
+}
+
+/// Every 40 seconds a third of the engines crashes, one failure domain after the other.
 pub fn retry_storm(scale: Scale) -> Plan {
     let mut plan = plan(&[short(0.5)], engines(ENGINES, DOMAINS), 120.0 * scale.0);
     let domain = |domain| (0..ENGINES).filter(move |engine| engine % DOMAINS == domain);
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -17,6 +17,7 @@
 use crate::estimate::Cost;
 use crate::number::float;
 use crate::{CallerId, Time};
+use conf::resource::Role;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -54,6 +55,25 @@
     }
 }
 
+impl Settings {
+    /// Whether an item of this cost is long. Short ones are to be read first by engines that honour
+    /// priorities: the prompt of one long job takes a second, and all that come wait behind it.
+    pub fn is_long(&self, cost: &Cost) -> bool {
+        cost.work() >= self.long_work
+    }
+}
+
+/// Requests that an engine of this role runs side by side, where a mixed one runs `slots`.
+///
+/// One that only reads does so one after the other. A second keeps it busy between two, and further
+/// ones wait better in the queue, which is fair.
+pub fn slots(role: Role, slots: u32) -> u32 {
+    match role {
+        Role::Prefill => slots.min(2),
+        Role::Decode | Role::Mixed => slots,
+    }
+}
+
 /// One request that waits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Item<T> {
@@ -175,7 +195,7 @@
 
     /// Adds an item, putting out others if that is fairer than refusing it.
     pub fn push(&mut self, item: Item<T>, now: Time) -> Pushed<T> {
-        if item.cost.work() < self.settings.long_work {
+        if !self.settings.is_long(&item.cost) {
             self.last_short = Some(now);
         }
         let mut displaced = Vec::new();
@@ -201,7 +221,7 @@
         let index = self.next(now)?;
         let waiting = self.take(index);
         self.charge(&waiting);
-        let long = self.is_long(&waiting.item);
+        let long = self.settings.is_long(&waiting.item.cost);
         self.running.insert(waiting.item.id, long);
         Some(waiting.item)
     }
@@ -216,7 +236,7 @@
         let index = self.waiting.iter().position(|w| w.item.id == id)?;
         let waiting = self.take(index);
         self.charge(&waiting);
-        let long = self.is_long(&waiting.item);
+        let long = self.settings.is_long(&waiting.item.cost);
         self.running.insert(id, long);
         Some(waiting.item)
     }
@@ -259,7 +279,7 @@
         let long_allowed = self.long_allowed(now);
         let may_start = |w: &Waiting<T>| {
             w.item.deadline.is_none_or(|deadline| deadline >= now)
-                && (long_allowed || !self.is_long(&w.item))
+                && (long_allowed || !self.settings.is_long(&w.item.cost))
         };
         let least = |urgent: bool| {
             let class = self.waiting.iter().enumerate();
@@ -286,10 +306,6 @@
         float(u64::try_from(long).unwrap_or(u64::MAX)) < most.max(1.0)
     }
 
-    fn is_long(&self, item: &Item<T>) -> bool {
-        item.cost.work() >= self.settings.long_work
-    }
-
     /// Books an item that starts: virtual time moves on, and urgent work pays for its precedence.
     fn charge(&mut self, waiting: &Waiting<T>) {
         // What starts out of turn, being urgent or begun, must not carry the virtual time past those
