feat(entry): metrics of the log's lag and age

`log_lag_records` and `log_age_seconds` tell when an entry serves from a state that the log does not confirm; the test of an outage reads the age.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,7 +17,7 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::{Router, Server};
-use state::{Config, Follower, System};
+use state::{Config, Follower, Health, System};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +51,7 @@
     pub(crate) gate: Arc<Gate>,
     pub(crate) decisions: Arc<Decisions>,
     pub(crate) system: watch::Receiver<Arc<System>>,
+    pub(crate) health: watch::Receiver<Health>,
     pub(crate) random: Arc<Random>,
     pub(crate) accounts: Accounts,
     pub(crate) metrics: Metrics,
@@ -79,6 +80,7 @@
             gate: Arc::default(),
             decisions,
             system: system.state(),
+            health: health.clone(),
             random,
             accounts: Accounts::default(),
             metrics: Metrics::new(),
@@ -154,6 +156,10 @@
 impl Shared {
     /// The metrics in the text form that Prometheus reads.
     pub(crate) fn metrics_text(&self) -> String {
+        let health = self.health.borrow().clone();
+        self.metrics.log_lag.set(i64::try_from(health.lag()).unwrap_or(i64::MAX));
+        let age = health.fresh.map(|fresh| i64::try_from(fresh.elapsed().as_secs()));
+        self.metrics.log_age.set(age.map_or(-1, |age| age.unwrap_or(i64::MAX)));
         self.metrics.open.set(i64::try_from(self.gate.open()).unwrap_or(i64::MAX));
         self.metrics.text()
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,10 @@
     pub(crate) vanished: Counter,
     /// The end of the applied part of the config stream.
     pub(crate) config_offset: Gauge,
+    /// Records of the config stream that are not applied yet.
+    pub(crate) log_lag: Gauge,
+    /// Seconds since the log last showed the configuration to be complete.
+    pub(crate) log_age: Gauge,
     duration: Histogram,
     first_token: Histogram,
 }
@@ -52,6 +56,8 @@
             open: Gauge::default(),
             vanished: Counter::default(),
             config_offset: Gauge::default(),
+            log_lag: Gauge::default(),
+            log_age: Gauge::default(),
             // From half a millisecond to about half an hour.
             duration: Histogram::new(exponential_buckets(0.000_5, 2.0, 22)),
             first_token: Histogram::new(exponential_buckets(0.000_5, 2.0, 18)),
@@ -74,6 +80,10 @@
         registry.register("vanished_callers", vanished, self.vanished.clone());
         let offset = "End of the applied part of the config stream";
         registry.register("config_offset_records", offset, self.config_offset.clone());
+        let lag = "Records of the config stream that are not applied yet, as of the last read";
+        registry.register("log_lag_records", lag, self.log_lag.clone());
+        let age = "Time since the log last showed the configuration to be complete; -1 if never";
+        registry.register("log_age_seconds", age, self.log_age.clone());
         let duration = "Time from a request to the end of its answer";
         registry.register("request_duration_seconds", duration, self.duration.clone());
         let first = "Time from a request to its first token";
--- a/crates/itest/tests/whole.rs
+++ b/crates/itest/tests/whole.rs
@@ -95,6 +95,10 @@
     assert_eq!((refused.status, run_of(&refused)), (503, "not-run".to_owned()), "{refused:?}");
     assert_eq!(runs(&[&one, &two]), 0);
     assert_eq!(chat(&left).await, 200);
+    let metrics = left.metrics();
+    let age =
+        metrics.lines().find_map(|line| line.strip_prefix("lapismast_entry_log_age_seconds "));
+    assert!(age.is_some_and(|age| age.parse().is_ok_and(|age: u64| age >= 30)), "{metrics}");
 
     let mut context = fleet.entry_context("entry-3", "sofia-1");
     context.settings.peers = vec![agent_address("engine-1")];
