--- a/crates/agent/tests/calls.rs
+++ b/crates/agent/tests/calls.rs
@@ -66,6 +66,11 @@
 }
 
 async fn outcome(entry: &mut Entry, attempt: u64) -> Outcome {
+    let reading = tokio::time::timeout(common::BOUND, read_outcome(entry, attempt));
+    reading.await.expect("the attempt ends")
+}
+
+async fn read_outcome(entry: &mut Entry, attempt: u64) -> Outcome {
     let (mut head, mut body) = (Head::default(), String::new());
     loop {
         let event = entry.event().await;
--- a/crates/agent/tests/common/mod.rs
+++ b/crates/agent/tests/common/mod.rs
@@ -20,7 +20,7 @@
 
 pub const MODEL: &str = "lapis-small";
 /// Longer than anything that a test waits for, by the paused clock.
-const BOUND: Duration = Duration::from_secs(600);
+pub const BOUND: Duration = Duration::from_secs(600);
 
 const KEY: &str = "test";
 
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -128,7 +128,7 @@
         entry.submit(attempt, request, 100).await;
     }
     settle().await;
-    let urgent = Request { urgent: true, ..prompt("rescue", "rescue", 20) };
+    let urgent = Request { urgent: true, ..prompt("rescue", "tiles", 20) };
     entry.submit(99, urgent, 100).await;
     let asked = tokio::time::Instant::now();
     let (_, tokens, refusal) = entry.finish(99).await;
--- a/crates/itest/tests/planned.rs
+++ b/crates/itest/tests/planned.rs
@@ -39,6 +39,14 @@
     answers
 }
 
+/// How many answers the entry had to go on with at another target because one broke off.
+fn resumes(entry: &entry::Entry) -> u64 {
+    let text = entry.metrics();
+    let line = text.lines().find(|line| line.contains("resumes_total") && !line.starts_with('#'));
+    let count = line.and_then(|line| line.rsplit(' ').next()?.parse().ok());
+    count.unwrap_or_else(|| panic!("no count of resumes in {text}"))
+}
+
 async fn give_order(fleet: &Fleet, target: &str, role: &str) {
     let appender = Appender::new(Arc::new(fleet.log.clone()), "planner-1".into());
     let scope = "planner/test".to_owned();
@@ -59,7 +67,7 @@
     let (_two, _agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
     let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let loading = tokio::spawn(load(entry, 100, 200, Duration::from_secs(10)));
+    let loading = tokio::spawn(load(entry.clone(), 100, 200, Duration::from_secs(10)));
     tokio::time::sleep(Duration::from_secs(3)).await;
     let spec = json!({
         "models": [MODEL], "domain": "sofia-1", "agent": agent_address("engine-1"),
@@ -73,6 +81,25 @@
     }
     let answers = loading.await.expect("callers wait");
     assert_eq!(answers.iter().filter(|answer| !is_whole(answer)).count(), 0);
+    assert_eq!(resumes(&entry), 0, "what ran there was finished there");
+}
+
+// The planner changes the role of the only engine while answers are under way. They are finished
+// first, instead of being cut and waiting for the engine to come back.
+#[tokio::test(start_paused = true)]
+async fn answers_under_way_are_finished_before_a_role_change() {
+    let fleet = Fleet::new().await;
+    let (one, _agent_one) = fleet.add_engine("engine-1", "sofia-1").await;
+    let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let loading = tokio::spawn(load(entry.clone(), 10, 500, Duration::from_millis(100)));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    give_order(&fleet, "engine-1", "decode").await;
+    let answers = loading.await.expect("callers wait");
+    assert_eq!(answers.iter().filter(|answer| !is_whole(answer)).count(), 0);
+    assert_eq!(resumes(&entry), 0);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    assert_eq!(one.status().await.expect("up").role, Role::Decode);
 }
 
 // The planner changes an engine's role while it streams an answer that outlasts the drain. The
@@ -110,7 +137,7 @@
     let (two, agent_two) = fleet.add_engine("engine-2", "sofia-1").await;
     let entry = Arc::new(fleet.start_entry("entry-1", "sofia-1"));
     tokio::time::sleep(Duration::from_secs(2)).await;
-    let loading = tokio::spawn(load(entry, 150, 200, Duration::from_secs(15)));
+    let loading = tokio::spawn(load(entry.clone(), 150, 200, Duration::from_secs(15)));
     let mut agents = Vec::new();
     for (name, agent, engine) in [("engine-1", agent_one, one), ("engine-2", agent_two, two)] {
         tokio::time::sleep(Duration::from_secs(3)).await;
@@ -121,6 +148,7 @@
     let answers = loading.await.expect("callers wait");
     let broken: Vec<_> = answers.iter().filter(|answer| !is_whole(answer)).collect();
     assert!(broken.is_empty(), "{} broken, first {:?}", broken.len(), broken.first());
+    assert_eq!(resumes(&entry), 0, "each agent finished what it had");
 }
 
 // Two things at once: the log goes out while an engine is being drained, and the other engine's
