fix(agent): checkpoints of the stream of a target's calls

Cause: nobody wrote checkpoints of calls.TARGET, so after the retention a replaced agent met a gap that nothing closed: it could not read its own claim back, and its target refused all calls that may not be repeated. The new test shows it: with records kept for 2 hours and the agent replaced after 5, a sent transfer was refused with log-unavailable. The agent now writes checkpoints while it holds its claim, and the test passes: the recorded answer is given again, the call ran once.

--- a/crates/agent/src/claim.rs
+++ b/crates/agent/src/claim.rs
@@ -2,7 +2,7 @@
 
 use crate::shared::Shared;
 use conf::resource::Target;
-use state::{Held, Lease, LeaseSettings};
+use state::{Calls, Checkpointer, CheckpointerSettings, Held, Lease, LeaseSettings};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -29,8 +29,10 @@
             let settings = settings(&shared, lease, longest);
             let lease = Lease::keep(settings, shared.appender.clone(), shared.calls.clone());
             let held = lease.held();
+            let checkpoints = checkpointer(&shared, &lease).run();
             tokio::select! {
                 () = publish(&shared, held) => {}
+                () = checkpoints => {}
                 () = release.cancelled() => {
                     shared.held.send_replace(None);
                     return lease.release().await;
@@ -44,6 +46,16 @@
     }
 }
 
+/// Writes checkpoints of the target's own stream, which nobody else follows: once its records
+/// have expired, a replaced agent would know neither the keys that were used nor the claim.
+fn checkpointer(shared: &Shared, lease: &Lease) -> Checkpointer<Calls> {
+    let stream = plat::calls_stream(&shared.target);
+    let (state, health) = (shared.calls.clone(), shared.calls_health.clone());
+    let appender = shared.appender.clone();
+    let checkpointer = Checkpointer::new(stream, appender, state, health, lease.held());
+    checkpointer.settings(CheckpointerSettings::calls())
+}
+
 /// Hands on what the lease says; ends only with the lease's task.
 async fn publish(shared: &Shared, mut held: watch::Receiver<Option<Held>>) {
     loop {
