--- a/crates/itest/tests/sockets.rs
+++ b/crates/itest/tests/sockets.rs
@@ -89,3 +89,20 @@
     running.stop.cancel();
     running.task.await.expect("ended").expect("without an error");
 }
+
+// Someone opens connections and sends a header byte by byte, or none at all. Kept for ever, they
+// would take all connections that the entry may have.
+#[tokio::test]
+async fn a_connection_that_never_finishes_its_headers_is_closed() {
+    let fleet = Fleet::new().await;
+    let running = start(&fleet).await;
+    let mut socket = TcpStream::connect(running.address).await.expect("the entry listens");
+    socket.write_all(b"GET /readyz HTTP/1.1\r\nhost: ").await.expect("written");
+    let mut answer = Vec::new();
+    let closed = tokio::time::timeout(Duration::from_secs(15), socket.read_to_end(&mut answer));
+    // Closed with or without an answer, or reset.
+    let _ = closed.await.expect("the entry closes it in time");
+    assert!(!String::from_utf8_lossy(&answer).contains(" 200 "));
+    running.stop.cancel();
+    running.task.await.expect("ended").expect("without an error");
+}
