fix(agent): a stop moves the streams that would outlast it

A stopping agent cut the streams that ran longer than the time for a stop, and their entries saw a closed connection. Without that the test ends in a closed connection instead of a refusal.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -32,6 +32,9 @@
 /// How long a stopping agent gives what it has written to leave for its entries.
 const FLUSH: Duration = Duration::from_millis(200);
 
+/// The part of the time for a stop, one in this many, that is left for streams to move.
+const MOVE_SHARE: u32 = 4;
+
 /// How long to wait after a failed accept.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
@@ -114,10 +117,7 @@
                 },
             }
         }
-        let ended = tokio::time::timeout(settings.drain, tasks.finish()).await;
-        if ended.is_err() {
-            log::error!(running = shared.dispatcher.counts().1; "stop-cut-requests");
-        }
+        finish(&shared, &tasks, settings.drain).await;
         // Only now, when nothing is done under the claim any more, may a successor take it.
         release.cancel();
         let _ = tokio::time::timeout(RELEASE, claiming).await;
@@ -126,6 +126,21 @@
     }
 }
 
+/// Waits for what runs and what waits. Streams that would outlast the time allowed are moved
+/// before it is over: without this the process would end under them, and their callers would wait
+/// for their entries to notice.
+async fn finish(shared: &Shared, tasks: &Tasks, drain: Duration) {
+    let patience = drain - drain / MOVE_SHARE;
+    if tokio::time::timeout(patience, tasks.finish()).await.is_ok() {
+        return;
+    }
+    shared.dispatcher.move_waiting();
+    shared.moves.send_modify(|count| *count += 1);
+    if tokio::time::timeout(drain / MOVE_SHARE, tasks.finish()).await.is_err() {
+        log::error!(running = shared.dispatcher.counts().1; "stop-cut-requests");
+    }
+}
+
 async fn watch_health(shared: Arc<Shared>) {
     shared.health.watch(&shared.backend, &shared.target).await;
 }
--- a/crates/agent/src/metrics.rs
+++ b/crates/agent/src/metrics.rs
@@ -20,9 +20,9 @@
     pub(crate) output_tokens: Counter,
     /// Requests that were answered whole.
     pub(crate) completed: Counter,
-    /// Orders by whether they are in force.
+    /// Orders that were closed, in force or not.
     pub(crate) orders: Counter,
-    /// Engine crashes in which requests were cut.
+    /// Requests that ran when the engine crashed.
     pub(crate) suspicions: Counter,
     /// KV caches taken over from other targets.
     pub(crate) kv_imports: Counter,
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -178,6 +178,35 @@
     agent.ended().await;
 }
 
+// An agent is stopped while a stream runs that outlasts the time for a stop. Its caller must not be
+// left with a dead connection: the entry is told in time to go on elsewhere.
+#[tokio::test(start_paused = true)]
+async fn a_stop_moves_a_stream_that_outlasts_it() {
+    let world = World::default();
+    let (_engine, agent) = world.engine("engine-1", 4).await;
+    let mut entry = world.entry("entry-1", "engine-1").await;
+    entry.submit(1, prompt("r1", "desk", 200_000), 1_000_000).await;
+    entry.credit(1, 65_000).await;
+    settle().await;
+    agent.stop.cancel();
+    let (mut tokens, mut refusal) = (0, None);
+    while refusal.is_none() {
+        let event = entry.event().await;
+        match event.kind {
+            Some(EventKind::Delta(delta)) => {
+                tokens = delta.from_token + delta.tokens;
+                entry.credit(1, 1).await;
+            }
+            Some(EventKind::Refusal(last)) => refusal = Some(last),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+    let refusal = refusal.expect("it was told");
+    assert_eq!((refusal.reason.as_str(), refusal.progress()), ("draining", Progress::Started));
+    assert!(tokens > 10_000, "it went on for most of the time: {tokens}");
+    agent.ended().await;
+}
+
 // A stream moves to another engine and brings its KV cache along; if the source is gone the other
 // engine reads everything anew, and the answer is the same.
 #[tokio::test(start_paused = true)]
