fix: two ways in which a call that may not be repeated ran twice

Cause 1: the agent gave up recording an outcome after 6 hours without the log. The intent then looked like one that was never dispatched, and a retry freed the key.

Cause 2: a recorded unknown outcome that a retry had not read yet let the retry say not run, which the fold took also after unknown. It is now taken only while the call is pending; the new test fails with the former rule.

--- a/crates/agent/src/flight.rs
+++ b/crates/agent/src/flight.rs
@@ -38,9 +38,6 @@
 /// How long to wait before an outcome is appended again.
 const RECORD_RETRY: Duration = Duration::from_secs(1);
 
-/// How long an outcome is tried to be recorded; outages of the log last hours.
-const RECORD_FOR: Duration = Duration::from_secs(6 * 3600);
-
 /// How long an appended intent may take to be read back.
 const READ_BACK: Duration = Duration::from_secs(3);
 
@@ -251,21 +248,17 @@
     }
 }
 
-/// Appends an outcome until it stands in the log.
+/// Appends an outcome until it stands in the log, however long the log is out.
+///
+/// Until then the key counts as under way here. Given up, the intent would look as if it had never
+/// been dispatched, and a retry would free its key and run the call again.
 async fn write(shared: &Shared, answer: record::Answer) {
     let stream = plat::calls_stream(&shared.target);
-    let until = Instant::now() + RECORD_FOR;
-    while Instant::now() < until {
-        match shared.appender.append(&stream, Body::Answer(answer.clone())).await {
-            Ok(_) => return,
-            // Appending it twice does no harm: the first one counts.
-            Err(error) => {
-                log::warn!(intent = answer.intent, error:% = error; "outcome-not-recorded");
-                tokio::time::sleep(RECORD_RETRY).await;
-            }
-        }
+    // Appending it twice does no harm: the first one counts.
+    while let Err(error) = shared.appender.append(&stream, Body::Answer(answer.clone())).await {
+        log::warn!(intent = answer.intent, error:% = error; "outcome-not-recorded");
+        tokio::time::sleep(RECORD_RETRY).await;
     }
-    log::error!(intent = answer.intent; "outcome-given-up");
 }
 
 /// Keeps a piece of the body for the record, unless it becomes too long.
--- a/crates/state/src/calls.rs
+++ b/crates/state/src/calls.rs
@@ -177,7 +177,10 @@
                 CallStatus::Unknown
             }
             CallStatus::Pending | CallStatus::Unknown if !own => return,
-            CallStatus::Pending | CallStatus::Unknown if answer.not_run => CallStatus::NotRun,
+            // Once its author said that nobody knows, a retry's word that it was not run, which
+            // was on its way beside that, must not free the key.
+            CallStatus::Unknown if answer.not_run => return,
+            CallStatus::Pending if answer.not_run => CallStatus::NotRun,
             CallStatus::Pending | CallStatus::Unknown => CallStatus::Answered(answer.clone()),
         };
         let call = CallEntry { status, ..CallEntry::clone(call) };
--- a/crates/state/tests/calls.rs
+++ b/crates/state/tests/calls.rs
@@ -79,6 +79,22 @@
     assert_eq!(status(&fold(&records), "sweep"), answered);
 }
 
+// A target breaks off, and its agent records that nobody knows the outcome. A retry that has not
+// read that yet takes the call for one that was given up, and says that it was not run. If that
+// freed the key, the call would run a second time.
+#[test]
+fn a_call_of_unknown_outcome_is_never_free_again() {
+    let calls: Calls = fold(&[
+        record("a", claim(SCOPE, None, 1)),
+        record("a", intent("sweep", 0)),
+        record("a", Body::Answer(answer(1, 0, 0))),
+        record("a", not_run(1, 0)),
+        record("a", intent("sweep", 0)),
+    ]);
+    assert_eq!(status(&calls, "sweep"), CallStatus::Unknown);
+    assert!(!calls.may_dispatch(b"sweep", 4));
+}
+
 // A call is refused before it reaches its target, the answer that frees its key is appended
 // twice, and the second copy arrives after the caller's retry has begun.
 #[test]
