--- /dev/null
+++ b/crates/cli/tests/processes/fleet.rs
@@ -0,0 +1,255 @@
+//! A fleet of real processes on loopback: starts the program, signals its processes by id, and
+//! ends only what it started.
+
+use bytes::Bytes;
+use conf::{Kind, settings};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use plat::http::HttpClient;
+use serde_json::Value;
+use state::Appender;
+use state::record::{Body, Change};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The secret between the fleet's processes.
+const PEER_KEY: &str = "processes";
+
+/// How long anything may take before the test fails.
+pub const PATIENCE: Duration = Duration::from_secs(40);
+
+/// One process of the fleet; it ends with the test.
+pub struct Process {
+    child: Child,
+}
+
+/// What a caller received.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub status: u16,
+    pub body: String,
+    /// Whether the body broke off.
+    pub cut: bool,
+}
+
+/// A fleet of real processes.
+pub struct Fleet {
+    folder: PathBuf,
+    pub log_address: String,
+    vms_address: String,
+    pub log: Process,
+    _vms: Process,
+}
+
+impl Process {
+    fn start(args: &[&str]) -> Self {
+        let child = Command::new(env!("CARGO_BIN_EXE_lapismast"))
+            .args(args)
+            .env("RUST_LOG", "off")
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program was built for this test");
+        Self { child }
+    }
+
+    /// Sends a signal by process id, such as `KILL`, `STOP`, `CONT` or `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &id]).status();
+        assert!(sent.expect("kill is installed").success());
+    }
+
+    /// Waits until the process has ended and returns its exit code.
+    pub async fn ended(mut self) -> Option<i32> {
+        let waiting = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("it is our child") {
+                    return status.code();
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(PATIENCE, waiting).await.expect("the process ends in time")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Fleet {
+    /// Starts the platform's stand-ins.
+    pub async fn start(name: &str) -> Self {
+        let folder = std::env::temp_dir().join(format!("lapismast-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder for settings can be made");
+        let (log_address, vms_address) = (free_address(), free_address());
+        let log = Process::start(&["fake", "log", "--listen", &log_address]);
+        let vms = Process::start(&["fake", "vms", "--listen", &vms_address]);
+        let fleet = Self { folder, log_address, vms_address, log, _vms: vms };
+        until("the log answers", || async { reachable(&fleet.log_address).await }).await;
+        fleet.publish(Kind::Model, "lapis-small", serde_json::json!({})).await;
+        fleet.publish(Kind::Caller, "open", serde_json::json!({"urgent": true})).await;
+        fleet
+    }
+
+    /// Starts a stand-in target of a kind, `engine` or `service`, and returns its address.
+    pub async fn fake(&self, kind: &str) -> (Process, String) {
+        let address = free_address();
+        let process = Process::start(&["fake", kind, "--listen", &address]);
+        until("the stand-in answers", || async { reachable(&address).await }).await;
+        (process, address)
+    }
+
+    /// Starts the agent of a target and returns its address for entries.
+    pub async fn agent(
+        &self,
+        name: &str,
+        target: &str,
+        backend: settings::Backend,
+        target_address: &str,
+    ) -> (Process, String) {
+        let address = free_address();
+        let settings = settings::Agent {
+            name: name.into(),
+            target: target.into(),
+            backend,
+            target_address: target_address.into(),
+            peers_listen: address.as_str().into(),
+            metrics: free_address().into(),
+            peer_key: PEER_KEY.into(),
+            platform: self.platform(),
+            ..settings::Agent::default()
+        };
+        let file = self.write(name, &settings);
+        let process = Process::start(&["agent", "--settings", &file]);
+        until("the agent listens", || async { reachable(&address).await }).await;
+        (process, address)
+    }
+
+    /// Starts an entry that takes callers at `address`, and waits until it is ready.
+    pub async fn entry(&self, name: &str, peers: &[&str]) -> (Process, String) {
+        let address = free_address();
+        let settings = settings::Entry {
+            name: name.into(),
+            callers: address.as_str().into(),
+            admin: free_address().into(),
+            peer_key: PEER_KEY.into(),
+            peers: peers.iter().map(|peer| (*peer).into()).collect(),
+            platform: self.platform(),
+            ..settings::Entry::default()
+        };
+        let file = self.write(name, &settings);
+        let process = Process::start(&["entry", "--settings", &file]);
+        until("the entry is ready", || async {
+            get(&address, "/readyz").await.is_some_and(|answer| answer.status == 200)
+        })
+        .await;
+        (process, address)
+    }
+
+    /// Appends a change of a resource as an operator would.
+    pub async fn publish(&self, kind: Kind, name: &str, spec: Value) {
+        let platform = self.platform();
+        let log = HttpClient::new(platform.log, platform.timeout);
+        let appender = Appender::new(Arc::new(log), "operator".into());
+        let spec = Some(spec.to_string());
+        let (kind, name) = (kind.name().to_owned(), name.to_owned());
+        let change = Body::Change(Change { kind, name, spec, expects: None });
+        appender.append(plat::CONFIG_STREAM, change).await.expect("the log is up");
+    }
+
+    fn platform(&self) -> settings::Platform {
+        settings::Platform {
+            log: self.log_address.as_str().into(),
+            vms: self.vms_address.as_str().into(),
+            ..settings::Platform::default()
+        }
+    }
+
+    fn write<T: serde::Serialize>(&self, name: &str, settings: &T) -> String {
+        let file = self.folder.join(format!("{name}.yaml"));
+        let text = serde_yaml_ng::to_string(settings).expect("settings can be written");
+        std::fs::write(&file, text).expect("the folder can be written to");
+        file.to_string_lossy().into_owned()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // What is left behind is small and named after this process.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until `condition` holds; fails the test if it does not in time.
+pub async fn until<F: Future<Output = bool>>(what: &str, condition: impl Fn() -> F) {
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.unwrap_or_else(|_| panic!("in time: {what}"));
+}
+
+/// Sends a request and collects the answer; `None` if there was none.
+pub async fn send(address: &str, request: hyper::http::request::Builder, body: Value) -> Answer {
+    let body = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
+    let request = request.body(Full::new(body)).expect("the request is valid");
+    let sending = exchange(address, request);
+    let answer = tokio::time::timeout(PATIENCE, sending).await.expect("an answer comes in time");
+    answer.expect("the connection is not lost before an answer")
+}
+
+/// Posts JSON.
+pub async fn post(address: &str, path: &str, body: Value) -> Answer {
+    send(address, hyper::Request::post(path), body).await
+}
+
+/// Posts a call with an idempotency key.
+pub async fn call(address: &str, path: &str, key: &str, body: Value) -> Answer {
+    send(address, hyper::Request::post(path).header("idempotency-key", key), body).await
+}
+
+/// Gets a path; `None` if nobody answers.
+pub async fn get(address: &str, path: &str) -> Option<Answer> {
+    let request = hyper::Request::get(path).body(Full::default()).expect("the request is valid");
+    exchange(address, request).await
+}
+
+async fn exchange(address: &str, request: hyper::Request<Full<Bytes>>) -> Option<Answer> {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Full<Bytes>>();
+    let (mut head, body) = request.into_parts();
+    head.uri = format!("http://{address}{}", head.uri).parse().expect("the address is valid");
+    let response = client.request(hyper::Request::from_parts(head, body)).await.ok()?;
+    let status = response.status().as_u16();
+    let mut incoming = response.into_body();
+    let mut body = String::new();
+    let mut cut = false;
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                body.push_str(&String::from_utf8_lossy(&data));
+            }
+            Err(_) => cut = true,
+        }
+    }
+    Some(Answer { status, body, cut })
+}
+
+async fn reachable(address: &str) -> bool {
+    tokio::net::TcpStream::connect(address).await.is_ok()
+}
+
+fn free_address() -> String {
+    let socket = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    socket.local_addr().expect("a bound socket has an address").to_string()
+}
