--- a/crates/conf/src/resource.rs
+++ b/crates/conf/src/resource.rs
@@ -302,7 +302,10 @@
 
     fn typed<T: serde::de::DeserializeOwned>(&self) -> Result<T> {
         serde_path_to_error::deserialize(&self.spec).map_err(|error| {
-            let path = compact_str::format_compact!("spec.{}", error.path());
+            let path = match error.path().iter().next() {
+                Some(_) => compact_str::format_compact!("spec.{}", error.path()),
+                None => CompactString::const_new("spec"),
+            };
             Error::Invalid { path, detail: error.inner().to_string() }
         })
     }
--- a/crates/itest/src/lib.rs
+++ b/crates/itest/src/lib.rs
@@ -3,6 +3,7 @@
 //! Under the paused clock of a current-thread runtime a run is the same each time.
 
 mod script;
+mod transcript;
 
 use agent::Backend;
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use wire::Memory;
 
 pub use script::{Script, Wire};
+pub use transcript::{Transcript, describe};
 
 /// The secret between the fleet's processes.
 const PEER_KEY: &str = "test";
