perf(entry): heartbeats ride on traffic

Cause: the slopes came to 9,449 bytes a second for an entry at the plan's size, above its 7,000. Each connection was pinged each second for good, since the interval was read once, before the entry knew how many agents it keeps. Ruled out: the log (514 bytes a second) and sightings.

Now a connection from which something was heard is not pinged, but told of the entry every 5 s; one with open requests is looked after each second, one without each 4 s in a large fleet; an entry keeps 48 agents in touch instead of 64.

Before: 174.5 bytes a second a connection.

Conclusion: silence of a connection with requests is still noticed within 3 s.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod explain;
 mod gate;
 mod headers;
+mod heartbeat;
 mod inbox;
 mod members;
 mod metrics;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -102,11 +102,12 @@
         self.kept.store(kept, Ordering::Relaxed);
     }
 
-    /// How often each agent is pinged: its answers carry its load, so this bounds the load's age.
-    /// With many agents it is twice as long, to stay under the 7 KB/s that control may cost.
+    /// How often an agent without open requests is pinged: its answers carry its load, so this
+    /// bounds the load's age. With many agents it is longer, to stay under the 7 KB/s that control
+    /// may cost: 48 agents every 4 s are 2.5 KB/s.
     pub(crate) fn ping_interval(&self) -> Duration {
         match self.is_large() {
-            true => Duration::from_secs(2),
+            true => Duration::from_secs(4),
             false => Duration::from_secs(1),
         }
     }
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -1,6 +1,7 @@
 //! One connection to an agent: a task that reads and one that writes.
 
 use crate::attempt::{Attempt, Outbox};
+use crate::heartbeat::{Beat, Heartbeat};
 use crate::inbox::{CREDIT_EVENTS, Inbox};
 use crate::peer::Peer;
 use crate::peers::Link;
@@ -11,7 +12,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{Instant, MissedTickBehavior};
 use wire::{
     Ask, AskKind, Attach, Body, Connection, Frame, Hello, Ping, Reader, Reply, Request, Submit,
     Writer,
@@ -23,10 +23,6 @@
 /// How long a dial with its handshake may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// After how many ping intervals of silence a connection counts as half open: an answer that is
-/// late by a whole interval does not end it.
-const SILENT_INTERVALS: f64 = 2.5;
-
 /// A live connection to an agent.
 pub(crate) struct Session {
     outbox: Outbox,
@@ -129,28 +125,27 @@
         writer: Writer,
     ) {
         let writing = tokio::spawn(write(writer, frames));
-        let interval = link.ping_interval();
-        let mut pings = tokio::time::interval(interval);
-        pings.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut heard = Instant::now();
+        let mut heartbeat = Heartbeat::new();
         loop {
+            let (busy, idle) = (self.open_attempts() > 0, link.ping_interval());
             tokio::select! {
                 frame = reader.next() => {
                     let Some(Ok(frame)) = frame else { break };
-                    heard = Instant::now();
+                    heartbeat.hear();
                     self.take(link, peer, frame);
                 }
-                _ = pings.tick() => {
-                    // A peer that vanished without closing (a paused VM, a partition) would keep
-                    // its requests waiting for ever; silence ends them, and they go elsewhere.
-                    if heard.elapsed() > interval.mul_f64(SILENT_INTERVALS) {
-                        log::warn!(peer = reader.peer().as_str(); "peer-silent");
-                        break;
-                    }
+                () = tokio::time::sleep_until(heartbeat.next(busy, idle)) => {
                     if peer.is_idle(&self) {
                         break;
                     }
-                    self.ping(link);
+                    match heartbeat.look(busy, idle) {
+                        Beat::Rest => {}
+                        Beat::Ping => self.ping(link),
+                        Beat::Silent => {
+                            log::warn!(peer = reader.peer().as_str(); "peer-silent");
+                            break;
+                        }
+                    }
                 }
             }
         }
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -12,15 +12,15 @@
 /// Settings of the subset.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
-    /// Targets that an entry keeps in touch with. With 390 entries and 700 targets, 64 give each
-    /// target 36 entries, give or take 6; a ping of 100 bytes each way every 2 s costs 6.4 KB/s
-    /// at most, and replies that carry the load make most pings needless.
+    /// Targets that an entry keeps in touch with. With 390 entries and 700 targets, 48 give each
+    /// target 27 entries, give or take 5. 64 were too many: a checkpoint of the configuration each
+    /// ten minutes takes 2.5 of the 7 KB/s for control, and they would take more than the rest.
     pub targets: usize,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { targets: 64 }
+        Self { targets: 48 }
     }
 }
 
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -25,24 +25,24 @@
 /// The secret between the fleet's processes.
 const PEER_KEY: &str = "slopes";
 
-/// The fleet: one entry, some agents with an engine each, and the platform.
+/// The fleet: some entries, some agents with an engine each, and the platform.
 pub(crate) struct Fleet {
-    /// The thread of the entry.
+    /// The thread of all entries.
     pub(crate) entry: Thread,
     /// The thread of all agents.
     pub(crate) agents: Thread,
-    /// Where the entry takes callers.
+    /// Where the first entry takes callers.
     pub(crate) callers: CompactString,
-    /// Counts the bytes between the entry and the agents.
+    /// Counts the bytes between entries and agents.
     pub(crate) peers: Arc<AtomicU64>,
-    /// Counts the bytes between the log and the entry.
+    /// Counts the bytes between the log and the entries.
     pub(crate) log_relay: Relay,
     log: MemoryLog,
 }
 
 impl Fleet {
-    /// Starts a fleet with `agents` agents.
-    pub(crate) async fn start(agents: u32) -> Result<Self> {
+    /// Starts a fleet.
+    pub(crate) async fn start(entries: u32, agents: u32) -> Result<Self> {
         let stand_ins = Thread::start()?;
         let log = MemoryLog::new();
         let router = fake::http::log_router(Arc::new(log.clone()));
@@ -61,7 +61,10 @@
         for number in 0..agents {
             fleet.start_agent(&stand_ins, &log_address, number).await?;
         }
-        let callers = fleet.start_entry().await?;
+        let callers = fleet.start_entry(0).await?;
+        for number in 1..entries {
+            fleet.start_entry(number).await?;
+        }
         let fleet = Self { callers, ..fleet };
         tokio::time::sleep(SETTLE).await;
         Ok(fleet)
@@ -96,9 +99,9 @@
         self.publish(Kind::Target, &name, spec).await
     }
 
-    async fn start_entry(&self) -> Result<CompactString> {
+    async fn start_entry(&self, number: u32) -> Result<CompactString> {
         let platform = platform(&self.log_relay.address);
-        self.entry.run(run_entry(platform)).await?
+        self.entry.run(run_entry(number, platform)).await?
     }
 }
 
@@ -135,9 +138,10 @@
     Ok(address)
 }
 
-async fn run_entry(platform: settings::Platform) -> Result<CompactString> {
+async fn run_entry(number: u32, platform: settings::Platform) -> Result<CompactString> {
     let log = Arc::new(HttpClient::new(platform.log.clone(), platform.timeout));
     let settings = settings::Entry {
+        name: format_compact!("entry-{number}"),
         domain: "domain-1".into(),
         callers: "127.0.0.1:0".into(),
         peer_key: PEER_KEY.into(),
@@ -149,7 +153,7 @@
         log,
         vms: Arc::new(MemoryVms::default()),
         dialler: Arc::new(TcpDialler),
-        seed: 1,
+        seed: u64::from(number),
         stop: CancellationToken::new(),
     };
     let daemon = entry::Daemon::bind(context).await?;
--- /dev/null
+++ b/crates/slopes/src/frames.rs
@@ -0,0 +1,71 @@
+//! Sizes of the frames that carry heartbeats, without a run.
+
+use crate::table::Row;
+use prost::Message;
+use wire::{Body, Frame, Load, Ping, Pong, Sighting, Usage};
+
+/// Entries that an agent has heard from; 18 at the plan's size.
+const SIGHTINGS: [u32; 4] = [0, 18, 36, 72];
+
+/// Busy callers that an entry tells of itself.
+const USAGES: [u32; 4] = [0, 8, 16, 32];
+
+/// The length prefix of each frame.
+const PREFIX_BYTES: usize = 4;
+
+/// The rows of this module.
+pub(crate) fn rows() -> Vec<Row> {
+    let ping = USAGES.map(|size| (f64::from(size), length(Body::Ping(ping(size)))));
+    let pong = SIGHTINGS.map(|size| (f64::from(size), length(Body::Pong(pong(size)))));
+    vec![
+        Row { role: "entry", cost: "ping, bytes", per: "busy caller", points: ping.to_vec() },
+        Row { role: "agent", cost: "pong, bytes", per: "sighting", points: pong.to_vec() },
+    ]
+}
+
+fn length(body: Body) -> f64 {
+    let bytes = Frame::new(body).encoded_len() + PREFIX_BYTES;
+    f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
+}
+
+fn ping(usages: u32) -> Ping {
+    Ping { nonce: 1 << 20, sender: Some(sighting(usages)), wants_sightings: true }
+}
+
+fn pong(sightings: u32) -> Pong {
+    let load = Load {
+        target: "engine-700".to_owned(),
+        prompt_tokens: 20_000,
+        output_tokens: 9_000,
+        running: 14,
+        waiting: 3,
+        slots: 16,
+        prefill_rate: 20_000,
+        decode_rate: 4_000,
+        accepting: true,
+        serves: (1..=4).map(|number| format!("model-{number}")).collect(),
+        role: "mixed".to_owned(),
+        sequence: 1 << 30,
+        config_offset: 1 << 20,
+        wait_ms: 300,
+        token_time_us: 40_000,
+    };
+    let sightings = (0..sightings).map(|_| sighting(TYPICAL_USAGES)).collect();
+    Pong { nonce: 1 << 20, load: Some(load), sightings }
+}
+
+/// Callers that have traffic at one entry at the plan's size, of those that are told.
+const TYPICAL_USAGES: u32 = 12;
+
+fn sighting(usages: u32) -> Sighting {
+    let usage = |caller| Usage { caller, rate: 900, open: 2 };
+    Sighting {
+        entry: "entry-390".to_owned(),
+        incarnation: u64::MAX,
+        config_offset: 1 << 20,
+        prompt_rate: 4_000,
+        output_rate: 5_000,
+        age_ms: 500,
+        usages: (0..usages).map(u64::from).map(usage).collect(),
+    }
+}
--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -7,7 +7,9 @@
 
 mod fit;
 mod fleet;
+mod frames;
 mod memory;
+mod plan;
 mod relay;
 mod table;
 mod thread;
@@ -23,8 +25,10 @@
 
 fn main() -> Result<()> {
     let mut rows = memory::rows();
+    rows.extend(frames::rows());
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     rows.extend(runtime.block_on(traffic::rows())?);
     table::print(&rows);
-    Ok(())
+    println!();
+    plan::print(&rows)
 }
--- a/crates/slopes/src/memory.rs
+++ b/crates/slopes/src/memory.rs
@@ -1,6 +1,7 @@
 //! Memory and time of the folded configuration.
 
 use crate::ALLOCATOR;
+use crate::fit::Point;
 use crate::table::Row;
 use serde_json::{Value, json};
 use state::record::{Body, Change};
@@ -26,6 +27,8 @@
     vec![
         row("folded state, bytes", "target", sized("Target", TARGETS)),
         row("folded state, bytes", "caller", sized("Caller", CALLERS)),
+        row("checkpoint, bytes", "target", encoded("Target", TARGETS)),
+        row("checkpoint, bytes", "caller", encoded("Caller", CALLERS)),
         row(
             "fold of a change at the plan's size, ns of CPU",
             "change",
@@ -46,6 +49,18 @@
     f64::from(u32::try_from(bytes).unwrap_or(u32::MAX))
 }
 
+/// Bytes of a checkpoint of `size` resources of one kind, with the changes that made them as far
+/// as the audit trail keeps them.
+fn encoded(kind: &'static str, sizes: [u32; 4]) -> Vec<Point> {
+    let bytes = |size: u32| {
+        let records: Vec<Record> = (0..size).map(|number| created(kind, number)).collect();
+        let mut config = Config::default();
+        fold(&mut config, &records);
+        f64::from(u32::try_from(config.encode().len()).unwrap_or(u32::MAX))
+    };
+    sizes.map(|size| (f64::from(size), bytes(size))).to_vec()
+}
+
 /// Time to apply `size` changes to a configuration of the plan's size.
 fn change_nanos(size: u32) -> f64 {
     let targets = (0..700).map(|number| created("Target", number));
--- /dev/null
+++ b/crates/slopes/src/plan.rs
@@ -0,0 +1,127 @@
+//! What the slopes come to at the plan's size, against the plan's limits for control.
+//!
+//! A process's control work is all that it does without a request: heartbeats, the log and the
+//! configuration. The work of requests is shown beside it without a limit.
+
+use crate::fit::Line;
+use crate::table::Row;
+use eyre::{Result, eyre};
+
+/// The plan, from the developers' page.
+const ENTRIES: f64 = 390.0;
+const TARGETS: f64 = 700.0;
+const CALLERS: f64 = 4_500.0;
+const REQUESTS_A_SECOND: f64 = 4_700.0;
+const TOKENS_A_SECOND: f64 = 2_000_000.0;
+const CHANGES_A_DAY: f64 = 1_500.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
+
+/// The plan's limits for control.
+const CORE_SHARE: f64 = 0.044;
+const MEMORY_BYTES: f64 = 256e6;
+const LINK_BYTES_A_SECOND: f64 = 7_000.0;
+
+/// Agents to which an entry keeps connections, as `policy::subset` bounds them.
+const CONNECTIONS: f64 = 48.0;
+
+/// Seconds between two questions of an entry for the sightings that an agent has.
+const SIGHTINGS_EVERY: f64 = 5.0;
+
+/// Base64 in JSON makes a third more of each record.
+const BASE64: f64 = 4.0 / 3.0;
+
+/// Prints the worked-out figures.
+pub(crate) fn print(rows: &[Row]) -> Result<()> {
+    let slopes = Slopes { rows };
+    let agent_connections = ENTRIES * CONNECTIONS / TARGETS;
+    println!("| Role | What | At the plan's size | Limit |");
+    println!("|---|---|---|---|");
+    slopes.print("entry", CONNECTIONS)?;
+    slopes.print("agent", agent_connections)?;
+    slopes.print_requests("entry", ENTRIES)?;
+    slopes.print_requests("agent", TARGETS)
+}
+
+struct Slopes<'a> {
+    rows: &'a [Row],
+}
+
+impl Slopes<'_> {
+    fn line(&self, role: &str, cost: &str, per: &str) -> Result<Line> {
+        let mut rows = self.rows.iter();
+        let row = rows.find(|row| row.role == role && row.cost == cost && row.per == per);
+        let row = row.ok_or_else(|| eyre!("no row of {cost} a {per} at {role}"))?;
+        Ok(Line::through(&row.points))
+    }
+
+    fn print(&self, role: &str, connections: f64) -> Result<()> {
+        let process = self.line(role, "CPU a second, ns", "idle process with one connection")?;
+        let connection = self.line(role, "CPU a second, ns", "idle connection")?;
+        let single = "caller there is, for a change that comes alone";
+        let change = self.line(role, "CPU, ns", single)?;
+        let changes = CHANGES_A_DAY / SECONDS_A_DAY;
+        let cpu = process.slope + connection.slope * (connections - 1.0);
+        let cpu = cpu + (change.base + change.slope * CALLERS) * changes;
+        line(role, "control, share of a core", &percent(cpu / 1e9), &percent(CORE_SHARE));
+        let memory = self.resources("folded state, bytes")?;
+        line(role, "folded configuration, MB", &mega(memory), &mega(MEMORY_BYTES));
+        let bytes = self.link_bytes(connections)?;
+        line(
+            role,
+            "heartbeats and log, bytes a second",
+            &whole(bytes),
+            &whole(LINK_BYTES_A_SECOND),
+        );
+        Ok(())
+    }
+
+    /// A cost of all targets and callers of the plan.
+    fn resources(&self, cost: &str) -> Result<f64> {
+        let target = self.line("every process", cost, "target")?;
+        let caller = self.line("every process", cost, "caller")?;
+        Ok(target.slope * TARGETS + caller.slope * CALLERS + target.base + caller.base)
+    }
+
+    /// Bytes of the links for control: pings and pongs, sightings, and the log.
+    fn link_bytes(&self, connections: f64) -> Result<f64> {
+        let idle = self.line("entry", "peer links a second, bytes", "idle connection")?;
+        let sighting = self.line("agent", "pong, bytes", "sighting")?;
+        let log = self.line("entry", "log a second, bytes", "idle process with one connection")?;
+        let change = self.line("every process", "log, bytes", "change of configuration")?;
+        let heard = ENTRIES * CONNECTIONS / TARGETS;
+        let asked = connections / CONNECTIONS;
+        let sightings = sighting.slope * heard * asked / SIGHTINGS_EVERY;
+        let changes = change.slope * CHANGES_A_DAY / SECONDS_A_DAY;
+        let checkpoints =
+            self.resources("checkpoint, bytes")? * BASE64 * CHECKPOINTS_A_DAY / SECONDS_A_DAY;
+        Ok(idle.slope * connections + sightings + log.slope + changes + checkpoints)
+    }
+
+    fn print_requests(&self, role: &str, processes: f64) -> Result<()> {
+        let request = self.line(role, "CPU, ns", "request of 1 token")?;
+        let token = self.line(role, "CPU, ns", "token")?;
+        let cpu = request.slope * REQUESTS_A_SECOND + token.slope * TOKENS_A_SECOND;
+        let share = cpu / processes / 1e9;
+        line(role, "requests, share of a core at the peak", &percent(share), "none set");
+        Ok(())
+    }
+}
+
+/// Checkpoints of the configuration, which every process reads: one each ten minutes.
+const CHECKPOINTS_A_DAY: f64 = 144.0;
+
+fn line(role: &str, what: &str, value: &str, limit: &str) {
+    println!("| {role} | {what} | {value} | {limit} |");
+}
+
+fn percent(share: f64) -> String {
+    format!("{:.2}%", share * 100.0)
+}
+
+fn mega(bytes: f64) -> String {
+    format!("{:.1}", bytes / 1e6)
+}
+
+fn whole(value: f64) -> String {
+    format!("{value:.0}")
+}
--- a/crates/slopes/src/traffic.rs
+++ b/crates/slopes/src/traffic.rs
@@ -24,8 +24,14 @@
 /// Bytes of each prompt.
 const PROMPT_BYTES: [u32; 4] = [1_000, 16_000, 32_000, 64_000];
 
-/// Agents to which one entry is connected.
-const AGENTS: [u32; 4] = [2, 8, 16, 32];
+/// Entries of one agent.
+const ENTRIES: [u32; 4] = [2, 8, 16, 32];
+
+/// Agents of one entry; so many that they are pinged as rarely as in a large fleet.
+const AGENTS: [u32; 4] = [28, 36, 42, 48];
+
+/// Callers in the configuration; the plan has 4,500.
+const CALLERS: [u32; 4] = [500, 1_500, 3_000, 4_500];
 
 /// Changes of configuration published in one measurement.
 const CHANGES: [u32; 4] = [100, 200, 400, 800];
@@ -37,7 +43,7 @@
 const CONCURRENCY: usize = 32;
 
 /// How long idle connections are watched.
-const WATCH: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(8);
 
 /// What one measurement saw.
 #[derive(Clone, Copy)]
@@ -58,7 +64,7 @@
 }
 
 async fn of_requests() -> Result<Vec<Row>> {
-    let fleet = Fleet::start(1).await?;
+    let fleet = Fleet::start(1, 1).await?;
     send(&fleet, 500, 1, 100).await?;
     let (mut requests, mut tokens, mut prompts) = (Vec::new(), Vec::new(), Vec::new());
     for size in REQUESTS {
@@ -84,48 +90,89 @@
 }
 
 async fn of_connections() -> Result<Vec<Row>> {
-    let mut idle = Vec::new();
-    for agents in AGENTS {
-        let fleet = Fleet::start(agents).await?;
-        // Each agent is reached once, so that the connection is open.
-        send(&fleet, agents * 20, 1, 100).await?;
-        let watching = async {
-            tokio::time::sleep(WATCH).await;
-            Ok(())
-        };
-        let cost = measure(&fleet, watching).await?;
-        idle.push((f64::from(agents), cost.over(WATCH)));
+    let (mut to_agents, mut from_entries) = (Vec::new(), Vec::new());
+    for size in AGENTS {
+        to_agents.push((f64::from(size), idle(1, size).await?));
     }
-    let mut rows = cpu_rows("idle connection, a second", &idle);
-    let per = "idle connection, a second";
-    rows.push(row("entry", "peer links, bytes", per, &idle, |c| c.peer_bytes));
-    rows.push(row("entry", "log, bytes", per, &idle, |c| c.log_bytes));
-    Ok(rows)
+    for size in ENTRIES {
+        from_entries.push((f64::from(size), idle(size, 1).await?));
+    }
+    let (process, connection) = ("idle process with one connection", "idle connection");
+    let cpu = "CPU a second, ns";
+    Ok(vec![
+        row("entry", cpu, process, &from_entries, |cost| cost.entry),
+        row("entry", cpu, connection, &to_agents, |cost| cost.entry),
+        row("agent", cpu, process, &to_agents, |cost| cost.agents),
+        row("agent", cpu, connection, &from_entries, |cost| cost.agents),
+        row("entry", "peer links a second, bytes", connection, &to_agents, |c| c.peer_bytes),
+        row("entry", "log a second, bytes", process, &from_entries, |cost| cost.log_bytes),
+    ])
+}
+
+/// What a fleet without requests spends in a second.
+async fn idle(entries: u32, agents: u32) -> Result<Cost> {
+    let fleet = Fleet::start(entries, agents).await?;
+    // Each agent is reached, so that the connection is open.
+    send(&fleet, agents * 20, 1, 100).await?;
+    let watching = async {
+        tokio::time::sleep(WATCH).await;
+        Ok(())
+    };
+    Ok(measure(&fleet, watching).await?.over(WATCH))
 }
 
 async fn of_changes() -> Result<Vec<Row>> {
-    let fleet = Fleet::start(1).await?;
+    let fleet = Fleet::start(1, 1).await?;
     let mut changes = Vec::new();
     for size in CHANGES {
         let publishing = async {
             for number in 0..size {
-                let name = format!("caller-{number}");
-                let spec = json!({"token_sha256": format!("{number:064x}"), "weight": 2});
-                fleet.publish(Kind::Caller, &name, spec).await?;
+                publish_caller(&fleet, number).await?;
             }
             tokio::time::sleep(WATCH / 5).await;
             Ok(())
         };
         changes.push((f64::from(size), measure(&fleet, publishing).await?));
     }
-    let mut rows = cpu_rows("change of configuration", &changes);
     let per = "change of configuration";
-    rows.push(row("every process", "log, bytes", per, &changes, |c| c.log_bytes));
+    let mut rows = vec![row("every process", "log, bytes", per, &changes, |cost| cost.log_bytes)];
+    rows.extend(cpu_rows("caller there is, for a change that comes alone", &of_single().await?));
     Ok(rows)
 }
 
+/// What one change costs that comes alone, as most do, against how many callers there are.
+async fn of_single() -> Result<Vec<(f64, Cost)>> {
+    const ALONE: u32 = 20;
+    let fleet = Fleet::start(1, 1).await?;
+    let mut there = 0;
+    let mut single = Vec::new();
+    for callers in CALLERS {
+        for number in there..callers {
+            publish_caller(&fleet, number).await?;
+        }
+        there = callers;
+        tokio::time::sleep(WATCH / 5).await;
+        let publishing = async {
+            for number in 0..ALONE {
+                publish_caller(&fleet, number).await?;
+                tokio::time::sleep(WATCH / 100).await;
+            }
+            Ok(())
+        };
+        let cost = measure(&fleet, publishing).await?;
+        single.push((f64::from(callers), cost.over(Duration::from_secs(u64::from(ALONE)))));
+    }
+    Ok(single)
+}
+
+async fn publish_caller(fleet: &Fleet, number: u32) -> Result<()> {
+    let name = format!("caller-{number}");
+    let spec = json!({"token_sha256": format!("{number:064x}"), "weight": 2});
+    fleet.publish(Kind::Caller, &name, spec).await
+}
+
 impl Cost {
-    /// The cost of one second of `time`.
+    /// The cost divided by the seconds of `time`.
     fn over(self, time: Duration) -> Self {
         let seconds = time.as_secs_f64();
         Self {
