test(policy): the subset's test follows its size

Cause: the test held the old size of 64 as a literal. The bounds are as strict in proportion: exactly 8 of each failure domain, a target known to 0.41 to 1.7 of the mean of 27 entries (0.42 to 1.7 of 36 before).

Before: failed at 48. After: passes.

--- a/crates/policy/tests/subset.rs
+++ b/crates/policy/tests/subset.rs
@@ -23,14 +23,14 @@
     let mut known = vec![0; 700];
     for index in 0..390 {
         let chosen = choose(&Settings::default(), entry(index), &members);
-        assert_eq!(chosen.len(), 64);
+        assert_eq!(chosen.len(), 48);
         let mut domains = BTreeMap::new();
         chosen.iter().for_each(|i| *domains.entry(members[*i].domain).or_insert(0) += 1);
-        assert!(domains.values().all(|many| (10..=11).contains(many)), "{domains:?}");
+        assert!(domains.values().all(|many| *many == 8), "{domains:?}");
         chosen.iter().for_each(|i| known[*i] += 1);
     }
     let (least, most) = (known.iter().min().unwrap(), known.iter().max().unwrap());
-    assert!(*least >= 15 && *most <= 62, "a target is known to {least} to {most} entries");
+    assert!(*least >= 11 && *most <= 46, "a target is known to {least} to {most} entries");
 }
 
 // A target is replaced. If that changed the whole choice, every entry would open all its
@@ -43,7 +43,7 @@
     let gone = fewer.remove(before[5]);
     let after = choose(&Settings::default(), entry(1), &fewer);
     let kept = after.iter().filter(|i| before.iter().any(|b| members[*b] == fewer[**i]));
-    assert_eq!(kept.count(), 63, "only {gone:?} is replaced");
+    assert_eq!(kept.count(), 47, "only {gone:?} is replaced");
 }
 
 #[test]
