fix(entry): callers are served while a new version is loaded

Cause: entries routed to a version as soon as the configuration named it, before any engine had loaded it; and the planner let up to four engines load at a time, which in a pool of three is all of them.

Entries keep to the version they had until half as many engines serve the new one; the planner has a quarter of a pool's engines, at least one, load at a time.

--- a/crates/duty/src/reconcile.rs
+++ b/crates/duty/src/reconcile.rs
@@ -14,6 +14,10 @@
 /// read, and many slow loads bring the first engine into service later than a few quick ones.
 pub const LOADS_AT_ONCE: usize = 4;
 
+/// Of how many engines of a pool one may load weights at a time. An engine takes no work while it
+/// loads; in a pool of three all loaded a new version together, and every caller was refused.
+pub const ENGINES_PER_LOAD: usize = 4;
+
 /// What is to be reconciled.
 pub struct View<'a> {
     /// What operators want.
@@ -63,7 +67,7 @@
     /// The next order of each engine that needs one, in the order of their names.
     pub fn orders(&self) -> Vec<(Name, OrderKind)> {
         let policy = self.policy();
-        let mut loads = LOADS_AT_ONCE.saturating_sub(self.open(is_load));
+        let mut loads = self.loads_at_once().saturating_sub(self.open(is_load));
         let at_once = usize::try_from(policy.role_changes_at_once).unwrap_or(usize::MAX);
         let mut roles = at_once.saturating_sub(self.open(is_role));
         let mut orders = Vec::new();
@@ -85,6 +89,12 @@
         orders
     }
 
+    /// How many engines may load at a time, at least one.
+    fn loads_at_once(&self) -> usize {
+        let reached = self.engines().filter(|(name, _)| self.seen.fresh(name).is_some());
+        LOADS_AT_ONCE.min(reached.count() / ENGINES_PER_LOAD).max(1)
+    }
+
     /// How many engines that can be reached carry out an order of a kind.
     fn open(&self, kind: fn(&OrderKind) -> bool) -> usize {
         let reached = self.engines().filter(|(name, _)| self.seen.fresh(name).is_some());
--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -12,7 +12,7 @@
 use policy::outlier::{Outliers, Sample, Verdict};
 use policy::route::{Candidate, Choice, Load, Query, Route, Stage, Weighted};
 use policy::{Hash, Time};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// A target that may run a request.
@@ -49,6 +49,8 @@
     spots: Vec<Spot>,
     by_address: HashMap<CompactString, usize>,
     by_name: HashMap<Name, usize>,
+    /// How many targets serve a name.
+    served: HashMap<Hash, usize>,
     route: Weighted,
     outliers: Outliers,
 }
@@ -90,6 +92,7 @@
         for name in old.by_name.keys().filter(|name| view.target(name).is_none()) {
             inner.outliers.forget(name);
         }
+        inner.count_served();
         inner.refresh_all(now);
     }
 
@@ -105,10 +108,26 @@
         if spot.site.spec.is_engine() && spot.serves != load.serves {
             spot.serves.clone_from(&load.serves);
             candidate.serves = load.serves.iter().map(|name| policy::hash(name)).collect();
+            inner.count_served();
         }
         inner.refresh(at, now);
     }
 
+    /// How many targets serve a name, whether they take work now or not.
+    pub(crate) fn served(&self, name: &str) -> usize {
+        self.lock().served.get(&policy::hash(name)).copied().unwrap_or_default()
+    }
+
+    /// The version of a model that most targets serve, with an adapter if one is named.
+    pub(crate) fn most_served(&self, model: &str, adapter: &str) -> Option<Name> {
+        let inner = self.lock();
+        let names = inner.spots.iter().flat_map(|spot| &spot.serves);
+        let versions = names.filter_map(|name| version_of(name, model, adapter));
+        let mut counts = BTreeMap::<&str, usize>::new();
+        versions.for_each(|version| *counts.entry(version).or_default() += 1);
+        counts.into_iter().max_by_key(|(_, count)| *count).map(|(version, _)| version.into())
+    }
+
     /// Notes that the connection to an agent stands, or does not.
     pub(crate) fn set_up(&self, address: &str, up: bool, now: Time) {
         let mut inner = self.lock();
@@ -222,6 +241,13 @@
         Vec::new()
     }
 
+    fn count_served(&mut self) {
+        self.served.clear();
+        for name in self.candidates.iter().flat_map(|candidate| &candidate.serves) {
+            *self.served.entry(*name).or_default() += 1;
+        }
+    }
+
     fn unconnected(&self, wanted: &Wanted<'_>) -> Vec<usize> {
         let serves = |at: &usize| self.candidates[*at].serves.contains(&wanted.query.serves);
         let all = (0..self.spots.len()).filter(|&at| self.spots[at].takes_work()).filter(serves);
@@ -239,6 +265,14 @@
     }
 }
 
+/// The version in a served name of the form `model@version+adapter`, if it is of this model and
+/// adapter; empty for the weights that engines start with.
+fn version_of<'a>(name: &'a str, model: &str, adapter: &str) -> Option<&'a str> {
+    let (base, with) = name.split_once('+').unwrap_or((name, ""));
+    let (of, version) = base.split_once('@').unwrap_or((base, ""));
+    (of == model && with == adapter).then_some(version)
+}
+
 impl Spot {
     fn takes_work(&self) -> bool {
         let (phase, vm, accepting) = (self.site.spec.phase, self.vm, self.accepting);
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -4,6 +4,7 @@
 use crate::board::{Board, Pick};
 use crate::outcome::{Failure, Trail};
 use crate::random::Random;
+use crate::versions::Versions;
 use crate::view::Client;
 use compact_str::CompactString;
 use conf::Name;
@@ -25,6 +26,7 @@
     epoch: Instant,
     random: Arc<Random>,
     pub(crate) board: Board,
+    pub(crate) versions: Versions,
     admission: Admission,
     quarantine: Quarantine,
     learnt: Mutex<Learnt>,
@@ -81,6 +83,7 @@
             epoch: Instant::now(),
             random,
             board: Board::default(),
+            versions: Versions::default(),
             admission: Admission::default(),
             quarantine: Quarantine::default(),
             learnt: Mutex::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -40,6 +40,7 @@
 mod routes;
 mod session;
 mod upkeep;
+mod versions;
 mod view;
 
 pub use context::Context;
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -56,7 +56,7 @@
 fn query(shared: &Shared, prompt: &Prompt, stage: Stage) -> Query {
     let left = prompt.expected_tokens.saturating_sub(prompt.resume_tokens).max(1);
     Query {
-        serves: policy::hash(&served_name(prompt)),
+        serves: policy::hash(&served_name(&prompt.model, &prompt.version, &prompt.adapter)),
         cost: Cost::new(u64::from(prompt.prompt_tokens), u64::from(left)),
         prefix: prompt.prefix,
         domain: policy::hash(&shared.domain),
@@ -64,14 +64,14 @@
     }
 }
 
-/// The name under which an engine serves what a prompt asks for.
-fn served_name(prompt: &Prompt) -> String {
-    let mut name = prompt.model.clone();
-    if !prompt.version.is_empty() {
-        name = format!("{name}@{}", prompt.version);
+/// The name under which an engine serves a version of a model with an adapter; either may be empty.
+pub(crate) fn served_name(model: &str, version: &str, adapter: &str) -> String {
+    let mut name = model.to_owned();
+    if !version.is_empty() {
+        name = format!("{name}@{version}");
     }
-    if !prompt.adapter.is_empty() {
-        name = format!("{name}+{}", prompt.adapter);
+    if !adapter.is_empty() {
+        name = format!("{name}+{adapter}");
     }
     name
 }
--- a/crates/entry/src/routes/completions.rs
+++ b/crates/entry/src/routes/completions.rs
@@ -185,10 +185,13 @@
         })?;
         let decisions = &self.shared.decisions;
         let cost = decisions.cost(caller, name, prompt_tokens, max_tokens);
-        let version = if version.is_empty() { model.version.as_str() } else { version };
+        let version = match version {
+            "" => decisions.versions.choose(&decisions.board, name, &model.version, adapter),
+            named => named.into(),
+        };
         Ok(Prompt {
             model: name.to_owned(),
-            version: version.to_owned(),
+            version: version.to_string(),
             adapter: adapter.to_owned(),
             prefix: prefix(&text),
             text,
