--- a/crates/policy/src/roles.rs
+++ b/crates/policy/src/roles.rs
@@ -96,6 +96,11 @@
     pub role: Role,
 }
 
+/// The weight of the slow average of demand: what the next minute is like if the fast one is a
+/// ripple. Measured at the swing: 0.1 to 0.2 save a third to a half of the changes that 0 makes at
+/// the same goodput, 0.4 follows too late.
+const SLOW_WEIGHT: f64 = 0.2;
+
 /// A way of giving engines their roles.
 pub trait Planner: Send {
     /// The way's name in tables.
@@ -144,11 +149,6 @@
         self.settings = settings;
     }
 
-    /// The demand to plan for: the fast average.
-    fn demand(&self) -> Demand {
-        self.fast
-    }
-
     /// The best change allowed, with what it wins.
     fn best(&self, engines: &[Engine], ordered: &[Change], now: Time) -> Option<Change> {
         let fleet = self.fleet(engines, ordered);
@@ -177,8 +177,10 @@
         if role == engine.role || !after.does_all() || !out.does_all() {
             return 0.0;
         }
-        let demand = self.demand();
-        let goodput = |fleet: &Fleet| fleet.goodput(&demand, self.settings.mixing);
+        let goodput = |fleet: &Fleet| {
+            let at = |demand| fleet.goodput(demand, self.settings.mixing);
+            at(&self.fast) * (1.0 - SLOW_WEIGHT) + at(&self.slow) * SLOW_WEIGHT
+        };
         let outage = self.settings.outage.as_secs_f64();
         let rest = self.settings.horizon.saturating_sub(self.settings.outage).as_secs_f64();
         let now = goodput(fleet);
