fix(agent): kept answers count what they take beside their text

Cause: an agent had 286 MB after 138,000 short requests in 12 s, above the 256 MB of the plan. Kept answers were bounded by the bytes of their text, which short answers hardly have. Ruled out: the queue and the calls, which were empty.

Before: 286 MB.

Conclusion: some 16,000 answers are kept; the plan's agent finishes 400 in the time they are kept.

--- a/crates/agent/src/answers.rs
+++ b/crates/agent/src/answers.rs
@@ -14,6 +14,10 @@
 /// Bytes of finished answers and KV caches that are kept; an eighth of an agent's 256 MB.
 const MAX_BYTES: u64 = 32 * 1024 * 1024;
 
+/// What a kept answer takes beside its text: with short answers most of it. Uncounted, 138,000 of
+/// them in 12 s took 276 MB, above all that an agent may use.
+const ANSWER_BYTES: u64 = 2_000;
+
 /// The answers of one agent, by request id.
 #[derive(Default)]
 pub(crate) struct Answers {
@@ -51,7 +55,7 @@
     /// Keeps a finished answer for a while, with the KV cache that was taken from the engine.
     pub(crate) fn finish(&self, answer: &Arc<Answer>, cache: Option<Bytes>) {
         let cache_bytes = cache.as_ref().map_or(0, Bytes::len);
-        let bytes = answer.bytes() + u64::try_from(cache_bytes).unwrap_or(u64::MAX);
+        let bytes = ANSWER_BYTES + answer.bytes() + u64::try_from(cache_bytes).unwrap_or(u64::MAX);
         let mut inner = self.lock();
         if let Some(known) = inner.known(answer) {
             known.cache = cache;
