test(cli): processes get ports that no other test is given

Cause: two landings failed once each since a port that the system had called free was taken before the stand-in bound it: the log refused connections. Ports now lie below the system's range, and each test process begins at another.

Conclusion: a fault of the test, not of the system.

--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -14,6 +14,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// The secret between the fleet's processes.
@@ -249,7 +250,20 @@
     tokio::net::TcpStream::connect(address).await.is_ok()
 }
 
+/// An address that nothing uses. The system's own free ports are no choice: another test could be
+/// given the same one before our process binds it. These lie below that range, and each process
+/// of tests begins at another.
 fn free_address() -> String {
-    let socket = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    socket.local_addr().expect("a bound socket has an address").to_string()
+    const FIRST: u32 = 20_000;
+    const PORTS: u32 = 12_000;
+    const PORTS_A_RUN: u32 = 200;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number =
+            std::process::id().wrapping_mul(PORTS_A_RUN) + NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = format!("127.0.0.1:{}", FIRST + number % PORTS);
+        if TcpListener::bind(&address).is_ok() {
+            return address;
+        }
+    }
 }
