fix(state): reads of the log wait 2 s again

Cause: found in the read-through: agents act on a state only if a read ended in the last 5 s, and the wait had become 5 s, so on quiet streams they could refuse calls and put orders off.

--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -52,9 +52,10 @@
 /// How many records one read takes.
 const READ_LIMIT: usize = 1_000;
 
-/// How long one read waits for a new record. Each read that ends empty costs some 400 bytes of HTTP,
-/// so waits of 2 s for three streams took 630 of the 7,000 bytes a second for control.
-const READ_WAIT: Duration = Duration::from_secs(5);
+/// How long one read waits for a new record. Each that ends empty costs some 400 bytes of HTTP; but
+/// agents trust a state only if a read has ended in the last 5 s, so waits of 5 s would have them
+/// refuse calls and put orders off on quiet streams.
+const READ_WAIT: Duration = Duration::from_secs(2);
 
 /// How long to wait after a failed read.
 const RETRY_WAIT: Duration = Duration::from_millis(500);
