--- a/crates/duty/src/dial.rs
+++ b/crates/duty/src/dial.rs
@@ -46,9 +46,9 @@
 /// The shortest time between two pings of an agent.
 const PING_LEAST: Duration = Duration::from_secs(1);
 
-/// Time between pings for each agent of the pool: about 200 bytes a ping and its answer make
-/// less than the 7 KB a second that control may cost a node, however large the pool is.
-const PING_SHARE: Duration = Duration::from_millis(30);
+/// Time between pings for each agent of the pool: some 120 bytes a ping and its answer make 2.7 of the
+/// 7 KB a second that control may cost a node, whose own agent takes 4.1, however large the pool is.
+const PING_SHARE: Duration = Duration::from_millis(45);
 
 /// How many agents are asked which entries they know; together they know them all.
 const SIGHTING_AGENTS: usize = 3;
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -1,6 +1,6 @@
 //! A small fleet whose roles run on threads of their own.
 
-use crate::relay::Relay;
+use crate::relay::{Counting, Relay};
 use crate::thread::Thread;
 use agent::Backend;
 use compact_str::{CompactString, ToCompactString, format_compact};
@@ -17,7 +17,7 @@
 use std::time::Duration;
 use target::http::HttpEngine;
 use tokio_util::sync::CancellationToken;
-use wire::{TcpDialler, TcpListener};
+use wire::TcpListener;
 
 /// The model that all engines serve.
 pub(crate) const MODEL: &str = "lapis-small";
@@ -35,6 +35,8 @@
     pub(crate) callers: CompactString,
     /// Counts the bytes between entries and agents.
     pub(crate) peers: Arc<AtomicU64>,
+    /// Counts the bytes between the planner's agent and the others.
+    pub(crate) planner: Arc<AtomicU64>,
     /// Counts the bytes between the log and the entries.
     pub(crate) log_relay: Relay,
     log: MemoryLog,
@@ -53,6 +55,7 @@
             agents: Thread::start()?,
             callers: CompactString::default(),
             peers: Arc::default(),
+            planner: Arc::default(),
             log_relay,
             log,
         };
@@ -91,17 +94,18 @@
         let engine = Arc::new(MemoryEngine::new(model, &[MODEL]));
         let engine = serve(engines, fake::http::engine_router(engine)).await?;
         let log: CompactString = log.into();
-        let agent = self.agents.run(run_agent(name.clone(), engine, log)).await??;
-        let relay = Relay::start(agent.to_string(), self.peers.clone()).await?;
+        let dialler = Arc::new(Counting { bytes: self.planner.clone() });
+        let agent = self.agents.run(run_agent(name.clone(), engine, log, dialler)).await??;
         let spec = json!({
-            "models": [MODEL], "domain": "domain-1", "agent": relay.address, "slots": 256,
+            "models": [MODEL], "domain": "domain-1", "agent": agent, "slots": 256,
         });
         self.publish(Kind::Target, &name, spec).await
     }
 
     async fn start_entry(&self, number: u32) -> Result<CompactString> {
         let platform = platform(&self.log_relay.address);
-        self.entry.run(run_entry(number, platform)).await?
+        let dialler = Arc::new(Counting { bytes: self.peers.clone() });
+        self.entry.run(run_entry(number, platform, dialler)).await?
     }
 }
 
@@ -112,6 +116,7 @@
     name: CompactString,
     engine: CompactString,
     log: CompactString,
+    dialler: Arc<Counting>,
 ) -> Result<CompactString> {
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.address()?;
@@ -131,14 +136,18 @@
         log,
         backend: Backend::Engine(Arc::new(HttpEngine::new(engine))),
         listener: Box::new(listener),
-        dialler: Arc::new(TcpDialler),
+        dialler,
         stop: CancellationToken::new(),
     };
     tokio::spawn(agent::Daemon::new(context).run());
     Ok(address)
 }
 
-async fn run_entry(number: u32, platform: settings::Platform) -> Result<CompactString> {
+async fn run_entry(
+    number: u32,
+    platform: settings::Platform,
+    dialler: Arc<Counting>,
+) -> Result<CompactString> {
     let log = Arc::new(HttpClient::new(platform.log.clone(), platform.timeout));
     let settings = settings::Entry {
         name: format_compact!("entry-{number}"),
@@ -152,7 +161,7 @@
         settings,
         log,
         vms: Arc::new(MemoryVms::default()),
-        dialler: Arc::new(TcpDialler),
+        dialler,
         seed: u64::from(number),
         stop: CancellationToken::new(),
     };
--- a/crates/slopes/src/plan.rs
+++ b/crates/slopes/src/plan.rs
@@ -38,6 +38,7 @@
     println!("|---|---|---|---|");
     slopes.print("entry", CONNECTIONS)?;
     slopes.print("agent", agent_connections)?;
+    slopes.print_planner()?;
     slopes.print_requests("entry", ENTRIES)?;
     slopes.print_requests("agent", TARGETS)
 }
@@ -75,6 +76,20 @@
         Ok(())
     }
 
+    /// The planner's rounds are spread by a fixed time an agent, so its bytes do not grow with a
+    /// large pool; they come on top of its agent's own.
+    fn print_planner(&self) -> Result<()> {
+        let bytes = self.line("planner", "links a second, bytes", "agent of its pool")?;
+        let largest = bytes.base + bytes.slope * 48.0;
+        line(
+            "planner",
+            "pings, bytes a second, besides its agent's",
+            &whole(largest),
+            "7000 together",
+        );
+        Ok(())
+    }
+
     /// A cost of all targets and callers of the plan.
     fn resources(&self, cost: &str) -> Result<f64> {
         let target = self.line("every process", cost, "target")?;
@@ -94,7 +109,7 @@
         let changes = change.slope * CHANGES_A_DAY / SECONDS_A_DAY;
         let checkpoints =
             self.resources("checkpoint, bytes")? * BASE64 * CHECKPOINTS_A_DAY / SECONDS_A_DAY;
-        Ok(idle.slope * connections + sightings + log.slope + changes + checkpoints)
+        Ok(idle.base + idle.slope * connections + sightings + log.slope + changes + checkpoints)
     }
 
     fn print_requests(&self, role: &str, processes: f64) -> Result<()> {
--- a/crates/slopes/src/relay.rs
+++ b/crates/slopes/src/relay.rs
@@ -1,5 +1,6 @@
-//! A relay that counts the bytes it carries, headers of TCP and IP not among them.
+//! Links that count the bytes they carry, headers of TCP and IP not among them.
 
+use async_trait::async_trait;
 use eyre::Result;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -38,11 +39,39 @@
     let Ok(far) = TcpStream::connect(target).await else { return };
     // Without this the system would hold small frames back and change what is measured.
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    join(near, far, &bytes).await;
+}
+
+async fn join(
+    near: impl AsyncRead + AsyncWrite,
+    far: impl AsyncRead + AsyncWrite,
+    bytes: &AtomicU64,
+) {
+    let (near_read, near_write) = tokio::io::split(near);
+    let (far_read, far_write) = tokio::io::split(far);
     tokio::select! {
-        () = copy(near_read, far_write, &bytes) => {}
-        () = copy(far_read, near_write, &bytes) => {}
+        () = copy(near_read, far_write, bytes) => {}
+        () = copy(far_read, near_write, bytes) => {}
+    }
+}
+
+/// Dials TCP and counts what goes over the links, so that each process's own are told apart.
+pub(crate) struct Counting {
+    /// Where the bytes are added.
+    pub(crate) bytes: Arc<AtomicU64>,
+}
+
+/// How many bytes wait between a process and its link.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+#[async_trait]
+impl wire::Dialler for Counting {
+    async fn dial(&self, address: &str) -> wire::Result<wire::Pipe> {
+        let far = wire::TcpDialler.dial(address).await?;
+        let (near, ours) = tokio::io::duplex(BUFFER_BYTES);
+        let bytes = self.bytes.clone();
+        tokio::spawn(async move { join(ours, far, &bytes).await });
+        Ok(Box::new(near))
     }
 }
 
--- a/crates/slopes/src/traffic.rs
+++ b/crates/slopes/src/traffic.rs
@@ -51,6 +51,7 @@
     entry: f64,
     agents: f64,
     peer_bytes: f64,
+    planner_bytes: f64,
     log_bytes: f64,
 }
 
@@ -105,6 +106,9 @@
         row("agent", cpu, process, &to_agents, |cost| cost.agents),
         row("agent", cpu, connection, &from_entries, |cost| cost.agents),
         row("entry", "peer links a second, bytes", connection, &to_agents, |c| c.peer_bytes),
+        row("planner", "links a second, bytes", "agent of its pool", &to_agents, |c| {
+            c.planner_bytes
+        }),
         row("entry", "log a second, bytes", process, &from_entries, |cost| cost.log_bytes),
     ])
 }
@@ -179,6 +183,7 @@
             entry: self.entry / seconds,
             agents: self.agents / seconds,
             peer_bytes: self.peer_bytes / seconds,
+            planner_bytes: self.planner_bytes / seconds,
             log_bytes: self.log_bytes / seconds,
         }
     }
@@ -210,6 +215,7 @@
         entry: after.entry - before.entry,
         agents: after.agents - before.agents,
         peer_bytes: after.peer_bytes - before.peer_bytes,
+        planner_bytes: after.planner_bytes - before.planner_bytes,
         log_bytes: after.log_bytes - before.log_bytes,
     })
 }
@@ -221,6 +227,7 @@
         entry: nanos(fleet.entry.cpu()?),
         agents: nanos(fleet.agents.cpu()?),
         peer_bytes: count(fleet.peers.load(Ordering::Relaxed)),
+        planner_bytes: count(fleet.planner.load(Ordering::Relaxed)),
         log_bytes: count(fleet.log_relay.bytes()),
     })
 }
