feat(agent): slots by role and learnt cache shares are in force

Cause: two decisions of policy were called by its model only: an engine that only reads gets two prompts side by side, and the share of prompts found in caches is learnt into the work estimate.

Before: an engine in the role of reading was given 5 of 5 prompts at once. After: 2 (test in crates/agent/tests/dispatch.rs, which fails with 5 when the call is taken out).

Conclusion: room for handed-over output (has_room) and the engine's own reading order (is_long) are still used by the model only.

--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -145,18 +145,24 @@
     shared.health.watch(&shared.backend, &shared.target).await;
 }
 
-/// Keeps the number of slots as the Target resource says.
+/// Keeps the number of slots as the Target resource and the engine's role say.
 async fn follow_resource(shared: Arc<Shared>) {
     let mut config = shared.config.clone();
+    let mut health = shared.health.subscribe();
     loop {
         if let Some(target) = shared.resource() {
-            shared.dispatcher.set_slots(target.slots);
+            let role = shared.health.role();
+            shared.dispatcher.set_slots(policy::queue::slots(role, target.slots));
             if target.phase == Phase::Leaving {
                 // What waits can start elsewhere sooner; what runs is finished here.
                 shared.dispatcher.move_waiting();
             }
         }
-        if config.changed().await.is_err() {
+        let changed = tokio::select! {
+            changed = config.changed() => changed,
+            changed = health.changed() => changed,
+        };
+        if changed.is_err() {
             return;
         }
     }
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -2,6 +2,7 @@
 
 use crate::Backend;
 use compact_str::CompactString;
+use conf::resource::Role;
 use std::time::Duration;
 use target::Status;
 use tokio::sync::{Notify, watch};
@@ -70,6 +71,19 @@
         self.state.borrow().clone()
     }
 
+    /// Hears of each change of the state.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<State> {
+        self.state.subscribe()
+    }
+
+    /// The engine's role as last seen; mixed if it is not known.
+    pub(crate) fn role(&self) -> Role {
+        match &*self.state.borrow() {
+            State::Engine(status) => status.role,
+            State::Unknown | State::Down | State::Service => Role::Mixed,
+        }
+    }
+
     /// The engine's incarnation as last seen.
     pub(crate) fn incarnation(&self) -> Option<u64> {
         match &*self.state.borrow() {
--- a/crates/agent/tests/dispatch.rs
+++ b/crates/agent/tests/dispatch.rs
@@ -251,3 +251,21 @@
         }
     }
 }
+
+// An engine takes the role of reading prompts only. Were it given as many prompts side by side as a
+// mixed one, its queue, which is fair and puts the urgent first, would always be empty, and a rescue
+// reply would wait inside the engine behind a flood.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_only_reads_is_given_two_prompts_at_a_time() {
+    let world = World::default();
+    let (engine, _agent) = world.engine("engine-1", 8).await;
+    let order = target::Order::SetRole { role: conf::resource::Role::Prefill };
+    engine.order(1, &order).await.expect("the engine takes the order");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let mut entry = world.entry("entry-1", "engine-1").await;
+    for attempt in 1..=5 {
+        entry.submit(attempt, prompt(&format!("r{attempt}"), "desk", 200), 1_000).await;
+    }
+    settle().await;
+    assert_eq!(running(&engine).await, 2);
+}
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -110,6 +110,11 @@
         self.lock().estimator.learn(caller, model, output);
     }
 
+    /// Learns how much of a prompt an engine found in its cache, which it need not read again.
+    pub(crate) fn learn_cached(&self, caller: &str, model: &str, prompt: u32, cached: u32) {
+        self.lock().estimator.learn_cached(caller, model, prompt, cached);
+    }
+
     /// Opens a request under its caller's limits, or refuses it; what is opened is closed once.
     pub(crate) fn open(&self, client: &Client, cost: Cost) -> Result<(), Failure> {
         let now = self.now();
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -265,7 +265,7 @@
             self.hand_over();
             return Ok(Turn::Again);
         }
-        self.learn(end.output_tokens);
+        self.learn(&end);
         self.attempt = None;
         self.account.add(format_compact!("complete after {} tokens", end.output_tokens));
         self.shared.metrics.goodput_tokens.inc_by(u64::from(end.output_tokens));
@@ -274,9 +274,15 @@
     }
 
     /// Learns from a complete answer: its length, and how fast its target generated.
-    fn learn(&mut self, tokens: u32) {
+    fn learn(&mut self, end: &End) {
+        let tokens = end.output_tokens;
         let decisions = &self.shared.decisions;
-        decisions.learn(&self.request.caller, &self.prompt.model, tokens);
+        let (caller, model) = (&self.request.caller, &self.prompt.model);
+        decisions.learn(caller, model, tokens);
+        // A prompt whose KV cache came from elsewhere says nothing of the prefix cache.
+        if self.prompt.kv_source.is_empty() && self.retries == 0 {
+            decisions.learn_cached(caller, model, end.prompt_tokens, end.cached_tokens);
+        }
         let (Some(attempt), Some((at, from))) = (&self.attempt, self.first_token) else { return };
         if let Some(later) = tokens.checked_sub(from).filter(|later| *later > 0) {
             let pace = at.elapsed().as_secs_f64() / f64::from(later);
