fix(entry): copies of a poison request sent at once

Cause: the policy's model showed a dozen copies sent at once through three entries take down ten engines: each copy had its own before the first crash stood in the log.

Twelve copies of a harmless request are all answered in the time of one.

--- a/crates/entry/src/board.rs
+++ b/crates/entry/src/board.rs
@@ -174,12 +174,27 @@
         chosen
     }
 
-    /// The one able target that all entries choose for `key`, as far as they see the same.
-    pub(crate) fn rendezvous(&self, query: &Query, key: Hash) -> Option<Pick> {
+    /// The one target of a model that all entries choose for `key`, if it is able now.
+    ///
+    /// It is chosen whether it is able or not, but not among those in `crashed`: were it among the
+    /// able ones, an entry that sees the chosen one down, because the key's request just crashed it
+    /// there, would choose another and have that crashed too.
+    pub(crate) fn rendezvous(
+        &self,
+        model: &str,
+        query: &Query,
+        key: Hash,
+        crashed: &[Name],
+    ) -> Option<Pick> {
         let inner = self.lock();
-        let able = inner.candidates.iter().enumerate().filter(|(_, c)| c.is_able(query));
-        let first = able.max_by_key(|(_, candidate)| policy::mix(key, candidate.key));
-        first.map(|(at, _)| inner.pick(at))
+        let eligible = |at: &usize| {
+            let site = &inner.spots[*at].site;
+            let is_meant = site.spec.models.iter().any(|served| served == model);
+            site.is_active() && is_meant && !crashed.contains(&site.name)
+        };
+        let all = (0..inner.spots.len()).filter(eligible);
+        let first = all.max_by_key(|&at| policy::mix(key, inner.candidates[at].key))?;
+        inner.candidates[first].is_able(query).then(|| inner.pick(first))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/entry/src/decisions.rs
+++ b/crates/entry/src/decisions.rs
@@ -2,6 +2,7 @@
 
 use crate::Reason;
 use crate::board::{Board, Pick};
+use crate::copies::Copies;
 use crate::outcome::{Failure, Trail};
 use crate::random::Random;
 use crate::versions::Versions;
@@ -27,6 +28,7 @@
     random: Arc<Random>,
     pub(crate) board: Board,
     pub(crate) versions: Versions,
+    pub(crate) copies: Arc<Copies>,
     admission: Admission,
     quarantine: Quarantine,
     learnt: Mutex<Learnt>,
@@ -84,6 +86,7 @@
             random,
             board: Board::default(),
             versions: Versions::default(),
+            copies: Arc::default(),
             admission: Admission::default(),
             quarantine: Quarantine::default(),
             learnt: Mutex::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod bootstrap;
 mod calls;
 mod context;
+mod copies;
 mod daemon;
 mod decisions;
 mod error;
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -8,6 +8,7 @@
 use crate::Reason;
 use crate::attempt::Attempt;
 use crate::board::Pick;
+use crate::copies::Copy;
 use crate::daemon::Shared;
 use crate::decisions::Past;
 use crate::explain::Account;
@@ -19,6 +20,7 @@
 use conf::Name;
 use policy::estimate::Cost;
 use policy::quarantine::Verdict;
+use state::System;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,6 +35,9 @@
 /// engines, until the first of the answers on the others end.
 const RESUME_LIMIT: Duration = Duration::from_secs(60);
 
+/// How long the news of a crash is waited for: an append and a read of a slow log.
+const CRASH_NEWS: Duration = Duration::from_secs(3);
+
 /// A piece of an answer.
 pub(crate) enum Piece {
     /// The next text.
@@ -54,6 +59,8 @@
     account: Account,
     trail: Trail,
     attempt: Option<Attempt>,
+    /// Held from the first attempt on, so that copies of the request wait for what becomes of it.
+    copy: Option<Copy>,
     /// Whether the attempt ends with the prompt's part.
     prefilling: bool,
     tried: Vec<Name>,
@@ -100,6 +107,7 @@
             account,
             trail: Trail::new(true),
             attempt: None,
+            copy: None,
             prefilling: false,
             tried: Vec::new(),
             retries: 0,
@@ -153,6 +161,10 @@
     /// The next event of the attempt, which is started if there is none.
     async fn event(&mut self) -> Result<EventKind, Failure> {
         if self.attempt.is_none() {
+            if self.copy.is_none() {
+                let copies = &self.shared.decisions.copies;
+                self.copy = Some(copies.start(self.request.fingerprint).await);
+            }
             let Started { attempt, first, prefilling } = self.start().await?;
             self.account.sent(attempt.target());
             self.attempt = Some(attempt);
@@ -248,6 +260,9 @@
             self.shared.metrics.first_token(self.begun.elapsed());
         }
         self.prompt.resume_tokens = end;
+        if let Some(copy) = &mut self.copy {
+            copy.trust();
+        }
         if self.resumable {
             self.prompt.resume_text.push_str(&delta.text);
         }
@@ -356,8 +371,27 @@
             self.shared.metrics.resumes.inc();
         }
         tokio::time::sleep(wait).await;
+        if failure.reason == Reason::TargetBroken && tokens == 0 {
+            self.hear_of_crash().await;
+        }
         Ok(())
     }
+
+    /// Waits until the log says of the crash, or does not in time.
+    ///
+    /// Without it the request would be tried on a second engine before it is known that another
+    /// entry's copy has crashed one too: two entries took down four engines.
+    async fn hear_of_crash(&self) {
+        let mut system = self.shared.system.clone();
+        let known = |system: &Arc<System>| system.suspect(self.request.fingerprint).is_some();
+        let begun = Instant::now();
+        // In vain means that the log is out or slow, or that the engine did not crash.
+        if tokio::time::timeout(CRASH_NEWS, system.wait_for(known)).await.is_ok() {
+            // Another entry's copy may have crashed an engine at the same time; the news of that
+            // takes as long.
+            tokio::time::sleep(begun.elapsed()).await;
+        }
+    }
 }
 
 /// Whether the target crashed under the attempt, and did not merely fall silent.
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -28,7 +28,11 @@
 /// sends it to: there it runs alone, and takes down nothing else.
 pub(crate) fn for_suspect(shared: &Shared, prompt: &Prompt, fingerprint: u64) -> Vec<Pick> {
     let query = query(shared, prompt, Stage::Whole);
-    shared.decisions.board.rendezvous(&query, fingerprint).into_iter().collect()
+    let system = shared.system.borrow().clone();
+    let crashes = system.suspect(fingerprint).into_iter().flat_map(|suspect| suspect.crashes());
+    let crashed: Vec<Name> = crashes.map(|crash| crash.target.clone()).collect();
+    let board = &shared.decisions.board;
+    board.rendezvous(&prompt.model, &query, fingerprint, &crashed).into_iter().collect()
 }
 
 /// The best targets for a call that may be repeated, best first, at most two.
