--- /dev/null
+++ b/crates/direct/src/attempt.rs
@@ -0,0 +1,188 @@
+//! One sending of a request to one target, and what can be said of it afterwards.
+
+use crate::border::{Border, Reply, Sending};
+use crate::pool::{self, Connection};
+use crate::target::{Health, Target};
+use bytes::Bytes;
+use compact_str::{CompactString, ToCompactString};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// A caller's request as it is sent on, unchanged but for its headers.
+#[derive(Debug, Clone)]
+pub struct Content {
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: Uri,
+    /// The caller's headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// How a sending ended.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The target answered, be it with a failure of its own.
+    Answered(Box<Answered>),
+    /// The target said that it did not and will not run the request.
+    NotRun(StatusCode),
+    /// Nothing reached the target.
+    NotSent(CompactString),
+    /// It may have run: the connection ended, or what came was no answer to it.
+    Unknown(CompactString),
+    /// It may have run: there was no answer in time.
+    Late,
+}
+
+/// A target's answer, with its body still to come.
+#[derive(Debug)]
+pub struct Answered {
+    /// The head, and the body as it comes.
+    pub response: Response<Incoming>,
+    /// What the head says.
+    pub reply: Reply,
+    /// The connection, to be kept once the body is complete.
+    pub connection: Connection,
+}
+
+/// Sends `content` to `target` and waits for the head of the answer until `until`.
+///
+/// `most` bounds the connections that this process may have to the target.
+pub async fn send(
+    border: &dyn Border,
+    target: &Arc<Target>,
+    content: &Content,
+    sending: &Sending,
+    most: u32,
+    until: Instant,
+) -> Outcome {
+    // A kept connection may turn out closed before anything was sent on it; then comes the next.
+    loop {
+        let now = Instant::now();
+        let mut connection = match target.pool.take(most, now).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                if matches!(error, pool::Error::Connect { .. }) {
+                    target.judge(Health::Unreachable, Instant::now());
+                }
+                return Outcome::NotSent(error.to_compact_string());
+            }
+        };
+        let request = request(border, content, sending);
+        let reused = connection.reused;
+        match timeout_at(until, connection.sender.try_send_request(request)).await {
+            Err(_) => {
+                return Outcome::Late;
+            }
+            Ok(Err(mut error)) => {
+                if error.take_message().is_none() {
+                    target.judge(Health::Unreachable, Instant::now());
+                    return Outcome::Unknown(error.error().to_compact_string());
+                }
+                if !reused {
+                    return Outcome::NotSent(error.error().to_compact_string());
+                }
+            }
+            Ok(Ok(response)) => return judge(border, target, content, response, connection),
+        }
+    }
+}
+
+/// Sends an internal call and reads its whole answer; only for calls that any target may get twice.
+pub async fn call(
+    target: &Arc<Target>,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+    patience: Duration,
+) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
+    use http_body_util::BodyExt;
+    let exchange = async {
+        let connection = target.pool.take(u32::MAX, Instant::now()).await;
+        let mut connection = connection.map_err(|error| error.to_compact_string())?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, target.address.to_string())
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|error| error.to_compact_string())?;
+        let response = connection.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| error.to_compact_string())?.into_parts();
+        let body = body.collect().await.map_err(|error| error.to_compact_string())?;
+        connection.keep(None, Instant::now());
+        Ok((head.status, head.headers, body.to_bytes()))
+    };
+    let ended = tokio::time::timeout(patience, exchange).await;
+    ended.unwrap_or_else(|_| Err("no answer in time".into()))
+}
+
+fn request(border: &dyn Border, content: &Content, sending: &Sending) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(content.body.clone()));
+    *request.method_mut() = content.method.clone();
+    *request.uri_mut() = content.path.clone();
+    *request.headers_mut() = border.sending(&content.headers, sending);
+    request
+}
+
+fn judge(
+    border: &dyn Border,
+    target: &Arc<Target>,
+    content: &Content,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Outcome {
+    let now = Instant::now();
+    let reply = border.reply(response.headers());
+    if let Some(busy) = reply.busy {
+        target.hear(busy, now);
+    }
+    let sent = border.ask(&content.headers).attempt;
+    let refused = reply.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let other = reply.attempt.is_some() && reply.attempt != sent;
+    if other {
+        // A doubled or late answer stood where this one was due. The connection is dropped, and
+        // with it the right answer: whose it would be can't be told any more.
+        target.judge(Health::Failing, now);
+        return Outcome::Unknown("the answer belongs to another request".into());
+    }
+    if refused {
+        let status = response.status();
+        drain(response, connection, reply);
+        return Outcome::NotRun(status);
+    }
+    let health = if response.status().is_server_error() { Health::Failing } else { Health::Sound };
+    target.judge(health, now);
+    Outcome::Answered(Box::new(Answered { response, reply, connection }))
+}
+
+/// The largest body of a refusal that is read so that its connection can be kept, in bytes.
+const MAX_REFUSAL: u64 = 4_096;
+
+/// How long the rest of a refusal may take.
+const REFUSAL: Duration = Duration::from_millis(500);
+
+/// Reads the rest of a refusal aside, so that its connection can be kept.
+fn drain(response: Response<Incoming>, connection: Connection, reply: Reply) {
+    use http_body_util::BodyExt;
+    use hyper::body::Body;
+    if response.body().size_hint().upper().is_none_or(|size| size > MAX_REFUSAL) {
+        return;
+    }
+    if response.body().is_end_stream() {
+        connection.keep(reply.keep_alive, Instant::now());
+        return;
+    }
+    tokio::spawn(async move {
+        let read = tokio::time::timeout(REFUSAL, response.into_body().collect()).await;
+        if let Ok(Ok(_)) = read {
+            connection.keep(reply.keep_alive, Instant::now());
+        }
+    });
+}
--- /dev/null
+++ b/crates/direct/src/border.rs
@@ -0,0 +1,183 @@
+//! The border towards callers and targets: what their headers say, in the product's own types.
+//!
+//! A deployment's adapter implements [`Border`]. Everything behind it speaks of attempts, deadlines
+//! and prompts and never sees a header's name.
+
+use crate::route::Stage;
+use compact_str::CompactString;
+use http::HeaderMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The id that a caller gave one sending of a request. Targets echo it.
+pub type AttemptId = CompactString;
+
+/// The id of one run of a target; a restarted target has another.
+pub type TargetId = CompactString;
+
+/// The id of one part of a prompt.
+pub type PartId = u64;
+
+/// A part of a prompt, in the order in which the prompt holds it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Its id: equal parts of different prompts have the same.
+    pub id: PartId,
+    /// Its size in tokens.
+    pub tokens: u32,
+}
+
+/// What a caller says of a generation.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// The model's name.
+    pub model: CompactString,
+    /// Tokens in the prompt.
+    pub input: u32,
+    /// Tokens of output at most.
+    pub output: u32,
+    /// The prompt's parts; the last is the request's own.
+    pub parts: Vec<Part>,
+}
+
+/// What a caller says in the head of a request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Ask {
+    /// The id of this sending, if the caller gave one.
+    pub attempt: Option<AttemptId>,
+    /// How long the caller waits from now on.
+    pub deadline: Option<Duration>,
+    /// The prompt, if this is a generation.
+    pub prompt: Option<Prompt>,
+    /// The last event that the caller holds of a stream that it goes on with.
+    pub after_event: Option<CompactString>,
+}
+
+/// KV cache that a target holds for a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handle {
+    /// The target that holds it.
+    pub holder: SocketAddr,
+    /// Its id there.
+    pub id: CompactString,
+}
+
+/// What a target is asked to do with a request.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum Step {
+    /// All of it.
+    #[default]
+    Whole,
+    /// Read the prompt and keep its KV cache under a handle.
+    Prefill,
+    /// Go on from KV cache that was read elsewhere.
+    Decode(Handle),
+}
+
+/// One sending to one target, as far as headers tell of it.
+#[derive(Debug, Clone, Default)]
+pub struct Sending {
+    /// What is to be done.
+    pub step: Step,
+    /// The target meant; another one at its address has to refuse.
+    pub target: TargetId,
+    /// How long the target may work.
+    pub deadline: Duration,
+    /// A target from which this one first copies what it keeps of the prompt.
+    pub fetch: Option<SocketAddr>,
+    /// The last event delivered, when a broken stream goes on at this target.
+    pub after_event: Option<u64>,
+    /// How urgent this is among the target's requests: 0 goes first, 9 last.
+    pub urgency: Option<u8>,
+}
+
+/// How busy a target says it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Busy {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// What a target says in the head of an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Reply {
+    /// The sending that this answers.
+    pub attempt: Option<AttemptId>,
+    /// Whether the target says that it did not and will not run the request.
+    pub not_run: bool,
+    /// How busy it is.
+    pub busy: Option<Busy>,
+    /// For how long it keeps an idle connection.
+    pub keep_alive: Option<Duration>,
+}
+
+/// The result of reading a target's answer to an internal call.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An answer to an internal call that makes no sense.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{step}: {detail}")]
+pub struct Error {
+    /// What was being read.
+    pub step: &'static str,
+    /// What was wrong.
+    pub detail: CompactString,
+}
+
+/// An order to an engine to change its stage.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StageOrder {
+    /// The stage it is to have.
+    pub stage: Stage,
+    /// The process that orders.
+    pub holder: CompactString,
+    /// The place of its lease in the log: engines refuse lower ones than they have seen.
+    pub fence: u64,
+    /// Orders that the engine has to have accepted so far, for this one to count.
+    pub expected: u64,
+}
+
+/// An engine's own account of its state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Report {
+    /// Its stage.
+    pub stage: Option<Stage>,
+    /// Whether it carries out an order.
+    pub busy: bool,
+    /// Orders that it has accepted.
+    pub orders: u64,
+}
+
+/// Translates between headers or small bodies and the product's types.
+pub trait Border: Send + Sync {
+    /// Reads the head of a caller's request.
+    fn ask(&self, headers: &HeaderMap) -> Ask;
+
+    /// Makes the headers of a sending from the caller's.
+    fn sending(&self, headers: &HeaderMap, sending: &Sending) -> HeaderMap;
+
+    /// Reads the head of a target's answer.
+    fn reply(&self, headers: &HeaderMap) -> Reply;
+
+    /// Removes from a target's answer what concerns only its connection.
+    fn answer(&self, headers: &mut HeaderMap);
+
+    /// Reads the answer to [`Step::Prefill`]: the id of the KV cache.
+    fn handle(&self, body: &[u8]) -> Result<CompactString>;
+
+    /// The path that frees a handle, for a `DELETE`.
+    fn free_path(&self, handle: &str) -> String;
+
+    /// The path of an engine's report, for a `GET`.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads an engine's report.
+    fn report(&self, body: &[u8]) -> Result<Report>;
+
+    /// The path and body of an order, for a `POST`.
+    fn order(&self, order: &StageOrder) -> (&'static str, Vec<u8>);
+}
--- /dev/null
+++ b/crates/direct/src/daemon.rs
@@ -0,0 +1,138 @@
+//! The process: its tasks, when it is ready, and how it stops.
+
+use crate::follow::{self, Decode};
+use crate::intake::Intake;
+use crate::members;
+use crate::probe;
+use crate::shared::Shared;
+use http::StatusCode;
+use plat::KeyedLog;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// The result of starting.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why an entry can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be bound.
+    #[error("listen on {address}: {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What was seen.
+        source: std::io::Error,
+    },
+}
+
+/// Where an entry listens, and how long a stop may take.
+#[derive(Debug, Clone)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether it is ready.
+    pub readiness: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
+    /// How long a stop may take before the process is killed.
+    pub grace: Duration,
+}
+
+/// How long an entry that stops still takes connections as usual: the balancer asks each second
+/// and needs two misses.
+const NOTICE: Duration = Duration::from_millis(2_600);
+
+/// How much of the grace is left for the process to end by itself.
+const LAST: Duration = Duration::from_millis(400);
+
+/// How often a stopping entry looks whether its connections have ended.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs an entry until `stop` is cancelled and its answers are given.
+pub async fn run(
+    shared: Arc<Shared>,
+    log: Arc<dyn KeyedLog>,
+    decode: Arc<dyn Decode>,
+    addresses: Addresses,
+    stop: CancellationToken,
+) -> Result<()> {
+    let callers = listen(addresses.callers).await?;
+    let readiness = listen(addresses.readiness).await?;
+    let metrics = listen(addresses.metrics).await?;
+    let ending = CancellationToken::new();
+    let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
+    let mut tasks = JoinSet::new();
+    tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
+    tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
+    tasks.spawn(members::tell(shared.clone(), log.clone(), stop.clone()));
+    tasks.spawn(members::count(shared.clone(), log));
+    tasks.spawn(upkeep(shared.clone()));
+    tasks.spawn(intake.clone().accept(shared.clone(), callers));
+    tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
+    tasks.spawn(probe::serve(metrics, metrics_page(shared.clone())));
+    log::info!(target: "process", name = shared.settings.name.as_str(),
+        callers:% = addresses.callers; "started");
+    stop.cancelled().await;
+    drain(&intake, &ending, addresses.grace).await;
+    Ok(())
+}
+
+/// Lets the balancer notice, then the callers' connections end.
+async fn drain(intake: &Intake, ending: &CancellationToken, grace: Duration) {
+    let began = Instant::now();
+    log::info!(target: "process", connections = intake.open(); "stopping");
+    tokio::time::sleep(NOTICE.min(grace / 2)).await;
+    ending.cancel();
+    let until = began + grace.saturating_sub(LAST);
+    while intake.open() > 0 && Instant::now() < until {
+        tokio::time::sleep(LOOK).await;
+    }
+    log::info!(target: "process", cut = intake.open(), ms = began.elapsed().as_millis(); "stopped");
+}
+
+fn ready_page(shared: Arc<Shared>, stop: CancellationToken) -> probe::Page {
+    Arc::new(move |_| {
+        let knows = shared.table.borrow().is_some() && !shared.fleet().is_empty();
+        if knows && !stop.is_cancelled() {
+            (StatusCode::OK, "ready".into())
+        } else {
+            (StatusCode::SERVICE_UNAVAILABLE, "not ready".into())
+        }
+    })
+}
+
+fn metrics_page(shared: Arc<Shared>) -> probe::Page {
+    Arc::new(move |_| {
+        let dropped = crate::journal::dropped();
+        shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        (StatusCode::OK, shared.metrics.text())
+    })
+}
+
+/// How often idle connections and lapsed targets are looked after.
+const UPKEEP: Duration = Duration::from_millis(500);
+
+async fn upkeep(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        let now = Instant::now();
+        shared.fleet().expire(now);
+        let services: Vec<_> = match shared.table.borrow().as_ref() {
+            Some(table) => table.services().map(|service| service.name.clone()).collect(),
+            None => Vec::new(),
+        };
+        for target in services.iter().flat_map(|name| shared.usable(name).to_vec()) {
+            target.pool.expire(now);
+        }
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+}
--- /dev/null
+++ b/crates/direct/src/fleet.rs
@@ -0,0 +1,233 @@
+//! Which targets there are, folded from what they tell of themselves.
+//!
+//! Records are taken by their offset: one that arrives late never undoes a newer one, and a target
+//! that said it leaves stays leaving under that id, whatever an older record says.
+
+use crate::border::TargetId;
+use crate::route::{ServiceName, Stage};
+use crate::target::Target;
+use compact_str::CompactString;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A place in the log, see [`plat::Offset`].
+pub type Offset = plat::Offset;
+
+/// What a target tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sighting {
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it leaves.
+    pub leaving: bool,
+    /// Its stage, if it is an engine that has one.
+    pub stage: Option<Stage>,
+    /// Counts its records; a lower one is older.
+    pub sequence: u64,
+}
+
+/// One change in the list of targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum News {
+    /// A target tells of itself.
+    Seen(TargetId, Sighting),
+    /// Its entry was removed.
+    Gone(TargetId),
+}
+
+/// How long a target stays in use after its entry vanished while the store was in trouble.
+///
+/// Entries lapse when the store can't take renewals, and come back within two seconds after it
+/// can. Without the wait, one outage would empty the list while all targets live.
+const LAPSE: Duration = Duration::from_millis(2_000);
+
+/// The same where only the number of vanished entries speaks for a lapse. Shorter, because targets
+/// that really left stop taking work two seconds after that.
+const DOUBT: Duration = Duration::from_millis(1_000);
+
+/// Of one service, the share of targets whose entries have to vanish in one reading for it to look
+/// like a lapse in the store and not like targets that went: crashes seen so far took a quarter.
+const LAPSE_SHARE: f64 = 0.34;
+
+/// One target as the list has it.
+#[derive(Debug, Clone)]
+struct Member {
+    target: Arc<Target>,
+    sequence: u64,
+    offset: Offset,
+    leaving: bool,
+    /// When it is taken out, if its entry vanished in a lapse.
+    lapses: Option<Instant>,
+}
+
+/// The targets of all services.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    members: HashMap<TargetId, Member>,
+    /// Ids that were removed, with the offset: older records of them come late.
+    removed: HashMap<TargetId, Offset>,
+    usable: HashMap<ServiceName, Arc<[Arc<Target>]>>,
+}
+
+/// Removed ids that are remembered; older ones can't come late any more.
+const MAX_REMOVED: usize = 4_096;
+
+impl Fleet {
+    /// Takes in one reading of the list, in the log's order. `disturbed` says that the store was
+    /// lately in trouble.
+    pub fn apply(&mut self, news: Vec<(Offset, News)>, now: Instant, disturbed: bool) {
+        let mut gone = Vec::new();
+        for (offset, news) in news {
+            match news {
+                News::Seen(id, sighting) => {
+                    gone.retain(|(other, _)| other != &id);
+                    self.see(id, sighting, offset);
+                }
+                News::Gone(id) => gone.push((id, offset)),
+            }
+        }
+        let lapses = match (disturbed, self.looks_like_lapse(&gone)) {
+            (true, _) => Some(now + LAPSE),
+            (false, true) => Some(now + DOUBT),
+            (false, false) => None,
+        };
+        for (id, offset) in gone {
+            self.remove(&id, offset, lapses);
+        }
+        self.expire(now);
+    }
+
+    /// Replaces the list by a complete one, read at `end`; targets that it lacks are gone.
+    pub fn replace(
+        &mut self,
+        all: Vec<(Offset, News)>,
+        end: Offset,
+        now: Instant,
+        disturbed: bool,
+    ) {
+        let listed: std::collections::HashSet<TargetId> = all
+            .iter()
+            .filter_map(|(_, news)| match news {
+                News::Seen(id, _) => Some(id.clone()),
+                News::Gone(_) => None,
+            })
+            .collect();
+        let missing = self.members.keys().filter(|id| !listed.contains(*id));
+        let missing: Vec<_> = missing.map(|id| (end, News::Gone(id.clone()))).collect();
+        self.apply(all.into_iter().chain(missing).collect(), now, disturbed);
+    }
+
+    /// Takes out targets whose lapsed entries have not come back.
+    pub fn expire(&mut self, now: Instant) {
+        let lapsed = |member: &Member| member.lapses.is_some_and(|at| at <= now);
+        let ended: Vec<_> =
+            self.members.iter().filter(|(_, m)| lapsed(m)).map(|(id, _)| id.clone()).collect();
+        for id in ended {
+            log::info!(target: "fleet", target_id = id.as_str(); "target lapsed");
+            self.members.remove(&id);
+        }
+        self.publish();
+    }
+
+    /// The targets of a service that may get new work.
+    pub fn usable(&self, service: &str) -> Arc<[Arc<Target>]> {
+        self.usable.get(service).cloned().unwrap_or_default()
+    }
+
+    /// A target by its id, if it may get new work.
+    pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
+        self.members.get(id).filter(|member| !member.leaving).map(|member| &member.target)
+    }
+
+    /// How many targets there are, those that leave included.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    fn see(&mut self, id: TargetId, sighting: Sighting, offset: Offset) {
+        if self.removed.get(&id).is_some_and(|&removed| removed >= offset) {
+            return;
+        }
+        let Sighting { service, address, domain, slots, leaving, stage, sequence } = sighting;
+        if let Some(member) = self.members.get_mut(&id) {
+            if offset < member.offset || sequence < member.sequence {
+                return;
+            }
+            if leaving && !member.leaving {
+                log::info!(target: "fleet", target_id = id.as_str(), offset; "target leaves");
+            }
+            if member.target.set_stage(stage) {
+                log::info!(target: "fleet", target_id = id.as_str(), offset, stage:? = stage; "target changed stage");
+            }
+            member.offset = offset;
+            member.sequence = sequence;
+            member.leaving |= leaving;
+            member.lapses = None;
+            return;
+        }
+        log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
+            address:% = address, leaving, stage:? = stage, offset; "target seen");
+        let target = Arc::new(Target::new(id.clone(), service, address, domain, slots));
+        target.set_stage(stage);
+        self.members.insert(id, Member { target, sequence, offset, leaving, lapses: None });
+    }
+
+    fn remove(&mut self, id: &TargetId, offset: Offset, lapses: Option<Instant>) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        if offset < member.offset {
+            return;
+        }
+        if let Some(at) = lapses {
+            member.lapses.get_or_insert(at);
+            return;
+        }
+        log::info!(target: "fleet", target_id = id.as_str(), offset; "target gone");
+        self.members.remove(id);
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.clear();
+        }
+        self.removed.insert(id.clone(), offset);
+    }
+
+    fn looks_like_lapse(&self, gone: &[(TargetId, Offset)]) -> bool {
+        let mut lost: HashMap<&str, u32> = HashMap::new();
+        for (id, _) in gone {
+            if let Some(member) = self.members.get(id).filter(|member| !member.leaving) {
+                *lost.entry(member.target.service.as_str()).or_default() += 1;
+            }
+        }
+        lost.into_iter().any(|(service, lost)| {
+            let all = self.members.values().filter(|m| m.target.service == service).count();
+            let all = f64::from(u32::try_from(all).unwrap_or(u32::MAX));
+            lost > 1 && f64::from(lost) > all * LAPSE_SHARE
+        })
+    }
+
+    fn publish(&mut self) {
+        let mut usable: HashMap<ServiceName, Vec<Arc<Target>>> = HashMap::new();
+        for member in self.members.values().filter(|member| !member.leaving) {
+            usable.entry(member.target.service.clone()).or_default().push(member.target.clone());
+        }
+        self.usable = usable
+            .into_iter()
+            .map(|(service, mut targets)| {
+                targets.sort_by(|a, b| a.id.cmp(&b.id));
+                (service, targets.into())
+            })
+            .collect();
+    }
+}
--- /dev/null
+++ b/crates/direct/src/follow.rs
@@ -0,0 +1,224 @@
+//! Follows the configuration and the list of targets in the log.
+//!
+//! Each is one stream: its newest records are read once, then its changes. When the history is
+//! gone, the newest records are read again. What is known stays in force while the log is away.
+
+use crate::border::TargetId;
+use crate::fleet::{News, Sighting};
+use crate::route::Table;
+use crate::shared::Shared;
+use compact_str::CompactString;
+use plat::{KeyedLog, Offset, Record, StreamName};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The result of decoding a record.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// A record that can't be read.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("{stream}, key {key}: {detail}")]
+pub struct Error {
+    /// The stream.
+    pub stream: StreamName,
+    /// The record's key.
+    pub key: CompactString,
+    /// What is wrong, with the path of the field.
+    pub detail: CompactString,
+}
+
+/// Reads the records that operators and targets write.
+pub trait Decode: Send + Sync {
+    /// The stream with the configuration, and its key there.
+    fn config_stream(&self) -> (&'static str, &'static str);
+
+    /// The stream in which targets tell of themselves, each under its id.
+    fn target_stream(&self) -> &'static str;
+
+    /// Reads a configuration.
+    fn table(&self, value: &[u8]) -> Result<Table, CompactString>;
+
+    /// Reads what a target tells.
+    fn sighting(&self, value: &[u8]) -> Result<Sighting, CompactString>;
+}
+
+/// How long a read of the configuration waits for news. A silent connection shows after this time
+/// and [`PATIENCE`], which together are under the two seconds that a change may take.
+const CONFIG_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How long a read of the list of targets waits for news.
+const TARGET_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Reads of the list of targets are this far apart: each target renews its record every second or
+/// so, and each read is paid for. It is a quarter of the time in which a target that leaves has to
+/// be left alone.
+const TARGET_PACE: Duration = Duration::from_millis(450);
+
+/// The pause after a call that failed; it doubles up to [`MOST_PAUSE`].
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest pause: shorter than the time in which a change has to be in force.
+const MOST_PAUSE: Duration = Duration::from_millis(500);
+
+/// For how long after a failed call the log counts as troubled.
+const TROUBLE: Duration = Duration::from_secs(3);
+
+/// One reading of a stream.
+enum Reading {
+    /// All keys.
+    All(Vec<Record>, Offset),
+    /// What changed.
+    Changes(Vec<Record>),
+}
+
+/// A stream that is followed.
+struct Stream {
+    shared: Arc<Shared>,
+    log: Arc<dyn KeyedLog>,
+    name: &'static str,
+    wait: Duration,
+    next: Option<Offset>,
+    pause: Duration,
+    trouble: Option<Instant>,
+    lost: Option<Instant>,
+}
+
+impl Stream {
+    fn new(
+        shared: Arc<Shared>,
+        log: Arc<dyn KeyedLog>,
+        name: &'static str,
+        wait: Duration,
+    ) -> Self {
+        let (next, pause, trouble, lost) = (None, PAUSE, None, None);
+        Self { shared, log, name, wait, next, pause, trouble, lost }
+    }
+
+    /// The next reading, however long it takes.
+    async fn read(&mut self) -> Reading {
+        loop {
+            match self.try_read().await {
+                Ok(reading) => {
+                    self.shared.metrics.store("ok");
+                    self.pause = PAUSE;
+                    if let Some(lost) = self.lost.take() {
+                        let lost_ms = lost.elapsed().as_millis();
+                        log::info!(target: "store", stream = self.name, lost_ms; "log regained");
+                    }
+                    return reading;
+                }
+                Err(error) => self.fail(error).await,
+            }
+        }
+    }
+
+    async fn try_read(&mut self) -> plat::Result<Reading> {
+        let Some(next) = self.next else {
+            let newest = self.log.newest(self.name).await?;
+            self.next = Some(newest.end);
+            return Ok(Reading::All(newest.records, newest.end));
+        };
+        let (records, end) = self.log.changes(self.name, next, self.wait).await?;
+        self.next = Some(end.max(next));
+        Ok(Reading::Changes(records))
+    }
+
+    async fn fail(&mut self, error: plat::Error) {
+        if let plat::Error::Gone { oldest, .. } = error {
+            self.shared.metrics.store("gone");
+            log::info!(target: "store", stream = self.name, oldest; "history gone");
+            self.next = None;
+            return;
+        }
+        self.shared.metrics.store("failed");
+        let now = Instant::now();
+        self.trouble = Some(now);
+        if self.lost.is_none() {
+            self.lost = Some(now);
+            log::warn!(target: "store", stream = self.name, error:% = error; "log lost");
+        }
+        tokio::time::sleep(self.pause).await;
+        self.pause = (self.pause * 2).min(MOST_PAUSE);
+    }
+
+    fn is_troubled(&self, now: Instant) -> bool {
+        self.trouble.is_some_and(|at| now.duration_since(at) < TROUBLE)
+    }
+}
+
+/// Keeps the configuration up to date.
+pub async fn config(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
+    let (name, key) = decode.config_stream();
+    let mut stream = Stream::new(shared.clone(), log, name, CONFIG_WAIT);
+    loop {
+        let (Reading::All(records, _) | Reading::Changes(records)) = stream.read().await;
+        let ours = records.into_iter().rev().filter(|record| record.key == key);
+        for record in ours {
+            let Some(value) = record.value else { continue };
+            match decode.table(&value) {
+                Ok(table) => apply(&shared, table, record.offset),
+                Err(detail) => {
+                    let error = Error { stream: name.into(), key: key.into(), detail };
+                    log::warn!(target: "config", offset = record.offset, error:% = error;
+                        "configuration not readable, the last one stays in force");
+                }
+            }
+        }
+    }
+}
+
+/// Puts a configuration in force unless a newer one is: versions never go back, whichever read
+/// ends last.
+fn apply(shared: &Shared, table: Table, offset: Offset) {
+    let old = shared.table.borrow().as_ref().map(|table| table.version);
+    if old.is_some_and(|old| old >= table.version) {
+        return;
+    }
+    log::info!(target: "config", version = table.version, offset, routes = table.routes(),
+        before:? = old; "configuration in force");
+    shared.metrics.version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
+    shared.table.send_replace(Some(Arc::new(table)));
+}
+
+/// Keeps the list of targets up to date.
+pub async fn targets(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
+    let name = decode.target_stream();
+    let mut stream = Stream::new(shared.clone(), log, name, TARGET_WAIT);
+    loop {
+        let reading = stream.read().await;
+        let now = Instant::now();
+        let disturbed = stream.is_troubled(now);
+        match reading {
+            Reading::All(records, end) => {
+                let news = news(&*decode, records);
+                shared.fleet().replace(news, end, now, disturbed);
+            }
+            Reading::Changes(records) => {
+                let news = news(&*decode, records);
+                shared.fleet().apply(news, now, disturbed);
+            }
+        }
+        let known = shared.fleet().len();
+        shared.metrics.targets.set(i64::try_from(known).unwrap_or(i64::MAX));
+        tokio::time::sleep(TARGET_PACE).await;
+    }
+}
+
+fn news(decode: &dyn Decode, records: Vec<Record>) -> Vec<(Offset, News)> {
+    let decoded = records.into_iter().filter_map(|record| {
+        let id: TargetId = record.key;
+        let Some(value) = record.value else { return Some((record.offset, News::Gone(id))) };
+        match decode.sighting(&value) {
+            Ok(sighting) => Some((record.offset, News::Seen(id, sighting))),
+            Err(detail) => {
+                let stream = decode.target_stream().into();
+                let error = Error { stream, key: id, detail };
+                log::warn!(target: "fleet", offset = record.offset, error:% = error;
+                    "record not readable, left out");
+                None
+            }
+        }
+    });
+    decoded.collect()
+}
--- /dev/null
+++ b/crates/direct/src/lib.rs
@@ -0,0 +1,30 @@
+//! An entry that sends requests straight to targets, where no agent stands beside them.
+//!
+//! A request goes forward through [`intake`], [`serve`], then [`plain`] or [`generate`], then
+//! [`attempt`] and [`relay`]. What they share is behind [`shared::Shared`]. The [`border`] towards
+//! callers and targets, and [`follow::Decode`] for records, are implemented by a deployment's
+//! adapter.
+
+pub mod answer;
+pub mod attempt;
+pub mod border;
+pub mod daemon;
+pub mod engine;
+pub mod events;
+pub mod fleet;
+pub mod follow;
+pub mod generate;
+pub mod intake;
+pub mod journal;
+pub mod members;
+pub mod metrics;
+pub mod plain;
+pub mod pool;
+pub mod probe;
+pub mod relay;
+pub mod route;
+pub mod serve;
+pub mod shared;
+pub mod suspects;
+pub mod target;
+pub mod trace;
--- /dev/null
+++ b/crates/direct/src/relay.rs
@@ -0,0 +1,200 @@
+//! Passes a target's answer on as it comes, and goes on elsewhere if a resumable stream breaks.
+
+use crate::answer::{Error, Result};
+use crate::attempt::Answered;
+use crate::engine::{Reading, Writing};
+use crate::events::Events;
+use crate::pool::Connection;
+use crate::target::{Entered, Health, Target};
+use crate::trace::Trace;
+use bytes::Bytes;
+use compact_str::ToCompactString;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep};
+
+/// What is booked at a target while it works on a request.
+#[derive(Debug)]
+pub struct Booking {
+    /// The target.
+    pub target: Arc<Target>,
+    /// The request.
+    pub entered: Entered,
+    /// Its prompt, until the first event.
+    pub reading: Option<Reading>,
+    /// Its stream.
+    pub writing: Option<Writing>,
+}
+
+/// A target's answer on its way, with what it occupies.
+#[derive(Debug)]
+pub struct Source {
+    /// The answer.
+    pub answered: Box<Answered>,
+    /// What is booked for it.
+    pub booking: Booking,
+}
+
+/// Finds another target for the rest of a stream.
+pub trait Resume: Send {
+    /// Starts the stream after the event with this id elsewhere; `None` if it can't be.
+    fn resume(
+        &self,
+        after: Option<u64>,
+        failed: &Arc<Target>,
+    ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>>;
+}
+
+/// The body of an answer that is passed on.
+pub struct Relay {
+    state: State,
+    until: Pin<Box<Sleep>>,
+    resume: Option<Box<dyn Resume>>,
+    events: Option<Events>,
+    trace: Trace,
+    hint: SizeHint,
+}
+
+enum State {
+    Open(Open),
+    Resuming(Pin<Box<dyn Future<Output = Option<Source>> + Send>>),
+    Done,
+}
+
+struct Open {
+    body: Incoming,
+    connection: Option<Connection>,
+    idle: Option<Duration>,
+    booking: Booking,
+}
+
+/// How long after the last moment at which the target may work its own failure is waited for. It
+/// says more than one of ours, and takes a round trip.
+pub const LAST_WORD: Duration = Duration::from_millis(150);
+
+impl Relay {
+    /// Passes `source` on until `until` at the latest.
+    pub fn new(
+        source: Source,
+        until: Instant,
+        resume: Option<Box<dyn Resume>>,
+        trace: Trace,
+    ) -> Self {
+        let events = resume.is_some().then(Events::default);
+        let open = Open::new(source);
+        let hint = if events.is_some() { SizeHint::default() } else { open.body.size_hint() };
+        let until = Box::pin(tokio::time::sleep_until(until + LAST_WORD));
+        Self { state: State::Open(open), until, resume, events, trace, hint }
+    }
+
+    /// Whether nothing more comes.
+    pub fn is_complete(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// What is known of the size of the whole body.
+    pub fn size_hint(&self) -> SizeHint {
+        self.hint.clone()
+    }
+
+    /// The next piece.
+    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>>>> {
+        loop {
+            let step = match &mut self.state {
+                State::Done => return Poll::Ready(None),
+                State::Open(open) => match Pin::new(&mut open.body).poll_frame(context) {
+                    Poll::Pending => break,
+                    Poll::Ready(step) => step,
+                },
+                State::Resuming(next) => match next.as_mut().poll(context) {
+                    Poll::Pending => break,
+                    Poll::Ready(Some(source)) => {
+                        self.state = State::Open(Open::new(source));
+                        continue;
+                    }
+                    Poll::Ready(None) => return self.cut("no target could go on"),
+                },
+            };
+            match step {
+                Some(Ok(frame)) => {
+                    let Some(bytes) = self.take(frame) else { continue };
+                    self.trace.first_piece();
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                None => return self.complete(),
+                Some(Err(error)) => {
+                    if !self.break_off(&error.to_compact_string()) {
+                        return self.cut("the target broke off");
+                    }
+                }
+            }
+        }
+        match self.until.as_mut().poll(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(()) => self.cut("the time was up"),
+        }
+    }
+
+    fn take(&mut self, frame: Frame<Bytes>) -> Option<Bytes> {
+        let bytes = frame.into_data().ok()?;
+        if let State::Open(open) = &mut self.state {
+            open.booking.reading = None;
+        }
+        let bytes = match &mut self.events {
+            Some(events) => events.take(&bytes),
+            None => bytes,
+        };
+        (!bytes.is_empty()).then_some(bytes)
+    }
+
+    fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>>>> {
+        if let State::Open(open) = std::mem::replace(&mut self.state, State::Done) {
+            if let Some(connection) = open.connection {
+                connection.keep(open.idle, Instant::now());
+            }
+        }
+        self.trace.end("complete");
+        let rest = self.events.as_mut().map(Events::rest).unwrap_or_default();
+        Poll::Ready((!rest.is_empty()).then_some(Ok(Frame::data(rest))))
+    }
+
+    /// Notes that the target broke off and begins to look for another; `false` if there can't be.
+    fn break_off(&mut self, detail: &str) -> bool {
+        let State::Open(open) = std::mem::replace(&mut self.state, State::Done) else {
+            return false;
+        };
+        let target = open.booking.target.clone();
+        target.judge(Health::Unreachable, Instant::now());
+        self.trace.broke_off(&target.id, detail);
+        let (Some(resume), Some(events)) = (&self.resume, &mut self.events) else { return false };
+        events.drop_rest();
+        self.state = State::Resuming(resume.resume(events.last(), &target));
+        true
+    }
+
+    fn cut(&mut self, why: &'static str) -> Poll<Option<Result<Frame<Bytes>>>> {
+        self.state = State::Done;
+        self.trace.end(why);
+        Poll::Ready(Some(Err(Error(why.into()))))
+    }
+}
+
+impl Open {
+    fn new(source: Source) -> Self {
+        let Source { answered, booking } = source;
+        let Answered { response, reply, connection } = *answered;
+        let body = response.into_body();
+        Self { body, connection: Some(connection), idle: reply.keep_alive, booking }
+    }
+}
+
+impl fmt::Debug for Relay {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Relay").field("complete", &self.is_complete()).finish()
+    }
+}
--- /dev/null
+++ b/crates/direct/src/route.rs
@@ -0,0 +1,188 @@
+//! What operators configured: routes, services and limits, as one immutable table a version.
+
+use compact_str::CompactString;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The version of a configuration; newer ones are larger.
+pub type Version = u64;
+
+/// The name of a service.
+pub type ServiceName = CompactString;
+
+/// The name of a route.
+pub type RouteName = CompactString;
+
+/// How often a request may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// Any number of times.
+    Idempotent,
+    /// Once at most for each sending by a caller.
+    Once,
+    /// A stream that another target can go on with after the last event delivered.
+    Resumable,
+}
+
+/// What an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    /// One body.
+    Whole,
+    /// Events, one after the other.
+    Events,
+}
+
+/// What part of a generation an engine does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Stage {
+    /// It reads prompts for others.
+    Prefill,
+    /// It writes output, and can read prompts for itself at half the rate.
+    Decode,
+}
+
+/// A service that takes a share of a route's requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Portion {
+    /// Its name.
+    pub service: ServiceName,
+    /// Its weight among the route's portions.
+    pub weight: f64,
+}
+
+/// A route: requests of one host whose path begins with one prefix.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: RouteName,
+    /// The host, in lower case.
+    pub host: CompactString,
+    /// The prefix; begins and ends with a slash.
+    pub prefix: CompactString,
+    /// The services that share its requests; never empty.
+    pub portions: Vec<Portion>,
+    /// How often a request may run.
+    pub repeat: Repeat,
+    /// What an answer is.
+    pub shape: Shape,
+    /// How long a request may take in all.
+    pub timeout: Duration,
+    /// Within which time an answer, or its first event, earns its full worth.
+    pub objective: Duration,
+    /// Its rank: 0 is the most urgent.
+    pub rank: u8,
+    /// Targets that one request may be sent to.
+    pub attempts: u32,
+}
+
+/// What all engines of a service have in common.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineSpec {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that fit in the memory of one.
+    pub memory: u64,
+    /// How long an engine is away when it changes its stage.
+    pub switch: Duration,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: ServiceName,
+    /// Connections that one target takes from all processes together.
+    pub connections: u32,
+    /// Its engines' figures, if it serves models.
+    pub engine: Option<EngineSpec>,
+}
+
+/// Bounds on what callers send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub header_bytes: usize,
+    /// Bytes of a request's body.
+    pub body_bytes: usize,
+    /// How long a head may take.
+    pub header_time: Duration,
+    /// How long a connection may be idle.
+    pub idle_time: Duration,
+}
+
+/// One version of the configuration.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Table {
+    /// The version.
+    pub version: Version,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    services: HashMap<ServiceName, Arc<Service>>,
+    hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>>,
+}
+
+impl Table {
+    /// Puts a table together.
+    pub fn new(
+        version: Version,
+        limits: Limits,
+        routes: impl IntoIterator<Item = Route>,
+        services: impl IntoIterator<Item = Service>,
+    ) -> Self {
+        let mut hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>> = HashMap::new();
+        for route in routes {
+            let routes = hosts.entry(route.host.clone()).or_default();
+            routes.insert(route.prefix.clone(), Arc::new(route));
+        }
+        let services = services.into_iter();
+        let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
+        Self { version, limits, services, hosts }
+    }
+
+    /// The route with the longest prefix that begins `path`, among those of `host`.
+    ///
+    /// Prefixes end with a slash, so it tries the path up to each slash from the last: as many
+    /// lookups as the path has parts, however many routes there are.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        let slashes = path.rmatch_indices('/').map(|(at, _)| at);
+        slashes.map(|at| &path[..=at]).find_map(|prefix| routes.get(prefix))
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// How many routes there are.
+    pub fn routes(&self) -> usize {
+        self.hosts.values().map(HashMap::len).sum()
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+}
+
+impl Route {
+    /// The service for a request that drew `at`, from 0 up to 1.
+    pub fn portion(&self, at: f64) -> &ServiceName {
+        let total: f64 = self.portions.iter().map(|portion| portion.weight).sum();
+        let mut left = at * total;
+        for portion in &self.portions {
+            left -= portion.weight;
+            if left < 0.0 {
+                return &portion.service;
+            }
+        }
+        // Rounding can leave a hair over; a route has one portion at least.
+        &self.portions[self.portions.len() - 1].service
+    }
+}
--- /dev/null
+++ b/crates/direct/src/serve.rs
@@ -0,0 +1,164 @@
+//! The way of one request: route, quarantine, then the plain or the engines' way.
+
+use crate::answer::{self, Body, Failure, Refusal};
+use crate::attempt::{Content, Outcome};
+use crate::border::Ask;
+use crate::engine::Writing;
+use crate::relay::{Booking, Relay, Resume, Source};
+use crate::route::{Repeat, Route, Service, Table};
+use crate::shared::Shared;
+use crate::suspects::{Fingerprint, fingerprint};
+use crate::target::Target;
+use crate::trace::Trace;
+use crate::{generate, plain};
+use http::{Response, StatusCode};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// One request on its way.
+pub struct Job {
+    /// What all requests share.
+    pub shared: Arc<Shared>,
+    /// The request.
+    pub content: Content,
+    /// What its headers say.
+    pub ask: Ask,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that it was dealt to.
+    pub service: Arc<Service>,
+    /// When its target has to have answered.
+    pub until: Instant,
+    /// What it is known by, however often it is sent.
+    pub fingerprint: Fingerprint,
+}
+
+/// When to come back to a process that knows no configuration or target yet: a read of the log
+/// takes less.
+const SOON: Duration = Duration::from_millis(300);
+
+/// When to come back after a target refused or could not be reached: by then others are chosen.
+pub const SHORTLY: Duration = Duration::from_millis(100);
+
+/// Serves a request whose body has been read.
+pub async fn serve(shared: Arc<Shared>, content: Content, arrived: Instant) -> Response<Body> {
+    let Some(table) = shared.table.borrow().clone() else {
+        return answer::refuse(Refusal::NoConfiguration, SOON);
+    };
+    let host = content.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let Some(route) = table.find(host.unwrap_or_default(), content.path.path()).cloned() else {
+        log::info!(target: "request", path = content.path.path(), version = table.version;
+            "no route");
+        return answer::own(StatusCode::NOT_FOUND, "no route");
+    };
+    let ask = shared.border.ask(&content.headers);
+    let attempt = ask.attempt.clone().unwrap_or_default();
+    let metrics = shared.metrics.clone();
+    let mut trace = Trace::new(attempt, route.name.clone(), table.version, arrived, metrics);
+    let Some(job) = job(shared, content, ask, route, &table, arrived) else {
+        trace.end(Refusal::NoTarget.name());
+        return answer::refuse(Refusal::NoTarget, SOON);
+    };
+    job.shared.book_request(&job.service.name);
+    if job.shared.suspects.is_guilty(job.fingerprint) {
+        trace.end(Refusal::Quarantined.name());
+        return answer::refuse(Refusal::Quarantined, job.route.timeout);
+    }
+    let job = Arc::new(job);
+    match (&job.service.engine, &job.ask.prompt) {
+        (Some(_), Some(_)) => generate::run(job, trace).await,
+        _ => plain::run(job, trace).await,
+    }
+}
+
+fn job(
+    shared: Arc<Shared>,
+    content: Content,
+    ask: Ask,
+    route: Arc<Route>,
+    table: &Table,
+    arrived: Instant,
+) -> Option<Job> {
+    let service = table.service(route.portion(shared.random()))?.clone();
+    let patience = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let fingerprint = fingerprint(&content);
+    let until = arrived + patience;
+    Some(Job { shared, content, ask, route, service, until, fingerprint })
+}
+
+impl Job {
+    /// How long the target may still work.
+    pub fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Until when the head of an answer is waited for.
+    pub fn last_word(&self) -> Instant {
+        self.until + crate::relay::LAST_WORD
+    }
+
+    /// Whether it may be sent again after a sending of which the outcome is unknown.
+    pub fn may_repeat(&self) -> bool {
+        match self.route.repeat {
+            Repeat::Idempotent | Repeat::Resumable => true,
+            Repeat::Once => false,
+        }
+    }
+
+    /// Notes that a target may have crashed on it.
+    pub fn suspect(&self, target: &Target) {
+        let crashes = self.shared.suspects.crashed(self.fingerprint);
+        log::info!(target: "request", id = self.id(), target_id = target.id.as_str(), crashes;
+            "request suspected");
+    }
+
+    /// The caller's id of this sending.
+    pub fn id(&self) -> &str {
+        self.ask.attempt.as_deref().unwrap_or_default()
+    }
+
+    /// Refuses it: it has not run.
+    pub fn refuse(&self, trace: &mut Trace, refusal: Refusal, back: Duration) -> Response<Body> {
+        trace.end(refusal.name());
+        answer::refuse(refusal, back)
+    }
+
+    /// Fails it: it may have run.
+    pub fn fail(&self, trace: &mut Trace, failure: Failure) -> Response<Body> {
+        trace.end(failure.name());
+        answer::fail(failure)
+    }
+}
+
+/// Passes a target's answer on.
+pub fn relay(
+    job: &Job,
+    source: Source,
+    resume: Option<Box<dyn Resume>>,
+    trace: Trace,
+) -> Response<Body> {
+    let mut response = Response::new(());
+    *response.status_mut() = source.answered.response.status();
+    *response.headers_mut() = source.answered.response.headers().clone();
+    job.shared.border.answer(response.headers_mut());
+    let relay = Relay::new(source, job.until, resume, trace);
+    response.map(|()| Body::Relay(Box::new(relay)))
+}
+
+/// Books a request at a target.
+pub fn book(target: &Arc<Target>, writing: Option<Writing>) -> Booking {
+    Booking { target: target.clone(), entered: target.enter(), reading: None, writing }
+}
+
+/// The name of an outcome in logs and metrics.
+pub fn went(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered(answered) if answered.response.status().is_success() => "ok",
+        Outcome::Answered(_) => "failed",
+        Outcome::NotRun(_) => "refused",
+        Outcome::NotSent(_) => "not-sent",
+        Outcome::Unknown(_) => "unknown",
+        Outcome::Late => "late",
+    }
+}
--- /dev/null
+++ b/crates/direct/src/shared.rs
@@ -0,0 +1,143 @@
+//! What all requests of an entry share.
+
+use crate::border::Border;
+use crate::fleet::Fleet;
+use crate::metrics::Metrics;
+use crate::route::{Service, Table};
+use crate::suspects::Suspects;
+use crate::target::Target;
+use compact_str::CompactString;
+use policy::{prompts, window};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Settings of an entry that sends straight to targets.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name, unlike that of any other entry.
+    pub name: CompactString,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// How extra sendings are bounded.
+    pub extras: window::Settings,
+    /// How prompts are placed.
+    pub prompts: prompts::Settings,
+}
+
+/// The state of an entry.
+pub struct Shared {
+    /// Its settings.
+    pub settings: Settings,
+    /// The vocabulary of callers and targets.
+    pub border: Arc<dyn Border>,
+    /// The configuration in force; none until one was read.
+    pub table: watch::Sender<Option<Arc<Table>>>,
+    /// Requests that crashed targets.
+    pub suspects: Suspects,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    fleet: Mutex<Fleet>,
+    windows: Mutex<HashMap<CompactString, window::Window>>,
+    entries: AtomicU32,
+    random: Mutex<ChaCha8Rng>,
+    started: Instant,
+}
+
+/// The share of the connections that a target takes which all entries together open: it also
+/// takes health checks, and fewer while its queue is long.
+const CONNECTION_SHARE: f64 = 0.85;
+
+impl Shared {
+    /// The state of an entry that has just started.
+    pub fn new(settings: Settings, border: Arc<dyn Border>, seed: u64) -> Self {
+        Self {
+            settings,
+            border,
+            table: watch::Sender::new(None),
+            suspects: Suspects::default(),
+            metrics: Arc::default(),
+            fleet: Mutex::default(),
+            windows: Mutex::default(),
+            entries: AtomicU32::new(1),
+            random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            started: Instant::now(),
+        }
+    }
+
+    /// The list of targets.
+    pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The targets of a service that may get new work.
+    pub fn usable(&self, service: &str) -> Arc<[Arc<Target>]> {
+        self.fleet().usable(service)
+    }
+
+    /// Whether a target that was chosen some time ago may still get work.
+    pub fn may_get_work(&self, target: &Target) -> bool {
+        self.fleet().get(&target.id).is_some()
+    }
+
+    /// How many entries share the work, as far as is known.
+    pub fn entries(&self) -> u32 {
+        self.entries.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Takes in how many entries share the work.
+    pub fn set_entries(&self, entries: u32) {
+        self.entries.store(entries.max(1), Ordering::Relaxed);
+        self.metrics.entries.set(i64::from(entries));
+    }
+
+    /// Connections that this entry may have to one target of `service`.
+    pub fn connections(&self, service: &Service) -> u32 {
+        let share = f64::from(service.connections) * CONNECTION_SHARE / f64::from(self.entries());
+        // One at least; casting a positive float to an integer saturates.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+        let share = share as u32;
+        share.max(1)
+    }
+
+    /// A random number from 0 up to 1.
+    pub fn random(&self) -> f64 {
+        const RANGE: f64 = 4_294_967_296.0;
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        f64::from(random.next_u32()) / RANGE
+    }
+
+    /// Books a request for `service`.
+    pub fn book_request(&self, service: &str) {
+        self.with_window(service, |window, now| window.request(now));
+    }
+
+    /// Books an extra sending that happened.
+    pub fn book_extra(&self, service: &str) {
+        self.with_window(service, |window, now| window.owe(now));
+    }
+
+    /// Books an extra sending if there may be one.
+    #[must_use]
+    pub fn may_send_extra(&self, service: &str) -> bool {
+        let entries = self.entries();
+        let allowed = self.with_window(service, |window, now| window.spend(entries, now));
+        self.metrics.extra(allowed);
+        allowed
+    }
+
+    fn with_window<T>(
+        &self,
+        service: &str,
+        act: impl FnOnce(&mut window::Window, policy::Time) -> T,
+    ) -> T {
+        let mut windows = self.windows.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = || window::Window::new(self.settings.extras.clone());
+        let window = windows.entry(service.into()).or_insert_with(new);
+        act(window, self.started.elapsed())
+    }
+}
--- /dev/null
+++ b/crates/direct/src/target.rs
@@ -0,0 +1,172 @@
+//! One target as this process knows it: its identity, its connections, its load.
+
+use crate::border::{Busy, TargetId};
+use crate::engine::Engine;
+use crate::pool::Pool;
+use crate::route::{ServiceName, Stage};
+use compact_str::CompactString;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A target.
+#[derive(Debug)]
+pub struct Target {
+    /// Its id; a restarted target has another.
+    pub id: TargetId,
+    /// The hash of its id.
+    pub key: policy::Hash,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: CompactString,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections to it.
+    pub pool: Pool,
+    /// What this process knows of the prompts and streams there.
+    pub engine: Engine,
+    load: Mutex<Load>,
+}
+
+/// The weight of a new sample in the average of failures: it forgets within some ten samples.
+const SMOOTHING: f64 = 0.15;
+
+/// What a target that always fails counts as, in requests that fill all its slots. One that fails
+/// half of its requests then gets work only when the others are about full.
+const FAILURE_WEIGHT: f64 = 2.0;
+
+/// For how long a target's own word about its load counts. Its requests take tens of milliseconds,
+/// so an older word says nothing.
+const FRESH: Duration = Duration::from_millis(100);
+
+/// The first pause after a target could not be reached; it doubles up to [`MOST_PAUSE`].
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// The longest pause: a target that is back is found within this time.
+const MOST_PAUSE: Duration = Duration::from_secs(2);
+
+#[derive(Debug, Default)]
+struct Load {
+    stage: Option<Stage>,
+    in_flight: u32,
+    failures: f64,
+    busy: Option<(Busy, Instant)>,
+    pause: Option<Pause>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    until: Instant,
+    length: Duration,
+}
+
+/// How an exchange with a target ended, as far as its health goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answered.
+    Sound,
+    /// It answered that it failed, or broke off.
+    Failing,
+    /// It could not be reached or fell silent.
+    Unreachable,
+}
+
+impl Target {
+    /// A target without connections or load.
+    pub fn new(
+        id: TargetId,
+        service: ServiceName,
+        address: SocketAddr,
+        domain: CompactString,
+        slots: u32,
+    ) -> Self {
+        let key = policy::hash(&id);
+        let load = Mutex::default();
+        let (pool, engine) = (Pool::new(address), Engine::default());
+        Self { id, key, service, address, domain, slots, pool, engine, load }
+    }
+
+    /// Its stage, if it is an engine that has one.
+    pub fn stage(&self) -> Option<Stage> {
+        self.load().stage
+    }
+
+    /// Takes in its stage and says whether it changed.
+    pub fn set_stage(&self, stage: Option<Stage>) -> bool {
+        let mut load = self.load();
+        let changed = load.stage != stage;
+        load.stage = stage;
+        changed
+    }
+
+    /// Requests of this process that it has.
+    pub fn in_flight(&self) -> u32 {
+        self.load().in_flight
+    }
+
+    /// Books a request sent there; the booking ends with the guard.
+    pub fn enter(self: &std::sync::Arc<Self>) -> Entered {
+        self.load().in_flight += 1;
+        Entered(self.clone())
+    }
+
+    /// Takes in what it said of its load.
+    pub fn hear(&self, busy: Busy, now: Instant) {
+        self.load().busy = Some((busy, now));
+    }
+
+    /// Takes in how an exchange with it ended.
+    pub fn judge(&self, health: Health, now: Instant) {
+        let mut load = self.load();
+        let failed = match health {
+            Health::Sound => 0.0,
+            Health::Failing | Health::Unreachable => 1.0,
+        };
+        load.failures += (failed - load.failures) * SMOOTHING;
+        load.pause = match (health, load.pause) {
+            (Health::Sound | Health::Failing, _) => None,
+            // Several exchanges that end together are one piece of news.
+            (Health::Unreachable, Some(pause)) if now < pause.until => Some(pause),
+            (Health::Unreachable, pause) => {
+                let length = pause.map_or(PAUSE, |pause| (pause.length * 2).min(MOST_PAUSE));
+                Some(Pause { until: now + length, length })
+            }
+        };
+    }
+
+    /// Whether it was lately unreachable and is left alone.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.load().pause.is_some_and(|pause| now < pause.until)
+    }
+
+    /// How full it is, as a share of its slots: what this process has there or what it said, and
+    /// more if it tends to fail.
+    pub fn fullness(&self, now: Instant) -> f64 {
+        let load = self.load();
+        let heard = match load.busy {
+            Some((busy, at)) if now.duration_since(at) < FRESH => busy.running + busy.waiting,
+            _ => 0,
+        };
+        let requests = f64::from(load.in_flight.max(heard));
+        requests / f64::from(self.slots.max(1)) + load.failures * FAILURE_WEIGHT
+    }
+
+    fn load(&self) -> MutexGuard<'_, Load> {
+        self.load.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request that is booked at a target.
+#[derive(Debug)]
+pub struct Entered(std::sync::Arc<Target>);
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        let mut load = self.0.load();
+        load.in_flight = load.in_flight.saturating_sub(1);
+    }
+}
--- /dev/null
+++ b/crates/direct/src/trace.rs
@@ -0,0 +1,102 @@
+//! What is told of one request when it ends: one line in the log and the metrics.
+
+use crate::metrics::{Metrics, Outcome};
+use compact_str::CompactString;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// The story of one request so far. Dropped before its end, it tells that the caller left.
+pub struct Trace {
+    /// The caller's id of the sending.
+    pub attempt: CompactString,
+    /// The route's name.
+    pub route: CompactString,
+    /// The configuration that decided.
+    pub version: u64,
+    /// When the head had been read.
+    pub arrived: Instant,
+    /// Sendings to targets so far.
+    pub sendings: u32,
+    /// The targets tried, in order, with how each went.
+    pub targets: CompactString,
+    first: Option<Instant>,
+    ended: bool,
+    metrics: Arc<Metrics>,
+}
+
+impl Trace {
+    /// Begins the story.
+    pub fn new(
+        attempt: CompactString,
+        route: CompactString,
+        version: u64,
+        arrived: Instant,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            attempt,
+            route,
+            version,
+            arrived,
+            sendings: 0,
+            targets: CompactString::default(),
+            first: None,
+            ended: false,
+            metrics,
+        }
+    }
+
+    /// Notes a sending and how it went, such as `read i-1 ok`.
+    pub fn tried(&mut self, step: &str, target: &str, went: &str) {
+        if !self.targets.is_empty() {
+            self.targets.push(',');
+        }
+        for (index, text) in [step, target, went].into_iter().enumerate() {
+            if index > 0 {
+                self.targets.push(':');
+            }
+            self.targets.push_str(text);
+        }
+    }
+
+    /// Notes that the first piece is on its way to the caller.
+    pub fn first_piece(&mut self) {
+        if self.first.is_none() {
+            let now = Instant::now();
+            self.first = Some(now);
+            self.metrics.first_piece(&self.route, now - self.arrived);
+        }
+    }
+
+    /// Notes that a target broke off in the middle of its answer.
+    pub fn broke_off(&mut self, target: &str, detail: &str) {
+        log::warn!(target: "request", id = self.attempt.as_str(), target_id = target, detail;
+            "target broke off");
+    }
+
+    /// Tells how the request ended.
+    pub fn end(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let took = self.arrived.elapsed();
+        self.metrics.ended(&self.route, Outcome(outcome), took);
+        let first = self.first.map_or(-1.0, |first| (first - self.arrived).as_secs_f64() * 1e3);
+        let ms = took.as_secs_f64() * 1e3;
+        log::info!(target: "request", id = self.attempt.as_str(), route = self.route.as_str(),
+            version = self.version, outcome, sendings = self.sendings,
+            targets = self.targets.as_str(), first_ms:? = round(first), ms:? = round(ms);
+            "request ended");
+    }
+}
+
+/// Milliseconds with one decimal: finer differences say nothing.
+fn round(ms: f64) -> f64 {
+    (ms * 10.0).round() / 10.0
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        self.end("caller-left");
+    }
+}
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -37,6 +37,14 @@
         /// The oldest offset that is still kept.
         oldest: Offset,
     },
+    /// A conditional append found another end of the stream: nothing was appended.
+    #[error("append to {stream}: it ends at {end}")]
+    Moved {
+        /// The stream.
+        stream: CompactString,
+        /// Where it ends.
+        end: Offset,
+    },
     /// The service refused the call for good.
     #[error("{step} at {peer}: refused: {detail}")]
     Refused {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,12 +13,14 @@
 pub mod limits;
 pub mod model;
 pub mod outlier;
+pub mod prompts;
 pub mod quarantine;
 pub mod queue;
 pub mod retry;
 pub mod roles;
 pub mod route;
 pub mod subset;
+pub mod window;
 
 mod number;
 
