--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -68,7 +68,7 @@
 
 struct Open {
     body: Incoming,
-    connection: Option<Connection>,
+    connection: Connection,
     idle: Option<Duration>,
     booking: Booking,
 }
@@ -124,6 +124,11 @@
                 Some(Ok(frame)) => {
                     let Some(bytes) = self.take(frame) else { continue };
                     self.trace.first_piece();
+                    // The server asks for no further piece once the known length is reached, so
+                    // the end is noticed here, or the connection would be lost.
+                    if self.has_ended() {
+                        self.finish();
+                    }
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 None => return self.complete(),
@@ -152,13 +157,23 @@
         (!bytes.is_empty()).then_some(bytes)
     }
 
-    fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>>>> {
+    /// Whether the target has sent all, and nothing of it is held back here.
+    fn has_ended(&self) -> bool {
+        match &self.state {
+            State::Open(open) => self.events.is_none() && open.body.is_end_stream(),
+            State::Resuming(_) | State::Done => false,
+        }
+    }
+
+    fn finish(&mut self) {
         if let State::Open(open) = std::mem::replace(&mut self.state, State::Done) {
-            if let Some(connection) = open.connection {
-                connection.keep(open.idle, Instant::now());
-            }
+            open.connection.keep(open.idle, Instant::now());
         }
         self.trace.end("complete");
+    }
+
+    fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>>>> {
+        self.finish();
         let rest = self.events.as_mut().map(Events::rest).unwrap_or_default();
         Poll::Ready((!rest.is_empty()).then_some(Ok(Frame::data(rest))))
     }
@@ -189,7 +204,7 @@
         let Source { answered, booking } = source;
         let Answered { response, reply, connection } = *answered;
         let body = response.into_body();
-        Self { body, connection: Some(connection), idle: reply.keep_alive, booking }
+        Self { body, connection, idle: reply.keep_alive, booking }
     }
 }
 
