fix(direct): a stopping entry begins only what it can end, and serves late connections

Ruled out: targets breaking off (their side shows "cut" only after ours).

Change: a connection that comes late is served one answer; a stopping entry refuses at once, with a time to come back, what it probably can't end, and after the balancer's notice what it possibly can't; at the last it takes no more connections.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -24,6 +24,8 @@
     Unreachable,
     /// The request crashed several targets.
     Quarantined,
+    /// This process stops before the request could end.
+    Stopping,
 }
 
 /// Why there is no answer, though the request may have run.
@@ -45,6 +47,7 @@
             Self::TargetRefused => "target-refused",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -4,7 +4,7 @@
 use crate::intake::Intake;
 use crate::members;
 use crate::probe;
-use crate::shared::Shared;
+use crate::shared::{Shared, Stop};
 use http::StatusCode;
 use plat::KeyedLog;
 use std::net::SocketAddr;
@@ -51,6 +51,10 @@
 /// How much of the grace is left for the process to end by itself.
 const LAST: Duration = Duration::from_millis(400);
 
+/// How long before that it takes no more connections: while the balancer has no other entry it goes
+/// on sending callers to those that stop, and each has to be told something.
+const DEAF: Duration = Duration::from_millis(600);
+
 /// How often a stopping entry looks whether its connections have ended.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -66,6 +70,7 @@
     let readiness = listen(addresses.readiness).await?;
     let metrics = listen(addresses.metrics).await?;
     let ending = CancellationToken::new();
+    let last = CancellationToken::new();
     let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
     let mut tasks = JoinSet::new();
     tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
@@ -73,24 +78,33 @@
     tasks.spawn(members::tell(shared.clone(), log.clone(), stop.clone()));
     tasks.spawn(members::count(shared.clone(), log));
     tasks.spawn(upkeep(shared.clone()));
-    tasks.spawn(intake.clone().accept(shared.clone(), callers));
+    tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
     tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
     tasks.spawn(probe::serve(metrics, metrics_page(shared.clone())));
     log::info!(target: "process", name = shared.settings.name.as_str(),
         callers:% = addresses.callers; "started");
     stop.cancelled().await;
-    drain(&intake, &ending, addresses.grace).await;
+    let stop = plan_stop(Instant::now(), addresses.grace);
+    shared.stop(stop);
+    drain(&intake, &ending, &last, stop).await;
     Ok(())
 }
 
+fn plan_stop(now: Instant, grace: Duration) -> Stop {
+    let grace = grace.saturating_sub(LAST);
+    Stop { noticed: now + NOTICE.min(grace / 2), ends: now + grace }
+}
+
 /// Lets the balancer notice, then the callers' connections end.
-async fn drain(intake: &Intake, ending: &CancellationToken, grace: Duration) {
+async fn drain(intake: &Intake, ending: &CancellationToken, last: &CancellationToken, stop: Stop) {
     let began = Instant::now();
     log::info!(target: "process", connections = intake.open(); "stopping");
-    tokio::time::sleep(NOTICE.min(grace / 2)).await;
+    tokio::time::sleep_until(stop.noticed).await;
     ending.cancel();
-    let until = began + grace.saturating_sub(LAST);
-    while intake.open() > 0 && Instant::now() < until {
+    while intake.open() > 0 && Instant::now() < stop.ends {
+        if Instant::now() + DEAF >= stop.ends {
+            last.cancel();
+        }
         tokio::time::sleep(LOOK).await;
     }
     log::info!(target: "process", cut = intake.open(), ms = began.elapsed().as_millis(); "stopped");
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -89,7 +89,7 @@
         for (offset, news) in news {
             match news {
                 News::Seen(id, sighting) => {
-                    gone.retain(|(other, _)| other != &id);
+                    gone.retain(|(other, _)| *other != id);
                     self.see(id, sighting, offset);
                 }
                 News::Gone(id) => gone.push((id, offset)),
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -58,10 +58,19 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Accepts connections for as long as the process lives.
-    pub async fn accept(self: Arc<Self>, shared: Arc<Shared>, listener: TcpListener) {
+    /// Accepts connections until `last` is cancelled.
+    pub async fn accept(
+        self: Arc<Self>,
+        shared: Arc<Shared>,
+        listener: TcpListener,
+        last: CancellationToken,
+    ) {
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = last.cancelled() => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     self.open.fetch_add(1, Ordering::Relaxed);
                     let (intake, shared) = (self.clone(), shared.clone());
@@ -95,9 +104,12 @@
             .max_buf_size(limits.header_bytes.max(LEAST_BUFFER));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
+        // One that comes when idle ones are closed already is new: it has a request to send, and
+        // its answer is its last. Closed before that, it would look like a failure to its caller.
+        let late = self.ending.is_cancelled();
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            () = self.ending.cancelled() => {
+            () = self.ending.cancelled(), if !late => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod attempt;
 pub mod border;
 pub mod daemon;
+pub mod durations;
 pub mod engine;
 pub mod events;
 pub mod fleet;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -6,7 +6,7 @@
 use crate::events::Events;
 use crate::pool::Connection;
 use crate::target::{Entered, Health, Target};
-use crate::trace::Trace;
+use crate::trace::{COMPLETE, Trace};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -99,7 +99,7 @@
 
     /// What is known of the size of the whole body.
     pub fn size_hint(&self) -> SizeHint {
-        self.hint.clone()
+        self.hint
     }
 
     /// The next piece.
@@ -169,7 +169,7 @@
         if let State::Open(open) = std::mem::replace(&mut self.state, State::Done) {
             open.connection.keep(open.idle, Instant::now());
         }
-        self.trace.end("complete");
+        self.trace.end(COMPLETE);
     }
 
     fn complete(&mut self) -> Poll<Option<Result<Frame<Bytes>>>> {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -38,6 +38,9 @@
 /// takes less.
 const SOON: Duration = Duration::from_millis(300);
 
+/// When to come back to another entry, which can serve the request.
+const AT_ONCE: Duration = Duration::from_millis(10);
+
 /// When to come back after a target refused or could not be reached: by then others are chosen.
 pub const SHORTLY: Duration = Duration::from_millis(100);
 
@@ -54,12 +57,16 @@
     };
     let ask = shared.border.ask(&content.headers);
     let attempt = ask.attempt.clone().unwrap_or_default();
-    let metrics = shared.metrics.clone();
-    let mut trace = Trace::new(attempt, route.name.clone(), table.version, arrived, metrics);
+    let version = table.version;
+    let mut trace = Trace::new(attempt, route.name.clone(), version, arrived, shared.clone());
     let Some(job) = job(shared, content, ask, route, &table, arrived) else {
         trace.end(Refusal::NoTarget.name());
         return answer::refuse(Refusal::NoTarget, SOON);
     };
+    if job.ends_too_late() {
+        trace.end(Refusal::Stopping.name());
+        return answer::refuse(Refusal::Stopping, AT_ONCE);
+    }
     job.shared.book_request(&job.service.name);
     if job.shared.suspects.is_guilty(job.fingerprint) {
         trace.end(Refusal::Quarantined.name());
@@ -98,6 +105,18 @@
         self.until + crate::relay::LAST_WORD
     }
 
+    /// Whether the process ends before the request does: probably, or, once the balancer should
+    /// have noticed, possibly. Begun all the same, its answer would be cut; refused, another entry
+    /// serves it.
+    fn ends_too_late(&self) -> bool {
+        let Some(stop) = self.shared.stopping() else { return false };
+        let now = Instant::now();
+        if now >= stop.noticed {
+            return self.last_word() > stop.ends;
+        }
+        now + self.shared.durations.expected(&self.route.name) > stop.ends
+    }
+
     /// Whether it may be sent again after a sending of which the outcome is unknown.
     pub fn may_repeat(&self) -> bool {
         match self.route.repeat {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all requests of an entry share.
 
 use crate::border::Border;
+use crate::durations::Durations;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::route::{Service, Table};
@@ -12,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -29,6 +30,15 @@
     pub prompts: prompts::Settings,
 }
 
+/// How a process stops.
+#[derive(Debug, Clone, Copy)]
+pub struct Stop {
+    /// From when on nobody should send it anything, so that it begins only what surely ends.
+    pub noticed: Instant,
+    /// When it ends at the latest.
+    pub ends: Instant,
+}
+
 /// The state of an entry.
 pub struct Shared {
     /// Its settings.
@@ -39,12 +49,15 @@
     pub table: watch::Sender<Option<Arc<Table>>>,
     /// Requests that crashed targets.
     pub suspects: Suspects,
+    /// How long requests take.
+    pub durations: Durations,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     fleet: Mutex<Fleet>,
     windows: Mutex<HashMap<CompactString, window::Window>>,
     entries: AtomicU32,
     random: Mutex<ChaCha8Rng>,
+    stop: OnceLock<Stop>,
     started: Instant,
 }
 
@@ -60,11 +73,13 @@
             border,
             table: watch::Sender::new(None),
             suspects: Suspects::default(),
+            durations: Durations::default(),
             metrics: Arc::default(),
             fleet: Mutex::default(),
             windows: Mutex::default(),
             entries: AtomicU32::new(1),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            stop: OnceLock::new(),
             started: Instant::now(),
         }
     }
@@ -84,6 +99,17 @@
         self.fleet().get(&target.id).is_some()
     }
 
+    /// Notes that the process stops.
+    pub fn stop(&self, stop: Stop) {
+        // A second signal changes nothing.
+        let _ = self.stop.set(stop);
+    }
+
+    /// How the process stops, if it does.
+    pub fn stopping(&self) -> Option<Stop> {
+        self.stop.get().copied()
+    }
+
     /// How many entries share the work, as far as is known.
     pub fn entries(&self) -> u32 {
         self.entries.load(Ordering::Relaxed).max(1)
--- a/crates/direct/src/trace.rs
+++ b/crates/direct/src/trace.rs
@@ -1,16 +1,21 @@
 //! What is told of one request when it ends: one line in the log and the metrics.
 
-use crate::metrics::{Metrics, Outcome};
+use crate::metrics::Outcome;
+use crate::route::RouteName;
+use crate::shared::Shared;
 use compact_str::CompactString;
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// The outcome of a request whose answer was passed on whole.
+pub const COMPLETE: &str = "complete";
+
 /// The story of one request so far. Dropped before its end, it tells that the caller left.
 pub struct Trace {
     /// The caller's id of the sending.
     pub attempt: CompactString,
     /// The route's name.
-    pub route: CompactString,
+    pub route: RouteName,
     /// The configuration that decided.
     pub version: u64,
     /// When the head had been read.
@@ -21,17 +26,17 @@
     pub targets: CompactString,
     first: Option<Instant>,
     ended: bool,
-    metrics: Arc<Metrics>,
+    shared: Arc<Shared>,
 }
 
 impl Trace {
     /// Begins the story.
     pub fn new(
         attempt: CompactString,
-        route: CompactString,
+        route: RouteName,
         version: u64,
         arrived: Instant,
-        metrics: Arc<Metrics>,
+        shared: Arc<Shared>,
     ) -> Self {
         Self {
             attempt,
@@ -42,7 +47,7 @@
             targets: CompactString::default(),
             first: None,
             ended: false,
-            metrics,
+            shared,
         }
     }
 
@@ -64,7 +69,7 @@
         if self.first.is_none() {
             let now = Instant::now();
             self.first = Some(now);
-            self.metrics.first_piece(&self.route, now - self.arrived);
+            self.shared.metrics.first_piece(&self.route, now - self.arrived);
         }
     }
 
@@ -80,7 +85,10 @@
             return;
         }
         let took = self.arrived.elapsed();
-        self.metrics.ended(&self.route, Outcome(outcome), took);
+        self.shared.metrics.ended(&self.route, Outcome(outcome), took);
+        if outcome == COMPLETE {
+            self.shared.durations.took(&self.route, took);
+        }
         let first = self.first.map_or(-1.0, |first| (first - self.arrived).as_secs_f64() * 1e3);
         let ms = took.as_secs_f64() * 1e3;
         log::info!(target: "request", id = self.attempt.as_str(), route = self.route.as_str(),
