--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -58,36 +58,57 @@
 /// How often a stopping entry looks whether its connections have ended.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Runs an entry until `stop` is cancelled and its answers are given.
-pub async fn run(
+/// An entry that is bound to its addresses but does not run yet.
+pub struct Daemon {
     shared: Arc<Shared>,
-    log: Arc<dyn KeyedLog>,
-    decode: Arc<dyn Decode>,
-    addresses: Addresses,
-    stop: CancellationToken,
-) -> Result<()> {
-    let callers = listen(addresses.callers).await?;
-    let readiness = listen(addresses.readiness).await?;
-    let metrics = listen(addresses.metrics).await?;
-    let ending = CancellationToken::new();
-    let last = CancellationToken::new();
-    let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
-    let mut tasks = JoinSet::new();
-    tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
-    tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
-    tasks.spawn(members::tell(shared.clone(), log.clone(), stop.clone()));
-    tasks.spawn(members::count(shared.clone(), log));
-    tasks.spawn(upkeep(shared.clone()));
-    tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
-    tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
-    tasks.spawn(probe::serve(metrics, metrics_page(shared.clone())));
-    log::info!(target: "process", name = shared.settings.name.as_str(),
-        callers:% = addresses.callers; "started");
-    stop.cancelled().await;
-    let stop = plan_stop(Instant::now(), addresses.grace);
-    shared.stop(stop);
-    drain(&intake, &ending, &last, stop).await;
-    Ok(())
+    callers: TcpListener,
+    readiness: TcpListener,
+    metrics: TcpListener,
+    /// The addresses really bound.
+    pub addresses: Addresses,
+}
+
+impl Daemon {
+    /// Binds the addresses; port 0 takes a free one.
+    pub async fn bind(shared: Arc<Shared>, addresses: Addresses) -> Result<Self> {
+        let (callers, at_callers) = listen(addresses.callers).await?;
+        let (readiness, at_readiness) = listen(addresses.readiness).await?;
+        let (metrics, at_metrics) = listen(addresses.metrics).await?;
+        let addresses = Addresses {
+            callers: at_callers,
+            readiness: at_readiness,
+            metrics: at_metrics,
+            ..addresses
+        };
+        Ok(Self { shared, callers, readiness, metrics, addresses })
+    }
+
+    /// Runs until `stop` is cancelled and the answers are given.
+    pub async fn run(
+        self,
+        log: Arc<dyn KeyedLog>,
+        decode: Arc<dyn Decode>,
+        stop: CancellationToken,
+    ) {
+        let Self { shared, callers, readiness, metrics, addresses } = self;
+        let (ending, last) = (CancellationToken::new(), CancellationToken::new());
+        let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
+        tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
+        tasks.spawn(members::tell(shared.clone(), log.clone(), stop.clone()));
+        tasks.spawn(members::count(shared.clone(), log));
+        tasks.spawn(upkeep(shared.clone()));
+        tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
+        tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
+        tasks.spawn(probe::serve(metrics, metrics_page(shared.clone())));
+        log::info!(target: "process", name = shared.settings.name.as_str(),
+            callers:% = addresses.callers; "started");
+        stop.cancelled().await;
+        let plan = plan_stop(Instant::now(), addresses.grace);
+        shared.stop(plan);
+        drain(&intake, &ending, &last, plan).await;
+    }
 }
 
 fn plan_stop(now: Instant, grace: Duration) -> Stop {
@@ -147,6 +168,9 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).await.map_err(|source| Error::Listen { address, source })
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let failed = |source| Error::Listen { address, source };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
 }
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -3,7 +3,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
-use plat::{Batch, Entry, Error, Log, Offset, Result};
+use plat::{Batch, Entry, Error, KeyedLog, Log, Newest, Offset, Record, Result};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,6 +32,8 @@
 #[derive(Default)]
 struct Stream {
     first: Offset,
+    /// The newest record of each key, for streams whose records have keys.
+    newest: BTreeMap<CompactString, Record>,
     records: VecDeque<(Instant, Bytes)>,
 }
 
@@ -67,6 +69,15 @@
         self.lock().retention = Some(retention);
     }
 
+    /// Drops the records before `offset`, as a log does that forgets its history.
+    pub fn forget(&self, stream: &str, offset: Offset) {
+        let mut inner = self.lock();
+        let Some(kept) = inner.streams.get_mut(stream) else { return };
+        while kept.first < offset && kept.records.pop_front().is_some() {
+            kept.first += 1;
+        }
+    }
+
     /// How many bytes of records were appended.
     pub fn bytes(&self) -> u64 {
         self.lock().bytes
@@ -113,12 +124,24 @@
         let kept = inner.streams.entry(stream.to_compact_string()).or_default();
         let offset = kept.first + kept.records.len() as u64;
         let now = Instant::now();
+        for (offset, bytes) in (offset..).zip(records.iter().cloned()) {
+            kept.note(Entry { offset, bytes });
+        }
         kept.records.extend(records.into_iter().map(|bytes| (now, bytes)));
         drop(inner);
         self.grown.notify_waiters();
         offset
     }
 
+    /// Writes `record` if the stream ends at `at`.
+    fn write_at(&self, stream: &str, at: Offset, record: Bytes) -> Result<Offset> {
+        let end = self.streams().get(stream).copied().unwrap_or_default();
+        if end != at {
+            return Err(Error::Moved { stream: stream.to_compact_string(), end });
+        }
+        Ok(self.write(stream, vec![record]))
+    }
+
     fn look(&self, stream: &str, from: Offset, limit: usize) -> Result<Batch> {
         let mut inner = self.lock();
         if inner.out {
@@ -141,6 +164,15 @@
 }
 
 impl Stream {
+    /// Keeps a record as the newest of its key, if it has one.
+    fn note(&mut self, entry: Entry) {
+        let Some(record) = Record::from_plain(entry) else { return };
+        match &record.value {
+            Some(_) => self.newest.insert(record.key.clone(), record),
+            None => self.newest.remove(&record.key),
+        };
+    }
+
     fn expire(&mut self, retention: Option<Duration>) {
         let Some(retention) = retention else { return };
         while self.records.front().is_some_and(|(at, _)| at.elapsed() > retention) {
@@ -189,6 +221,33 @@
     }
 }
 
+#[async_trait]
+impl KeyedLog for MemoryLog {
+    async fn newest(&self, stream: &str) -> Result<Newest> {
+        self.reach("read newest").await?;
+        let inner = self.lock();
+        let Some(kept) = inner.streams.get(stream) else { return Ok(Newest::default()) };
+        let end = kept.first + kept.records.len() as u64;
+        Ok(Newest { records: kept.newest.values().cloned().collect(), end })
+    }
+
+    async fn changes(
+        &self,
+        stream: &str,
+        from: Offset,
+        wait: Duration,
+    ) -> Result<(Vec<Record>, Offset)> {
+        let batch = self.read(stream, from, usize::MAX, wait).await?;
+        let next = batch.entries.last().map_or(from, |entry| entry.offset + 1);
+        Ok((batch.entries.into_iter().filter_map(Record::from_plain).collect(), next))
+    }
+
+    async fn append_at(&self, stream: &str, at: Offset, record: Bytes) -> Result<Offset> {
+        self.reach("append").await?;
+        self.write_at(stream, at, record)
+    }
+}
+
 const PEER: CompactString = CompactString::const_new("memory-log");
 
 fn unavailable(step: &'static str) -> Error {
--- a/crates/plat/src/keyed.rs
+++ b/crates/plat/src/keyed.rs
@@ -1,8 +1,8 @@
 //! Streams of the log that keep the newest record of each key for good.
 
-use crate::{Log, Offset, Result};
+use crate::{Entry, Log, Offset, Result};
 use async_trait::async_trait;
-use bytes::Bytes;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
 use std::time::Duration;
 
@@ -17,6 +17,30 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// The plain form of a keyed record: one byte with the length of the key, the key, the value.
+    /// `None` for a key of more than 255 bytes.
+    pub fn plain(key: &str, value: &[u8]) -> Option<Bytes> {
+        let length = u8::try_from(key.len()).ok()?;
+        let mut plain = BytesMut::with_capacity(1 + key.len() + value.len());
+        plain.put_u8(length);
+        plain.put_slice(key.as_bytes());
+        plain.put_slice(value);
+        Some(plain.freeze())
+    }
+
+    /// Reads the plain form; `None` if it holds no key. Without a value the key was removed.
+    pub fn from_plain(entry: Entry) -> Option<Self> {
+        let Entry { offset, mut bytes } = entry;
+        let length = usize::from(bytes.try_get_u8().ok()?);
+        if bytes.len() < length {
+            return None;
+        }
+        let key = CompactString::from_utf8(bytes.split_to(length)).ok()?;
+        Some(Self { offset, key, value: (!bytes.is_empty()).then_some(bytes) })
+    }
+}
+
 /// The newest record of each key.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Newest {
--- /dev/null
+++ b/crates/policy/tests/prompts.rs
@@ -0,0 +1,75 @@
+//! Where prompts are read.
+
+use policy::prompts::{Place, Prompt, Reader, Settings, place};
+use std::time::Duration;
+
+const ENTRIES: u32 = 1;
+
+fn reader(key: u64) -> Reader {
+    Reader { key: policy::hash(&key.to_string()), writes: false, waiting: 0, kept: 0 }
+}
+
+fn prompt(start: u64) -> Prompt {
+    Prompt { start, tokens: 9_000, shared: 6_000, objective: Duration::from_millis(150) }
+}
+
+fn at(place: Place) -> Option<usize> {
+    match place {
+        Place::Read { at, .. } => Some(at),
+        Place::Full(_) => None,
+    }
+}
+
+#[test]
+fn prompts_with_the_same_start_have_one_home() {
+    let readers: Vec<_> = (0..8).map(reader).collect();
+    let settings = Settings::default();
+    let homes: Vec<_> =
+        (0..100).map(|start| at(place(&settings, &prompt(start), &readers, ENTRIES))).collect();
+    let again: Vec<_> =
+        (0..100).map(|start| at(place(&settings, &prompt(start), &readers, ENTRIES))).collect();
+    assert_eq!(homes, again);
+    for home in 0..8 {
+        assert!(homes.iter().filter(|at| **at == Some(home)).count() >= 4, "{homes:?}");
+    }
+}
+
+#[test]
+fn a_full_home_passes_the_prompt_on_with_what_it_keeps() {
+    let mut readers: Vec<_> = (0..4).map(reader).collect();
+    let settings = Settings::default();
+    let home = at(place(&settings, &prompt(5), &readers, ENTRIES)).unwrap();
+    readers[home].waiting = 40_000;
+    readers[home].kept = 6_000;
+    for (number, reader) in readers.iter_mut().enumerate().filter(|(n, _)| *n != home) {
+        reader.waiting = 1_000 * (number as u64 + 1);
+    }
+    let least = (0..4).filter(|n| *n != home).min().unwrap();
+    let expected = Place::Read { at: least, copy_from: Some(home), tokens: 3_000 };
+    assert_eq!(place(&settings, &prompt(5), &readers, ENTRIES), expected);
+}
+
+/// In a burst all engines have more to read than fits into the objective. A prompt that joined them
+/// would be late and make those behind it late.
+#[test]
+fn a_prompt_that_fits_nowhere_is_refused_at_once_with_a_time() {
+    let mut readers: Vec<_> = (0..4).map(reader).collect();
+    for reader in &mut readers {
+        reader.waiting = 60_000;
+    }
+    let Place::Full(back) = place(&Settings::default(), &prompt(5), &readers, ENTRIES) else {
+        panic!("it was placed");
+    };
+    assert!(back > Duration::from_millis(50) && back < Duration::from_millis(250), "{back:?}");
+}
+
+#[test]
+fn an_idle_engine_takes_a_prompt_of_any_size() {
+    let huge = Prompt { tokens: 200_000, ..prompt(1) };
+    assert!(at(place(&Settings::default(), &huge, &[reader(1)], 27)).is_some());
+}
+
+#[test]
+fn without_engines_nothing_is_placed() {
+    assert_eq!(at(place(&Settings::default(), &prompt(1), &[], ENTRIES)), None);
+}
