feat(direct): engines are brought to the split that the load needs, under a lease

Cause: as started, 4 of 14 engines read prompts.

Any entry may change stages, one at a time: its plan is a conditional append to the entries' stream, which also announces the change, so all keep new work away before the orders come. `policy::split` decides. The entries' stream replaces the stream of heartbeats alone; it also carries requests that crash targets, which are suspected only if the target no longer listens.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -5,7 +5,7 @@
 use crate::target::{Health, Target};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use std::sync::Arc;
@@ -82,7 +82,7 @@
             }
             Ok(Err(mut error)) => {
                 if error.take_message().is_none() {
-                    target.judge(Health::Unreachable, Instant::now());
+                    target.judge(Health::Failing, Instant::now());
                     return Outcome::Unknown(error.error().to_compact_string());
                 }
                 if !reused {
@@ -101,18 +101,31 @@
     path: &str,
     body: Vec<u8>,
     patience: Duration,
+) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
+    exchange(target, method, path, HeaderMap::new(), body, patience).await
+}
+
+async fn exchange(
+    target: &Arc<Target>,
+    method: Method,
+    path: &str,
+    headers: HeaderMap,
+    body: Vec<u8>,
+    patience: Duration,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
     use http_body_util::BodyExt;
     let exchange = async {
         let connection = target.pool.take(u32::MAX, Instant::now()).await;
         let mut connection = connection.map_err(|error| error.to_compact_string())?;
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header(http::header::HOST, target.address.to_string())
-            .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(Bytes::from(body)))
             .map_err(|error| error.to_compact_string())?;
+        *request.headers_mut() = headers;
+        let host = HeaderValue::from_str(&target.address.to_string());
+        let host = host.map_err(|error| error.to_compact_string())?;
+        request.headers_mut().insert(http::header::HOST, host);
         let response = connection.sender.send_request(request).await;
         let (head, body) = response.map_err(|error| error.to_compact_string())?.into_parts();
         let body = body.collect().await.map_err(|error| error.to_compact_string())?;
@@ -123,6 +136,21 @@
     ended.unwrap_or_else(|_| Err("no answer in time".into()))
 }
 
+/// Gives an order to an engine; one that was replaced at its address refuses.
+pub async fn order(
+    border: &dyn Border,
+    engine: &Arc<Target>,
+    path: &str,
+    body: Vec<u8>,
+    patience: Duration,
+) -> Result<StatusCode, CompactString> {
+    let sending = Sending { target: engine.id.clone(), deadline: patience, ..Sending::default() };
+    let mut headers = border.sending(&HeaderMap::new(), &sending);
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let answer = exchange(engine, Method::POST, path, headers, body, patience).await?;
+    Ok(answer.0)
+}
+
 fn request(border: &dyn Border, content: &Content, sending: &Sending) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(content.body.clone()));
     *request.method_mut() = content.method.clone();
--- /dev/null
+++ b/crates/direct/src/bulletin.rs
@@ -0,0 +1,267 @@
+//! What entries tell each other through one stream of the log: that they live, which engines are
+//! about to change, which requests crash targets.
+//!
+//! Nothing here is asked for a request. Each entry writes every few seconds and reads every
+//! second, and what it has read stays valid while the log is away.
+
+use crate::border::TargetId;
+use crate::route::Stage;
+use crate::shared::Shared;
+use bytes::Bytes;
+use compact_str::CompactString;
+use plat::{KeyedLog, Offset};
+use prost::Message;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// The stream.
+pub const STREAM: &str = "lapismast.entries";
+
+/// How often an entry tells that it lives. The number of entries changes a few times a day, and
+/// each record is a paid call.
+const HEARTBEAT: Duration = Duration::from_secs(4);
+
+/// After this time without a heartbeat an entry counts as gone: two may be lost.
+const SILENCE: Duration = Duration::from_secs(13);
+
+/// Reads are at least this far apart; announcements are made two seconds ahead.
+const PACE: Duration = Duration::from_millis(1_000);
+
+/// How long a read waits for news.
+const WAIT: Duration = Duration::from_secs(4);
+
+/// Records read at once at most.
+const MAX_READ: usize = 512;
+
+/// How often suspicions are written: within the seconds in which a request comes again.
+const SUSPICIONS: Duration = Duration::from_millis(500);
+
+/// Suspicions written at once at most: what ran on one engine when it crashed.
+const MAX_SUSPICIONS: usize = 64;
+
+/// A record of the stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct Notice {
+    /// What it tells.
+    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    pub kind: Option<Kind>,
+}
+
+/// What a notice tells.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Kind {
+    /// An entry lives, or stops.
+    #[prost(message, tag = "1")]
+    Heartbeat(Heartbeat),
+    /// An entry is about to order changes; the record's offset is the fence of its orders.
+    #[prost(message, tag = "2")]
+    Plan(Plan),
+    /// Requests were running when a target crashed.
+    #[prost(message, tag = "3")]
+    Suspects(Suspects),
+}
+
+/// An entry tells that it lives.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Whether it stops.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+}
+
+/// An entry announces changes of stage.
+#[derive(Clone, PartialEq, Message)]
+pub struct Plan {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub holder: String,
+    /// Engines that are to read prompts.
+    #[prost(string, repeated, tag = "2")]
+    pub readers: Vec<String>,
+    /// Engines that are to write output.
+    #[prost(string, repeated, tag = "3")]
+    pub writers: Vec<String>,
+}
+
+/// Requests that were running when a target crashed.
+#[derive(Clone, PartialEq, Message)]
+pub struct Suspects {
+    /// The entry that saw it.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Their fingerprints.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub requests: Vec<u64>,
+}
+
+impl Plan {
+    /// The engines that are to change, with their new stages.
+    pub fn changes(&self) -> impl Iterator<Item = (TargetId, Stage)> + '_ {
+        let readers = self.readers.iter().map(|id| (TargetId::from(id), Stage::Prefill));
+        let writers = self.writers.iter().map(|id| (TargetId::from(id), Stage::Decode));
+        readers.chain(writers)
+    }
+}
+
+/// What was read so far.
+#[derive(Debug, Clone, Default)]
+pub struct Bulletin {
+    /// Where the next record will stand; none before the first read.
+    pub end: Option<Offset>,
+    /// When the last plan was read; before one is, when the stream was first read: older plans may
+    /// have expired from it.
+    pub planned: Option<Instant>,
+    /// Whether a plan was read.
+    pub any_plan: bool,
+    /// The names of the entries that live, in order.
+    pub entries: Vec<CompactString>,
+}
+
+/// A notice as a record.
+pub fn record(kind: Kind) -> Bytes {
+    Notice { kind: Some(kind) }.encode_to_vec().into()
+}
+
+/// Tells the others that this entry lives, and that it stops.
+pub async fn tell(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, stop: CancellationToken) {
+    loop {
+        let leaving = stop.is_cancelled();
+        let name = shared.settings.name.to_string();
+        write(&shared, &*log, Kind::Heartbeat(Heartbeat { name, leaving })).await;
+        if leaving {
+            return;
+        }
+        tokio::select! {
+            () = tokio::time::sleep(HEARTBEAT) => {}
+            () = stop.cancelled() => {}
+        }
+    }
+}
+
+/// Tells the others of requests that were running when a target crashed.
+pub async fn suspect(shared: Arc<Shared>, log: Arc<dyn KeyedLog>) {
+    loop {
+        tokio::time::sleep(SUSPICIONS).await;
+        let requests = shared.suspects.take_news(MAX_SUSPICIONS);
+        if !requests.is_empty() {
+            let entry = shared.settings.name.to_string();
+            write(&shared, &*log, Kind::Suspects(Suspects { entry, requests })).await;
+        }
+    }
+}
+
+async fn write(shared: &Shared, log: &dyn KeyedLog, kind: Kind) {
+    match log.append(STREAM, vec![record(kind)]).await {
+        Ok(_) => shared.metrics.store("ok"),
+        Err(error) => {
+            shared.metrics.store("failed");
+            log::info!(target: "bulletin", error:% = error; "notice not written");
+        }
+    }
+}
+
+/// Reads what the entries tell.
+pub async fn read(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, bulletin: watch::Sender<Bulletin>) {
+    let mut next: Offset = 0;
+    let mut heard: HashMap<CompactString, Instant> = HashMap::new();
+    loop {
+        match log.read(STREAM, next, MAX_READ, WAIT).await {
+            Ok(batch) => {
+                shared.metrics.store("ok");
+                let now = Instant::now();
+                let Bulletin { mut planned, mut any_plan, .. } = *bulletin.borrow();
+                planned.get_or_insert(now);
+                for entry in batch.entries {
+                    next = entry.offset + 1;
+                    if take(&shared, &mut heard, &entry.bytes, now) {
+                        (planned, any_plan) = (Some(now), true);
+                    }
+                }
+                heard.retain(|_, at| now.duration_since(*at) < SILENCE);
+                let entries = publish(&shared, &heard);
+                bulletin.send_replace(Bulletin { end: Some(next), planned, any_plan, entries });
+            }
+            Err(plat::Error::Gone { oldest, .. }) => next = oldest,
+            Err(error) => {
+                // What was heard stays: while the log is away nobody can be heard.
+                shared.metrics.store("failed");
+                log::debug!(target: "bulletin", error:% = error; "notices not read");
+            }
+        }
+        tokio::time::sleep(PACE).await;
+    }
+}
+
+/// Takes in one record and says whether it is a plan.
+fn take(
+    shared: &Shared,
+    heard: &mut HashMap<CompactString, Instant>,
+    record: &[u8],
+    now: Instant,
+) -> bool {
+    let notice = match Notice::decode(record) {
+        Ok(notice) => notice,
+        Err(error) => {
+            log::warn!(target: "bulletin", error:% = error; "notice not readable, left out");
+            return false;
+        }
+    };
+    match notice.kind {
+        Some(Kind::Heartbeat(Heartbeat { name, leaving: true })) => {
+            heard.remove(name.as_str());
+            false
+        }
+        Some(Kind::Heartbeat(Heartbeat { name, leaving: false })) => {
+            heard.insert(name.into(), now);
+            false
+        }
+        Some(Kind::Plan(plan)) => {
+            if plan.holder != shared.settings.name {
+                announce(shared, &plan, now);
+            }
+            true
+        }
+        Some(Kind::Suspects(Suspects { entry, requests })) => {
+            if entry != shared.settings.name {
+                shared.suspects.hear(&requests);
+            }
+            false
+        }
+        // A kind that a newer version writes.
+        None => false,
+    }
+}
+
+/// Keeps new work away from engines that are about to change.
+pub fn announce(shared: &Shared, plan: &Plan, now: Instant) {
+    log::info!(target: "stages", holder = plan.holder.as_str(), readers:? = plan.readers,
+        writers:? = plan.writers; "changes announced");
+    let fleet = shared.fleet();
+    for (id, stage) in plan.changes() {
+        if let Some(engine) = fleet.get(&id) {
+            engine.expect_stage(stage, now);
+        }
+    }
+}
+
+fn publish(shared: &Shared, heard: &HashMap<CompactString, Instant>) -> Vec<CompactString> {
+    let mut entries: Vec<_> = heard.keys().cloned().collect();
+    if !heard.contains_key(&shared.settings.name) {
+        entries.push(shared.settings.name.clone());
+    }
+    entries.sort();
+    let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
+    if count != shared.entries() {
+        log::info!(target: "bulletin", entries = count, before = shared.entries();
+            "entries changed");
+    }
+    shared.set_entries(count);
+    entries
+}
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -1,16 +1,18 @@
 //! The process: its tasks, when it is ready, and how it stops.
 
+use crate::bulletin::{self, Bulletin};
 use crate::follow::{self, Decode};
 use crate::intake::Intake;
-use crate::members;
 use crate::probe;
 use crate::shared::{Shared, Stop};
+use crate::stages;
 use http::StatusCode;
 use plat::KeyedLog;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -96,8 +98,11 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
         tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
-        tasks.spawn(members::tell(shared.clone(), log.clone(), stop.clone()));
-        tasks.spawn(members::count(shared.clone(), log));
+        let (told, heard) = watch::channel(Bulletin::default());
+        tasks.spawn(bulletin::tell(shared.clone(), log.clone(), stop.clone()));
+        tasks.spawn(bulletin::suspect(shared.clone(), log.clone()));
+        tasks.spawn(bulletin::read(shared.clone(), log.clone(), told));
+        tasks.spawn(stages::run(shared.clone(), log, heard));
         tasks.spawn(upkeep(shared.clone()));
         tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
         tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -105,7 +105,7 @@
     let engines = job.shared.usable(&job.service.name);
     let untried = |engine: &&Arc<Target>| tried.iter().all(|other| other.id != engine.id);
     let able = engines.iter().filter(untried).filter(|engine| !engine.is_paused(now));
-    able.cloned().collect()
+    able.filter(|engine| !engine.is_changing(now)).cloned().collect()
 }
 
 fn reader(engine: &Arc<Target>, prompt: &Prompt) -> Reader {
@@ -296,7 +296,7 @@
     let able = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = able.filter(|engine| tried.iter().all(|other| other.id != engine.id));
     let ranked = untried.map(|engine| {
-        let rank = (engine.is_paused(now), engine.engine.streams());
+        let rank = (engine.is_paused(now), engine.is_changing(now), engine.engine.streams());
         (rank, job.shared.random(), engine)
     });
     let least = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -184,7 +184,7 @@
             return false;
         };
         let target = open.booking.target.clone();
-        target.judge(Health::Unreachable, Instant::now());
+        target.judge(Health::Failing, Instant::now());
         self.trace.broke_off(&target.id, detail);
         let (Some(resume), Some(events)) = (&self.resume, &mut self.events) else { return false };
         events.drop_rest();
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::target::Target;
 use crate::trace::Trace;
 use crate::{generate, plain};
+use compact_str::CompactString;
 use http::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
@@ -125,11 +126,18 @@
         }
     }
 
-    /// Notes that a target may have crashed on it.
-    pub fn suspect(&self, target: &Target) {
-        let crashes = self.shared.suspects.crashed(self.fingerprint);
-        log::info!(target: "request", id = self.id(), target_id = target.id.as_str(), crashes;
-            "request suspected");
+    /// Finds out whether a target that broke off has crashed, and if so suspects the request.
+    pub fn suspect(&self, target: &Arc<Target>) {
+        let (shared, target) = (self.shared.clone(), target.clone());
+        let (request, id) = (self.fingerprint, CompactString::from(self.id()));
+        tokio::spawn(async move {
+            if target.still_listens().await {
+                return;
+            }
+            let crashes = shared.suspects.crashed(request);
+            log::info!(target: "request", id = id.as_str(), target_id = target.id.as_str(),
+                crashes; "request suspected");
+        });
     }
 
     /// The caller's id of this sending.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -8,7 +8,7 @@
 use crate::suspects::Suspects;
 use crate::target::Target;
 use compact_str::CompactString;
-use policy::{prompts, window};
+use policy::{prompts, split, window};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -28,6 +28,10 @@
     pub extras: window::Settings,
     /// How prompts are placed.
     pub prompts: prompts::Settings,
+    /// How engines are split.
+    pub split: split::Settings,
+    /// Whether the whole system starts for the first time, so that nobody can hold a lease.
+    pub first_start: bool,
 }
 
 /// How a process stops.
@@ -130,6 +134,11 @@
         share.max(1)
     }
 
+    /// The streams that run in a service, over all entries, if there is work to go by.
+    pub fn streams(&self, _service: &str) -> Option<f64> {
+        None
+    }
+
     /// A random number from 0 up to 1.
     pub fn random(&self) -> f64 {
         const RANGE: f64 = 4_294_967_296.0;
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -2,7 +2,9 @@
 
 use crate::attempt::Content;
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Identifies a request by what its caller sends, however often it is sent.
 pub type Fingerprint = u64;
@@ -11,29 +13,79 @@
 /// hit as often only if it meets it on three targets.
 const CRASHES: u32 = 3;
 
-/// Fingerprints that are remembered.
+/// After this time without another crash a request is no longer suspected: requests of plain
+/// services look alike, and one that is refused could never clear itself.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// Requests that are remembered.
 const MAX_SUSPECTS: usize = 4_096;
 
-/// Crashes by fingerprint.
+/// Crashes by request.
 #[derive(Debug, Default)]
-pub struct Suspects(Mutex<HashMap<Fingerprint, u32>>);
+pub struct Suspects(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    crashes: HashMap<Fingerprint, Crashes>,
+    /// Crashes seen here that the other entries were not told of yet.
+    news: Vec<Fingerprint>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Crashes {
+    count: u32,
+    last: Instant,
+}
 
 impl Suspects {
-    /// Notes that the request may have crashed a target; returns the crashes so far.
+    /// Notes that a target crashed while it ran the request; returns the crashes so far.
     pub fn crashed(&self, request: Fingerprint) -> u32 {
-        let mut crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if crashes.len() >= MAX_SUSPECTS {
-            crashes.retain(|_, crashes| *crashes >= CRASHES);
+        let mut state = self.lock();
+        state.news.push(request);
+        state.count(request)
+    }
+
+    /// Takes in crashes that another entry saw.
+    pub fn hear(&self, requests: &[Fingerprint]) {
+        let mut state = self.lock();
+        for request in requests {
+            state.count(*request);
         }
-        let crashes = crashes.entry(request).or_default();
-        *crashes += 1;
-        *crashes
     }
 
     /// Whether the request is refused.
     pub fn is_guilty(&self, request: Fingerprint) -> bool {
-        let crashes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        crashes.get(&request).is_some_and(|crashes| *crashes >= CRASHES)
+        let state = self.lock();
+        let crashes = state.crashes.get(&request);
+        crashes.is_some_and(|c| c.count >= CRASHES && c.last.elapsed() < FORGOTTEN)
+    }
+
+    /// Takes what the other entries were not told of yet, the newest `most`.
+    pub fn take_news(&self, most: usize) -> Vec<Fingerprint> {
+        let mut news = std::mem::take(&mut self.lock().news);
+        let older = news.len().saturating_sub(most);
+        news.drain(..older);
+        news
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn count(&mut self, request: Fingerprint) -> u32 {
+        let now = Instant::now();
+        if self.crashes.len() >= MAX_SUSPECTS {
+            self.crashes.retain(|_, crashes| now.duration_since(crashes.last) < FORGOTTEN);
+        }
+        let crashes = self.crashes.entry(request).or_insert(Crashes { count: 0, last: now });
+        if now.duration_since(crashes.last) >= FORGOTTEN {
+            crashes.count = 0;
+        }
+        crashes.count += 1;
+        crashes.last = now;
+        crashes.count
     }
 }
 
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -49,6 +49,13 @@
 /// The longest pause: a target that is back is found within this time.
 const MOST_PAUSE: Duration = Duration::from_secs(2);
 
+/// How long a target that broke off may take to accept a connection.
+const CHECK: Duration = Duration::from_millis(300);
+
+/// How long an announced change is waited for: the announcement, the streams that run, the switch
+/// and the news of it. An order that was lost costs the engine's work for this time.
+const CHANGE: Duration = Duration::from_millis(9_000);
+
 #[derive(Debug, Default)]
 struct Load {
     stage: Option<Stage>,
@@ -56,6 +63,14 @@
     failures: f64,
     busy: Option<(Busy, Instant)>,
     pause: Option<Pause>,
+    change: Option<Change>,
+}
+
+/// A change of stage that was announced.
+#[derive(Debug, Clone, Copy)]
+struct Change {
+    stage: Stage,
+    until: Instant,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -103,6 +118,20 @@
         changed
     }
 
+    /// Notes that its stage is about to change: it gets no new work until it has.
+    pub fn expect_stage(&self, stage: Stage, now: Instant) {
+        let mut load = self.load();
+        if load.stage != Some(stage) {
+            load.change = Some(Change { stage, until: now + CHANGE });
+        }
+    }
+
+    /// Whether it is about to change its stage.
+    pub fn is_changing(&self, now: Instant) -> bool {
+        let load = self.load();
+        load.change.is_some_and(|change| load.stage != Some(change.stage) && now < change.until)
+    }
+
     /// Requests of this process that it has.
     pub fn in_flight(&self) -> u32 {
         self.load().in_flight
@@ -138,6 +167,16 @@
         };
     }
 
+    /// Tries to connect, after an exchange broke off: a single connection may have been reset, or
+    /// the target may have crashed.
+    pub async fn still_listens(&self) -> bool {
+        let Err(error) = crate::pool::connect(self.address, CHECK).await else { return true };
+        log::info!(target: "fleet", target_id = self.id.as_str(), error:% = error;
+            "target does not listen");
+        self.judge(Health::Unreachable, Instant::now());
+        false
+    }
+
     /// Whether it was lately unreachable and is left alone.
     pub fn is_paused(&self, now: Instant) -> bool {
         self.load().pause.is_some_and(|pause| now < pause.until)
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -7,7 +7,7 @@
 fn seen(id: &str, sequence: u64, leaving: bool) -> News {
     let sighting = Sighting {
         service: "s".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
+        address: "10.0.0.1:80".parse().expect("a valid address"),
         domain: "a".into(),
         slots: 4,
         leaving,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod retry;
 pub mod roles;
 pub mod route;
+pub mod split;
 pub mod subset;
 pub mod window;
 
