feat(direct): entries tell each other their work at engines by datagrams

Cause: an entry knew only its own prompts at an engine, so five entries left it a fifth each and refused while it was free, while one large prompt from each made its queue five times too long. Each sending's time stands in the request's log line.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -12,6 +12,7 @@
 use plat::{KeyedLog, Offset};
 use prost::Message;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -74,6 +75,9 @@
     /// Whether it stops.
     #[prost(bool, tag = "2")]
     pub leaving: bool,
+    /// Where it hears the other entries: address and port.
+    #[prost(string, tag = "3")]
+    pub address: String,
 }
 
 /// An entry announces changes of stage.
@@ -124,17 +128,29 @@
     pub entries: Vec<CompactString>,
 }
 
+/// An entry that lives.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at: Instant,
+    address: SocketAddr,
+}
+
 /// A notice as a record.
 pub fn record(kind: Kind) -> Bytes {
     Notice { kind: Some(kind) }.encode_to_vec().into()
 }
 
 /// Tells the others that this entry lives, and that it stops.
-pub async fn tell(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, stop: CancellationToken) {
+pub async fn tell(
+    shared: Arc<Shared>,
+    log: Arc<dyn KeyedLog>,
+    address: SocketAddr,
+    stop: CancellationToken,
+) {
     loop {
         let leaving = stop.is_cancelled();
-        let name = shared.settings.name.to_string();
-        write(&shared, &*log, Kind::Heartbeat(Heartbeat { name, leaving })).await;
+        let (name, address) = (shared.settings.name.to_string(), address.to_string());
+        write(&shared, &*log, Kind::Heartbeat(Heartbeat { name, leaving, address })).await;
         if leaving {
             return;
         }
@@ -170,7 +186,7 @@
 /// Reads what the entries tell.
 pub async fn read(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, bulletin: watch::Sender<Bulletin>) {
     let mut next: Offset = 0;
-    let mut heard: HashMap<CompactString, Instant> = HashMap::new();
+    let mut heard: HashMap<CompactString, Heard> = HashMap::new();
     loop {
         match log.read(STREAM, next, MAX_READ, WAIT).await {
             Ok(batch) => {
@@ -184,7 +200,7 @@
                         (planned, any_plan) = (Some(now), true);
                     }
                 }
-                heard.retain(|_, at| now.duration_since(*at) < SILENCE);
+                heard.retain(|_, heard| now.duration_since(heard.at) < SILENCE);
                 let entries = publish(&shared, &heard);
                 bulletin.send_replace(Bulletin { end: Some(next), planned, any_plan, entries });
             }
@@ -202,7 +218,7 @@
 /// Takes in one record and says whether it is a plan.
 fn take(
     shared: &Shared,
-    heard: &mut HashMap<CompactString, Instant>,
+    heard: &mut HashMap<CompactString, Heard>,
     record: &[u8],
     now: Instant,
 ) -> bool {
@@ -214,12 +230,20 @@
         }
     };
     match notice.kind {
-        Some(Kind::Heartbeat(Heartbeat { name, leaving: true })) => {
+        Some(Kind::Heartbeat(Heartbeat { name, leaving: true, .. })) => {
             heard.remove(name.as_str());
             false
         }
-        Some(Kind::Heartbeat(Heartbeat { name, leaving: false })) => {
-            heard.insert(name.into(), now);
+        Some(Kind::Heartbeat(Heartbeat { name, leaving: false, address })) => {
+            match address.parse() {
+                Ok(address) => {
+                    heard.insert(name.into(), Heard { at: now, address });
+                }
+                Err(error) => {
+                    log::warn!(target: "bulletin", name = name.as_str(), error:% = error;
+                        "heartbeat without an address, left out");
+                }
+            }
             false
         }
         Some(Kind::Plan(plan)) => {
@@ -251,12 +275,14 @@
     }
 }
 
-fn publish(shared: &Shared, heard: &HashMap<CompactString, Instant>) -> Vec<CompactString> {
+fn publish(shared: &Shared, heard: &HashMap<CompactString, Heard>) -> Vec<CompactString> {
     let mut entries: Vec<_> = heard.keys().cloned().collect();
     if !heard.contains_key(&shared.settings.name) {
         entries.push(shared.settings.name.clone());
     }
     entries.sort();
+    let others = heard.iter().filter(|(name, _)| **name != shared.settings.name);
+    shared.peers.set_addresses(others.map(|(_, heard)| heard.address).collect());
     let count = u32::try_from(entries.len()).unwrap_or(u32::MAX);
     if count != shared.entries() {
         log::info!(target: "bulletin", entries = count, before = shared.entries();
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::bulletin::{self, Bulletin};
 use crate::follow::{self, Decode};
 use crate::intake::Intake;
+use crate::peers;
 use crate::probe;
 use crate::shared::{Shared, Stop};
 use crate::stages;
@@ -11,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
@@ -42,6 +43,8 @@
     pub readiness: SocketAddr,
     /// For metrics.
     pub metrics: SocketAddr,
+    /// For the other entries' datagrams.
+    pub peers: SocketAddr,
     /// How long a stop may take before the process is killed.
     pub grace: Duration,
 }
@@ -66,6 +69,7 @@
     callers: TcpListener,
     readiness: TcpListener,
     metrics: TcpListener,
+    peers: UdpSocket,
     /// The addresses really bound.
     pub addresses: Addresses,
 }
@@ -76,13 +80,17 @@
         let (callers, at_callers) = listen(addresses.callers).await?;
         let (readiness, at_readiness) = listen(addresses.readiness).await?;
         let (metrics, at_metrics) = listen(addresses.metrics).await?;
+        let failed = |source| Error::Listen { address: addresses.peers, source };
+        let peers = UdpSocket::bind(addresses.peers).await.map_err(failed)?;
+        let at_peers = peers.local_addr().map_err(failed)?;
         let addresses = Addresses {
             callers: at_callers,
+            peers: at_peers,
             readiness: at_readiness,
             metrics: at_metrics,
             ..addresses
         };
-        Ok(Self { shared, callers, readiness, metrics, addresses })
+        Ok(Self { shared, callers, readiness, metrics, peers, addresses })
     }
 
     /// Runs until `stop` is cancelled and the answers are given.
@@ -92,16 +100,19 @@
         decode: Arc<dyn Decode>,
         stop: CancellationToken,
     ) {
-        let Self { shared, callers, readiness, metrics, addresses } = self;
+        let Self { shared, callers, readiness, metrics, peers, addresses } = self;
+        let peers = Arc::new(peers);
         let (ending, last) = (CancellationToken::new(), CancellationToken::new());
         let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
         tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
         let (told, heard) = watch::channel(Bulletin::default());
-        tasks.spawn(bulletin::tell(shared.clone(), log.clone(), stop.clone()));
+        tasks.spawn(bulletin::tell(shared.clone(), log.clone(), addresses.peers, stop.clone()));
         tasks.spawn(bulletin::suspect(shared.clone(), log.clone()));
         tasks.spawn(bulletin::read(shared.clone(), log.clone(), told));
+        tasks.spawn(peers::tell(shared.clone(), peers.clone()));
+        tasks.spawn(peers::hear(shared.clone(), peers));
         tasks.spawn(stages::run(shared.clone(), log, heard));
         tasks.spawn(upkeep(shared.clone()));
         tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -3,10 +3,18 @@
 use crate::border::{Part, PartId};
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Notify;
 
 /// The prompts, streams and kept parts of one engine.
 #[derive(Debug, Default)]
-pub struct Engine(Arc<Mutex<State>>);
+pub struct Engine(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: Mutex<State>,
+    /// Told when bookings change, so that the other entries hear of it.
+    changed: Arc<Notify>,
+}
 
 #[derive(Debug, Default)]
 struct State {
@@ -26,6 +34,11 @@
 }
 
 impl Engine {
+    /// An engine without work, whose bookings are told to `changed`.
+    pub fn new(changed: Arc<Notify>) -> Self {
+        Self(Arc::new(Inner { state: Mutex::default(), changed }))
+    }
+
     /// Tokens that this process has it read now.
     pub fn reading(&self) -> u64 {
         self.lock().reading
@@ -39,12 +52,14 @@
     /// Books a prompt of which `tokens` are to be read; the booking ends with the guard.
     pub fn read(&self, tokens: u64) -> Reading {
         self.lock().reading += tokens;
-        Reading { state: self.0.clone(), tokens }
+        self.0.changed.notify_one();
+        Reading { engine: self.0.clone(), tokens }
     }
 
     /// Books a stream; the booking ends with the guard.
     pub fn write(&self) -> Writing {
         self.lock().streams += 1;
+        self.0.changed.notify_one();
         Writing(self.0.clone())
     }
 
@@ -66,7 +81,13 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock()
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -103,24 +124,28 @@
 /// A prompt that is booked at an engine.
 #[derive(Debug)]
 pub struct Reading {
-    state: Arc<Mutex<State>>,
+    engine: Arc<Inner>,
     tokens: u64,
 }
 
 impl Drop for Reading {
     fn drop(&mut self) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.engine.lock();
         state.reading = state.reading.saturating_sub(self.tokens);
+        drop(state);
+        self.engine.changed.notify_one();
     }
 }
 
 /// A stream that is booked at an engine.
 #[derive(Debug)]
-pub struct Writing(Arc<Mutex<State>>);
+pub struct Writing(Arc<Inner>);
 
 impl Drop for Writing {
     fn drop(&mut self) {
-        let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.0.lock();
         state.streams = state.streams.saturating_sub(1);
+        drop(state);
+        self.0.changed.notify_one();
     }
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A place in the log, see [`plat::Offset`].
@@ -76,12 +77,19 @@
     /// Ids that were removed, with the offset: older records of them come late.
     removed: HashMap<TargetId, Offset>,
     usable: HashMap<ServiceName, Arc<[Arc<Target>]>>,
+    engines: Arc<[Arc<Target>]>,
+    changed: Arc<Notify>,
 }
 
 /// Removed ids that are remembered; older ones can't come late any more.
 const MAX_REMOVED: usize = 4_096;
 
 impl Fleet {
+    /// An empty list; changes of the targets' load are told to `changed`.
+    pub fn new(changed: Arc<Notify>) -> Self {
+        Self { changed, ..Self::default() }
+    }
+
     /// Takes in one reading of the list, in the log's order. `disturbed` says that the store was
     /// lately in trouble.
     pub fn apply(&mut self, news: Vec<(Offset, News)>, now: Instant, disturbed: bool) {
@@ -143,6 +151,11 @@
         self.usable.get(service).cloned().unwrap_or_default()
     }
 
+    /// The engines of all services that may get new work.
+    pub fn engines(&self) -> Arc<[Arc<Target>]> {
+        self.engines.clone()
+    }
+
     /// A target by its id, if it may get new work.
     pub fn get(&self, id: &str) -> Option<&Arc<Target>> {
         self.members.get(id).filter(|member| !member.leaving).map(|member| &member.target)
@@ -181,7 +194,14 @@
         }
         log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
             address:% = address, leaving, stage:? = stage, offset; "target seen");
-        let target = Arc::new(Target::new(id.clone(), service, address, domain, slots));
+        let target = Arc::new(Target::new(
+            id.clone(),
+            service,
+            address,
+            domain,
+            slots,
+            self.changed.clone(),
+        ));
         target.set_stage(stage);
         self.members.insert(id, Member { target, sequence, offset, leaving, lapses: None });
     }
@@ -222,6 +242,9 @@
         for member in self.members.values().filter(|member| !member.leaving) {
             usable.entry(member.target.service.clone()).or_default().push(member.target.clone());
         }
+        let engines = self.members.values().filter(|member| !member.leaving);
+        let engines = engines.filter(|member| member.target.stage().is_some());
+        self.engines = engines.map(|member| member.target.clone()).collect();
         self.usable = usable
             .into_iter()
             .map(|(service, mut targets)| {
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -68,9 +68,10 @@
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.sendings < READERS {
         let engines = candidates(job, &tried);
-        let readers: Vec<Reader> = engines.iter().map(|engine| reader(engine, prompt)).collect();
+        let readers: Vec<Reader> =
+            engines.iter().map(|engine| reader(job, engine, prompt)).collect();
         let wanted = wanted(job, prompt);
-        let entries = job.shared.entries();
+        let entries = job.shared.unheard();
         match prompts::place(&job.shared.settings.prompts, &wanted, &readers, entries) {
             Place::Full(_) if prompt.input <= SHORT_PROMPT => return Read::Anywhere,
             Place::Full(back) => {
@@ -108,11 +109,11 @@
     able.filter(|engine| !engine.is_changing(now)).cloned().collect()
 }
 
-fn reader(engine: &Arc<Target>, prompt: &Prompt) -> Reader {
+fn reader(job: &Job, engine: &Arc<Target>, prompt: &Prompt) -> Reader {
     Reader {
         key: engine.key,
         writes: engine.stage() != Some(Stage::Prefill),
-        waiting: engine.engine.reading(),
+        waiting: engine.engine.reading() + job.shared.peers.others(engine.key).reading,
         kept: engine.engine.kept(&prompt.parts),
     }
 }
@@ -145,9 +146,10 @@
     let most = job.shared.connections(&job.service);
     let border = &*job.shared.border;
     let until = job.last_word();
+    let began = Instant::now();
     let outcome = attempt::send(border, engine, &job.content, &sending, most, until).await;
     let name = went(&outcome);
-    trace.tried("read", &engine.id, name);
+    trace.tried("read", &engine.id, name, began.elapsed());
     trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_)));
     job.shared.metrics.sending(name);
     match outcome {
@@ -190,6 +192,8 @@
 fn keep(job: &Job, prompt: &Prompt, engine: &Target) {
     let room = job.service.engine.as_ref().map_or(0, |spec| spec.memory);
     engine.engine.keep(&prompt.parts, room);
+    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    job.shared.peers.read(engine.key, shared);
 }
 
 fn sending(job: &Job, target: &Target) -> Sending {
@@ -238,9 +242,10 @@
         let most = job.shared.connections(&job.service);
         let border = &*job.shared.border;
         let until = job.last_word();
+        let began = Instant::now();
         let outcome = attempt::send(border, &engine, &job.content, &sending, most, until).await;
         let name = went(&outcome);
-        trace.tried("write", &engine.id, name);
+        trace.tried("write", &engine.id, name, began.elapsed());
         job.shared.metrics.sending(name);
         match outcome {
             Outcome::NotSent(detail) => {
@@ -296,7 +301,8 @@
     let able = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = able.filter(|engine| tried.iter().all(|other| other.id != engine.id));
     let ranked = untried.map(|engine| {
-        let rank = (engine.is_paused(now), engine.is_changing(now), engine.engine.streams());
+        let streams = engine.engine.streams() + job.shared.peers.others(engine.key).streams;
+        let rank = (engine.is_paused(now), engine.is_changing(now), streams);
         (rank, job.shared.random(), engine)
     });
     let least = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod intake;
 pub mod journal;
 pub mod metrics;
+pub mod peers;
 pub mod plain;
 pub mod pool;
 pub mod probe;
--- /dev/null
+++ b/crates/direct/src/peers.rs
@@ -0,0 +1,267 @@
+//! What the entries tell each other of the work they have at engines, by datagrams.
+//!
+//! **Load pattern.** Several entries send prompts to the same engines, and a burst asks for several
+//! times what they can read. **Without it** an entry knows only its own work: each of five leaves
+//! an engine a fifth of its time, so prompts are refused while engines are free, and one large
+//! prompt from each makes the queue five times too long, so those that were let in are late.
+//! **How.** Each entry sends its whole state, at most every few milliseconds and only when it
+//! changed, so a lost datagram matters until the next. What a silent entry said expires, and its
+//! part is then guessed from the others'.
+
+use crate::border::Part;
+use crate::shared::Shared;
+use bytes::Bytes;
+use policy::Hash;
+use prost::Message;
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, timeout};
+
+/// Between two datagrams to a peer at least, for each [`PEERS`] peers or part of them. An engine
+/// reads a prompt in 10 to 30 ms, so news of half that age is nearly as good as none missing; the
+/// sending and receiving takes 2 to 3% of an entry's processor in a burst.
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// Peers for which one [`PAUSE`] is enough.
+const PEERS: u32 = 4;
+
+/// Between two datagrams at most, so that silence means something.
+const ALIVE: Duration = Duration::from_millis(250);
+
+/// What a peer said counts for this long.
+const FRESH: Duration = Duration::from_millis(700);
+
+/// Parts told in one datagram at most; more are left out, and read as if they were not kept.
+const MAX_PARTS: usize = 48;
+
+/// The largest datagram that is read, in bytes: more than all of a pool's engines and parts take.
+const MAX_DATAGRAM: usize = 8 * 1024;
+
+/// An entry's state.
+#[derive(Clone, PartialEq, Message)]
+struct State {
+    /// The hash of its name.
+    #[prost(fixed64, tag = "1")]
+    entry: u64,
+    /// Tells one run of its process from another.
+    #[prost(fixed64, tag = "2")]
+    run: u64,
+    /// Counts its datagrams.
+    #[prost(uint64, tag = "3")]
+    sequence: u64,
+    /// Its work, by engine.
+    #[prost(message, repeated, tag = "4")]
+    engines: Vec<Work>,
+    /// Shared parts of prompts that engines have read for it since its last datagram.
+    #[prost(message, repeated, tag = "5")]
+    kept: Vec<Kept>,
+}
+
+/// The work of an entry at one engine.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct Work {
+    /// The hash of the engine's id.
+    #[prost(fixed64, tag = "1")]
+    engine: u64,
+    /// Tokens to be read.
+    #[prost(uint64, tag = "2")]
+    reading: u64,
+    /// Streams.
+    #[prost(uint32, tag = "3")]
+    streams: u32,
+}
+
+/// Parts that an engine has read.
+#[derive(Clone, PartialEq, Message)]
+struct Kept {
+    /// The hash of the engine's id.
+    #[prost(fixed64, tag = "1")]
+    engine: u64,
+    /// Their ids, in the prompt's order.
+    #[prost(fixed64, repeated, tag = "2")]
+    ids: Vec<u64>,
+    /// Their sizes in tokens.
+    #[prost(uint32, repeated, tag = "3")]
+    tokens: Vec<u32>,
+}
+
+/// The work of the other entries at one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Others {
+    /// Tokens to be read.
+    pub reading: u64,
+    /// Streams.
+    pub streams: u32,
+}
+
+/// What is known of the other entries.
+#[derive(Debug, Default)]
+pub struct Peers {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    addresses: Vec<SocketAddr>,
+    heard: HashMap<u64, Peer>,
+    totals: HashMap<Hash, Others>,
+    news: Vec<Kept>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    run: u64,
+    sequence: u64,
+    at: Instant,
+    engines: Vec<Work>,
+}
+
+impl Peers {
+    /// Notes that an engine has read the shared parts of a prompt.
+    pub fn read(&self, engine: Hash, parts: &[Part]) {
+        let (ids, tokens) = parts.iter().map(|part| (part.id, part.tokens)).unzip();
+        let mut inner = self.lock();
+        if inner.news.len() < MAX_PARTS {
+            inner.news.push(Kept { engine, ids, tokens });
+        }
+    }
+
+    /// The other entries' work at an engine.
+    pub fn others(&self, engine: Hash) -> Others {
+        self.lock().totals.get(&engine).copied().unwrap_or_default()
+    }
+
+    /// How many other entries were heard lately.
+    pub fn heard(&self) -> u32 {
+        u32::try_from(self.lock().heard.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Takes in where the other entries are.
+    pub fn set_addresses(&self, addresses: Vec<SocketAddr>) {
+        self.lock().addresses = addresses;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Takes in a peer's state; `false` if a newer one is known.
+    fn hear(&mut self, state: State, now: Instant) -> bool {
+        let State { entry, run, sequence, engines, .. } = state;
+        let known = self.heard.get(&entry);
+        if known.is_some_and(|peer| peer.run == run && peer.sequence >= sequence) {
+            return false;
+        }
+        self.forget(entry);
+        for work in &engines {
+            let total = self.totals.entry(work.engine).or_default();
+            total.reading += work.reading;
+            total.streams += work.streams;
+        }
+        self.heard.insert(entry, Peer { run, sequence, at: now, engines });
+        true
+    }
+
+    fn forget(&mut self, entry: u64) {
+        let Some(peer) = self.heard.remove(&entry) else { return };
+        for work in peer.engines {
+            if let Some(total) = self.totals.get_mut(&work.engine) {
+                total.reading = total.reading.saturating_sub(work.reading);
+                total.streams = total.streams.saturating_sub(work.streams);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant) {
+        let silent = self.heard.iter().filter(|(_, peer)| now.duration_since(peer.at) > FRESH);
+        let silent: Vec<u64> = silent.map(|(entry, _)| *entry).collect();
+        for entry in silent {
+            log::info!(target: "peers", entry; "entry silent");
+            self.forget(entry);
+        }
+        self.totals.retain(|_, others| *others != Others::default());
+    }
+}
+
+/// Tells the other entries of this one's work for as long as the process lives.
+pub async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let entry = policy::hash(&shared.settings.name);
+    let run = u64::from(std::process::id()) ^ policy::hash(&format!("{:?}", Instant::now()));
+    let mut sequence = 0;
+    loop {
+        // Ends early when something has changed.
+        let _ = timeout(ALIVE, shared.changed.notified()).await;
+        sequence += 1;
+        let (addresses, kept) = {
+            let mut inner = shared.peers.lock();
+            inner.expire(Instant::now());
+            (inner.addresses.clone(), std::mem::take(&mut inner.news))
+        };
+        let state = State { entry, run, sequence, engines: work(&shared), kept };
+        let datagram = Bytes::from(state.encode_to_vec());
+        for address in &addresses {
+            if let Err(error) = socket.send_to(&datagram, address).await {
+                log::debug!(target: "peers", address:% = address, error:% = error; "not sent");
+            }
+        }
+        let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
+        tokio::time::sleep(PAUSE * peers.div_ceil(PEERS).max(1)).await;
+    }
+}
+
+/// This entry's work at all engines where it has any.
+fn work(shared: &Shared) -> Vec<Work> {
+    let engines = shared.fleet().engines();
+    let work = engines.iter().map(|engine| Work {
+        engine: engine.key,
+        reading: engine.engine.reading(),
+        streams: engine.engine.streams(),
+    });
+    work.filter(|work| work.reading > 0 || work.streams > 0).collect()
+}
+
+/// Hears the other entries for as long as the process lives.
+pub async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(target: "peers", error:% = error; "not received");
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        if !is_peer(&shared, from.ip()) {
+            continue;
+        }
+        match State::decode(&buffer[..length]) {
+            Ok(state) => take(&shared, state),
+            Err(error) => {
+                log::warn!(target: "peers", from:% = from, error:% = error; "not readable");
+            }
+        }
+    }
+}
+
+fn is_peer(shared: &Shared, ip: IpAddr) -> bool {
+    shared.peers.lock().addresses.iter().any(|address| address.ip() == ip)
+}
+
+fn take(shared: &Shared, mut state: State) {
+    let kept = std::mem::take(&mut state.kept);
+    if !shared.peers.lock().hear(state, Instant::now()) || kept.is_empty() {
+        return;
+    }
+    let engines = shared.fleet().engines();
+    for Kept { engine, ids, tokens } in kept {
+        let Some(engine) = engines.iter().find(|known| known.key == engine) else { continue };
+        let parts = ids.into_iter().zip(tokens).map(|(id, tokens)| Part { id, tokens });
+        engine.engine.keep(&parts.collect::<Vec<_>>(), shared.room(&engine.service));
+    }
+}
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -30,9 +30,10 @@
         }
         tried.push(target.clone());
         let booking = book(&target, None);
+        let began = Instant::now();
         let outcome = send(&job, &target).await;
         let name = went(&outcome);
-        trace.tried("whole", &target.id, name);
+        trace.tried("whole", &target.id, name, began.elapsed());
         job.shared.metrics.sending(name);
         match outcome {
             Outcome::NotSent(detail) => {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -4,6 +4,7 @@
 use crate::durations::Durations;
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::route::{Service, Table};
 use crate::suspects::Suspects;
 use crate::target::Target;
@@ -14,7 +15,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 /// Settings of an entry that sends straight to targets.
@@ -57,6 +58,10 @@
     pub durations: Durations,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
+    /// The other entries' work.
+    pub peers: Peers,
+    /// Told when this entry's work at engines changes.
+    pub changed: Arc<Notify>,
     fleet: Mutex<Fleet>,
     windows: Mutex<HashMap<CompactString, window::Window>>,
     entries: AtomicU32,
@@ -72,6 +77,7 @@
 impl Shared {
     /// The state of an entry that has just started.
     pub fn new(settings: Settings, border: Arc<dyn Border>, seed: u64) -> Self {
+        let changed = Arc::new(Notify::new());
         Self {
             settings,
             border,
@@ -79,7 +85,9 @@
             suspects: Suspects::default(),
             durations: Durations::default(),
             metrics: Arc::default(),
-            fleet: Mutex::default(),
+            peers: Peers::default(),
+            changed: changed.clone(),
+            fleet: Mutex::new(Fleet::new(changed)),
             windows: Mutex::default(),
             entries: AtomicU32::new(1),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -114,6 +122,20 @@
         self.stop.get().copied()
     }
 
+    /// Tokens that fit in the memory of one engine of a service.
+    pub fn room(&self, service: &str) -> u64 {
+        let table = self.table.borrow();
+        let service = table.as_ref().and_then(|table| table.service(service));
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.map_or(0, |engine| engine.memory)
+    }
+
+    /// Of how many entries this one knows the work of a single one on average: 1 if it hears all
+    /// the others, as many as there are if it hears none.
+    pub fn unheard(&self) -> u32 {
+        self.entries().div_ceil(self.peers.heard().saturating_add(1))
+    }
+
     /// How many entries share the work, as far as is known.
     pub fn entries(&self) -> u32 {
         self.entries.load(Ordering::Relaxed).max(1)
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -91,17 +91,18 @@
 }
 
 impl Target {
-    /// A target without connections or load.
+    /// A target without connections or load; changes of its load are told to `changed`.
     pub fn new(
         id: TargetId,
         service: ServiceName,
         address: SocketAddr,
         domain: CompactString,
         slots: u32,
+        changed: std::sync::Arc<tokio::sync::Notify>,
     ) -> Self {
         let key = policy::hash(&id);
         let load = Mutex::default();
-        let (pool, engine) = (Pool::new(address), Engine::default());
+        let (pool, engine) = (Pool::new(address), Engine::new(changed));
         Self { id, key, service, address, domain, slots, pool, engine, load }
     }
 
--- a/crates/direct/src/trace.rs
+++ b/crates/direct/src/trace.rs
@@ -3,8 +3,9 @@
 use crate::metrics::Outcome;
 use crate::route::RouteName;
 use crate::shared::Shared;
-use compact_str::CompactString;
+use compact_str::{CompactString, ToCompactString};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// The outcome of a request whose answer was passed on whole.
@@ -51,12 +52,13 @@
         }
     }
 
-    /// Notes a sending and how it went, such as `read i-1 ok`.
-    pub fn tried(&mut self, step: &str, target: &str, went: &str) {
+    /// Notes a sending, how it went and how many milliseconds it took, such as `read:i-1:ok:12`.
+    pub fn tried(&mut self, step: &str, target: &str, went: &str, took: Duration) {
         if !self.targets.is_empty() {
             self.targets.push(',');
         }
-        for (index, text) in [step, target, went].into_iter().enumerate() {
+        let took = took.as_millis().to_compact_string();
+        for (index, text) in [step, target, went, took.as_str()].into_iter().enumerate() {
             if index > 0 {
                 self.targets.push(':');
             }
