--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -110,11 +110,14 @@
 }
 
 fn reader(job: &Job, engine: &Arc<Target>, prompt: &Prompt) -> Reader {
+    let others = job.shared.peers.others(engine.key);
+    let streams = engine.engine.streams() + others.streams;
     Reader {
         key: engine.key,
         writes: engine.stage() != Some(Stage::Prefill),
-        waiting: engine.engine.reading() + job.shared.peers.others(engine.key).reading,
+        waiting: engine.engine.reading() + others.reading,
         kept: engine.engine.kept(&prompt.parts),
+        filled: f64::from(streams) / f64::from(engine.slots.max(1)),
     }
 }
 
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -5,13 +5,14 @@
 //! within a few times what one prompt takes. **Without it** (least work) each shared part is read
 //! by every engine and pushes others out, and in a burst all prompts wait, so all are late.
 //! **How.** Rendezvous hashing of the longest shared start gives each prompt a home, where that
-//! start is probably kept; a home with too much to read passes it to the engine with the least,
-//! which copies the start from the home. An engine has too much if what waits would take more
+//! start is probably kept; a home with too much to read passes it to the next in the order of the
+//! hashes that has not, which copies the start from the home. An engine has too much if what waits would take more
 //! than a share of the objective; a prompt that fits nowhere is refused at once and told when to
 //! come back. **Figures.** See [`Settings`].
 
 use crate::number::{float, span};
 use crate::{Hash, mix};
+use std::cmp::Reverse;
 use std::time::Duration;
 
 /// Settings of the choice.
@@ -26,11 +27,14 @@
     pub share: f64,
     /// What an engine that also writes output reads, as a part of what one that only reads does.
     pub writer_share: f64,
+    /// An engine that writes reads a prompt for itself while streams fill no more than this share
+    /// of its slots.
+    pub writer_filled: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { rate: 300_000.0, share: 0.38, writer_share: 0.5 }
+        Self { rate: 300_000.0, share: 0.38, writer_share: 0.5, writer_filled: 0.125 }
     }
 }
 
@@ -45,6 +49,8 @@
     pub waiting: u64,
     /// Tokens at the prompt's start that it keeps.
     pub kept: u64,
+    /// The share of its slots that streams fill.
+    pub filled: f64,
 }
 
 /// A prompt to be placed.
@@ -76,57 +82,50 @@
     Full(Duration),
 }
 
-/// Places a prompt, for one of `entries` entries that send to the same engines without knowing of
-/// each other's work.
-pub fn place(settings: &Settings, prompt: &Prompt, readers: &[Reader], entries: u32) -> Place {
-    let Some(home) = home(prompt, readers) else { return Place::Full(prompt.objective) };
-    let unread = |reader: &Reader| prompt.tokens - reader.kept.min(prompt.tokens);
-    let wait = |reader: &Reader, tokens: u64| {
-        let part = if reader.writes { settings.writer_share } else { 1.0 };
-        float(reader.waiting + tokens) / (settings.rate * part)
-    };
-    let most = prompt.objective.as_secs_f64() * settings.share / f64::from(entries.max(1));
-    // An idle engine takes a prompt of any size: nothing is gained by leaving it idle.
-    let fits = |reader: &Reader, tokens: u64| reader.waiting == 0 || wait(reader, tokens) <= most;
-    let own = unread(&readers[home]);
-    if fits(&readers[home], own) {
-        return Place::Read { at: home, copy_from: None, tokens: own };
-    }
-    let kept_at_home = readers[home].kept > 0;
-    let elsewhere = |at: usize| {
+/// Places a prompt, for an entry that knows of the work of one in `unheard` entries.
+pub fn place(settings: &Settings, prompt: &Prompt, readers: &[Reader], unheard: u32) -> Place {
+    let order = order(prompt, readers);
+    let Some(&home) = order.first() else { return Place::Full(prompt.objective) };
+    let most = prompt.objective.as_secs_f64() * settings.share / f64::from(unheard.max(1));
+    let (at_home, kept) = (unread(prompt, readers[home].kept), readers[home].kept);
+    let mut soonest = f64::INFINITY;
+    for at in order {
         let reader = &readers[at];
-        let copy = kept_at_home && readers[home].kept > reader.kept;
-        let tokens = if copy { unread(&readers[home]) } else { unread(reader) };
-        (tokens, copy.then_some(home))
-    };
-    let others = (0..readers.len()).filter(|&at| at != home);
-    let best = others
-        .map(|at| (at, elsewhere(at)))
-        .min_by(|a, b| wait(&readers[a.0], a.1.0).total_cmp(&wait(&readers[b.0], b.1.0)));
-    match best {
-        Some((at, (tokens, copy_from))) if fits(&readers[at], tokens) => {
-            Place::Read { at, copy_from, tokens }
+        let copies = at != home && kept > reader.kept;
+        let tokens = if copies { at_home } else { unread(prompt, reader.kept) };
+        if fits(settings, reader, tokens, most) {
+            return Place::Read { at, copy_from: copies.then_some(home), tokens };
         }
-        _ => Place::Full(come_back(readers, home, best.map(|best| best.0), &wait, most)),
+        soonest = soonest.min(wait(settings, reader, 0));
     }
+    Place::Full(span((soonest - most).max(most)))
+}
+
+/// The readers in the order in which they are tried: by rendezvous hashing, those that only read
+/// first. All entries have the same order for prompts with the same start and other orders for
+/// other prompts: if each took the reader with the least to read, all would take the same one until
+/// they heard of each other.
+fn order(prompt: &Prompt, readers: &[Reader]) -> Vec<usize> {
+    let mut order: Vec<usize> = (0..readers.len()).collect();
+    order.sort_by_key(|&at| (readers[at].writes, Reverse(mix(readers[at].key, prompt.start))));
+    order
+}
+
+fn unread(prompt: &Prompt, kept: u64) -> u64 {
+    prompt.tokens - kept.min(prompt.tokens)
 }
 
-/// The home of a prompt: among engines that only read, if there are any.
-fn home(prompt: &Prompt, readers: &[Reader]) -> Option<usize> {
-    let rank = |at: &usize| mix(readers[*at].key, prompt.start);
-    let all = 0..readers.len();
-    let dedicated = all.clone().filter(|&at| !readers[at].writes).max_by_key(rank);
-    dedicated.or_else(|| all.max_by_key(rank))
+/// The seconds until a reader has read what waits there and `tokens` more.
+fn wait(settings: &Settings, reader: &Reader, tokens: u64) -> f64 {
+    let part = if reader.writes { settings.writer_share } else { 1.0 };
+    float(reader.waiting + tokens) / (settings.rate * part)
 }
 
-/// When the first of the two engines considered will have room.
-fn come_back(
-    readers: &[Reader],
-    home: usize,
-    best: Option<usize>,
-    wait: &dyn Fn(&Reader, u64) -> f64,
-    most: f64,
-) -> Duration {
-    let waits = [Some(home), best].into_iter().flatten().map(|at| wait(&readers[at], 0));
-    span((waits.fold(f64::INFINITY, f64::min) - most).max(most))
+fn fits(settings: &Settings, reader: &Reader, tokens: u64, most: f64) -> bool {
+    // An idle reader takes a prompt of any size: nothing is gained by leaving it idle.
+    let idle = reader.waiting == 0;
+    // One that writes takes a prompt only while it reads none and writes little: each step of its
+    // output waits for a piece of what it reads.
+    let may = !reader.writes || (idle && reader.filled <= settings.writer_filled);
+    may && (idle || wait(settings, reader, tokens) <= most)
 }
