--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -68,7 +68,8 @@
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.sendings < READERS {
         let engines = candidates(job, &tried);
-        let readers = readers(job, &engines, prompt);
+        let readers: Vec<Reader> =
+            engines.iter().map(|engine| reader(job, engine, prompt)).collect();
         let wanted = wanted(job, prompt);
         let entries = job.shared.unheard();
         match prompts::place(&job.shared.settings.prompts, &wanted, &readers, entries) {
@@ -108,20 +109,6 @@
     able.filter(|engine| !engine.is_changing(now)).cloned().collect()
 }
 
-/// What is known of the engines. What other entries have sent since they were heard is spread over
-/// those that read.
-fn readers(job: &Job, engines: &[Arc<Target>], prompt: &Prompt) -> Vec<Reader> {
-    let mut readers: Vec<Reader> =
-        engines.iter().map(|engine| reader(job, engine, prompt)).collect();
-    let dedicated = readers.iter().filter(|reader| !reader.writes).count();
-    let unseen = job.shared.peers.unseen(Instant::now());
-    let each = unseen / u64::try_from(dedicated.max(1)).unwrap_or(u64::MAX);
-    for reader in readers.iter_mut().filter(|reader| !reader.writes) {
-        reader.waiting += each;
-    }
-    readers
-}
-
 fn reader(job: &Job, engine: &Arc<Target>, prompt: &Prompt) -> Reader {
     let others = job.shared.peers.others(engine.key);
     let streams = engine.engine.streams() + others.streams;
@@ -157,7 +144,6 @@
 ) -> Option<Cache> {
     let _entered = engine.enter();
     let _reading = engine.engine.read(tokens);
-    job.shared.peers.commit(tokens);
     let fetch = fetch.map(|engine| engine.address);
     let sending = Sending { step: Step::Prefill, fetch, ..sending(job, engine) };
     let most = job.shared.connections(&job.service);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -34,15 +34,6 @@
 /// What a peer said counts for this long.
 const FRESH: Duration = Duration::from_millis(700);
 
-/// Over this span the rate of a peer's commitments is averaged: shorter than a burst.
-const RATE_SPAN: Duration = Duration::from_millis(200);
-
-/// Datagrams that come closer together say nothing of a rate.
-const LEAST_SPAN: Duration = Duration::from_millis(1);
-
-/// The way of a datagram between failure domains.
-const WAY: Duration = Duration::from_millis(2);
-
 /// Parts told in one datagram at most; more are left out, and read as if they were not kept.
 const MAX_PARTS: usize = 48;
 
@@ -67,9 +58,6 @@
     /// Shared parts of prompts that engines have read for it since its last datagram.
     #[prost(message, repeated, tag = "5")]
     kept: Vec<Kept>,
-    /// All tokens that it has sent to engines to be read, since its start.
-    #[prost(uint64, tag = "6")]
-    committed: u64,
 }
 
 /// The work of an entry at one engine.
@@ -120,7 +108,6 @@
     addresses: Vec<SocketAddr>,
     heard: HashMap<u64, Peer>,
     totals: HashMap<Hash, Others>,
-    committed: u64,
     news: Vec<Kept>,
 }
 
@@ -130,9 +117,6 @@
     sequence: u64,
     at: Instant,
     engines: Vec<Work>,
-    committed: u64,
-    /// Tokens that it sent in a second, on average over some datagrams.
-    rate: f64,
 }
 
 impl Peers {
@@ -150,25 +134,6 @@
         self.lock().totals.get(&engine).copied().unwrap_or_default()
     }
 
-    /// Books tokens that this entry sends to an engine to be read.
-    pub fn commit(&self, tokens: u64) {
-        self.lock().committed += tokens;
-    }
-
-    /// Tokens that the others have probably sent to all engines together since they were heard.
-    pub fn unseen(&self, now: Instant) -> u64 {
-        let inner = self.lock();
-        let tokens: f64 = inner
-            .heard
-            .values()
-            .map(|peer| peer.rate * (now.duration_since(peer.at) + WAY).as_secs_f64())
-            .sum();
-        // Casting a positive float to an integer saturates.
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
-        let tokens = tokens as u64;
-        tokens
-    }
-
     /// How many other entries were heard lately.
     pub fn heard(&self) -> u32 {
         u32::try_from(self.lock().heard.len()).unwrap_or(u32::MAX)
@@ -184,32 +149,21 @@
     }
 }
 
-impl Peer {
-    /// The rate that follows from what it has committed by `now`.
-    fn rate_until(&self, committed: u64, now: Instant) -> f64 {
-        let span = now.duration_since(self.at).max(LEAST_SPAN).as_secs_f64();
-        let tokens = u32::try_from(committed.saturating_sub(self.committed)).unwrap_or(u32::MAX);
-        let weight = (span / RATE_SPAN.as_secs_f64()).min(1.0);
-        self.rate + (f64::from(tokens) / span - self.rate) * weight
-    }
-}
-
 impl Inner {
     /// Takes in a peer's state; `false` if a newer one is known.
     fn hear(&mut self, state: State, now: Instant) -> bool {
-        let State { entry, run, sequence, engines, committed, .. } = state;
-        let known = self.heard.get(&entry).filter(|peer| peer.run == run);
-        if known.is_some_and(|peer| peer.sequence >= sequence) {
+        let State { entry, run, sequence, engines, .. } = state;
+        let known = self.heard.get(&entry);
+        if known.is_some_and(|peer| peer.run == run && peer.sequence >= sequence) {
             return false;
         }
-        let rate = known.map_or(0.0, |peer| peer.rate_until(committed, now));
         self.forget(entry);
         for work in &engines {
             let total = self.totals.entry(work.engine).or_default();
             total.reading += work.reading;
             total.streams += work.streams;
         }
-        self.heard.insert(entry, Peer { run, sequence, at: now, engines, committed, rate });
+        self.heard.insert(entry, Peer { run, sequence, at: now, engines });
         true
     }
 
@@ -243,14 +197,12 @@
         // Ends early when something has changed.
         let _ = timeout(ALIVE, shared.changed.notified()).await;
         sequence += 1;
-        let engines = work(&shared);
-        let (addresses, state) = {
+        let (addresses, kept) = {
             let mut inner = shared.peers.lock();
             inner.expire(Instant::now());
-            let (kept, committed) = (std::mem::take(&mut inner.news), inner.committed);
-            let state = State { entry, run, sequence, engines, kept, committed };
-            (inner.addresses.clone(), state)
+            (inner.addresses.clone(), std::mem::take(&mut inner.news))
         };
+        let state = State { entry, run, sequence, engines: work(&shared), kept };
         let datagram = Bytes::from(state.encode_to_vec());
         for address in &addresses {
             if let Err(error) = socket.send_to(&datagram, address).await {
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -25,8 +25,6 @@
     /// for the first step of the output. Of 0.25, 0.38, 0.5 and 0.65 the second served most in
     /// time; less leaves engines idle, more makes prompts late.
     pub share: f64,
-    /// With so many tokens to read an engine is as good as idle: it reads them in 3 ms.
-    pub idle: u64,
     /// What an engine that also writes output reads, as a part of what one that only reads does.
     pub writer_share: f64,
     /// An engine that writes reads a prompt for itself while streams fill no more than this share
@@ -36,7 +34,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { rate: 300_000.0, share: 0.38, idle: 1_000, writer_share: 0.5, writer_filled: 0.125 }
+        Self { rate: 300_000.0, share: 0.38, writer_share: 0.5, writer_filled: 0.125 }
     }
 }
 
@@ -125,7 +123,7 @@
 
 fn fits(settings: &Settings, reader: &Reader, tokens: u64, most: f64) -> bool {
     // An idle reader takes a prompt of any size: nothing is gained by leaving it idle.
-    let idle = reader.waiting <= settings.idle;
+    let idle = reader.waiting == 0;
     // One that writes takes a prompt only while it reads none and writes little: each step of its
     // output waits for a piece of what it reads.
     let may = !reader.writes || (idle && reader.filled <= settings.writer_filled);
