perf(direct): a few entries read the log for all and tell the others by datagram

Two or three entries, by the hashes of their names, read as often as changes have to be seen; the others read when told of news, when no read is fresh, and every ten seconds.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -7,6 +7,7 @@
 use crate::border::TargetId;
 use crate::route::Stage;
 use crate::shared::Shared;
+use crate::tail::{self, Topic};
 use bytes::Bytes;
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset};
@@ -24,10 +25,11 @@
 
 /// How often an entry tells that it lives. The number of entries changes a few times a day, and
 /// each record is a paid call.
-const HEARTBEAT: Duration = Duration::from_secs(4);
+const HEARTBEAT: Duration = Duration::from_secs(5);
 
-/// After this time without a heartbeat an entry counts as gone: two may be lost.
-const SILENCE: Duration = Duration::from_secs(13);
+/// After this time without a heartbeat an entry counts as gone: one may be lost, and an entry that
+/// leaves reading to others reads each ten seconds.
+const SILENCE: Duration = Duration::from_secs(21);
 
 /// Reads are at least this far apart; announcements are made two seconds ahead.
 const PACE: Duration = Duration::from_millis(1_000);
@@ -187,7 +189,11 @@
 pub async fn read(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, bulletin: watch::Sender<Bulletin>) {
     let mut next: Offset = 0;
     let mut heard: HashMap<CompactString, Heard> = HashMap::new();
+    let mut news: Offset = 0;
     loop {
+        if bulletin.borrow().end.is_some() {
+            shared.tail.turn(Topic::Notices, next).await;
+        }
         match log.read(STREAM, next, MAX_READ, WAIT).await {
             Ok(batch) => {
                 shared.metrics.store("ok");
@@ -196,10 +202,15 @@
                 planned.get_or_insert(now);
                 for entry in batch.entries {
                     next = entry.offset + 1;
-                    if take(&shared, &mut heard, &entry.bytes, now) {
+                    let kind = take(&shared, &mut heard, &entry.bytes, now);
+                    if kind != Told::Nothing {
+                        news = next;
+                    }
+                    if kind == Told::Plan {
                         (planned, any_plan) = (Some(now), true);
                     }
                 }
+                tail::note(&shared, Topic::Notices, news);
                 heard.retain(|_, heard| now.duration_since(heard.at) < SILENCE);
                 let entries = publish(&shared, &heard);
                 bulletin.send_replace(Bulletin { end: Some(next), planned, any_plan, entries });
@@ -215,51 +226,72 @@
     }
 }
 
-/// Takes in one record and says whether it is a plan.
+/// What a record told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    /// Nothing that was not known.
+    Nothing,
+    /// Something that others should read.
+    News,
+    /// A plan.
+    Plan,
+}
+
+/// Takes in one record.
 fn take(
     shared: &Shared,
     heard: &mut HashMap<CompactString, Heard>,
     record: &[u8],
     now: Instant,
-) -> bool {
+) -> Told {
     let notice = match Notice::decode(record) {
         Ok(notice) => notice,
         Err(error) => {
             log::warn!(target: "bulletin", error:% = error; "notice not readable, left out");
-            return false;
+            return Told::Nothing;
         }
     };
     match notice.kind {
         Some(Kind::Heartbeat(Heartbeat { name, leaving: true, .. })) => {
-            heard.remove(name.as_str());
-            false
+            if heard.remove(name.as_str()).is_some() { Told::News } else { Told::Nothing }
         }
         Some(Kind::Heartbeat(Heartbeat { name, leaving: false, address })) => {
-            match address.parse() {
-                Ok(address) => {
-                    heard.insert(name.into(), Heard { at: now, address });
-                }
-                Err(error) => {
-                    log::warn!(target: "bulletin", name = name.as_str(), error:% = error;
-                        "heartbeat without an address, left out");
-                }
-            }
-            false
+            hear(heard, name.into(), &address, now)
         }
         Some(Kind::Plan(plan)) => {
             if plan.holder != shared.settings.name {
                 announce(shared, &plan, now);
             }
-            true
+            Told::Plan
         }
         Some(Kind::Suspects(Suspects { entry, requests })) => {
             if entry != shared.settings.name {
                 shared.suspects.hear(&requests);
             }
-            false
+            Told::News
         }
         // A kind that a newer version writes.
-        None => false,
+        None => Told::Nothing,
+    }
+}
+
+fn hear(
+    heard: &mut HashMap<CompactString, Heard>,
+    name: CompactString,
+    address: &str,
+    now: Instant,
+) -> Told {
+    match address.parse() {
+        Ok(address) => {
+            let before = heard.insert(name, Heard { at: now, address });
+            let known = before.is_some_and(|before| before.address == address);
+            if known { Told::Nothing } else { Told::News }
+        }
+        Err(error) => {
+            log::warn!(target: "bulletin", name = name.as_str(), error:% = error;
+                "heartbeat without an address, left out");
+            Told::Nothing
+        }
     }
 }
 
@@ -289,5 +321,6 @@
             "entries changed");
     }
     shared.set_entries(count);
+    shared.tail.set_entries(&shared.settings.name, &entries);
     entries
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -78,6 +78,8 @@
     removed: HashMap<TargetId, Offset>,
     usable: HashMap<ServiceName, Arc<[Arc<Target>]>>,
     engines: Arc<[Arc<Target>]>,
+    /// The offset after the last record that changed something.
+    news: Offset,
     changed: Arc<Notify>,
 }
 
@@ -161,6 +163,11 @@
         self.members.get(id).filter(|member| !member.leaving).map(|member| &member.target)
     }
 
+    /// The offset after the last record that changed something.
+    pub fn news(&self) -> Offset {
+        self.news
+    }
+
     /// How many targets there are, those that leave included.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -180,6 +187,12 @@
             if offset < member.offset || sequence < member.sequence {
                 return;
             }
+            let changes = (leaving && !member.leaving)
+                || member.lapses.is_some()
+                || member.target.stage() != stage;
+            if changes {
+                self.news = self.news.max(offset + 1);
+            }
             if leaving && !member.leaving {
                 log::info!(target: "fleet", target_id = id.as_str(), offset; "target leaves");
             }
@@ -192,6 +205,7 @@
             member.lapses = None;
             return;
         }
+        self.news = self.news.max(offset + 1);
         log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
             address:% = address, leaving, stage:? = stage, offset; "target seen");
         let target = Arc::new(Target::new(
@@ -211,6 +225,7 @@
         if offset < member.offset {
             return;
         }
+        self.news = self.news.max(offset + 1);
         if let Some(at) = lapses {
             member.lapses.get_or_insert(at);
             return;
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -7,6 +7,7 @@
 use crate::fleet::{News, Sighting};
 use crate::route::Table;
 use crate::shared::Shared;
+use crate::tail::{self, Topic};
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset, Record, StreamName};
 use std::sync::Arc;
@@ -76,6 +77,7 @@
 struct Stream {
     shared: Arc<Shared>,
     log: Arc<dyn KeyedLog>,
+    topic: Topic,
     name: &'static str,
     wait: Duration,
     next: Option<Offset>,
@@ -88,11 +90,12 @@
     fn new(
         shared: Arc<Shared>,
         log: Arc<dyn KeyedLog>,
+        topic: Topic,
         name: &'static str,
         wait: Duration,
     ) -> Self {
         let (next, pause, trouble, lost) = (None, PAUSE, None, None);
-        Self { shared, log, name, wait, next, pause, trouble, lost }
+        Self { shared, log, topic, name, wait, next, pause, trouble, lost }
     }
 
     /// The next reading, however long it takes.
@@ -119,6 +122,7 @@
             self.next = Some(newest.end);
             return Ok(Reading::All(newest.records, newest.end));
         };
+        self.shared.tail.turn(self.topic, next).await;
         let (records, end) = self.log.changes(self.name, next, self.wait).await?;
         self.next = Some(end.max(next));
         Ok(Reading::Changes(records))
@@ -150,11 +154,13 @@
 /// Keeps the configuration up to date.
 pub async fn config(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
     let (name, key) = decode.config_stream();
-    let mut stream = Stream::new(shared.clone(), log, name, CONFIG_WAIT);
+    let mut stream = Stream::new(shared.clone(), log, Topic::Config, name, CONFIG_WAIT);
+    let mut news = 0;
     loop {
         let (Reading::All(records, _) | Reading::Changes(records)) = stream.read().await;
         let ours = records.into_iter().rev().filter(|record| record.key == key);
         for record in ours {
+            news = news.max(record.offset + 1);
             let Some(value) = record.value else { continue };
             match decode.table(&value) {
                 Ok(table) => apply(&shared, table, record.offset),
@@ -165,6 +171,7 @@
                 }
             }
         }
+        tail::note(&shared, Topic::Config, news);
     }
 }
 
@@ -184,7 +191,7 @@
 /// Keeps the list of targets up to date.
 pub async fn targets(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
     let name = decode.target_stream();
-    let mut stream = Stream::new(shared.clone(), log, name, TARGET_WAIT);
+    let mut stream = Stream::new(shared.clone(), log, Topic::Targets, name, TARGET_WAIT);
     loop {
         let reading = stream.read().await;
         let now = Instant::now();
@@ -199,7 +206,11 @@
                 shared.fleet().apply(news, now, disturbed);
             }
         }
-        let known = shared.fleet().len();
+        let (known, newest) = {
+            let fleet = shared.fleet();
+            (fleet.len(), fleet.news())
+        };
+        tail::note(&shared, Topic::Targets, newest);
         shared.metrics.targets.set(i64::try_from(known).unwrap_or(i64::MAX));
         tokio::time::sleep(TARGET_PACE).await;
     }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod shared;
 pub mod stages;
 pub mod suspects;
+pub mod tail;
 pub mod target;
 pub mod trace;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -10,6 +10,7 @@
 
 use crate::border::Part;
 use crate::shared::Shared;
+use crate::tail::{self, Seen};
 use bytes::Bytes;
 use policy::Hash;
 use prost::Message;
@@ -58,6 +59,23 @@
     /// Shared parts of prompts that engines have read for it since its last datagram.
     #[prost(message, repeated, tag = "5")]
     kept: Vec<Kept>,
+    /// How far it has read the log.
+    #[prost(message, repeated, tag = "6")]
+    reads: Vec<Read>,
+}
+
+/// What an entry knows of one stream of the log, see [`tail::Seen`].
+#[derive(Clone, Copy, PartialEq, Message)]
+struct Read {
+    /// The stream, as its place in [`tail::TOPICS`].
+    #[prost(uint32, tag = "1")]
+    topic: u32,
+    /// The offset after the last record that changed something.
+    #[prost(uint64, tag = "2")]
+    news: u64,
+    /// How long ago it was last read, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    age_ms: u32,
 }
 
 /// The work of an entry at one engine.
@@ -202,7 +220,8 @@
             inner.expire(Instant::now());
             (inner.addresses.clone(), std::mem::take(&mut inner.news))
         };
-        let state = State { entry, run, sequence, engines: work(&shared), kept };
+        let state =
+            State { entry, run, sequence, engines: work(&shared), kept, reads: reads(&shared) };
         let datagram = Bytes::from(state.encode_to_vec());
         for address in &addresses {
             if let Err(error) = socket.send_to(&datagram, address).await {
@@ -214,6 +233,29 @@
     }
 }
 
+/// How far this entry has read the log.
+fn reads(shared: &Shared) -> Vec<Read> {
+    let topics = (0..).zip(tail::TOPICS);
+    let seen = shared.tail.seen(Instant::now());
+    let reads = seen.into_iter().filter_map(|seen| {
+        let (topic, _) = topics.clone().find(|(_, topic)| *topic == seen.topic)?;
+        let age_ms = u32::try_from(seen.age.as_millis()).unwrap_or(u32::MAX);
+        Some(Read { topic, news: seen.news, age_ms })
+    });
+    reads.collect()
+}
+
+/// Takes in how far another entry has read the log.
+fn take_reads(shared: &Shared, entry: u64, reads: &[Read], now: Instant) {
+    for read in reads {
+        let topic = usize::try_from(read.topic).ok().and_then(|at| tail::TOPICS.get(at));
+        // A stream that a newer version follows.
+        let Some(topic) = topic.copied() else { continue };
+        let age = Duration::from_millis(read.age_ms.into());
+        shared.tail.hear(entry, Seen { topic, news: read.news, age }, now);
+    }
+}
+
 /// This entry's work at all engines where it has any.
 fn work(shared: &Shared) -> Vec<Work> {
     let engines = shared.fleet().engines();
@@ -255,7 +297,12 @@
 
 fn take(shared: &Shared, mut state: State) {
     let kept = std::mem::take(&mut state.kept);
-    if !shared.peers.lock().hear(state, Instant::now()) || kept.is_empty() {
+    let (entry, reads, now) = (state.entry, std::mem::take(&mut state.reads), Instant::now());
+    if !shared.peers.lock().hear(state, now) {
+        return;
+    }
+    take_reads(shared, entry, &reads, now);
+    if kept.is_empty() {
         return;
     }
     let engines = shared.fleet().engines();
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -7,6 +7,7 @@
 use crate::peers::Peers;
 use crate::route::{Service, Table};
 use crate::suspects::Suspects;
+use crate::tail::Tail;
 use crate::target::Target;
 use compact_str::CompactString;
 use policy::{prompts, split, window};
@@ -60,6 +61,8 @@
     pub metrics: Arc<Metrics>,
     /// The other entries' work.
     pub peers: Peers,
+    /// Who reads the log.
+    pub tail: Tail,
     /// Told when this entry's work at engines changes.
     pub changed: Arc<Notify>,
     fleet: Mutex<Fleet>,
@@ -86,6 +89,7 @@
             durations: Durations::default(),
             metrics: Arc::default(),
             peers: Peers::default(),
+            tail: Tail::default(),
             changed: changed.clone(),
             fleet: Mutex::new(Fleet::new(changed)),
             windows: Mutex::default(),
--- /dev/null
+++ b/crates/direct/src/tail.rs
@@ -0,0 +1,151 @@
+//! Who reads the log, so that not every entry has to ask all the time.
+//!
+//! **Load pattern.** Each entry follows three streams that rarely hold news, and every call to the
+//! log is paid for. **Without it** 27 entries make 100 calls a second to learn of a change every
+//! few seconds, which takes 5% of what a day is worth. **How.** A few entries, the same for all by
+//! the hashes of their names, read as often as changes have to be seen. With their datagrams they
+//! tell how far the news goes and how old their last read is. The others read when there is news;
+//! also when nobody's last read is fresh, so that losing the readers costs a second and not the
+//! news; and now and then in any case.
+
+use crate::shared::Shared;
+use compact_str::CompactString;
+use plat::Offset;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
+
+/// A stream that is followed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The list of targets.
+    Targets,
+    /// What entries tell each other.
+    Notices,
+}
+
+/// All topics.
+pub const TOPICS: [Topic; 3] = [Topic::Config, Topic::Targets, Topic::Notices];
+
+/// What an entry knows of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// The stream.
+    pub topic: Topic,
+    /// The offset after the last record that changed something.
+    pub news: Offset,
+    /// How long ago it was last read.
+    pub age: Duration,
+}
+
+/// Entries that read for all, in a small system.
+const FEW_READERS: usize = 2;
+
+/// Entries that read for all, in one of more than [`SMALL`] entries.
+const READERS: usize = 3;
+
+/// Up to so many entries a system is small.
+const SMALL: usize = 8;
+
+/// A last read older than this is not fresh. A reader waits up to a second for news; and once
+/// nobody's read is fresh, an own one has to come within the two seconds that a change may take.
+const FRESH: Duration = Duration::from_millis(1_300);
+
+/// Each entry reads at least this often, so that it relies on nobody for long.
+const SELF: Duration = Duration::from_secs(10);
+
+/// How often an entry that does not read looks whether the others' reads are still fresh.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Mixed into the hashes of names, so that the readers are not those that come first elsewhere.
+const SALT: policy::Hash = 0x7761_7463_6865_7273;
+
+/// What is known of who has read what.
+#[derive(Debug, Default)]
+pub struct Tail {
+    inner: Mutex<Inner>,
+    news: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    reads_for_all: bool,
+    own: HashMap<Topic, (Offset, Instant)>,
+    others: HashMap<(u64, Topic), (Offset, Instant)>,
+}
+
+impl Tail {
+    /// Takes in which entries live.
+    pub fn set_entries(&self, own: &str, entries: &[CompactString]) {
+        let readers = if entries.len() <= SMALL { FEW_READERS } else { READERS };
+        let rank = |name: &str| policy::mix(policy::hash(name), SALT);
+        let before = entries.iter().filter(|name| rank(name) < rank(own)).count();
+        self.lock().reads_for_all = before < readers;
+    }
+
+    /// Notes a read of this entry's, and the offset after the last record that changed something.
+    /// Says whether the others should hear of it at once.
+    pub fn read(&self, topic: Topic, news: Offset, now: Instant) -> bool {
+        let before = self.lock().own.insert(topic, (news, now));
+        before.is_none_or(|(before, _)| before < news)
+    }
+
+    /// What this entry can tell the others.
+    pub fn seen(&self, now: Instant) -> Vec<Seen> {
+        let inner = self.lock();
+        let seen = inner.own.iter().map(|(topic, (news, at))| Seen {
+            topic: *topic,
+            news: *news,
+            age: now.duration_since(*at),
+        });
+        seen.collect()
+    }
+
+    /// Takes in what another entry tells.
+    pub fn hear(&self, entry: u64, seen: Seen, now: Instant) {
+        let Some(at) = now.checked_sub(seen.age) else { return };
+        self.lock().others.insert((entry, seen.topic), (seen.news, at));
+        self.news.notify_waiters();
+    }
+
+    /// Forgets an entry that is silent.
+    pub fn forget(&self, entry: u64) {
+        self.lock().others.retain(|(other, _), _| *other != entry);
+    }
+
+    /// Whether this entry should read the stream, of which it has read all before `next`.
+    pub fn should_read(&self, topic: Topic, next: Offset, now: Instant) -> bool {
+        let inner = self.lock();
+        let recent = |at: Instant, span: Duration| now.duration_since(at) < span;
+        let own = inner.own.get(&topic).is_some_and(|(_, at)| recent(*at, SELF));
+        if inner.reads_for_all || !own {
+            return true;
+        }
+        let others = inner.others.iter().filter(|((_, of), _)| *of == topic);
+        let mut fresh = others.filter(|(_, (_, at))| recent(*at, FRESH)).peekable();
+        fresh.peek().is_none() || fresh.any(|(_, (news, _))| *news > next)
+    }
+
+    /// Waits until this entry should read the stream.
+    pub async fn turn(&self, topic: Topic, next: Offset) {
+        while !self.should_read(topic, next, Instant::now()) {
+            // Ends early when another entry tells something.
+            let _ = timeout(LOOK, self.news.notified()).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Notes a read, and tells the others at once if it brought news.
+pub fn note(shared: &Shared, topic: Topic, news: Offset) {
+    if shared.tail.read(topic, news, Instant::now()) {
+        shared.changed.notify_one();
+    }
+}
