fix(direct): a single target that goes is believed at once, also just after an outage

Ruled out: that nobody read the list while both readers were cut off (another entry read the removal within 3 ms).

Change: only many vanished entries look like a lapse, for 1.4 s at most; all of a service for 2.5 s, because nothing else is left to send work to; the list is looked at ten times a second.

--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -167,7 +167,7 @@
 }
 
 /// How often idle connections and lapsed targets are looked after.
-const UPKEEP: Duration = Duration::from_millis(500);
+const UPKEEP: Duration = Duration::from_millis(100);
 
 async fn upkeep(shared: Arc<Shared>) {
     loop {
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -45,14 +45,20 @@
     Gone(TargetId),
 }
 
-/// How long a target stays in use after its entry vanished while the store was in trouble.
+/// How long targets stay in use after the entries of all targets of their service vanished, with
+/// the log lately in trouble.
 ///
 /// Entries lapse when the store can't take renewals, and come back within two seconds after it
-/// can. Without the wait, one outage would empty the list while all targets live.
-const LAPSE: Duration = Duration::from_millis(2_000);
+/// can. Without the wait, one outage would empty the list while all targets live. That all have
+/// really left is unlikely, and there is no other to send work to.
+const ALL_LAPSE: Duration = Duration::from_millis(2_500);
 
-/// The same where only the number of vanished entries speaks for a lapse. Shorter, because targets
-/// that really left stop taking work two seconds after that.
+/// The same where many vanished, and the log was lately in trouble. Shorter, because targets that
+/// really left stop taking work two seconds after that, and a read of the list is half a second
+/// old.
+const LAPSE: Duration = Duration::from_millis(1_400);
+
+/// The same where only the number of vanished entries speaks for a lapse.
 const DOUBT: Duration = Duration::from_millis(1_000);
 
 /// Of one service, the share of targets whose entries have to vanish in one reading for it to look
@@ -105,13 +111,11 @@
                 News::Gone(id) => gone.push((id, offset)),
             }
         }
-        let lapses = match (disturbed, self.looks_like_lapse(&gone)) {
-            (true, _) => Some(now + LAPSE),
-            (false, true) => Some(now + DOUBT),
-            (false, false) => None,
-        };
+        let lapses = self.lapses(&gone, disturbed);
         for (id, offset) in gone {
-            self.remove(&id, offset, lapses);
+            let service = self.members.get(&id).map(|member| member.target.service.clone());
+            let wait = service.and_then(|service| lapses.get(&service).copied());
+            self.remove(&id, offset, wait.map(|wait| now + wait));
         }
         self.expire(now);
     }
@@ -238,18 +242,36 @@
         self.removed.insert(id.clone(), offset);
     }
 
-    fn looks_like_lapse(&self, gone: &[(TargetId, Offset)]) -> bool {
-        let mut lost: HashMap<&str, u32> = HashMap::new();
+    /// The services of which so many entries vanished that it looks like a lapse, with how long
+    /// their targets stay in use.
+    fn lapses(
+        &self,
+        gone: &[(TargetId, Offset)],
+        disturbed: bool,
+    ) -> HashMap<ServiceName, Duration> {
+        let mut lost: HashMap<&ServiceName, usize> = HashMap::new();
         for (id, _) in gone {
             if let Some(member) = self.members.get(id).filter(|member| !member.leaving) {
-                *lost.entry(member.target.service.as_str()).or_default() += 1;
+                *lost.entry(&member.target.service).or_default() += 1;
             }
         }
-        lost.into_iter().any(|(service, lost)| {
-            let all = self.members.values().filter(|m| m.target.service == service).count();
-            let all = f64::from(u32::try_from(all).unwrap_or(u32::MAX));
-            lost > 1 && f64::from(lost) > all * LAPSE_SHARE
-        })
+        let wait = |service: &ServiceName, lost: usize| {
+            let stays = |member: &&Member| !member.leaving && member.target.service == *service;
+            let all = self.members.values().filter(stays).count();
+            let float = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+            let many = lost > 1 && float(lost) > float(all) * LAPSE_SHARE;
+            match (disturbed, many) {
+                (true, true) if lost == all => Some(ALL_LAPSE),
+                (true, true) => Some(LAPSE),
+                (true, false) if lost == all => Some(LAPSE),
+                (false, true) => Some(DOUBT),
+                (_, false) => None,
+            }
+        };
+        let waits = lost
+            .into_iter()
+            .filter_map(|(service, lost)| Some((service.clone(), wait(service, lost)?)));
+        waits.collect()
     }
 
     fn publish(&mut self) {
