--- /dev/null
+++ b/crates/direct/tests/tail.rs
@@ -0,0 +1,84 @@
+//! Who reads the log.
+
+use compact_str::{CompactString, format_compact};
+use direct::tail::{Seen, Tail, Topic};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const PEER: u64 = 1;
+
+fn names(count: usize) -> Vec<CompactString> {
+    (0..count).map(|number| format_compact!("entry-{number}")).collect()
+}
+
+/// An entry that leaves reading to others and has just read up to `next`.
+fn idle(next: u64) -> Tail {
+    let names = names(9);
+    let tail = |name: &CompactString| {
+        let tail = Tail::default();
+        tail.set_entries(name, &names);
+        tail.read(Topic::Config, next, Instant::now());
+        tail
+    };
+    // Three of the nine read for all; of four one does not.
+    let mut tails = names.iter().map(tail);
+    let told = Seen { topic: Topic::Config, news: next, age: Duration::ZERO };
+    let idle = tails.find(|tail| {
+        tail.hear(PEER, told, Instant::now());
+        !tail.should_read(Topic::Config, next, Instant::now())
+    });
+    idle.expect("six of the nine leave reading to others")
+}
+
+#[test]
+fn the_same_few_read_for_all() {
+    for (entries, expected) in [(1, 1), (5, 2), (9, 3), (27, 3)] {
+        let names = names(entries);
+        let reads = |name: &&CompactString| {
+            let tail = Tail::default();
+            tail.set_entries(name, &names);
+            tail.read(Topic::Config, 5, Instant::now());
+            let told = Seen { topic: Topic::Config, news: 5, age: Duration::ZERO };
+            tail.hear(PEER, told, Instant::now());
+            tail.should_read(Topic::Config, 5, Instant::now())
+        };
+        assert_eq!(names.iter().filter(reads).count(), expected, "of {entries}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_is_read_at_once() {
+    let tail = idle(5);
+    let told = Seen { topic: Topic::Config, news: 6, age: Duration::ZERO };
+    tail.hear(PEER, told, Instant::now());
+    assert!(tail.should_read(Topic::Config, 5, Instant::now()));
+    assert!(!tail.should_read(Topic::Config, 6, Instant::now()));
+}
+
+/// The entries that read for all are cut off from the log, or gone. They may still be heard, with
+/// reads that grow old; if the others relied on them, changes would be missed by all.
+#[tokio::test(start_paused = true)]
+async fn when_no_read_is_fresh_each_reads_for_itself() {
+    let tail = idle(5);
+    for _ in 0..20 {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        let old = Seen { topic: Topic::Config, news: 5, age: Duration::from_millis(1_400) };
+        tail.hear(PEER, old, Instant::now());
+        assert!(tail.should_read(Topic::Config, 5, Instant::now()));
+    }
+    tail.forget(PEER);
+    assert!(tail.should_read(Topic::Config, 5, Instant::now()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn each_reads_now_and_then_in_any_case() {
+    let tail = idle(5);
+    for _ in 0..99 {
+        tokio::time::advance(Duration::from_millis(100)).await;
+        let told = Seen { topic: Topic::Config, news: 5, age: Duration::ZERO };
+        tail.hear(PEER, told, Instant::now());
+        assert!(!tail.should_read(Topic::Config, 5, Instant::now()));
+    }
+    tokio::time::advance(Duration::from_millis(100)).await;
+    assert!(tail.should_read(Topic::Config, 5, Instant::now()));
+}
