--- a/crates/direct/src/journal.rs
+++ b/crates/direct/src/journal.rs
@@ -25,6 +25,10 @@
 /// The length of the span in which lines are counted.
 const SPAN: Duration = Duration::from_secs(1);
 
+/// How long lines are gathered before they are written. A process that is killed loses no more than
+/// the lines of this time; one that stops waits for it.
+pub const GATHER: Duration = Duration::from_millis(50);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Lines dropped since the start.
@@ -96,10 +100,15 @@
     }
 }
 
+/// Writes lines in batches: one call a batch, because a call and a wake-up cost more than a line.
 fn write(lines: Receiver<Vec<u8>>, mut output: impl Write) {
-    while let Ok(line) = lines.recv() {
+    while let Ok(mut batch) = lines.recv() {
+        std::thread::sleep(GATHER);
+        while let Ok(line) = lines.try_recv() {
+            batch.extend_from_slice(&line);
+        }
         // A reader that is gone takes no line that would tell of it.
-        let _ = output.write_all(&line);
+        let _ = output.write_all(&batch);
         if let Err(error) = output.flush() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
             if error.kind() == std::io::ErrorKind::BrokenPipe {
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -108,8 +108,14 @@
     /// Takes in what another entry tells.
     pub fn hear(&self, entry: u64, seen: Seen, now: Instant) {
         let Some(at) = now.checked_sub(seen.age) else { return };
-        self.lock().others.insert((entry, seen.topic), (seen.news, at));
-        self.news.notify_waiters();
+        let mut inner = self.lock();
+        inner.others.insert((entry, seen.topic), (seen.news, at));
+        let known = inner.own.get(&seen.topic).is_some_and(|(news, _)| *news >= seen.news);
+        drop(inner);
+        // Hundreds of datagrams a second tell nothing new; each would wake all that wait.
+        if !known {
+            self.news.notify_waiters();
+        }
     }
 
     /// Forgets an entry that is silent.
