--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod serve;
 pub mod shared;
 pub mod stages;
+pub mod story;
 pub mod suspects;
 pub mod tail;
 pub mod target;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -117,7 +117,7 @@
                         self.state = State::Open(Open::new(source));
                         continue;
                     }
-                    Poll::Ready(None) => return self.cut("no target could go on"),
+                    Poll::Ready(None) => return self.cut("not-resumed"),
                 },
             };
             match step {
@@ -134,14 +134,14 @@
                 None => return self.complete(),
                 Some(Err(error)) => {
                     if !self.break_off(&error.to_compact_string()) {
-                        return self.cut("the target broke off");
+                        return self.cut("broken-off");
                     }
                 }
             }
         }
         match self.until.as_mut().poll(context) {
             Poll::Pending => Poll::Pending,
-            Poll::Ready(()) => self.cut("the time was up"),
+            Poll::Ready(()) => self.cut("time-up"),
         }
     }
 
--- a/crates/direct/src/trace.rs
+++ b/crates/direct/src/trace.rs
@@ -93,10 +93,19 @@
         }
         let first = self.first.map_or(-1.0, |first| (first - self.arrived).as_secs_f64() * 1e3);
         let ms = took.as_secs_f64() * 1e3;
-        log::info!(target: "request", id = self.attempt.as_str(), route = self.route.as_str(),
-            version = self.version, outcome, sendings = self.sendings,
-            targets = self.targets.as_str(), first_ms:? = round(first), ms:? = round(ms);
-            "request ended");
+        // Two events, so that in a burst the lines of requests that were not served are not dropped
+        // for want of room among those that were.
+        if outcome == COMPLETE {
+            log::info!(target: "request", id = self.attempt.as_str(), route = self.route.as_str(),
+                version = self.version, outcome, sendings = self.sendings,
+                targets = self.targets.as_str(), first_ms:? = round(first), ms:? = round(ms);
+                "request served");
+        } else {
+            log::warn!(target: "request", id = self.attempt.as_str(), route = self.route.as_str(),
+                version = self.version, outcome, sendings = self.sendings,
+                targets = self.targets.as_str(), first_ms:? = round(first), ms:? = round(ms);
+                "request not served");
+        }
     }
 }
 
