refactor(direct): a generation in halves; messages apart from what sends them

Nothing is decided otherwise; the tests are unchanged but for the one that reads the sources, which walks into folders now.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -4,11 +4,9 @@
 //! Nothing here is asked for a request. Each entry writes every few seconds and reads every
 //! second, and what it has read stays valid while the log is away.
 
-use crate::border::TargetId;
-use crate::route::Stage;
+use crate::notice::{self, Heartbeat, Kind, Notice, Plan, Suspects};
 use crate::shared::Shared;
 use crate::tail::{self, Topic};
-use bytes::Bytes;
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset};
 use prost::Message;
@@ -46,76 +44,6 @@
 /// Suspicions written at once at most: what ran on one engine when it crashed.
 const MAX_SUSPICIONS: usize = 64;
 
-/// A record of the stream.
-#[derive(Clone, PartialEq, Message)]
-pub struct Notice {
-    /// What it tells.
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
-    pub kind: Option<Kind>,
-}
-
-/// What a notice tells.
-#[derive(Clone, PartialEq, prost::Oneof)]
-pub enum Kind {
-    /// An entry lives, or stops.
-    #[prost(message, tag = "1")]
-    Heartbeat(Heartbeat),
-    /// An entry is about to order changes; the record's offset is the fence of its orders.
-    #[prost(message, tag = "2")]
-    Plan(Plan),
-    /// Requests were running when a target crashed.
-    #[prost(message, tag = "3")]
-    Suspects(Suspects),
-}
-
-/// An entry tells that it lives.
-#[derive(Clone, PartialEq, Message)]
-pub struct Heartbeat {
-    /// Its name.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Whether it stops.
-    #[prost(bool, tag = "2")]
-    pub leaving: bool,
-    /// Where it hears the other entries: address and port.
-    #[prost(string, tag = "3")]
-    pub address: String,
-}
-
-/// An entry announces changes of stage.
-#[derive(Clone, PartialEq, Message)]
-pub struct Plan {
-    /// Its name.
-    #[prost(string, tag = "1")]
-    pub holder: String,
-    /// Engines that are to read prompts.
-    #[prost(string, repeated, tag = "2")]
-    pub readers: Vec<String>,
-    /// Engines that are to write output.
-    #[prost(string, repeated, tag = "3")]
-    pub writers: Vec<String>,
-}
-
-/// Requests that were running when a target crashed.
-#[derive(Clone, PartialEq, Message)]
-pub struct Suspects {
-    /// The entry that saw it.
-    #[prost(string, tag = "1")]
-    pub entry: String,
-    /// Their fingerprints.
-    #[prost(fixed64, repeated, tag = "2")]
-    pub requests: Vec<u64>,
-}
-
-impl Plan {
-    /// The engines that are to change, with their new stages.
-    pub fn changes(&self) -> impl Iterator<Item = (TargetId, Stage)> + '_ {
-        let readers = self.readers.iter().map(|id| (TargetId::from(id), Stage::Prefill));
-        let writers = self.writers.iter().map(|id| (TargetId::from(id), Stage::Decode));
-        readers.chain(writers)
-    }
-}
-
 /// What was read so far.
 #[derive(Debug, Clone, Default)]
 pub struct Bulletin {
@@ -137,11 +65,6 @@
     address: SocketAddr,
 }
 
-/// A notice as a record.
-pub fn record(kind: Kind) -> Bytes {
-    Notice { kind: Some(kind) }.encode_to_vec().into()
-}
-
 /// Tells the others that this entry lives, and that it stops.
 pub async fn tell(
     shared: Arc<Shared>,
@@ -176,7 +99,7 @@
 }
 
 async fn write(shared: &Shared, log: &dyn KeyedLog, kind: Kind) {
-    match log.append(STREAM, vec![record(kind)]).await {
+    match log.append(STREAM, vec![notice::record(kind)]).await {
         Ok(_) => shared.metrics.store("ok"),
         Err(error) => {
             shared.metrics.store("failed");
--- /dev/null
+++ b/crates/direct/src/datagram.rs
@@ -0,0 +1,92 @@
+//! The datagrams that entries send each other, see [`crate::peers`].
+
+use crate::peers::Others;
+use policy::Hash;
+use prost::Message;
+
+/// The unit in which tokens are told: less than a third of a millisecond of reading.
+pub const UNIT: u64 = 64;
+
+/// An entry's state.
+#[derive(Clone, PartialEq, Message)]
+pub struct State {
+    /// The hash of its name.
+    #[prost(fixed64, tag = "1")]
+    pub entry: u64,
+    /// Tells one run of its process from another.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// Counts its datagrams.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Its work, by engine.
+    #[prost(message, optional, tag = "4")]
+    pub work: Option<Work>,
+    /// Shared parts of prompts that engines have read for it since its last datagram.
+    #[prost(message, repeated, tag = "5")]
+    pub kept: Vec<Kept>,
+    /// How far it has read the log.
+    #[prost(message, repeated, tag = "6")]
+    pub reads: Vec<Read>,
+}
+
+/// What an entry knows of one stream of the log, see [`tail::Seen`].
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Read {
+    /// The stream, as its place in [`tail::TOPICS`].
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// The offset after the last record that changed something.
+    #[prost(uint64, tag = "2")]
+    pub news: u64,
+    /// How long ago it was last read, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// The work of an entry at engines, in columns of equal length: seven bytes an engine.
+#[derive(Clone, PartialEq, Message)]
+pub struct Work {
+    /// The engines, each by the lower half of the hash of its id.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub engines: Vec<u32>,
+    /// Tokens to be read there, in units of [`UNIT`].
+    #[prost(uint32, repeated, tag = "2")]
+    pub reading: Vec<u32>,
+    /// Streams there.
+    #[prost(uint32, repeated, tag = "3")]
+    pub streams: Vec<u32>,
+}
+
+/// Parts that an engine has read.
+#[derive(Clone, PartialEq, Message)]
+pub struct Kept {
+    /// The engine, by the lower half of the hash of its id.
+    #[prost(fixed32, tag = "1")]
+    pub engine: u32,
+    /// Their ids, in the prompt's order.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub ids: Vec<u64>,
+    /// Their sizes in tokens.
+    #[prost(uint32, repeated, tag = "3")]
+    pub tokens: Vec<u32>,
+}
+
+impl Work {
+    /// The rows; those of a datagram with columns of different lengths end with the shortest.
+    pub fn rows(self) -> Vec<(u32, Others)> {
+        let columns = self.engines.into_iter().zip(self.reading).zip(self.streams);
+        let rows = columns.map(|((engine, reading), streams)| {
+            (engine, Others { reading: u64::from(reading) * UNIT, streams })
+        });
+        rows.collect()
+    }
+}
+
+/// The name of an engine in datagrams: of 700 engines two share one with a chance of 0.006%.
+pub fn short(engine: Hash) -> u32 {
+    // Casting to a smaller integer keeps the lower half.
+    #[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
+    let short = engine as u32;
+    short
+}
--- /dev/null
+++ b/crates/direct/src/generate/cache.rs
@@ -0,0 +1,52 @@
+//! KV cache that waits for the engine that writes.
+
+use crate::attempt;
+use crate::border::Handle;
+use crate::serve::Job;
+use crate::target::Target;
+use http::Method;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long freeing a KV cache may take.
+const FREE: Duration = Duration::from_millis(500);
+
+/// KV cache that an engine holds for another. Dropped, it is freed: it would push out what others
+/// need until it lapses.
+pub(super) struct Cache {
+    engine: Arc<Target>,
+    handle: Option<Handle>,
+    job: Arc<Job>,
+}
+
+impl Cache {
+    /// The cache that `engine` holds under `handle`.
+    pub(super) fn new(job: &Arc<Job>, engine: &Arc<Target>, handle: Handle) -> Self {
+        Self { engine: engine.clone(), handle: Some(handle), job: job.clone() }
+    }
+
+    /// Its handle, unless it was taken.
+    pub(super) fn handle(&self) -> Option<&Handle> {
+        self.handle.as_ref()
+    }
+
+    /// Notes that an engine has taken it.
+    pub(super) fn taken(&mut self) {
+        self.handle = None;
+    }
+}
+
+impl Drop for Cache {
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else { return };
+        let engine = self.engine.clone();
+        let path = self.job.shared.border.free_path(&handle.id);
+        tokio::spawn(async move {
+            let freed = attempt::call(&engine, Method::DELETE, &path, Vec::new(), FREE).await;
+            if let Err(detail) = freed {
+                log::info!(target: "request", target_id = engine.id.as_str(),
+                    detail = detail.as_str(); "cache not freed");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/direct/src/generate/resume.rs
@@ -0,0 +1,56 @@
+//! Going on with a stream that broke.
+
+use super::{sending, writer};
+use crate::attempt::Outcome;
+use crate::border::Sending;
+use crate::relay::{Resume, Source};
+use crate::serve::{Job, book, went};
+use crate::target::Target;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+/// Goes on with a stream that broke, at another engine.
+pub(super) struct Continuation {
+    job: Arc<Job>,
+    /// Engines that the request was sent to so far.
+    sent: u32,
+}
+
+impl Continuation {
+    /// For a request that was sent to so many engines.
+    pub(super) fn boxed(job: &Arc<Job>, sent: u32) -> Box<dyn Resume> {
+        Box::new(Self { job: job.clone(), sent })
+    }
+}
+
+impl Resume for Continuation {
+    fn resume(
+        &self,
+        after: Option<u64>,
+        failed: &Arc<Target>,
+    ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>> {
+        let (job, failed) = (self.job.clone(), failed.clone());
+        let allowed = self.sent < job.route.attempts;
+        Box::pin(async move {
+            job.suspect(&failed);
+            if !allowed || !job.shared.may_send_extra(&job.service.name) {
+                return None;
+            }
+            let engine = writer(&job, &[failed])?;
+            let booking = book(&engine, Some(engine.engine.write()));
+            let sending = Sending { after_event: after, ..sending(&job, &engine) };
+            let outcome = job.send(&engine, &sending).await;
+            let name = went(&outcome);
+            job.shared.metrics.sending(name);
+            log::info!(target: "request", id = job.id(), target_id = engine.id.as_str(),
+                after:? = after, went = name; "stream resumed");
+            match outcome {
+                Outcome::Answered(answered) if answered.response.status().is_success() => {
+                    Some(Source { answered, booking })
+                }
+                _ => None,
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/direct/src/notice.rs
@@ -0,0 +1,81 @@
+//! The records of the entries' stream, see [`crate::bulletin`].
+
+use crate::border::TargetId;
+use crate::route::Stage;
+use bytes::Bytes;
+use prost::Message;
+
+/// A record of the stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct Notice {
+    /// What it tells.
+    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    pub kind: Option<Kind>,
+}
+
+/// What a notice tells.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Kind {
+    /// An entry lives, or stops.
+    #[prost(message, tag = "1")]
+    Heartbeat(Heartbeat),
+    /// An entry is about to order changes; the record's offset is the fence of its orders.
+    #[prost(message, tag = "2")]
+    Plan(Plan),
+    /// Requests were running when a target crashed.
+    #[prost(message, tag = "3")]
+    Suspects(Suspects),
+}
+
+/// An entry tells that it lives.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Whether it stops.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Where it hears the other entries: address and port.
+    #[prost(string, tag = "3")]
+    pub address: String,
+}
+
+/// An entry announces changes of stage.
+#[derive(Clone, PartialEq, Message)]
+pub struct Plan {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub holder: String,
+    /// Engines that are to read prompts.
+    #[prost(string, repeated, tag = "2")]
+    pub readers: Vec<String>,
+    /// Engines that are to write output.
+    #[prost(string, repeated, tag = "3")]
+    pub writers: Vec<String>,
+}
+
+/// Requests that were running when a target crashed.
+#[derive(Clone, PartialEq, Message)]
+pub struct Suspects {
+    /// The entry that saw it.
+    #[prost(string, tag = "1")]
+    pub entry: String,
+    /// Their fingerprints.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub requests: Vec<u64>,
+}
+
+impl Plan {
+    /// The engines that are to change, with their new stages.
+    pub fn changes(&self) -> impl Iterator<Item = (TargetId, Stage)> + '_ {
+        let readers = self.readers.iter().map(|id| (TargetId::from(id), Stage::Prefill));
+        let writers = self.writers.iter().map(|id| (TargetId::from(id), Stage::Decode));
+        readers.chain(writers)
+    }
+}
+
+/// A notice as a record.
+pub fn record(kind: Kind) -> Bytes {
+    Notice { kind: Some(kind) }.encode_to_vec().into()
+}
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -9,6 +9,7 @@
 //! part is then guessed from the others'.
 
 use crate::border::Part;
+use crate::datagram::{Kept, Read, State, UNIT, Work, short};
 use crate::shared::Shared;
 use crate::tail::{self, Seen};
 use bytes::Bytes;
@@ -29,9 +30,6 @@
 /// Peers for which one [`PAUSE`] is enough.
 const PEERS: u32 = 4;
 
-/// The unit in which tokens are told: less than a third of a millisecond of reading.
-const UNIT: u64 = 64;
-
 /// Between two datagrams at most, so that silence means something.
 const ALIVE: Duration = Duration::from_millis(250);
 
@@ -44,71 +42,6 @@
 /// The largest datagram that is read, in bytes: more than all of a pool's engines and parts take.
 const MAX_DATAGRAM: usize = 8 * 1024;
 
-/// An entry's state.
-#[derive(Clone, PartialEq, Message)]
-struct State {
-    /// The hash of its name.
-    #[prost(fixed64, tag = "1")]
-    entry: u64,
-    /// Tells one run of its process from another.
-    #[prost(fixed64, tag = "2")]
-    run: u64,
-    /// Counts its datagrams.
-    #[prost(uint64, tag = "3")]
-    sequence: u64,
-    /// Its work, by engine.
-    #[prost(message, optional, tag = "4")]
-    work: Option<Work>,
-    /// Shared parts of prompts that engines have read for it since its last datagram.
-    #[prost(message, repeated, tag = "5")]
-    kept: Vec<Kept>,
-    /// How far it has read the log.
-    #[prost(message, repeated, tag = "6")]
-    reads: Vec<Read>,
-}
-
-/// What an entry knows of one stream of the log, see [`tail::Seen`].
-#[derive(Clone, Copy, PartialEq, Message)]
-struct Read {
-    /// The stream, as its place in [`tail::TOPICS`].
-    #[prost(uint32, tag = "1")]
-    topic: u32,
-    /// The offset after the last record that changed something.
-    #[prost(uint64, tag = "2")]
-    news: u64,
-    /// How long ago it was last read, in milliseconds.
-    #[prost(uint32, tag = "3")]
-    age_ms: u32,
-}
-
-/// The work of an entry at engines, in columns of equal length: seven bytes an engine.
-#[derive(Clone, PartialEq, Message)]
-struct Work {
-    /// The engines, each by the lower half of the hash of its id.
-    #[prost(fixed32, repeated, tag = "1")]
-    engines: Vec<u32>,
-    /// Tokens to be read there, in units of [`UNIT`].
-    #[prost(uint32, repeated, tag = "2")]
-    reading: Vec<u32>,
-    /// Streams there.
-    #[prost(uint32, repeated, tag = "3")]
-    streams: Vec<u32>,
-}
-
-/// Parts that an engine has read.
-#[derive(Clone, PartialEq, Message)]
-struct Kept {
-    /// The engine, by the lower half of the hash of its id.
-    #[prost(fixed32, tag = "1")]
-    engine: u32,
-    /// Their ids, in the prompt's order.
-    #[prost(fixed64, repeated, tag = "2")]
-    ids: Vec<u64>,
-    /// Their sizes in tokens.
-    #[prost(uint32, repeated, tag = "3")]
-    tokens: Vec<u32>,
-}
-
 /// The work of the other entries at one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Others {
@@ -275,25 +208,6 @@
     work
 }
 
-impl Work {
-    /// The rows; those of a datagram with columns of different lengths end with the shortest.
-    fn rows(self) -> Vec<(u32, Others)> {
-        let columns = self.engines.into_iter().zip(self.reading).zip(self.streams);
-        let rows = columns.map(|((engine, reading), streams)| {
-            (engine, Others { reading: u64::from(reading) * UNIT, streams })
-        });
-        rows.collect()
-    }
-}
-
-/// The name of an engine in datagrams: of 700 engines two share one with a chance of 0.006%.
-fn short(engine: Hash) -> u32 {
-    // Casting to a smaller integer keeps the lower half.
-    #[expect(clippy::cast_possible_truncation, reason = "half of a hash is a hash")]
-    let short = engine as u32;
-    short
-}
-
 /// Hears the other entries for as long as the process lives.
 pub async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM];
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -11,7 +11,8 @@
 
 use crate::attempt;
 use crate::border::{StageOrder, TargetId};
-use crate::bulletin::{self, Bulletin, Kind, Plan};
+use crate::bulletin::{self, Bulletin};
+use crate::notice::{self, Kind, Plan};
 use crate::route::{ServiceName, Stage};
 use crate::shared::Shared;
 use crate::target::Target;
@@ -141,7 +142,7 @@
             writers: of(Stage::Decode),
         };
         let began = since_boot();
-        let record = bulletin::record(Kind::Plan(plan.clone()));
+        let record = notice::record(Kind::Plan(plan.clone()));
         let fence = match self.log.append_at(bulletin::STREAM, end, record).await {
             Ok(offset) => offset,
             Err(error) => {
--- a/crates/direct/tests/story.rs
+++ b/crates/direct/tests/story.rs
@@ -46,10 +46,14 @@
     let root = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
     let page = std::fs::read_to_string(format!("{root}/docs/LOG.md")).unwrap();
     let folders = [format!("{root}/crates/direct/src"), format!("{root}/platform/src")];
-    let files = folders.iter().flat_map(|folder| std::fs::read_dir(folder).unwrap());
+    let mut folders: Vec<_> = folders.iter().map(std::path::PathBuf::from).collect();
     let mut events = std::collections::BTreeSet::new();
-    for file in files {
-        let text = std::fs::read_to_string(file.unwrap().path()).unwrap();
+    while let Some(path) = folders.pop() {
+        if path.is_dir() {
+            folders.extend(std::fs::read_dir(path).unwrap().map(|entry| entry.unwrap().path()));
+            continue;
+        }
+        let text = std::fs::read_to_string(path).unwrap();
         for level in ["info", "warn", "error"] {
             for call in text.split(&format!("log::{level}!(")).skip(1) {
                 // The event is the last literal, right before the closing parenthesis.
