--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -49,8 +49,6 @@
     pub deadline: Option<Duration>,
     /// The prompt, if this is a generation.
     pub prompt: Option<Prompt>,
-    /// The last event that the caller holds of a stream that it goes on with.
-    pub after_event: Option<CompactString>,
 }
 
 /// KV cache that a target holds for a request.
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -120,12 +120,7 @@
     let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let start =
         shared.iter().fold(policy::hash(&prompt.model), |hash, part| policy::mix(hash, part.id));
-    prompts::Prompt {
-        start,
-        tokens: u64::from(prompt.input),
-        shared: shared.iter().map(|part| u64::from(part.tokens)).sum(),
-        objective: job.route.objective,
-    }
+    prompts::Prompt { start, tokens: u64::from(prompt.input), objective: job.route.objective }
 }
 
 /// Has an engine read the prompt; `None` if it did not.
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -23,7 +23,6 @@
 const NO_LIMITS: Limits = Limits {
     header_bytes: 16 * 1024,
     body_bytes: 4 * 1024 * 1024,
-    header_time: Duration::from_secs(3),
     idle_time: Duration::from_secs(15),
 };
 
--- a/crates/direct/src/route.rs
+++ b/crates/direct/src/route.rs
@@ -25,15 +25,6 @@
     Resumable,
 }
 
-/// What an answer is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Shape {
-    /// One body.
-    Whole,
-    /// Events, one after the other.
-    Events,
-}
-
 /// What part of a generation an engine does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Stage {
@@ -65,8 +56,6 @@
     pub portions: Vec<Portion>,
     /// How often a request may run.
     pub repeat: Repeat,
-    /// What an answer is.
-    pub shape: Shape,
     /// How long a request may take in all.
     pub timeout: Duration,
     /// Within which time an answer, or its first event, earns its full worth.
@@ -80,12 +69,8 @@
 /// What all engines of a service have in common.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EngineSpec {
-    /// Requests that run at once.
-    pub slots: u32,
     /// Tokens that fit in the memory of one.
     pub memory: u64,
-    /// How long an engine is away when it changes its stage.
-    pub switch: Duration,
 }
 
 /// A service.
@@ -106,8 +91,6 @@
     pub header_bytes: usize,
     /// Bytes of a request's body.
     pub body_bytes: usize,
-    /// How long a head may take.
-    pub header_time: Duration,
     /// How long a connection may be idle.
     pub idle_time: Duration,
 }
--- a/crates/direct/tests/route.rs
+++ b/crates/direct/tests/route.rs
@@ -1,6 +1,6 @@
 //! Which route a request takes.
 
-use direct::route::{Limits, Portion, Repeat, Route, Shape, Table};
+use direct::route::{Limits, Portion, Repeat, Route, Table};
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -13,7 +13,6 @@
             .map(|(service, weight)| Portion { service: service.into(), weight })
             .into(),
         repeat: Repeat::Once,
-        shape: Shape::Whole,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
         rank: 0,
@@ -22,12 +21,7 @@
 }
 
 fn table() -> Table {
-    let limits = Limits {
-        header_bytes: 1,
-        body_bytes: 1,
-        header_time: Duration::ZERO,
-        idle_time: Duration::ZERO,
-    };
+    let limits = Limits { header_bytes: 1, body_bytes: 1, idle_time: Duration::ZERO };
     let routes = [
         route("root", "one.example", "/"),
         route("a", "one.example", "/a/"),
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -62,8 +62,6 @@
     pub start: Hash,
     /// All its tokens.
     pub tokens: u64,
-    /// The tokens of its shared start.
-    pub shared: u64,
     /// Within which time its first token is wanted.
     pub objective: Duration,
 }
--- a/crates/policy/tests/prompts.rs
+++ b/crates/policy/tests/prompts.rs
@@ -10,7 +10,7 @@
 }
 
 fn prompt(start: u64) -> Prompt {
-    Prompt { start, tokens: 9_000, shared: 6_000, objective: Duration::from_millis(150) }
+    Prompt { start, tokens: 9_000, objective: Duration::from_millis(150) }
 }
 
 fn at(place: Place) -> Option<usize> {
