refactor(direct): the sendings of a request are decided in one place

Cause: `plain` and `generate::write` each counted targets, asked for extras, judged outcomes and told the caller, with small differences; `plain` told `sendings=0` of every request that was answered at once. `tries` does it for both. Found on the same reading: the caller's headers were parsed again, parts of the prompt included, for each answer, only to compare an id that is known (it is now in `Sending`); the lists of usable targets were built anew ten times a second though nothing had changed.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -89,7 +89,7 @@
                     return Outcome::NotSent(error.error().to_compact_string());
                 }
             }
-            Ok(Ok(response)) => return judge(border, target, content, response, connection),
+            Ok(Ok(response)) => return judge(border, target, sending, response, connection),
         }
     }
 }
@@ -162,7 +162,7 @@
 fn judge(
     border: &dyn Border,
     target: &Arc<Target>,
-    content: &Content,
+    sending: &Sending,
     response: Response<Incoming>,
     connection: Connection,
 ) -> Outcome {
@@ -171,9 +171,8 @@
     if let Some(busy) = reply.busy {
         target.hear(busy, now);
     }
-    let sent = border.ask(&content.headers).attempt;
     let refused = reply.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST;
-    let other = reply.attempt.is_some() && reply.attempt != sent;
+    let other = reply.attempt.is_some() && reply.attempt != sending.attempt;
     if other {
         // A doubled or late answer stood where this one was due. The connection is dropped, and
         // with it the right answer: whose it would be can't be told any more.
--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -75,6 +75,8 @@
 /// One sending to one target, as far as headers tell of it.
 #[derive(Debug, Clone, Default)]
 pub struct Sending {
+    /// The caller's id of the sending: an answer that names another belongs elsewhere.
+    pub attempt: Option<AttemptId>,
     /// What is to be done.
     pub step: Step,
     /// The target meant; another one at its address has to refuse.
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -118,6 +118,7 @@
             self.remove(&id, offset, wait.map(|wait| now + wait));
         }
         self.expire(now);
+        self.publish();
     }
 
     /// Replaces the list by a complete one, read at `end`; targets that it lacks are gone.
@@ -145,6 +146,9 @@
         let lapsed = |member: &Member| member.lapses.is_some_and(|at| at <= now);
         let ended: Vec<_> =
             self.members.iter().filter(|(_, m)| lapsed(m)).map(|(id, _)| id.clone()).collect();
+        if ended.is_empty() {
+            return;
+        }
         for id in ended {
             log::info!(target: "fleet", target_id = id.as_str(); "target lapsed");
             self.members.remove(&id);
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -6,7 +6,7 @@
 mod write;
 
 use crate::answer::Body;
-use crate::border::{Prompt, Sending};
+use crate::border::Prompt;
 use crate::plain;
 use crate::route::Stage;
 use crate::serve::Job;
@@ -38,18 +38,6 @@
     job.shared.peers.read(engine.key, shared);
 }
 
-fn sending(job: &Job, target: &Target) -> Sending {
-    Sending {
-        target: target.id.clone(),
-        deadline: job.left(),
-        urgency: Some(job.route.rank.min(LEAST_URGENT)),
-        ..Sending::default()
-    }
-}
-
-/// The lowest urgency that engines know.
-const LEAST_URGENT: u8 = 9;
-
 /// The engine that writes with the fewest streams, as a share of its slots.
 fn writer(job: &Job, tried: &[Arc<Target>]) -> Option<Arc<Target>> {
     let now = Instant::now();
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -1,7 +1,7 @@
 //! The first half of a generation: an engine reads the prompt, unless the one that writes will.
 
 use super::cache::Cache;
-use super::{keep, sending};
+use super::keep;
 use crate::answer::Refusal;
 use crate::attempt::{self, Outcome};
 use crate::border::{Handle, Prompt, Sending, Step};
@@ -138,7 +138,7 @@
     let fetch = fetch.map(|engine| engine.address);
     let settings = &job.shared.settings.prompts;
     let urgency = Some(prompts::urgency(settings, tokens, job.route.rank));
-    let sending = Sending { step: Step::Prefill, fetch, urgency, ..sending(job, engine) };
+    let sending = Sending { step: Step::Prefill, fetch, urgency, ..job.sending(engine) };
     let began = Instant::now();
     let outcome = job.send(engine, &sending).await;
     let name = went(&outcome);
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -1,6 +1,6 @@
 //! Going on with a stream that broke.
 
-use super::{sending, writer};
+use super::writer;
 use crate::attempt::Outcome;
 use crate::border::Sending;
 use crate::relay::{Resume, Source};
@@ -39,7 +39,7 @@
             }
             let engine = writer(&job, &[failed])?;
             let booking = book(&engine, Some(engine.engine.write()));
-            let sending = Sending { after_event: after, ..sending(&job, &engine) };
+            let sending = Sending { after_event: after, ..job.sending(&engine) };
             let outcome = job.send(&engine, &sending).await;
             let name = went(&outcome);
             job.shared.metrics.sending(name);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod tail;
 pub mod target;
 pub mod trace;
+pub mod tries;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -42,6 +42,9 @@
 /// When to come back to another entry, which can serve the request.
 const AT_ONCE: Duration = Duration::from_millis(10);
 
+/// The lowest urgency that engines know.
+const LEAST_URGENT: u8 = 9;
+
 /// When to come back after a target refused or could not be reached: by then others are chosen.
 pub const SHORTLY: Duration = Duration::from_millis(100);
 
@@ -96,6 +99,18 @@
 }
 
 impl Job {
+    /// What a target is told if it is to do all of the request.
+    pub fn sending(&self, target: &Target) -> Sending {
+        Sending {
+            attempt: self.ask.attempt.clone(),
+            target: target.id.clone(),
+            deadline: self.left(),
+            // Plain services know no urgency, and their requests are as they came.
+            urgency: self.service.engine.as_ref().map(|_| self.route.rank.min(LEAST_URGENT)),
+            ..Sending::default()
+        }
+    }
+
     /// Sends the request to a target.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending) -> Outcome {
         self.shared.book_bytes(self.content.body.len());
