perf(policy,direct): parts are copied from any holder, writers are near, latecomers go behind

Entries believed in parts that own parts of other entries' prompts had long pushed out. KV caches went to any writer, two of three across failure domains. Refused callers came back after one queue (75 ms), in the same burst and past their objective, and took the place of fresh ones.

--- a/crates/direct/src/datagram.rs
+++ b/crates/direct/src/datagram.rs
@@ -22,7 +22,7 @@
     /// Its work, by engine.
     #[prost(message, optional, tag = "4")]
     pub work: Option<Work>,
-    /// Shared parts of prompts that engines have read for it since its last datagram.
+    /// Parts of prompts that engines have read for it since its last datagram.
     #[prost(message, repeated, tag = "5")]
     pub kept: Vec<Kept>,
     /// How far it has read the log.
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -34,19 +34,26 @@
 fn keep(job: &Job, prompt: &Prompt, engine: &Target) {
     let room = job.service.engine.as_ref().map_or(0, |spec| spec.memory);
     engine.engine.keep(&prompt.parts, room);
-    let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    job.shared.peers.read(engine.key, shared);
+    job.shared.peers.read(engine.key, &prompt.parts);
 }
 
-/// The engine that writes with the fewest streams, as a share of its slots.
-fn writer(job: &Job, tried: &[Arc<Target>]) -> Option<Arc<Target>> {
+/// Engines that write are told apart by how many of these parts of their slots streams fill. Within
+/// one such part the nearer engine is taken: between failure domains a KV cache takes twice as long
+/// and costs more, and with fewer streams an output is hardly faster. Worth rose from 0.586 to 0.596
+/// and from 0.584 to 0.592 on two loads.
+const FILL_PARTS: u32 = 4;
+
+/// An engine that writes: one with few streams, and of those one in the failure domain `near`.
+fn writer(job: &Job, tried: &[Arc<Target>], near: &str) -> Option<Arc<Target>> {
     let now = Instant::now();
     let engines = job.shared.usable(&job.service.name);
     let able = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = able.filter(|engine| tried.iter().all(|other| other.id != engine.id));
     let ranked = untried.map(|engine| {
         let streams = engine.engine.streams() + job.shared.peers.others(engine.key).streams;
-        let rank = (engine.is_paused(now), engine.is_changing(now), streams);
+        let fill = streams / (engine.slots / FILL_PARTS).max(1);
+        let away = engine.domain != near;
+        let rank = (engine.is_paused(now), engine.is_changing(now), fill, away, streams);
         (rank, job.shared.random(), engine)
     });
     let least = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -25,6 +25,11 @@
         Self { engine: engine.clone(), handle: Some(handle), job: job.clone() }
     }
 
+    /// The failure domain of the engine that holds it.
+    pub(super) fn domain(&self) -> &str {
+        &self.engine.domain
+    }
+
     /// Its handle, unless it was taken.
     pub(super) fn handle(&self) -> Option<&Handle> {
         self.handle.as_ref()
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -57,21 +57,22 @@
         // Another entry's link is likely free now.
         return Read::Refused(Refusal::LinkFull, back.min(SHORTLY));
     }
+    let wanted = wanted(job, prompt);
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.sendings < READERS {
         let engines = candidates(job, &tried);
         let readers: Vec<Reader> =
             engines.iter().map(|engine| reader(job, engine, prompt)).collect();
-        let wanted = wanted(job, prompt);
         let entries = job.shared.unheard();
         let settings = job.shared.prompts(&job.service.name);
         match prompts::place(&settings, &wanted, &readers, entries) {
             prompts::Place::Full(_) if prompt.input <= SHORT_PROMPT => {
                 return Read::Placed(Place::Anywhere);
             }
-            prompts::Place::Full(back) => {
-                let left = job.left();
-                return Read::Refused(Refusal::PromptsFull, back.min(left));
+            prompts::Place::Full(soonest) => {
+                let random = job.shared.random();
+                let back = prompts::come_back(&settings, soonest, job.left(), random);
+                return Read::Refused(Refusal::PromptsFull, back);
             }
             prompts::Place::Read { at, copy_from, tokens } => {
                 let engine = engines[at].clone();
@@ -113,6 +114,7 @@
         waiting: engine.engine.reading() + others.reading,
         kept: engine.engine.kept(&prompt.parts),
         filled: f64::from(streams) / f64::from(engine.slots.max(1)),
+        domain: engine.domain_key,
     }
 }
 
@@ -120,7 +122,9 @@
     let shared = prompt.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let start =
         shared.iter().fold(policy::hash(&prompt.model), |hash, part| policy::mix(hash, part.id));
-    prompts::Prompt { start, tokens: u64::from(prompt.input), objective: job.route.objective }
+    let late = job.shared.has_waited(&job.route, job.ask.deadline);
+    let (tokens, objective) = (u64::from(prompt.input), job.route.objective);
+    prompts::Prompt { start, tokens, objective, late }
 }
 
 /// Has an engine read the prompt; `None` if it did not.
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -37,7 +37,7 @@
             if !allowed || !job.shared.may_send_extra(&job.service.name) {
                 return None;
             }
-            let engine = writer(&job, &[failed])?;
+            let engine = writer(&job, std::slice::from_ref(&failed), &failed.domain)?;
             let booking = book(&engine, Some(engine.engine.write()));
             let sending = Sending { after_event: after, ..job.sending(&engine) };
             let outcome = job.send(&engine, &sending).await;
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -59,7 +59,10 @@
         let Self { job, place, tries, .. } = self;
         tries.next(job, |tried| match place {
             Place::There { engine, .. } if tried.is_empty() => Some(engine.clone()),
-            Place::There { .. } | Place::Kept(_) | Place::Anywhere => writer(job, tried),
+            Place::Kept(cache) => writer(job, tried, cache.domain()),
+            Place::There { .. } | Place::Anywhere => {
+                writer(job, tried, &job.shared.settings.domain)
+            }
         })
     }
 
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -74,7 +74,10 @@
 }
 
 impl Peers {
-    /// Notes that an engine has read the shared parts of a prompt.
+    /// Notes that an engine has read the parts of a prompt. Its own part is told as well: nobody
+    /// asks for it again, but it pushes others out of the engine's memory. Left out, entries
+    /// believed in shared parts that were long gone (worth 0.605 against 0.617, 0.598 against
+    /// 0.606 on two loads).
     pub fn read(&self, engine: Hash, parts: &[Part]) {
         let (ids, tokens) = parts.iter().map(|part| (part.id, part.tokens)).unzip();
         let mut inner = self.lock();
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -5,12 +5,12 @@
 use crate::fleet::Fleet;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::route::{Service, Table};
+use crate::route::{Route, RouteName, Service, Table};
 use crate::suspects::Suspects;
 use crate::tail::Tail;
 use crate::target::Target;
 use compact_str::CompactString;
-use policy::{link, prompts, split, window};
+use policy::{link, patience, prompts, split, window};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -93,6 +93,8 @@
     /// How fast engines read, by service.
     rates: Mutex<HashMap<CompactString, prompts::Rate>>,
     link: Mutex<link::Link>,
+    /// How long callers wait, by route.
+    patience: Mutex<HashMap<RouteName, patience::Patience>>,
     windows: Mutex<HashMap<CompactString, window::Window>>,
     entries: AtomicU32,
     random: Mutex<ChaCha8Rng>,
@@ -104,6 +106,9 @@
 /// takes health checks, and fewer while its queue is long.
 const CONNECTION_SHARE: f64 = 0.85;
 
+/// Routes whose callers' patience is remembered; operators add them by the hundred.
+const MAX_ROUTES: usize = 4_096;
+
 impl Shared {
     /// The state of an entry that has just started.
     pub fn new(settings: Settings, border: Arc<dyn Border>, seed: u64) -> Self {
@@ -121,6 +126,7 @@
             changed: changed.clone(),
             fleet: Mutex::new(Fleet::new(changed)),
             link,
+            patience: Mutex::default(),
             rates: Mutex::default(),
             windows: Mutex::default(),
             entries: AtomicU32::new(1),
@@ -213,6 +219,18 @@
         rate.sample(tokens, took);
     }
 
+    /// Whether the caller of a request that waits for `left` from now on has waited longer than the
+    /// route's objective already.
+    pub fn has_waited(&self, route: &Route, left: Option<Duration>) -> bool {
+        let Some(left) = left else { return false };
+        let mut patience = self.patience.lock().unwrap_or_else(PoisonError::into_inner);
+        if patience.len() >= MAX_ROUTES {
+            patience.clear();
+        }
+        let patience = patience.entry(route.name.clone()).or_default();
+        patience.has_waited(left, route.objective)
+    }
+
     /// How long the link is busy, if it is too busy for a request of `bytes` bytes.
     pub fn link_full(&self, bytes: u64, objective: Duration) -> Option<Duration> {
         self.link().too_long(bytes, objective, self.started.elapsed())
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -23,6 +23,8 @@
     pub address: SocketAddr,
     /// Its failure domain.
     pub domain: CompactString,
+    /// The hash of its failure domain.
+    pub domain_key: policy::Hash,
     /// Requests that it runs at once.
     pub slots: u32,
     /// Connections to it.
@@ -100,10 +102,10 @@
         slots: u32,
         changed: std::sync::Arc<tokio::sync::Notify>,
     ) -> Self {
-        let key = policy::hash(&id);
+        let (key, domain_key) = (policy::hash(&id), policy::hash(&domain));
         let load = Mutex::default();
         let (pool, engine) = (Pool::new(address), Engine::new(changed));
-        Self { id, key, service, address, domain, slots, pool, engine, load }
+        Self { id, key, service, address, domain, domain_key, slots, pool, engine, load }
     }
 
     /// Its stage, if it is an engine that has one.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod link;
 pub mod model;
 pub mod outlier;
+pub mod patience;
 pub mod prompts;
 pub mod quarantine;
 pub mod queue;
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -6,9 +6,10 @@
 //! by every engine and pushes others out, and in a burst all prompts wait, so all are late.
 //! **How.** Rendezvous hashing of the longest shared start gives each prompt a home, where that
 //! start is probably kept; a home with too much to read passes it to the next in the order of the
-//! hashes that has not, which copies the start from the home. An engine has too much if what waits would take more
-//! than a share of the objective; a prompt that fits nowhere is refused at once and told when to
-//! come back. **Figures.** See [`Settings`].
+//! hashes that has not. Whichever engine reads copies what it lacks from the one that keeps most
+//! of the start. An engine has too much if what waits would take more than a share of the
+//! objective; a prompt that fits nowhere is refused at once and told when to come back.
+//! **Figures.** See [`Settings`].
 
 use crate::number::{float, span};
 use crate::{Hash, mix};
@@ -25,6 +26,12 @@
     /// for the first step of the output. With the rate learnt, 0.5 served more than 0.38 on seven
     /// of seven measured loads; less leaves engines idle, more makes prompts late.
     pub share: f64,
+    /// The same for a prompt whose objective has passed, because its caller was refused and came
+    /// back. Under overload each of these takes the place of one that can still be in time: with
+    /// half the share, worth rose from 0.596 to 0.605 and from 0.592 to 0.598 on two loads.
+    pub late_share: f64,
+    /// The share of the time they have left after which refused callers come back at the latest.
+    pub honoured: f64,
     /// A prompt with no more tokens to read is short: it takes 3 ms.
     pub short: u64,
     /// What an engine that also writes output reads, as a part of what one that only reads does.
@@ -32,11 +39,25 @@
     /// An engine that writes reads a prompt for itself while streams fill no more than this share
     /// of its slots.
     pub writer_filled: f64,
+    /// A start is copied if that saves reading so many tokens. Copying a token takes a tenth of
+    /// reading it, and setting a copy up as long as reading some hundred. Copies from any holder,
+    /// not from the home alone, took 13 to 16% off the shared parts that were read again, and raised
+    /// worth from 0.569 to 0.586 and from 0.567 to 0.584 on two loads.
+    pub least_copy: u64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { rate: 300_000.0, share: 0.5, short: 1_000, writer_share: 0.5, writer_filled: 0.125 }
+        Self {
+            rate: 300_000.0,
+            share: 0.5,
+            late_share: 0.25,
+            honoured: 1.0 / 3.0,
+            short: 1_000,
+            writer_share: 0.5,
+            writer_filled: 0.125,
+            least_copy: 512,
+        }
     }
 }
 
@@ -53,6 +74,8 @@
     pub kept: u64,
     /// The share of its slots that streams fill.
     pub filled: f64,
+    /// The hash of its failure domain: copies within one take half as long.
+    pub domain: Hash,
 }
 
 /// A prompt to be placed.
@@ -64,6 +87,8 @@
     pub tokens: u64,
     /// Within which time its first token is wanted.
     pub objective: Duration,
+    /// Whether that time has passed already.
+    pub late: bool,
 }
 
 /// Where a prompt goes.
@@ -97,16 +122,19 @@
 /// Places a prompt, for an entry that knows of the work of one in `unheard` entries.
 pub fn place(settings: &Settings, prompt: &Prompt, readers: &[Reader], unheard: u32) -> Place {
     let order = order(prompt, readers);
-    let Some(&home) = order.first() else { return Place::Full(prompt.objective) };
-    let most = prompt.objective.as_secs_f64() * settings.share / f64::from(unheard.max(1));
-    let (at_home, kept) = (unread(prompt, readers[home].kept), readers[home].kept);
+    if order.is_empty() {
+        return Place::Full(prompt.objective);
+    }
+    let share = if prompt.late { settings.late_share } else { settings.share };
+    let most = prompt.objective.as_secs_f64() * share / f64::from(unheard.max(1));
     let mut soonest = f64::INFINITY;
     for at in order {
         let reader = &readers[at];
-        let copies = at != home && kept > reader.kept;
-        let tokens = if copies { at_home } else { unread(prompt, reader.kept) };
+        let copy_from = source(settings, readers, at);
+        let kept = copy_from.map_or(reader.kept, |from| readers[from].kept);
+        let tokens = unread(prompt, kept);
         if fits(settings, reader, tokens, most) {
-            return Place::Read { at, copy_from: copies.then_some(home), tokens };
+            return Place::Read { at, copy_from, tokens };
         }
         soonest = soonest.min(wait(settings, reader, 0));
     }
@@ -123,6 +151,18 @@
     order
 }
 
+/// The engine from which the one at `to` copies the prompt's start: the one that keeps most, if
+/// that is enough more. Of several, one in the same failure domain.
+fn source(settings: &Settings, engines: &[Reader], to: usize) -> Option<usize> {
+    let reader = &engines[to];
+    let others = (0..engines.len()).filter(|&from| from != to);
+    let best = others.max_by_key(|&from| {
+        let engine = &engines[from];
+        (engine.kept, engine.domain == reader.domain, mix(engine.key, reader.key))
+    })?;
+    (engines[best].kept >= reader.kept + settings.least_copy).then_some(best)
+}
+
 fn unread(prompt: &Prompt, kept: u64) -> u64 {
     prompt.tokens - kept.min(prompt.tokens)
 }
@@ -142,6 +182,20 @@
     may && (idle || wait(settings, reader, tokens) <= most)
 }
 
+/// When the caller of a prompt that was refused should come back, if an engine can begin it after
+/// `soonest` and the caller waits for another `left`; `random` is between 0 and 1.
+///
+/// **Load pattern.** A burst of seconds, in which hundreds of callers a second are refused and may
+/// come back once. **Without it** they come back after the time of one queue, in the middle of the
+/// same burst, and are refused for good. **How.** Their objective has passed by then in any case,
+/// so they come back late, spread over the second half of the time that they honour.
+/// **Figures.** Refused for good were 8.2% of all requests before and 7.5% after on one load, 8.9%
+/// and 8.2% on another.
+pub fn come_back(settings: &Settings, soonest: Duration, left: Duration, random: f64) -> Duration {
+    let most = left.mul_f64(settings.honoured);
+    soonest.max(most.mul_f64(0.5 + 0.5 * random)).min(most)
+}
+
 /// How fast the engines of a service read, learnt from prompts that were read.
 ///
 /// It follows the median of the samples by small steps: a sample is wrong by a factor when the
--- a/crates/policy/tests/prompts.rs
+++ b/crates/policy/tests/prompts.rs
@@ -1,16 +1,23 @@
 //! Where prompts are read.
 
-use policy::prompts::{Place, Prompt, Rate, Reader, Settings, place};
+use policy::prompts::{Place, Prompt, Rate, Reader, Settings, come_back, place};
 use std::time::Duration;
 
 const ENTRIES: u32 = 1;
 
 fn reader(key: u64) -> Reader {
-    Reader { key: policy::hash(&key.to_string()), writes: false, waiting: 0, kept: 0, filled: 0.0 }
+    Reader {
+        key: policy::hash(&key.to_string()),
+        writes: false,
+        waiting: 0,
+        kept: 0,
+        filled: 0.0,
+        domain: key % 2,
+    }
 }
 
 fn prompt(start: u64) -> Prompt {
-    Prompt { start, tokens: 9_000, objective: Duration::from_millis(150) }
+    Prompt { start, tokens: 9_000, objective: Duration::from_millis(150), late: false }
 }
 
 fn at(place: Place) -> Option<usize> {
@@ -46,6 +53,57 @@
     assert_eq!(next, Place::Read { at, copy_from: Some(home), tokens: 3_000 });
 }
 
+/// Engines that write took the parts of a prompt over with its KV cache, and the home has lost them
+/// to other prompts. Read again, they take ten times as long as a copy.
+#[test]
+fn the_start_is_copied_from_whichever_engine_keeps_most_of_it() {
+    let mut readers: Vec<_> = (0..5).map(reader).collect();
+    let settings = Settings::default();
+    let home = at(place(&settings, &prompt(5), &readers, ENTRIES)).unwrap();
+    for holder in (0..5).filter(|at| *at != home) {
+        readers[holder].writes = true;
+        readers[holder].kept = 6_000;
+    }
+    readers[home].kept = 2_500;
+    let Place::Read { at, copy_from: Some(from), tokens } =
+        place(&settings, &prompt(5), &readers, ENTRIES)
+    else {
+        panic!("it was not copied");
+    };
+    assert_eq!((at, tokens, readers[from].domain), (home, 3_000, readers[home].domain));
+    readers[home].kept = 5_900;
+    let place = place(&settings, &prompt(5), &readers, ENTRIES);
+    assert_eq!(place, Place::Read { at: home, copy_from: None, tokens: 3_100 });
+}
+
+/// In a burst those that were refused come back, and their objective has passed. Let in like fresh
+/// ones, each takes the place of one that could still be in time.
+#[test]
+fn prompts_that_are_late_already_are_let_in_only_where_the_queue_is_short() {
+    let mut readers: Vec<_> = (0..4).map(reader).collect();
+    for reader in &mut readers {
+        reader.waiting = 8_000;
+    }
+    let settings = Settings::default();
+    assert!(at(place(&settings, &prompt(5), &readers, ENTRIES)).is_some());
+    let late = Prompt { late: true, ..prompt(5) };
+    assert_eq!(at(place(&settings, &late, &readers, ENTRIES)), None);
+    readers[0].waiting = 0;
+    assert_eq!(at(place(&settings, &late, &readers, ENTRIES)), Some(0));
+}
+
+/// Hundreds of callers are refused in one second of a burst and may come back once. All told the
+/// same short time they meet again, and are refused for good.
+#[test]
+fn refused_callers_come_back_spread_over_the_time_that_they_honour() {
+    let settings = Settings::default();
+    let back = |soonest, random| {
+        come_back(&settings, Duration::from_millis(soonest), Duration::from_millis(1_800), random)
+    };
+    let times = [back(75, 0.0), back(75, 0.5), back(75, 1.0), back(450, 0.0), back(5_000, 0.0)];
+    assert_eq!(times.map(|time| time.as_millis()), [300, 450, 600, 450, 600]);
+}
+
 /// In a burst all engines have more to read than fits into the objective. A prompt that joined them
 /// would be late and make those behind it late.
 #[test]
