perf(policy,direct): dark targets get nothing until a probe succeeds; slow links are learnt

A pause ends only by a probe; a target with work that says nothing for three objectives counts as away; the median of transfers is followed for each engine and direction, and readers with slow links get and lend less, writers come later.

The engines' reading rate: prompts were read in 50 to 80 ms throughout.

Tried and not kept: requests that may go on elsewhere leave silent targets (prefills, safe calls, streams).

--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -180,6 +180,7 @@
         };
         for target in services.iter().flat_map(|name| shared.usable(name).to_vec()) {
             target.pool.expire(now);
+            target.probe_when_due(now);
         }
     }
 }
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -10,11 +10,12 @@
 use crate::plain;
 use crate::route::Stage;
 use crate::serve::Job;
-use crate::target::Target;
+use crate::target::{Target, Way};
 use crate::trace::Trace;
 use http::Response;
 use read::Read;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Serves a generation.
@@ -43,9 +44,14 @@
 /// and from 0.584 to 0.592 on two loads.
 const FILL_PARTS: u32 = 4;
 
+/// Engines whose KV cache is on its way for this share of the objective longer than usual are taken
+/// after others: that is as much as reading a prompt may wait for a queue of two others.
+const SLOW_STEP: f64 = 0.17;
+
 /// An engine that writes: one with few streams, and of those one in the failure domain `near`.
 fn writer(job: &Job, tried: &[Arc<Target>], near: &str) -> Option<Arc<Target>> {
     let now = Instant::now();
+    let step = job.route.objective.mul_f64(SLOW_STEP).max(Duration::from_millis(1));
     let engines = job.shared.usable(&job.service.name);
     let able = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = able.filter(|engine| tried.iter().all(|other| other.id != engine.id));
@@ -53,7 +59,9 @@
         let streams = engine.engine.streams() + job.shared.peers.others(engine.key).streams;
         let fill = streams / (engine.slots / FILL_PARTS).max(1);
         let away = engine.domain != near;
-        let rank = (engine.is_paused(now), engine.is_changing(now), fill, away, streams);
+        let slow = engine.handover_excess(Way::In, now).as_micros() / step.as_micros();
+        let paused = engine.is_away(job.patience(), now);
+        let rank = (paused, engine.is_changing(now), slow, fill, away, streams);
         (rank, job.shared.random(), engine)
     });
     let least = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -25,9 +25,9 @@
         Self { engine: engine.clone(), handle: Some(handle), job: job.clone() }
     }
 
-    /// The failure domain of the engine that holds it.
-    pub(super) fn domain(&self) -> &str {
-        &self.engine.domain
+    /// The engine that holds it.
+    pub(super) fn holder(&self) -> &Arc<Target> {
+        &self.engine
     }
 
     /// Its handle, unless it was taken.
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -7,7 +7,7 @@
 use crate::border::{Handle, Prompt, Sending, Step};
 use crate::route::Stage;
 use crate::serve::{Job, SHORTLY, went};
-use crate::target::Target;
+use crate::target::{Target, Way};
 use crate::trace::Trace;
 use compact_str::CompactString;
 use http_body_util::BodyExt;
@@ -101,8 +101,12 @@
     let now = Instant::now();
     let engines = job.shared.usable(&job.service.name);
     let untried = |engine: &&Arc<Target>| tried.iter().all(|other| other.id != engine.id);
-    let able = engines.iter().filter(untried).filter(|engine| !engine.is_paused(now));
-    able.filter(|engine| !engine.is_changing(now)).cloned().collect()
+    let able: Vec<_> =
+        engines.iter().filter(untried).filter(|engine| !engine.is_changing(now)).cloned().collect();
+    let here = |engine: &&Arc<Target>| !engine.is_away(job.patience(), now);
+    let present: Vec<_> = able.iter().filter(here).cloned().collect();
+    // All seem away to a process that was frozen itself and has not read what they said.
+    if present.is_empty() { able } else { present }
 }
 
 fn reader(job: &Job, engine: &Arc<Target>, prompt: &Prompt) -> Reader {
@@ -114,6 +118,7 @@
         waiting: engine.engine.reading() + others.reading,
         kept: engine.engine.kept(&prompt.parts),
         filled: f64::from(streams) / f64::from(engine.slots.max(1)),
+        handover: engine.handover_excess(Way::Out, Instant::now()),
         domain: engine.domain_key,
     }
 }
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -9,11 +9,12 @@
 use crate::relay::{Booking, Source};
 use crate::route::Repeat;
 use crate::serve::{Job, book, relay, went};
-use crate::target::Target;
+use crate::target::{Target, Way};
 use crate::trace::Trace;
 use crate::tries::Tries;
 use http::Response;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Has an engine write the output, and passes it on.
@@ -30,6 +31,7 @@
         let outcome = write.job.send(&engine, &sending).await;
         write.trace.tried("write", &engine.id, went(&outcome), began.elapsed());
         write.job.shared.metrics.sending(went(&outcome));
+        write.note_handover(&engine, &outcome, began.elapsed());
         let another = write.tries.note(&write.job, &engine, &outcome);
         match outcome {
             Outcome::Answered(answered) => return write.relay(answered, booking),
@@ -44,6 +46,10 @@
     write.tries.give_up(&write.job, &mut write.trace)
 }
 
+/// KV cache of shorter prompts, in tokens, says little of the link: it takes a fraction of a
+/// millisecond.
+const LEAST_HANDOVER: u32 = 1_024;
+
 /// A generation whose output is to be written.
 struct Write {
     job: Arc<Job>,
@@ -59,7 +65,7 @@
         let Self { job, place, tries, .. } = self;
         tries.next(job, |tried| match place {
             Place::There { engine, .. } if tried.is_empty() => Some(engine.clone()),
-            Place::Kept(cache) => writer(job, tried, cache.domain()),
+            Place::Kept(cache) => writer(job, tried, &cache.holder().domain),
             Place::There { .. } | Place::Anywhere => {
                 writer(job, tried, &job.shared.settings.domain)
             }
@@ -86,6 +92,23 @@
         (sending, booking)
     }
 
+    /// Takes in how long the KV cache was on its way, for both ends. An engine that refuses it has
+    /// too many others before it.
+    fn note_handover(&self, to: &Arc<Target>, outcome: &Outcome, took: Duration) {
+        let Place::Kept(cache) = &self.place else { return };
+        if self.prompt.input < LEAST_HANDOVER {
+            return;
+        }
+        let took = match outcome {
+            Outcome::Answered(_) => took,
+            Outcome::NotRun(_) => self.job.patience(),
+            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::Late => return,
+        };
+        let now = Instant::now();
+        to.handed_over(Way::In, took, now);
+        cache.holder().handed_over(Way::Out, took, now);
+    }
+
     fn relay(mut self, answered: Box<Answered>, booking: Booking) -> Response<Body> {
         if let Place::Kept(cache) = &mut self.place {
             cache.taken();
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -45,7 +45,7 @@
     let untried = targets.iter().filter(|target| tried.iter().all(|other| other.id != target.id));
     let rank = |target: &Arc<Target>| {
         let away = target.domain != job.shared.settings.domain;
-        (target.is_paused(now), target.fullness(now), away)
+        (target.is_away(job.patience(), now), target.fullness(now), away)
     };
     // Equal targets are drawn at random, so that entries don't all take the same.
     let drawn = untried.map(|target| (rank(target), job.shared.random(), target));
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -149,6 +149,7 @@
         let bytes = frame.into_data().ok()?;
         if let State::Open(open) = &mut self.state {
             open.booking.reading = None;
+            open.booking.target.heard(Instant::now());
         }
         let bytes = match &mut self.events {
             Some(events) => events.take(&bytes),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -42,6 +42,10 @@
 /// When to come back to another entry, which can serve the request.
 const AT_ONCE: Duration = Duration::from_millis(10);
 
+/// A target that is dark says nothing for longer than this many times what a first answer may take.
+/// One that is merely full says something each time that it ends a request of others.
+const SILENCE: u32 = 3;
+
 /// The lowest urgency that engines know.
 const LEAST_URGENT: u8 = 9;
 
@@ -119,6 +123,11 @@
         attempt::send(border, target, &self.content, sending, most, self.last_word()).await
     }
 
+    /// How long a target that works for others as well may say nothing before it counts as away.
+    pub fn patience(&self) -> Duration {
+        self.route.objective * SILENCE
+    }
+
     /// How long the target may still work.
     pub fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -5,6 +5,8 @@
 use crate::pool::Pool;
 use crate::route::{ServiceName, Stage};
 use compact_str::CompactString;
+use policy::handover::Handover;
+use policy::reach::Reach;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -32,6 +34,17 @@
     /// What this process knows of the prompts and streams there.
     pub engine: Engine,
     load: Mutex<Load>,
+    /// When this process first knew it; times in decisions count from then.
+    known: Instant,
+}
+
+/// Which way KV cache goes, seen from one engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    /// To another engine.
+    Out,
+    /// From another engine.
+    In,
 }
 
 /// The weight of a new sample in the average of failures: it forgets within some ten samples.
@@ -45,12 +58,6 @@
 /// so an older word says nothing.
 const FRESH: Duration = Duration::from_millis(100);
 
-/// The first pause after a target could not be reached; it doubles up to [`MOST_PAUSE`].
-const PAUSE: Duration = Duration::from_millis(250);
-
-/// The longest pause: a target that is back is found within this time.
-const MOST_PAUSE: Duration = Duration::from_secs(2);
-
 /// How long a target that broke off may take to accept a connection.
 const CHECK: Duration = Duration::from_millis(300);
 
@@ -61,10 +68,11 @@
 #[derive(Debug, Default)]
 struct Load {
     stage: Option<Stage>,
-    in_flight: u32,
+    reach: Reach,
+    handed_out: Handover,
+    taken_in: Handover,
     failures: f64,
     busy: Option<(Busy, Instant)>,
-    pause: Option<Pause>,
     change: Option<Change>,
 }
 
@@ -75,12 +83,6 @@
     until: Instant,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Pause {
-    until: Instant,
-    length: Duration,
-}
-
 /// How an exchange with a target ended, as far as its health goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -103,9 +105,9 @@
         changed: std::sync::Arc<tokio::sync::Notify>,
     ) -> Self {
         let (key, domain_key) = (policy::hash(&id), policy::hash(&domain));
-        let load = Mutex::default();
+        let (load, known) = (Mutex::default(), Instant::now());
         let (pool, engine) = (Pool::new(address), Engine::new(changed));
-        Self { id, key, service, address, domain, domain_key, slots, pool, engine, load }
+        Self { id, key, service, address, domain, domain_key, slots, pool, engine, load, known }
     }
 
     /// Its stage, if it is an engine that has one.
@@ -137,12 +139,13 @@
 
     /// Requests of this process that it has.
     pub fn in_flight(&self) -> u32 {
-        self.load().in_flight
+        self.load().reach.outstanding()
     }
 
     /// Books a request sent there; the booking ends with the guard.
     pub fn enter(self: &std::sync::Arc<Self>) -> Entered {
-        self.load().in_flight += 1;
+        let now = self.time(Instant::now());
+        self.load().reach.enter(now);
         Entered(self.clone())
     }
 
@@ -159,15 +162,34 @@
             Health::Failing | Health::Unreachable => 1.0,
         };
         load.failures += (failed - load.failures) * SMOOTHING;
-        load.pause = match (health, load.pause) {
-            (Health::Sound | Health::Failing, _) => None,
-            // Several exchanges that end together are one piece of news.
-            (Health::Unreachable, Some(pause)) if now < pause.until => Some(pause),
-            (Health::Unreachable, pause) => {
-                let length = pause.map_or(PAUSE, |pause| (pause.length * 2).min(MOST_PAUSE));
-                Some(Pause { until: now + length, length })
-            }
-        };
+        match health {
+            Health::Sound | Health::Failing => load.reach.heard(self.time(now)),
+            Health::Unreachable => load.reach.unreachable(self.time(now)),
+        }
+    }
+
+    /// Notes that a piece of an answer came from it.
+    pub fn heard(&self, now: Instant) {
+        self.load().reach.heard(self.time(now));
+    }
+
+    /// Takes in how long KV cache was on its way.
+    pub fn handed_over(&self, way: Way, took: Duration, now: Instant) {
+        let now = self.time(now);
+        let mut load = self.load();
+        match way {
+            Way::Out => load.handed_out.sample(took, now),
+            Way::In => load.taken_in.sample(took, now),
+        }
+    }
+
+    /// How much longer than usual KV cache is on its way.
+    pub fn handover_excess(&self, way: Way, now: Instant) -> Duration {
+        let (load, now) = (self.load(), self.time(now));
+        match way {
+            Way::Out => load.handed_out.excess(now),
+            Way::In => load.taken_in.excess(now),
+        }
     }
 
     /// Tries to connect, after an exchange broke off: a single connection may have been reset, or
@@ -180,9 +202,23 @@
         false
     }
 
-    /// Whether it was lately unreachable and is left alone.
-    pub fn is_paused(&self, now: Instant) -> bool {
-        self.load().pause.is_some_and(|pause| now < pause.until)
+    /// Whether it could lately not be reached, or has said nothing for `patience` though it has
+    /// work: others go first.
+    pub fn is_away(&self, patience: Duration, now: Instant) -> bool {
+        let load = self.load();
+        load.reach.is_paused() || load.reach.is_silent(patience, self.time(now))
+    }
+
+    /// Tries to connect once its pause is over.
+    pub fn probe_when_due(self: &std::sync::Arc<Self>, now: Instant) {
+        if self.load().reach.begin_probe(self.time(now)) {
+            let target = self.clone();
+            tokio::spawn(async move {
+                if target.still_listens().await {
+                    target.heard(Instant::now());
+                }
+            });
+        }
     }
 
     /// How full it is, as a share of its slots: what this process has there or what it said, and
@@ -193,10 +229,14 @@
             Some((busy, at)) if now.duration_since(at) < FRESH => busy.running + busy.waiting,
             _ => 0,
         };
-        let requests = f64::from(load.in_flight.max(heard));
+        let requests = f64::from(load.reach.outstanding().max(heard));
         requests / f64::from(self.slots.max(1)) + load.failures * FAILURE_WEIGHT
     }
 
+    fn time(&self, now: Instant) -> policy::Time {
+        now.saturating_duration_since(self.known)
+    }
+
     fn load(&self) -> MutexGuard<'_, Load> {
         self.load.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -208,7 +248,6 @@
 
 impl Drop for Entered {
     fn drop(&mut self) {
-        let mut load = self.0.load();
-        load.in_flight = load.in_flight.saturating_sub(1);
+        self.0.load().reach.leave();
     }
 }
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -74,6 +74,8 @@
     pub kept: u64,
     /// The share of its slots that streams fill.
     pub filled: f64,
+    /// How much longer than usual it takes to hand KV cache over.
+    pub handover: Duration,
     /// The hash of its failure domain: copies within one take half as long.
     pub domain: Hash,
 }
@@ -155,27 +157,33 @@
 /// that is enough more. Of several, one in the same failure domain.
 fn source(settings: &Settings, engines: &[Reader], to: usize) -> Option<usize> {
     let reader = &engines[to];
-    let others = (0..engines.len()).filter(|&from| from != to);
-    let best = others.max_by_key(|&from| {
+    let others = (0..engines.len())
+        .filter(|&from| from != to && copies_pay(settings, reader, &engines[from]));
+    others.max_by_key(|&from| {
         let engine = &engines[from];
         (engine.kept, engine.domain == reader.domain, mix(engine.key, reader.key))
-    })?;
-    (engines[best].kept >= reader.kept + settings.least_copy).then_some(best)
+    })
+}
+
+/// Whether copying is worth it: it saves enough reading, also if the holder's link is slow.
+fn copies_pay(settings: &Settings, to: &Reader, from: &Reader) -> bool {
+    let saved = from.kept.saturating_sub(to.kept);
+    saved >= settings.least_copy && float(saved) / settings.rate > from.handover.as_secs_f64()
 }
 
 fn unread(prompt: &Prompt, kept: u64) -> u64 {
     prompt.tokens - kept.min(prompt.tokens)
 }
 
-/// The seconds until a reader has read what waits there and `tokens` more.
+/// The seconds until a reader has read what waits there and `tokens` more and handed it over.
 fn wait(settings: &Settings, reader: &Reader, tokens: u64) -> f64 {
     let part = if reader.writes { settings.writer_share } else { 1.0 };
-    float(reader.waiting + tokens) / (settings.rate * part)
+    float(reader.waiting + tokens) / (settings.rate * part) + reader.handover.as_secs_f64()
 }
 
 fn fits(settings: &Settings, reader: &Reader, tokens: u64, most: f64) -> bool {
     // An idle reader takes a prompt of any size: nothing is gained by leaving it idle.
-    let idle = reader.waiting == 0;
+    let idle = reader.waiting == 0 && reader.handover.as_secs_f64() < most;
     // One that writes takes a prompt only while it reads none and writes little: each step of its
     // output waits for a piece of what it reads.
     let may = !reader.writes || (idle && reader.filled <= settings.writer_filled);
--- a/crates/policy/tests/prompts.rs
+++ b/crates/policy/tests/prompts.rs
@@ -12,6 +12,7 @@
         waiting: 0,
         kept: 0,
         filled: 0.0,
+        handover: Duration::ZERO,
         domain: key % 2,
     }
 }
@@ -104,6 +105,23 @@
     assert_eq!(times.map(|time| time.as_millis()), [300, 450, 600, 450, 600]);
 }
 
+/// The links of two engines are slow, and what they read leaves them late. Their queues look short,
+/// so they would get even more prompts, and copies from them would hold up the others.
+#[test]
+fn engines_with_slow_links_read_and_lend_less() {
+    let settings = Settings::default();
+    let mut readers: Vec<_> = (0..4).map(reader).collect();
+    let home = at(place(&settings, &prompt(5), &readers, ENTRIES)).unwrap();
+    readers[home].kept = 6_000;
+    readers[home].handover = Duration::from_millis(90);
+    let Place::Read { at, copy_from, .. } = place(&settings, &prompt(5), &readers, ENTRIES) else {
+        panic!("others have room");
+    };
+    assert!(at != home && copy_from.is_none());
+    readers[home].handover = Duration::from_millis(10);
+    assert_eq!(self::at(place(&settings, &prompt(5), &readers, ENTRIES)), Some(home));
+}
+
 /// In a burst all engines have more to read than fits into the objective. A prompt that joined them
 /// would be late and make those behind it late.
 #[test]
