feat(direct): histograms of sendings, gaps and calls to the store; counters by target, tokens kept, ages

The log's calls are counted and timed in one place, a log around the log, where four places counted them before. Sendings are counted where the trace takes them in. Counters of targets that are gone are dropped: each restart brings a new id.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -75,7 +75,7 @@
     loop {
         let leaving = stop.is_cancelled();
         let (name, address) = (shared.settings.name.to_string(), address.to_string());
-        write(&shared, &*log, Kind::Heartbeat(Heartbeat { name, leaving, address })).await;
+        write(&*log, Kind::Heartbeat(Heartbeat { name, leaving, address })).await;
         if leaving {
             return;
         }
@@ -93,18 +93,14 @@
         let requests = shared.suspects.take_news(MAX_SUSPICIONS);
         if !requests.is_empty() {
             let entry = shared.settings.name.to_string();
-            write(&shared, &*log, Kind::Suspects(Suspects { entry, requests })).await;
+            write(&*log, Kind::Suspects(Suspects { entry, requests })).await;
         }
     }
 }
 
-async fn write(shared: &Shared, log: &dyn KeyedLog, kind: Kind) {
-    match log.append(STREAM, vec![notice::record(kind)]).await {
-        Ok(_) => shared.metrics.store("ok"),
-        Err(error) => {
-            shared.metrics.store("failed");
-            log::info!(target: "bulletin", error:% = error; "notice not written");
-        }
+async fn write(log: &dyn KeyedLog, kind: Kind) {
+    if let Err(error) = log.append(STREAM, vec![notice::record(kind)]).await {
+        log::info!(target: "bulletin", error:% = error; "notice not written");
     }
 }
 
@@ -119,7 +115,6 @@
         }
         match log.read(STREAM, next, MAX_READ, WAIT).await {
             Ok(batch) => {
-                shared.metrics.store("ok");
                 let now = Instant::now();
                 let Bulletin { mut planned, mut any_plan, .. } = *bulletin.borrow();
                 planned.get_or_insert(now);
@@ -141,7 +136,6 @@
             Err(plat::Error::Gone { oldest, .. }) => next = oldest,
             Err(error) => {
                 // What was heard stays: while the log is away nobody can be heard.
-                shared.metrics.store("failed");
                 log::debug!(target: "bulletin", error:% = error; "notices not read");
             }
         }
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::bulletin::{self, Bulletin};
 use crate::follow::{self, Decode};
 use crate::intake::Intake;
+use crate::measured::Measured;
 use crate::peers;
 use crate::probe;
 use crate::shared::{Shared, Stop};
@@ -101,6 +102,7 @@
         stop: CancellationToken,
     ) {
         let Self { shared, callers, readiness, metrics, peers, addresses } = self;
+        let log: Arc<dyn KeyedLog> = Arc::new(Measured::new(log, shared.metrics.clone()));
         let peers = Arc::new(peers);
         let (ending, last) = (CancellationToken::new(), CancellationToken::new());
         let intake = Arc::new(Intake::new(stop.clone(), ending.clone()));
@@ -162,6 +164,9 @@
     Arc::new(move |_| {
         let dropped = crate::journal::dropped();
         shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        for seen in shared.tail.seen(Instant::now()) {
+            shared.metrics.age(seen.topic.name(), seen.age);
+        }
         (StatusCode::OK, shared.metrics.text())
     })
 }
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -103,7 +103,6 @@
         loop {
             match self.try_read().await {
                 Ok(reading) => {
-                    self.shared.metrics.store("ok");
                     self.pause = PAUSE;
                     if let Some(lost) = self.lost.take() {
                         let lost_ms = lost.elapsed().as_millis();
@@ -130,12 +129,10 @@
 
     async fn fail(&mut self, error: plat::Error) {
         if let plat::Error::Gone { oldest, .. } = error {
-            self.shared.metrics.store("gone");
             log::info!(target: "store", stream = self.name, oldest; "history gone");
             self.next = None;
             return;
         }
-        self.shared.metrics.store("failed");
         let now = Instant::now();
         self.trouble = Some(now);
         if self.lost.is_none() {
@@ -208,6 +205,7 @@
         }
         let (known, newest) = {
             let fleet = shared.fleet();
+            shared.metrics.forget_targets(|id| fleet.get(id).is_some());
             (fleet.len(), fleet.news())
         };
         tail::note(&shared, Topic::Targets, newest);
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -147,6 +147,8 @@
     let fetch = fetch.map(|engine| engine.address);
     let settings = &job.shared.settings.prompts;
     let urgency = Some(prompts::urgency(settings, tokens, job.route.rank));
+    let kept = u64::from(prompt.input).saturating_sub(tokens);
+    job.shared.metrics.prompt(tokens, kept);
     let sending = Sending { step: Step::Prefill, fetch, urgency, ..job.sending(engine) };
     let began = Instant::now();
     let outcome = job.send(engine, &sending).await;
@@ -154,7 +156,6 @@
     let took = began.elapsed();
     trace.tried("read", &engine.id, name, took);
     trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_)));
-    job.shared.metrics.sending(name);
     match outcome {
         Outcome::Answered(answered) => {
             let success = answered.response.status().is_success();
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Goes on with a stream that broke, at another engine.
 pub(super) struct Continuation {
@@ -40,9 +41,10 @@
             let engine = writer(&job, std::slice::from_ref(&failed), &failed.domain)?;
             let booking = book(&engine, Some(engine.engine.write()));
             let sending = Sending { after_event: after, ..job.sending(&engine) };
+            let began = Instant::now();
             let outcome = job.send(&engine, &sending).await;
             let name = went(&outcome);
-            job.shared.metrics.sending(name);
+            job.shared.metrics.sending("resume", &engine.id, name, began.elapsed());
             log::info!(target: "request", id = job.id(), target_id = engine.id.as_str(),
                 after:? = after, went = name; "stream resumed");
             match outcome {
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -30,7 +30,6 @@
         let began = Instant::now();
         let outcome = write.job.send(&engine, &sending).await;
         write.trace.tried("write", &engine.id, went(&outcome), began.elapsed());
-        write.job.shared.metrics.sending(went(&outcome));
         write.note_handover(&engine, &outcome, began.elapsed());
         let another = write.tries.note(&write.job, &engine, &outcome);
         match outcome {
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -20,7 +20,6 @@
         let began = Instant::now();
         let outcome = job.send(&target, &job.sending(&target)).await;
         trace.tried("whole", &target.id, went(&outcome), began.elapsed());
-        job.shared.metrics.sending(went(&outcome));
         let another = tries.note(&job, &target, &outcome);
         if let Outcome::Answered(answered) = outcome {
             last = Some(Source { answered, booking });
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -123,7 +123,7 @@
             match step {
                 Some(Ok(frame)) => {
                     let Some(bytes) = self.take(frame) else { continue };
-                    self.trace.first_piece();
+                    self.trace.piece();
                     // The server asks for no further piece once the known length is reached, so
                     // the end is noticed here, or the connection would be lost.
                     if self.has_ended() {
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -191,6 +191,7 @@
             // It may be carried out, now or later; `expected` guards against it coming late.
             Err(_) => "unknown",
         };
+        self.shared.metrics.order(went);
         log::info!(target: "stages", target_id = engine.id.as_str(), stage:? = stage,
             fence = order.fence, expected = order.expected, went, answer:? = answer;
             "order given");
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -28,6 +28,17 @@
     Notices,
 }
 
+impl Topic {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Targets => "targets",
+            Self::Notices => "notices",
+        }
+    }
+}
+
 /// All topics.
 pub const TOPICS: [Topic; 3] = [Topic::Config, Topic::Targets, Topic::Notices];
 
--- a/crates/direct/src/trace.rs
+++ b/crates/direct/src/trace.rs
@@ -4,6 +4,7 @@
 use crate::route::RouteName;
 use crate::shared::Shared;
 use compact_str::{CompactString, ToCompactString};
+use prometheus_client::metrics::histogram::Histogram;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -26,6 +27,8 @@
     /// The targets tried, in order, with how each went.
     pub targets: CompactString,
     first: Option<Instant>,
+    /// When the last piece went, once one has.
+    gaps: Option<(Histogram, Instant)>,
     ended: bool,
     shared: Arc<Shared>,
 }
@@ -47,13 +50,15 @@
             sendings: 0,
             targets: CompactString::default(),
             first: None,
+            gaps: None,
             ended: false,
             shared,
         }
     }
 
     /// Notes a sending, how it went and how many milliseconds it took, such as `read:i-1:ok:12`.
-    pub fn tried(&mut self, step: &str, target: &str, went: &str, took: Duration) {
+    pub fn tried(&mut self, step: &str, target: &str, went: &'static str, took: Duration) {
+        self.shared.metrics.sending(step, target, went, took);
         if !self.targets.is_empty() {
             self.targets.push(',');
         }
@@ -66,12 +71,16 @@
         }
     }
 
-    /// Notes that the first piece is on its way to the caller.
-    pub fn first_piece(&mut self) {
-        if self.first.is_none() {
-            let now = Instant::now();
-            self.first = Some(now);
-            self.shared.metrics.first_piece(&self.route, now - self.arrived);
+    /// Notes that a piece is on its way to the caller.
+    pub fn piece(&mut self) {
+        let now = Instant::now();
+        match &mut self.gaps {
+            Some((gaps, last)) => gaps.observe((now - std::mem::replace(last, now)).as_secs_f64()),
+            None => {
+                self.first = Some(now);
+                self.shared.metrics.first_piece(&self.route, now - self.arrived);
+                self.gaps = Some((self.shared.metrics.gaps(&self.route), now));
+            }
         }
     }
 
