--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod split;
 pub mod subset;
 pub mod window;
+pub mod writers;
 
 mod number;
 
