--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod completions;
+mod fallible;
 mod health;
 mod intake;
 mod models;
@@ -20,15 +21,17 @@
 pub(crate) fn router(shared: Arc<Shared>) -> Router {
     use answer::Shape;
     use completions::Completions;
+    use fallible::Fallible;
     let at = |path: &str| Router::with_path(path.to_owned());
     let chat = Completions { shared: shared.clone(), shape: Shape::Chat };
     let text = Completions { shared: shared.clone(), shape: Shape::Text };
+    let services = services::Services { shared: shared.clone() };
     Router::new()
         .hoop(trace::Trace { shared: shared.clone() })
-        .push(at("v1/chat/completions").post(chat))
-        .push(at("v1/completions").post(text))
+        .push(at("v1/chat/completions").post(Fallible(chat)))
+        .push(at("v1/completions").post(Fallible(text)))
         .push(at("v1/models").get(models::Models { shared: shared.clone() }))
-        .push(at("services/{name}/{**rest}").goal(services::Services { shared: shared.clone() }))
+        .push(at("services/{name}/{**rest}").goal(Fallible(services)))
         .push(at("healthz").get(health::Healthz))
         .push(at("readyz").get(health::Readyz { shared: shared.clone() }))
         .push(at("metrics").get(health::Metrics { shared }))
--- a/crates/entry/src/routes/completions.rs
+++ b/crates/entry/src/routes/completions.rs
@@ -1,6 +1,7 @@
 //! `POST /v1/chat/completions` and `POST /v1/completions`, in OpenAI's shapes.
 
 use super::answer::{Answer, Shape};
+use super::fallible::Serve;
 use super::intake::{self, Admitted};
 use super::sse::{EventId, Streaming, tokens_of};
 use crate::Reason;
@@ -13,7 +14,7 @@
 use policy::estimate::Cost;
 use salvo::http::{HeaderMap, HeaderValue, header};
 use salvo::writing::Json;
-use salvo::{Depot, FlowCtrl, Handler, Request, Response};
+use salvo::{Depot, Request, Response};
 use serde::Deserialize;
 use serde_json::Value;
 use std::sync::Arc;
@@ -73,23 +74,16 @@
 }
 
 #[async_trait]
-impl Handler for Completions {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        depot: &mut Depot,
-        response: &mut Response,
-        _: &mut FlowCtrl,
-    ) {
-        if let Err(problem) = self.complete(request, depot, response).await {
-            self.shared.metrics.refused(problem.reason, problem.run);
-            problem.render_openai(response);
-        }
+impl Serve for Completions {
+    fn render(&self, problem: Problem, response: &mut Response) {
+        problem.render_openai(response);
     }
-}
 
-impl Completions {
-    async fn complete(
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    async fn serve(
         &self,
         http: &mut Request,
         depot: &Depot,
@@ -147,7 +141,9 @@
         }
         Ok(())
     }
+}
 
+impl Completions {
     /// Goes on with an answer of this caller's that another entry began.
     ///
     /// An answer that is not there and one of another caller's look the same to whoever asks.
--- /dev/null
+++ b/crates/entry/src/routes/fallible.rs
@@ -0,0 +1,43 @@
+//! Handlers of requests that may end with a problem: it is counted and told in one place.
+
+use crate::daemon::Shared;
+use crate::problem::Problem;
+use async_trait::async_trait;
+use salvo::{Depot, FlowCtrl, Handler, Request, Response};
+
+/// Serves requests of one kind.
+#[async_trait]
+pub(super) trait Serve: Send + Sync + 'static {
+    /// Writes the answer into `response`.
+    async fn serve(
+        &self,
+        http: &mut Request,
+        depot: &Depot,
+        response: &mut Response,
+    ) -> Result<(), Problem>;
+
+    /// Writes a problem in the shape that callers of this kind know.
+    fn render(&self, problem: Problem, response: &mut Response);
+
+    /// What all requests of the entry share.
+    fn shared(&self) -> &Shared;
+}
+
+/// Handles requests, or counts and tells the problem.
+pub(super) struct Fallible<S>(pub(super) S);
+
+#[async_trait]
+impl<S: Serve> Handler for Fallible<S> {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        depot: &mut Depot,
+        response: &mut Response,
+        _: &mut FlowCtrl,
+    ) {
+        if let Err(problem) = self.0.serve(request, depot, response).await {
+            self.0.shared().metrics.refused(problem.reason, problem.run);
+            self.0.render(problem, response);
+        }
+    }
+}
--- a/crates/entry/src/routes/services.rs
+++ b/crates/entry/src/routes/services.rs
@@ -1,5 +1,6 @@
 //! `ANY /services/NAME/...`: calls of plain services.
 
+use super::fallible::Serve;
 use super::intake::{self, Admitted};
 use crate::attempt::Attempt;
 use crate::calls::{Answer, Errand};
@@ -13,7 +14,7 @@
 use futures_util::{StreamExt, stream};
 use policy::estimate::Cost;
 use salvo::http::StatusCode;
-use salvo::{Depot, FlowCtrl, Handler, Request, Response};
+use salvo::{Depot, Request, Response};
 use std::io;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -34,23 +35,16 @@
 const REPLAYED: &str = "idempotency-replayed";
 
 #[async_trait]
-impl Handler for Services {
-    async fn handle(
-        &self,
-        request: &mut Request,
-        depot: &mut Depot,
-        response: &mut Response,
-        _: &mut FlowCtrl,
-    ) {
-        if let Err(problem) = self.call(request, depot, response).await {
-            self.shared.metrics.refused(problem.reason, problem.run);
-            problem.render(response);
-        }
+impl Serve for Services {
+    fn render(&self, problem: Problem, response: &mut Response) {
+        problem.render(response);
     }
-}
 
-impl Services {
-    async fn call(
+    fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    async fn serve(
         &self,
         http: &mut Request,
         depot: &Depot,
@@ -71,7 +65,9 @@
         write(response, answer, pass);
         Ok(())
     }
+}
 
+impl Services {
     fn read(&self, http: &Request, body: Bytes, id: &str) -> Result<Call, Problem> {
         let service: String = http.param("name").unwrap_or_default();
         let view = self.shared.view.borrow().clone();
