--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -129,10 +129,12 @@
     }
     let share = if prompt.late { settings.late_share } else { settings.share };
     let most = prompt.objective.as_secs_f64() * share / f64::from(unheard.max(1));
+    // Few engines keep any of a prompt; asked for each of 700 readers, all would take a millisecond.
+    let holders: Vec<usize> = (0..readers.len()).filter(|&at| readers[at].kept > 0).collect();
     let mut soonest = f64::INFINITY;
     for at in order {
         let reader = &readers[at];
-        let copy_from = source(settings, readers, at);
+        let copy_from = source(settings, readers, &holders, at);
         let kept = copy_from.map_or(reader.kept, |from| readers[from].kept);
         let tokens = unread(prompt, kept);
         if fits(settings, reader, tokens, most) {
@@ -153,12 +155,12 @@
     order
 }
 
-/// The engine from which the one at `to` copies the prompt's start: the one that keeps most, if
-/// that is enough more. Of several, one in the same failure domain.
-fn source(settings: &Settings, engines: &[Reader], to: usize) -> Option<usize> {
+/// The engine from which the one at `to` copies the prompt's start: of the holders the one that keeps
+/// most, if that is enough more. Of several, one in the same failure domain.
+fn source(settings: &Settings, engines: &[Reader], holders: &[usize], to: usize) -> Option<usize> {
     let reader = &engines[to];
-    let others = (0..engines.len())
-        .filter(|&from| from != to && copies_pay(settings, reader, &engines[from]));
+    let others = holders.iter().copied();
+    let others = others.filter(|&from| from != to && copies_pay(settings, reader, &engines[from]));
     others.max_by_key(|&from| {
         let engine = &engines[from];
         (engine.kept, engine.domain == reader.domain, mix(engine.key, reader.key))
