--- a/crates/policy/src/model/parted/engine.rs
+++ b/crates/policy/src/model/parted/engine.rs
@@ -121,7 +121,8 @@
     }
 
     fn forget_oldest(&mut self) {
-        let oldest = self.kept.iter().min_by_key(|(_, (_, used))| *used);
+        // Parts of one prompt were used at the same time; the map's order is another in each run.
+        let oldest = self.kept.iter().min_by_key(|(id, (_, used))| (*used, **id));
         let oldest = oldest.map(|(id, (tokens, used))| (*id, *tokens, *used));
         match (self.own.first().copied(), oldest) {
             (Some((tokens, used)), shared) if shared.is_none_or(|(_, _, at)| used <= at) => {
