--- a/crates/policy/src/model/parted.rs
+++ b/crates/policy/src/model/parted.rs
@@ -18,7 +18,7 @@
 
 pub use compare::compare;
 pub use engine::Figures;
-pub use fleet::{Knobs, run};
+pub use fleet::{Options, run};
 pub use traffic::{Class, Traffic, swinging};
 
 use crate::number::float;
--- a/crates/policy/src/model/parted/compare.rs
+++ b/crates/policy/src/model/parted/compare.rs
@@ -1,6 +1,6 @@
 //! The table that compares ways of deciding.
 
-use super::{Figures, Knobs, run, swinging};
+use super::{Figures, Options, run, swinging};
 use crate::model::table::Table;
 use crate::{prompts, split};
 
@@ -17,8 +17,8 @@
         "M tokens read again",
     ];
     let mut table = Table::new(&head);
-    for (way, knobs) in ways() {
-        let outcome = run(&Figures::default(), &swinging(), &knobs);
+    for (way, options) in ways() {
+        let outcome = run(&Figures::default(), &swinging(), &options);
         table.row(vec![
             way.into(),
             format!("{} of {}", outcome.long.in_time, outcome.long.asked),
@@ -33,22 +33,22 @@
     table
 }
 
-fn ways() -> Vec<(&'static str, Knobs)> {
-    let knobs = Knobs::default();
-    let prompts = |prompts| Knobs { prompts, ..Knobs::default() };
+fn ways() -> Vec<(&'static str, Options)> {
+    let options = Options::default();
+    let prompts = |prompts| Options { prompts, ..Options::default() };
     let settings = prompts::Settings::default();
-    let readers = |readers| Knobs { split: split::Settings { readers }, ..Knobs::default() };
+    let readers = |readers| Options { split: split::Settings { readers }, ..Options::default() };
     vec![
-        ("lapismast", knobs.clone()),
+        ("lapismast", options.clone()),
         ("no copies", prompts(prompts::Settings { least_copy: u64::MAX / 2, ..settings.clone() })),
         (
             "latecomers like fresh ones",
             prompts(prompts::Settings { late_share: settings.share, ..settings.clone() }),
         ),
-        ("writers anywhere", Knobs { near: false, ..knobs.clone() }),
+        ("writers anywhere", Options { near: false, ..options.clone() }),
         ("queue of 0.3 objectives", prompts(prompts::Settings { share: 0.3, ..settings.clone() })),
         ("queue of 0.7 objectives", prompts(prompts::Settings { share: 0.7, ..settings })),
-        ("news after 100 ms", Knobs { news: 0.1, ..knobs }),
+        ("news after 100 ms", Options { news: 0.1, ..options }),
         ("0.50 read", readers(0.5)),
         ("0.57 read", readers(0.57)),
         ("0.64 read", readers(0.64)),
--- a/crates/policy/src/model/parted/fleet.rs
+++ b/crates/policy/src/model/parted/fleet.rs
@@ -15,7 +15,7 @@
 
 /// What is chosen for a run.
 #[derive(Debug, Clone)]
-pub struct Knobs {
+pub struct Options {
     /// How prompts are placed.
     pub prompts: prompts::Settings,
     /// How engines are split.
@@ -34,7 +34,7 @@
     pub seed: u64,
 }
 
-impl Default for Knobs {
+impl Default for Options {
     fn default() -> Self {
         Self {
             prompts: prompts::Settings::default(),
@@ -68,10 +68,10 @@
 }
 
 /// Runs a load and says how its requests ended.
-pub fn run(figures: &Figures, traffic: &Traffic, knobs: &Knobs) -> Outcome {
-    let mut fleet = Fleet::new(*figures, knobs);
-    let requests = traffic.requests(knobs.seed);
-    fleet.outcome.bound = bound(figures, knobs, &requests);
+pub fn run(figures: &Figures, traffic: &Traffic, options: &Options) -> Outcome {
+    let mut fleet = Fleet::new(*figures, options);
+    let requests = traffic.requests(options.seed);
+    fleet.outcome.bound = bound(figures, options, &requests);
     for request in requests {
         let ended = fleet.ended(request.class);
         ended.asked += 1;
@@ -87,9 +87,9 @@
 
 /// Long prompts that can be in time if engines that read never wait for news and no shared part is
 /// read twice: what is asked for in each tenth of a second beyond half of the objective is lost.
-fn bound(figures: &Figures, knobs: &Knobs, requests: &[Request]) -> u64 {
+fn bound(figures: &Figures, options: &Options, requests: &[Request]) -> u64 {
     const SLICE: f64 = 0.1;
-    let readers = split::readers(&knobs.split, knobs.engines);
+    let readers = split::readers(&options.split, options.engines);
     let rate = figures.reading * float(u64::try_from(readers).unwrap_or(0));
     let (mut backlog, mut at, mut fit) = (0.0_f64, 0.0, 0);
     for request in requests.iter().filter(|request| request.class == Class::Long) {
@@ -97,7 +97,8 @@
             at += SLICE;
             backlog = (backlog - rate * SLICE).max(0.0);
         }
-        if backlog + float(request.own) <= rate * (SLICE + request.objective * knobs.prompts.share)
+        if backlog + float(request.own)
+            <= rate * (SLICE + request.objective * options.prompts.share)
         {
             backlog += float(request.own);
             fit += 1;
@@ -108,7 +109,7 @@
 
 struct Fleet {
     figures: Figures,
-    knobs: Knobs,
+    options: Options,
     engines: Vec<Engine>,
     keys: Vec<Hash>,
     /// Tokens to be read by entry and engine, and streams.
@@ -128,28 +129,28 @@
 }
 
 impl Fleet {
-    fn new(figures: Figures, knobs: &Knobs) -> Self {
-        let readers = split::readers(&knobs.split, knobs.engines);
+    fn new(figures: Figures, options: &Options) -> Self {
+        let readers = split::readers(&options.split, options.engines);
         let engine =
-            |at: usize| Engine::new(at < readers, u64::try_from(at).unwrap_or(0) % knobs.domains);
-        let work = vec![vec![0; knobs.engines]; knobs.entries];
-        let streams = vec![vec![0; knobs.engines]; knobs.entries];
+            |at: usize| Engine::new(at < readers, u64::try_from(at).unwrap_or(0) % options.domains);
+        let work = vec![vec![0; options.engines]; options.entries];
+        let streams = vec![vec![0; options.engines]; options.entries];
         Self {
             figures,
-            knobs: knobs.clone(),
-            engines: (0..knobs.engines).map(engine).collect(),
-            keys: (0..knobs.engines).map(|at| crate::hash(&at.to_string())).collect(),
+            options: options.clone(),
+            engines: (0..options.engines).map(engine).collect(),
+            keys: (0..options.engines).map(|at| crate::hash(&at.to_string())).collect(),
             heard: (work.clone(), streams.clone()),
             reading: work,
             streams,
-            handed: vec![Handover::default(); knobs.engines],
-            taken: vec![Handover::default(); knobs.engines],
+            handed: vec![Handover::default(); options.engines],
+            taken: vec![Handover::default(); options.engines],
             patience: Patience::default(),
             read_before: HashSet::new(),
             events: BTreeMap::new(),
             order: 0,
             now: 0.0,
-            random: Random::new(knobs.seed + 1),
+            random: Random::new(options.seed + 1),
             outcome: Outcome::default(),
         }
     }
@@ -189,7 +190,7 @@
             Event::News => {
                 self.heard = (self.reading.clone(), self.streams.clone());
                 if self.now < end {
-                    self.push(self.now + self.knobs.news, Event::News);
+                    self.push(self.now + self.options.news, Event::News);
                 }
             }
         }
@@ -197,7 +198,7 @@
 
     /// Tokens to be read and streams at an engine, as an entry knows them.
     fn known(&self, entry: usize, at: usize) -> (u64, u32) {
-        let others = (0..self.knobs.entries).filter(|other| *other != entry);
+        let others = (0..self.options.entries).filter(|other| *other != entry);
         others.fold((self.reading[entry][at], self.streams[entry][at]), |(reading, streams), e| {
             (reading + self.heard.0[e][at], streams + self.heard.1[e][at])
         })
@@ -222,19 +223,19 @@
     }
 
     fn place(&mut self, request: Request) {
-        let entry = self.random.below(self.knobs.entries);
+        let entry = self.random.below(self.options.entries);
         let left =
             Duration::from_secs_f64((request.first_asked + request.deadline - self.now).max(0.0));
         let objective = Duration::from_secs_f64(request.objective);
         let late = request.class == Class::Long && self.patience.has_waited(left, objective);
         let readers = self.readers(entry, &request);
-        match prompts::place(&self.knobs.prompts, &request.prompt(late), &readers, 1) {
+        match prompts::place(&self.options.prompts, &request.prompt(late), &readers, 1) {
             Place::Full(soonest) => self.refuse(request, soonest, left),
             Place::Read { at, copy_from, tokens } => {
                 self.reading[entry][at] += tokens;
                 self.order += 1;
                 let rank = u8::from(request.class == Class::Short);
-                let urgency = prompts::urgency(&self.knobs.prompts, tokens, rank);
+                let urgency = prompts::urgency(&self.options.prompts, tokens, rank);
                 let order = self.order;
                 let (copied, ready) = self.copy(copy_from, at, &request);
                 let waiting = Waiting { request, entry, tokens, copied, urgency, order };
@@ -250,7 +251,7 @@
         }
         request.refused += 1;
         let random = self.random.unit();
-        let back = prompts::come_back(&self.knobs.prompts, soonest, left, random);
+        let back = prompts::come_back(&self.options.prompts, soonest, left, random);
         self.push(self.now + back.as_secs_f64() + 2.0 * WAY, Event::Arrives(request));
     }
 
@@ -329,7 +330,7 @@
                 handover: self.taken[at].excess(self.time()),
                 streams: self.known(entry, at).1,
                 slots,
-                near: !self.knobs.near || self.engines[at].domain == self.engines[from].domain,
+                near: !self.options.near || self.engines[at].domain == self.engines[from].domain,
                 ..Writer::default()
             };
             (writers::rank(&writer, objective), at)
--- a/crates/policy/tests/parted.rs
+++ b/crates/policy/tests/parted.rs
@@ -1,32 +1,32 @@
 //! Decisions about prompts, writers and the split under a load that swings, on a model of engines
 //! that read for others that write.
 
-use policy::model::parted::{Figures, Knobs, Outcome, run, swinging};
+use policy::model::parted::{Figures, Options, Outcome, run, swinging};
 use policy::{prompts, split};
 
-fn play(knobs: Knobs) -> Outcome {
-    run(&Figures::default(), &swinging(), &knobs)
+fn play(options: Options) -> Outcome {
+    run(&Figures::default(), &swinging(), &options)
 }
 
 fn with_prompts(prompts: prompts::Settings) -> Outcome {
-    play(Knobs { prompts, ..Knobs::default() })
+    play(Options { prompts, ..Options::default() })
 }
 
 fn with_readers(readers: f64) -> Outcome {
-    play(Knobs { split: split::Settings { readers }, ..Knobs::default() })
+    play(Options { split: split::Settings { readers }, ..Options::default() })
 }
 
 /// The model is there to choose by, so it has to come out near what was measured: on a day with this
 /// load 85% of the long prompts and 73% of the outputs were in time.
 #[test]
 fn the_model_comes_out_near_a_day_that_was_measured() {
-    let outcome = play(Knobs::default());
+    let outcome = play(Options::default());
     let share = |part: u64, all: u64| part as f64 / all as f64;
     let long = share(outcome.long.in_time, outcome.long.asked);
     let short = share(outcome.short.in_time, outcome.short.asked);
     assert!((0.80..0.94).contains(&long), "{outcome:?}");
     assert!((0.58..0.80).contains(&short), "{outcome:?}");
-    assert_eq!(outcome, play(Knobs::default()), "the same in every run");
+    assert_eq!(outcome, play(Options::default()), "the same in every run");
 }
 
 /// Shared parts stand at engines that write as well, and prompts that overflow from their home leave
