--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -3,6 +3,7 @@
 //! A deployment's adapter implements [`Border`]. Everything behind it speaks of attempts, deadlines
 //! and prompts and never sees a header's name.
 
+use crate::fleet::Born;
 use crate::route::Stage;
 use compact_str::CompactString;
 use http::HeaderMap;
@@ -12,7 +13,8 @@
 /// The id that a caller gave one sending of a request. Targets echo it.
 pub type AttemptId = CompactString;
 
-/// The id of one run of a target; a restarted target has another.
+/// The id of a target. One that starts again has another, or the same and is another life, see
+/// [`Born`].
 pub type TargetId = CompactString;
 
 /// The id of one part of a prompt.
@@ -148,8 +150,10 @@
     pub stage: Option<Stage>,
     /// Whether it carries out an order.
     pub busy: bool,
-    /// Orders that it has accepted.
+    /// Orders that it has accepted in this life.
     pub orders: u64,
+    /// When this life of it began, if it says so.
+    pub born: Option<Born>,
 }
 
 /// Translates between headers or small bodies and the product's types.
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -1,11 +1,13 @@
 //! Which targets there are, folded from what they tell of themselves.
 //!
 //! Records are taken by their offset: one that arrives late never undoes a newer one, and a target
-//! that said it leaves stays leaving under that id, whatever an older record says.
+//! that said it leaves stays leaving in that life, whatever an older record says. A target may start
+//! again under its id: its new life replaces the former one with all that was believed of it (stage,
+//! kept parts, connections, pauses, announced changes), and a former life never comes back.
 
 use crate::border::TargetId;
 use crate::route::{ServiceName, Stage};
-use crate::target::Target;
+use crate::target::{self, Target};
 use compact_str::CompactString;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -17,6 +19,10 @@
 /// A place in the log, see [`plat::Offset`].
 pub type Offset = plat::Offset;
 
+/// When a life of a target began, in milliseconds since 1970 by its own clock. It tells its lives
+/// apart; it is never compared with another target's, or with the time here.
+pub type Born = u64;
+
 /// What a target tells of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
@@ -32,7 +38,10 @@
     pub leaving: bool,
     /// Its stage, if it is an engine that has one.
     pub stage: Option<Stage>,
-    /// Counts its records; a lower one is older.
+    /// When this life of it began, in milliseconds since 1970 by its own clock, if it says so: it may
+    /// start again under its id, and then knows nothing of before.
+    pub born: Option<Born>,
+    /// Counts the records of one life; a lower one is older.
     pub sequence: u64,
 }
 
@@ -43,6 +52,8 @@
     Seen(TargetId, Sighting),
     /// Its entry was removed.
     Gone(TargetId),
+    /// Its entry can't be read: another writer wrote it, and nothing is known by it.
+    Unreadable(TargetId),
 }
 
 /// How long targets stay in use after the entries of all targets of their service vanished, with
@@ -69,6 +80,7 @@
 #[derive(Debug, Clone)]
 struct Member {
     target: Arc<Target>,
+    born: Option<Born>,
     sequence: u64,
     offset: Offset,
     leaving: bool,
@@ -76,12 +88,49 @@
     lapses: Option<Instant>,
 }
 
+impl Member {
+    /// Takes in a newer record of the same life, and says whether anything changed.
+    fn update(&mut self, id: &TargetId, sighting: &Sighting, offset: Offset) -> bool {
+        let leaves = sighting.leaving && !self.leaving;
+        if leaves {
+            log::info!(target: "fleet", target_id = id.as_str(), offset; "target leaves");
+        }
+        let staged = self.target.set_stage(sighting.stage);
+        if staged {
+            log::info!(target: "fleet", target_id = id.as_str(), offset, stage:? = sighting.stage;
+                "target changed stage");
+        }
+        let lapsed = self.lapses.take().is_some();
+        self.offset = offset;
+        self.sequence = sighting.sequence;
+        self.leaving |= sighting.leaving;
+        leaves || staged || lapsed
+    }
+}
+
+/// Whether a record of the life that began at `born` is of a life before `than`. One that does not
+/// tell its life, of a target that does, was not written by it.
+fn is_former(born: Option<Born>, than: Option<Born>) -> bool {
+    match (born, than) {
+        (Some(born), Some(than)) => born < than,
+        (None, Some(_)) => true,
+        (_, None) => false,
+    }
+}
+
+/// The last that is known of a target that was removed.
+#[derive(Debug, Clone, Copy)]
+struct Removed {
+    offset: Offset,
+    born: Option<Born>,
+}
+
 /// The targets of all services.
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: HashMap<TargetId, Member>,
-    /// Ids that were removed, with the offset: older records of them come late.
-    removed: HashMap<TargetId, Offset>,
+    /// Ids that were removed: older records of them come late.
+    removed: HashMap<TargetId, Removed>,
     usable: HashMap<ServiceName, Arc<[Arc<Target>]>>,
     engines: Arc<[Arc<Target>]>,
     /// The offset after the last record that changed something.
@@ -109,6 +158,7 @@
                     self.see(id, sighting, offset);
                 }
                 News::Gone(id) => gone.push((id, offset)),
+                News::Unreadable(_) => {}
             }
         }
         let lapses = self.lapses(&gone, disturbed);
@@ -132,7 +182,7 @@
         let listed: std::collections::HashSet<TargetId> = all
             .iter()
             .filter_map(|(_, news)| match news {
-                News::Seen(id, _) => Some(id.clone()),
+                News::Seen(id, _) | News::Unreadable(id) => Some(id.clone()),
                 News::Gone(_) => None,
             })
             .collect();
@@ -187,45 +237,44 @@
     }
 
     fn see(&mut self, id: TargetId, sighting: Sighting, offset: Offset) {
-        if self.removed.get(&id).is_some_and(|&removed| removed >= offset) {
+        let removed = self.removed.get(&id);
+        let outdated =
+            |removed: &Removed| removed.offset >= offset || is_former(sighting.born, removed.born);
+        if removed.is_some_and(outdated) {
             return;
         }
-        let Sighting { service, address, domain, slots, leaving, stage, sequence } = sighting;
-        if let Some(member) = self.members.get_mut(&id) {
-            if offset < member.offset || sequence < member.sequence {
-                return;
-            }
-            let changes = (leaving && !member.leaving)
-                || member.lapses.is_some()
-                || member.target.stage() != stage;
-            if changes {
-                self.news = self.news.max(offset + 1);
-            }
-            if leaving && !member.leaving {
-                log::info!(target: "fleet", target_id = id.as_str(), offset; "target leaves");
-            }
-            if member.target.set_stage(stage) {
-                log::info!(target: "fleet", target_id = id.as_str(), offset, stage:? = stage; "target changed stage");
-            }
-            member.offset = offset;
-            member.sequence = sequence;
-            member.leaving |= leaving;
-            member.lapses = None;
+        let Some(member) = self.members.get_mut(&id) else {
+            self.add(id, sighting, offset);
+            return;
+        };
+        if offset < member.offset || is_former(sighting.born, member.born) {
+            return;
+        }
+        if is_former(member.born, sighting.born) {
+            log::info!(target: "fleet", target_id = id.as_str(), offset, born:? = sighting.born;
+                "target started again");
+            self.add(id, sighting, offset);
+            return;
+        }
+        if sighting.sequence < member.sequence {
             return;
         }
+        if member.update(&id, &sighting, offset) {
+            self.news = self.news.max(offset + 1);
+        }
+    }
+
+    /// Adds a target, or the new life of one.
+    fn add(&mut self, id: TargetId, sighting: Sighting, offset: Offset) {
+        let Sighting { service, address, domain, slots, leaving, stage, born, sequence } = sighting;
         self.news = self.news.max(offset + 1);
         log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
-            address:% = address, leaving, stage:? = stage, offset; "target seen");
-        let target = Arc::new(Target::new(
-            id.clone(),
-            service,
-            address,
-            domain,
-            slots,
-            self.changed.clone(),
-        ));
+            address:% = address, leaving, stage:? = stage, born:? = born, offset; "target seen");
+        let identity = target::Identity { id: id.clone(), born };
+        let target = Target::new(identity, service, address, domain, slots, self.changed.clone());
         target.set_stage(stage);
-        self.members.insert(id, Member { target, sequence, offset, leaving, lapses: None });
+        let target = Arc::new(target);
+        self.members.insert(id, Member { target, born, sequence, offset, leaving, lapses: None });
     }
 
     fn remove(&mut self, id: &TargetId, offset: Offset, lapses: Option<Instant>) {
@@ -239,11 +288,12 @@
             return;
         }
         log::info!(target: "fleet", target_id = id.as_str(), offset; "target gone");
+        let born = member.born;
         self.members.remove(id);
         if self.removed.len() >= MAX_REMOVED {
             self.removed.clear();
         }
-        self.removed.insert(id.clone(), offset);
+        self.removed.insert(id.clone(), Removed { offset, born });
     }
 
     /// The services of which so many entries vanished that it looks like a lapse, with how long
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -10,6 +10,7 @@
 use crate::tail::{self, Topic};
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset, Record, StreamName};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -189,17 +190,18 @@
 pub async fn targets(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
     let name = decode.target_stream();
     let mut stream = Stream::new(shared.clone(), log, Topic::Targets, name, TARGET_WAIT);
+    let mut unreadable = Unreadable::default();
     loop {
         let reading = stream.read().await;
         let now = Instant::now();
         let disturbed = stream.is_troubled(now);
         match reading {
             Reading::All(records, end) => {
-                let news = news(&*decode, records);
+                let news = news(&*decode, records, &mut unreadable);
                 shared.fleet().replace(news, end, now, disturbed);
             }
             Reading::Changes(records) => {
-                let news = news(&*decode, records);
+                let news = news(&*decode, records, &mut unreadable);
                 shared.fleet().apply(news, now, disturbed);
             }
         }
@@ -214,20 +216,43 @@
     }
 }
 
-fn news(decode: &dyn Decode, records: Vec<Record>) -> Vec<(Offset, News)> {
-    let decoded = records.into_iter().filter_map(|record| {
+/// Records that could not be read, by key, with what was wrong: the same is told once, or a writer
+/// that repeats itself each second would fill the log.
+#[derive(Default)]
+struct Unreadable(HashMap<CompactString, CompactString>);
+
+/// Keys that are remembered; after that all are told again.
+const MAX_UNREADABLE: usize = 1_024;
+
+impl Unreadable {
+    fn tell(&mut self, error: Error, offset: Offset) {
+        if self.0.len() >= MAX_UNREADABLE {
+            self.0.clear();
+        }
+        let before = self.0.insert(error.key.clone(), error.detail.clone());
+        if before.as_ref() != Some(&error.detail) {
+            log::warn!(target: "fleet", offset, error:% = error; "record not readable, left out");
+        }
+    }
+}
+
+fn news(
+    decode: &dyn Decode,
+    records: Vec<Record>,
+    unreadable: &mut Unreadable,
+) -> Vec<(Offset, News)> {
+    let decoded = records.into_iter().map(|record| {
         let id: TargetId = record.key;
-        let Some(value) = record.value else { return Some((record.offset, News::Gone(id))) };
-        match decode.sighting(&value) {
-            Ok(sighting) => Some((record.offset, News::Seen(id, sighting))),
+        let Some(value) = record.value else { return (record.offset, News::Gone(id)) };
+        let news = match decode.sighting(&value) {
+            Ok(sighting) => News::Seen(id, sighting),
             Err(detail) => {
                 let stream = decode.target_stream().into();
-                let error = Error { stream, key: id, detail };
-                log::warn!(target: "fleet", offset = record.offset, error:% = error;
-                    "record not readable, left out");
-                None
+                unreadable.tell(Error { stream, key: id.clone(), detail }, record.offset);
+                News::Unreadable(id)
             }
-        }
+        };
+        (record.offset, news)
     });
     decoded.collect()
 }
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -71,6 +71,12 @@
     async fn order(&self, engine: &Arc<Target>, stage: Stage, fence: Offset) {
         let border = &*self.shared.border;
         let report = match self.report(engine).await {
+            Ok(report) if report.born.is_some() && report.born != engine.born => {
+                // It started again: what the plan knew of it is gone.
+                log::info!(target: "stages", target_id = engine.id.as_str(), born:? = report.born;
+                    "order not given: the engine started again");
+                return;
+            }
             Ok(report) if report.stage != Some(stage) && !report.busy => report,
             Ok(report) => {
                 log::info!(target: "stages", target_id = engine.id.as_str(), busy = report.busy;
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -2,6 +2,7 @@
 
 use crate::border::{Busy, TargetId};
 use crate::engine::Engine;
+use crate::fleet::Born;
 use crate::pool::Pool;
 use crate::route::{ServiceName, Stage};
 use compact_str::CompactString;
@@ -15,10 +16,12 @@
 /// A target.
 #[derive(Debug)]
 pub struct Target {
-    /// Its id; a restarted target has another.
+    /// Its id; it may start again under the same.
     pub id: TargetId,
-    /// The hash of its id.
+    /// The hash of its id and its life: what others tell of a former life is not of this one.
     pub key: policy::Hash,
+    /// When this life of it began, if it says so.
+    pub born: Option<Born>,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Its address.
@@ -38,6 +41,15 @@
     known: Instant,
 }
 
+/// Which life of which target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Identity {
+    /// The target's id.
+    pub id: TargetId,
+    /// When the life began, if it says so.
+    pub born: Option<Born>,
+}
+
 /// Which way KV cache goes, seen from one engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
@@ -97,17 +109,31 @@
 impl Target {
     /// A target without connections or load; changes of its load are told to `changed`.
     pub fn new(
-        id: TargetId,
+        Identity { id, born }: Identity,
         service: ServiceName,
         address: SocketAddr,
         domain: CompactString,
         slots: u32,
         changed: std::sync::Arc<tokio::sync::Notify>,
     ) -> Self {
-        let (key, domain_key) = (policy::hash(&id), policy::hash(&domain));
+        let key = born.map_or(policy::hash(&id), |born| policy::mix(policy::hash(&id), born));
+        let domain_key = policy::hash(&domain);
         let (load, known) = (Mutex::default(), Instant::now());
         let (pool, engine) = (Pool::new(address), Engine::new(changed));
-        Self { id, key, service, address, domain, domain_key, slots, pool, engine, load, known }
+        Self {
+            id,
+            key,
+            born,
+            service,
+            address,
+            domain,
+            domain_key,
+            slots,
+            pool,
+            engine,
+            load,
+            known,
+        }
     }
 
     /// Its stage, if it is an engine that has one.
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -1,17 +1,25 @@
 //! The list of targets: late records, lapses, targets that leave.
 
-use direct::fleet::{Fleet, News, Sighting};
+use direct::border::Part;
+use direct::fleet::{Born, Fleet, News, Sighting};
+use direct::route::Stage;
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
 
 fn seen(id: &str, sequence: u64, leaving: bool) -> News {
+    life(id, None, sequence, leaving, None)
+}
+
+fn life(id: &str, born: Option<Born>, sequence: u64, leaving: bool, stage: Option<Stage>) -> News {
     let sighting = Sighting {
         service: "s".into(),
         address: "10.0.0.1:80".parse().expect("a valid address"),
         domain: "a".into(),
         slots: 4,
         leaving,
-        stage: None,
+        stage,
+        born,
         sequence,
     };
     News::Seen(id.into(), sighting)
@@ -127,3 +135,114 @@
         assert!(usable(&fleet).is_empty() || order.iter().any(|(pick, _)| pick % 6 == 5));
     });
 }
+
+const READS: Option<Stage> = Some(Stage::Prefill);
+const WRITES: Option<Stage> = Some(Stage::Decode);
+
+/// An engine crashes and starts again under its id. Its count of records begins anew, so by count
+/// each of them looks old; until it caught up, prompts would go to an engine that refuses them.
+#[test]
+fn a_target_that_starts_again_is_taken_as_it_is_now() {
+    let mut fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.apply(vec![(1, life("a", Some(1_000), 90, false, READS))], now, false);
+    let before = fleet.get("a").expect("it is listed").clone();
+    let parts = [Part { id: 7, tokens: 900 }];
+    before.engine.keep(&parts, 10_000);
+    before.expect_stage(Stage::Decode, now);
+    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, WRITES))], now, false);
+    let after = fleet.get("a").expect("it is listed").clone();
+    assert_eq!((after.stage(), after.engine.kept(&parts)), (WRITES, 0));
+    assert!(!after.is_changing(now), "what was announced concerned the former life");
+    assert_ne!(before.key, after.key, "what others tell of the former life is not of this one");
+}
+
+/// Records of a former life come late: written again by the store, or by what is left of the process.
+#[test]
+fn a_former_life_changes_nothing() {
+    let mut fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.apply(vec![(1, life("a", Some(2_000), 1, false, WRITES))], now, false);
+    let known = fleet.get("a").expect("it is listed").clone();
+    let late = [life("a", Some(1_000), 95, true, READS), life("a", None, 96, true, READS)];
+    fleet.apply((2..).zip(late).collect(), now, false);
+    let still = fleet.get("a").expect("it neither leaves nor is gone");
+    assert_eq!((still.key, still.stage()), (known.key, WRITES));
+    // It is removed, and its former life is heard of once more.
+    fleet.apply(vec![(5, News::Gone("a".into()))], now, false);
+    fleet.apply(vec![(6, life("a", Some(1_000), 97, false, READS))], now, false);
+    assert!(fleet.get("a").is_none());
+}
+
+/// A target left, and starts again under its id. Taken for the one that left, it would stand idle.
+#[test]
+fn a_new_life_does_not_leave_because_the_former_one_did() {
+    let mut fleet = Fleet::default();
+    let now = Instant::now();
+    fleet.apply(vec![(1, life("a", Some(1_000), 4, true, READS))], now, false);
+    assert!(fleet.get("a").is_none());
+    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, READS))], now, false);
+    assert!(fleet.get("a").is_some());
+}
+
+/// Another writer puts something else under the key of a target. The target lives, and the next
+/// complete reading of the list has only that entry of it.
+#[test]
+fn a_target_is_not_lost_by_a_record_that_nobody_can_read() {
+    let mut fleet = four();
+    let unreadable = News::Unreadable("a".into());
+    fleet.apply(vec![(10, unreadable.clone())], Instant::now(), false);
+    let others = ["b", "c", "d"].map(|id| (11, seen(id, 2, false)));
+    let all = others.into_iter().chain([(12, unreadable), (13, News::Unreadable("e".into()))]);
+    fleet.replace(all.collect(), 20, Instant::now(), false);
+    assert_eq!(usable(&fleet), ["a", "b", "c", "d"]);
+}
+
+/// What any number of writers may put into the list in any order.
+#[derive(Debug, Clone, Copy, bolero::TypeGenerator)]
+enum Written {
+    Record { id: u8, born: u8, sequence: u8, leaves: bool, reads: bool },
+    WithoutLife { id: u8, sequence: u8 },
+    Gone { id: u8 },
+    Nonsense { id: u8 },
+}
+
+const IDS: [&str; 3] = ["a", "b", "c"];
+
+fn name(id: u8) -> &'static str {
+    IDS[usize::from(id) % IDS.len()]
+}
+
+/// Lives, removals, lapses and late records come in any order. At no time may a life that was
+/// followed by another be in use again: its connections and orders are another's.
+#[test]
+fn no_order_of_records_brings_a_former_life_back() {
+    bolero::check!().with_type::<(Vec<Written>, bool)>().for_each(|(written, disturbed)| {
+        let mut fleet = Fleet::default();
+        let mut newest: HashMap<&str, Born> = HashMap::new();
+        let now = Instant::now();
+        for (offset, record) in (1..).zip(written) {
+            let news = match *record {
+                Written::Record { id, born, sequence, leaves, reads } => {
+                    let (id, born) = (name(id), Born::from(born % 4));
+                    let stage = if reads { READS } else { WRITES };
+                    let current = newest.entry(id).or_insert(born);
+                    *current = (*current).max(born);
+                    life(id, Some(born), sequence.into(), leaves, stage)
+                }
+                Written::WithoutLife { id, sequence } => {
+                    life(name(id), None, sequence.into(), false, READS)
+                }
+                Written::Gone { id } => News::Gone(name(id).into()),
+                Written::Nonsense { id } => News::Unreadable(name(id).into()),
+            };
+            fleet.apply(vec![(offset, news)], now, *disturbed);
+            for id in IDS {
+                let Some(target) = fleet.get(id) else { continue };
+                if let Some(born) = target.born {
+                    assert!(newest.get(id).is_none_or(|newest| born >= *newest), "{id} {born}");
+                }
+            }
+        }
+    });
+}
