perf(direct): a plan that met a heartbeat is made again at once; where nobody asks, orders don't wait

Cause: a plan is appended on condition that nothing was since the stream was read. Change: after a refusal the stream is read at once and the plan tried again with the next look; the same engines have to be there for the whole pause; without load, and where a part is lacking, orders follow the plan without the wait in which others keep work away.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// The stream.
@@ -147,7 +147,10 @@
     let mut news: Offset = 0;
     loop {
         if bulletin.borrow().end.is_some() {
-            shared.tail.turn(Topic::Notices, next).await;
+            tokio::select! {
+                () = shared.tail.turn(Topic::Notices, next) => {}
+                () = shared.notices.notified() => {}
+            }
         }
         match log.read(STREAM, next, MAX_READ, WAIT).await {
             Ok(batch) => {
@@ -183,7 +186,8 @@
                 log::debug!(target: "bulletin", error:% = error; "notices not read");
             }
         }
-        tokio::time::sleep(PACE).await;
+        // Ends early when a plan was refused because the stream went on.
+        let _ = timeout(PACE, shared.notices.notified()).await;
     }
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -90,6 +90,8 @@
     pub loads: Loads,
     /// Who reads the log.
     pub tail: Tail,
+    /// Told when the entries' stream is to be read at once.
+    pub notices: Notify,
     /// Told when this entry's work at engines changes.
     pub changed: Arc<Notify>,
     fleet: Mutex<Fleet>,
@@ -125,6 +127,7 @@
             peers: Peers::default(),
             loads: Loads::default(),
             tail: Tail::default(),
+            notices: Notify::new(),
             changed: changed.clone(),
             fleet: Mutex::new(Fleet::new(changed)),
             link,
@@ -149,7 +152,7 @@
 
     /// Whether a target that was chosen some time ago may still get work.
     pub fn may_get_work(&self, target: &Target) -> bool {
-        self.fleet().get(&target.id).is_some()
+        self.fleet().get(&target.id).is_some_and(|known| known.key == target.key)
     }
 
     /// Notes that the process stops.
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -17,7 +17,7 @@
 use crate::route::{Service, ServiceName, Stage};
 use crate::shared::Shared;
 use crate::target::Target;
-use orders::Changes;
+use orders::{ANNOUNCED, Changes};
 use plat::KeyedLog;
 use policy::demand::Demand;
 use policy::split::{self, Engine, Part};
@@ -30,8 +30,9 @@
 /// How often the split is looked at.
 const TICK: Duration = Duration::from_millis(250);
 
-/// How long the split has to be wrong before it is changed: longer than a heartbeat of an engine
-/// that has just changed.
+/// How long the split of the same engines has to be wrong before it is changed: longer than a
+/// heartbeat of an engine that has just changed, or of one that is not yet listed when the system
+/// starts.
 const LASTING: Duration = Duration::from_millis(1_500);
 
 /// How long nobody may be seen to write, or to read, before that is changed: an engine that broke
@@ -83,8 +84,8 @@
 enum Wrong {
     /// No engine that can be reached does this part.
     Lacks(Part),
-    /// Too few do it for the load.
-    TooFew(Part),
+    /// Too few of so many engines do it for the load.
+    TooFew { part: Part, of: usize },
 }
 
 impl Planner {
@@ -104,14 +105,14 @@
             });
             let due =
                 watched.wrong.is_some_and(|(wrong, since)| self.is_our_turn(wrong, since, now));
-            if due {
-                watched.wrong = None;
-            }
+            let idle = watched.demand.is_idle();
             self.watched.insert(service.name.clone(), watched);
             if let Some((wrong, changes)) = found.filter(|_| due) {
                 log::info!(target: "stages", service = service.name.as_str(), wrong:? = wrong;
                     "split to be changed");
-                self.carry_out(changes).await;
+                // Where nobody can be served, or nobody asks, no work has to be kept away first.
+                let in_vain = idle || matches!(wrong, Wrong::Lacks(_));
+                self.carry_out(changes, if in_vain { Duration::ZERO } else { ANNOUNCED }).await;
                 return;
             }
         }
@@ -155,7 +156,7 @@
         let free = changes.into_iter().filter(|&at| self.may_name(&staged[at].0.id, now));
         let changes: Changes = free.map(|at| (staged[at].0.clone(), other(staged[at].1))).collect();
         let short = if wanted > reading { Part::Reads } else { Part::Writes };
-        let wrong = lacking.map_or(Wrong::TooFew(short), Wrong::Lacks);
+        let wrong = lacking.map_or(Wrong::TooFew { part: short, of: engines.len() }, Wrong::Lacks);
         (!changes.is_empty()).then_some((wrong, changes))
     }
 
@@ -196,7 +197,7 @@
         let wrong_for = now.duration_since(since);
         match wrong {
             Wrong::Lacks(_) => knows_all && wrong_for >= LACKING + SHORT_TURN * turns,
-            Wrong::TooFew(_) => {
+            Wrong::TooFew { .. } => {
                 let quiet = first || now.duration_since(planned) >= QUIET;
                 knows_all && quiet && wrong_for >= LASTING + TURN * turns
             }
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -31,8 +31,8 @@
 const PATIENCE: Duration = Duration::from_millis(600);
 
 impl Planner {
-    /// Appends the plan, and gives its orders once the other entries have read it.
-    pub(super) async fn carry_out(&self, changes: Changes) {
+    /// Appends the plan, and gives its orders after `announced`, when the other entries have read it.
+    pub(super) async fn carry_out(&self, changes: Changes, announced: Duration) {
         let Some(end) = self.bulletin.borrow().end else { return };
         let of = |wanted: Stage| {
             let ids = changes.iter().filter(|(_, stage)| *stage == wanted);
@@ -48,14 +48,17 @@
         let fence = match self.log.append_at(bulletin::STREAM, end, record).await {
             Ok(offset) => offset,
             Err(error) => {
-                // Moved: somebody wrote meanwhile. Otherwise it may stand in the stream or not;
-                // either way no order is given under it.
+                // Moved: somebody wrote meanwhile, perhaps only that it lives. What it wrote is read
+                // at once, and if no plan is among it the next look finds the same to be done.
+                // Otherwise the plan may stand in the stream or not; either way no order is given
+                // under it.
+                self.shared.notices.notify_one();
                 log::info!(target: "stages", error:% = error; "plan not made");
                 return;
             }
         };
         bulletin::announce(&self.shared, &plan, Instant::now());
-        tokio::time::sleep(ANNOUNCED).await;
+        tokio::time::sleep(announced).await;
         let orders = changes.into_iter().map(|(target, stage)| async move {
             if since_boot().saturating_sub(began) > ORDERS_END {
                 log::warn!(target: "stages", target_id = target.id.as_str(), fence;
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -75,6 +75,11 @@
         self.streams.sample(f64::from(streams), elapsed);
     }
 
+    /// Whether there has been none.
+    pub fn is_idle(&self) -> bool {
+        self.observed <= 0.0
+    }
+
     /// The engines that the highest demand lately would keep busy.
     pub fn need(&self, pace: &Pace) -> Need {
         Need {
