fix(direct): an entry that is gone no longer halves the queues that the others leave to engines

Cause: what an entry does not hear of others' work it makes up for by a shorter queue, by the entries divided by those heard, rounded up. Change: the ratio as it is.

--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -176,8 +176,12 @@
 
     /// Of how many entries this one knows the work of a single one on average: 1 if it hears all
     /// the others, as many as there are if it hears none.
-    pub fn unheard(&self) -> u32 {
-        self.entries().div_ceil(self.peers.heard().saturating_add(1))
+    ///
+    /// An entry that is gone still counts until its heartbeat is old. Rounded up, one of thirty
+    /// halved the queue that the others left to engines for twenty seconds.
+    pub fn unheard(&self) -> f64 {
+        let known = f64::from(self.peers.heard()) + 1.0;
+        (f64::from(self.entries()) / known).max(1.0)
     }
 
     /// How many entries share the work, as far as is known.
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -124,12 +124,17 @@
 const LEAST_URGENT: u8 = 9;
 
 /// Places a prompt, for an entry that knows of the work of one in `unheard` entries.
-pub fn place(settings: &Settings, prompt: &Prompt, readers: &[Reader], unheard: u32) -> Place {
+pub fn place(
+    settings: &Settings,
+    prompt: &Prompt,
+    readers: &[Reader],
+    unheard: impl Into<f64>,
+) -> Place {
     let order = order(prompt, readers);
     if order.is_empty() {
         return Place::Full(prompt.objective);
     }
-    let most = most(settings, prompt).as_secs_f64() / f64::from(unheard.max(1));
+    let most = most(settings, prompt).as_secs_f64() / unheard.into().max(1.0);
     // Few engines keep any of a prompt; asked for each of 700 readers, all would take a millisecond.
     let holders: Vec<usize> = (0..readers.len()).filter(|&at| readers[at].kept > 0).collect();
     let mut soonest = f64::INFINITY;
