fix(direct): a target in whose place another answers gets nothing until it tells of itself again

Cause: engines crash and others start at their addresses while the log is away, so the list still names the former ones. Change: such a target counts as away for 4 s or until a newer record of its own.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -181,6 +181,10 @@
     }
     if refused {
         let status = response.status();
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            log::info!(target: "fleet", target_id = target.id.as_str(); "another answers in its place");
+            target.misdirected(now);
+        }
         drain(response, connection, reply);
         return Outcome::NotRun(status);
     }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -95,6 +95,7 @@
         if leaves {
             log::info!(target: "fleet", target_id = id.as_str(), offset; "target leaves");
         }
+        self.target.renewed();
         let staged = self.target.set_stage(sighting.stage);
         if staged {
             log::info!(target: "fleet", target_id = id.as_str(), offset, stage:? = sighting.stage;
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -77,6 +77,10 @@
 /// and the news of it. An order that was lost costs the engine's work for this time.
 const CHANGE: Duration = Duration::from_millis(9_000);
 
+/// How long a target is left alone after another answered in its place, unless it tells of itself
+/// again: by then its entry has lapsed, or one of a stage that changed has said so.
+const MISDIRECTED: Duration = Duration::from_secs(4);
+
 #[derive(Debug, Default)]
 struct Load {
     stage: Option<Stage>,
@@ -85,6 +89,8 @@
     taken_in: Handover,
     failures: f64,
     busy: Option<(Busy, Instant)>,
+    /// Until when it counts as not being there, because what stands at its address said so.
+    misdirected: Option<Instant>,
     change: Option<Change>,
 }
 
@@ -235,11 +241,28 @@
         false
     }
 
-    /// Whether it could lately not be reached, or has said nothing for `patience` though it has
-    /// work: others go first.
+    /// Notes that what answers at its address says that it is not this target, or not of this stage.
+    ///
+    /// A target that crashed has been replaced at its address by another, and the list of targets
+    /// does not say so yet: it lapses after seconds, or the log is away. Connections succeed there,
+    /// so nothing else would keep requests from being sent and refused, each at the price of one of
+    /// the few sendings that a request may have.
+    pub fn misdirected(&self, now: Instant) {
+        self.load().misdirected = Some(now + MISDIRECTED);
+    }
+
+    /// Notes that the target itself has told of itself again.
+    pub fn renewed(&self) {
+        self.load().misdirected = None;
+    }
+
+    /// Whether it could lately not be reached, is not at its address, or has said nothing for
+    /// `patience` though it has work: others go first.
     pub fn is_away(&self, patience: Duration, now: Instant) -> bool {
         let load = self.load();
-        load.reach.is_paused() || load.reach.is_silent(patience, self.time(now))
+        load.misdirected.is_some_and(|until| now < until)
+            || load.reach.is_paused()
+            || load.reach.is_silent(patience, self.time(now))
     }
 
     /// Tries to connect once its pause is over.
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -246,3 +246,21 @@
         }
     });
 }
+
+/// A target crashed and another stands at its address, which refuses what is meant for the first.
+/// Each request sent there in vain is one of the few sendings that it may have.
+#[tokio::test(start_paused = true)]
+async fn a_target_in_whose_place_another_answers_is_left_alone_until_it_tells_of_itself() {
+    let mut fleet = four();
+    let target = fleet.get("a").expect("it is listed").clone();
+    let patience = Duration::from_secs(1);
+    target.misdirected(Instant::now());
+    assert!(target.is_away(patience, Instant::now()));
+    fleet.apply(vec![(30, seen("b", 2, false))], Instant::now(), false);
+    assert!(target.is_away(patience, Instant::now()), "another's record says nothing of it");
+    fleet.apply(vec![(31, seen("a", 2, false))], Instant::now(), false);
+    assert!(!target.is_away(patience, Instant::now()));
+    target.misdirected(Instant::now());
+    tokio::time::advance(Duration::from_secs(5)).await;
+    assert!(!target.is_away(patience, Instant::now()), "it is tried again");
+}
