feat(direct): an entry that starts beside running engines asks them what they keep

Cause: all entries are killed and engines go on. Change: each entry asks once, of many engines a few each, and others than the other entries. Ruled out: telling it by datagram (48 parts each, some thousand parts).

--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -176,6 +176,12 @@
     /// The path that frees a handle, for a `DELETE`.
     fn free_path(&self, handle: &str) -> String;
 
+    /// The path of the list of what an engine keeps of prompts, for a `GET`.
+    fn kept_path(&self) -> &'static str;
+
+    /// Reads that list.
+    fn kept(&self, body: &[u8]) -> Result<Vec<Part>>;
+
     /// The path of an engine's report, for a `GET`.
     fn report_path(&self) -> &'static str;
 
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -6,6 +6,7 @@
 use crate::measured::Measured;
 use crate::peers;
 use crate::probe;
+use crate::recall;
 use crate::shared::{Shared, Stop};
 use crate::stages;
 use http::StatusCode;
@@ -116,6 +117,7 @@
         tasks.spawn(peers::tell(shared.clone(), peers.clone()));
         tasks.spawn(peers::hear(shared.clone(), peers));
         tasks.spawn(stages::run(shared.clone(), log, heard));
+        tasks.spawn(recall::run(shared.clone()));
         tasks.spawn(upkeep(shared.clone()));
         tasks.spawn(intake.clone().accept(shared.clone(), callers, last.clone()));
         tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod plain;
 pub mod pool;
 pub mod probe;
+pub mod recall;
 pub mod relay;
 pub mod route;
 pub mod serve;
