--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -18,6 +18,8 @@
     NoTarget,
     /// All engines have more to read than they can in time.
     PromptsFull,
+    /// No engine that writes can be reached.
+    NoWriter,
     /// This process's own link has too much on its way.
     LinkFull,
     /// A target was tried and refused.
@@ -46,6 +48,7 @@
             Self::NoConfiguration => "no-configuration",
             Self::NoTarget => "no-target",
             Self::PromptsFull => "prompts-full",
+            Self::NoWriter => "no-writer",
             Self::LinkFull => "link-full",
             Self::TargetRefused => "target-refused",
             Self::Unreachable => "unreachable",
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -5,7 +5,7 @@
 mod resume;
 mod write;
 
-use crate::answer::Body;
+use crate::answer::{Body, Refusal};
 use crate::border::Prompt;
 use crate::plain;
 use crate::route::Stage;
@@ -16,6 +16,7 @@
 use policy::writers::{self, Writer};
 use read::Read;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Serves a generation.
@@ -27,12 +28,43 @@
     };
     let piece = job.service.engine.as_ref().and_then(|engine| engine.piece);
     trace.output = piece.map(|tokens| (job.service.name.clone(), tokens));
+    if let Some(back) = until_written(&job, &engines) {
+        return job.refuse(&mut trace, Refusal::NoWriter, back);
+    }
     match read::run(&job, &prompt, &mut trace).await {
         Read::Refused(refusal, back) => job.refuse(&mut trace, refusal, back),
         Read::Placed(place) => write::run(job, prompt, place, trace).await,
     }
 }
 
+/// How long it takes until an engine writes again, if none can now.
+///
+/// All engines that write can be lost while others go on reading: what these read then is read for
+/// nobody, and each request ends late and untried. Refused at once, its caller has the time to come
+/// back when engines have changed their stage.
+fn until_written(job: &Job, engines: &[Arc<Target>]) -> Option<Duration> {
+    let now = Instant::now();
+    let is_here = |engine: &&Arc<Target>| !engine.is_away(job.patience(), now);
+    let writes =
+        |engine: &Arc<Target>| engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now);
+    // All seem away to a process that was frozen itself and has not read what they said.
+    let any_here = engines.iter().any(|engine| is_here(&engine));
+    if !any_here || engines.iter().filter(is_here).any(writes) {
+        return None;
+    }
+    let switch = job.service.engine.as_ref().map_or(Duration::ZERO, |engine| engine.switch);
+    let begun = engines.iter().filter_map(|engine| engine.changes_since(Stage::Decode, now)).max();
+    // Without a plan so far, it is still to be noticed.
+    let left = begun.map_or(switch + NOTICED, |begun| switch.saturating_sub(begun));
+    Some(left + TOLD)
+}
+
+/// How long it takes until it is noticed that nobody writes.
+const NOTICED: Duration = Duration::from_millis(1_500);
+
+/// How long it takes until a changed stage is read from the log.
+const TOLD: Duration = Duration::from_millis(1_000);
+
 /// Remembers what the engine keeps of a prompt that it has read or taken, and tells the others.
 fn keep(job: &Job, prompt: &Prompt, engine: &Target) {
     let room = job.service.engine.as_ref().map_or(0, |spec| spec.memory);
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -210,13 +210,19 @@
         part: part(stage),
         work: target.in_flight(),
         domain: target.domain_key,
-        present: !target.is_away(SILENT, now),
+        present: !target.is_away(silent(stage), now),
     }
 }
 
-/// An engine that has work and has said nothing for this long can't be counted on: the longest that
-/// one takes to read what it is given at once is less.
-const SILENT: Duration = Duration::from_millis(1_500);
+/// An engine that has work and has said nothing for this long can't be counted on. One that writes
+/// makes a piece of each stream every few steps; one that reads says nothing until it has read all
+/// of a prompt, the longest of which take a second.
+fn silent(stage: Stage) -> Duration {
+    match stage {
+        Stage::Prefill => Duration::from_millis(1_500),
+        Stage::Decode => Duration::from_millis(1_000),
+    }
+}
 
 fn part(stage: Stage) -> Part {
     match stage {
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -98,6 +98,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Change {
     stage: Stage,
+    since: Instant,
     until: Instant,
 }
 
@@ -159,7 +160,7 @@
     pub fn expect_stage(&self, stage: Stage, now: Instant) {
         let mut load = self.load();
         if load.stage != Some(stage) {
-            load.change = Some(Change { stage, until: now + CHANGE });
+            load.change = Some(Change { stage, since: now, until: now + CHANGE });
         }
     }
 
@@ -169,6 +170,12 @@
         load.change.is_some_and(|change| load.stage != Some(change.stage) && now < change.until)
     }
 
+    /// For how long it has been about to have this stage, if it is.
+    pub fn changes_since(&self, stage: Stage, now: Instant) -> Option<Duration> {
+        let change = self.load().change.filter(|change| change.stage == stage);
+        change.filter(|_| self.is_changing(now)).map(|change| now.duration_since(change.since))
+    }
+
     /// The stage that it has, or is about to have.
     pub fn next_stage(&self, now: Instant) -> Option<Stage> {
         let load = self.load();
