feat(direct): an engine whose incoming KV cache waits for a second does not count as one that writes

Cause: of two writers one was dark and the other had a slow link. It answered, so nobody was seen to be missing; it refused each handover within 2 ms (362 in six seconds), after the prompt had been read. Change: engines with transfers near the longest wait count as away for the split and for refusals.

--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -45,8 +45,10 @@
 fn until_written(job: &Job, engines: &[Arc<Target>]) -> Option<Duration> {
     let now = Instant::now();
     let is_here = |engine: &&Arc<Target>| !engine.is_away(job.patience(), now);
-    let writes =
-        |engine: &Arc<Target>| engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now);
+    let writes = |engine: &Arc<Target>| {
+        let able = !engine.is_changing(now) && !engine.is_choked(now);
+        able && engine.stage() != Some(Stage::Prefill)
+    };
     // All seem away to a process that was frozen itself and has not read what they said.
     let any_here = engines.iter().any(|engine| is_here(&engine));
     if !any_here || engines.iter().filter(is_here).any(writes) {
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -210,7 +210,8 @@
         part: part(stage),
         work: target.in_flight(),
         domain: target.domain_key,
-        present: !target.is_away(silent(stage), now),
+        present: !target.is_away(silent(stage), now)
+            && (stage == Stage::Prefill || !target.is_choked(now)),
     }
 }
 
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -66,6 +66,9 @@
 /// half of its requests then gets work only when the others are about full.
 const FAILURE_WEIGHT: f64 = 2.0;
 
+/// Half of the longest that a transfer waits, see [`Target::is_choked`].
+const CHOKED: Duration = Duration::from_millis(1_000);
+
 /// For how long a target's own word about its load counts. Its requests take tens of milliseconds,
 /// so an older word says nothing.
 const FRESH: Duration = Duration::from_millis(100);
@@ -238,6 +241,13 @@
         }
     }
 
+    /// Whether KV cache for it waits so long that it is about to refuse more: transfers that would
+    /// wait for two seconds are not begun. It lives and answers, but as one that writes it is as good
+    /// as away.
+    pub fn is_choked(&self, now: Instant) -> bool {
+        self.handover_excess(Way::In, now) >= CHOKED
+    }
+
     /// Tries to connect, after an exchange broke off: a single connection may have been reset, or
     /// the target may have crashed.
     pub async fn still_listens(&self) -> bool {
