feat(direct,platform): customers by key: unknown keys get 401, targets are told the customer

Cause: the configuration's customers weren't read.

Each configuration indexes the digests of its keys once; a request costs one digest and one lookup. A customer's rank goes before the route's; open routes need no key; where no customers are configured all stays as it was. Requests that crash targets are now known by customer as well, so that none can have another's refused.

Ruled out: matching keys as text (a key would stand in memory and in Debug output, and the time of a lookup would tell of it); a second table beside the configuration's (two versions in force at once).

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -125,6 +125,15 @@
     response
 }
 
+/// The answer to a request that carries no key of a customer, the same whatever is wrong with it: what
+/// it said would help whoever guesses.
+pub fn unauthorized() -> Response<Body> {
+    let mut response = own(StatusCode::UNAUTHORIZED, "a customer's key is needed");
+    let challenge = HeaderValue::from_static("Bearer");
+    response.headers_mut().insert(header::WWW_AUTHENTICATE, challenge);
+    response
+}
+
 /// A failure after which the caller can't know whether the request ran.
 pub fn fail(failure: Failure) -> Response<Body> {
     match failure {
--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -3,6 +3,7 @@
 //! A deployment's adapter implements [`Border`]. Everything behind it speaks of attempts, deadlines
 //! and prompts and never sees a header's name.
 
+use crate::customers::{Caller, Credential};
 use crate::fleet::Born;
 use crate::route::Stage;
 use compact_str::CompactString;
@@ -51,6 +52,8 @@
     pub deadline: Option<Duration>,
     /// The prompt, if this is a generation.
     pub prompt: Option<Prompt>,
+    /// What shows whose request it is.
+    pub credential: Credential,
 }
 
 /// KV cache that a target holds for a request.
@@ -91,6 +94,8 @@
     pub after_event: Option<u64>,
     /// How urgent this is among the target's requests: 0 goes first, 9 last.
     pub urgency: Option<u8>,
+    /// Whose request it is: the target is told the customer, and never the key.
+    pub caller: Caller,
 }
 
 /// How busy a target says it is.
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -216,7 +216,7 @@
     let _reading = engine.engine.read(tokens);
     let fetch = fetch.map(|engine| engine.address);
     let settings = &job.shared.settings.prompts;
-    let urgency = Some(prompts::urgency(settings, tokens, job.route.rank));
+    let urgency = Some(prompts::urgency(settings, tokens, job.rank()));
     let kept = u64::from(prompt.input).saturating_sub(tokens);
     job.shared.metrics.prompt(tokens, kept);
     let sending = Sending { step: Step::Prefill, fetch, urgency, ..job.sending(engine) };
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod broadcast;
 pub mod bulletin;
 pub mod coordinator;
+pub mod customers;
 pub mod daemon;
 pub mod datagram;
 pub mod durations;
--- a/crates/direct/src/route.rs
+++ b/crates/direct/src/route.rs
@@ -1,5 +1,6 @@
 //! What operators configured: routes, services and limits, as one immutable table a version.
 
+use crate::customers::{self, Caller, Credential, Customers};
 use compact_str::CompactString;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -64,6 +65,8 @@
     pub rank: u8,
     /// Targets that one request may be sent to.
     pub attempts: u32,
+    /// Whether it needs no customer's key.
+    pub open: bool,
 }
 
 /// What all engines of a service have in common.
@@ -110,6 +113,8 @@
     pub limits: Limits,
     services: HashMap<ServiceName, Arc<Service>>,
     hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>>,
+    /// `None` if requests need no key.
+    customers: Option<Customers>,
 }
 
 impl Table {
@@ -127,7 +132,26 @@
         }
         let services = services.into_iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
-        Self { version, limits, services, hosts }
+        Self { version, limits, services, hosts, customers: None }
+    }
+
+    /// The same table for these customers only.
+    #[must_use]
+    pub fn with_customers(self, customers: Customers) -> Self {
+        Self { customers: Some(customers), ..self }
+    }
+
+    /// Whose a request on `route` is.
+    pub fn caller(&self, route: &Route, credential: Credential) -> customers::Result<Caller> {
+        match &self.customers {
+            Some(customers) => customers.caller(credential, route.open),
+            None => Ok(Caller::Unasked),
+        }
+    }
+
+    /// How many keys of customers there are, if requests need one.
+    pub fn keys(&self) -> Option<usize> {
+        self.customers.as_ref().map(Customers::keys)
     }
 
     /// The route with the longest prefix that begins `path`, among those of `host`.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::answer::{self, Body, Failure, Refusal};
 use crate::attempt::{self, Content, Outcome};
 use crate::border::{Ask, Sending};
+use crate::customers::Caller;
 use crate::engine::Writing;
 use crate::relay::{Booking, Relay, Resume, Source};
 use crate::route::{Repeat, Route, Service, Table};
@@ -25,6 +26,8 @@
     pub content: Content,
     /// What its headers say.
     pub ask: Ask,
+    /// Whose it is.
+    pub caller: Caller,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that it was dealt to.
@@ -49,6 +52,9 @@
 /// The lowest urgency that engines know.
 const LEAST_URGENT: u8 = 9;
 
+/// The outcome of a request without a key of a customer.
+const UNAUTHORIZED: &str = "unauthorized";
+
 /// When to come back after a target refused or could not be reached: by then others are chosen.
 pub const SHORTLY: Duration = Duration::from_millis(100);
 
@@ -67,7 +73,11 @@
     let attempt = ask.attempt.clone().unwrap_or_default();
     let version = table.version;
     let mut trace = Trace::new(attempt, route.name.clone(), version, arrived, shared.clone());
-    let Some(job) = job(shared, content, ask, route, &table, arrived) else {
+    let Ok(caller) = table.caller(&route, ask.credential) else {
+        trace.end(UNAUTHORIZED);
+        return answer::unauthorized();
+    };
+    let Some(job) = job(shared, content, ask, caller, route, &table, arrived) else {
         trace.end(Refusal::NoTarget.name());
         return answer::refuse(Refusal::NoTarget, SOON);
     };
@@ -91,15 +101,16 @@
     shared: Arc<Shared>,
     content: Content,
     ask: Ask,
+    caller: Caller,
     route: Arc<Route>,
     table: &Table,
     arrived: Instant,
 ) -> Option<Job> {
     let service = table.service(route.portion(shared.random()))?.clone();
     let patience = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let fingerprint = fingerprint(&content);
+    let fingerprint = fingerprint(&content, caller.customer());
     let until = arrived + patience;
-    Some(Job { shared, content, ask, route, service, until, fingerprint })
+    Some(Job { shared, content, ask, caller, route, service, until, fingerprint })
 }
 
 impl Job {
@@ -110,11 +121,18 @@
             target: target.id.clone(),
             deadline: self.left(),
             // Plain services know no urgency, and their requests are as they came.
-            urgency: self.service.engine.as_ref().map(|_| self.route.rank.min(LEAST_URGENT)),
+            urgency: self.service.engine.as_ref().map(|_| self.rank().min(LEAST_URGENT)),
+            caller: self.caller.clone(),
             ..Sending::default()
         }
     }
 
+    /// How urgent it is: as its customer is, or else as its route.
+    pub fn rank(&self) -> u8 {
+        let own = self.caller.customer().and_then(|customer| customer.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
     /// Sends the request to a target.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending) -> Outcome {
         self.shared.book_bytes(self.content.body.len());
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -1,8 +1,9 @@
 //! Requests that were running when a target crashed.
 
 use crate::attempt::Content;
+use crate::customers::Customer;
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -89,8 +90,10 @@
     }
 }
 
-/// The fingerprint of a request: its path and body.
-pub fn fingerprint(content: &Content) -> Fingerprint {
+/// The fingerprint of a request: its path, its body and whose it is, so that no customer can have
+/// another's requests refused.
+pub fn fingerprint(content: &Content, customer: Option<&Arc<Customer>>) -> Fingerprint {
     let path = xxhash_rust::xxh3::xxh3_64(content.path.to_string().as_bytes());
-    policy::mix(path, xxhash_rust::xxh3::xxh3_64(&content.body))
+    let request = policy::mix(path, xxhash_rust::xxh3::xxh3_64(&content.body));
+    customer.map_or(request, |customer| policy::mix(request, policy::hash(&customer.name)))
 }
--- a/crates/direct/tests/route.rs
+++ b/crates/direct/tests/route.rs
@@ -17,6 +17,7 @@
         objective: Duration::from_millis(100),
         rank: 0,
         attempts: 1,
+        open: false,
     }
 }
 
