feat(direct,policy,platform): usage billed by one entry at a time; keys that are taken away

Every entry now counts the requests of each customer by windows of true time (the median of all entries' clocks) and tells four billers at most 250 ms later. One of them fixes a window's counts in a stream of the log, on condition of its end, and reports exactly that; the record is the lease and its offset the fence. In a calm time a window costs one append and one report.

Weighed: a record in the log as above; the platform's group membership with its generation (a call each few seconds by each biller, and a generation says nothing of what was reported); whoever peers agree is first, without the store (two that don't hear each other both report). Only the first leaves what may have been reported for whoever follows.

Cause of the keys: a configuration with 74 customers is larger than the 6,000 bytes that are passed on, so an entry that the store turns away never heard of keys that were gone. Records up to 32,000 bytes are passed on, and whoever can't read asks an entry that has. Where revocation is strict, keys lapse with the news.

Tests: policy usage, tenure, clock; entry billing (kill of the holder, lost answers, higher fence), customers (turned away: failed with 6,000 bytes; strict), settings.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -14,6 +14,8 @@
 pub enum Refusal {
     /// This process knows no configuration yet.
     NoConfiguration,
+    /// It is not known whether the customer's key still holds.
+    KeysUnsure,
     /// The service has no target that could be tried.
     NoTarget,
     /// All engines have more to read than they can in time.
@@ -46,6 +48,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NoConfiguration => "no-configuration",
+            Self::KeysUnsure => "keys-unsure",
             Self::NoTarget => "no-target",
             Self::PromptsFull => "prompts-full",
             Self::NoWriter => "no-writer",
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -40,6 +40,16 @@
     Late,
 }
 
+impl Outcome {
+    /// Whether the target ran the request, or may have.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::Answered(_) | Self::Unknown(_) | Self::Late => true,
+            Self::NotRun(_) | Self::NotSent(_) => false,
+        }
+    }
+}
+
 /// A target's answer, with its body still to come.
 #[derive(Debug)]
 pub struct Answered {
--- /dev/null
+++ b/crates/direct/src/billing.rs
@@ -0,0 +1,262 @@
+//! Bills what customers have used, window after window: the duty of one entry at a time.
+//!
+//! The holder fixes the counts of a window in a stream of the log before it reports them. Whoever follows
+//! it finds there what may have been reported, and reports exactly that: a report without an answer may
+//! still be carried out later. The record is the lease as well, see [`policy::tenure`], and its offset
+//! the fence. In a calm time a window costs one record and one report; the others hear of the record by
+//! datagram, and read the stream only when a bill is overdue.
+
+mod record;
+
+use crate::clock::since_boot;
+use crate::question::{Billed, Word};
+use crate::shared::Shared;
+use crate::usage;
+use async_trait::async_trait;
+use plat::{Entry, KeyedLog, Offset};
+use policy::tenure::{self, Tenure};
+use policy::usage::{Counts, Life, Window};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The stream.
+pub const STREAM: &str = "lapismast.usage";
+
+/// What each customer used in a window.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bill {
+    /// The window.
+    pub window: Window,
+    /// Requests that began to run in it, by customer.
+    pub counts: Counts,
+}
+
+/// What became of a report that was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is known.
+    Accepted,
+    /// Somebody with a higher fence has reported.
+    Superseded,
+}
+
+/// Where usage is reported.
+#[async_trait]
+pub trait Meter: Send + Sync {
+    /// Reports what customers used, as the node that has the duty under this fence. May be repeated.
+    async fn report(&self, holder: &str, fence: u64, bill: &Bill) -> plat::Result<Verdict>;
+}
+
+/// Settings of the duty.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// The length of a window.
+    pub window: Duration,
+    /// For how long a holder has to have been silent before another may act.
+    pub lease: Duration,
+}
+
+/// After the end of a window the others' counts are waited for so long.
+const SETTLED: Duration = Duration::from_millis(900);
+
+/// How often it is looked at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The pause after a call that failed.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Windows in one record at most: after an outage many are due.
+const MAX_BILLS: u64 = 8;
+
+/// Records read at once at most.
+const MAX_READ: usize = 256;
+
+/// Bills as long as the process lives.
+pub async fn run(
+    shared: Arc<Shared>,
+    log: Arc<dyn KeyedLog>,
+    meter: Arc<dyn Meter>,
+    settings: Settings,
+    life: Life,
+) {
+    let tenure = tenure::Settings {
+        acts: Duration::from_secs(3),
+        lease: settings.lease,
+        overdue: Duration::from_millis(1_600),
+        turn: Duration::from_millis(600),
+    };
+    let mut biller = Biller {
+        shared,
+        log,
+        meter,
+        life,
+        settings: tenure,
+        tenure: Tenure::default(),
+        end: 0,
+        next: None,
+        open: BTreeMap::new(),
+        appending: None,
+    };
+    loop {
+        tokio::time::sleep(TICK).await;
+        if let Err(error) = biller.tick().await {
+            log::info!(target: "billing", error:% = error; "bill put off");
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+}
+
+struct Biller {
+    shared: Arc<Shared>,
+    log: Arc<dyn KeyedLog>,
+    meter: Arc<dyn Meter>,
+    life: Life,
+    settings: tenure::Settings,
+    tenure: Tenure,
+    /// The end of the stream, as far as it is known.
+    end: Offset,
+    /// The first window that is not fixed, as far as it is known.
+    next: Option<Window>,
+    /// Windows that are fixed and may not be known to the platform.
+    open: BTreeMap<Window, Counts>,
+    /// When the last append began that may still succeed.
+    appending: Option<Duration>,
+}
+
+impl Biller {
+    async fn tick(&mut self) -> plat::Result<()> {
+        let billers = usage::billers(&self.shared.peers.members());
+        // Of the members only this entry has no address.
+        let rank = billers.iter().position(|member| member.address.is_none());
+        let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else { return Ok(()) };
+        if self.shared.stopping().is_some() {
+            return Ok(());
+        }
+        self.hear();
+        self.report().await?;
+        let present = self.shared.usage.clock.now();
+        let Some(due) = self.due(present) else { return Ok(()) };
+        if !self.tenure.may_claim(&self.settings, rank, due, since_boot()) {
+            return Ok(());
+        }
+        if !self.tenure.holds() || self.appending.is_some() {
+            // What was heard by datagram says nothing of what is fixed.
+            self.read().await?;
+            let due = self.due(present).unwrap_or_default();
+            if due.is_zero() || !self.tenure.may_claim(&self.settings, rank, due, since_boot()) {
+                return Ok(());
+            }
+        }
+        self.fix(present).await?;
+        self.report().await
+    }
+
+    /// For how long the next window has been ready to be billed; `None` if it is not.
+    fn due(&self, present: Duration) -> Option<Duration> {
+        let usage = &self.shared.usage;
+        let next = self.next.or_else(|| usage.first(usage.window_at(present)?))?;
+        present.checked_sub(usage.end(next) + SETTLED)
+    }
+
+    /// Takes in what another entry has told of its bills.
+    fn hear(&mut self) {
+        let Some((billed, at)) = self.shared.usage.last_billed() else { return };
+        if billed.end > self.end {
+            self.tenure.hear(billed.end, at);
+            self.next = self.next.max(Some(billed.next));
+        }
+    }
+
+    /// Reads what is fixed.
+    async fn read(&mut self) -> plat::Result<()> {
+        let batch = match self.log.read(STREAM, self.end, MAX_READ, Duration::ZERO).await {
+            Err(plat::Error::Gone { oldest, .. }) => {
+                log::warn!(target: "billing", oldest; "bills expired before they were read");
+                self.end = oldest;
+                return Ok(());
+            }
+            batch => batch?,
+        };
+        for Entry { offset, bytes } in batch.entries {
+            self.end = offset + 1;
+            match record::read(&bytes) {
+                Ok(record) => self.take(record, offset),
+                Err(error) => log::warn!(target: "billing", offset, error:% = error;
+                    "record not readable, left out"),
+            }
+        }
+        self.appending = None;
+        Ok(())
+    }
+
+    fn take(&mut self, record: record::Record, offset: Offset) {
+        let record::Record { life, settled, bills } = record;
+        match self.appending.filter(|_| life == self.life) {
+            Some(began) => self.tenure.hold(&self.settings, offset, began),
+            None => self.tenure.hear(offset + 1, since_boot()),
+        }
+        for Bill { window, counts } in bills {
+            self.next = self.next.max(Some(window + 1));
+            self.open.entry(window).or_insert(counts);
+        }
+        self.open.retain(|window, _| *window >= settled);
+    }
+
+    /// Fixes the windows that are due.
+    async fn fix(&mut self, present: Duration) -> plat::Result<()> {
+        let usage = &self.shared.usage;
+        let first = usage.window_at(present).and_then(|present| usage.first(present));
+        let Some(next) = self.next.or(first) else { return Ok(()) };
+        let is_due = |window: &Window| usage.end(*window) + SETTLED <= present;
+        let windows = (next..next.saturating_add(MAX_BILLS)).take_while(is_due);
+        let bills: Vec<_> =
+            windows.map(|window| Bill { window, counts: usage.sums(window) }).collect();
+        let Some(after) = bills.last().map(|bill| bill.window + 1) else { return Ok(()) };
+        let settled = self.open.keys().next().copied().unwrap_or(next);
+        let record = record::Record { life: self.life, settled, bills };
+        let began = since_boot();
+        self.appending = Some(began);
+        let offset = match self.log.append_at(STREAM, self.end, record::write(&record)).await {
+            // Whose record stands there is read before anything else is done.
+            Err(error @ (plat::Error::Moved { .. } | plat::Error::Unsettled { .. })) => {
+                return Err(error);
+            }
+            Err(error) => {
+                self.appending = None;
+                return Err(error);
+            }
+            Ok(offset) => offset,
+        };
+        self.appending = None;
+        self.end = offset + 1;
+        self.tenure.hold(&self.settings, offset, began);
+        for Bill { window, counts } in record.bills {
+            self.open.entry(window).or_insert(counts);
+        }
+        self.next = Some(after);
+        log::info!(target: "billing", offset, next = after; "bill fixed");
+        let billed = Billed { end: self.end, next: after };
+        usage::tell_billers(&self.shared, &Word::Billed(billed));
+        Ok(())
+    }
+
+    /// Reports what is fixed, the oldest first, as long as this entry may.
+    async fn report(&mut self) -> plat::Result<()> {
+        while let Some(fence) = self.tenure.fence(since_boot()) {
+            let Some((window, counts)) = self.open.first_key_value() else { return Ok(()) };
+            let bill = Bill { window: *window, counts: counts.clone() };
+            match self.meter.report(&self.shared.settings.name, fence, &bill).await? {
+                Verdict::Accepted => {
+                    log::info!(target: "billing", window = bill.window, fence; "usage reported");
+                    self.open.remove(&bill.window);
+                }
+                Verdict::Superseded => {
+                    log::warn!(target: "billing", fence; "another entry has the duty");
+                    self.tenure.yields(self.end, since_boot());
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/direct/src/billing/record.rs
@@ -0,0 +1,59 @@
+//! The records of the stream of bills.
+
+use super::Bill;
+use bytes::Bytes;
+use policy::usage::{Life, Window};
+use prost::Message;
+
+/// A record: bills that are fixed with it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Record {
+    /// The life of the entry that wrote it.
+    pub(super) life: Life,
+    /// All windows before this one are known to the platform.
+    pub(super) settled: Window,
+    /// The bills.
+    pub(super) bills: Vec<Bill>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+struct WireRecord {
+    #[prost(fixed64, tag = "1")]
+    life: u64,
+    #[prost(uint64, tag = "2")]
+    settled: u64,
+    #[prost(message, repeated, tag = "3")]
+    bills: Vec<WireBill>,
+}
+
+/// One bill, in columns of equal length.
+#[derive(Clone, PartialEq, Message)]
+struct WireBill {
+    #[prost(uint64, tag = "1")]
+    window: u64,
+    #[prost(string, repeated, tag = "2")]
+    customers: Vec<String>,
+    #[prost(uint64, repeated, tag = "3")]
+    counts: Vec<u64>,
+}
+
+/// Reads a record.
+pub(super) fn read(bytes: &[u8]) -> Result<Record, prost::DecodeError> {
+    let WireRecord { life, settled, bills } = WireRecord::decode(bytes)?;
+    let bills = bills.into_iter().map(|WireBill { window, customers, counts }| {
+        let customers = customers.into_iter().map(Into::into);
+        Bill { window, counts: customers.zip(counts).collect() }
+    });
+    Ok(Record { life, settled, bills: bills.collect() })
+}
+
+/// Writes a record.
+pub(super) fn write(record: &Record) -> Bytes {
+    let bills = record.bills.iter().map(|bill| WireBill {
+        window: bill.window,
+        customers: bill.counts.keys().map(ToString::to_string).collect(),
+        counts: bill.counts.values().copied().collect(),
+    });
+    let wire = WireRecord { life: record.life, settled: record.settled, bills: bills.collect() };
+    wire.encode_to_vec().into()
+}
--- a/crates/direct/src/broadcast.rs
+++ b/crates/direct/src/broadcast.rs
@@ -7,17 +7,19 @@
 //! something before them, or does not get the datagram, reads the log as soon as it hears that there is
 //! news, see [`crate::tail`]. Nothing is taken twice or out of order.
 
-use crate::question::{News, Row, Word};
+use crate::question::{Lack, News, Row, Word};
 use crate::shared::Shared;
 use crate::tail::{TOPICS, Told, Topic};
 use bytes::Bytes;
-use plat::Record;
+use plat::{Offset, Record};
+use std::net::SocketAddr;
 
 /// Bytes of records in one datagram: one of this size crosses networks in one piece.
 const MAX_BYTES: usize = 1_200;
 
-/// A single record that is larger than this is left to be read: a configuration of hundreds of routes.
-const MAX_RECORD: usize = 6_000;
+/// A single record that is larger than this is left to be read: a configuration of hundreds of routes
+/// or customers. It has to go in one datagram.
+const MAX_RECORD: usize = 32_000;
 
 /// More records than this are left to be read: when thousands of targets start, one call gets them all,
 /// and passed on to hundreds of entries they would fill the link of whoever passes them on.
@@ -71,6 +73,28 @@
     topics.into_iter().find(|(_, other)| *other == topic).map_or(u32::MAX, |(number, _)| number)
 }
 
+/// Asks an entry that has read more of the configuration for it.
+///
+/// The log may turn away some entries while it answers others, and a datagram with the record may be
+/// lost: such an entry would go on with the old configuration, and serve who has lost the right to it.
+pub fn ask(shared: &Shared, next: Offset) {
+    let Some(ahead) = shared.tail.ahead(Topic::Config, next) else { return };
+    let members = shared.peers.members();
+    let member = members.iter().find(|member| member.key == ahead);
+    if let Some(address) = member.and_then(|member| member.address) {
+        shared.post.send(Word::Lack(Lack { next }), address);
+    }
+}
+
+/// Answers an entry that can't read the configuration.
+pub fn answer(shared: &Shared, lack: Lack, from: SocketAddr) {
+    let record = shared.tail.config(lack.next).filter(|record| size(record) <= MAX_RECORD);
+    let Some(record) = record else { return };
+    let (topic, before) = (number(Topic::Config), lack.next);
+    let news = News { topic, before, troubled: true, records: vec![row(&record)] };
+    shared.post.send(Word::News(news), from);
+}
+
 /// Takes in what another entry has read.
 pub fn take(shared: &Shared, news: News) {
     let topic = usize::try_from(news.topic).ok().and_then(|at| TOPICS.get(at));
--- a/crates/direct/src/coordinator.rs
+++ b/crates/direct/src/coordinator.rs
@@ -120,7 +120,12 @@
     match question {
         Word::Ask(ask) => reading::decide(shared, ask),
         Word::Place(ask) => writing::decide(shared, ask),
-        Word::Answer(_) | Word::Report(_) | Word::News(_) => None,
+        Word::Answer(_)
+        | Word::Report(_)
+        | Word::News(_)
+        | Word::Lack(_)
+        | Word::Used(_)
+        | Word::Billed(_) => None,
     }
 }
 
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The process: its tasks, when it is ready, and how it stops.
 
+use crate::billing::{self, Meter};
 use crate::bulletin::{self, Bulletin};
 use crate::follow::{self, Decode};
 use crate::intake::Intake;
@@ -9,6 +10,7 @@
 use crate::recall;
 use crate::shared::{Shared, Stop};
 use crate::stages;
+use crate::usage;
 use http::StatusCode;
 use plat::KeyedLog;
 use std::net::SocketAddr;
@@ -72,6 +74,7 @@
     readiness: TcpListener,
     metrics: TcpListener,
     peers: UdpSocket,
+    meter: Option<(Arc<dyn Meter>, billing::Settings)>,
     /// The addresses really bound.
     pub addresses: Addresses,
 }
@@ -92,7 +95,13 @@
             metrics: at_metrics,
             ..addresses
         };
-        Ok(Self { shared, callers, readiness, metrics, peers, addresses })
+        Ok(Self { shared, callers, readiness, metrics, peers, meter: None, addresses })
+    }
+
+    /// The same entry, which also bills what customers use.
+    #[must_use]
+    pub fn billing(self, meter: Arc<dyn Meter>, settings: billing::Settings) -> Self {
+        Self { meter: Some((meter, settings)), ..self }
     }
 
     /// Runs until `stop` is cancelled and the answers are given.
@@ -102,7 +111,7 @@
         decode: Arc<dyn Decode>,
         stop: CancellationToken,
     ) {
-        let Self { shared, callers, readiness, metrics, peers, addresses } = self;
+        let Self { shared, callers, readiness, metrics, peers, meter, addresses } = self;
         let log: Arc<dyn KeyedLog> = Arc::new(Measured::new(log, shared.metrics.clone()));
         let peers = Arc::new(peers);
         shared.post.open(peers.clone());
@@ -117,6 +126,12 @@
         tasks.spawn(bulletin::read(shared.clone(), log.clone(), told));
         tasks.spawn(peers::tell(shared.clone(), peers.clone()));
         tasks.spawn(peers::hear(shared.clone(), peers));
+        if let Some((meter, settings)) = meter {
+            let life = shared.post.name();
+            shared.usage.open(settings.window, life);
+            tasks.spawn(usage::tell(shared.clone()));
+            tasks.spawn(billing::run(shared.clone(), log.clone(), meter, settings, life));
+        }
         tasks.spawn(stages::run(shared.clone(), log, heard));
         tasks.spawn(recall::run(shared.clone()));
         tasks.spawn(upkeep(shared.clone()));
--- a/crates/direct/src/datagram.rs
+++ b/crates/direct/src/datagram.rs
@@ -28,6 +28,9 @@
     /// The load of each service, see [`crate::loads`].
     #[prost(message, repeated, tag = "7")]
     pub loads: Vec<ServiceLoad>,
+    /// What its VM's clock shows, in microseconds since the start of 1970.
+    #[prost(fixed64, tag = "8")]
+    pub clock: u64,
 }
 
 /// What was asked of an entry for one service since it started, and what it has learnt.
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -150,6 +150,9 @@
             return;
         }
         let now = Instant::now();
+        if let (Topic::Config, Some(next)) = (self.topic, self.next) {
+            broadcast::ask(&self.shared, next);
+        }
         self.trouble = Some(now);
         if self.lost.is_none() {
             self.lost = Some(now);
@@ -184,9 +187,12 @@
         let ours = ours.into_iter().rev();
         for record in ours {
             news = news.max(record.offset + 1);
-            let Some(value) = record.value else { continue };
+            let Some(value) = record.value.clone() else { continue };
             match decode.table(&value) {
-                Ok(table) => apply(&shared, table, record.offset),
+                Ok(table) => {
+                    apply(&shared, table, record.offset);
+                    shared.tail.keep_config(record);
+                }
                 Err(detail) => {
                     let error = Error { stream: name.into(), key: key.into(), detail };
                     log::warn!(target: "config", offset = record.offset, error:% = error;
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -134,6 +134,10 @@
         };
         has_read(&self.job, &self.prompt, &booking.target, reservation);
         let success = answered.response.status().is_success();
+        if success {
+            // Engines answer with the first token.
+            self.job.count_run(Instant::now());
+        }
         let resumable = success && self.job.route.repeat == Repeat::Resumable;
         let resume = resumable.then(|| Continuation::boxed(&self.job, self.tries.sent));
         relay(&self.job, Source { answered, booking }, resume, self.trace)
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -7,9 +7,11 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod billing;
 pub mod border;
 pub mod broadcast;
 pub mod bulletin;
+pub mod clock;
 pub mod coordinator;
 pub mod customers;
 pub mod daemon;
@@ -49,3 +51,4 @@
 pub mod target;
 pub mod trace;
 pub mod tries;
+pub mod usage;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -10,6 +10,7 @@
 //! to coordinate. What a silent entry said expires, and its part is then guessed from the others'.
 
 use crate::broadcast;
+use crate::clock;
 use crate::coordinator;
 use crate::datagram::{Read, ServiceLoad, State, UNIT, Work, short};
 use crate::groups::Member;
@@ -47,8 +48,8 @@
 /// What a peer said counts for this long, for each round in which it tells all others.
 const FRESH: Duration = Duration::from_millis(700);
 
-/// The largest datagram that is read, in bytes: more than all of a pool's engines take.
-const MAX_DATAGRAM: usize = 8 * 1024;
+/// The largest datagram that is read, in bytes: the largest that there can be.
+const MAX_DATAGRAM: usize = 64 * 1024;
 
 /// The work of the other entries at one engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -186,7 +187,8 @@
             if shared.tail.reads_for_all() { inner.addresses.clone() } else { inner.next() }
         };
         let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.tell());
-        let state = State { entry, run, sequence, work, reads, loads };
+        let clock = clock::time_of_day();
+        let state = State { entry, run, sequence, work, reads, loads, clock };
         let datagram = Bytes::from(state.encode_to_vec());
         for address in &addresses {
             if let Err(error) = socket.send_to(&datagram, address).await {
@@ -272,6 +274,7 @@
 
 fn take_state(shared: &Shared, mut state: State) {
     let (entry, reads, now) = (state.entry, std::mem::take(&mut state.reads), Instant::now());
+    shared.usage.clock.hear(entry, state.clock);
     if shared.peers.lock().hear(state, &shared.loads, now) {
         take_reads(shared, entry, &reads, now);
     }
@@ -291,6 +294,9 @@
         }
         Word::Report(report) => coordinator::take(shared, &report),
         Word::News(news) => broadcast::take(shared, news),
+        Word::Lack(lack) => broadcast::answer(shared, lack, from),
+        Word::Used(used) => shared.usage.hear(used),
+        Word::Billed(billed) => shared.usage.billed(billed, clock::since_boot()),
     }
 }
 
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -21,6 +21,9 @@
         let outcome = job.send(&target, &job.sending(&target)).await;
         trace.tried("whole", &target.id, went(&outcome), began.elapsed());
         let another = tries.note(&job, &target, &outcome);
+        if outcome.may_have_run() {
+            job.count_run(began);
+        }
         if let Outcome::Answered(answered) = outcome {
             last = Some(Source { answered, booking });
         }
--- a/crates/direct/src/question.rs
+++ b/crates/direct/src/question.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Exchange {
     /// What it says.
-    #[prost(oneof = "Word", tags = "16, 17, 18, 19, 20")]
+    #[prost(oneof = "Word", tags = "16, 17, 18, 19, 20, 21, 22, 23")]
     pub word: Option<Word>,
 }
 
@@ -35,6 +35,51 @@
     /// It asks for an engine that writes an output.
     #[prost(message, tag = "20")]
     Place(AskPlace),
+    /// It can't read the log and asks for the configuration, see [`crate::broadcast`].
+    #[prost(message, tag = "21")]
+    Lack(Lack),
+    /// It tells how far it has counted what customers used, see [`crate::usage`].
+    #[prost(message, tag = "22")]
+    Used(Used),
+    /// It has written a bill to the log, see [`crate::billing`].
+    #[prost(message, tag = "23")]
+    Billed(Billed),
+}
+
+/// A question for the configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Lack {
+    /// The offset up to which it is known.
+    #[prost(uint64, tag = "1")]
+    pub next: u64,
+}
+
+/// How far one life of an entry has counted in one window.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Used {
+    /// The life.
+    #[prost(fixed64, tag = "1")]
+    pub life: u64,
+    /// The window.
+    #[prost(uint64, tag = "2")]
+    pub window: u64,
+    /// Customers, and in the other column how many requests of each have begun to run.
+    #[prost(string, repeated, tag = "3")]
+    pub customers: Vec<String>,
+    /// See `customers`.
+    #[prost(uint64, repeated, tag = "4")]
+    pub counts: Vec<u64>,
+}
+
+/// A record with bills that was written.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Billed {
+    /// The end of the stream after it.
+    #[prost(uint64, tag = "1")]
+    pub end: u64,
+    /// The window after the last of it.
+    #[prost(uint64, tag = "2")]
+    pub next: u64,
 }
 
 /// A question for an engine of one group that reads a prompt.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -15,6 +15,7 @@
 use compact_str::CompactString;
 use http::{Response, StatusCode};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -36,6 +37,8 @@
     pub until: Instant,
     /// What it is known by, however often it is sent.
     pub fingerprint: Fingerprint,
+    /// Whether it counts among what its customer used.
+    counted: AtomicBool,
 }
 
 /// When to come back to a process that knows no configuration or target yet: a read of the log
@@ -77,6 +80,10 @@
         trace.end(UNAUTHORIZED);
         return answer::unauthorized();
     };
+    if matches!(caller, Caller::Customer(_)) && !shared.believes_keys(Instant::now()) {
+        trace.end(Refusal::KeysUnsure.name());
+        return answer::refuse(Refusal::KeysUnsure, AT_ONCE);
+    }
     let Some(job) = job(shared, content, ask, caller, route, &table, arrived) else {
         trace.end(Refusal::NoTarget.name());
         return answer::refuse(Refusal::NoTarget, SOON);
@@ -110,7 +117,8 @@
     let patience = ask.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     let fingerprint = fingerprint(&content, caller.customer());
     let until = arrived + patience;
-    Some(Job { shared, content, ask, caller, route, service, until, fingerprint })
+    let counted = AtomicBool::new(false);
+    Some(Job { shared, content, ask, caller, route, service, until, fingerprint, counted })
 }
 
 impl Job {
@@ -127,6 +135,14 @@
         }
     }
 
+    /// Counts it among what its customer used, once however often it runs; it began to at `began`.
+    pub fn count_run(&self, began: Instant) {
+        let Some(customer) = self.caller.customer() else { return };
+        if !self.counted.swap(true, Ordering::Relaxed) {
+            self.shared.usage.count(&customer.name, began.elapsed());
+        }
+    }
+
     /// How urgent it is: as its customer is, or else as its route.
     pub fn rank(&self) -> u8 {
         let own = self.caller.customer().and_then(|customer| customer.rank);
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -11,8 +11,9 @@
 use crate::post::Post;
 use crate::route::{Route, RouteName, Service, Table};
 use crate::suspects::Suspects;
-use crate::tail::Tail;
+use crate::tail::{Tail, Topic};
 use crate::target::Target;
+use crate::usage::Usage;
 use compact_str::CompactString;
 use policy::{link, patience, prompts, split, window};
 use rand::{Rng, SeedableRng};
@@ -41,6 +42,9 @@
     pub split: split::Settings,
     /// Whether the whole system starts for the first time, so that nobody can hold a lease.
     pub first_start: bool,
+    /// How old the news of the configuration may be for keys of customers to be believed; `None` if they
+    /// are believed however old it is.
+    pub keys_lapse: Option<Duration>,
 }
 
 /// The share of an entry's link that its datagrams to the others may take. Some entries have a
@@ -91,6 +95,8 @@
     pub peers: Peers,
     /// What this entry has granted to others.
     pub coordinator: Coordinator,
+    /// What customers have used.
+    pub usage: Usage,
     /// Datagrams about single prompts.
     pub post: Post,
     /// What is asked of engines, and what they do.
@@ -136,6 +142,7 @@
             metrics: Arc::default(),
             peers: Peers::default(),
             coordinator: Coordinator::default(),
+            usage: Usage::default(),
             post: Post::new(first),
             loads: Loads::default(),
             tail: Tail::default(),
@@ -158,6 +165,13 @@
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether keys of customers can be believed: where it matters, an entry that hears of no changes
+    /// serves nobody, since the key may have been taken away.
+    pub fn believes_keys(&self, now: Instant) -> bool {
+        let Some(lapse) = self.settings.keys_lapse else { return true };
+        self.tail.age(Topic::Config, now).is_some_and(|age| age < lapse)
+    }
+
     /// The targets of a service that may get new work.
     pub fn usable(&self, service: &str) -> Arc<[Arc<Target>]> {
         self.fleet().usable(service)
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -7,13 +7,13 @@
 use crate::attempt;
 use crate::border::{Report, StageOrder};
 use crate::bulletin;
+use crate::clock::since_boot;
 use crate::notice::{self, Kind, Plan};
 use crate::route::Stage;
 use crate::target::Target;
 use compact_str::CompactString;
 use http::{Method, StatusCode};
 use plat::Offset;
-use rustix::time::{ClockId, clock_gettime};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -119,11 +119,3 @@
         border.report(&body).map_err(|error| compact_str::format_compact!("{error}"))
     }
 }
-
-/// Time since the VM started, suspended time included: the runtime's clock stands still while a
-/// process or its VM is frozen, and a lease does not.
-fn since_boot() -> Duration {
-    let now = clock_gettime(ClockId::Boottime);
-    let seconds = u64::try_from(now.tv_sec).unwrap_or_default();
-    Duration::new(seconds, u32::try_from(now.tv_nsec).unwrap_or_default())
-}
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -157,6 +157,8 @@
     own: HashMap<Topic, (Offset, Instant)>,
     others: HashMap<(u64, Topic), (Offset, Instant)>,
     told: Vec<Told>,
+    /// The configuration in force, as it was written.
+    config: Option<Record>,
 }
 
 impl Tail {
@@ -202,6 +204,19 @@
         Some(told)
     }
 
+    /// Remembers the configuration in force, for those that can't read it.
+    pub fn keep_config(&self, record: Record) {
+        let mut inner = self.lock();
+        if inner.config.as_ref().is_none_or(|known| known.offset < record.offset) {
+            inner.config = Some(record);
+        }
+    }
+
+    /// The configuration in force, if it was written at `from` or later.
+    pub fn config(&self, from: Offset) -> Option<Record> {
+        self.lock().config.clone().filter(|record| record.offset >= from)
+    }
+
     /// Notes that this entry was told of news. It has not read the log itself.
     pub fn knows(&self, topic: Topic, news: Offset) {
         if let Some((known, _)) = self.lock().own.get_mut(&topic) {
@@ -245,6 +260,24 @@
         self.lock().others.retain(|(other, _), _| *other != entry);
     }
 
+    /// How old is what this entry knows of a stream: since when nobody has read more of it.
+    pub fn age(&self, topic: Topic, now: Instant) -> Option<Duration> {
+        let inner = self.lock();
+        let (known, read) = *inner.own.get(&topic)?;
+        let others =
+            inner.others.iter().filter(|((_, of), (news, _))| *of == topic && *news <= known);
+        let newest = others.map(|(_, (_, at))| *at).chain([read]).max()?;
+        Some(now.saturating_duration_since(newest))
+    }
+
+    /// An entry that has read more of a stream than up to `next`.
+    pub fn ahead(&self, topic: Topic, next: Offset) -> Option<u64> {
+        let inner = self.lock();
+        let mut others = inner.others.iter();
+        let ahead = others.find(|((_, of), (news, _))| *of == topic && *news > next);
+        ahead.map(|((entry, _), _)| *entry)
+    }
+
     /// Whether this entry should read the stream, of which it has read all before `next`.
     pub fn should_read(&self, topic: Topic, next: Offset, now: Instant) -> bool {
         self.why_read(topic, next, now).is_some()
--- /dev/null
+++ b/crates/direct/src/usage.rs
@@ -0,0 +1,186 @@
+//! What customers have used: counted here, and told to the entries that may have to bill it.
+//!
+//! A request counts in the window in which it began to run, by the true time of day. A few entries, the
+//! same for all by the hashes of their names, hear of every count within a fraction of a second, so that
+//! entries that are killed take little with them. See [`policy::usage`].
+
+use crate::clock::Clock;
+use crate::customers::CustomerName;
+use crate::groups::Member;
+use crate::question::{Billed, Used, Word};
+use crate::shared::Shared;
+use policy::usage::{Counts, Ledger, Life, Own, Row, Window};
+use policy::{Hash, Time};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
+
+/// Entries that hear of all counts, and of which one bills them.
+const BILLERS: usize = 4;
+
+/// Mixed into the hashes of names, so that billers are not those that come first elsewhere.
+const SALT: Hash = 0x6269_6C6C_6572_7321;
+
+/// For each entry that there is, one waits so long between tellings: what billers hear then doesn't
+/// grow with their number.
+const EACH: Duration = Duration::from_millis(10);
+
+/// Between two tellings at least.
+const LEAST_PAUSE: Duration = Duration::from_millis(250);
+
+/// Between two tellings at most.
+const MOST_PAUSE: Duration = Duration::from_secs(4);
+
+/// After the end of a window, all that is left of it is told within so long.
+const TOLD: Duration = Duration::from_millis(250);
+
+/// Customers in one datagram: one of this size crosses networks in one piece.
+const MAX_ROWS: usize = 60;
+
+/// What this entry has counted, and what it was told.
+#[derive(Debug, Default)]
+pub struct Usage {
+    /// The length of a window; none if nothing is billed.
+    window: OnceLock<Duration>,
+    /// The true time of day.
+    pub clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    life: Life,
+    own: Own,
+    ledger: Ledger,
+    /// The last bill of another's that was heard of, and when, by the time since the VM started.
+    billed: Option<(Billed, Time)>,
+}
+
+impl Usage {
+    /// Counts from now on, in windows of this length; `life` tells this run of the process from others.
+    pub fn open(&self, window: Duration, life: Life) {
+        if self.window.set(window).is_err() {
+            log::warn!(target: "usage", "a second length of windows is left alone");
+        }
+        self.lock().life = life;
+    }
+
+    /// The window that holds a moment, by the true time of day.
+    pub fn window_at(&self, moment: Duration) -> Option<Window> {
+        let window = self.window.get()?;
+        u64::try_from(moment.as_micros() / window.as_micros().max(1)).ok()
+    }
+
+    /// When a window ends, by the true time of day.
+    pub fn end(&self, window: Window) -> Duration {
+        let length = self.window.get().copied().unwrap_or_default();
+        let micros = length.as_micros().saturating_mul(u128::from(window) + 1);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Counts a request of a customer that began to run so long ago.
+    pub fn count(&self, customer: &CustomerName, ago: Duration) {
+        let Some(window) = self.window_at(self.clock.now().saturating_sub(ago)) else { return };
+        let mut inner = self.lock();
+        let count = inner.own.count(window, customer);
+        let (life, row) = (inner.life, Row { customer: customer.clone(), count });
+        inner.ledger.take(life, window, [row]);
+    }
+
+    /// Takes in how far another entry has counted.
+    pub fn hear(&self, used: Used) {
+        let Used { life, window, customers, counts } = used;
+        let rows = customers.into_iter().zip(counts);
+        let rows = rows.map(|(customer, count)| Row { customer: customer.into(), count });
+        self.lock().ledger.take(life, window, rows);
+    }
+
+    /// Takes in that another entry has written a bill.
+    pub fn billed(&self, billed: Billed, now: Time) {
+        let mut inner = self.lock();
+        if inner.billed.is_none_or(|(known, _)| known.end < billed.end) {
+            inner.billed = Some((billed, now));
+        }
+    }
+
+    /// The last bill of another's that was heard of, and when.
+    pub fn last_billed(&self) -> Option<(Billed, Time)> {
+        self.lock().billed
+    }
+
+    /// What all customers used in a window, as far as it was told.
+    pub fn sums(&self, window: Window) -> Counts {
+        self.lock().ledger.sums(window)
+    }
+
+    /// The first window that may still be billed, of which anything is known.
+    pub fn first(&self, present: Window) -> Option<Window> {
+        let mut inner = self.lock();
+        inner.ledger.forget(present);
+        inner.ledger.first(present)
+    }
+
+    /// How long until this entry tells the billers what is due.
+    fn pause(&self, entries: u32) -> Duration {
+        let pause = (EACH * entries).clamp(LEAST_PAUSE, MOST_PAUSE);
+        let now = self.clock.now();
+        let left = self.window_at(now).map(|window| self.end(window).saturating_sub(now));
+        left.map_or(pause, |left| pause.min(left + TOLD / 2))
+    }
+
+    fn due(&self, all: bool) -> Vec<Word> {
+        let mut inner = self.lock();
+        if all {
+            inner.own.repeat();
+        }
+        let life = inner.life;
+        let mut words = Vec::new();
+        for (window, rows) in inner.own.due() {
+            for rows in rows.chunks(MAX_ROWS) {
+                let customers = rows.iter().map(|row| row.customer.to_string()).collect();
+                let counts = rows.iter().map(|row| row.count).collect();
+                words.push(Word::Used(Used { life, window, customers, counts }));
+            }
+        }
+        words
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The entries that may bill, first the one whose turn it is.
+pub fn billers(members: &[Member]) -> Vec<Member> {
+    let mut members = members.to_vec();
+    members.sort_by_key(|member| policy::mix(member.key, SALT));
+    members.truncate(BILLERS);
+    members
+}
+
+/// Sends a word to all others that may bill.
+pub fn tell_billers(shared: &Shared, word: &Word) {
+    for address in addresses(shared) {
+        shared.post.send(word.clone(), address);
+    }
+}
+
+fn addresses(shared: &Shared) -> Vec<SocketAddr> {
+    let billers = billers(&shared.peers.members());
+    billers.into_iter().filter_map(|member| member.address).collect()
+}
+
+/// Tells the billers what this entry has counted, for as long as the process lives.
+pub async fn tell(shared: Arc<Shared>) {
+    let mut told = Vec::new();
+    loop {
+        tokio::time::sleep(shared.usage.pause(shared.entries())).await;
+        let billers = addresses(&shared);
+        // One that has just become a biller has heard of nothing.
+        let new = billers.iter().any(|address| !told.contains(address));
+        for word in shared.usage.due(new) {
+            tell_billers(&shared, &word);
+        }
+        told = billers;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod binding;
 pub mod bookings;
+pub mod clock;
 pub mod demand;
 pub mod drain;
 pub mod estimate;
@@ -28,6 +29,8 @@
 pub mod route;
 pub mod split;
 pub mod subset;
+pub mod tenure;
+pub mod usage;
 pub mod window;
 pub mod writers;
 
