feat(policy,direct): engines follow the load; links take turns; nothing walks all targets

Engines are lent to streams when these will fill all places, and come back as soon as they can; announced in 0.4 s by datagram in place of 2.2 s. Ruled out: moving writers to readers for a burst of prompts (an engine that writes is missing for as long as its last stream takes, 7 to 12 s); demand kept as peaks of a minute.

Prompts at engines that write: allowed while reading takes a quarter of the pause that routes allow their streams.

Nothing walks all targets on a tick: idle connections and probes are due by their own timers, peers are told of engines that have work, lapses are looked for when one is due; six entries look at the split, less often with more engines.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -61,21 +61,29 @@
     pub connection: Connection,
 }
 
-/// Sends `content` to `target` and waits for the head of the answer until `until`.
-///
-/// `most` bounds the connections that this process may have to the target.
+/// Bounds on one sending.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections that this process may have to the target.
+    pub connections: u32,
+    /// How long one that is being opened is waited for.
+    pub connect: Duration,
+    /// Until when the head of the answer is waited for.
+    pub until: Instant,
+}
+
+/// Sends `content` to `target` and waits for the head of the answer.
 pub async fn send(
     border: &dyn Border,
     target: &Arc<Target>,
     content: &Content,
     sending: &Sending,
-    most: u32,
-    until: Instant,
+    bounds: &Bounds,
 ) -> Outcome {
     // A kept connection may turn out closed before anything was sent on it; then comes the next.
     loop {
         let now = Instant::now();
-        let mut connection = match target.pool.take(most, now).await {
+        let mut connection = match target.pool.take(bounds.connections, bounds.connect, now).await {
             Ok(connection) => connection,
             Err(error) => {
                 if matches!(error, pool::Error::Connect { .. }) {
@@ -86,7 +94,7 @@
         };
         let request = request(border, content, sending);
         let reused = connection.reused;
-        match timeout_at(until, connection.sender.try_send_request(request)).await {
+        match timeout_at(bounds.until, connection.sender.try_send_request(request)).await {
             Err(_) => {
                 return Outcome::Late;
             }
@@ -125,7 +133,7 @@
 ) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
     use http_body_util::BodyExt;
     let exchange = async {
-        let connection = target.pool.take(u32::MAX, Instant::now()).await;
+        let connection = target.pool.take(u32::MAX, pool::CONNECT, Instant::now()).await;
         let mut connection = connection.map_err(|error| error.to_compact_string())?;
         let mut request = Request::builder()
             .method(method)
--- a/crates/direct/src/broadcast.rs
+++ b/crates/direct/src/broadcast.rs
@@ -32,6 +32,11 @@
     if many || !shared.tail.reads_for_all() {
         return;
     }
+    tell(shared, span);
+}
+
+/// Sends records to all other entries.
+pub fn tell(shared: &Shared, span: &Told) {
     let members = shared.peers.members();
     for news in divide(span) {
         for address in members.iter().filter_map(|member| member.address) {
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -189,22 +189,13 @@
     })
 }
 
-/// How often idle connections and lapsed targets are looked after.
+/// How often it is looked whether targets have lapsed.
 const UPKEEP: Duration = Duration::from_millis(100);
 
 async fn upkeep(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(UPKEEP).await;
-        let now = Instant::now();
-        shared.fleet().expire(now);
-        let services: Vec<_> = match shared.table.borrow().as_ref() {
-            Some(table) => table.services().map(|service| service.name.clone()).collect(),
-            None => Vec::new(),
-        };
-        for target in services.iter().flat_map(|name| shared.usable(name).to_vec()) {
-            target.pool.expire(now);
-            target.probe_when_due(now);
-        }
+        shared.fleet().expire(Instant::now());
     }
 }
 
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -1,9 +1,10 @@
 //! What this process knows of one engine's prompts: tokens to be read there, streams, kept parts.
 
 use crate::border::{Part, PartId};
+use crate::workload::Workload;
+use policy::Hash;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::sync::Notify;
 
 /// The prompts, streams and kept parts of one engine.
 #[derive(Debug, Default)]
@@ -11,9 +12,23 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    key: Hash,
     state: Mutex<State>,
     /// Told when bookings change, so that the other entries hear of it.
-    changed: Arc<Notify>,
+    workload: Arc<Workload>,
+}
+
+/// What is booked at an engine.
+pub trait Booked: std::fmt::Debug + Send + Sync {
+    /// Tokens to be read, and streams.
+    fn booked(&self) -> (u64, u32);
+}
+
+impl Booked for Inner {
+    fn booked(&self) -> (u64, u32) {
+        let state = self.lock();
+        (state.reading, state.streams)
+    }
 }
 
 #[derive(Debug, Default)]
@@ -34,9 +49,9 @@
 }
 
 impl Engine {
-    /// An engine without work, whose bookings are told to `changed`.
-    pub fn new(changed: Arc<Notify>) -> Self {
-        Self(Arc::new(Inner { state: Mutex::default(), changed }))
+    /// The engine with this key, without work; its bookings are told to `workload`.
+    pub fn new(key: Hash, workload: Arc<Workload>) -> Self {
+        Self(Arc::new(Inner { key, state: Mutex::default(), workload }))
     }
 
     /// Tokens that this process has it read now.
@@ -51,15 +66,13 @@
 
     /// Books a prompt of which `tokens` are to be read; the booking ends with the guard.
     pub fn read(&self, tokens: u64) -> Reading {
-        self.lock().reading += tokens;
-        self.0.changed.notify_one();
+        self.0.book(|state| state.reading += tokens);
         Reading { engine: self.0.clone(), tokens }
     }
 
     /// Books a stream; the booking ends with the guard.
     pub fn write(&self) -> Writing {
-        self.lock().streams += 1;
-        self.0.changed.notify_one();
+        self.0.book(|state| state.streams += 1);
         Writing(self.0.clone())
     }
 
@@ -86,6 +99,17 @@
 }
 
 impl Inner {
+    fn book(self: &Arc<Self>, book: impl FnOnce(&mut State)) {
+        let mut state = self.lock();
+        let idle = state.reading == 0 && state.streams == 0;
+        book(&mut state);
+        drop(state);
+        if idle {
+            self.workload.begin(self.key, self.clone());
+        }
+        self.workload.change();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -133,7 +157,7 @@
         let mut state = self.engine.lock();
         state.reading = state.reading.saturating_sub(self.tokens);
         drop(state);
-        self.engine.changed.notify_one();
+        self.engine.workload.change();
     }
 }
 
@@ -146,6 +170,6 @@
         let mut state = self.0.lock();
         state.streams = state.streams.saturating_sub(1);
         drop(state);
-        self.0.changed.notify_one();
+        self.0.workload.change();
     }
 }
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -8,12 +8,12 @@
 use crate::border::TargetId;
 use crate::route::{ServiceName, Stage};
 use crate::target::{self, Target};
+use crate::workload::Workload;
 use compact_str::CompactString;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A place in the log, see [`plat::Offset`].
@@ -138,16 +138,18 @@
     news: Offset,
     /// Records that changed something and were not yet passed on.
     changed_by: Vec<Offset>,
-    changed: Arc<Notify>,
+    workload: Arc<Workload>,
+    /// When the first entry that vanished in a lapse is taken out.
+    lapses: Option<Instant>,
 }
 
 /// Removed ids that are remembered; older ones can't come late any more.
 const MAX_REMOVED: usize = 4_096;
 
 impl Fleet {
-    /// An empty list; changes of the targets' load are told to `changed`.
-    pub fn new(changed: Arc<Notify>) -> Self {
-        Self { changed, ..Self::default() }
+    /// An empty list; changes of the targets' load are told to `workload`.
+    pub fn new(workload: Arc<Workload>) -> Self {
+        Self { workload, ..Self::default() }
     }
 
     /// Takes in one reading of the list, in the log's order. `disturbed` says that the store was
@@ -201,9 +203,14 @@
 
     /// Takes out targets whose lapsed entries have not come back.
     pub fn expire(&mut self, now: Instant) {
+        if self.lapses.is_none_or(|first| now < first) {
+            return;
+        }
         let lapsed = |member: &Member| member.lapses.is_some_and(|at| at <= now);
         let ended: Vec<_> =
             self.members.iter().filter(|(_, m)| lapsed(m)).map(|(id, _)| id.clone()).collect();
+        self.lapses =
+            self.members.values().filter_map(|member| member.lapses).filter(|at| *at > now).min();
         if ended.is_empty() {
             return;
         }
@@ -289,7 +296,7 @@
         log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
             address:% = address, leaving, stage:? = stage, born:? = born, offset; "target seen");
         let identity = target::Identity { id: id.clone(), born };
-        let target = Target::new(identity, service, address, domain, slots, self.changed.clone());
+        let target = Target::new(identity, service, address, domain, slots, self.workload.clone());
         target.set_stage(stage);
         let target = Arc::new(target);
         self.members.insert(id, Member { target, born, sequence, offset, leaving, lapses: None });
@@ -302,7 +309,8 @@
         }
         let born = member.born;
         if let Some(at) = lapses {
-            member.lapses.get_or_insert(at);
+            let at = *member.lapses.get_or_insert(at);
+            self.lapses = Some(self.lapses.map_or(at, |first| first.min(at)));
             self.note(offset);
             return;
         }
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -70,13 +70,27 @@
 
 /// Has the prompt read, or finds out where it can be.
 pub(super) async fn run(job: &Arc<Job>, prompt: &Prompt, trace: &mut Trace) -> Read {
+    let began = Instant::now();
     // It is sent to the engine that reads and to the one that writes.
-    let bytes = u64::try_from(job.content.body.len() * 2).unwrap_or(u64::MAX);
-    if let Some(back) = job.shared.link_full(bytes, job.route.objective) {
+    let once = u64::try_from(job.content.body.len()).unwrap_or(u64::MAX);
+    match job.shared.reserve_link(once * 2, job.route.objective) {
+        Ok(turn) if turn.is_zero() => {}
+        Ok(turn) => tokio::time::sleep(turn).await,
         // Another entry's link is likely free now.
-        return Read::Refused(Refusal::LinkFull, back.min(SHORTLY));
+        Err(back) => return Read::Refused(Refusal::LinkFull, back.min(SHORTLY)),
+    }
+    let read = find_and_read(job, prompt, trace, began).await;
+    match &read {
+        Read::Refused(..) => job.shared.give_link_back(once * 2),
+        Read::Placed(Place::There(_) | Place::Anywhere) => job.shared.give_link_back(once),
+        Read::Placed(Place::Kept(_)) => {}
     }
-    let wanted = wanted(job, prompt);
+    read
+}
+
+/// Has the prompt read, or finds out where it can be, once it may be sent.
+async fn find_and_read(job: &Arc<Job>, prompt: &Prompt, trace: &mut Trace, began: Instant) -> Read {
+    let wanted = wanted(job, prompt, began.elapsed());
     let mut counted = wanted.late;
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.sendings < READERS {
@@ -197,9 +211,10 @@
     }
 }
 
-fn wanted(job: &Job, prompt: &Prompt) -> prompts::Prompt {
+/// What is wanted of an engine, for a prompt that has `waited` here.
+fn wanted(job: &Job, prompt: &Prompt, waited: Duration) -> prompts::Prompt {
     let late = job.shared.has_waited(&job.route, job.ask.deadline);
-    let (tokens, objective) = (u64::from(prompt.input), job.route.objective);
+    let (tokens, objective) = (u64::from(prompt.input), job.route.objective.saturating_sub(waited));
     prompts::Prompt { start: start(prompt), tokens, objective, late }
 }
 
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -52,3 +52,4 @@
 pub mod trace;
 pub mod tries;
 pub mod usage;
+pub mod workload;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -179,7 +179,7 @@
     let mut sequence = 0;
     loop {
         // Ends early when something has changed.
-        let _ = timeout(ALIVE, shared.changed.notified()).await;
+        let _ = timeout(ALIVE, shared.workload.changed()).await;
         sequence += 1;
         let addresses = {
             let mut inner = shared.peers.lock();
@@ -228,13 +228,10 @@
 /// This entry's work at all engines where it has any.
 fn work(shared: &Shared) -> Work {
     let mut work = Work::default();
-    for engine in shared.fleet().engines().iter() {
-        let (reading, streams) = (engine.engine.reading(), engine.engine.streams());
-        if reading > 0 || streams > 0 {
-            work.engines.push(short(engine.key));
-            work.reading.push(u32::try_from(reading.div_ceil(UNIT)).unwrap_or(u32::MAX));
-            work.streams.push(streams);
-        }
+    for row in shared.workload.rows() {
+        work.engines.push(short(row.engine));
+        work.reading.push(u32::try_from(row.reading.div_ceil(UNIT)).unwrap_or(u32::MAX));
+        work.streams.push(row.streams);
     }
     work
 }
--- a/crates/direct/src/pool.rs
+++ b/crates/direct/src/pool.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -40,9 +40,9 @@
     },
 }
 
-/// How long connecting may take: several round trips between failure domains, less than the
-/// second after which a lost first packet is sent again.
-const CONNECT: Duration = Duration::from_millis(400);
+/// How long connecting may take where nothing is known of it: several round trips between failure
+/// domains, less than the second after which a lost first packet is sent again.
+pub const CONNECT: Duration = Duration::from_millis(400);
 
 /// After this time without an acknowledgement a connection counts as dead: one that went silent
 /// without a reset would hold its request until the deadline.
@@ -67,6 +67,8 @@
     address: SocketAddr,
     idle: Mutex<Vec<Idle>>,
     open: AtomicU32,
+    /// Whether a task closes idle connections when they are due.
+    expires: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -83,6 +85,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// Whether it carried requests before.
     pub reused: bool,
+    /// How long it took to open, if this request opened it.
+    pub opened: Option<Duration>,
     count: Counted,
     pool: Arc<Inner>,
 }
@@ -101,21 +105,17 @@
     /// A pool without connections.
     pub fn new(address: SocketAddr) -> Self {
         let (idle, open) = (Mutex::default(), AtomicU32::new(0));
-        Self(Arc::new(Inner { address, idle, open }))
+        let expires = AtomicBool::new(false);
+        Self(Arc::new(Inner { address, idle, open, expires }))
     }
 
-    /// An idle connection, or a new one if fewer than `most` are open.
-    pub async fn take(&self, most: u32, now: Instant) -> Result<Connection> {
+    /// An idle connection, or a new one if fewer than `most` are open; `patience` is how long that is
+    /// waited for.
+    pub async fn take(&self, most: u32, patience: Duration, now: Instant) -> Result<Connection> {
         if let Some(connection) = self.reuse(now) {
             return Ok(connection);
         }
-        self.open(most).await
-    }
-
-    /// Closes idle connections that the target will close soon.
-    pub fn expire(&self, now: Instant) {
-        let mut idle = self.0.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        self.open(most, patience).await
     }
 
     fn reuse(&self, now: Instant) -> Option<Connection> {
@@ -134,17 +134,19 @@
         };
         idle.append(&mut unready);
         let Idle { sender, count, .. } = found?;
-        Some(Connection { sender, reused: true, count, pool: self.0.clone() })
+        Some(Connection { sender, reused: true, opened: None, count, pool: self.0.clone() })
     }
 
-    async fn open(&self, most: u32) -> Result<Connection> {
+    async fn open(&self, most: u32, patience: Duration) -> Result<Connection> {
         let target = self.0.address;
         let count = Counted(self.0.clone());
         let open = self.0.open.fetch_add(1, Ordering::Relaxed);
         if open >= most {
             return Err(Error::Full { target, most });
         }
-        let stream = connect(target, CONNECT).await?;
+        let began = Instant::now();
+        let stream = connect(target, patience).await?;
+        let opened = Some(began.elapsed());
         let failed = |detail| Error::Connect { target, detail };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD);
@@ -157,7 +159,32 @@
                 log::debug!(target: "pool", target:% = target, error:% = error; "connection ended");
             }
         });
-        Ok(Connection { sender, reused: false, count, pool: self.0.clone() })
+        Ok(Connection { sender, reused: false, opened, count, pool: self.0.clone() })
+    }
+}
+
+impl Inner {
+    /// Has idle connections closed that the target will close soon, for as long as there are any.
+    fn expire_when_due(self: &Arc<Self>) {
+        if self.expires.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let pool = Arc::downgrade(self);
+        tokio::spawn(async move {
+            while let Some(due) = pool.upgrade().and_then(|pool| pool.expire(Instant::now())) {
+                tokio::time::sleep_until(due).await;
+            }
+        });
+    }
+
+    /// Closes idle connections that are due, and says when the next one is; `None` if there is none.
+    fn expire(&self, now: Instant) -> Option<Instant> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        let next = idle.iter().map(|idle| idle.until).min();
+        // Under the lock, so that whoever keeps the next one begins anew.
+        self.expires.store(next.is_some(), Ordering::Relaxed);
+        next
     }
 }
 
@@ -170,6 +197,8 @@
         let until = now + idle.map_or(IDLE, |idle| idle.mul_f64(IDLE_SHARE));
         let mut kept = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
         kept.push(Idle { sender: self.sender, until, count: self.count });
+        drop(kept);
+        self.pool.expire_when_due();
     }
 }
 
--- a/crates/direct/src/route.rs
+++ b/crates/direct/src/route.rs
@@ -61,6 +61,8 @@
     pub timeout: Duration,
     /// Within which time an answer, or its first event, earns its full worth.
     pub objective: Duration,
+    /// How long a stream may pause between pieces to count as in time, if operators say so.
+    pub pause: Option<Duration>,
     /// Its rank: 0 is the most urgent.
     pub rank: u8,
     /// Targets that one request may be sent to.
@@ -113,6 +115,8 @@
     pub limits: Limits,
     services: HashMap<ServiceName, Arc<Service>>,
     hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>>,
+    /// The shortest pause between pieces that any route of a service allows.
+    pauses: HashMap<ServiceName, Duration>,
     /// `None` if requests need no key.
     customers: Option<Customers>,
 }
@@ -126,13 +130,19 @@
         services: impl IntoIterator<Item = Service>,
     ) -> Self {
         let mut hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>> = HashMap::new();
+        let mut pauses: HashMap<ServiceName, Duration> = HashMap::new();
         for route in routes {
+            for portion in route.portions.iter().filter(|_| route.pause.is_some()) {
+                let pause = route.pause.unwrap_or_default();
+                let shortest = pauses.entry(portion.service.clone()).or_insert(pause);
+                *shortest = pause.min(*shortest);
+            }
             let routes = hosts.entry(route.host.clone()).or_default();
             routes.insert(route.prefix.clone(), Arc::new(route));
         }
         let services = services.into_iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
-        Self { version, limits, services, hosts, customers: None }
+        Self { version, limits, services, hosts, pauses, customers: None }
     }
 
     /// The same table for these customers only.
@@ -173,6 +183,11 @@
         self.services.get(name)
     }
 
+    /// The shortest pause between pieces that any route of a service allows.
+    pub fn pause(&self, service: &str) -> Option<Duration> {
+        self.pauses.get(service).copied()
+    }
+
     /// How many routes there are.
     pub fn routes(&self) -> usize {
         self.hosts.values().map(HashMap::len).sum()
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -151,10 +151,23 @@
 
     /// Sends the request to a target.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending) -> Outcome {
-        self.shared.book_bytes(self.content.body.len());
-        let most = self.shared.connections(&self.service);
-        let border = &*self.shared.border;
-        attempt::send(border, target, &self.content, sending, most, self.last_word()).await
+        // Generations have booked the link before.
+        if self.ask.prompt.is_none() {
+            self.shared.book_bytes(self.content.body.len());
+        }
+        let bounds = attempt::Bounds {
+            connections: self.shared.connections(&self.service),
+            connect: self.shared.connect_patience(),
+            until: self.last_word(),
+        };
+        let outcome =
+            attempt::send(&*self.shared.border, target, &self.content, sending, &bounds).await;
+        if let Outcome::Answered(answered) = &outcome
+            && let Some(took) = answered.connection.opened
+        {
+            self.shared.connected(took);
+        }
+        outcome
     }
 
     /// How long a target that works for others as well may say nothing before it counts as away.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -14,8 +14,9 @@
 use crate::tail::{Tail, Topic};
 use crate::target::Target;
 use crate::usage::Usage;
+use crate::workload::Workload;
 use compact_str::CompactString;
-use policy::{link, patience, prompts, split, window};
+use policy::{balance, dial, link, patience, prompts, split, window};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -40,6 +41,8 @@
     pub link: link::Settings,
     /// How engines are split.
     pub split: split::Settings,
+    /// When engines change what they do for the load.
+    pub balance: balance::Settings,
     /// Whether the whole system starts for the first time, so that nobody can hold a lease.
     pub first_start: bool,
     /// How old the news of the configuration may be for keys of customers to be believed; `None` if they
@@ -105,11 +108,12 @@
     pub tail: Tail,
     /// Told when the entries' stream is to be read at once.
     pub notices: Notify,
-    /// Told when this entry's work at engines changes.
-    pub changed: Arc<Notify>,
+    /// This entry's work at engines.
+    pub workload: Arc<Workload>,
     fleet: Mutex<Fleet>,
     groups: groups::Map,
     link: Mutex<link::Link>,
+    dial: Mutex<dial::Dial>,
     /// How long callers wait, by route.
     patience: Mutex<HashMap<RouteName, patience::Patience>>,
     windows: Mutex<HashMap<CompactString, window::Window>>,
@@ -123,13 +127,17 @@
 /// takes health checks, and fewer while its queue is long.
 const CONNECTION_SHARE: f64 = 0.85;
 
+/// A prompt that is read between the tokens of streams may take up this part of the pause that they may
+/// make: the pieces of output that it delays, another prompt after it and the way to callers take the rest.
+const PAUSES: u32 = 4;
+
 /// Routes whose callers' patience is remembered; operators add them by the hundred.
 const MAX_ROUTES: usize = 4_096;
 
 impl Shared {
     /// The state of an entry that has just started.
     pub fn new(settings: Settings, border: Arc<dyn Border>, seed: u64) -> Self {
-        let changed = Arc::new(Notify::new());
+        let workload: Arc<Workload> = Arc::default();
         let link = Mutex::new(link::Link::new(settings.link.clone()));
         let run = policy::hash(&format!("{} {:?}", std::process::id(), Instant::now()));
         let first = policy::mix(policy::hash(&settings.name), run);
@@ -147,10 +155,11 @@
             loads: Loads::default(),
             tail: Tail::default(),
             notices: Notify::new(),
-            changed: changed.clone(),
-            fleet: Mutex::new(Fleet::new(changed)),
+            workload: workload.clone(),
+            fleet: Mutex::new(Fleet::new(workload)),
             groups: groups::Map::default(),
             link,
+            dial: Mutex::default(),
             patience: Mutex::default(),
             windows: Mutex::default(),
             entries: AtomicU32::new(1),
@@ -258,7 +267,9 @@
     /// How prompts are placed at the engines of a service, with the rate learnt so far.
     pub fn prompts(&self, service: &str) -> prompts::Settings {
         let rate = self.loads.rate(service).unwrap_or(self.settings.prompts.rate);
-        prompts::Settings { rate, ..self.settings.prompts.clone() }
+        let pause = self.table.borrow().as_ref().and_then(|table| table.pause(service));
+        let writer_pause = pause.unwrap_or_default() / PAUSES;
+        prompts::Settings { rate, writer_pause, ..self.settings.prompts.clone() }
     }
 
     /// Takes in how long an engine of a service took to read a prompt and what waited before it.
@@ -278,9 +289,29 @@
         patience.has_waited(left, route.objective)
     }
 
-    /// How long the link is busy, if it is too busy for a request of `bytes` bytes.
-    pub fn link_full(&self, bytes: u64, objective: Duration) -> Option<Duration> {
-        self.link().too_long(bytes, objective, self.started.elapsed())
+    /// Books the link for a request of `bytes` bytes: how long until its turn, or how long the link is
+    /// taken if that is too long for it.
+    pub fn reserve_link(&self, bytes: u64, objective: Duration) -> Result<Duration, Duration> {
+        self.link().reserve(bytes, objective, self.started.elapsed())
+    }
+
+    /// Ends a booking of the link for bytes that are not sent after all.
+    pub fn give_link_back(&self, bytes: u64) {
+        self.link().give_back(bytes);
+    }
+
+    /// How long a connection to a target is waited for.
+    pub fn connect_patience(&self) -> Duration {
+        self.dial().patience()
+    }
+
+    /// Takes in how long it took to open a connection to a target.
+    pub fn connected(&self, took: Duration) {
+        self.dial().sample(took);
+    }
+
+    fn dial(&self) -> MutexGuard<'_, dial::Dial> {
+        self.dial.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Books bytes that are sent to targets.
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -17,8 +17,9 @@
 use crate::route::{Service, ServiceName, Stage};
 use crate::shared::Shared;
 use crate::target::Target;
-use orders::{ANNOUNCED, Changes};
+use orders::{ANNOUNCED, Changes, TOLD};
 use plat::KeyedLog;
+use policy::balance;
 use policy::demand::Demand;
 use policy::split::{self, Engine, Part};
 use std::collections::HashMap;
@@ -30,6 +31,15 @@
 /// How often the split is looked at.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Engines up to which it is looked at so often.
+const ENGINES: u32 = 256;
+
+/// It is looked at no less often than this.
+const LONGEST_TICK: Duration = Duration::from_millis(1_500);
+
+/// Entries that look at it at all: one plans, and the others stand by.
+const PLANNERS: usize = 6;
+
 /// How long the split of the same engines has to be wrong before it is changed: longer than a
 /// heartbeat of an engine that has just changed, or of one that is not yet listed when the system
 /// starts.
@@ -50,15 +60,26 @@
 /// The same for a plan that can't wait.
 const SHORT_TURN: Duration = Duration::from_millis(250);
 
-/// Entries that wait in turn; later ones wait as long as the last of these.
-const MAX_TURNS: u32 = 8;
+/// Between two plans of one holder that move engines to where the load is.
+const AGAIN: Duration = Duration::from_millis(3_000);
+
+/// From when a part is short until the engines that are ordered for it begin to change.
+const NOTICED: Duration = Duration::from_millis(1_500);
+
+/// After engines were moved to where the load is, they are left there so long whatever is usual.
+const CALM: Duration = Duration::from_secs(4);
 
 /// Plans and orders for as long as the process lives.
 pub async fn run(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, bulletin: watch::Receiver<Bulletin>) {
     let mut planner = Planner { shared, log, bulletin, watched: HashMap::new() };
     loop {
-        tokio::time::sleep(TICK).await;
-        planner.tick().await;
+        tokio::time::sleep(planner.pause()).await;
+        if planner.may_plan() {
+            planner.tick().await;
+        } else {
+            // What it has seen is old when its turn comes.
+            planner.watched.clear();
+        }
     }
 }
 
@@ -77,6 +98,16 @@
     last: Option<(u64, Instant)>,
     /// Since when the split has been wrong, and how.
     wrong: Option<(Wrong, Instant)>,
+    /// How many engines read before some were lent to the other part, and when that last changed.
+    lent: Option<(usize, Instant)>,
+}
+
+impl Watched {
+    /// Notes that engines change because one part is short, while `reading` read.
+    fn lend(&mut self, reading: usize, now: Instant) {
+        let (readers, _) = self.lent.unwrap_or((reading, now));
+        self.lent = Some((readers, now));
+    }
 }
 
 /// What is wrong with a split.
@@ -84,11 +115,28 @@
 enum Wrong {
     /// No engine that can be reached does this part.
     Lacks(Part),
+    /// The load leaves one part short of engines that the other can spare.
+    Short(Part),
     /// Too few of so many engines do it for the load.
     TooFew { part: Part, of: usize },
 }
 
 impl Planner {
+    /// How long until the split is looked at again: each look takes as long as there are engines, and all
+    /// together take no more of a VM in a large pool than in a small one.
+    fn pause(&self) -> Duration {
+        let engines = u32::try_from(self.shared.fleet().engines().len()).unwrap_or(u32::MAX);
+        (TICK * (engines / ENGINES).max(1)).min(LONGEST_TICK)
+    }
+
+    /// Whether this entry is among the first in the order of names, of which one plans.
+    fn may_plan(&self) -> bool {
+        let bulletin = self.bulletin.borrow();
+        let name = &self.shared.settings.name;
+        let before = bulletin.entries.iter().take_while(|entry| *entry != name).count();
+        before < PLANNERS
+    }
+
     async fn tick(&mut self) {
         if self.shared.stopping().is_some() {
             return;
@@ -112,7 +160,17 @@
                     "split to be changed");
                 // Where nobody can be served, or nobody asks, no work has to be kept away first.
                 let in_vain = idle || matches!(wrong, Wrong::Lacks(_));
-                self.carry_out(changes, if in_vain { Duration::ZERO } else { ANNOUNCED }).await;
+                if let Wrong::Short(_) = wrong
+                    && let Some(watched) = self.watched.get_mut(&service.name)
+                {
+                    watched.lend(reading(&self.shared, service, now), now);
+                }
+                let announced = match wrong {
+                    _ if in_vain => Duration::ZERO,
+                    Wrong::Short(_) => TOLD,
+                    Wrong::Lacks(_) | Wrong::TooFew { .. } => ANNOUNCED,
+                };
+                self.carry_out(changes, announced).await;
                 return;
             }
         }
@@ -139,8 +197,9 @@
     ) -> Option<(Wrong, Changes)> {
         let targets = self.shared.usable(&service.name);
         let staged = targets.iter().filter_map(|target| Some((target, target.next_stage(now)?)));
-        let mut staged: Vec<_> =
-            staged.map(|(target, stage)| (target, stage, engine(target, stage, now))).collect();
+        let mut staged: Vec<_> = staged
+            .map(|(target, stage)| (target, stage, self.engine(target, stage, now)))
+            .collect();
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
         let lacking = split::lacking(&engines);
         if lacking.is_some() {
@@ -148,18 +207,87 @@
             staged.retain(|(_, _, engine)| engine.present);
         }
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
-        let share = self.share(service, watched, lacking.is_some())?;
-        let settings = &self.shared.settings.split;
         let reading = split::reading(&engines);
-        let wanted = split::wanted(settings, share, engines.len(), reading);
+        let short = self.short(service, watched, &engines).filter(|_| lacking.is_none());
+        let wanted = match short {
+            Some(wanted) => wanted,
+            None => self.usual(service, watched, &engines, lacking.is_some(), now)?,
+        };
         let changes = split::changes(&engines, wanted);
         let free = changes.into_iter().filter(|&at| self.may_name(&staged[at].0.id, now));
         let changes: Changes = free.map(|at| (staged[at].0.clone(), other(staged[at].1))).collect();
-        let short = if wanted > reading { Part::Reads } else { Part::Writes };
-        let wrong = lacking.map_or(Wrong::TooFew { part: short, of: engines.len() }, Wrong::Lacks);
+        let part = if wanted > reading { Part::Reads } else { Part::Writes };
+        let wrong = match (lacking, short) {
+            (Some(lacking), _) => Wrong::Lacks(lacking),
+            (None, Some(_)) => Wrong::Short(part),
+            (None, None) => Wrong::TooFew { part, of: engines.len() },
+        };
         (!changes.is_empty()).then_some((wrong, changes))
     }
 
+    /// How many engines should read if the load leaves one part short.
+    fn short(&self, service: &Service, watched: &Watched, engines: &[Engine]) -> Option<usize> {
+        let settings = &self.shared.settings;
+        if settings.split.fixed.is_some() {
+            return None;
+        }
+        let (load, pool) = self.load(service, watched, engines)?;
+        // An engine that writes is missing for as long as its last stream takes. So none is taken from them
+        // for a burst of prompts, which is over by then, but those that were lent to them.
+        let lent = watched.lent.map_or(0, |(readers, _)| readers.saturating_sub(pool.readers));
+        let wanted = match balance::wanted(&settings.balance, &load, pool) {
+            Some(wanted) => wanted.min(pool.readers + lent),
+            None => balance::returned(&settings.balance, &load, pool, lent)?,
+        };
+        if wanted == pool.readers {
+            return None;
+        }
+        // Those that can't be reached are left as they are.
+        let away = split::reading(engines).saturating_sub(pool.readers);
+        split::bounded(engines.len(), wanted + away)
+    }
+
+    /// What the load keeps busy until a change would take effect, and the engines that are there for it.
+    fn load(
+        &self,
+        service: &Service,
+        watched: &Watched,
+        engines: &[Engine],
+    ) -> Option<(balance::Load, balance::Pool)> {
+        let spec = service.engine.as_ref()?;
+        let pace = self.shared.loads.pace(&service.name, spec.places)?;
+        let load = watched.demand.load(&pace, spec.switch + NOTICED);
+        let here = |part| engines.iter().filter(|e| e.present && e.part == part).count();
+        let pool = balance::Pool { readers: here(Part::Reads), writers: here(Part::Writes) };
+        Some((load, pool))
+    }
+
+    /// How many engines should read as long as no part is short.
+    fn usual(
+        &self,
+        service: &Service,
+        watched: &Watched,
+        engines: &[Engine],
+        now_or_never: bool,
+        now: Instant,
+    ) -> Option<usize> {
+        let share = self.share(service, watched, now_or_never)?;
+        let settings = &self.shared.settings;
+        let reading = split::reading(engines);
+        let wanted = split::wanted(&settings.split, share, engines.len(), reading);
+        if now_or_never {
+            return Some(wanted);
+        }
+        let lately = |at: Instant| now.duration_since(at) < CALM;
+        if watched.lent.is_some_and(|(_, at)| lately(at)) {
+            return None;
+        }
+        let Some((load, _)) = self.load(service, watched, engines) else { return Some(wanted) };
+        let pool = balance::Pool { readers: wanted, writers: engines.len().saturating_sub(wanted) };
+        // Engines that the load keeps busy stay where they are.
+        balance::fits(&settings.balance, &load, pool).then_some(wanted)
+    }
+
     /// The share of the service's engines that should read; `None` while too little is known and
     /// it does not have to be `now`.
     fn share(&self, service: &Service, watched: &Watched, now: bool) -> Option<f64> {
@@ -173,6 +301,18 @@
         Some(split::share(settings, &pace, &need))
     }
 
+    fn engine(&self, target: &Target, stage: Stage, now: Instant) -> Engine {
+        let others = self.shared.peers.others(target.key);
+        Engine {
+            part: part(stage),
+            // One that writes changes once its last stream has ended.
+            work: target.in_flight().max(target.engine.streams() + others.streams),
+            domain: target.domain_key,
+            present: !target.is_away(silent(stage), now)
+                && (stage == Stage::Prefill || !target.is_choked(now)),
+        }
+    }
+
     /// Whether this entry may order an engine: no other has planned to lately.
     fn may_name(&self, engine: &TargetId, now: Instant) -> bool {
         let bulletin = self.bulletin.borrow();
@@ -190,13 +330,18 @@
         };
         let name = &self.shared.settings.name;
         let before = bulletin.entries.iter().take_while(|entry| *entry != name).count();
-        let turns = u32::try_from(before).unwrap_or(u32::MAX).min(MAX_TURNS);
+        let turns = u32::try_from(before).unwrap_or(u32::MAX);
         // At the first start nobody can have planned before what stands in the stream.
         let first = self.shared.settings.first_start && !bulletin.any_plan;
         let knows_all = first || now.duration_since(complete) >= QUIET;
         let wrong_for = now.duration_since(since);
         match wrong {
             Wrong::Lacks(_) => knows_all && wrong_for >= LACKING + SHORT_TURN * turns,
+            Wrong::Short(_) => {
+                let own = bulletin.named.iter().all(|named| named.holder == *name);
+                let quiet = first || now.duration_since(planned) >= if own { AGAIN } else { QUIET };
+                knows_all && quiet && wrong_for >= LACKING + SHORT_TURN * turns
+            }
             Wrong::TooFew { .. } => {
                 let quiet = first || now.duration_since(planned) >= QUIET;
                 knows_all && quiet && wrong_for >= LASTING + TURN * turns
@@ -205,14 +350,10 @@
     }
 }
 
-fn engine(target: &Target, stage: Stage, now: Instant) -> Engine {
-    Engine {
-        part: part(stage),
-        work: target.in_flight(),
-        domain: target.domain_key,
-        present: !target.is_away(silent(stage), now)
-            && (stage == Stage::Prefill || !target.is_choked(now)),
-    }
+/// How many engines of a service read, or are about to.
+fn reading(shared: &Shared, service: &Service, now: Instant) -> usize {
+    let engines = shared.usable(&service.name);
+    engines.iter().filter(|engine| engine.next_stage(now) == Some(Stage::Prefill)).count()
 }
 
 /// An engine that has work and has said nothing for this long can't be counted on. One that writes
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -6,14 +6,16 @@
 use super::Planner;
 use crate::attempt;
 use crate::border::{Report, StageOrder};
+use crate::broadcast;
 use crate::bulletin;
 use crate::clock::since_boot;
 use crate::notice::{self, Kind, Plan};
 use crate::route::Stage;
+use crate::tail::{Told, Topic};
 use crate::target::Target;
 use compact_str::CompactString;
 use http::{Method, StatusCode};
-use plat::Offset;
+use plat::{Offset, Record};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -24,6 +26,10 @@
 /// Between the announcement and the orders: two reads of the entries' stream.
 pub(super) const ANNOUNCED: Duration = Duration::from_millis(2_200);
 
+/// The same where the load can't wait: entries are told of the plan by datagram. One that misses it still
+/// sends work to engines that change, which they refuse; it is sent elsewhere then.
+pub(super) const TOLD: Duration = Duration::from_millis(400);
+
 /// No orders are given later than this after the append began.
 const ORDERS_END: Duration = Duration::from_millis(5_000);
 
@@ -45,7 +51,7 @@
         };
         let began = since_boot();
         let record = notice::record(Kind::Plan(plan.clone()));
-        let fence = match self.log.append_at(bulletin::STREAM, end, record).await {
+        let fence = match self.log.append_at(bulletin::STREAM, end, record.clone()).await {
             Ok(offset) => offset,
             Err(error) => {
                 // Moved: somebody wrote meanwhile, perhaps only that it lives. What it wrote is read
@@ -58,6 +64,12 @@
             }
         };
         bulletin::announce(&self.shared, &plan, Instant::now());
+        let (topic, before) = (Topic::Notices, self.shared.tail.known(Topic::Notices));
+        let record = Record { offset: fence, key: CompactString::default(), value: Some(record) };
+        broadcast::tell(
+            &self.shared,
+            &Told { topic, before, troubled: false, records: vec![record] },
+        );
         tokio::time::sleep(announced).await;
         let orders = changes.into_iter().map(|(target, stage)| async move {
             if since_boot().saturating_sub(began) > ORDERS_END {
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -217,6 +217,11 @@
         self.lock().config.clone().filter(|record| record.offset >= from)
     }
 
+    /// The offset after the last record that changed something, as far as this entry knows.
+    pub fn known(&self, topic: Topic) -> Offset {
+        self.lock().own.get(&topic).map_or(0, |(news, _)| *news)
+    }
+
     /// Notes that this entry was told of news. It has not read the log itself.
     pub fn knows(&self, topic: Topic, news: Offset) {
         if let Some((known, _)) = self.lock().own.get_mut(&topic) {
@@ -329,6 +334,6 @@
 /// Notes a read, and tells the others at once if it brought news.
 pub fn note(shared: &Shared, topic: Topic, news: Offset) {
     if shared.tail.read(topic, news, Instant::now()) {
-        shared.changed.notify_one();
+        shared.workload.change();
     }
 }
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -5,11 +5,13 @@
 use crate::fleet::Born;
 use crate::pool::Pool;
 use crate::route::{ServiceName, Stage};
+use crate::workload::Workload;
 use compact_str::CompactString;
 use policy::handover::Handover;
 use policy::reach::Reach;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -37,6 +39,8 @@
     /// What this process knows of the prompts and streams there.
     pub engine: Engine,
     load: Mutex<Load>,
+    /// Whether a task tries to reach it.
+    probed: AtomicBool,
     /// When this process first knew it; times in decisions count from then.
     known: Instant,
 }
@@ -117,19 +121,19 @@
 }
 
 impl Target {
-    /// A target without connections or load; changes of its load are told to `changed`.
+    /// A target without connections or load; changes of its load are told to `workload`.
     pub fn new(
         Identity { id, born }: Identity,
         service: ServiceName,
         address: SocketAddr,
         domain: CompactString,
         slots: u32,
-        changed: std::sync::Arc<tokio::sync::Notify>,
+        workload: Arc<Workload>,
     ) -> Self {
         let key = born.map_or(policy::hash(&id), |born| policy::mix(policy::hash(&id), born));
         let domain_key = policy::hash(&domain);
         let (load, known) = (Mutex::default(), Instant::now());
-        let (pool, engine) = (Pool::new(address), Engine::new(changed));
+        let (pool, engine) = (Pool::new(address), Engine::new(key, workload));
         Self {
             id,
             key,
@@ -142,6 +146,7 @@
             pool,
             engine,
             load,
+            probed: AtomicBool::new(false),
             known,
         }
     }
@@ -192,7 +197,7 @@
     }
 
     /// Books a request sent there; the booking ends with the guard.
-    pub fn enter(self: &std::sync::Arc<Self>) -> Entered {
+    pub fn enter(self: &Arc<Self>) -> Entered {
         let now = self.time(Instant::now());
         self.load().reach.enter(now);
         Entered(self.clone())
@@ -204,7 +209,7 @@
     }
 
     /// Takes in how an exchange with it ended.
-    pub fn judge(&self, health: Health, now: Instant) {
+    pub fn judge(self: &Arc<Self>, health: Health, now: Instant) {
         let mut load = self.load();
         let failed = match health {
             Health::Sound => 0.0,
@@ -215,6 +220,10 @@
             Health::Sound | Health::Failing => load.reach.heard(self.time(now)),
             Health::Unreachable => load.reach.unreachable(self.time(now)),
         }
+        drop(load);
+        if health == Health::Unreachable {
+            self.probe_until_reached();
+        }
     }
 
     /// Notes that a piece of an answer came from it.
@@ -250,7 +259,7 @@
 
     /// Tries to connect, after an exchange broke off: a single connection may have been reset, or
     /// the target may have crashed.
-    pub async fn still_listens(&self) -> bool {
+    pub async fn still_listens(self: &Arc<Self>) -> bool {
         let Err(error) = crate::pool::connect(self.address, CHECK).await else { return true };
         log::info!(target: "fleet", target_id = self.id.as_str(), error:% = error;
             "target does not listen");
@@ -282,16 +291,31 @@
             || load.reach.is_silent(patience, self.time(now))
     }
 
-    /// Tries to connect once its pause is over.
-    pub fn probe_when_due(self: &std::sync::Arc<Self>, now: Instant) {
-        if self.load().reach.begin_probe(self.time(now)) {
-            let target = self.clone();
-            tokio::spawn(async move {
-                if target.still_listens().await {
+    /// Tries to connect to it, after pauses, until that succeeds or it is gone.
+    fn probe_until_reached(self: &Arc<Self>) {
+        if self.probed.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let target = Arc::downgrade(self);
+        tokio::spawn(async move {
+            while let Some(due) = target.upgrade().and_then(|target| target.probe_due()) {
+                tokio::time::sleep_until(due).await;
+                let Some(target) = target.upgrade() else { return };
+                let now = target.time(Instant::now());
+                let begun = target.load().reach.begin_probe(now);
+                if begun && target.still_listens().await {
                     target.heard(Instant::now());
                 }
-            });
-        }
+            }
+            if let Some(target) = target.upgrade() {
+                target.probed.store(false, Ordering::Relaxed);
+            }
+        });
+    }
+
+    /// When it is to be tried again, if it could not be reached.
+    fn probe_due(&self) -> Option<Instant> {
+        self.load().reach.probe_due().map(|due| self.known + due)
     }
 
     /// How full it is, as a share of its slots: what this process has there or what it said, and
@@ -317,7 +341,7 @@
 
 /// A request that is booked at a target.
 #[derive(Debug)]
-pub struct Entered(std::sync::Arc<Target>);
+pub struct Entered(Arc<Target>);
 
 impl Drop for Entered {
     fn drop(&mut self) {
--- a/crates/direct/tests/route.rs
+++ b/crates/direct/tests/route.rs
@@ -15,6 +15,7 @@
         repeat: Repeat::Once,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        pause: None,
         rank: 0,
         attempts: 1,
         open: false,
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -8,6 +8,7 @@
 //! highest demand lately counts, since it is what decides who is refused.
 //! **Figures.** See the constants.
 
+use crate::balance::Load;
 use crate::number::float;
 use std::time::Duration;
 
@@ -17,6 +18,17 @@
 /// The time in which the memory of a peak halves: the mix swings within minutes.
 const MEMORY: f64 = 60.0;
 
+/// The time in which what was last asked for is forgotten by half where engines may change soon: longer
+/// than a wave, shorter than a phase.
+const RECENT: f64 = 3.0;
+
+/// The time over which the rise of streams is seen.
+const RISE: f64 = 3.0;
+
+/// The most that streams are expected to rise, as a part of what they are: when callers begin to come
+/// they rise from nothing, and soon no more.
+const MOST_RISE: f64 = 0.5;
+
 /// What one engine of a pool does.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
@@ -33,6 +45,10 @@
 pub struct Demand {
     reading: Level,
     streams: Level,
+    /// The highest demand of the last seconds for reading.
+    recent: f64,
+    /// Streams, followed more slowly.
+    slow: f64,
     observed: f64,
 }
 
@@ -73,6 +89,19 @@
         self.observed += elapsed;
         self.reading.sample(float(prompt) / elapsed, elapsed);
         self.streams.sample(f64::from(streams), elapsed);
+        self.recent = (self.recent * (-elapsed / RECENT).exp2()).max(self.reading.now);
+        self.slow += (f64::from(streams) - self.slow) * (1.0 - (-elapsed / RISE).exp());
+    }
+
+    /// Engines that the load keeps busy until `ahead` from now: of reading as much as in the last
+    /// seconds, of streams as many as there will be if they go on rising.
+    pub fn load(&self, pace: &Pace, ahead: Duration) -> Load {
+        let rise = (self.streams.now - self.slow).max(0.0) / (RISE - SPAN) * ahead.as_secs_f64();
+        let streams = self.streams.now + rise.min(self.streams.now * MOST_RISE);
+        Load {
+            readers: self.recent / pace.reading,
+            writers: streams / f64::from(pace.places.max(1)),
+        }
     }
 
     /// Whether there has been none.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,10 +7,12 @@
 //! [`model`] makes with these same types.
 
 pub mod admission;
+pub mod balance;
 pub mod binding;
 pub mod bookings;
 pub mod clock;
 pub mod demand;
+pub mod dial;
 pub mod drain;
 pub mod estimate;
 pub mod groups;
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -40,6 +40,9 @@
     /// An engine that writes reads a prompt for itself while streams fill no more than this share
     /// of its slots.
     pub writer_filled: f64,
+    /// It also does when they fill more, if reading takes no longer than this: its streams pause for so
+    /// long in all, and go on between the pieces of the prompt.
+    pub writer_pause: Duration,
     /// A start is copied if that saves reading so many tokens. Copying a token takes a tenth of
     /// reading it, and setting a copy up as long as reading some hundred. Copies from any holder,
     /// not from the home alone, took 13 to 16% off the shared parts that were read again, and raised
@@ -58,6 +61,7 @@
             short: 1_000,
             writer_share: 0.5,
             writer_filled: 0.125,
+            writer_pause: Duration::ZERO,
             least_copy: 512,
         }
     }
@@ -214,14 +218,18 @@
         // handed over to it for all: it takes only what fits, while it reads nothing else. Taking
         // prompts of any size, as those do that only read, one of 17,000 tokens held up all that
         // was handed over for 0.4 to 1.4 s, and 0.010 less of a day's worth was earned.
-        return idle
-            && reader.filled <= settings.writer_filled
-            && wait(settings, reader, tokens) <= most;
+        let takes = wait(settings, reader, tokens);
+        let few = reader.filled <= settings.writer_filled;
+        let short = reader.filled <= MOST_FILLED && takes <= settings.writer_pause.as_secs_f64();
+        return idle && (few || short) && takes <= most;
     }
     // An idle reader takes a prompt of any size: nothing is gained by leaving it idle.
     idle || wait(settings, reader, tokens) <= most
 }
 
+/// An engine whose streams fill more of its slots has no place to write a prompt that it reads.
+const MOST_FILLED: f64 = 0.9;
+
 /// Callers are sent away for no longer than this, however long they would wait: bursts last some
 /// seconds, and what is free before is worth more than a place that is sure.
 const MOST_BACK: Duration = Duration::from_secs(1);
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -75,6 +75,11 @@
         self.pause.is_some()
     }
 
+    /// When the next probe is due, unless one is under way.
+    pub fn probe_due(&self) -> Option<Time> {
+        self.pause.filter(|pause| !pause.probing).map(|pause| pause.until)
+    }
+
     /// Whether it is time for a probe; the caller sends one and tells of it by
     /// [`Reach::heard`] or [`Reach::unreachable`].
     #[must_use]
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -130,6 +130,12 @@
     usize::try_from(count(target)).unwrap_or(engines).max(1).min(most)
 }
 
+/// So many readers of `engines` engines as there may be.
+pub fn bounded(engines: usize, readers: usize) -> Option<usize> {
+    let most = engines.saturating_sub(spare(engines));
+    (engines > 1).then(|| readers.clamp(1, most.max(1)))
+}
+
 /// Engines that write at least, so that the loss of one is borne: a pool that is too small for that
 /// has one.
 fn spare(engines: usize) -> usize {
--- a/crates/policy/tests/prompts.rs
+++ b/crates/policy/tests/prompts.rs
@@ -206,3 +206,34 @@
         [0, 1, 2, 9]
     );
 }
+
+/// Prompts double for some seconds while a third of the engines write, with half of their places filled.
+/// All that only read are full; a prompt that holds up those streams for less than they may pause is read
+/// by an engine that writes, and a longer one is not.
+#[test]
+fn engines_that_write_read_what_their_streams_can_bear() {
+    let pause = Duration::from_millis(50);
+    let settings = Settings { writer_pause: pause, ..Settings::default() };
+    let engine = |key, writes, waiting, filled| Reader {
+        key,
+        writes,
+        waiting,
+        kept: 0,
+        filled,
+        handover: Duration::ZERO,
+        domain: 0,
+    };
+    let asked = |tokens| Prompt { tokens, ..prompt(3) };
+    let place = |tokens, filled| {
+        let engines = [engine(1, false, 90_000, 0.0), engine(2, true, 0, filled)];
+        matches!(place(&settings, &asked(tokens), &engines, 1), Place::Read { at: 1, .. })
+    };
+    // It reads half as fast as one that only reads: 7,500 tokens in 50 ms.
+    assert!(place(7_000, 0.5), "it takes less than the pause");
+    assert!(!place(8_000, 0.5), "it takes longer");
+    assert!(place(8_000, 0.1), "there are few streams to hold up");
+    assert!(!place(1_000, 0.95), "there is no place to write it");
+    let old = Settings::default();
+    let engines = [engine(1, false, 90_000, 0.0), engine(2, true, 0, 0.5)];
+    assert!(matches!(policy::prompts::place(&old, &asked(1_000), &engines, 1), Place::Full(_)));
+}
