--- a/crates/direct/src/broadcast.rs
+++ b/crates/direct/src/broadcast.rs
@@ -1,8 +1,8 @@
 //! Passes on what was read in the log, so that not each entry has to read it for itself.
 //!
 //! **Load pattern.** A change of one target, of the configuration or of the entries concerns all
-//! entries, and each call to the log is paid for. **Without it** 68 entries make 65 calls to learn of one
-//! record, a fifth of a day's. **How.** An entry that reads for all sends the records themselves to
+//! entries, and each call to the log is paid for. **Without it** each of them makes a call to learn of one
+//! record. **How.** An entry that reads for all sends the records themselves to
 //! the others. Whoever has read up to where they begin takes them as if it had read them; whoever lacks
 //! something before them, or does not get the datagram, reads the log as soon as it hears that there is
 //! news, see [`crate::tail`]. Nothing is taken twice or out of order.
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -30,8 +30,7 @@
 
 /// Between two datagrams at least, with up to [`PEERS`] peers; it grows by the square of their number,
 /// so that what an entry sends does not grow with it, up to [`LONGEST_PAUSE`]. An engine reads a prompt
-/// in 10 to 30 ms. Five entries spent 6.7 s of processor time on a day with datagrams and 4.0 s on the
-/// same day without.
+/// in 10 to 30 ms, and each datagram takes processor time of all who get it.
 const PAUSE: Duration = Duration::from_millis(5);
 
 /// Peers for which one [`PAUSE`] is enough.
--- a/crates/direct/src/recall.rs
+++ b/crates/direct/src/recall.rs
@@ -5,7 +5,7 @@
 //! as to be read: engines look full at a third of what they can do, and a fifth of the callers is
 //! refused for ten seconds. **How.** Each entry asks the engines that it coordinates, or
 //! stands by for, as soon as it knows that it does: it is the one to be asked which engine keeps what.
-//! **Figures.** See the constants.
+//!
 
 use crate::attempt;
 use crate::groups::Member;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -230,8 +230,7 @@
     /// has reached it either.
     ///
     /// While the log is away none can reach it, and that it is back has to be noticed by one of them:
-    /// all together try as often as eight would alone. With each trying by itself, 68 entries made a
-    /// third of a day's calls in an outage of 8 s. One that hears nobody tries as if it were alone.
+    /// all together try as often as eight would alone. One that hears nobody tries as if it were alone.
     pub fn turn_to_retry(&self) -> Duration {
         const EACH: Duration = Duration::from_millis(60);
         EACH * self.peers.heard()
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -1,8 +1,8 @@
 //! Who reads the log, so that not every entry has to ask all the time.
 //!
 //! **Load pattern.** Each entry follows three streams that rarely hold news, and every call to the
-//! log is paid for. **Without it** 27 entries make 100 calls a second to learn of a change every
-//! few seconds, which takes 5% of what a day is worth. **How.** A few entries, the same for all by
+//! log is paid for. **Without it** the entries of a small system make 100 calls a second to learn of a
+//! change every few seconds. **How.** A few entries, the same for all by
 //! the hashes of their names, read as often as changes have to be seen. With their datagrams they
 //! tell how far the news goes and how old their last read is. The others read when there is news;
 //! also when nobody's last read is fresh, so that losing the readers costs a second and not the
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,7 +4,7 @@
 //! do. **Without it** every queue grows until all work is late: engines stay busy with answers
 //! that nobody waits for, and goodput collapses while throughput looks fine. **How.** A request is
 //! refused when the work ahead of it, at the target's rates, takes longer than its deadline
-//! leaves; the refusal says when that work will be done. **Figures.** See [`Settings`].
+//! leaves; the refusal says when that work will be done.
 
 use crate::Time;
 use crate::estimate::{Cost, Rates};
--- a/crates/policy/src/bookings.rs
+++ b/crates/policy/src/bookings.rs
@@ -4,7 +4,7 @@
 //! entry says by datagram when its prompt was read. **Without it** a coordinator would have to guess
 //! from the time that passed. **How.** A grant books the prompt's tokens, and the word that it was
 //! read ends the booking. That word may be lost, and the entry that was granted may be killed: a
-//! booking that nobody ends lapses. **Figures.** See the constant.
+//! booking that nobody ends lapses.
 
 use crate::Time;
 use std::time::Duration;
--- a/crates/policy/src/demand.rs
+++ b/crates/policy/src/demand.rs
@@ -6,7 +6,7 @@
 //! **How.** Tokens of prompts are counted when callers first ask, whether they are read or not, and
 //! streams while they last; how fast engines read and write is learnt from what they do. The
 //! highest demand lately counts, since it is what decides who is refused.
-//! **Figures.** See the constants.
+//!
 
 use crate::balance::Load;
 use crate::number::float;
--- a/crates/policy/src/estimate.rs
+++ b/crates/policy/src/estimate.rs
@@ -6,7 +6,7 @@
 //! sends short requests behind long ones. **How.** A quantile of the output length is followed
 //! for each (caller, model) by stochastic approximation on a logarithmic scale: one number and
 //! one counter each, whatever the distribution. A pair not seen yet takes the model's quantile.
-//! **Figures.** See [`Settings`].
+//!
 
 use crate::number::{count, float, span};
 use crate::{Hash, hash, mix};
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -11,7 +11,7 @@
 //! entries agree without asking anybody, and a second one stands by. Prompts with the same start ask
 //! the same groups in the same order, so that the start is kept where it is looked for. Nothing depends
 //! on all agreeing: two coordinators of one group grant too much for as long as they differ.
-//! **Figures.** See [`Settings`].
+//!
 
 use crate::{Hash, mix};
 use std::cmp::Reverse;
--- a/crates/policy/src/handover.rs
+++ b/crates/policy/src/handover.rs
@@ -6,7 +6,7 @@
 //! while prompts go on being read for them in vain. **How.** For each engine and direction the
 //! median of the transfers seen is followed by steps. Only one of the two ends of a transfer is
 //! slow as a rule, and the other's median ignores those. What was learnt fades while no transfer
-//! is seen, so an engine that is left alone is tried again. **Figures.** See the constants.
+//! is seen, so an engine that is left alone is tried again.
 
 use crate::Time;
 use crate::number::span;
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -7,7 +7,7 @@
 //! they send anyway, about the few callers they serve most; the share is this entry's part of
 //! what all report. An entry not heard from counts as serving as much as this one, so that with no
 //! news at all the share is one over the live entries, and limits err on the strict side.
-//! **Figures.** See [`Settings`].
+//!
 
 use crate::admission::{Reason, Refusal};
 use crate::number::{float, span};
--- a/crates/policy/src/outlier.rs
+++ b/crates/policy/src/outlier.rs
@@ -7,7 +7,7 @@
 //! and of its failures is kept. A target whose time is a multiple of the peers' median, or that
 //! fails most attempts, is relieved: it gets no work but a probe now and then, at growing
 //! intervals. A probe that does well brings it back. At most a part of the fleet is relieved: if
-//! most are slow, none is an outlier. **Figures.** See [`Settings`].
+//! most are slow, none is an outlier.
 
 use crate::number::float;
 use crate::{TargetId, Time};
--- a/crates/policy/src/patience.rs
+++ b/crates/policy/src/patience.rs
@@ -5,7 +5,7 @@
 //! equal terms with those that can still be answered in time, and every answer that is late already
 //! makes another one late. **How.** Callers of one route give about the same time when they first
 //! ask; whoever has clearly less left has waited. Nothing is concluded unless many requests give
-//! the longest time: then callers of the route simply differ. **Figures.** See the constants.
+//! the longest time: then callers of the route simply differ.
 
 use std::time::Duration;
 
--- a/crates/policy/src/prompts.rs
+++ b/crates/policy/src/prompts.rs
@@ -9,7 +9,7 @@
 //! hashes that has not. Whichever engine reads copies what it lacks from the one that keeps most
 //! of the start. An engine has too much if what waits would leave too little of the
 //! objective; a prompt that fits nowhere is refused at once and told when to come back.
-//! **Figures.** See [`Settings`].
+//!
 
 use crate::number::{float, span};
 use crate::{Hash, mix};
@@ -44,9 +44,7 @@
     /// long in all, and go on between the pieces of the prompt.
     pub writer_pause: Duration,
     /// A start is copied if that saves reading so many tokens. Copying a token takes a tenth of
-    /// reading it, and setting a copy up as long as reading some hundred. Copies from any holder,
-    /// not from the home alone, took 13 to 16% off the shared parts that were read again, and raised
-    /// worth from 0.569 to 0.586 and from 0.567 to 0.584 on two loads.
+    /// reading it, and setting a copy up as long as reading some hundred.
     pub least_copy: u64,
 }
 
@@ -215,9 +213,7 @@
     let idle = reader.waiting == 0 && reader.handover.as_secs_f64() < most;
     if reader.writes {
         // Each step of its output waits for a piece of what it reads, and the first token of what is
-        // handed over to it for all: it takes only what fits, while it reads nothing else. Taking
-        // prompts of any size, as those do that only read, one of 17,000 tokens held up all that
-        // was handed over for 0.4 to 1.4 s, and 0.010 less of a day's worth was earned.
+        // handed over to it for all: it takes only what fits, while it reads nothing else.
         let takes = wait(settings, reader, tokens);
         let few = reader.filled <= settings.writer_filled;
         let short = reader.filled <= MOST_FILLED && takes <= settings.writer_pause.as_secs_f64();
@@ -241,8 +237,6 @@
 /// come back once. **Without it** they come back after the time of one queue, in the middle of the
 /// same burst, and are refused for good. **How.** Their objective has passed by then in any case,
 /// so they come back late, spread over the second half of the time that they honour.
-/// **Figures.** Refused for good were 8.2% of all requests before and 7.5% after on one load, 8.9%
-/// and 8.2% on another.
 pub fn come_back(settings: &Settings, soonest: Duration, left: Duration, random: f64) -> Duration {
     let most = left.mul_f64(settings.honoured).min(MOST_BACK);
     soonest.max(most.mul_f64(0.5 + 0.5 * random)).min(most)
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -7,7 +7,7 @@
 //! all entries and their successors know. A suspect runs alone, on one target: if it crashes that
 //! one too it is guilty and refused fleet-wide, and if it ends it is cleared. So a guilty request
 //! takes down two targets: the one where it ran among others and the one where it ran alone.
-//! **Figures.** Two follows from that; one would refuse innocent requests that ran beside it.
+//! Two follows from that; one would refuse innocent requests that ran beside it.
 
 /// What the log holds about one request, by its fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -8,7 +8,7 @@
 //! before all others, but only up to a share of the work while others wait. Long items may not
 //! hold the last slots while short ones are about. The queue is bounded in work; when it is full,
 //! the caller with the most waiting loses its newest item. Items whose deadline has passed are
-//! handed out by [`Queue::expire`] and never start. **Figures.** See [`Settings`].
+//! handed out by [`Queue::expire`] and never start.
 
 mod discipline;
 
--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -6,7 +6,7 @@
 //! of that moment go there at once and wait for a connection. **How.** A target that has had work
 //! for a while and has not said a word counts as silent, and one that could not be reached is
 //! paused; both get work only if all are like that. After a pause one probe is sent, and only its
-//! success ends the pause. **Figures.** See the constants.
+//! success ends the pause.
 
 use crate::Time;
 use std::time::Duration;
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -4,8 +4,7 @@
 //! all are tried again. **Without it** the retries are a second crowd on top of the first, and
 //! their failures a third. **How.** Retries are paid from budgets that requests fill: a tenth of a
 //! retry for each request, for the caller and for the target that failed. Both must afford it.
-//! Whether a call may be repeated at all is decided before, by its progress. **Figures.** See
-//! [`Settings`].
+//! Whether a call may be repeated at all is decided before, by its progress.
 
 use crate::number::{float, span, unit};
 use crate::{CallerId, TargetId, Time};
--- a/crates/policy/src/route.rs
+++ b/crates/policy/src/route.rs
@@ -8,7 +8,7 @@
 //! the able targets, estimates the wait at each in seconds of work, lets stale estimates decay to
 //! the mean, adds the price of leaving the own failure domain, and takes the least of a few drawn
 //! at random; a prompt with a shared prefix goes to the first target in rendezvous order that is
-//! not loaded far beyond the mean. **Figures.** See [`Settings`].
+//! not loaded far beyond the mean.
 
 mod baseline;
 mod weighted;
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -8,7 +8,7 @@
 //! in proportion to what it would need at the highest demand lately, see [`crate::demand`]. Until
 //! demand has been observed for long, a usual mix of prompts and output stands in for it, with a mean
 //! of the engines' own paces and those assumed of all engines; a phase of the load that lasts seconds
-//! so moves little, and one that lasts minutes all. Enough engines write that the loss of one is borne. **Figures.** See [`Settings`].
+//! so moves little, and one that lasts minutes all. Enough engines write that the loss of one is borne.
 
 use crate::Hash;
 use crate::demand::{Need, Pace};
@@ -30,14 +30,11 @@
 pub struct Settings {
     /// A fixed share of engines that read, whatever the load.
     pub fixed: Option<f64>,
-    /// Tokens of prompts to be read for each token of output, until demand has been observed. It is no
-    /// load's own mix: with it three pools came out at the shares of readers that were best when they
-    /// were held fixed (0.84 with 64 slow places, 0.68 to 0.73 with 32 fast ones). Half and twice of it
-    /// cost a pool of 8 places 0.08 and 0.14 of a day's worth.
+    /// Tokens of prompts to be read for each token of output, until demand has been observed. It is
+    /// no load's own mix, but between those of several.
     pub mix: f64,
-    /// After this time what was observed counts as much as [`Settings::mix`]. With a minute a phase
-    /// of 14 s moved nine of 44 engines, which were then missing in the next: a day was worth 0.423
-    /// in place of 0.556 with none moved.
+    /// After this time what was observed counts as much as [`Settings::mix`]: engines that follow a
+    /// phase of seconds are missing in the next.
     pub settle: Duration,
     /// How far the number of readers has to be off, in engines, to be changed: an engine that changes
     /// is out of service for some five seconds.
@@ -81,9 +78,7 @@
 /// Streams that an engine is assumed to write at once at least, when others are compared with it.
 ///
 /// Few places say that the operator expects few streams, or that the engine is small: which of both is
-/// not known, and readers that are missing cost more than writers. Taken by its eight places alone, a
-/// pool of 48 had 20 readers, and its days were worth 0.10 less than with 26 or 33; between those two
-/// numbers no day differed by 0.02. Pools of 32 and 64 places are split as by their own.
+/// not known, and readers that are missing cost more than writers.
 const USUAL_PLACES: u32 = 32;
 
 /// The weight of what a pool's engines do, as far as that is known, against what is assumed of all
--- a/crates/policy/src/subset.rs
+++ b/crates/policy/src/subset.rs
@@ -4,7 +4,7 @@
 //! pings. **Without it** an entry's 7 KB a second for control go to keeping in touch. **How.**
 //! Each entry keeps some targets of each failure domain, chosen by rendezvous hashing of the pair,
 //! so the choice is stable when others come and go. Among those it has heard from, routing still
-//! compares. **Figures.** See [`Settings`].
+//! compares.
 
 use crate::{Hash, mix};
 use std::collections::BTreeMap;
--- a/crates/policy/src/writers.rs
+++ b/crates/policy/src/writers.rs
@@ -6,13 +6,12 @@
 //! take twice as long, and an engine whose link is slow gets its share until transfers to it wait
 //! for seconds. **How.** Engines that can't be reached or are about to change come last; then slow
 //! links count, then how many parts of the slots are filled, then the distance, then the number of
-//! streams. **Figures.** See the constants.
+//! streams.
 
 use std::time::Duration;
 
 /// Engines are told apart by how many of these parts of their slots streams fill. Within one such
-/// part the nearer engine is taken: with fewer streams an output is hardly faster. Worth rose from
-/// 0.586 to 0.596 and from 0.584 to 0.592 on two loads.
+/// part the nearer engine is taken: with fewer streams an output is hardly faster.
 const FILL_PARTS: u32 = 4;
 
 /// Engines whose KV cache is on its way for this share of the objective longer than usual are taken
