--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -66,6 +66,15 @@
 /// From when a part is short until the engines that are ordered for it begin to change.
 const NOTICED: Duration = Duration::from_millis(1_500);
 
+/// How long after the first engines were lent more may be.
+const EARLY: Duration = Duration::from_secs(5);
+
+/// How long engines that were lent stay at least: longer than two waves.
+const HELD: Duration = Duration::from_secs(6);
+
+/// The shortest time after which engines are lent anew: phases last some ten seconds.
+const PHASE: Duration = Duration::from_secs(20);
+
 /// After engines were moved to where the load is, they are left there so long whatever is usual.
 const CALM: Duration = Duration::from_secs(4);
 
@@ -98,15 +107,41 @@
     last: Option<(u64, Instant)>,
     /// Since when the split has been wrong, and how.
     wrong: Option<(Wrong, Instant)>,
-    /// How many engines read before some were lent to the other part, and when that last changed.
-    lent: Option<(usize, Instant)>,
+    /// What was lent to the other part.
+    lent: Option<Lent>,
+}
+
+/// Engines that read before and were lent to those that write.
+#[derive(Debug, Clone, Copy)]
+struct Lent {
+    /// How many read before.
+    readers: usize,
+    /// When the first were lent.
+    first: Instant,
+    /// When engines last changed for this.
+    last: Instant,
 }
 
 impl Watched {
     /// Notes that engines change because one part is short, while `reading` read.
     fn lend(&mut self, reading: usize, now: Instant) {
-        let (readers, _) = self.lent.unwrap_or((reading, now));
-        self.lent = Some((readers, now));
+        let before = self.lent.filter(|lent| now.duration_since(lent.first) < PHASE);
+        let new = Lent { readers: reading, first: now, last: now };
+        let first = before.map_or(now, |lent| lent.first);
+        let readers = self.lent.map_or(reading, |lent| lent.readers.max(reading));
+        self.lent = Some(Lent { readers, first, ..new });
+    }
+
+    /// Whether engines have changed so lately that a wave may be all that has changed since.
+    fn holds_on(&self, now: Instant) -> bool {
+        self.lent.is_some_and(|lent| now.duration_since(lent.last) < HELD)
+    }
+
+    /// Whether engines may be lent: those that are lent late in a phase come when it is over, and are
+    /// missing in the next.
+    fn may_lend(&self, now: Instant) -> bool {
+        let since = self.lent.map(|lent| now.duration_since(lent.first));
+        since.is_none_or(|since| since < EARLY || since >= PHASE)
     }
 }
 
@@ -208,7 +243,7 @@
         }
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
         let reading = split::reading(&engines);
-        let short = self.short(service, watched, &engines).filter(|_| lacking.is_none());
+        let short = self.short(service, watched, &engines, now).filter(|_| lacking.is_none());
         let wanted = match short {
             Some(wanted) => wanted,
             None => self.usual(service, watched, &engines, lacking.is_some(), now)?,
@@ -226,7 +261,13 @@
     }
 
     /// How many engines should read if the load leaves one part short.
-    fn short(&self, service: &Service, watched: &Watched, engines: &[Engine]) -> Option<usize> {
+    fn short(
+        &self,
+        service: &Service,
+        watched: &Watched,
+        engines: &[Engine],
+        now: Instant,
+    ) -> Option<usize> {
         let settings = &self.shared.settings;
         if settings.split.fixed.is_some() {
             return None;
@@ -234,9 +275,11 @@
         let (load, pool) = self.load(service, watched, engines)?;
         // An engine that writes is missing for as long as its last stream takes. So none is taken from them
         // for a burst of prompts, which is over by then, but those that were lent to them.
-        let lent = watched.lent.map_or(0, |(readers, _)| readers.saturating_sub(pool.readers));
+        let lent = watched.lent.map_or(0, |lent| lent.readers.saturating_sub(pool.readers));
         let wanted = match balance::wanted(&settings.balance, &load, pool) {
+            Some(wanted) if wanted < pool.readers && !watched.may_lend(now) => return None,
             Some(wanted) => wanted.min(pool.readers + lent),
+            None if watched.holds_on(now) => return None,
             None => balance::returned(&settings.balance, &load, pool, lent)?,
         };
         if wanted == pool.readers {
@@ -279,7 +322,7 @@
             return Some(wanted);
         }
         let lately = |at: Instant| now.duration_since(at) < CALM;
-        if watched.lent.is_some_and(|(_, at)| lately(at)) {
+        if watched.lent.is_some_and(|lent| lately(lent.last)) {
             return None;
         }
         let Some((load, _)) = self.load(service, watched, engines) else { return Some(wanted) };
