--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -307,8 +307,9 @@
         fresh.any(|(_, (news, _))| *news > next).then_some(Reason::News)
     }
 
-    /// Waits until this entry should read the stream, or is told of what comes next in it. If its last call failed, it does not go on
-    /// before `again` for the mere reason that nobody else has read it either.
+    /// Waits until this entry should read the stream, or is told of what comes next in it. If its last
+    /// call failed, it does not go on before `again` for the mere reason that nobody else has read it
+    /// either.
     pub async fn turn(&self, topic: Topic, next: Offset, again: Option<Instant>) -> Turn {
         loop {
             if let Some(told) = self.take(topic, next) {
