fix(policy): connections are waited for by what each failure domain takes, and longer where none succeeds

One figure for all targets was learnt from those next door: targets of a region 80 ms away would be waited for 60 ms, count as unreachable, and never be learnt from; the same in a network that turns slow at once. Now each failure domain has its own, and where no connection succeeded for 2 s it is waited 400 ms as before.

--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -157,7 +157,7 @@
         }
         let bounds = attempt::Bounds {
             connections: self.shared.connections(&self.service),
-            connect: self.shared.connect_patience(),
+            connect: self.shared.connect_patience(target),
             until: self.last_word(),
         };
         let outcome =
@@ -165,7 +165,7 @@
         if let Outcome::Answered(answered) = &outcome
             && let Some(took) = answered.connection.opened
         {
-            self.shared.connected(took);
+            self.shared.connected(target, took);
         }
         outcome
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -300,13 +300,13 @@
     }
 
     /// How long a connection to a target is waited for.
-    pub fn connect_patience(&self) -> Duration {
-        self.dial().patience()
+    pub fn connect_patience(&self, target: &Target) -> Duration {
+        self.dial().patience(target.domain_key, self.started.elapsed())
     }
 
     /// Takes in how long it took to open a connection to a target.
-    pub fn connected(&self, took: Duration) {
-        self.dial().sample(took);
+    pub fn connected(&self, target: &Target, took: Duration) {
+        self.dial().sample(target.domain_key, took, self.started.elapsed());
     }
 
     fn dial(&self) -> MutexGuard<'_, dial::Dial> {
--- a/crates/policy/src/dial.rs
+++ b/crates/policy/src/dial.rs
@@ -3,8 +3,12 @@
 //! **Load pattern.** Connections to targets are answered within a few milliseconds; some targets go dark,
 //! and answer nothing until others have noticed. **Without it** each first try at a dark target waits for
 //! a time that suits the slowest network, longer than a caller's objective. **How.** The longest that
-//! connections took lately, several times over, is waited for; where they take longer, more.
+//! connections to one failure domain took lately, several times over, is waited for; where they take longer,
+//! more. Where none has succeeded for a while the network itself may have turned slow, and it is waited as
+//! long as at first.
 
+use crate::{Hash, Time};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// How many times the longest of late is waited for.
@@ -16,24 +20,35 @@
 /// At least so long: a busy process sees an answer late.
 const LEAST: Duration = Duration::from_millis(60);
 
-/// At most so long, and until any connection was opened.
+/// At most so long, and where nothing is known.
 const MOST: Duration = Duration::from_millis(400);
 
-/// What connections took lately.
-#[derive(Debug, Clone, Copy, Default)]
+/// After this time without a connection that succeeded nothing is known any more.
+const FORGOTTEN: Duration = Duration::from_secs(2);
+
+/// What connections to each failure domain took lately.
+#[derive(Debug, Clone, Default)]
 pub struct Dial {
-    longest: Option<Duration>,
+    domains: HashMap<Hash, Seen>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    longest: Duration,
+    last: Time,
 }
 
 impl Dial {
     /// Takes in how long it took to open one.
-    pub fn sample(&mut self, took: Duration) {
-        let faded = self.longest.map(|longest| longest.mul_f64(KEPT));
-        self.longest = Some(faded.map_or(took, |faded| faded.max(took)));
+    pub fn sample(&mut self, domain: Hash, took: Duration, now: Time) {
+        let seen = self.domains.entry(domain).or_insert(Seen { longest: took, last: now });
+        *seen = Seen { longest: seen.longest.mul_f64(KEPT).max(took), last: now };
     }
 
     /// How long the next one is waited for.
-    pub fn patience(&self) -> Duration {
-        self.longest.map_or(MOST, |longest| (longest * TIMES).clamp(LEAST, MOST))
+    pub fn patience(&self, domain: Hash, now: Time) -> Duration {
+        let seen = self.domains.get(&domain);
+        let seen = seen.filter(|seen| now.saturating_sub(seen.last) < FORGOTTEN);
+        seen.map_or(MOST, |seen| (seen.longest * TIMES).clamp(LEAST, MOST))
     }
 }
