--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -9,6 +9,10 @@
 //! an engine again only when it has read no plan with it for [`QUIET`]. So a plan that can't wait,
 //! because nobody is left who writes or nobody who reads, is made at once, with other engines than
 //! the last one. Plans that can wait are [`QUIET`] apart, so that each shows its effect first.
+//!
+//! Where streams are about to fill all places while engines that read can be spared, these are lent to
+//! them and come back later, see [`policy::balance`]. Such plans are announced by datagram, and one
+//! holder may make the next after [`AGAIN`].
 
 mod orders;
 
