fix(direct): windows of usage that are long past are forgotten by all entries

Cause, found by reading the diff: only the holder of the duty forgot them. All entries now forget them when they tell their counts.

--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -115,9 +115,12 @@
 
     /// The first window that may still be billed, of which anything is known.
     pub fn first(&self, present: Window) -> Option<Window> {
-        let mut inner = self.lock();
-        inner.ledger.forget(present);
-        inner.ledger.first(present)
+        self.lock().ledger.first(present)
+    }
+
+    /// Forgets windows far from the present one: each would take memory for as long as the process lives.
+    pub fn forget(&self, present: Window) {
+        self.lock().ledger.forget(present);
     }
 
     /// How long until this entry tells the billers what is due.
@@ -175,6 +178,9 @@
     let mut told = Vec::new();
     loop {
         tokio::time::sleep(shared.usage.pause(shared.entries())).await;
+        if let Some(present) = shared.usage.window_at(shared.usage.clock.now()) {
+            shared.usage.forget(present);
+        }
         let billers = addresses(&shared);
         // One that has just become a biller has heard of nothing.
         let new = billers.iter().any(|address| !told.contains(address));
