--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -1,10 +1,10 @@
 //! An entry that sends requests straight to targets, where no agent stands beside them.
 //!
 //! A request goes forward through [`intake`], [`serve`], then [`plain`] or [`generate`], then
-//! [`attempt`] and [`relay`]. What they share is behind [`shared::Shared`]. Whose a request is stands in
-//! [`customers`]; what each customer used is counted in [`usage`] and reported by [`billing`]. The [`border`] towards
-//! callers and targets, and [`follow::Decode`] for records, are implemented by a deployment's
-//! adapter.
+//! [`attempt`] and [`relay`]. What they share is behind [`shared::Shared`]. Whose a request is stands
+//! in [`customers`]; what each customer used is counted in [`usage`] and reported by [`billing`]. The
+//! [`border`] towards callers and targets, and [`follow::Decode`] for records, are implemented by a
+//! deployment's adapter.
 
 pub mod answer;
 pub mod attempt;
