feat(direct,platform): limits on the intake of targets are decoded and logged

The header is now decoded once, in the adapter, and a line says when a target names a limit, changes it or no longer does.

An answer that was overtaken by one with a limit doesn't end it, a lower figure counts at once, of two headers the lower does, and what can't be read changes nothing.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -93,7 +93,7 @@
             }
         };
         let request = request(border, content, sending);
-        let reused = connection.reused;
+        let (reused, sent) = (connection.reused, Instant::now());
         match timeout_at(bounds.until, connection.sender.try_send_request(request)).await {
             Err(_) => {
                 return Outcome::Late;
@@ -107,7 +107,9 @@
                     return Outcome::NotSent(error.error().to_compact_string());
                 }
             }
-            Ok(Ok(response)) => return judge(border, target, sending, response, connection),
+            Ok(Ok(response)) => {
+                return judge(border, target, sending, sent, response, connection);
+            }
         }
     }
 }
@@ -181,6 +183,7 @@
     border: &dyn Border,
     target: &Arc<Target>,
     sending: &Sending,
+    sent: Instant,
     response: Response<Incoming>,
     connection: Connection,
 ) -> Outcome {
@@ -197,8 +200,12 @@
         target.judge(Health::Failing, now);
         return Outcome::Unknown("the answer belongs to another request".into());
     }
+    let status = response.status();
+    // One that says so is another target.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        target.hear_limit(reply.limit, sent, now);
+    }
     if refused {
-        let status = response.status();
         if status == StatusCode::MISDIRECTED_REQUEST {
             log::info!(target: "fleet", target_id = target.id.as_str(); "another answers in its place");
             target.misdirected(now);
@@ -206,7 +213,7 @@
         drain(response, connection, reply);
         return Outcome::NotRun(status);
     }
-    let health = if response.status().is_server_error() { Health::Failing } else { Health::Sound };
+    let health = if status.is_server_error() { Health::Failing } else { Health::Sound };
     target.judge(health, now);
     Outcome::Answered(Box::new(Answered { response, reply, connection }))
 }
--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -8,6 +8,7 @@
 use crate::route::Stage;
 use compact_str::CompactString;
 use http::HeaderMap;
+use policy::pacing::Named;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -110,7 +111,7 @@
 }
 
 /// What a target says in the head of an answer.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Reply {
     /// The sending that this answers.
     pub attempt: Option<AttemptId>,
@@ -120,6 +121,8 @@
     pub busy: Option<Busy>,
     /// For how long it keeps an idle connection.
     pub keep_alive: Option<Duration>,
+    /// What it takes in from all entries together.
+    pub limit: Named,
 }
 
 /// The result of reading a target's answer to an internal call.
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -8,6 +8,7 @@
 use crate::workload::Workload;
 use compact_str::CompactString;
 use policy::handover::Handover;
+use policy::pacing::{Limit, Named};
 use policy::reach::Reach;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -99,6 +100,7 @@
     /// Until when it counts as not being there, because what stands at its address said so.
     misdirected: Option<Instant>,
     change: Option<Change>,
+    limit: Limit,
 }
 
 /// A change of stage that was announced.
@@ -208,6 +210,26 @@
         self.load().busy = Some((busy, now));
     }
 
+    /// Takes in what an answer says of how much it takes in, and says whether that changed; the request
+    /// was sent at `sent`.
+    pub fn hear_limit(&self, named: Named, sent: Instant, now: Instant) -> bool {
+        let named = match named {
+            Named::Nothing => None,
+            Named::Limit(rate) => Some(rate),
+            Named::Unreadable => {
+                log::warn!(target: "fleet", target_id = self.id.as_str(); "limit not readable");
+                return false;
+            }
+        };
+        let (sent, now) = (self.time(sent), self.time(now));
+        let changed = self.load().limit.hear(named, sent, now);
+        if changed {
+            log::info!(target: "fleet", target_id = self.id.as_str(), limit:? = named;
+                "limit of a target changed");
+        }
+        changed
+    }
+
     /// Takes in how an exchange with it ended.
     pub fn judge(self: &Arc<Self>, health: Health, now: Instant) {
         let mut load = self.load();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod link;
 pub mod model;
 pub mod outlier;
+pub mod pacing;
 pub mod patience;
 pub mod prompts;
 pub mod quarantine;
