fix(policy,direct): targets that name a limit get permits, given out by their coordinators

Callers and targets saw: two engines in need named 11.3 and 10.8 requests a second and went on getting some 35 a second each, 110 and 132 in four seconds of 73 and 70 allowed.

Cause: nobody read the limit. It was decoded nowhere, so each entry went on as if the target were well. The class: a target says what it can bear, and the entries don't heed it together.

No entry was killed, cut or frozen before the breach, and the engines refused nothing, so feedback on refusals would have told nothing.

Now every request to such a target needs a permit. It is given by the coordinator of the target's group, out of one pacer at the rate named, together with the place that is booked there, or asked for right before sending: plain calls, resumed streams, retries and choices without a coordinator all pass the same function. What does not fit goes elsewhere at once; where all are limited it is refused as not run, with the time to come back.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -26,6 +26,8 @@
     LinkFull,
     /// A target was tried and refused.
     TargetRefused,
+    /// All targets that could be tried named a limit and take in no more now.
+    Limited,
     /// No target could be reached.
     Unreachable,
     /// The request crashed several targets.
@@ -54,6 +56,7 @@
             Self::NoWriter => "no-writer",
             Self::LinkFull => "link-full",
             Self::TargetRefused => "target-refused",
+            Self::Limited => "limited",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One sending of a request to one target, and what can be said of it afterwards.
 
 use crate::border::{Border, Reply, Sending};
+use crate::permits::Refused;
 use crate::pool::{self, Connection};
 use crate::target::{Health, Target};
 use bytes::Bytes;
@@ -38,6 +39,8 @@
     Unknown(CompactString),
     /// It may have run: there was no answer in time.
     Late,
+    /// Nothing was sent: the target named a limit and takes in no more now.
+    Limited(Refused),
 }
 
 impl Outcome {
@@ -45,7 +48,7 @@
     pub fn may_have_run(&self) -> bool {
         match self {
             Self::Answered(_) | Self::Unknown(_) | Self::Late => true,
-            Self::NotRun(_) | Self::NotSent(_) => false,
+            Self::NotRun(_) | Self::NotSent(_) | Self::Limited(_) => false,
         }
     }
 }
--- a/crates/direct/src/coordinator.rs
+++ b/crates/direct/src/coordinator.rs
@@ -5,6 +5,7 @@
 //! was granted. It answers whoever asks, whether or not it holds itself responsible: two that both
 //! coordinate a group for a moment make a queue longer than meant, and break nothing.
 
+mod permits;
 mod reading;
 mod writing;
 
@@ -21,10 +22,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+pub use permits::{Permits, hear as hear_limit};
+
 /// What this entry has granted.
 #[derive(Debug)]
 pub struct Coordinator {
     inner: Mutex<Inner>,
+    /// Permits for requests to targets that named a limit.
+    pub permits: Permits,
     started: Instant,
 }
 
@@ -51,7 +56,8 @@
 
 impl Default for Coordinator {
     fn default() -> Self {
-        Self { inner: Mutex::default(), started: Instant::now() }
+        let (inner, permits) = (Mutex::default(), Permits::default());
+        Self { inner, permits, started: Instant::now() }
     }
 }
 
@@ -120,12 +126,14 @@
     match question {
         Word::Ask(ask) => reading::decide(shared, ask),
         Word::Place(ask) => writing::decide(shared, ask),
+        Word::Permit(ask) => Some(permits::decide(shared, ask)),
         Word::Answer(_)
         | Word::Report(_)
         | Word::News(_)
         | Word::Lack(_)
         | Word::Used(_)
-        | Word::Billed(_) => None,
+        | Word::Billed(_)
+        | Word::Limit(_) => None,
     }
 }
 
--- a/crates/direct/src/coordinator/reading.rs
+++ b/crates/direct/src/coordinator/reading.rs
@@ -1,5 +1,6 @@
 //! Which engine of a group reads a prompt.
 
+use super::permits::{part, rank};
 use super::{SILENCE, service};
 use crate::border::Part;
 use crate::datagram::short;
@@ -8,6 +9,7 @@
 use crate::route::{Service, Stage};
 use crate::shared::Shared;
 use crate::target::{Target, Way};
+use policy::pacing;
 use policy::prompts::{self, Place, Prompt, Reader};
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +26,16 @@
     Some(Answer { booking: ask.booking, room: Some(desk.room()) })
 }
 
+/// A group's engines that can be had now.
+struct Able {
+    /// Those that only read.
+    readers: Vec<Reader>,
+    /// Those that write as well.
+    writers: Vec<Reader>,
+    /// When the first takes in something again of those that named a limit.
+    permit_after: Option<Duration>,
+}
+
 /// One question while it is answered.
 struct Desk<'a> {
     shared: &'a Shared,
@@ -36,35 +48,60 @@
 
 impl Desk<'_> {
     fn room(&self) -> Room {
-        let (readers, writers) = self.able();
+        let Able { readers, writers, permit_after } = self.able();
         let first = if self.ask.writers { &writers } else { &readers };
         let (place, choice) = self.place(first);
         match place {
             Place::Read { at, copy_from, tokens } => {
                 let engine = &choice[at];
+                let permit = match self.permit(engine.key) {
+                    Ok(permit) => permit,
+                    Err(after) => return self.full(after, &choice, false),
+                };
                 self.shared.coordinator.book(engine.key, self.ask.booking, tokens, self.now);
                 let copy_from = copy_from.map_or(0, |from| short(choice[from].key));
                 let (engine, waiting) = (short(engine.key), choice[at].waiting);
-                Room::Granted(Granted { engine, copy_from, tokens, waiting })
+                Room::Granted(Granted { engine, copy_from, tokens, waiting, permit })
             }
             Place::Full(after) => {
-                let after_us = u64::try_from(after.as_micros()).unwrap_or(u64::MAX);
                 let writer =
                     !self.ask.writers && matches!(self.place(&writers).0, Place::Read { .. });
-                Room::Full(Full { after_us, holder: self.holder(&choice), writer })
+                let after = permit_after.map_or(after, |permit| permit.min(after));
+                self.full(after, &choice, writer)
             }
         }
     }
 
-    /// The group's engines that can be had now: those that only read, and those that write.
-    fn able(&self) -> (Vec<Reader>, Vec<Reader>) {
+    fn full(&self, after: Duration, choice: &[Reader], writer: bool) -> Room {
+        let after_us = u64::try_from(after.as_micros()).unwrap_or(u64::MAX);
+        Room::Full(Full { after_us, holder: self.holder(choice), writer })
+    }
+
+    /// Gives a permit for a request to an engine, if it needs one.
+    fn permit(&self, engine: policy::Hash) -> Result<bool, Duration> {
+        let ask = pacing::Ask { entry: self.ask.entry, rank: rank(self.ask.rank) };
+        self.shared.coordinator.permits.take(engine, part(self.group), ask, self.now)
+    }
+
+    /// How long until an engine takes in another request, if it named a limit and has none left.
+    fn permit_after(&self, engine: &Target) -> Option<Duration> {
+        let (part, rank) = (part(self.group), rank(self.ask.rank));
+        self.shared.coordinator.permits.look(engine.key, part, rank, self.now).err()
+    }
+
+    fn able(&self) -> Able {
         let patience = Duration::from_millis(self.ask.objective_ms.into()) * SILENCE;
         let allowed = |engine: &&Arc<Target>| !self.ask.avoid.contains(&short(engine.key));
         let engines = self.group.engines.iter().filter(allowed);
         let engines = engines.filter(|engine| !engine.is_changing(self.now));
         let here = engines.filter(|engine| !engine.is_away(patience, self.now));
         let new = self.shared.coordinator.is_new(self.group.key, self.now);
-        here.map(|engine| self.reader(engine, new)).partition(|reader| !reader.writes)
+        let (permitted, closed): (Vec<_>, Vec<_>) =
+            here.map(|engine| (engine, self.permit_after(engine))).partition(|(_, a)| a.is_none());
+        let able = permitted.into_iter().map(|(engine, _)| self.reader(engine, new));
+        let (readers, writers) = able.partition(|reader| !reader.writes);
+        let permit_after = closed.into_iter().filter_map(|(_, after)| after).min();
+        Able { readers, writers, permit_after }
     }
 
     fn reader(&self, engine: &Arc<Target>, new: bool) -> Reader {
--- a/crates/direct/src/coordinator/writing.rs
+++ b/crates/direct/src/coordinator/writing.rs
@@ -1,5 +1,6 @@
 //! Which engine of a group writes an output.
 
+use super::permits::{part, rank};
 use super::{SILENCE, service};
 use crate::datagram::short;
 use crate::groups::Group;
@@ -7,6 +8,7 @@
 use crate::route::Stage;
 use crate::shared::Shared;
 use crate::target::{Target, Way};
+use policy::pacing;
 use policy::writers::{self, Writer};
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,14 +20,20 @@
     let service = service(shared, ask.service)?;
     let groups = shared.groups(&service.name);
     let group = groups.iter().find(|group| group.key == ask.group)?;
-    let room = match best(shared, group, ask, now) {
-        Some((writer, engine)) if writer.has_room(ask.filled) => {
+    let best = best(shared, group, ask, now);
+    let best = best.filter(|(writer, _)| writer.has_room(ask.filled)).map(|(_, engine)| engine);
+    let permit = best.map(|engine| {
+        let ask = pacing::Ask { entry: ask.entry, rank: rank(ask.rank) };
+        shared.coordinator.permits.take(engine.key, part(group), ask, now)
+    });
+    let room = match (best, permit) {
+        (Some(engine), Some(Ok(permit))) => {
             let span = Duration::from_millis(ask.lapse_ms.into());
             shared.coordinator.book_place(engine.key, ask.booking, span, now);
             let engine = short(engine.key);
-            Room::Granted(Granted { engine, copy_from: 0, tokens: 0, waiting: 0 })
+            Room::Granted(Granted { engine, permit, ..Granted::default() })
         }
-        Some(_) | None => Room::Full(Full { after_us: 0, holder: None, writer: false }),
+        _ => Room::Full(Full::default()),
     };
     Some(Answer { booking: ask.booking, room: Some(room) })
 }
@@ -41,7 +49,9 @@
     let objective = Duration::from_millis(ask.objective_ms.into());
     let able = group.engines.iter().filter(|engine| {
         let allowed = !ask.avoid.contains(&short(engine.key));
-        allowed && engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now)
+        let able = engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now);
+        let permits = &shared.coordinator.permits;
+        allowed && able && permits.look(engine.key, part(group), rank(ask.rank), now).is_ok()
     });
     let ranked = able.map(|engine| {
         let writer = writer(shared, engine, objective, new, now);
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -88,6 +88,7 @@
     let engines = job.shared.usable(&job.service.name);
     let able = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = able.filter(|engine| tried.iter().all(|other| other.id != engine.id));
+    let untried = untried.filter(|engine| engine.closed_for(now).is_none());
     let ranked = untried.map(|engine| {
         let writer = Writer {
             away: engine.is_away(job.patience(), now),
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -5,6 +5,7 @@
 use crate::answer::Refusal;
 use crate::attempt::{self, Outcome};
 use crate::border::{Handle, Prompt, Sending, Step};
+use crate::permits::Permit;
 use crate::reservation::Reservation;
 use crate::reserve;
 use crate::route::Stage;
@@ -64,6 +65,8 @@
     pub(super) tokens: u64,
     /// Tokens that wait there before it.
     waiting: u64,
+    /// Whether it may be sent there.
+    pub(super) permit: Permit,
     /// Its booking, unless this entry decided alone.
     pub(super) reservation: Option<Reservation>,
 }
@@ -153,8 +156,10 @@
 ) -> Found {
     match reserve::find(job, prompt, wanted, tried).await {
         reserve::Found::Booked(reserved) => {
-            let reserve::Reserved { engine, fetch, tokens, waiting, reservation } = reserved;
-            Found::At(There { engine, fetch, tokens, waiting, reservation: Some(reservation) })
+            let reserve::Reserved { engine, fetch, tokens, waiting, permit, reservation } =
+                reserved;
+            let reservation = Some(reservation);
+            Found::At(There { engine, fetch, tokens, waiting, permit, reservation })
         }
         reserve::Found::Full { soonest, kept } => Found::Full { soonest, kept },
         reserve::Found::Unheard(engines) => alone(job, prompt, wanted, &engines, tried),
@@ -180,7 +185,8 @@
         prompts::Place::Read { at, copy_from, tokens } => {
             let (engine, waiting) = (engines[at].clone(), readers[at].waiting);
             let fetch = copy_from.map(|at| engines[at].clone());
-            Found::At(There { engine, fetch, tokens, waiting, reservation: None })
+            let permit = Permit::Wanted;
+            Found::At(There { engine, fetch, tokens, waiting, permit, reservation: None })
         }
     }
 }
@@ -189,8 +195,8 @@
 fn candidates(job: &Job, engines: &[Arc<Target>], tried: &[Arc<Target>]) -> Vec<Arc<Target>> {
     let now = Instant::now();
     let untried = |engine: &&Arc<Target>| tried.iter().all(|other| other.id != engine.id);
-    let able: Vec<_> =
-        engines.iter().filter(untried).filter(|engine| !engine.is_changing(now)).cloned().collect();
+    let able = |engine: &&Arc<Target>| !engine.is_changing(now) && engine.closed_for(now).is_none();
+    let able: Vec<_> = engines.iter().filter(untried).filter(able).cloned().collect();
     let here = |engine: &&Arc<Target>| !engine.is_away(job.patience(), now);
     let present: Vec<_> = able.iter().filter(here).cloned().collect();
     // All seem away to a process that was frozen itself and has not read what they said.
@@ -225,7 +231,7 @@
     place: There,
     trace: &mut Trace,
 ) -> Option<Cache> {
-    let There { engine, fetch, tokens, waiting, reservation } = place;
+    let There { engine, fetch, tokens, waiting, permit, reservation } = place;
     let engine = &engine;
     let _entered = engine.enter();
     let _reading = engine.engine.read(tokens);
@@ -236,11 +242,11 @@
     job.shared.metrics.prompt(tokens, kept);
     let sending = Sending { step: Step::Prefill, fetch, urgency, ..job.sending(engine) };
     let began = Instant::now();
-    let outcome = job.send(engine, &sending).await;
+    let outcome = job.send(engine, &sending, permit).await;
     let name = went(&outcome);
     let took = began.elapsed();
     trace.tried("read", &engine.id, name, took);
-    trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_)));
+    trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_) | Outcome::Limited(_)));
     match outcome {
         Outcome::Answered(answered) => {
             let success = answered.response.status().is_success();
@@ -251,7 +257,7 @@
             return Some(Cache::new(job, engine, handle));
         }
         Outcome::NotRun(_) => job.shared.book_extra(&job.service.name),
-        Outcome::Late => {}
+        Outcome::Late | Outcome::Limited(_) => {}
         Outcome::NotSent(_) => failed(reservation),
         Outcome::Unknown(_) => {
             job.suspect(engine);
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -3,6 +3,7 @@
 use super::writer;
 use crate::attempt::Outcome;
 use crate::border::Sending;
+use crate::permits::Permit;
 use crate::relay::{Resume, Source};
 use crate::serve::{Job, book, went};
 use crate::target::Target;
@@ -11,6 +12,9 @@
 use std::sync::Arc;
 use tokio::time::Instant;
 
+/// Engines asked to go on, of which all but the last take in no more now.
+const ENGINES: usize = 3;
+
 /// Goes on with a stream that broke, at another engine.
 pub(super) struct Continuation {
     job: Arc<Job>,
@@ -38,21 +42,32 @@
             if !allowed || !job.shared.may_send_extra(&job.service.name) {
                 return None;
             }
-            let engine = writer(&job, std::slice::from_ref(&failed), &failed.domain)?;
-            let booking = book(&engine, Some(engine.engine.write()));
-            let sending = Sending { after_event: after, ..job.sending(&engine) };
-            let began = Instant::now();
-            let outcome = job.send(&engine, &sending).await;
-            let name = went(&outcome);
-            job.shared.metrics.sending("resume", &engine.id, name, began.elapsed());
-            log::info!(target: "request", id = job.id(), target_id = engine.id.as_str(),
-                after:? = after, went = name; "stream resumed");
-            match outcome {
-                Outcome::Answered(answered) if answered.response.status().is_success() => {
-                    Some(Source { answered, booking })
+            let mut tried = vec![failed.clone()];
+            while tried.len() <= ENGINES {
+                let engine = writer(&job, &tried, &failed.domain)?;
+                let booking = book(&engine, Some(engine.engine.write()));
+                let outcome = resume(&job, &engine, after).await;
+                match outcome {
+                    Outcome::Answered(answered) if answered.response.status().is_success() => {
+                        return Some(Source { answered, booking });
+                    }
+                    Outcome::Limited(_) => tried.push(engine),
+                    _ => return None,
                 }
-                _ => None,
             }
+            None
         })
     }
 }
+
+/// Has an engine go on after an event.
+async fn resume(job: &Job, engine: &Arc<Target>, after: Option<u64>) -> Outcome {
+    let sending = Sending { after_event: after, ..job.sending(engine) };
+    let began = Instant::now();
+    let outcome = job.send(engine, &sending, Permit::Wanted).await;
+    let name = went(&outcome);
+    job.shared.metrics.sending("resume", &engine.id, name, began.elapsed());
+    log::info!(target: "request", id = job.id(), target_id = engine.id.as_str(),
+        after:? = after, went = name; "stream resumed");
+    outcome
+}
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -6,6 +6,7 @@
 use crate::answer::Body;
 use crate::attempt::{Answered, Outcome};
 use crate::border::{Prompt, Sending, Step};
+use crate::permits::Permit;
 use crate::places;
 use crate::relay::{Booking, Source};
 use crate::reservation::{self, Reservation};
@@ -27,11 +28,11 @@
     trace: Trace,
 ) -> Response<Body> {
     let mut write = Write { job, prompt, place, trace, tries: Tries::default() };
-    while let Some((engine, reservation)) = write.next().await {
+    while let Some(Chosen { engine, permit, reservation }) = write.next().await {
         let (sending, mut booking) = write.prepare(&engine);
         booking.place = reservation;
         let began = Instant::now();
-        let outcome = write.job.send(&engine, &sending).await;
+        let outcome = write.job.send(&engine, &sending, permit).await;
         write.trace.tried("write", &engine.id, went(&outcome), began.elapsed());
         write.note_handover(&engine, &outcome, began.elapsed());
         let another = write.tries.note(&write.job, &engine, &outcome);
@@ -39,7 +40,7 @@
             Outcome::Answered(answered) => return write.relay(answered, booking),
             // The cache may have been taken with it.
             Outcome::Unknown(_) => write.place = Place::Anywhere,
-            Outcome::NotRun(_) | Outcome::NotSent(_) | Outcome::Late => {}
+            Outcome::NotRun(_) | Outcome::NotSent(_) | Outcome::Late | Outcome::Limited(_) => {}
         }
         if !another {
             break;
@@ -52,6 +53,13 @@
 /// millisecond.
 const LEAST_HANDOVER: u32 = 1_024;
 
+/// An engine that is to write.
+struct Chosen {
+    engine: Arc<Target>,
+    permit: Permit,
+    reservation: Option<Reservation>,
+}
+
 /// A generation whose output is to be written.
 struct Write {
     job: Arc<Job>,
@@ -63,17 +71,21 @@
 
 impl Write {
     /// The next engine to send it to, if there may be one, with its place there if one was booked.
-    async fn next(&mut self) -> Option<(Arc<Target>, Option<Reservation>)> {
+    async fn next(&mut self) -> Option<Chosen> {
         let booked = self.place().await;
         let Self { job, place, tries, .. } = self;
+        let mut permit = booked.as_ref().map(|booked| booked.permit).unwrap_or_default();
         let chosen = booked.as_ref().map(|booked| booked.engine.clone());
         let engine = tries.next(job, |tried| {
             chosen.or_else(|| match place {
-                Place::There(there) if tried.is_empty() => Some(there.engine.clone()),
+                Place::There(there) if tried.is_empty() => {
+                    permit = there.permit;
+                    Some(there.engine.clone())
+                }
                 _ => writer(job, tried, place.near(job)),
             })
         })?;
-        Some((engine, booked.map(|booked| booked.reservation)))
+        Some(Chosen { engine, permit, reservation: booked.map(|booked| booked.reservation) })
     }
 
     /// Books a place, unless the engine that read the prompt writes as well.
@@ -115,7 +127,9 @@
         let took = match outcome {
             Outcome::Answered(_) => took,
             Outcome::NotRun(_) => self.job.patience(),
-            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::Late => return,
+            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::Late | Outcome::Limited(_) => {
+                return;
+            }
         };
         let now = Instant::now();
         to.handed_over(Way::In, took, now);
--- a/crates/direct/src/inquiry.rs
+++ b/crates/direct/src/inquiry.rs
@@ -78,7 +78,7 @@
             let engines = shared.fleet().engines();
             engines.iter().any(|engine| short(engine.key) == granted.engine)
         }
-        Some(Room::Full(_)) => true,
+        Some(Room::Full(_) | Room::Permitted(_)) => true,
         None => false,
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod metrics;
 pub mod notice;
 pub mod peers;
+pub mod permits;
 pub mod places;
 pub mod plain;
 pub mod pool;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 /// How a sending can have gone.
-pub const OUTCOMES: [&str; 6] = ["ok", "failed", "refused", "not-sent", "unknown", "late"];
+pub const OUTCOMES: [&str; 7] =
+    ["ok", "failed", "refused", "not-sent", "unknown", "late", "limited"];
 
 /// How a request ended, or why it was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -49,6 +50,11 @@
     kind: Text,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OfTarget {
+    target: Text,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Text(CompactString);
 
@@ -82,6 +88,8 @@
     extras: Family<ByKind, Counter>,
     tokens: Family<ByKind, Counter>,
     orders: Family<ByKind, Counter>,
+    permits: Family<ByKind, Counter>,
+    limits: Family<OfTarget, Gauge<f64, AtomicU64>>,
     ages: Family<ByKind, Gauge<f64, AtomicU64>>,
     /// The version of the configuration in force.
     pub version: Gauge,
@@ -119,6 +127,8 @@
             extras: Family::default(),
             tokens: Family::default(),
             orders: Family::default(),
+            permits: Family::default(),
+            limits: Family::default(),
             ages: Family::default(),
             version: Gauge::default(),
             targets: Gauge::default(),
@@ -149,6 +159,10 @@
         to.register("target_answers", "Sendings by target and how they went", self.answers.clone());
         let tokens = "Prompt tokens by whether an engine was believed to keep them";
         to.register("prompt_tokens", tokens, self.tokens.clone());
+        let permits = "Questions for permits to send to targets that named a limit";
+        to.register("permits", permits, self.permits.clone());
+        let limits = "Requests a second that targets said to take in";
+        to.register("target_limit", limits, self.limits.clone());
         to.register("orders", "Orders to engines by how they went", self.orders.clone());
     }
 
@@ -197,6 +211,7 @@
         told.retain(|target| {
             let known = is_known(target);
             if !known {
+                self.limits.remove(&OfTarget { target: Text(target.clone()) });
                 for kind in OUTCOMES {
                     let (target, kind) = (Text(target.clone()), kind.into());
                     self.answers.remove(&ByTarget { target, kind });
@@ -228,6 +243,24 @@
         self.orders.get_or_create(&ByKind { kind: went.into() }).inc();
     }
 
+    /// Counts a question for a permit by how it was answered.
+    pub fn permit(&self, kind: &'static str) {
+        self.permits.get_or_create(&ByKind { kind: kind.into() }).inc();
+    }
+
+    /// Takes in which limit a target names.
+    pub fn limit(&self, target: &str, rate: Option<f64>) {
+        let target = OfTarget { target: target.into() };
+        match rate {
+            Some(rate) => {
+                self.limits.get_or_create(&target).set(rate);
+            }
+            None => {
+                self.limits.remove(&target);
+            }
+        }
+    }
+
     /// Takes in how old the last read of a stream is.
     pub fn age(&self, stream: &'static str, age: Duration) {
         self.ages.get_or_create(&ByKind { kind: stream.into() }).set(age.as_secs_f64());
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -278,7 +278,7 @@
 
 fn take_word(shared: &Shared, word: Word, from: SocketAddr) {
     match word {
-        Word::Ask(_) | Word::Place(_) => {
+        Word::Ask(_) | Word::Place(_) | Word::Permit(_) => {
             if let Some(answer) = coordinator::answer(shared, &word) {
                 shared.post.send(Word::Answer(answer), from);
             }
@@ -289,6 +289,7 @@
             }
         }
         Word::Report(report) => coordinator::take(shared, &report),
+        Word::Limit(limit) => coordinator::hear_limit(shared, &limit),
         Word::News(news) => broadcast::take(shared, news),
         Word::Lack(lack) => broadcast::answer(shared, lack, from),
         Word::Used(used) => shared.usage.hear(used),
--- /dev/null
+++ b/crates/direct/src/permits.rs
@@ -0,0 +1,135 @@
+//! Permits for requests to targets that named a limit on their intake, see [`policy::pacing`].
+//!
+//! Whoever is about to send to such a target asks the coordinators of its group for a permit, unless one
+//! came with the place that was booked there. Without one nothing is sent, and the request goes elsewhere.
+
+use crate::coordinator;
+use crate::datagram::short;
+use crate::groups::Group;
+use crate::inquiry;
+use crate::question::{AskPermit, Room, TargetLimit, Word};
+use crate::serve::Job;
+use crate::shared::Shared;
+use crate::target::Target;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Whether a request may be sent to a target that named a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Permit {
+    /// It has to be asked for.
+    #[default]
+    Wanted,
+    /// The target's coordinator has given it.
+    Held,
+}
+
+impl Permit {
+    /// What a coordinator's grant says.
+    pub fn of(given: bool) -> Self {
+        if given { Self::Held } else { Self::Wanted }
+    }
+}
+
+/// The result of asking for a permit.
+pub type Result<T, E = Refused> = std::result::Result<T, E>;
+
+/// There is no permit now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the target takes in no more for {back:?}")]
+pub struct Refused {
+    /// When there may be one.
+    pub back: Duration,
+}
+
+/// How long a target gets nothing from an entry that no coordinator answers.
+const UNANSWERED: Duration = Duration::from_millis(200);
+
+/// By how much entries differ in when they ask again, as a part of the time that they were told.
+const SPREAD: f64 = 0.5;
+
+/// Asks for a permit to send to a target; one that named no limit needs none.
+pub async fn take(job: &Job, target: &Arc<Target>) -> Result<()> {
+    let now = Instant::now();
+    if target.limit().is_none() {
+        return Ok(());
+    }
+    if let Some(back) = target.closed_for(now) {
+        return Err(Refused { back });
+    }
+    let shared = &job.shared;
+    let (groups, service) = (shared.groups(&target.service), short(policy::hash(&target.service)));
+    let make = |booking| {
+        let entry = policy::hash(&shared.settings.name);
+        let (target, rank, limit) = (short(target.key), job.rank().into(), limit(target, now));
+        Word::Permit(AskPermit { booking, service, target, entry, rank, limit })
+    };
+    let room = match group(&groups, target) {
+        Some(group) => inquiry::ask(job, group, job.route.objective, make).await,
+        None => None,
+    };
+    let (kind, after) = match room.and_then(|(answer, _)| answer.room) {
+        Some(Room::Permitted(_)) => ("given", None),
+        Some(Room::Full(full)) => ("refused", Some(Duration::from_micros(full.after_us))),
+        Some(Room::Granted(_)) | None => ("unanswered", Some(UNANSWERED)),
+    };
+    shared.metrics.permit(kind);
+    let Some(after) = after else { return Ok(()) };
+    let back = after.mul_f64(1.0 + (shared.random() - 0.5) * SPREAD);
+    target.close_until(Instant::now() + back);
+    Err(Refused { back })
+}
+
+/// The group of a target.
+pub fn group<'a>(groups: &'a [Group], target: &Target) -> Option<&'a Group> {
+    groups.iter().find(|group| group.engines.iter().any(|other| other.key == target.key))
+}
+
+/// The soonest that a target of the request's service takes in something again, if some wait for that.
+pub fn soonest(job: &Job) -> Option<Duration> {
+    let now = Instant::now();
+    let targets = job.shared.usable(&job.service.name);
+    targets.iter().filter_map(|target| target.closed_for(now)).min()
+}
+
+/// Tells a target's coordinators which limit it names, after an answer to a request sent at `sent`, if
+/// they may not know.
+pub fn publish(shared: &Shared, target: &Target, permit: Permit, sent: Instant) {
+    let now = Instant::now();
+    let limit = limit(target, now);
+    let is_outdated = limit.is_none() && permit == Permit::Held;
+    if !target.is_limit_due(is_outdated, now) {
+        return;
+    }
+    let rate = target.limit();
+    shared.metrics.limit(&target.id, rate);
+    let limit =
+        limit.unwrap_or_else(|| row(target, None, now.duration_since(sent), Duration::ZERO));
+    let groups = shared.groups(&target.service);
+    let coordinators = group(&groups, target).into_iter().flat_map(|group| &group.coordinators);
+    for coordinator in coordinators {
+        match coordinator.address {
+            Some(address) => shared.post.send(Word::Limit(limit), address),
+            None => coordinator::hear_limit(shared, &limit),
+        }
+    }
+}
+
+/// What a target names now, if it is limited.
+fn limit(target: &Target, now: Instant) -> Option<TargetLimit> {
+    let rate = target.limit()?;
+    let age = now.saturating_duration_since(target.limit_heard());
+    Some(row(target, Some(rate), age, age))
+}
+
+fn row(target: &Target, rate: Option<f64>, sent: Duration, heard: Duration) -> TargetLimit {
+    let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+    TargetLimit {
+        service: short(policy::hash(&target.service)),
+        target: short(target.key),
+        rate,
+        sent_ms: ms(sent).saturating_add(1),
+        heard_ms: ms(heard),
+    }
+}
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -11,6 +11,7 @@
 use crate::datagram::short;
 use crate::groups::Group;
 use crate::inquiry;
+use crate::permits::Permit;
 use crate::question::{AskPlace, Room, Word};
 use crate::reservation::Reservation;
 use crate::serve::Job;
@@ -37,6 +38,8 @@
 pub struct Place {
     /// The engine.
     pub engine: Arc<Target>,
+    /// Whether the stream may be sent there.
+    pub permit: Permit,
     /// The booking.
     pub reservation: Reservation,
 }
@@ -52,7 +55,8 @@
             let engine = group.engines.iter().find(|e| short(e.key) == granted.engine)?.clone();
             let reservation =
                 Reservation::new(&job.shared, &engine, answer.booking, coordinator, None);
-            return Some(Place { engine, reservation });
+            let permit = Permit::of(granted.permit);
+            return Some(Place { engine, permit, reservation });
         }
     }
     None
@@ -93,5 +97,7 @@
         avoid: avoid.map(|engine| short(engine.key)).collect(),
         lapse_ms: ms(lapse),
         filled,
+        rank: job.rank().into(),
+        entry: policy::hash(&job.shared.settings.name),
     }
 }
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::Body;
 use crate::attempt::Outcome;
+use crate::permits::Permit;
 use crate::relay::Source;
 use crate::serve::{Job, book, relay, went};
 use crate::target::Target;
@@ -18,7 +19,7 @@
     while let Some(target) = tries.next(&job, |tried| choose(&job, tried)) {
         let booking = book(&target, None);
         let began = Instant::now();
-        let outcome = job.send(&target, &job.sending(&target)).await;
+        let outcome = job.send(&target, &job.sending(&target), Permit::Wanted).await;
         trace.tried("whole", &target.id, went(&outcome), began.elapsed());
         let another = tries.note(&job, &target, &outcome);
         if outcome.may_have_run() {
@@ -45,6 +46,7 @@
     let now = Instant::now();
     let targets = job.shared.usable(&job.service.name);
     let untried = targets.iter().filter(|target| tried.iter().all(|other| other.id != target.id));
+    let untried = untried.filter(|target| target.closed_for(now).is_none());
     let rank = |target: &Arc<Target>| {
         let away = target.domain != job.shared.settings.domain;
         (target.is_away(job.patience(), now), target.fullness(now), away)
--- a/crates/direct/src/question.rs
+++ b/crates/direct/src/question.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Exchange {
     /// What it says.
-    #[prost(oneof = "Word", tags = "16, 17, 18, 19, 20, 21, 22, 23")]
+    #[prost(oneof = "Word", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25")]
     pub word: Option<Word>,
 }
 
@@ -44,6 +44,12 @@
     /// It has written a bill to the log, see [`crate::billing`].
     #[prost(message, tag = "23")]
     Billed(Billed),
+    /// It asks for a permit to send to a target that named a limit, see [`crate::permits`].
+    #[prost(message, tag = "24")]
+    Permit(AskPermit),
+    /// It tells which limit a target names.
+    #[prost(message, tag = "25")]
+    Limit(TargetLimit),
 }
 
 /// A question for the configuration.
@@ -118,6 +124,12 @@
     /// An engine of another group that keeps some of its start.
     #[prost(message, optional, tag = "11")]
     pub holder: Option<Holder>,
+    /// How urgent it is: 0 goes first.
+    #[prost(uint32, tag = "12")]
+    pub rank: u32,
+    /// The hash of the name of the entry that asks.
+    #[prost(fixed64, tag = "13")]
+    pub entry: u64,
 }
 
 /// A question for an engine of one group that writes an output.
@@ -144,6 +156,55 @@
     /// The share of an engine's places up to which it may be filled, in hundredths.
     #[prost(uint32, tag = "7")]
     pub filled: u32,
+    /// How urgent it is: 0 goes first.
+    #[prost(uint32, tag = "8")]
+    pub rank: u32,
+    /// The hash of the name of the entry that asks.
+    #[prost(fixed64, tag = "9")]
+    pub entry: u64,
+}
+
+/// A question for a permit to send one request to a target.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct AskPermit {
+    /// The name of the question.
+    #[prost(fixed64, tag = "1")]
+    pub booking: BookingId,
+    /// The service.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+    /// The target.
+    #[prost(fixed32, tag = "3")]
+    pub target: u32,
+    /// The hash of the name of the entry that asks.
+    #[prost(fixed64, tag = "4")]
+    pub entry: u64,
+    /// How urgent the request is: 0 goes first.
+    #[prost(uint32, tag = "5")]
+    pub rank: u32,
+    /// The limit as the entry knows it.
+    #[prost(message, optional, tag = "6")]
+    pub limit: Option<TargetLimit>,
+}
+
+/// A limit that a target named, or that it names none any more.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct TargetLimit {
+    /// The service.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// The target.
+    #[prost(fixed32, tag = "2")]
+    pub target: u32,
+    /// Requests a second; none if it names no limit.
+    #[prost(double, optional, tag = "3")]
+    pub rate: Option<f64>,
+    /// How long ago the request was sent that the target answered so, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub sent_ms: u32,
+    /// How long ago its answer came, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub heard_ms: u32,
 }
 
 /// Parts of a prompt in its order, in columns of equal length.
@@ -175,7 +236,7 @@
     #[prost(fixed64, tag = "1")]
     pub booking: BookingId,
     /// Whether there is room.
-    #[prost(oneof = "Room", tags = "2, 3")]
+    #[prost(oneof = "Room", tags = "2, 3, 4")]
     pub room: Option<Room>,
 }
 
@@ -185,11 +246,18 @@
     /// It was booked.
     #[prost(message, tag = "2")]
     Granted(Granted),
-    /// It can't be read in time.
+    /// It can't be read in time, or there is no permit.
     #[prost(message, tag = "3")]
     Full(Full),
+    /// A permit was given.
+    #[prost(message, tag = "4")]
+    Permitted(Permitted),
 }
 
+/// A permit for one request.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Permitted {}
+
 /// Where a prompt was booked.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct Granted {
@@ -205,6 +273,9 @@
     /// Tokens that waited there before it.
     #[prost(uint64, tag = "4")]
     pub waiting: u64,
+    /// Whether a permit was given with it, see [`crate::permits`].
+    #[prost(bool, tag = "5")]
+    pub permit: bool,
 }
 
 /// What a group says that has no room.
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -6,6 +6,7 @@
 use crate::datagram::short;
 use crate::groups::{Group, Member};
 use crate::inquiry;
+use crate::permits::Permit;
 use crate::question::{Ask, Full, Granted, Holder, Parts, Room, Word};
 use crate::reservation::{Reservation, order};
 use crate::serve::Job;
@@ -41,6 +42,8 @@
     pub tokens: u64,
     /// Tokens that waited there before it.
     pub waiting: u64,
+    /// Whether it may be sent there.
+    pub permit: Permit,
     /// The booking.
     pub reservation: Reservation,
 }
@@ -123,7 +126,7 @@
                 }
             }
             Some(Room::Full(full)) => self.full(&full),
-            None => Reply::Silence,
+            Some(Room::Permitted(_)) | None => Reply::Silence,
         }
     }
 
@@ -143,6 +146,8 @@
             avoid: tried.map(|engine| short(engine.key)).collect(),
             writers,
             holder: self.holder,
+            rank: self.job.rank().into(),
+            entry: policy::hash(&self.job.shared.settings.name),
         }
     }
 
@@ -160,8 +165,9 @@
         let start = Some(self.wanted.start);
         let reservation = Reservation::new(shared, &engine, booking, *coordinator, start);
         let fetch = find(granted.copy_from);
-        let Granted { tokens, waiting, .. } = *granted;
-        Some(Reserved { engine, fetch, tokens, waiting, reservation })
+        let Granted { tokens, waiting, permit, .. } = *granted;
+        let permit = Permit::of(permit);
+        Some(Reserved { engine, fetch, tokens, waiting, permit, reservation })
     }
 
     fn full(&mut self, full: &Full) -> Reply {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -5,13 +5,14 @@
 use crate::border::{Ask, Sending};
 use crate::customers::Caller;
 use crate::engine::Writing;
+use crate::permits::Permit;
 use crate::relay::{Booking, Relay, Resume, Source};
 use crate::route::{Repeat, Route, Service, Table};
 use crate::shared::Shared;
 use crate::suspects::{Fingerprint, fingerprint};
 use crate::target::Target;
 use crate::trace::Trace;
-use crate::{generate, plain};
+use crate::{generate, permits, plain};
 use compact_str::CompactString;
 use http::{Response, StatusCode};
 use std::sync::Arc;
@@ -149,8 +150,14 @@
         own.unwrap_or(self.route.rank)
     }
 
-    /// Sends the request to a target.
-    pub async fn send(&self, target: &Arc<Target>, sending: &Sending) -> Outcome {
+    /// Sends the request to a target, with a permit if it needs one.
+    pub async fn send(&self, target: &Arc<Target>, sending: &Sending, permit: Permit) -> Outcome {
+        if permit == Permit::Wanted
+            && let Err(refused) = permits::take(self, target).await
+        {
+            return Outcome::Limited(refused);
+        }
+        let sent = Instant::now();
         // Generations have booked the link before.
         if self.ask.prompt.is_none() {
             self.shared.book_bytes(self.content.body.len());
@@ -167,6 +174,9 @@
         {
             self.shared.connected(target, took);
         }
+        if matches!(outcome, Outcome::Answered(_) | Outcome::NotRun(_)) {
+            permits::publish(&self.shared, target, permit, sent);
+        }
         outcome
     }
 
@@ -267,5 +277,6 @@
         Outcome::NotSent(_) => "not-sent",
         Outcome::Unknown(_) => "unknown",
         Outcome::Late => "late",
+        Outcome::Limited(_) => "limited",
     }
 }
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -8,7 +8,7 @@
 use crate::workload::Workload;
 use compact_str::CompactString;
 use policy::handover::Handover;
-use policy::pacing::{Limit, Named};
+use policy::pacing::{Limit, Named, Rate};
 use policy::reach::Reach;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -89,6 +89,9 @@
 /// again: by then its entry has lapsed, or one of a stage that changed has said so.
 const MISDIRECTED: Duration = Duration::from_secs(4);
 
+/// How often its coordinators are told of a limit that stays the same.
+const LIMIT_TOLD: Duration = Duration::from_millis(250);
+
 #[derive(Debug, Default)]
 struct Load {
     stage: Option<Stage>,
@@ -101,6 +104,10 @@
     misdirected: Option<Instant>,
     change: Option<Change>,
     limit: Limit,
+    /// When the coordinators were last told of it, unless it has changed since.
+    limit_told: Option<Instant>,
+    /// Until when there is no permit to send to it.
+    closed: Option<Instant>,
 }
 
 /// A change of stage that was announced.
@@ -222,14 +229,51 @@
             }
         };
         let (sent, now) = (self.time(sent), self.time(now));
-        let changed = self.load().limit.hear(named, sent, now);
+        let mut load = self.load();
+        let changed = load.limit.hear(named, sent, now);
         if changed {
+            (load.limit_told, load.closed) = (None, None);
+            drop(load);
             log::info!(target: "fleet", target_id = self.id.as_str(), limit:? = named;
                 "limit of a target changed");
         }
         changed
     }
 
+    /// The limit that it named, in requests a second from all entries together.
+    pub fn limit(&self) -> Option<Rate> {
+        self.load().limit.rate()
+    }
+
+    /// When it last named its limit.
+    pub fn limit_heard(&self) -> Instant {
+        self.known + self.load().limit.heard()
+    }
+
+    /// Whether its coordinators are to be told of its limit, or, if `is_outdated`, that it has none. They
+    /// then count as told.
+    pub fn is_limit_due(&self, is_outdated: bool, now: Instant) -> bool {
+        let mut load = self.load();
+        let matters = is_outdated || load.limit != Limit::default();
+        let told = load.limit_told.is_some_and(|told| now.duration_since(told) < LIMIT_TOLD);
+        if !matters || told {
+            return false;
+        }
+        load.limit_told = Some(now);
+        true
+    }
+
+    /// Notes that there is no permit to send to it until then.
+    pub fn close_until(&self, until: Instant) {
+        self.load().closed = Some(until);
+    }
+
+    /// How long until there may be a permit to send to it, if there is none now.
+    pub fn closed_for(&self, now: Instant) -> Option<Duration> {
+        let closed = self.load().closed.filter(|closed| now < *closed);
+        closed.map(|closed| closed.duration_since(now))
+    }
+
     /// Takes in how an exchange with it ended.
     pub fn judge(self: &Arc<Self>, health: Health, now: Instant) {
         let mut load = self.load();
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -3,16 +3,21 @@
 
 use crate::answer::{Body, Failure, Refusal};
 use crate::attempt::Outcome;
+use crate::permits;
 use crate::serve::{Job, SHORTLY};
 use crate::target::Target;
 use crate::trace::Trace;
 use http::Response;
+use policy::prompts;
 use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Targets that can't be reached, of which nothing arrives, tried for one request.
 const UNREACHABLE: u32 = 3;
 
+/// Targets that take in no more now, tried for one request. Each costs a question to its coordinator.
+const LIMITED: u32 = 3;
+
 /// The sendings so far.
 #[derive(Debug, Default)]
 pub struct Tries {
@@ -21,6 +26,7 @@
     /// Those of them that the request reached.
     pub sent: u32,
     unreachable: u32,
+    limited: u32,
     maybe_run: bool,
 }
 
@@ -32,6 +38,7 @@
         choose: impl FnOnce(&[Arc<Target>]) -> Option<Arc<Target>>,
     ) -> Option<Arc<Target>> {
         let over = self.sent >= job.route.attempts.max(1) || self.unreachable >= UNREACHABLE;
+        let over = over || self.limited >= LIMITED;
         if over || Instant::now() >= job.until {
             return None;
         }
@@ -51,9 +58,13 @@
             self.unreachable += 1;
             return true;
         }
+        if let Outcome::Limited(_) = outcome {
+            self.limited += 1;
+            return true;
+        }
         self.sent += 1;
         match outcome {
-            Outcome::NotSent(_) | Outcome::NotRun(_) => true,
+            Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Limited(_) => true,
             Outcome::Answered(answered) => {
                 self.maybe_run = true;
                 answered.response.status().is_server_error() && job.may_repeat()
@@ -77,6 +88,15 @@
             let late = Instant::now() >= job.until;
             return job.fail(trace, if late { Failure::Late } else { Failure::Lost });
         }
+        if let Some(back) = permits::soonest(job).filter(|_| self.sent == 0) {
+            let back = prompts::come_back(
+                &job.shared.settings.prompts,
+                back,
+                job.left(),
+                job.shared.random(),
+            );
+            return job.refuse(trace, Refusal::Limited, back);
+        }
         let refusal = match (self.sent, self.unreachable) {
             (0, 0) => Refusal::NoTarget,
             (0, _) => Refusal::Unreachable,
