feat(plat,platform,direct): positions hold the epoch of a log that comes back from an older copy

What users would see (read in the code, then played against the stand-in): after the store comes back from a copy some seconds old its offsets are given out again. Entries went on from where they were, so records at places below that were never read and no call failed: a configuration that stays out of force. Conditions on the end of a stream held by chance, and fences made of offsets repeated or went back.

Cause: an offset was trusted to mean one record for ever, and nobody read the epoch that all answers name.

Now a position holds the epoch above the place, in one number that rises over epochs; only the client of the store knows of the header. A position of another epoch is gone, so its stream is read anew, in turns; targets that the copy lacks are waited for, those that left stay left, plans that are read again are not announced again, and all tell again that they live.

--- a/crates/direct/src/broadcast.rs
+++ b/crates/direct/src/broadcast.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 use crate::tail::{TOPICS, Told, Topic};
 use bytes::Bytes;
-use plat::{Offset, Record};
+use plat::{Offset, Record, epoch};
 use std::net::SocketAddr;
 
 /// Bytes of records in one datagram: one of this size crosses networks in one piece.
@@ -29,7 +29,10 @@
 pub fn pass_on(shared: &Shared, span: &Told) {
     let too_large = |record: &Record| size(record) > MAX_RECORD;
     let many = span.records.len() > MAX_RECORDS || span.records.iter().any(too_large);
-    if many || !shared.tail.reads_for_all() {
+    // Between two epochs lies what nobody has read, unless one record is all there is.
+    let is_whole =
+        span.topic == Topic::Config || epoch::epoch(span.before) == epoch::epoch(span.after());
+    if many || !is_whole || !shared.tail.reads_for_all() {
         return;
     }
     tell(shared, span);
--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -11,7 +11,7 @@
 use crate::shared::Shared;
 use crate::tail::{self, Topic, Turn};
 use compact_str::CompactString;
-use plat::{Entry, KeyedLog, Offset, Record};
+use plat::{Entry, KeyedLog, Offset, Record, epoch};
 use prost::Message;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -107,6 +107,8 @@
         }
         tokio::select! {
             () = tokio::time::sleep(HEARTBEAT) => {}
+            // What was written lately is lost: who starts now would take itself for alone.
+            () = shared.tail.restored() => {}
             () = stop.cancelled() => {}
         }
     }
@@ -152,6 +154,8 @@
     let mut heard: HashMap<CompactString, Heard> = HashMap::new();
     let mut news: Offset = 0;
     let mut again = None;
+    // Up to where a log that came back older may hold what was read before.
+    let mut reread: Option<Reread> = None;
     loop {
         let mut told = None;
         if bulletin.borrow().end.is_some() {
@@ -179,12 +183,23 @@
                 again = None;
                 let now = Instant::now();
                 let (before, mut changed) = (news, Vec::new());
+                tail::hear_epoch(&shared, epoch::epoch(batch.end), "log");
+                let known_up_to = match reread {
+                    Some(Reread::From) => batch.end,
+                    Some(Reread::UpTo(end)) => end,
+                    None => 0,
+                };
+                reread = reread.map(|_| Reread::UpTo(known_up_to));
                 let mut read = bulletin.borrow().clone();
                 read.planned.get_or_insert(now);
                 read.complete.get_or_insert(now);
                 read.named.retain(|named| now.duration_since(named.at) < REMEMBERED);
                 for entry in batch.entries {
                     next = entry.offset + 1;
+                    if entry.offset < known_up_to {
+                        reread_plan(&entry.bytes, &mut read, now);
+                        continue;
+                    }
                     let told = take(&shared, &mut heard, &entry.bytes, now);
                     if told != Told::Nothing {
                         news = next;
@@ -194,6 +209,11 @@
                         read.note(&plan, now);
                     }
                 }
+                next = next.max(batch.oldest);
+                if next >= known_up_to && reread.take().is_some() {
+                    // The others have to read it as well.
+                    news = news.max(next);
+                }
                 if read.end.is_some() {
                     let (topic, troubled) = (Topic::Notices, false);
                     let span = tail::Told { topic, before, troubled, records: changed };
@@ -208,6 +228,11 @@
             Err(plat::Error::Gone { oldest, .. }) => {
                 // A plan may have stood in what expired: as after a start, nobody else's engines
                 // are ordered until its lease would have run out.
+                if epoch::epoch(oldest) > epoch::epoch(next) {
+                    log::warn!(target: "store", stream = STREAM, epoch = epoch::epoch(oldest),
+                        read = epoch::place(next); "stream is read anew");
+                    reread = Some(Reread::From);
+                }
                 next = oldest;
                 bulletin.send_modify(|read| read.forget());
             }
@@ -222,6 +247,22 @@
     }
 }
 
+/// What of a stream that came back older was read before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reread {
+    /// All that it holds when it is first read.
+    From,
+    /// All before this offset.
+    UpTo(Offset),
+}
+
+/// Takes in a plan that may have been read before: its engines changed then, and do not once more.
+fn reread_plan(record: &[u8], read: &mut Bulletin, now: Instant) {
+    if let Ok(Notice { kind: Some(Kind::Plan(plan)) }) = Notice::decode(record) {
+        read.note(&plan, now);
+    }
+}
+
 /// Takes in records that another entry passed on.
 fn take_span(
     shared: &Shared,
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::target::{self, Target};
 use crate::workload::Workload;
 use compact_str::CompactString;
+use plat::epoch;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -56,6 +57,17 @@
     Unreadable(TargetId),
 }
 
+/// How the log does while the list is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// It answers.
+    Calm,
+    /// Calls to it have lately failed.
+    Troubled,
+    /// It has come back from an older copy: entries that were written since are missing.
+    Restored,
+}
+
 /// How long targets stay in use after the entries of all targets of their service vanished, with
 /// the log lately in trouble.
 ///
@@ -124,6 +136,7 @@
 struct Removed {
     offset: Offset,
     born: Option<Born>,
+    sequence: u64,
 }
 
 /// The targets of all services.
@@ -152,9 +165,8 @@
         Self { workload, ..Self::default() }
     }
 
-    /// Takes in one reading of the list, in the log's order. `disturbed` says that the store was
-    /// lately in trouble.
-    pub fn apply(&mut self, news: Vec<(Offset, News)>, now: Instant, disturbed: bool) {
+    /// Takes in one reading of the list, in the log's order.
+    pub fn apply(&mut self, news: Vec<(Offset, News)>, now: Instant, condition: Condition) {
         let before = self.changed_by.len();
         let mut gone = Vec::new();
         for (offset, news) in news {
@@ -167,7 +179,7 @@
                 News::Unreadable(_) => {}
             }
         }
-        let lapses = self.lapses(&gone, disturbed);
+        let lapses = self.lapses(&gone, condition);
         for (id, offset) in gone {
             let service = self.members.get(&id).map(|member| member.target.service.clone());
             let wait = service.and_then(|service| lapses.get(&service).copied());
@@ -187,7 +199,7 @@
         all: Vec<(Offset, News)>,
         end: Offset,
         now: Instant,
-        disturbed: bool,
+        condition: Condition,
     ) {
         let listed: std::collections::HashSet<TargetId> = all
             .iter()
@@ -198,7 +210,11 @@
             .collect();
         let missing = self.members.keys().filter(|id| !listed.contains(*id));
         let missing: Vec<_> = missing.map(|id| (end, News::Gone(id.clone()))).collect();
-        self.apply(all.into_iter().chain(missing).collect(), now, disturbed);
+        self.apply(all.into_iter().chain(missing).collect(), now, condition);
+        if condition == Condition::Restored {
+            // The others have to read it as well, though nothing may have changed.
+            self.news = self.news.max(end);
+        }
     }
 
     /// Takes out targets whose lapsed entries have not come back.
@@ -263,8 +279,14 @@
 
     fn see(&mut self, id: TargetId, sighting: Sighting, offset: Offset) {
         let removed = self.removed.get(&id);
-        let outdated =
-            |removed: &Removed| removed.offset >= offset || is_former(sighting.born, removed.born);
+        let outdated = |removed: &Removed| {
+            // A log that came back older has records of targets that were gone already.
+            let restored = epoch::epoch(removed.offset) < epoch::epoch(offset);
+            let known = sighting.born == removed.born && sighting.sequence <= removed.sequence;
+            removed.offset >= offset
+                || is_former(sighting.born, removed.born)
+                || (restored && known)
+        };
         if removed.is_some_and(outdated) {
             return;
         }
@@ -307,7 +329,7 @@
         if offset < member.offset {
             return;
         }
-        let born = member.born;
+        let Member { born, sequence, .. } = *member;
         if let Some(at) = lapses {
             let at = *member.lapses.get_or_insert(at);
             self.lapses = Some(self.lapses.map_or(at, |first| first.min(at)));
@@ -320,7 +342,7 @@
         if self.removed.len() >= MAX_REMOVED {
             self.removed.clear();
         }
-        self.removed.insert(id.clone(), Removed { offset, born });
+        self.removed.insert(id.clone(), Removed { offset, born, sequence });
     }
 
     /// The services of which so many entries vanished that it looks like a lapse, with how long
@@ -328,7 +350,7 @@
     fn lapses(
         &self,
         gone: &[(TargetId, Offset)],
-        disturbed: bool,
+        condition: Condition,
     ) -> HashMap<ServiceName, Duration> {
         let mut lost: HashMap<&ServiceName, usize> = HashMap::new();
         for (id, _) in gone {
@@ -341,12 +363,13 @@
             let all = self.members.values().filter(stays).count();
             let float = |count: usize| f64::from(u32::try_from(count).unwrap_or(u32::MAX));
             let many = lost > 1 && float(lost) > float(all) * LAPSE_SHARE;
-            match (disturbed, many) {
-                (true, true) if lost == all => Some(ALL_LAPSE),
-                (true, true) => Some(LAPSE),
-                (true, false) if lost == all => Some(LAPSE),
-                (false, true) => Some(DOUBT),
-                (_, false) => None,
+            match (condition, many) {
+                (Condition::Restored, _) => Some(ALL_LAPSE),
+                (Condition::Troubled, true) if lost == all => Some(ALL_LAPSE),
+                (Condition::Troubled, true) => Some(LAPSE),
+                (Condition::Troubled, false) if lost == all => Some(LAPSE),
+                (Condition::Calm, true) => Some(DOUBT),
+                (Condition::Troubled | Condition::Calm, false) => None,
             }
         };
         let waits = lost
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -5,12 +5,12 @@
 
 use crate::border::TargetId;
 use crate::broadcast;
-use crate::fleet::{News, Sighting};
+use crate::fleet::{Condition, News, Sighting};
 use crate::route::Table;
 use crate::shared::Shared;
 use crate::tail::{self, Told, Topic, Turn};
 use compact_str::CompactString;
-use plat::{KeyedLog, Offset, Record, StreamName};
+use plat::{KeyedLog, Offset, Record, StreamName, epoch};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -92,6 +92,8 @@
     lost: Option<Instant>,
     /// When it is tried again, unless others have read it: the last call failed.
     again: Option<Instant>,
+    /// Whether the log has come back older since the stream was last read.
+    restored: bool,
 }
 
 impl Stream {
@@ -103,7 +105,8 @@
         wait: Duration,
     ) -> Self {
         let (next, pause, trouble, lost, again) = (None, PAUSE, None, None, None);
-        Self { shared, log, topic, name, wait, next, pause, trouble, lost, again }
+        let restored = false;
+        Self { shared, log, topic, name, wait, next, pause, trouble, lost, again, restored }
     }
 
     /// The next reading, however long it takes.
@@ -128,7 +131,7 @@
     async fn try_read(&mut self) -> plat::Result<Reading> {
         let Some(next) = self.next else {
             let newest = self.log.newest(self.name).await?;
-            self.next = Some(newest.end);
+            self.read_up_to(newest.end);
             return Ok(Reading::All(newest.records, newest.end));
         };
         match self.shared.tail.turn(self.topic, next, self.again).await {
@@ -139,14 +142,25 @@
             }
         }
         let (records, end) = self.log.changes(self.name, next, self.wait).await?;
-        self.next = Some(end.max(next));
+        self.read_up_to(end.max(next));
         Ok(Reading::Changes(records))
     }
 
+    fn read_up_to(&mut self, end: Offset) {
+        tail::hear_epoch(&self.shared, epoch::epoch(end), "log");
+        self.next = Some(end);
+    }
+
     async fn fail(&mut self, error: plat::Error) {
         if let plat::Error::Gone { oldest, .. } = error {
-            log::info!(target: "store", stream = self.name, oldest; "history gone");
-            self.next = None;
+            let next = self.next.take().unwrap_or_default();
+            if epoch::epoch(oldest) == epoch::epoch(next) {
+                log::info!(target: "store", stream = self.name, oldest; "history gone");
+                return;
+            }
+            let (epoch, read) = (epoch::epoch(oldest), epoch::place(next));
+            log::warn!(target: "store", stream = self.name, epoch, read; "stream is read anew");
+            self.restored = true;
             return;
         }
         let now = Instant::now();
@@ -174,9 +188,10 @@
     let mut stream = Stream::new(shared.clone(), log, Topic::Config, name, CONFIG_WAIT);
     let mut news = 0;
     loop {
-        let (own, records) = match stream.read().await {
-            Reading::All(records, _) | Reading::Changes(records) => (true, records),
-            Reading::Told(told) => (false, told.records),
+        let (own, records, end) = match stream.read().await {
+            Reading::All(records, end) => (true, records, end),
+            Reading::Changes(records) => (true, records, 0),
+            Reading::Told(told) => (false, told.records, 0),
         };
         let ours: Vec<_> = records.into_iter().filter(|record| record.key == key).collect();
         if own {
@@ -190,8 +205,9 @@
             let Some(value) = record.value.clone() else { continue };
             match decode.table(&value) {
                 Ok(table) => {
-                    apply(&shared, table, record.offset);
-                    shared.tail.keep_config(record);
+                    if apply(&shared, table, record.offset) {
+                        shared.tail.keep_config(record);
+                    }
                 }
                 Err(detail) => {
                     let error = Error { stream: name.into(), key: key.into(), detail };
@@ -200,6 +216,10 @@
                 }
             }
         }
+        if std::mem::take(&mut stream.restored) {
+            // The others have to read it as well, though nothing may have changed.
+            news = news.max(end);
+        }
         note(&shared, Topic::Config, news, own);
     }
 }
@@ -214,16 +234,17 @@
 }
 
 /// Puts a configuration in force unless a newer one is: versions never go back, whichever read
-/// ends last.
-fn apply(shared: &Shared, table: Table, offset: Offset) {
+/// ends last, or though the log has lost the newer. Returns whether it is in force.
+fn apply(shared: &Shared, table: Table, offset: Offset) -> bool {
     let old = shared.table.borrow().as_ref().map(|table| table.version);
-    if old.is_some_and(|old| old >= table.version) {
-        return;
+    if let Some(old) = old.filter(|old| *old >= table.version) {
+        return old == table.version;
     }
     log::info!(target: "config", version = table.version, offset, routes = table.routes(),
         before:? = old; "configuration in force");
     shared.metrics.version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
     shared.table.send_replace(Some(Arc::new(table)));
+    true
 }
 
 /// Keeps the list of targets up to date.
@@ -239,13 +260,18 @@
             Reading::All(..) | Reading::Changes(_) => None,
         };
         let disturbed = stream.is_troubled(now) || told == Some(true);
+        let condition = match (std::mem::take(&mut stream.restored), disturbed) {
+            (true, _) => Condition::Restored,
+            (false, true) => Condition::Troubled,
+            (false, false) => Condition::Calm,
+        };
         let before = shared.fleet().news();
         let own = told.is_none();
         let changed = match reading {
             Reading::All(records, end) => {
                 let news = news(&*decode, records, &mut unreadable);
                 let mut fleet = shared.fleet();
-                fleet.replace(news, end, now, disturbed);
+                fleet.replace(news, end, now, condition);
                 // A complete list has no changes that could be passed on.
                 drop(fleet.take_changed());
                 Vec::new()
@@ -253,7 +279,7 @@
             Reading::Changes(records) | Reading::Told(Told { records, .. }) => {
                 let news = news(&*decode, records.clone(), &mut unreadable);
                 let mut fleet = shared.fleet();
-                fleet.apply(news, now, disturbed);
+                fleet.apply(news, now, condition);
                 let changed = fleet.take_changed();
                 records.into_iter().filter(|record| changed.contains(&record.offset)).collect()
             }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -93,6 +93,8 @@
     ages: Family<ByKind, Gauge<f64, AtomicU64>>,
     /// The version of the configuration in force.
     pub version: Gauge,
+    /// The epoch of the log, see [`plat::epoch`].
+    pub epoch: Gauge,
     /// Targets known.
     pub targets: Gauge,
     /// Entries that share the work, this one included.
@@ -131,6 +133,7 @@
             limits: Family::default(),
             ages: Family::default(),
             version: Gauge::default(),
+            epoch: Gauge::default(),
             targets: Gauge::default(),
             entries: Gauge::default(),
             dropped_lines: Gauge::default(),
@@ -173,6 +176,7 @@
         to.register("store_call_seconds", took, self.store_took.clone());
         to.register("config_version", "Configuration in force", self.version.clone());
         to.register("read_age_seconds", "Time since streams were last read", self.ages.clone());
+        to.register("log_epoch", "Times that the log came back older", self.epoch.clone());
         to.register("targets", "Targets known", self.targets.clone());
         to.register("entries", "Entries that share the work", self.entries.clone());
     }
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -220,6 +220,7 @@
         // A stream that a newer version follows.
         let Some(topic) = topic.copied() else { continue };
         let age = Duration::from_millis(read.age_ms.into());
+        tail::hear_epoch(shared, plat::epoch::epoch(read.news), "peer");
         shared.tail.hear(entry, Seen { topic, news: read.news, age }, now);
     }
 }
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -10,6 +10,7 @@
 
 use crate::shared::Shared;
 use compact_str::CompactString;
+use plat::epoch::{self, Epoch};
 use plat::{Offset, Record};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -149,6 +150,8 @@
 pub struct Tail {
     inner: Mutex<Inner>,
     news: Notify,
+    /// Told when the log has come back from an older copy.
+    restored: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -159,6 +162,36 @@
     told: Vec<Told>,
     /// The configuration in force, as it was written.
     config: Option<Record>,
+    /// The newest epoch of the log that is known.
+    epoch: Option<Known>,
+    /// This entry's place among all in the order in which they read a log that came back older.
+    place: u32,
+}
+
+/// An epoch of the log.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    epoch: Epoch,
+    /// Since when it is known; none if the log was in it when this entry first read.
+    since: Option<Instant>,
+}
+
+/// Between two entries that read a log that came back older: all of them have to, and together they would
+/// ask for more than it answers in a second.
+const RESTORED_EACH: Duration = Duration::from_millis(5);
+
+impl Inner {
+    /// How long this entry leaves a log that came back older to the others.
+    fn delay(&self) -> Duration {
+        RESTORED_EACH * self.place
+    }
+
+    /// Whether it is not this entry's turn yet to read a log that came back older, up to `next` of which
+    /// it had read before.
+    fn waits_restored(&self, next: Offset, now: Instant) -> bool {
+        let Some(Known { epoch, since: Some(since) }) = self.epoch else { return false };
+        epoch::epoch(next) < epoch && now < since + self.delay()
+    }
 }
 
 impl Tail {
@@ -167,7 +200,33 @@
         let readers = if entries.len() <= SMALL { FEW_READERS } else { READERS };
         let rank = |name: &str| policy::mix(policy::hash(name), SALT);
         let before = entries.iter().filter(|name| rank(name) < rank(own)).count();
-        self.lock().reads_for_all = before < readers;
+        let mut inner = self.lock();
+        inner.reads_for_all = before < readers;
+        inner.place = u32::try_from(before).unwrap_or(u32::MAX);
+    }
+
+    /// Takes in an epoch of the log that this entry has read, or that another knows. Returns the one before
+    /// if the log has come back from an older copy since.
+    pub fn hear_epoch(&self, epoch: Epoch, now: Instant) -> Option<Epoch> {
+        let mut inner = self.lock();
+        let known = inner.epoch;
+        if known.is_some_and(|known| known.epoch >= epoch) {
+            return None;
+        }
+        let before = known.map(|known| known.epoch);
+        inner.epoch = Some(Known { epoch, since: before.map(|_| now) });
+        drop(inner);
+        if before.is_some() {
+            self.restored.notify_waiters();
+        }
+        before
+    }
+
+    /// Waits until the log has come back from an older copy, and then for this entry's turn.
+    pub async fn restored(&self) {
+        self.restored.notified().await;
+        let delay = self.lock().delay();
+        tokio::time::sleep(delay).await;
     }
 
     /// Whether this entry reads for the others.
@@ -317,8 +376,10 @@
             }
             let now = Instant::now();
             let waits = again.is_some_and(|again| now < again);
+            let restored = self.lock().waits_restored(next, now);
             match self.why_read(topic, next, now) {
                 Some(Reason::NoneFresh | Reason::Own) if waits => {}
+                Some(Reason::NoneFresh | Reason::Own | Reason::News) if restored => {}
                 Some(reason) => return Turn::Read(reason),
                 None => {}
             }
@@ -332,6 +393,14 @@
     }
 }
 
+/// Takes in an epoch of the log, of which `from` says how it is known.
+pub fn hear_epoch(shared: &Shared, epoch: Epoch, from: &'static str) {
+    if let Some(before) = shared.tail.hear_epoch(epoch, Instant::now()) {
+        log::warn!(target: "store", epoch, before, from; "log came back older");
+    }
+    shared.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+}
+
 /// Notes a read, and tells the others at once if it brought news.
 pub fn note(shared: &Shared, topic: Topic, news: Offset) {
     if shared.tail.read(topic, news, Instant::now()) {
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! The list of targets: late records, lapses, targets that leave.
 
 use direct::border::Part;
-use direct::fleet::{Born, Fleet, News, Sighting};
+use direct::fleet::{Born, Condition, Fleet, News, Sighting};
 use direct::route::Stage;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -32,27 +32,35 @@
 fn four() -> Fleet {
     let mut fleet = Fleet::default();
     let all = ["a", "b", "c", "d"].iter().zip(0..);
-    fleet.apply(all.map(|(id, at)| (at, seen(id, 1, false))).collect(), Instant::now(), false);
+    fleet.apply(
+        all.map(|(id, at)| (at, seen(id, 1, false))).collect(),
+        Instant::now(),
+        Condition::Calm,
+    );
     fleet
 }
 
 #[test]
 fn a_target_that_leaves_gets_nothing_new_and_stays_leaving() {
     let mut fleet = four();
-    fleet.apply(vec![(10, seen("a", 3, true))], Instant::now(), false);
+    fleet.apply(vec![(10, seen("a", 3, true))], Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
     // An older record that comes late, and one that is newer by its place but not by its count.
-    fleet.apply(vec![(5, seen("a", 2, false)), (11, seen("a", 2, false))], Instant::now(), false);
+    fleet.apply(
+        vec![(5, seen("a", 2, false)), (11, seen("a", 2, false))],
+        Instant::now(),
+        Condition::Calm,
+    );
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
 }
 
 #[test]
 fn a_target_that_is_gone_is_not_brought_back_by_an_old_record() {
     let mut fleet = four();
-    fleet.apply(vec![(10, News::Gone("a".into()))], Instant::now(), false);
-    fleet.apply(vec![(6, seen("a", 9, false))], Instant::now(), false);
+    fleet.apply(vec![(10, News::Gone("a".into()))], Instant::now(), Condition::Calm);
+    fleet.apply(vec![(6, seen("a", 9, false))], Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
-    fleet.apply(vec![(12, seen("a", 9, false))], Instant::now(), false);
+    fleet.apply(vec![(12, seen("a", 9, false))], Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["a", "b", "c", "d"]);
 }
 
@@ -62,10 +70,14 @@
 async fn entries_that_lapse_in_an_outage_are_given_time_to_come_back() {
     let mut fleet = four();
     let gone = ["a", "b", "c", "d"].map(|id| (20, News::Gone(id.into())));
-    fleet.apply(gone.into(), Instant::now(), true);
+    fleet.apply(gone.into(), Instant::now(), Condition::Troubled);
     assert_eq!(usable(&fleet).len(), 4);
     tokio::time::advance(Duration::from_secs(2)).await;
-    fleet.apply(vec![(21, seen("a", 5, false)), (22, seen("b", 5, false))], Instant::now(), true);
+    fleet.apply(
+        vec![(21, seen("a", 5, false)), (22, seen("b", 5, false))],
+        Instant::now(),
+        Condition::Troubled,
+    );
     tokio::time::advance(Duration::from_millis(600)).await;
     fleet.expire(Instant::now());
     assert_eq!(usable(&fleet), ["a", "b"]);
@@ -76,7 +88,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_single_target_that_goes_just_after_an_outage_gets_nothing_more() {
     let mut fleet = four();
-    fleet.apply(vec![(20, News::Gone("a".into()))], Instant::now(), true);
+    fleet.apply(vec![(20, News::Gone("a".into()))], Instant::now(), Condition::Troubled);
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
 }
 
@@ -86,7 +98,7 @@
 async fn many_that_go_just_after_an_outage_get_nothing_after_a_second_and_a_half() {
     let mut fleet = four();
     let gone = ["a", "b"].map(|id| (20, News::Gone(id.into())));
-    fleet.apply(gone.into(), Instant::now(), true);
+    fleet.apply(gone.into(), Instant::now(), Condition::Troubled);
     assert_eq!(usable(&fleet).len(), 4);
     tokio::time::advance(Duration::from_millis(1_450)).await;
     fleet.expire(Instant::now());
@@ -96,10 +108,10 @@
 #[tokio::test(start_paused = true)]
 async fn many_that_vanish_at_once_are_given_less_time_and_few_none() {
     let mut fleet = four();
-    fleet.apply(vec![(10, News::Gone("a".into()))], Instant::now(), false);
+    fleet.apply(vec![(10, News::Gone("a".into()))], Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
     let gone = ["b", "c"].map(|id| (20, News::Gone(id.into())));
-    fleet.apply(gone.into(), Instant::now(), false);
+    fleet.apply(gone.into(), Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["b", "c", "d"]);
     tokio::time::advance(Duration::from_millis(1_050)).await;
     fleet.expire(Instant::now());
@@ -110,7 +122,7 @@
 fn a_complete_list_takes_out_what_it_lacks() {
     let mut fleet = four();
     let all = vec![(1, seen("b", 2, false)), (9, seen("e", 1, false))];
-    fleet.replace(all, 10, Instant::now(), false);
+    fleet.replace(all, 10, Instant::now(), Condition::Calm);
     // Most of them vanished at once, so they stay for a moment.
     assert_eq!(usable(&fleet), ["a", "b", "c", "d", "e"]);
     fleet.expire(Instant::now() + Duration::from_secs(2));
@@ -126,11 +138,11 @@
         let mut fleet = Fleet::default();
         for (pick, _) in order {
             let record = records[usize::from(*pick) % records.len()].clone();
-            fleet.apply(vec![record], Instant::now(), false);
+            fleet.apply(vec![record], Instant::now(), Condition::Calm);
         }
-        fleet.apply(vec![records[4].clone()], Instant::now(), false);
+        fleet.apply(vec![records[4].clone()], Instant::now(), Condition::Calm);
         for record in &records {
-            fleet.apply(vec![record.clone()], Instant::now(), false);
+            fleet.apply(vec![record.clone()], Instant::now(), Condition::Calm);
         }
         assert!(usable(&fleet).is_empty() || order.iter().any(|(pick, _)| pick % 6 == 5));
     });
@@ -145,12 +157,12 @@
 fn a_target_that_starts_again_is_taken_as_it_is_now() {
     let mut fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply(vec![(1, life("a", Some(1_000), 90, false, READS))], now, false);
+    fleet.apply(vec![(1, life("a", Some(1_000), 90, false, READS))], now, Condition::Calm);
     let before = fleet.get("a").expect("it is listed").clone();
     let parts = [Part { id: 7, tokens: 900 }];
     before.engine.keep(&parts, 10_000);
     before.expect_stage(Stage::Decode, now);
-    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, WRITES))], now, false);
+    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, WRITES))], now, Condition::Calm);
     let after = fleet.get("a").expect("it is listed").clone();
     assert_eq!((after.stage(), after.engine.kept(&parts)), (WRITES, 0));
     assert!(!after.is_changing(now), "what was announced concerned the former life");
@@ -162,15 +174,15 @@
 fn a_former_life_changes_nothing() {
     let mut fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply(vec![(1, life("a", Some(2_000), 1, false, WRITES))], now, false);
+    fleet.apply(vec![(1, life("a", Some(2_000), 1, false, WRITES))], now, Condition::Calm);
     let known = fleet.get("a").expect("it is listed").clone();
     let late = [life("a", Some(1_000), 95, true, READS), life("a", None, 96, true, READS)];
-    fleet.apply((2..).zip(late).collect(), now, false);
+    fleet.apply((2..).zip(late).collect(), now, Condition::Calm);
     let still = fleet.get("a").expect("it neither leaves nor is gone");
     assert_eq!((still.key, still.stage()), (known.key, WRITES));
     // It is removed, and its former life is heard of once more.
-    fleet.apply(vec![(5, News::Gone("a".into()))], now, false);
-    fleet.apply(vec![(6, life("a", Some(1_000), 97, false, READS))], now, false);
+    fleet.apply(vec![(5, News::Gone("a".into()))], now, Condition::Calm);
+    fleet.apply(vec![(6, life("a", Some(1_000), 97, false, READS))], now, Condition::Calm);
     assert!(fleet.get("a").is_none());
 }
 
@@ -179,9 +191,9 @@
 fn a_new_life_does_not_leave_because_the_former_one_did() {
     let mut fleet = Fleet::default();
     let now = Instant::now();
-    fleet.apply(vec![(1, life("a", Some(1_000), 4, true, READS))], now, false);
+    fleet.apply(vec![(1, life("a", Some(1_000), 4, true, READS))], now, Condition::Calm);
     assert!(fleet.get("a").is_none());
-    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, READS))], now, false);
+    fleet.apply(vec![(2, life("a", Some(2_000), 1, false, READS))], now, Condition::Calm);
     assert!(fleet.get("a").is_some());
 }
 
@@ -191,10 +203,10 @@
 fn a_target_is_not_lost_by_a_record_that_nobody_can_read() {
     let mut fleet = four();
     let unreadable = News::Unreadable("a".into());
-    fleet.apply(vec![(10, unreadable.clone())], Instant::now(), false);
+    fleet.apply(vec![(10, unreadable.clone())], Instant::now(), Condition::Calm);
     let others = ["b", "c", "d"].map(|id| (11, seen(id, 2, false)));
     let all = others.into_iter().chain([(12, unreadable), (13, News::Unreadable("e".into()))]);
-    fleet.replace(all.collect(), 20, Instant::now(), false);
+    fleet.replace(all.collect(), 20, Instant::now(), Condition::Calm);
     assert_eq!(usable(&fleet), ["a", "b", "c", "d"]);
 }
 
@@ -236,7 +248,8 @@
                 Written::Gone { id } => News::Gone(name(id).into()),
                 Written::Nonsense { id } => News::Unreadable(name(id).into()),
             };
-            fleet.apply(vec![(offset, news)], now, *disturbed);
+            let condition = if *disturbed { Condition::Troubled } else { Condition::Calm };
+            fleet.apply(vec![(offset, news)], now, condition);
             for id in IDS {
                 let Some(target) = fleet.get(id) else { continue };
                 if let Some(born) = target.born {
@@ -256,9 +269,9 @@
     let patience = Duration::from_secs(1);
     target.misdirected(Instant::now());
     assert!(target.is_away(patience, Instant::now()));
-    fleet.apply(vec![(30, seen("b", 2, false))], Instant::now(), false);
+    fleet.apply(vec![(30, seen("b", 2, false))], Instant::now(), Condition::Calm);
     assert!(target.is_away(patience, Instant::now()), "another's record says nothing of it");
-    fleet.apply(vec![(31, seen("a", 2, false))], Instant::now(), false);
+    fleet.apply(vec![(31, seen("a", 2, false))], Instant::now(), Condition::Calm);
     assert!(!target.is_away(patience, Instant::now()));
     target.misdirected(Instant::now());
     tokio::time::advance(Duration::from_secs(5)).await;
@@ -280,9 +293,9 @@
                 2 => life(id, None, (*sequence).into(), false, Some(Stage::Prefill)),
                 _ => seen(id, (*sequence).into(), false),
             };
-            all.apply(vec![(offset, record())], now, false);
+            all.apply(vec![(offset, record())], now, Condition::Calm);
             if all.take_changed().contains(&offset) {
-                some.apply(vec![(offset, record())], now, false);
+                some.apply(vec![(offset, record())], now, Condition::Calm);
             }
         }
         let stages = |fleet: &Fleet| -> Vec<_> {
@@ -292,3 +305,45 @@
         assert_eq!(all.news(), some.news());
     });
 }
+
+/// The offset of a place after the log has come back from an older copy.
+fn later(place: u64) -> u64 {
+    plat::epoch::offset(1, place).expect("both are small")
+}
+
+/// The log comes back from a copy in which a target that leaves still takes work, and one that is gone is
+/// listed. Both would get requests again.
+#[test]
+fn an_older_copy_of_the_log_brings_no_target_back() {
+    let mut fleet = four();
+    let now = Instant::now();
+    fleet.apply(vec![(4, seen("a", 2, true)), (5, News::Gone("b".into()))], now, Condition::Calm);
+    assert_eq!(usable(&fleet), ["c", "d"]);
+    let copy = ["a", "b", "c", "d"].iter().zip(0..);
+    let copy = copy.map(|(id, at)| (later(at), seen(id, 1, false))).collect();
+    fleet.replace(copy, later(4), now, Condition::Restored);
+    assert_eq!(usable(&fleet), ["c", "d"]);
+    // A target whose entry had only expired tells of itself again.
+    fleet.apply(vec![(later(5), seen("b", 2, false))], now, Condition::Calm);
+    assert_eq!(usable(&fleet), ["b", "c", "d"]);
+}
+
+/// A target that was listed after the copy was made is missing until it tells of itself again. Taken for
+/// gone, it loses its connections and its requests.
+#[tokio::test(start_paused = true)]
+async fn a_target_that_an_older_copy_lacks_is_waited_for() {
+    let mut fleet = four();
+    let copy = |ids: &[&str]| {
+        let all = ids.iter().zip(0..);
+        all.map(|(id, at)| (later(at), seen(id, 1, false))).collect::<Vec<_>>()
+    };
+    let kept = fleet.get("d").expect("it is listed").clone();
+    fleet.replace(copy(&["a", "b", "c"]), later(3), Instant::now(), Condition::Restored);
+    assert_eq!(usable(&fleet), ["a", "b", "c", "d"]);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    fleet.apply(vec![(later(4), seen("d", 2, false))], Instant::now(), Condition::Calm);
+    tokio::time::advance(Duration::from_secs(2)).await;
+    fleet.apply(Vec::new(), Instant::now(), Condition::Calm);
+    let same = fleet.get("d").is_some_and(|target| std::sync::Arc::ptr_eq(target, &kept));
+    assert!(same, "it was taken for gone");
+}
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -78,6 +78,15 @@
         }
     }
 
+    /// Goes back to a copy that is so old: what was appended since is gone, and its offsets are given out
+    /// again.
+    pub fn rewind(&self, age: Duration) {
+        let mut inner = self.lock();
+        for kept in inner.streams.values_mut() {
+            kept.rewind(age);
+        }
+    }
+
     /// How many bytes of records were appended.
     pub fn bytes(&self) -> u64 {
         self.lock().bytes
@@ -173,6 +182,18 @@
         };
     }
 
+    fn rewind(&mut self, age: Duration) {
+        while self.records.back().is_some_and(|(at, _)| at.elapsed() < age) {
+            self.records.pop_back();
+        }
+        let end = self.first + self.records.len() as u64;
+        self.newest.retain(|_, record| record.offset < end);
+        let records: Vec<_> = (self.first..).zip(self.records.iter().cloned()).collect();
+        for (offset, (_, bytes)) in records {
+            self.note(Entry { offset, bytes });
+        }
+    }
+
     fn expire(&mut self, retention: Option<Duration>) {
         let Some(retention) = retention else { return };
         while self.records.front().is_some_and(|(at, _)| at.elapsed() > retention) {
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each is one trait here and one HTTP client in a module of its own. A platform of another
 //! shape is met by adding one file that implements the trait.
 
+pub mod epoch;
 mod error;
 pub mod http;
 mod keyed;
--- a/crates/plat/src/log.rs
+++ b/crates/plat/src/log.rs
@@ -6,7 +6,7 @@
 use compact_str::{CompactString, format_compact};
 use std::time::Duration;
 
-/// A record's place in its stream, counted from 0.
+/// A record's place in its stream, counted from 0, with the epoch of the log, see [`crate::epoch`].
 pub type Offset = u64;
 
 /// Name of a stream of the log.
