fix(direct): a bill that was sent stays as sent though the log has lost it

What would be seen: the platform hears of one window with two different counts, which breaks a promise of the usage duty. Cause: the holder's record, by which who follows finds what was reported, was acknowledged and is gone with the span that an older copy of the log lacks; the follower then fixes its own counts.

A record now says in which epoch of the log it was written. While the newest is of an earlier epoch, bills may have been lost after it: windows that ended before are billed only by who still knows their counts, which goes into its next record; for the others they are left out, with a line. Who held the duty waits as any other.

Ruled out: keeping what peers tell of bills (a datagram has no room for the counts of thousands of customers).

Cost: one or two windows missed after a restore, and six seconds without a bill.

--- a/crates/direct/src/billing.rs
+++ b/crates/direct/src/billing.rs
@@ -5,6 +5,10 @@
 //! still be carried out later. The record is the lease as well, see [`policy::tenure`], and its offset
 //! the fence. In a calm time a window costs one record and one report; the others hear of the record by
 //! datagram, and read the stream only when a bill is overdue.
+//!
+//! **A log that comes back older** has lost bills that may have been reported. Another count for such a
+//! window would contradict them, so windows that ended before are billed only by who still knows their
+//! counts; for the others they are missed.
 
 mod record;
 
@@ -13,6 +17,7 @@
 use crate::shared::Shared;
 use crate::usage;
 use async_trait::async_trait;
+use plat::epoch::{Epoch, epoch, place};
 use plat::{Entry, KeyedLog, Offset};
 use policy::tenure::{self, Tenure};
 use policy::usage::{Counts, Life, Window};
@@ -97,6 +102,7 @@
         next: None,
         open: BTreeMap::new(),
         appending: None,
+        fixed_in: 0,
     };
     loop {
         tokio::time::sleep(TICK).await;
@@ -122,6 +128,8 @@
     open: BTreeMap<Window, Counts>,
     /// When the last append began that may still succeed.
     appending: Option<Duration>,
+    /// The epoch of the log in which the last record was written.
+    fixed_in: Epoch,
 }
 
 impl Biller {
@@ -162,15 +170,22 @@
     /// Takes in what another entry has told of its bills.
     fn hear(&mut self) {
         let Some((billed, at)) = self.shared.usage.last_billed() else { return };
+        self.next = self.next.max(Some(billed.next));
         if billed.end > self.end {
             self.tenure.hear(billed.end, at);
-            self.next = self.next.max(Some(billed.next));
         }
     }
 
     /// Reads what is fixed.
     async fn read(&mut self) -> plat::Result<()> {
         let batch = match self.log.read(STREAM, self.end, MAX_READ, Duration::ZERO).await {
+            Err(plat::Error::Gone { oldest, .. }) if epoch(oldest) > epoch(self.end) => {
+                log::warn!(target: "store", stream = STREAM, epoch = epoch(oldest),
+                    read = place(self.end); "stream is read anew");
+                (self.end, self.appending) = (oldest, None);
+                self.tenure.yields(oldest, since_boot());
+                return Ok(());
+            }
             Err(plat::Error::Gone { oldest, .. }) => {
                 log::warn!(target: "billing", oldest; "bills expired before they were read");
                 self.end = oldest;
@@ -178,6 +193,7 @@
             }
             batch => batch?,
         };
+        self.end = self.end.max(batch.oldest);
         for Entry { offset, bytes } in batch.entries {
             self.end = offset + 1;
             match record::read(&bytes) {
@@ -187,11 +203,28 @@
             }
         }
         self.appending = None;
+        if self.fixed_in < epoch(self.end) {
+            self.leave_out_lost();
+        }
         Ok(())
     }
 
+    /// Leaves out the windows that have ended, of which bills may have been lost with the log's records:
+    /// none was fixed yet since it came back older.
+    fn leave_out_lost(&mut self) {
+        let usage = &self.shared.usage;
+        let present = usage.window_at(usage.clock.now());
+        if self.next.is_some() && self.next < present {
+            log::warn!(target: "billing", next:? = self.next, after:? = present;
+                "windows left out: their bills may be lost");
+            self.next = present;
+        }
+        self.fixed_in = epoch(self.end);
+    }
+
     fn take(&mut self, record: record::Record, offset: Offset) {
-        let record::Record { life, settled, bills } = record;
+        let record::Record { life, settled, epoch, bills } = record;
+        self.fixed_in = self.fixed_in.max(epoch);
         match self.appending.filter(|_| life == self.life) {
             Some(began) => self.tenure.hold(&self.settings, offset, began),
             None => self.tenure.hear(offset + 1, since_boot()),
@@ -212,9 +245,16 @@
         let windows = (next..next.saturating_add(MAX_BILLS)).take_while(is_due);
         let bills: Vec<_> =
             windows.map(|window| Bill { window, counts: usage.sums(window) }).collect();
+        let epoch = epoch(self.end);
         let Some(after) = bills.last().map(|bill| bill.window + 1) else { return Ok(()) };
         let settled = self.open.keys().next().copied().unwrap_or(next);
-        let record = record::Record { life: self.life, settled, bills };
+        // Those that are open may have been lost with the log's records.
+        let open = self
+            .open
+            .iter()
+            .map(|(window, counts)| Bill { window: *window, counts: counts.clone() });
+        let bills = open.chain(bills).collect();
+        let record = record::Record { life: self.life, settled, epoch, bills };
         let began = since_boot();
         self.appending = Some(began);
         let offset = match self.log.append_at(STREAM, self.end, record::write(&record)).await {
@@ -231,6 +271,7 @@
         self.appending = None;
         self.end = offset + 1;
         self.tenure.hold(&self.settings, offset, began);
+        self.fixed_in = epoch;
         for Bill { window, counts } in record.bills {
             self.open.entry(window).or_insert(counts);
         }
--- a/crates/direct/src/billing/record.rs
+++ b/crates/direct/src/billing/record.rs
@@ -2,6 +2,7 @@
 
 use super::Bill;
 use bytes::Bytes;
+use plat::epoch::Epoch;
 use policy::usage::{Life, Window};
 use prost::Message;
 
@@ -12,6 +13,8 @@
     pub(super) life: Life,
     /// All windows before this one are known to the platform.
     pub(super) settled: Window,
+    /// The epoch of the log in which it was written.
+    pub(super) epoch: Epoch,
     /// The bills.
     pub(super) bills: Vec<Bill>,
 }
@@ -24,6 +27,8 @@
     settled: u64,
     #[prost(message, repeated, tag = "3")]
     bills: Vec<WireBill>,
+    #[prost(uint64, tag = "4")]
+    epoch: u64,
 }
 
 /// One bill, in columns of equal length.
@@ -39,12 +44,12 @@
 
 /// Reads a record.
 pub(super) fn read(bytes: &[u8]) -> Result<Record, prost::DecodeError> {
-    let WireRecord { life, settled, bills } = WireRecord::decode(bytes)?;
+    let WireRecord { life, settled, bills, epoch } = WireRecord::decode(bytes)?;
     let bills = bills.into_iter().map(|WireBill { window, customers, counts }| {
         let customers = customers.into_iter().map(Into::into);
         Bill { window, counts: customers.zip(counts).collect() }
     });
-    Ok(Record { life, settled, bills: bills.collect() })
+    Ok(Record { life, settled, epoch, bills: bills.collect() })
 }
 
 /// Writes a record.
@@ -54,6 +59,7 @@
         customers: bill.counts.keys().map(ToString::to_string).collect(),
         counts: bill.counts.values().copied().collect(),
     });
-    let wire = WireRecord { life: record.life, settled: record.settled, bills: bills.collect() };
+    let Record { life, settled, epoch, .. } = *record;
+    let wire = WireRecord { life, settled, bills: bills.collect(), epoch };
     wire.encode_to_vec().into()
 }
