fix(direct): a change under way is known to entries that start

Cause: entries read the plan before the list of targets, and what it said of an engine that wasn't listed yet was dropped.

The plan's record now says when it was made, by the clock that entries agree on. At a start it is taken for as long as it may still be carried out, and kept for engines that are listed later; an older one, or one that doesn't say, is not. Ruled out before: lost datagrams (the plan was announced within 0.5 s in the former lives).

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -10,6 +10,7 @@
 use crate::notice::{self, Heartbeat, Kind, Notice, Plan, Suspects};
 use crate::shared::Shared;
 use crate::tail::{self, Topic, Turn};
+use crate::target::CHANGE;
 use compact_str::CompactString;
 use plat::{Entry, KeyedLog, Offset, Record, epoch};
 use prost::Message;
@@ -191,6 +192,8 @@
                 };
                 reread = reread.map(|_| Reread::UpTo(known_up_to));
                 let mut read = bulletin.borrow().clone();
+                // What a process reads first may be minutes old.
+                let known = if read.end.is_some() { Age::New } else { Age::AsTold };
                 read.planned.get_or_insert(now);
                 read.complete.get_or_insert(now);
                 read.named.retain(|named| now.duration_since(named.at) < REMEMBERED);
@@ -200,7 +203,7 @@
                         reread_plan(&entry.bytes, &mut read, now);
                         continue;
                     }
-                    let told = take(&shared, &mut heard, &entry.bytes, now);
+                    let told = take(&shared, &mut heard, &entry.bytes, now, known);
                     if told != Told::Nothing {
                         news = next;
                         changed.push(record(entry));
@@ -272,7 +275,9 @@
 ) {
     let now = Instant::now();
     for record in span.records {
-        if let Told::Plan(plan) = take(shared, heard, &record.value.unwrap_or_default(), now) {
+        if let Told::Plan(plan) =
+            take(shared, heard, &record.value.unwrap_or_default(), now, Age::New)
+        {
             read.note(&plan, now);
         }
     }
@@ -301,6 +306,7 @@
     heard: &mut HashMap<CompactString, Heard>,
     record: &[u8],
     now: Instant,
+    age: Age,
 ) -> Told {
     let notice = match Notice::decode(record) {
         Ok(notice) => notice,
@@ -316,7 +322,7 @@
         Some(Kind::Heartbeat(heartbeat)) => hear(heard, heartbeat, now),
         Some(Kind::Plan(plan)) => {
             if plan.holder != shared.settings.name {
-                announce(shared, &plan, now);
+                announce(shared, &plan, left(shared, &plan, age));
             }
             Told::Plan(plan)
         }
@@ -348,15 +354,31 @@
     }
 }
 
-/// Keeps new work away from engines that are about to change.
-pub fn announce(shared: &Shared, plan: &Plan, now: Instant) {
+/// How old a record is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Age {
+    /// It was just written.
+    New,
+    /// As it tells itself.
+    AsTold,
+}
+
+/// For how long changes that were planned are still waited for.
+fn left(shared: &Shared, plan: &Plan, age: Age) -> Duration {
+    let age = match age {
+        Age::New => Some(Duration::ZERO),
+        Age::AsTold => plan.age(shared.usage.clock.now()),
+    };
+    age.map_or(Duration::ZERO, |age| CHANGE.saturating_sub(age))
+}
+
+/// Keeps new work away from engines that are about to change within `left`.
+pub fn announce(shared: &Shared, plan: &Plan, left: Duration) {
     log::info!(target: "stages", holder = plan.holder.as_str(), readers:? = plan.readers,
         writers:? = plan.writers; "changes announced");
-    let fleet = shared.fleet();
+    let (mut fleet, now) = (shared.fleet(), Instant::now());
     for (id, stage) in plan.changes() {
-        if let Some(engine) = fleet.get(&id) {
-            engine.expect_stage(stage, now);
-        }
+        fleet.expect_stage(id, stage, now, now + left);
     }
 }
 
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -154,8 +154,13 @@
     workload: Arc<Workload>,
     /// When the first entry that vanished in a lapse is taken out.
     lapses: Option<Instant>,
+    /// Changes that were announced of engines that are not listed yet, with when they are to have ended.
+    expected: HashMap<TargetId, (Stage, Instant)>,
 }
 
+/// Announced changes that are remembered of engines that are not listed.
+const MAX_EXPECTED: usize = 4_096;
+
 /// Removed ids that are remembered; older ones can't come late any more.
 const MAX_REMOVED: usize = 4_096;
 
@@ -252,6 +257,20 @@
         self.members.get(id).filter(|member| !member.leaving).map(|member| &member.target)
     }
 
+    /// Notes that an engine is about to change its stage until then. One that isn't listed yet is remembered:
+    /// a process that starts may read the announcement before the list.
+    pub fn expect_stage(&mut self, id: TargetId, stage: Stage, now: Instant, until: Instant) {
+        match self.members.get(&id) {
+            Some(member) => member.target.expect_stage(stage, now, until),
+            None => {
+                if self.expected.len() >= MAX_EXPECTED {
+                    self.expected.clear();
+                }
+                self.expected.insert(id, (stage, until));
+            }
+        }
+    }
+
     /// The offset after the last record that changed something.
     pub fn news(&self) -> Offset {
         self.news
@@ -320,6 +339,9 @@
         let identity = target::Identity { id: id.clone(), born };
         let target = Target::new(identity, service, address, domain, slots, self.workload.clone());
         target.set_stage(stage);
+        if let Some((stage, until)) = self.expected.remove(&id) {
+            target.expect_stage(stage, Instant::now(), until);
+        }
         let target = Arc::new(target);
         self.members.insert(id, Member { target, born, sequence, offset, leaving, lapses: None });
     }
--- a/crates/direct/src/notice.rs
+++ b/crates/direct/src/notice.rs
@@ -4,6 +4,7 @@
 use crate::route::Stage;
 use bytes::Bytes;
 use prost::Message;
+use std::time::Duration;
 
 /// A record of the stream.
 #[derive(Clone, PartialEq, Message)]
@@ -57,6 +58,10 @@
     /// Engines that are to write output.
     #[prost(string, repeated, tag = "3")]
     pub writers: Vec<String>,
+    /// When it was made, by the true time of day in microseconds since the start of 1970; 0 if it does
+    /// not say.
+    #[prost(fixed64, tag = "4")]
+    pub made: u64,
 }
 
 /// Requests that were running when a target crashed.
@@ -71,6 +76,11 @@
 }
 
 impl Plan {
+    /// How old it is at this true time of day, if it says when it was made.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        (self.made != 0).then(|| now.saturating_sub(Duration::from_micros(self.made)))
+    }
+
     /// The engines that are to change, with their new stages.
     pub fn changes(&self) -> impl Iterator<Item = (TargetId, Stage)> + '_ {
         let readers = self.readers.iter().map(|id| (TargetId::from(id), Stage::Prefill));
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -12,13 +12,12 @@
 use crate::notice::{self, Kind, Plan};
 use crate::route::Stage;
 use crate::tail::{Told, Topic};
-use crate::target::Target;
+use crate::target::{CHANGE, Target};
 use compact_str::CompactString;
 use http::{Method, StatusCode};
 use plat::{Offset, Record};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Engines, each with the stage that it is to have.
 pub(super) type Changes = Vec<(Arc<Target>, Stage)>;
@@ -48,6 +47,7 @@
             holder: self.shared.settings.name.to_string(),
             readers: of(Stage::Prefill),
             writers: of(Stage::Decode),
+            made: u64::try_from(self.shared.usage.clock.now().as_micros()).unwrap_or_default(),
         };
         let began = since_boot();
         let record = notice::record(Kind::Plan(plan.clone()));
@@ -63,7 +63,7 @@
                 return;
             }
         };
-        bulletin::announce(&self.shared, &plan, Instant::now());
+        bulletin::announce(&self.shared, &plan, CHANGE);
         let (topic, before) = (Topic::Notices, self.shared.tail.known(Topic::Notices));
         let record = Record { offset: fence, key: CompactString::default(), value: Some(record) };
         broadcast::tell(
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -83,7 +83,7 @@
 
 /// How long an announced change is waited for: the announcement, the streams that run, the switch
 /// and the news of it. An order that was lost costs the engine's work for this time.
-const CHANGE: Duration = Duration::from_millis(9_000);
+pub const CHANGE: Duration = Duration::from_millis(9_000);
 
 /// How long a target is left alone after another answered in its place, unless it tells of itself
 /// again: by then its entry has lapsed, or one of a stage that changed has said so.
@@ -173,11 +173,11 @@
         changed
     }
 
-    /// Notes that its stage is about to change: it gets no new work until it has.
-    pub fn expect_stage(&self, stage: Stage, now: Instant) {
+    /// Notes that its stage is about to change: it gets no new work until it has, or that time.
+    pub fn expect_stage(&self, stage: Stage, now: Instant, until: Instant) {
         let mut load = self.load();
         if load.stage != Some(stage) {
-            load.change = Some(Change { stage, since: now, until: now + CHANGE });
+            load.change = Some(Change { stage, since: now, until });
         }
     }
 
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -3,6 +3,7 @@
 use direct::border::Part;
 use direct::fleet::{Born, Condition, Fleet, News, Sighting};
 use direct::route::Stage;
+use direct::target::CHANGE;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -161,7 +162,7 @@
     let before = fleet.get("a").expect("it is listed").clone();
     let parts = [Part { id: 7, tokens: 900 }];
     before.engine.keep(&parts, 10_000);
-    before.expect_stage(Stage::Decode, now);
+    before.expect_stage(Stage::Decode, now, now + CHANGE);
     fleet.apply(vec![(2, life("a", Some(2_000), 1, false, WRITES))], now, Condition::Calm);
     let after = fleet.get("a").expect("it is listed").clone();
     assert_eq!((after.stage(), after.engine.kept(&parts)), (WRITES, 0));
