fix(direct): engines that read help where all that write are limited

Callers would see: while all engines that write name a limit, all but what these take in is refused, though engines that read have room and could write. Cause: the split counted a limited engine as one that does its part.

An engine for which a permit was refused within the last 2.5 s now counts as one that can't be counted on, as one that refuses KV cache does. Ruled out: counting it by its limit, since the usual rate of one engine is not known.

--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -77,7 +77,8 @@
     shared.metrics.permit(kind);
     let Some(after) = after else { return Ok(()) };
     let back = after.mul_f64(1.0 + (shared.random() - 0.5) * SPREAD);
-    target.close_until(Instant::now() + back);
+    let now = Instant::now();
+    target.close_until(now + back, now);
     Err(Refused { back })
 }
 
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/stages.rs
@@ -356,6 +356,7 @@
             work: target.in_flight().max(target.engine.streams() + others.streams),
             domain: target.domain_key,
             present: !target.is_away(silent(stage), now)
+                && !target.is_spent(now)
                 && (stage == Stage::Prefill || !target.is_choked(now)),
         }
     }
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -89,6 +89,10 @@
 /// again: by then its entry has lapsed, or one of a stage that changed has said so.
 const MISDIRECTED: Duration = Duration::from_secs(4);
 
+/// For how long a target that refused a permit counts as spent: longer than an entry waits before it asks
+/// again.
+const SPENT: Duration = Duration::from_millis(2_500);
+
 /// How often its coordinators are told of a limit that stays the same.
 const LIMIT_TOLD: Duration = Duration::from_millis(250);
 
@@ -108,6 +112,8 @@
     limit_told: Option<Instant>,
     /// Until when there is no permit to send to it.
     closed: Option<Instant>,
+    /// When a permit was last refused.
+    refused: Option<Instant>,
 }
 
 /// A change of stage that was announced.
@@ -264,8 +270,17 @@
     }
 
     /// Notes that there is no permit to send to it until then.
-    pub fn close_until(&self, until: Instant) {
-        self.load().closed = Some(until);
+    pub fn close_until(&self, until: Instant, now: Instant) {
+        let mut load = self.load();
+        (load.closed, load.refused) = (Some(until), Some(now));
+    }
+
+    /// Whether it named a limit and takes in less than is asked for: as one that could do more it is as
+    /// good as away.
+    pub fn is_spent(&self, now: Instant) -> bool {
+        let load = self.load();
+        let lately = load.refused.is_some_and(|at| now.duration_since(at) < SPENT);
+        lately && load.limit.rate().is_some()
     }
 
     /// How long until there may be a permit to send to it, if there is none now.
