fix(policy,direct): a limit that is passed on counts by when its request was sent; a gone coordinator costs less

What an entry passed on of a limit named the time of its answer as that of its request, so a higher limit that came late could raise a lower one at the coordinator: now both times are passed on. And for up to 21 s after a coordinator is gone for good, until its heartbeat lapses, limited targets got three tenths of what they take: who stands by now gives eight tenths where it doesn't hear the first either (0.7 s).

Test: a limit of 20 that was sent for before one of 5 changes nothing at the coordinator (before: raised to 20).

--- a/crates/direct/src/coordinator/permits.rs
+++ b/crates/direct/src/coordinator/permits.rs
@@ -8,7 +8,7 @@
 use crate::shared::Shared;
 use crate::target::Target;
 use policy::Hash;
-use policy::pacing::{self, Limit, Pacer, Rate, STANDBY_PART};
+use policy::pacing::{self, ALONE_PART, Limit, Pacer, Rate, STANDBY_PART};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -56,7 +56,7 @@
     pub fn take(
         &self,
         target: Hash,
-        part: f64,
+        part: impl FnOnce() -> f64,
         ask: pacing::Ask,
         now: Instant,
     ) -> Result<bool, Duration> {
@@ -70,7 +70,7 @@
     pub fn look(
         &self,
         target: Hash,
-        part: f64,
+        part: impl FnOnce() -> f64,
         rank: pacing::Rank,
         now: Instant,
     ) -> Result<(), Duration> {
@@ -92,20 +92,23 @@
 fn pacer(
     targets: &mut HashMap<Hash, Limited>,
     target: Hash,
-    part: f64,
+    part: impl FnOnce() -> f64,
     now: policy::Time,
 ) -> Option<&mut Pacer> {
     let limited = targets.get_mut(&target)?;
     let rate = limited.limit.rate()?;
     let pacer = limited.pacer.get_or_insert_with(|| Pacer::new(now));
-    pacer.set_rate(rate * part, now);
+    pacer.set_rate(rate * part(), now);
     Some(pacer)
 }
 
 /// The part of a limit that this entry gives out for targets of a group.
-pub(super) fn part(group: &Group) -> f64 {
-    let is_first = group.coordinators.first().is_some_and(|member| member.address.is_none());
-    if is_first { 1.0 } else { STANDBY_PART }
+pub(super) fn part(shared: &Shared, group: &Group) -> f64 {
+    match group.coordinators.first() {
+        Some(first) if first.address.is_none() => 1.0,
+        Some(first) if !shared.peers.hears(first.key) => ALONE_PART,
+        Some(_) | None => STANDBY_PART,
+    }
 }
 
 /// Answers a question for a permit.
@@ -117,7 +120,8 @@
     let given = match find(shared, ask.service, ask.target) {
         Some(target) => {
             let groups = shared.groups(&target.service);
-            let part = permits::group(&groups, &target).map_or(STANDBY_PART, part);
+            let group = permits::group(&groups, &target);
+            let part = || group.map_or(STANDBY_PART, |group| self::part(shared, group));
             let ask = pacing::Ask { entry: ask.entry, rank: rank(ask.rank) };
             shared.coordinator.permits.take(target.key, part, ask, now)
         }
--- a/crates/direct/src/coordinator/reading.rs
+++ b/crates/direct/src/coordinator/reading.rs
@@ -80,12 +80,17 @@
     /// Gives a permit for a request to an engine, if it needs one.
     fn permit(&self, engine: policy::Hash) -> Result<bool, Duration> {
         let ask = pacing::Ask { entry: self.ask.entry, rank: rank(self.ask.rank) };
-        self.shared.coordinator.permits.take(engine, part(self.group), ask, self.now)
+        self.shared.coordinator.permits.take(
+            engine,
+            || part(self.shared, self.group),
+            ask,
+            self.now,
+        )
     }
 
     /// How long until an engine takes in another request, if it named a limit and has none left.
     fn permit_after(&self, engine: &Target) -> Option<Duration> {
-        let (part, rank) = (part(self.group), rank(self.ask.rank));
+        let (part, rank) = (|| part(self.shared, self.group), rank(self.ask.rank));
         self.shared.coordinator.permits.look(engine.key, part, rank, self.now).err()
     }
 
--- a/crates/direct/src/coordinator/writing.rs
+++ b/crates/direct/src/coordinator/writing.rs
@@ -24,7 +24,7 @@
     let best = best.filter(|(writer, _)| writer.has_room(ask.filled)).map(|(_, engine)| engine);
     let permit = best.map(|engine| {
         let ask = pacing::Ask { entry: ask.entry, rank: rank(ask.rank) };
-        shared.coordinator.permits.take(engine.key, part(group), ask, now)
+        shared.coordinator.permits.take(engine.key, || part(shared, group), ask, now)
     });
     let room = match (best, permit) {
         (Some(engine), Some(Ok(permit))) => {
@@ -51,7 +51,9 @@
         let allowed = !ask.avoid.contains(&short(engine.key));
         let able = engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now);
         let permits = &shared.coordinator.permits;
-        allowed && able && permits.look(engine.key, part(group), rank(ask.rank), now).is_ok()
+        allowed
+            && able
+            && permits.look(engine.key, || part(shared, group), rank(ask.rank), now).is_ok()
     });
     let ranked = able.map(|engine| {
         let writer = writer(shared, engine, objective, new, now);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -95,6 +95,11 @@
         u32::try_from(self.lock().heard.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether another entry was heard lately.
+    pub fn hears(&self, entry: Hash) -> bool {
+        self.lock().heard.contains_key(&entry)
+    }
+
     /// Takes in which entries live and where they are, this one included.
     pub fn set_members(&self, mut members: Vec<Member>) {
         members.sort_by_key(|member| member.key);
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -120,8 +120,9 @@
 /// What a target names now, if it is limited.
 fn limit(target: &Target, now: Instant) -> Option<TargetLimit> {
     let rate = target.limit()?;
-    let age = now.saturating_duration_since(target.limit_heard());
-    Some(row(target, Some(rate), age, age))
+    let (sent, heard) = target.limit_times();
+    let ago = |at: Instant| now.saturating_duration_since(at);
+    Some(row(target, Some(rate), ago(sent), ago(heard)))
 }
 
 fn row(target: &Target, rate: Option<f64>, sent: Duration, heard: Duration) -> TargetLimit {
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -251,9 +251,10 @@
         self.load().limit.rate()
     }
 
-    /// When it last named its limit.
-    pub fn limit_heard(&self) -> Instant {
-        self.known + self.load().limit.heard()
+    /// When it was last sent a request that it answered with its limit, and when that answer came.
+    pub fn limit_times(&self) -> (Instant, Instant) {
+        let limit = self.load().limit;
+        (self.known + limit.sent(), self.known + limit.heard())
     }
 
     /// Whether its coordinators are to be told of its limit, or, if `is_outdated`, that it has none. They
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -4,7 +4,7 @@
 //! it is in need; up to hundreds of entries send to it, with unequal demand. **Without it** each entry goes
 //! on as before, or keeps to the whole limit by itself, and the target gets several times what it can
 //! bear. **How.** Whoever coordinates the target gives a permit for each request, from one [`Pacer`]. Who
-//! stands by gives [`STANDBY_PART`] of that while the first is silent, and without an answer there is no
+//! stands by gives [`STANDBY_PART`] of that, or [`ALONE_PART`] if it doesn't hear the first either, and without an answer there is no
 //! permit, so that entries that are killed, frozen or cut off never make the sum exceed what is allowed.
 
 use crate::{Hash, Time};
@@ -32,6 +32,8 @@
     rate: Option<Rate>,
     /// When the newest answer came that named this limit.
     heard: Time,
+    /// When the newest request was sent that was answered with it.
+    sent: Time,
 }
 
 impl Limit {
@@ -45,6 +47,11 @@
         self.heard
     }
 
+    /// When the newest request was sent that was answered with it.
+    pub fn sent(&self) -> Time {
+        self.sent
+    }
+
     /// Takes in what an answer names that came at `now` and whose request was sent at `sent`. Returns
     /// whether the limit is another now.
     ///
@@ -60,7 +67,8 @@
             return false;
         }
         let changed = named != self.rate;
-        *self = Self { rate: named, heard: self.heard.max(now) };
+        let sent = if changed { sent } else { self.sent.max(sent) };
+        *self = Self { rate: named, heard: self.heard.max(now), sent };
         changed
     }
 }
@@ -69,6 +77,9 @@
 /// time, by entries that reach different ones of them.
 pub const STANDBY_PART: f64 = 0.3;
 
+/// The same where who stands by doesn't hear the coordinator either: then it is gone, most likely.
+pub const ALONE_PART: f64 = 0.8;
+
 /// Requests that a target gets in a second whatever it names, so that the end of its need is heard of.
 const LEAST_RATE: Rate = 0.5;
 
--- a/crates/policy/tests/pacing.rs
+++ b/crates/policy/tests/pacing.rs
@@ -51,6 +51,18 @@
     assert_eq!(pacer.take(ask(1, URGENT), ms(101)), Ok(()));
 }
 
+/// Of two entries one passes on a limit that the target has lowered since: it came late. What the coordinator
+/// knows of the other's must not be raised by it.
+#[test]
+fn a_limit_that_is_passed_on_counts_by_when_its_request_was_sent() {
+    let mut late = Limit::default();
+    late.hear(Some(20.0), ms(0), ms(100));
+    let mut known = Limit::default();
+    known.hear(Some(5.0), ms(8), ms(12));
+    assert!(!known.hear(late.rate(), late.sent(), late.heard()));
+    assert_eq!(known.rate(), Some(5.0));
+}
+
 /// A target says that it takes nothing. Without any request it could never say that its need is over.
 #[test]
 fn a_limit_of_nothing_lets_one_through_each_two_seconds() {
