--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,7 +1,6 @@
 //! One sending of a request to one target, and what can be said of it afterwards.
 
 use crate::border::{Border, Reply, Sending};
-use crate::permits::Refused;
 use crate::pool::{self, Connection};
 use crate::target::{Health, Target};
 use bytes::Bytes;
@@ -40,7 +39,7 @@
     /// It may have run: there was no answer in time.
     Late,
     /// Nothing was sent: the target named a limit and takes in no more now.
-    Limited(Refused),
+    Limited,
 }
 
 impl Outcome {
@@ -48,7 +47,7 @@
     pub fn may_have_run(&self) -> bool {
         match self {
             Self::Answered(_) | Self::Unknown(_) | Self::Late => true,
-            Self::NotRun(_) | Self::NotSent(_) | Self::Limited(_) => false,
+            Self::NotRun(_) | Self::NotSent(_) | Self::Limited => false,
         }
     }
 }
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -35,13 +35,10 @@
 /// The result of asking for a permit.
 pub type Result<T, E = Refused> = std::result::Result<T, E>;
 
-/// There is no permit now.
+/// There is no permit now; [`Target::closed_for`] tells for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the target takes in no more for {back:?}")]
-pub struct Refused {
-    /// When there may be one.
-    pub back: Duration,
-}
+#[error("the target takes in no more now")]
+pub struct Refused;
 
 /// How long a target gets nothing from an entry that no coordinator answers.
 const UNANSWERED: Duration = Duration::from_millis(200);
@@ -55,8 +52,8 @@
     if target.limit().is_none() {
         return Ok(());
     }
-    if let Some(back) = target.closed_for(now) {
-        return Err(Refused { back });
+    if target.closed_for(now).is_some() {
+        return Err(Refused);
     }
     let shared = &job.shared;
     let (groups, service) = (shared.groups(&target.service), short(policy::hash(&target.service)));
@@ -79,7 +76,7 @@
     let back = after.mul_f64(1.0 + (shared.random() - 0.5) * SPREAD);
     let now = Instant::now();
     target.close_until(now + back, now);
-    Err(Refused { back })
+    Err(Refused)
 }
 
 /// The group of a target.
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -152,10 +152,8 @@
 
     /// Sends the request to a target, with a permit if it needs one.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending, permit: Permit) -> Outcome {
-        if permit == Permit::Wanted
-            && let Err(refused) = permits::take(self, target).await
-        {
-            return Outcome::Limited(refused);
+        if permit == Permit::Wanted && permits::take(self, target).await.is_err() {
+            return Outcome::Limited;
         }
         let sent = Instant::now();
         // Generations have booked the link before.
@@ -277,6 +275,6 @@
         Outcome::NotSent(_) => "not-sent",
         Outcome::Unknown(_) => "unknown",
         Outcome::Late => "late",
-        Outcome::Limited(_) => "limited",
+        Outcome::Limited => "limited",
     }
 }
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -58,13 +58,13 @@
             self.unreachable += 1;
             return true;
         }
-        if let Outcome::Limited(_) = outcome {
+        if let Outcome::Limited = outcome {
             self.limited += 1;
             return true;
         }
         self.sent += 1;
         match outcome {
-            Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Limited(_) => true,
+            Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Limited => true,
             Outcome::Answered(answered) => {
                 self.maybe_run = true;
                 answered.response.status().is_server_error() && job.may_repeat()
