fix(policy): two that give permits for a very low limit stay within what is allowed

What may be saved up now grows with the limit from one, and who stands by gives its part of the least rate as well.

Test: two that both give, after a minute without requests: at most five in four seconds.

--- a/crates/direct/src/coordinator/permits.rs
+++ b/crates/direct/src/coordinator/permits.rs
@@ -98,7 +98,7 @@
     let limited = targets.get_mut(&target)?;
     let rate = limited.limit.rate()?;
     let pacer = limited.pacer.get_or_insert_with(|| Pacer::new(now));
-    pacer.set_rate(rate * part(), now);
+    pacer.set_limit(rate, part(), now);
     Some(pacer)
 }
 
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -83,10 +83,12 @@
 /// Requests that a target gets in a second whatever it names, so that the end of its need is heard of.
 const LEAST_RATE: Rate = 0.5;
 
-/// Permits that may be saved up: so many, and those of this span. Entries ask at random times, and
-/// without any a permit that nobody asks for in its moment would be lost.
-const SAVED: f64 = 2.0;
-const SAVED_SPAN: Duration = Duration::from_millis(125);
+/// Permits of this span may be saved up besides one, and of large limits those of [`SHORT_SPAN`] besides two.
+/// Entries ask at random times, and without any a permit that nobody asks for in its moment would be lost.
+const SAVED_SPAN: Duration = Duration::from_millis(250);
+
+/// See [`SAVED_SPAN`].
+const SHORT_SPAN: Duration = Duration::from_millis(125);
 
 /// The part of what may be saved up that is kept for the most urgent requests.
 const KEPT_FOR_URGENT: f64 = 0.5;
@@ -147,10 +149,10 @@
         }
     }
 
-    /// Gives out so many permits a second from now on.
-    pub fn set_rate(&mut self, rate: Rate, now: Time) {
+    /// Gives out this part of a limit from now on.
+    pub fn set_limit(&mut self, limit: Rate, part: f64, now: Time) {
         self.advance(now);
-        self.rate = rate.max(LEAST_RATE);
+        self.rate = limit.max(LEAST_RATE) * part;
         self.permits = self.permits.min(self.most());
     }
 
@@ -221,7 +223,8 @@
 
     /// Permits that may be saved up.
     fn most(&self) -> f64 {
-        SAVED + self.rate * SAVED_SPAN.as_secs_f64()
+        let of = |span: Duration| self.rate * span.as_secs_f64();
+        (1.0 + of(SAVED_SPAN)).min(2.0 + of(SHORT_SPAN))
     }
 
     fn advance(&mut self, now: Time) {
--- a/crates/policy/tests/pacing.rs
+++ b/crates/policy/tests/pacing.rs
@@ -46,7 +46,7 @@
 #[test]
 fn who_begins_has_no_permits_saved_up() {
     let mut pacer = Pacer::new(ms(0));
-    pacer.set_rate(10.0, ms(0));
+    pacer.set_limit(10.0, 1.0, ms(0));
     assert_eq!(pacer.take(ask(1, URGENT), ms(0)), Err(ms(100)));
     assert_eq!(pacer.take(ask(1, URGENT), ms(101)), Ok(()));
 }
@@ -67,16 +67,34 @@
 #[test]
 fn a_limit_of_nothing_lets_one_through_each_two_seconds() {
     let mut pacer = Pacer::new(ms(0));
-    pacer.set_rate(0.0, ms(0));
+    pacer.set_limit(0.0, 1.0, ms(0));
     let given = (0..=600).filter(|at| pacer.take(ask(1, URGENT), ms(at * 100)).is_ok()).count();
     assert_eq!(given, 30);
 }
 
+/// A target that takes nothing may get five requests in four seconds. Two that both give permits, each with
+/// some saved up, must not exceed that.
+#[test]
+fn two_that_give_permits_for_a_limit_of_nothing_stay_within_what_is_allowed() {
+    let mut pacers = [(Pacer::new(ms(0)), 1.0), (Pacer::new(ms(0)), STANDBY_PART)];
+    for (pacer, part) in &mut pacers {
+        pacer.set_limit(0.0, *part, ms(0));
+        assert_eq!(pacer.look(URGENT, ms(60_000)), Ok(()));
+    }
+    let mut given = 0;
+    for at in 60_000..64_000 {
+        for (pacer, _) in &mut pacers {
+            given += u32::from(pacer.take(ask(1, URGENT), ms(at)).is_ok());
+        }
+    }
+    assert!(given <= 5, "{given}");
+}
+
 /// A figure beyond all demand is no limit, and makes no number overflow.
 #[test]
 fn a_limit_beyond_all_demand_refuses_nobody() {
     let mut pacer = Pacer::new(ms(0));
-    pacer.set_rate(1e9, ms(0));
+    pacer.set_limit(1e9, 1.0, ms(0));
     assert!((1..10_000).all(|at| pacer.take(ask(1, LATER), ms(at)).is_ok()));
 }
 
@@ -86,7 +104,7 @@
 fn urgent_requests_go_first_and_the_others_get_some() {
     let share = |urgent_every: u64| {
         let mut pacer = Pacer::new(ms(0));
-        pacer.set_rate(10.0, ms(0));
+        pacer.set_limit(10.0, 1.0, ms(0));
         let (mut given, mut asked) = ([0_u32; 2], [0_u32; 2]);
         for at in 1..6_000 {
             let is_urgent = at % urgent_every == 0;
@@ -188,7 +206,7 @@
             }
             questions += 1;
             let part = if desk == 0 { 1.0 } else { STANDBY_PART };
-            desks[desk].set_rate(limit * part, ms(at));
+            desks[desk].set_limit(limit, part, ms(at));
             match desks[desk].take(ask(entry as u64, URGENT), ms(at)) {
                 Ok(()) => true,
                 Err(after) => {
