fix(direct): a head that is read too late is passed on before its stream is cut

A caller got its connection closed without a byte and could not tell whether its request had run.

Cause: a process that was held up finds the head and the end of its time at once. The head counts, since an answer goes before a time, and the body is asked for once: its time is up, and the server drops the connection before it has written the head.

Now the server is given one turn to write the head before the body is cut, so the caller sees an answer that is cut. The test holds the whole process up while the head arrives. Before: status 0. After: 200, not whole.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -61,6 +61,8 @@
     events: Option<Events>,
     trace: Trace,
     hint: SizeHint,
+    /// Whether the server had the time to send the head.
+    waited: bool,
 }
 
 enum State {
@@ -92,7 +94,15 @@
         let open = Open::new(source);
         let hint = if events.is_some() { SizeHint::default() } else { open.body.size_hint() };
         let until = Box::pin(tokio::time::sleep_until(until + LAST_WORD));
-        Self { state: State::Open(Box::new(open)), until, resume, events, trace, hint }
+        Self {
+            state: State::Open(Box::new(open)),
+            until,
+            resume,
+            events,
+            trace,
+            hint,
+            waited: false,
+        }
     }
 
     /// Whether nothing more comes.
@@ -143,7 +153,15 @@
             }
         }
         match self.until.as_mut().poll(context) {
-            Poll::Pending => Poll::Pending,
+            Poll::Pending => {
+                self.waited = true;
+                Poll::Pending
+            }
+            // Cut before the server has sent the head, the caller would get nothing at all.
+            Poll::Ready(()) if !std::mem::replace(&mut self.waited, true) => {
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
             Poll::Ready(()) => self.cut("time-up"),
         }
     }
