fix(direct): nobody is told of targets that name no limit

Found by reading the change once more. Each answer of a target without a limit noted when it came, and that was taken for something to tell: every entry sent two datagrams a target four times a second while it had traffic there, and dropped the target's metric each time. Work on the path of each request that says nothing, and that grows with the targets.

Only a limit, its change and its end are told now.

--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -108,7 +108,9 @@
     misdirected: Option<Instant>,
     change: Option<Change>,
     limit: Limit,
-    /// When the coordinators were last told of it, unless it has changed since.
+    /// Whether it has changed since the coordinators were told of it.
+    limit_untold: bool,
+    /// When they last were.
     limit_told: Option<Instant>,
     /// Until when there is no permit to send to it.
     closed: Option<Instant>,
@@ -238,7 +240,7 @@
         let mut load = self.load();
         let changed = load.limit.hear(named, sent, now);
         if changed {
-            (load.limit_told, load.closed) = (None, None);
+            (load.limit_untold, load.closed) = (true, None);
             drop(load);
             log::info!(target: "fleet", target_id = self.id.as_str(), limit:? = named;
                 "limit of a target changed");
@@ -261,12 +263,12 @@
     /// then count as told.
     pub fn is_limit_due(&self, is_outdated: bool, now: Instant) -> bool {
         let mut load = self.load();
-        let matters = is_outdated || load.limit != Limit::default();
-        let told = load.limit_told.is_some_and(|told| now.duration_since(told) < LIMIT_TOLD);
-        if !matters || told {
+        let lately = load.limit_told.is_some_and(|told| now.duration_since(told) < LIMIT_TOLD);
+        let matters = is_outdated || load.limit.rate().is_some();
+        if !load.limit_untold && (!matters || lately) {
             return false;
         }
-        load.limit_told = Some(now);
+        (load.limit_untold, load.limit_told) = (false, Some(now));
         true
     }
 
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -58,6 +58,9 @@
     /// A lower limit counts at once. A higher one, or none, counts only in the answer to a request that
     /// was sent after the limit was last heard of: any other may be older than that.
     pub fn hear(&mut self, named: Option<Rate>, sent: Time, now: Time) -> bool {
+        if (named, self.rate) == (None, None) {
+            return false;
+        }
         let looser = match (named, self.rate) {
             (Some(new), Some(known)) => new > known,
             (None, Some(_)) => true,
