fix(direct): an epoch that a peer is behind with changes nothing, and none is missed while an entry writes

The metric of the epoch showed whatever was heard last: a peer that had read a stream which never held anything tells epoch 0, so the alert on it would have fired back and forth. What a datagram tells of epochs took a lock that all readers share, three times a datagram; now it is compared first. And whoever wrote its heartbeat in the moment in which the log came back was not told, since only those are notified who wait: it would have told up to five seconds later that it lives. Now the epoch is a value that is watched.

--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/bulletin.rs
@@ -86,6 +86,7 @@
     address: SocketAddr,
     stop: CancellationToken,
 ) {
+    let mut epoch = None;
     loop {
         let leaving = stop.is_cancelled();
         let (name, address) = (shared.settings.name.to_string(), address.to_string());
@@ -97,7 +98,7 @@
         tokio::select! {
             () = tokio::time::sleep(HEARTBEAT) => {}
             // What was written lately is lost: who starts now would take itself for alone.
-            () = shared.tail.restored() => {}
+            () = shared.tail.restored(&mut epoch) => {}
             () = stop.cancelled() => {}
         }
     }
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -15,7 +15,7 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
 
 /// A stream that is followed.
@@ -150,8 +150,8 @@
 pub struct Tail {
     inner: Mutex<Inner>,
     news: Notify,
-    /// Told when the log has come back from an older copy.
-    restored: Notify,
+    /// The newest epoch of the log that is known; none before the first.
+    epoch: watch::Sender<Option<Epoch>>,
 }
 
 #[derive(Debug, Default)]
@@ -162,18 +162,25 @@
     told: Vec<Told>,
     /// The configuration in force, as it was written.
     config: Option<Record>,
-    /// The newest epoch of the log that is known.
-    epoch: Option<Known>,
+    /// The newest epoch of the log, if it has come back from an older copy since this entry first read it.
+    restored: Option<Restored>,
     /// This entry's place among all in the order in which they read a log that came back older.
     place: u32,
 }
 
-/// An epoch of the log.
+/// An epoch of the log that began while this entry lived.
 #[derive(Debug, Clone, Copy)]
-struct Known {
+struct Restored {
     epoch: Epoch,
-    /// Since when it is known; none if the log was in it when this entry first read.
-    since: Option<Instant>,
+    /// Since when it is known.
+    since: Instant,
+}
+
+/// An epoch that was not known before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NewEpoch {
+    /// The one that was known; none at first.
+    pub before: Option<Epoch>,
 }
 
 /// Between two entries that read a log that came back older: all of them have to, and together they would
@@ -189,7 +196,7 @@
     /// Whether it is not this entry's turn yet to read a log that came back older, up to `next` of which
     /// it had read before.
     fn waits_restored(&self, next: Offset, now: Instant) -> bool {
-        let Some(Known { epoch, since: Some(since) }) = self.epoch else { return false };
+        let Some(Restored { epoch, since }) = self.restored else { return false };
         epoch::epoch(next) < epoch && now < since + self.delay()
     }
 }
@@ -205,26 +212,36 @@
         inner.place = u32::try_from(before).unwrap_or(u32::MAX);
     }
 
-    /// Takes in an epoch of the log that this entry has read, or that another knows. Returns the one before
-    /// if the log has come back from an older copy since.
-    pub fn hear_epoch(&self, epoch: Epoch, now: Instant) -> Option<Epoch> {
-        let mut inner = self.lock();
-        let known = inner.epoch;
-        if known.is_some_and(|known| known.epoch >= epoch) {
+    /// Takes in an epoch of the log that this entry has read, or that another knows, if it is a new one.
+    pub fn hear_epoch(&self, epoch: Epoch, now: Instant) -> Option<NewEpoch> {
+        // Peers tell of it with each datagram.
+        if self.epoch.borrow().is_some_and(|known| known >= epoch) {
             return None;
         }
-        let before = known.map(|known| known.epoch);
-        inner.epoch = Some(Known { epoch, since: before.map(|_| now) });
-        drop(inner);
-        if before.is_some() {
-            self.restored.notify_waiters();
+        let mut inner = self.lock();
+        let before = *self.epoch.borrow();
+        if before.is_some_and(|known| known >= epoch) {
+            return None;
         }
-        before
+        inner.restored = before.map(|_| Restored { epoch, since: now });
+        self.epoch.send_replace(Some(epoch));
+        Some(NewEpoch { before })
     }
 
-    /// Waits until the log has come back from an older copy, and then for this entry's turn.
-    pub async fn restored(&self) {
-        self.restored.notified().await;
+    /// Waits until the log has come back from an older copy since the epoch `seen`, and then for this entry's
+    /// turn.
+    pub async fn restored(&self, seen: &mut Option<Epoch>) {
+        let mut epochs = self.epoch.subscribe();
+        loop {
+            let Ok(known) = epochs.wait_for(|known| known != seen).await.map(|known| *known) else {
+                // The sender lives as long as this.
+                return std::future::pending().await;
+            };
+            // The first that is known says nothing of one before.
+            if std::mem::replace(seen, known).is_some() {
+                break;
+            }
+        }
         let delay = self.lock().delay();
         tokio::time::sleep(delay).await;
     }
@@ -395,7 +412,8 @@
 
 /// Takes in an epoch of the log, of which `from` says how it is known.
 pub fn hear_epoch(shared: &Shared, epoch: Epoch, from: &'static str) {
-    if let Some(before) = shared.tail.hear_epoch(epoch, Instant::now()) {
+    let Some(new) = shared.tail.hear_epoch(epoch, Instant::now()) else { return };
+    if let Some(before) = new.before {
         log::warn!(target: "store", epoch, before, from; "log came back older");
     }
     shared.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
--- a/crates/direct/tests/tail.rs
+++ b/crates/direct/tests/tail.rs
@@ -169,3 +169,19 @@
     tail.hear(PEER, news, Instant::now());
     assert_eq!(reason(tail.turn(Topic::Config, 5, None).await), Some(Reason::News));
 }
+
+/// The log comes back older while an entry is busy writing to it, and calls are slow just then. Missed, it would
+/// not tell that it lives for seconds, and who starts meanwhile takes itself for alone.
+#[tokio::test(start_paused = true)]
+async fn a_log_that_came_back_meanwhile_is_noticed_afterwards() {
+    let (tail, mut seen) = (Tail::default(), None);
+    tail.hear_epoch(3, Instant::now());
+    let first = tokio::time::timeout(Duration::from_secs(1), tail.restored(&mut seen)).await;
+    assert!(first.is_err(), "the first epoch is none that the log came back to");
+    tail.hear_epoch(4, Instant::now());
+    let next = tokio::time::timeout(Duration::from_secs(1), tail.restored(&mut seen)).await;
+    assert!(next.is_ok());
+    tail.hear_epoch(2, Instant::now());
+    let earlier = tokio::time::timeout(Duration::from_secs(1), tail.restored(&mut seen)).await;
+    assert!(earlier.is_err());
+}
