refactor(direct): who asks coordinators is one message

Which entry asks, and for how urgent a request, stood in three questions with two fields each, and was read in three places. An entry's own key was hashed from its name in five.

--- a/crates/direct/src/bulletin/reader.rs
+++ b/crates/direct/src/bulletin/reader.rs
@@ -318,6 +318,6 @@
         address: Some(heard.address),
         link: heard.link,
     });
-    let (key, link) = (policy::hash(&shared.settings.name), shared.settings.link.rate);
+    let (key, link) = (shared.key(), shared.settings.link.rate);
     others.chain([Member { key, address: None, link }]).collect()
 }
--- a/crates/direct/src/coordinator/permits.rs
+++ b/crates/direct/src/coordinator/permits.rs
@@ -122,8 +122,8 @@
             let groups = shared.groups(&target.service);
             let group = permits::group(&groups, &target);
             let part = || group.map_or(STANDBY_PART, |group| self::part(shared, group));
-            let ask = pacing::Ask { entry: ask.entry, rank: rank(ask.rank) };
-            shared.coordinator.permits.take(target.key, part, ask, now)
+            let asker = ask.asker.unwrap_or_default().ask();
+            shared.coordinator.permits.take(target.key, part, asker, now)
         }
         None => Err(UNLISTED),
     };
@@ -157,8 +157,3 @@
     let targets = shared.usable(&service.name);
     targets.iter().find(|other| short(other.key) == target).cloned()
 }
-
-/// The rank in a question; ranks beyond the least urgent are that.
-pub(super) fn rank(rank: u32) -> pacing::Rank {
-    pacing::Rank::try_from(rank).unwrap_or(pacing::Rank::MAX)
-}
--- a/crates/direct/src/coordinator/reading.rs
+++ b/crates/direct/src/coordinator/reading.rs
@@ -1,6 +1,6 @@
 //! Which engine of a group reads a prompt.
 
-use super::permits::{part, rank};
+use super::permits::part;
 use super::{SILENCE, service};
 use crate::border::Part;
 use crate::datagram::short;
@@ -79,21 +79,20 @@
 
     /// Gives a permit for a request to an engine, if it needs one.
     fn permit(&self, engine: policy::Hash) -> Result<bool, Duration> {
-        let ask = pacing::Ask { entry: self.ask.entry, rank: rank(self.ask.rank) };
-        self.shared.coordinator.permits.take(
-            engine,
-            || part(self.shared, self.group),
-            ask,
-            self.now,
-        )
+        let part = || part(self.shared, self.group);
+        self.shared.coordinator.permits.take(engine, part, self.asker(), self.now)
     }
 
     /// How long until an engine takes in another request, if it named a limit and has none left.
     fn permit_after(&self, engine: &Target) -> Option<Duration> {
-        let (part, rank) = (|| part(self.shared, self.group), rank(self.ask.rank));
+        let (part, rank) = (|| part(self.shared, self.group), self.asker().rank);
         self.shared.coordinator.permits.look(engine.key, part, rank, self.now).err()
     }
 
+    fn asker(&self) -> pacing::Ask {
+        self.ask.asker.unwrap_or_default().ask()
+    }
+
     fn able(&self) -> Able {
         let patience = Duration::from_millis(self.ask.objective_ms.into()) * SILENCE;
         let allowed = |engine: &&Arc<Target>| !self.ask.avoid.contains(&short(engine.key));
--- a/crates/direct/src/coordinator/writing.rs
+++ b/crates/direct/src/coordinator/writing.rs
@@ -1,6 +1,6 @@
 //! Which engine of a group writes an output.
 
-use super::permits::{part, rank};
+use super::permits::part;
 use super::{SILENCE, service};
 use crate::datagram::short;
 use crate::groups::Group;
@@ -8,7 +8,6 @@
 use crate::route::Stage;
 use crate::shared::Shared;
 use crate::target::{Target, Way};
-use policy::pacing;
 use policy::writers::{self, Writer};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,8 +22,8 @@
     let best = best(shared, group, ask, now);
     let best = best.filter(|(writer, _)| writer.has_room(ask.filled)).map(|(_, engine)| engine);
     let permit = best.map(|engine| {
-        let ask = pacing::Ask { entry: ask.entry, rank: rank(ask.rank) };
-        shared.coordinator.permits.take(engine.key, || part(shared, group), ask, now)
+        let asker = ask.asker.unwrap_or_default().ask();
+        shared.coordinator.permits.take(engine.key, || part(shared, group), asker, now)
     });
     let room = match (best, permit) {
         (Some(engine), Some(Ok(permit))) => {
@@ -47,13 +46,12 @@
 ) -> Option<(Writer, &'a Arc<Target>)> {
     let new = shared.coordinator.is_new(group.key, now);
     let objective = Duration::from_millis(ask.objective_ms.into());
+    let rank = ask.asker.unwrap_or_default().ask().rank;
     let able = group.engines.iter().filter(|engine| {
         let allowed = !ask.avoid.contains(&short(engine.key));
         let able = engine.stage() != Some(Stage::Prefill) && !engine.is_changing(now);
         let permits = &shared.coordinator.permits;
-        allowed
-            && able
-            && permits.look(engine.key, || part(shared, group), rank(ask.rank), now).is_ok()
+        allowed && able && permits.look(engine.key, || part(shared, group), rank, now).is_ok()
     });
     let ranked = able.map(|engine| {
         let writer = writer(shared, engine, objective, new, now);
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -178,7 +178,7 @@
 
 /// Tells the other entries of this one's work for as long as the process lives.
 pub async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let entry = policy::hash(&shared.settings.name);
+    let entry = shared.key();
     let run = u64::from(std::process::id()) ^ policy::hash(&format!("{:?}", Instant::now()));
     let mut sequence = 0;
     loop {
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -58,9 +58,8 @@
     let shared = &job.shared;
     let (groups, service) = (shared.groups(&target.service), short(policy::hash(&target.service)));
     let make = |booking| {
-        let entry = policy::hash(&shared.settings.name);
-        let (target, rank, limit) = (short(target.key), job.rank().into(), limit(target, now));
-        Word::Permit(AskPermit { booking, service, target, entry, rank, limit })
+        let (target, limit) = (short(target.key), limit(target, now));
+        Word::Permit(AskPermit { booking, service, target, asker: Some(job.asker()), limit })
     };
     let room = match group(&groups, target) {
         Some(group) => inquiry::ask(job, group, job.route.objective, make).await,
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -97,7 +97,6 @@
         avoid: avoid.map(|engine| short(engine.key)).collect(),
         lapse_ms: ms(lapse),
         filled,
-        rank: job.rank().into(),
-        entry: policy::hash(&job.shared.settings.name),
+        asker: Some(job.asker()),
     }
 }
--- a/crates/direct/src/question.rs
+++ b/crates/direct/src/question.rs
@@ -7,6 +7,7 @@
 
 use crate::border::Part;
 use policy::bookings::BookingId;
+use policy::pacing;
 use prost::Message;
 
 /// One datagram.
@@ -124,12 +125,9 @@
     /// An engine of another group that keeps some of its start.
     #[prost(message, optional, tag = "11")]
     pub holder: Option<Holder>,
-    /// How urgent it is: 0 goes first.
-    #[prost(uint32, tag = "12")]
-    pub rank: u32,
-    /// The hash of the name of the entry that asks.
-    #[prost(fixed64, tag = "13")]
-    pub entry: u64,
+    /// Who asks.
+    #[prost(message, optional, tag = "12")]
+    pub asker: Option<Asker>,
 }
 
 /// A question for an engine of one group that writes an output.
@@ -156,12 +154,9 @@
     /// The share of an engine's places up to which it may be filled, in hundredths.
     #[prost(uint32, tag = "7")]
     pub filled: u32,
-    /// How urgent it is: 0 goes first.
-    #[prost(uint32, tag = "8")]
-    pub rank: u32,
-    /// The hash of the name of the entry that asks.
-    #[prost(fixed64, tag = "9")]
-    pub entry: u64,
+    /// Who asks.
+    #[prost(message, optional, tag = "8")]
+    pub asker: Option<Asker>,
 }
 
 /// A question for a permit to send one request to a target.
@@ -176,15 +171,31 @@
     /// The target.
     #[prost(fixed32, tag = "3")]
     pub target: u32,
-    /// The hash of the name of the entry that asks.
-    #[prost(fixed64, tag = "4")]
+    /// Who asks.
+    #[prost(message, optional, tag = "4")]
+    pub asker: Option<Asker>,
+    /// The limit as the entry knows it.
+    #[prost(message, optional, tag = "5")]
+    pub limit: Option<TargetLimit>,
+}
+
+/// Which entry asks, and for how urgent a request.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Asker {
+    /// The hash of the entry's name.
+    #[prost(fixed64, tag = "1")]
     pub entry: u64,
     /// How urgent the request is: 0 goes first.
-    #[prost(uint32, tag = "5")]
+    #[prost(uint32, tag = "2")]
     pub rank: u32,
-    /// The limit as the entry knows it.
-    #[prost(message, optional, tag = "6")]
-    pub limit: Option<TargetLimit>,
+}
+
+impl Asker {
+    /// Who asks for a permit; ranks beyond the least urgent are that.
+    pub fn ask(&self) -> pacing::Ask {
+        let rank = pacing::Rank::try_from(self.rank).unwrap_or(pacing::Rank::MAX);
+        pacing::Ask { entry: self.entry, rank }
+    }
 }
 
 /// A limit that a target named, or that it names none any more.
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -146,8 +146,7 @@
             avoid: tried.map(|engine| short(engine.key)).collect(),
             writers,
             holder: self.holder,
-            rank: self.job.rank().into(),
-            entry: policy::hash(&self.job.shared.settings.name),
+            asker: Some(self.job.asker()),
         }
     }
 
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::customers::Caller;
 use crate::engine::Writing;
 use crate::permits::Permit;
+use crate::question::Asker;
 use crate::relay::{Booking, Relay, Resume, Source};
 use crate::route::{Repeat, Route, Service, Table};
 use crate::shared::Shared;
@@ -150,6 +151,11 @@
         own.unwrap_or(self.route.rank)
     }
 
+    /// Who asks coordinators for it.
+    pub fn asker(&self) -> Asker {
+        Asker { entry: self.shared.key(), rank: self.rank().into() }
+    }
+
     /// Sends the request to a target, with a permit if it needs one.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending, permit: Permit) -> Outcome {
         if permit == Permit::Wanted && permits::take(self, target).await.is_err() {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -16,7 +16,7 @@
 use crate::usage::Usage;
 use crate::workload::Workload;
 use compact_str::CompactString;
-use policy::{balance, dial, link, patience, prompts, split, window};
+use policy::{Hash, balance, dial, link, patience, prompts, split, window};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -169,6 +169,11 @@
         }
     }
 
+    /// This entry's identity in decisions: the hash of its name.
+    pub fn key(&self) -> Hash {
+        policy::hash(&self.settings.name)
+    }
+
     /// The list of targets.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
