fix(direct): a limit that can't be read is told once

Found by reading the change once more: a target whose limit nobody can read had a line written for each of its answers. It is told once, until it can be read again, and the former limit stays in force as before. Test: the second of two such answers is nothing new (before: hear_limit could not tell, and told each). Also the test that a target without a limit has nothing to tell, in a module that needs no network.

--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -108,6 +108,8 @@
     misdirected: Option<Instant>,
     change: Option<Change>,
     limit: Limit,
+    /// Whether what it last named could not be read.
+    limit_unreadable: bool,
     /// Whether it has changed since the coordinators were told of it.
     limit_untold: bool,
     /// When they last were.
@@ -225,19 +227,24 @@
         self.load().busy = Some((busy, now));
     }
 
-    /// Takes in what an answer says of how much it takes in, and says whether that changed; the request
-    /// was sent at `sent`.
+    /// Takes in what an answer says of how much it takes in, and says whether that is new; the request was
+    /// sent at `sent`. What can't be read leaves the former limit in force, and is told once.
     pub fn hear_limit(&self, named: Named, sent: Instant, now: Instant) -> bool {
+        let mut load = self.load();
+        let was_unreadable =
+            std::mem::replace(&mut load.limit_unreadable, named == Named::Unreadable);
         let named = match named {
             Named::Nothing => None,
             Named::Limit(rate) => Some(rate),
             Named::Unreadable => {
-                log::warn!(target: "fleet", target_id = self.id.as_str(); "limit not readable");
-                return false;
+                drop(load);
+                if !was_unreadable {
+                    log::warn!(target: "fleet", target_id = self.id.as_str(); "limit not readable");
+                }
+                return !was_unreadable;
             }
         };
         let (sent, now) = (self.time(sent), self.time(now));
-        let mut load = self.load();
         let changed = load.limit.hear(named, sent, now);
         if changed {
             (load.limit_untold, load.closed) = (true, None);
--- /dev/null
+++ b/crates/direct/tests/target.rs
@@ -0,0 +1,39 @@
+//! One target as an entry knows it.
+
+use direct::target::{Identity, Target};
+use policy::pacing::Named;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+fn target() -> Target {
+    let identity = Identity { id: "i-1".into(), born: None };
+    let address = "127.0.0.1:1".parse().expect("a valid address");
+    Target::new(identity, "s".into(), address, "a".into(), 4, Arc::default())
+}
+
+/// A target names a limit that nobody can read, in each of its answers. A line for each would fill the log, and
+/// taken for none it would get all there is.
+#[tokio::test]
+async fn a_limit_that_cannot_be_read_is_told_once_and_changes_nothing() {
+    let (target, now) = (target(), Instant::now());
+    assert!(target.hear_limit(Named::Limit(5.0), now, now));
+    assert!(target.hear_limit(Named::Unreadable, now, now));
+    assert!(!target.hear_limit(Named::Unreadable, now, now));
+    assert_eq!(target.limit(), Some(5.0));
+    assert!(!target.hear_limit(Named::Limit(5.0), now, now));
+    assert!(target.hear_limit(Named::Unreadable, now, now));
+}
+
+/// Nothing is known of a target that names no limit, and there is nothing to tell its coordinators.
+#[tokio::test]
+async fn a_target_without_a_limit_has_nothing_to_tell() {
+    let (target, now) = (target(), Instant::now());
+    assert!(!target.hear_limit(Named::Nothing, now, now));
+    assert!(!target.is_limit_due(false, now));
+    target.hear_limit(Named::Limit(5.0), now, now);
+    assert!(target.is_limit_due(false, now));
+    assert!(!target.is_limit_due(false, now));
+    // Its end is told at once, though it was told of just now.
+    target.hear_limit(Named::Nothing, now, now);
+    assert!(target.is_limit_due(false, now));
+}
