fix(direct): whatever cuts an answer, its head and what came are passed on first

Cause, the same for all: the server writes the head and the pieces it has taken only when it is told that there is nothing more for now. An error that follows without such a pause drops them. Now every cut waits for the next turn, so the special case is gone.

--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -61,13 +61,13 @@
     events: Option<Events>,
     trace: Trace,
     hint: SizeHint,
-    /// Whether the server had the time to send the head.
-    waited: bool,
 }
 
 enum State {
     Open(Box<Open>),
     Resuming(Pin<Box<dyn Future<Output = Option<Source>> + Send>>),
+    /// It is to be cut, for this reason.
+    Cutting(&'static str),
     Done,
 }
 
@@ -94,15 +94,7 @@
         let open = Open::new(source);
         let hint = if events.is_some() { SizeHint::default() } else { open.body.size_hint() };
         let until = Box::pin(tokio::time::sleep_until(until + LAST_WORD));
-        Self {
-            state: State::Open(Box::new(open)),
-            until,
-            resume,
-            events,
-            trace,
-            hint,
-            waited: false,
-        }
+        Self { state: State::Open(Box::new(open)), until, resume, events, trace, hint }
     }
 
     /// Whether nothing more comes.
@@ -120,6 +112,11 @@
         loop {
             let step = match &mut self.state {
                 State::Done => return Poll::Ready(None),
+                State::Cutting(why) => {
+                    let error = Error((*why).into());
+                    self.state = State::Done;
+                    return Poll::Ready(Some(Err(error)));
+                }
                 State::Open(open) => match Pin::new(&mut open.body).poll_frame(context) {
                     Poll::Pending => break,
                     Poll::Ready(step) => step,
@@ -130,7 +127,7 @@
                         self.state = State::Open(Box::new(Open::new(source)));
                         continue;
                     }
-                    Poll::Ready(None) => return self.cut("not-resumed"),
+                    Poll::Ready(None) => return self.cut("not-resumed", context),
                 },
             };
             match step {
@@ -147,22 +144,14 @@
                 None => return self.complete(),
                 Some(Err(error)) => {
                     if !self.break_off(&error.to_compact_string()) {
-                        return self.cut("broken-off");
+                        return self.cut("broken-off", context);
                     }
                 }
             }
         }
         match self.until.as_mut().poll(context) {
-            Poll::Pending => {
-                self.waited = true;
-                Poll::Pending
-            }
-            // Cut before the server has sent the head, the caller would get nothing at all.
-            Poll::Ready(()) if !std::mem::replace(&mut self.waited, true) => {
-                context.waker().wake_by_ref();
-                Poll::Pending
-            }
-            Poll::Ready(()) => self.cut("time-up"),
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(()) => self.cut("time-up", context),
         }
     }
 
@@ -183,7 +172,7 @@
     fn has_ended(&self) -> bool {
         match &self.state {
             State::Open(open) => self.events.is_none() && open.body.is_end_stream(),
-            State::Resuming(_) | State::Done => false,
+            State::Resuming(_) | State::Cutting(_) | State::Done => false,
         }
     }
 
@@ -214,10 +203,17 @@
         true
     }
 
-    fn cut(&mut self, why: &'static str) -> Poll<Option<Result<Frame<Bytes>>>> {
-        self.state = State::Done;
+    /// Ends the answer early, in the next turn: until the server has nothing more to take, it does not send the
+    /// head and the pieces that it has taken, and the caller would get nothing at all.
+    fn cut(
+        &mut self,
+        why: &'static str,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>>>> {
+        self.state = State::Cutting(why);
         self.trace.end(why);
-        Poll::Ready(Some(Err(Error(why.into()))))
+        context.waker().wake_by_ref();
+        Poll::Pending
     }
 }
 
