feat(direct): what targets say of themselves is decoded in one place, and told in the log

Server-Leaving and Retry-After were decoded nowhere, and answers to orders, reports and lists not at all.

policy::signals holds the signals of one answer and what is known of a target by them; Server-Limit moves there. Both ways to a target feed it: requests of callers (attempt::send) and internal calls (attempt::exchange). Lines in the log when a target first says that it leaves or asks for a pause, two gauges. Nothing decides by them yet.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -118,16 +118,18 @@
 
 /// Sends an internal call and reads its whole answer; only for calls that any target may get twice.
 pub async fn call(
+    border: &dyn Border,
     target: &Arc<Target>,
     method: Method,
     path: &str,
     body: Vec<u8>,
     patience: Duration,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
-    exchange(target, method, path, HeaderMap::new(), body, patience).await
+    exchange(border, target, method, path, HeaderMap::new(), body, patience).await
 }
 
 async fn exchange(
+    border: &dyn Border,
     target: &Arc<Target>,
     method: Method,
     path: &str,
@@ -148,8 +150,13 @@
         let host = HeaderValue::from_str(&target.address.to_string());
         let host = host.map_err(|error| error.to_compact_string())?;
         request.headers_mut().insert(http::header::HOST, host);
+        let sent = Instant::now();
         let response = connection.sender.send_request(request).await;
         let (head, body) = response.map_err(|error| error.to_compact_string())?.into_parts();
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            let reply = border.reply(head.status, &head.headers);
+            target.hear_signals(&reply.signals, sent, Instant::now());
+        }
         let body = body.collect().await.map_err(|error| error.to_compact_string())?;
         connection.keep(None, Instant::now());
         Ok((head.status, head.headers, body.to_bytes()))
@@ -169,7 +176,7 @@
     let sending = Sending { target: engine.id.clone(), deadline: patience, ..Sending::default() };
     let mut headers = border.sending(&HeaderMap::new(), &sending);
     headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let answer = exchange(engine, Method::POST, path, headers, body, patience).await?;
+    let answer = exchange(border, engine, Method::POST, path, headers, body, patience).await?;
     Ok(answer.0)
 }
 
@@ -190,11 +197,12 @@
     connection: Connection,
 ) -> Outcome {
     let now = Instant::now();
-    let reply = border.reply(response.headers());
+    let status = response.status();
+    let reply = border.reply(status, response.headers());
     if let Some(busy) = reply.busy {
         target.hear(busy, now);
     }
-    let refused = reply.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    let refused = reply.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     let other = reply.attempt.is_some() && reply.attempt != sending.attempt;
     if other {
         // A doubled or late answer stood where this one was due. The connection is dropped, and
@@ -202,10 +210,9 @@
         target.judge(Health::Failing, now);
         return Outcome::Unknown("the answer belongs to another request".into());
     }
-    let status = response.status();
     // One that says so is another target.
     if status != StatusCode::MISDIRECTED_REQUEST {
-        target.hear_limit(reply.limit, sent, now);
+        target.hear_signals(&reply.signals, sent, now);
     }
     if refused {
         if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -7,8 +7,8 @@
 use crate::fleet::Born;
 use crate::route::Stage;
 use compact_str::CompactString;
-use http::HeaderMap;
-use policy::pacing::Named;
+use http::{HeaderMap, StatusCode};
+use policy::signals::Signals;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -121,8 +121,8 @@
     pub busy: Option<Busy>,
     /// For how long it keeps an idle connection.
     pub keep_alive: Option<Duration>,
-    /// What it takes in from all entries together.
-    pub limit: Named,
+    /// What it says of itself.
+    pub signals: Signals,
 }
 
 /// The result of reading a target's answer to an internal call.
@@ -173,7 +173,7 @@
     fn sending(&self, headers: &HeaderMap, sending: &Sending) -> HeaderMap;
 
     /// Reads the head of a target's answer.
-    fn reply(&self, headers: &HeaderMap) -> Reply;
+    fn reply(&self, status: StatusCode, headers: &HeaderMap) -> Reply;
 
     /// Removes from a target's answer what concerns only its connection.
     fn answer(&self, headers: &mut HeaderMap);
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -182,7 +182,11 @@
     Arc::new(move |_| {
         let dropped = crate::journal::dropped();
         shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
-        for seen in shared.tail.seen(Instant::now()) {
+        let now = Instant::now();
+        let standings = shared.workload.standings.counts(now);
+        shared.metrics.leaving.set(standings.leaving);
+        shared.metrics.paused.set(standings.paused);
+        for seen in shared.tail.seen(now) {
             shared.metrics.age(seen.topic.name(), seen.age);
         }
         (StatusCode::OK, shared.metrics.text())
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -45,9 +45,11 @@
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
         let engine = self.engine.clone();
-        let path = self.job.shared.border.free_path(&handle.id);
+        let border = self.job.shared.border.clone();
+        let path = border.free_path(&handle.id);
         tokio::spawn(async move {
-            let freed = attempt::call(&engine, Method::DELETE, &path, Vec::new(), FREE).await;
+            let freed =
+                attempt::call(&*border, &engine, Method::DELETE, &path, Vec::new(), FREE).await;
             if let Err(detail) = freed {
                 log::info!(target: "request", target_id = engine.id.as_str(),
                     detail = detail.as_str(); "cache not freed");
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod serve;
 pub mod shared;
 pub mod stages;
+pub mod standings;
 pub mod story;
 pub mod suspects;
 pub mod tail;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -97,6 +97,10 @@
     pub epoch: Gauge,
     /// Targets known.
     pub targets: Gauge,
+    /// Targets that lately said that they leave.
+    pub leaving: Gauge,
+    /// Targets that want no requests from this entry now.
+    pub paused: Gauge,
     /// Entries that share the work, this one included.
     pub entries: Gauge,
     /// Lines of the log that were dropped.
@@ -135,6 +139,8 @@
             version: Gauge::default(),
             epoch: Gauge::default(),
             targets: Gauge::default(),
+            leaving: Gauge::default(),
+            paused: Gauge::default(),
             entries: Gauge::default(),
             dropped_lines: Gauge::default(),
         };
@@ -178,6 +184,10 @@
         to.register("read_age_seconds", "Time since streams were last read", self.ages.clone());
         to.register("log_epoch", "Times that the log came back older", self.epoch.clone());
         to.register("targets", "Targets known", self.targets.clone());
+        let leaving = "Targets that lately said that they leave";
+        to.register("targets_leaving", leaving, self.leaving.clone());
+        let paused = "Targets that want no requests from this entry now";
+        to.register("targets_paused", paused, self.paused.clone());
         to.register("entries", "Entries that share the work", self.entries.clone());
     }
 
--- a/crates/direct/src/recall.rs
+++ b/crates/direct/src/recall.rs
@@ -55,7 +55,8 @@
 
 async fn ask(shared: &Shared, engine: &Arc<Target>) {
     let border = &*shared.border;
-    let answer = attempt::call(engine, Method::GET, border.kept_path(), Vec::new(), PATIENCE).await;
+    let answer =
+        attempt::call(border, engine, Method::GET, border.kept_path(), Vec::new(), PATIENCE).await;
     let kept = answer.and_then(|(_, _, body)| {
         border.kept(&body).map_err(|error| compact_str::format_compact!("{error}"))
     });
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/stages/orders.rs
@@ -127,7 +127,8 @@
     async fn report(&self, engine: &Arc<Target>) -> Result<Report, CompactString> {
         let border = &*self.shared.border;
         let path = border.report_path();
-        let (_, _, body) = attempt::call(engine, Method::GET, path, Vec::new(), PATIENCE).await?;
+        let (_, _, body) =
+            attempt::call(border, engine, Method::GET, path, Vec::new(), PATIENCE).await?;
         border.report(&body).map_err(|error| compact_str::format_compact!("{error}"))
     }
 }
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -8,8 +8,9 @@
 use crate::workload::Workload;
 use compact_str::CompactString;
 use policy::handover::Handover;
-use policy::pacing::{Limit, Named, Rate};
+use policy::pacing::Rate;
 use policy::reach::Reach;
+use policy::signals::{Change as Said, Signals, Standing};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -40,6 +41,7 @@
     /// What this process knows of the prompts and streams there.
     pub engine: Engine,
     load: Mutex<Load>,
+    workload: Arc<Workload>,
     /// Whether a task tries to reach it.
     probed: AtomicBool,
     /// When this process first knew it; times in decisions count from then.
@@ -107,10 +109,9 @@
     /// Until when it counts as not being there, because what stands at its address said so.
     misdirected: Option<Instant>,
     change: Option<Change>,
-    limit: Limit,
-    /// Whether what it last named could not be read.
-    limit_unreadable: bool,
-    /// Whether it has changed since the coordinators were told of it.
+    /// What its answers say of it.
+    standing: Standing,
+    /// Whether its limit has changed since the coordinators were told of it.
     limit_untold: bool,
     /// When they last were.
     limit_told: Option<Instant>,
@@ -152,7 +153,7 @@
         let key = born.map_or(policy::hash(&id), |born| policy::mix(policy::hash(&id), born));
         let domain_key = policy::hash(&domain);
         let (load, known) = (Mutex::default(), Instant::now());
-        let (pool, engine) = (Pool::new(address), Engine::new(key, workload));
+        let (pool, engine) = (Pool::new(address), Engine::new(key, workload.clone()));
         Self {
             id,
             key,
@@ -165,6 +166,7 @@
             pool,
             engine,
             load,
+            workload,
             probed: AtomicBool::new(false),
             known,
         }
@@ -227,42 +229,47 @@
         self.load().busy = Some((busy, now));
     }
 
-    /// Takes in what an answer says of how much it takes in, and says whether that is new; the request was
-    /// sent at `sent`. What can't be read leaves the former limit in force, and is told once.
-    pub fn hear_limit(&self, named: Named, sent: Instant, now: Instant) -> bool {
+    /// Takes in what an answer says of the target, and returns what changed; the request was sent at `sent`.
+    pub fn hear_signals(&self, signals: &Signals, sent: Instant, now: Instant) -> Vec<Said> {
         let mut load = self.load();
-        let was_unreadable =
-            std::mem::replace(&mut load.limit_unreadable, named == Named::Unreadable);
-        let named = match named {
-            Named::Nothing => None,
-            Named::Limit(rate) => Some(rate),
-            Named::Unreadable => {
-                drop(load);
-                if !was_unreadable {
-                    log::warn!(target: "fleet", target_id = self.id.as_str(); "limit not readable");
-                }
-                return !was_unreadable;
-            }
-        };
-        let (sent, now) = (self.time(sent), self.time(now));
-        let changed = load.limit.hear(named, sent, now);
-        if changed {
+        let changes = load.standing.hear(signals, self.time(sent), self.time(now));
+        if changes.iter().any(|change| matches!(change, Said::Limit(_))) {
             (load.limit_untold, load.closed) = (true, None);
-            drop(load);
-            log::info!(target: "fleet", target_id = self.id.as_str(), limit:? = named;
-                "limit of a target changed");
         }
-        changed
+        drop(load);
+        for change in &changes {
+            self.log_change(*change);
+        }
+        self.workload.standings.note(self.key, &changes, now);
+        changes
+    }
+
+    fn log_change(&self, change: Said) {
+        let id = self.id.as_str();
+        match change {
+            Said::Limit(limit) => {
+                log::info!(target: "fleet", target_id = id, limit:?; "limit of a target changed");
+            }
+            Said::Leaves => {
+                log::info!(target: "fleet", target_id = id; "target says that it leaves");
+            }
+            Said::Pauses(pause) => {
+                log::info!(target: "fleet", target_id = id, ms = pause.as_millis(); "target wants a pause");
+            }
+            Said::Unreadable(signal) => {
+                log::warn!(target: "fleet", target_id = id, signal; "signal not readable");
+            }
+        }
     }
 
     /// The limit that it named, in requests a second from all entries together.
     pub fn limit(&self) -> Option<Rate> {
-        self.load().limit.rate()
+        self.load().standing.limit().rate()
     }
 
     /// When it was last sent a request that it answered with its limit, and when that answer came.
     pub fn limit_times(&self) -> (Instant, Instant) {
-        let limit = self.load().limit;
+        let limit = self.load().standing.limit();
         (self.known + limit.sent(), self.known + limit.heard())
     }
 
@@ -271,7 +278,7 @@
     pub fn is_limit_due(&self, is_outdated: bool, now: Instant) -> bool {
         let mut load = self.load();
         let lately = load.limit_told.is_some_and(|told| now.duration_since(told) < LIMIT_TOLD);
-        let matters = is_outdated || load.limit.rate().is_some();
+        let matters = is_outdated || load.standing.limit().rate().is_some();
         if !load.limit_untold && (!matters || lately) {
             return false;
         }
@@ -290,7 +297,7 @@
     pub fn is_spent(&self, now: Instant) -> bool {
         let load = self.load();
         let lately = load.refused.is_some_and(|at| now.duration_since(at) < SPENT);
-        lately && load.limit.rate().is_some()
+        lately && load.standing.limit().rate().is_some()
     }
 
     /// How long until there may be a permit to send to it, if there is none now.
--- a/crates/direct/src/workload.rs
+++ b/crates/direct/src/workload.rs
@@ -4,6 +4,7 @@
 //! of this entry, not with the engines that there are.
 
 use crate::engine::Booked;
+use crate::standings::Standings;
 use policy::Hash;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,6 +15,8 @@
 pub struct Workload {
     changed: Notify,
     busy: Mutex<HashMap<Hash, Arc<dyn Booked>>>,
+    /// Targets that leave or pause, by their own answers.
+    pub standings: Standings,
 }
 
 /// The work at one engine.
--- a/crates/direct/tests/target.rs
+++ b/crates/direct/tests/target.rs
@@ -1,7 +1,7 @@
 //! One target as an entry knows it.
 
 use direct::target::{Identity, Target};
-use policy::pacing::Named;
+use policy::signals::{Said, Signals};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -11,29 +11,35 @@
     Target::new(identity, "s".into(), address, "a".into(), 4, Arc::default())
 }
 
+/// Whether something changed.
+fn hear(target: &Target, limit: Said<f64>, now: Instant) -> bool {
+    let signals = Signals { limit, ..Signals::default() };
+    !target.hear_signals(&signals, now, now).is_empty()
+}
+
 /// A target names a limit that nobody can read, in each of its answers. A line for each would fill the log, and
 /// taken for none it would get all there is.
 #[tokio::test]
 async fn a_limit_that_cannot_be_read_is_told_once_and_changes_nothing() {
     let (target, now) = (target(), Instant::now());
-    assert!(target.hear_limit(Named::Limit(5.0), now, now));
-    assert!(target.hear_limit(Named::Unreadable, now, now));
-    assert!(!target.hear_limit(Named::Unreadable, now, now));
+    assert!(hear(&target, Said::Value(5.0), now));
+    assert!(hear(&target, Said::Unreadable, now));
+    assert!(!hear(&target, Said::Unreadable, now));
     assert_eq!(target.limit(), Some(5.0));
-    assert!(!target.hear_limit(Named::Limit(5.0), now, now));
-    assert!(target.hear_limit(Named::Unreadable, now, now));
+    assert!(!hear(&target, Said::Value(5.0), now));
+    assert!(hear(&target, Said::Unreadable, now));
 }
 
 /// Nothing is known of a target that names no limit, and there is nothing to tell its coordinators.
 #[tokio::test]
 async fn a_target_without_a_limit_has_nothing_to_tell() {
     let (target, now) = (target(), Instant::now());
-    assert!(!target.hear_limit(Named::Nothing, now, now));
+    assert!(!hear(&target, Said::Nothing, now));
     assert!(!target.is_limit_due(false, now));
-    target.hear_limit(Named::Limit(5.0), now, now);
+    hear(&target, Said::Value(5.0), now);
     assert!(target.is_limit_due(false, now));
     assert!(!target.is_limit_due(false, now));
     // Its end is told at once, though it was told of just now.
-    target.hear_limit(Named::Nothing, now, now);
+    hear(&target, Said::Nothing, now);
     assert!(target.is_limit_due(false, now));
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod retry;
 pub mod roles;
 pub mod route;
+pub mod signals;
 pub mod split;
 pub mod subset;
 pub mod tenure;
--- a/crates/policy/src/pacing.rs
+++ b/crates/policy/src/pacing.rs
@@ -14,18 +14,6 @@
 /// Requests a second.
 pub type Rate = f64;
 
-/// What a target says that it takes in from all entries together.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub enum Named {
-    /// It names no limit.
-    #[default]
-    Nothing,
-    /// So many requests a second.
-    Limit(Rate),
-    /// A limit that can't be read.
-    Unreadable,
-}
-
 /// The limit that a target named last, in spite of answers that overtake one another.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Limit {
--- /dev/null
+++ b/crates/policy/src/signals.rs
@@ -0,0 +1,125 @@
+//! What a target says of itself in the heads of its answers, and what follows for who sends to it.
+//!
+//! A new signal is a field of [`Signals`], kept by [`Standing`] and asked for in [`Standing::look`].
+
+use crate::Time;
+use crate::pacing::{Limit, Rate};
+use std::time::Duration;
+
+/// One signal, as the head of an answer has it.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum Said<T> {
+    /// The answer says nothing of it.
+    #[default]
+    Nothing,
+    /// Its value.
+    Value(T),
+    /// A value that can't be read.
+    Unreadable,
+}
+
+/// All signals in the head of one answer.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Signals {
+    /// How many requests a second the target takes in from all entries together.
+    pub limit: Said<Rate>,
+    /// Whether it leaves.
+    pub leaving: Said<bool>,
+    /// For how long it wants no requests from this entry.
+    pub pause: Said<Duration>,
+}
+
+/// The name of a signal in logs.
+pub type Name = &'static str;
+
+/// What changed with an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Change {
+    /// The target takes in so many requests a second, or any number again.
+    Limit(Option<Rate>),
+    /// It leaves.
+    Leaves,
+    /// It wants no requests for so long.
+    Pauses(Duration),
+    /// A signal can't be read; what was known stays in force.
+    Unreadable(Name),
+}
+
+/// What is known of one life of a target by its own answers.
+#[derive(Debug, Clone, Default)]
+pub struct Standing {
+    limit: Limit,
+    leaving: bool,
+    pause: Option<Time>,
+    unreadable: Vec<Name>,
+}
+
+impl Standing {
+    /// Takes in what an answer that came at `now` says; its request was sent at `sent`.
+    pub fn hear(&mut self, signals: &Signals, sent: Time, now: Time) -> Vec<Change> {
+        let Signals { limit, leaving, pause } = *signals;
+        let mut changes = Vec::new();
+        changes.extend(self.hear_limit(limit, sent, now));
+        changes.extend(self.hear_leaving(leaving));
+        changes.extend(self.hear_pause(pause, now));
+        changes
+    }
+
+    /// The limit on what it takes in.
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    /// Whether it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    fn hear_limit(&mut self, said: Said<Rate>, sent: Time, now: Time) -> Option<Change> {
+        let named = match said {
+            Said::Nothing => None,
+            Said::Value(rate) => Some(rate),
+            Said::Unreadable => return self.is_first_unreadable("limit"),
+        };
+        self.is_readable("limit");
+        self.limit.hear(named, sent, now).then_some(Change::Limit(named))
+    }
+
+    fn hear_leaving(&mut self, said: Said<bool>) -> Option<Change> {
+        match said {
+            Said::Value(true) => {
+                let first = !std::mem::replace(&mut self.leaving, true);
+                first.then_some(Change::Leaves)
+            }
+            // A life that leaves doesn't stay.
+            Said::Value(false) | Said::Nothing => None,
+            Said::Unreadable => self.is_first_unreadable("leaving"),
+        }
+    }
+
+    fn hear_pause(&mut self, said: Said<Duration>, now: Time) -> Option<Change> {
+        match said {
+            Said::Value(pause) => {
+                let until = now.saturating_add(pause);
+                let longer = self.pause.is_none_or(|known| known < until);
+                self.pause = Some(self.pause.map_or(until, |known| known.max(until)));
+                longer.then_some(Change::Pauses(pause))
+            }
+            Said::Nothing => None,
+            Said::Unreadable => self.is_first_unreadable("pause"),
+        }
+    }
+
+    /// Notes that a signal can't be read, once until it can.
+    fn is_first_unreadable(&mut self, name: Name) -> Option<Change> {
+        if self.unreadable.contains(&name) {
+            return None;
+        }
+        self.unreadable.push(name);
+        Some(Change::Unreadable(name))
+    }
+
+    fn is_readable(&mut self, name: Name) {
+        self.unreadable.retain(|other| *other != name);
+    }
+}
