fix(direct): a target that says in an answer that it leaves gets nothing new

What callers saw: requests went on to a target that had said it leaves, until the store's list said so too, 12 s later where the store was away; where a target ends sooner, they are cut. Class: a target says something that nobody reads.

A target is closed from the first such answer, in force at both ways to it right before a request is written, after waits for a permit, a place or a connection. The fleet drops it from all choices at once. What a life said outlasts its record: a record of ready, one that vanished and came back, and a store that came back older don't bring it back; a new life under the same id serves at once. Questions to coordinators name it among engines to avoid, since they may still list it.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -4,10 +4,11 @@
 use crate::pool::{self, Connection};
 use crate::target::{Health, Target};
 use bytes::Bytes;
-use compact_str::{CompactString, ToCompactString};
+use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use policy::signals::Closed;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -38,8 +39,8 @@
     Unknown(CompactString),
     /// It may have run: there was no answer in time.
     Late,
-    /// Nothing was sent: the target named a limit and takes in no more now.
-    Limited,
+    /// Nothing was sent: by its own word the target wants no request now.
+    Closed(Closed),
 }
 
 impl Outcome {
@@ -47,7 +48,7 @@
     pub fn may_have_run(&self) -> bool {
         match self {
             Self::Answered(_) | Self::Unknown(_) | Self::Late => true,
-            Self::NotRun(_) | Self::NotSent(_) | Self::Limited => false,
+            Self::NotRun(_) | Self::NotSent(_) | Self::Closed(_) => false,
         }
     }
 }
@@ -94,6 +95,10 @@
                 return Outcome::NotSent(error.to_compact_string());
             }
         };
+        if let Err(closed) = target.look() {
+            connection.keep(None, Instant::now());
+            return Outcome::Closed(closed);
+        }
         let request = request(border, content, sending);
         let (reused, sent) = (connection.reused, Instant::now());
         match timeout_at(bounds.until, connection.sender.try_send_request(request)).await {
@@ -150,6 +155,10 @@
         let host = HeaderValue::from_str(&target.address.to_string());
         let host = host.map_err(|error| error.to_compact_string())?;
         request.headers_mut().insert(http::header::HOST, host);
+        if let Err(closed) = target.look() {
+            connection.keep(None, Instant::now());
+            return Err(format_compact!("not sent: {closed:?}"));
+        }
         let sent = Instant::now();
         let response = connection.sender.send_request(request).await;
         let (head, body) = response.map_err(|error| error.to_compact_string())?.into_parts();
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::workload::Workload;
 use compact_str::CompactString;
 use plat::epoch;
+use policy::Hash;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -143,6 +144,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     members: HashMap<TargetId, Member>,
+    /// The ids of members by the keys of their lives.
+    ids: HashMap<Hash, TargetId>,
     /// Ids that were removed: older records of them come late.
     removed: HashMap<TargetId, Removed>,
     usable: HashMap<ServiceName, Arc<[Arc<Target>]>>,
@@ -222,6 +225,22 @@
         }
     }
 
+    /// Keeps new work away from targets that have said in an answer that they leave.
+    pub fn take_departures(&mut self) {
+        let departed = self.workload.standings.take_departed();
+        let mut any = false;
+        for key in departed {
+            let member = self.ids.get(&key).and_then(|id| self.members.get_mut(id));
+            if let Some(member) = member.filter(|member| !member.leaving) {
+                member.leaving = true;
+                any = true;
+            }
+        }
+        if any {
+            self.publish();
+        }
+    }
+
     /// Takes out targets whose lapsed entries have not come back.
     pub fn expire(&mut self, now: Instant) {
         if self.lapses.is_none_or(|first| now < first) {
@@ -237,7 +256,7 @@
         }
         for id in ended {
             log::info!(target: "fleet", target_id = id.as_str(); "target lapsed");
-            self.members.remove(&id);
+            self.drop_member(&id);
         }
         self.publish();
     }
@@ -343,9 +362,18 @@
             target.expect_stage(stage, Instant::now(), until);
         }
         let target = Arc::new(target);
+        let leaving = leaving || target.is_leaving();
+        self.drop_member(&id);
+        self.ids.insert(target.key, id.clone());
         self.members.insert(id, Member { target, born, sequence, offset, leaving, lapses: None });
     }
 
+    fn drop_member(&mut self, id: &TargetId) {
+        if let Some(member) = self.members.remove(id) {
+            self.ids.remove(&member.target.key);
+        }
+    }
+
     fn remove(&mut self, id: &TargetId, offset: Offset, lapses: Option<Instant>) {
         let Some(member) = self.members.get_mut(id) else { return };
         if offset < member.offset {
@@ -360,7 +388,7 @@
         }
         self.note(offset);
         log::info!(target: "fleet", target_id = id.as_str(), offset; "target gone");
-        self.members.remove(id);
+        self.drop_member(id);
         if self.removed.len() >= MAX_REMOVED {
             self.removed.clear();
         }
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -246,7 +246,7 @@
     let name = went(&outcome);
     let took = began.elapsed();
     trace.tried("read", &engine.id, name, took);
-    trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_) | Outcome::Limited));
+    trace.sendings += u32::from(!matches!(outcome, Outcome::NotSent(_) | Outcome::Closed(_)));
     match outcome {
         Outcome::Answered(answered) => {
             let success = answered.response.status().is_success();
@@ -257,7 +257,7 @@
             return Some(Cache::new(job, engine, handle));
         }
         Outcome::NotRun(_) => job.shared.book_extra(&job.service.name),
-        Outcome::Late | Outcome::Limited => {}
+        Outcome::Late | Outcome::Closed(_) => {}
         Outcome::NotSent(_) => failed(reservation),
         Outcome::Unknown(_) => {
             job.suspect(engine);
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -51,7 +51,7 @@
                     Outcome::Answered(answered) if answered.response.status().is_success() => {
                         return Some(Source { answered, booking });
                     }
-                    Outcome::Limited => tried.push(engine),
+                    Outcome::Closed(_) => tried.push(engine),
                     _ => return None,
                 }
             }
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -40,7 +40,7 @@
             Outcome::Answered(answered) => return write.relay(answered, booking),
             // The cache may have been taken with it.
             Outcome::Unknown(_) => write.place = Place::Anywhere,
-            Outcome::NotRun(_) | Outcome::NotSent(_) | Outcome::Late | Outcome::Limited => {}
+            Outcome::NotRun(_) | Outcome::NotSent(_) | Outcome::Late | Outcome::Closed(_) => {}
         }
         if !another {
             break;
@@ -127,7 +127,7 @@
         let took = match outcome {
             Outcome::Answered(_) => took,
             Outcome::NotRun(_) => self.job.patience(),
-            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::Late | Outcome::Limited => {
+            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::Late | Outcome::Closed(_) => {
                 return;
             }
         };
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -85,7 +85,10 @@
 ) -> AskPlace {
     let now = tokio::time::Instant::now();
     let away = |engine: &&Arc<Target>| engine.is_away(job.patience(), now);
-    let avoid = tried.iter().chain(group.engines.iter().filter(away));
+    let tried = tried.iter().chain(group.engines.iter().filter(away));
+    // Who is asked may still list them.
+    let leaving = job.shared.workload.standings.leaving(now);
+    let avoid = tried.map(|engine| engine.key).chain(leaving);
     let output = job.ask.prompt.as_ref().map_or(0, |prompt| prompt.output);
     let lapse = (LEAST_LAPSE + LAPSE_EACH * output).min(MOST_LAPSE);
     let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
@@ -94,7 +97,7 @@
         group: group.key,
         service: short(policy::hash(&job.service.name)),
         objective_ms: ms(job.route.objective),
-        avoid: avoid.map(|engine| short(engine.key)).collect(),
+        avoid: avoid.map(short).collect(),
         lapse_ms: ms(lapse),
         filled,
         asker: Some(job.asker()),
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/reserve.rs
@@ -134,6 +134,9 @@
         let now = Instant::now();
         let away = |engine: &&Arc<Target>| engine.is_away(self.job.patience(), now);
         let tried = self.tried.iter().chain(group.engines.iter().filter(away));
+        // Who is asked may still list them.
+        let leaving = self.job.shared.workload.standings.leaving(now);
+        let avoid = tried.map(|engine| engine.key).chain(leaving);
         Ask {
             booking,
             group: group.key,
@@ -143,7 +146,7 @@
             objective_ms: u32::try_from(self.wanted.objective.as_millis()).unwrap_or(u32::MAX),
             late: self.wanted.late,
             parts: Some(Parts::new(&self.prompt.parts)),
-            avoid: tried.map(|engine| short(engine.key)).collect(),
+            avoid: avoid.map(short).collect(),
             writers,
             holder: self.holder,
             asker: Some(self.job.asker()),
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -16,6 +16,7 @@
 use crate::{generate, permits, plain};
 use compact_str::CompactString;
 use http::{Response, StatusCode};
+use policy::signals::Closed;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -159,7 +160,7 @@
     /// Sends the request to a target, with a permit if it needs one.
     pub async fn send(&self, target: &Arc<Target>, sending: &Sending, permit: Permit) -> Outcome {
         if permit == Permit::Wanted && permits::take(self, target).await.is_err() {
-            return Outcome::Limited;
+            return Outcome::Closed(Closed::Limited);
         }
         let sent = Instant::now();
         // Generations have booked the link before.
@@ -281,6 +282,7 @@
         Outcome::NotSent(_) => "not-sent",
         Outcome::Unknown(_) => "unknown",
         Outcome::Late => "late",
-        Outcome::Limited => "limited",
+        Outcome::Closed(Closed::Limited) => "limited",
+        Outcome::Closed(Closed::Leaving) => "leaving",
     }
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -174,9 +174,11 @@
         policy::hash(&self.settings.name)
     }
 
-    /// The list of targets.
+    /// The list of targets, without those that have said that they leave.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
-        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+        let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        fleet.take_departures();
+        fleet
     }
 
     /// Whether keys of customers can be believed: where it matters, an entry that hears of no changes
--- a/crates/direct/src/standings.rs
+++ b/crates/direct/src/standings.rs
@@ -1,30 +1,48 @@
-//! Targets that lately said in an answer that they leave, or that they want no requests for a while.
+//! Targets that said in an answer that they leave, or that they want no requests for a while.
 //!
-//! Only those are listed, so what is told of them grows with what they say, not with their number.
+//! Only those are listed, so what is told of them grows with what they say, not with their number. What a
+//! life of a target said outlasts its entry in the log's list, which may vanish and come back.
 
 use policy::Hash;
-use policy::signals::Change;
-use std::collections::HashMap;
+use policy::signals::{Change, Standing};
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long a target that leaves is listed; by then the log's list has dropped it.
-const LEAVING: Duration = Duration::from_secs(60);
+/// For how long a target counts as one that lately said that it leaves.
+const LATELY: Duration = Duration::from_secs(60);
+
+/// Lives that are remembered; of more, those that said last.
+const MAX_REMEMBERED: usize = 4_096;
 
 /// What targets said.
 #[derive(Debug, Default)]
 pub struct Standings {
     rows: Mutex<HashMap<Hash, Row>>,
+    /// Targets that lately said that they leave, and when; the first first.
+    leaving: Mutex<VecDeque<(Instant, Hash)>>,
+    /// Targets that were not yet taken out of the list.
+    departed: Mutex<Vec<Hash>>,
+    has_departed: AtomicBool,
 }
 
-/// What one target said, by until when it matters.
+/// What one life of a target said.
 #[derive(Debug, Clone, Copy, Default)]
 struct Row {
+    /// When it said that it leaves.
     leaves: Option<Instant>,
+    /// Until when it wants no requests.
     pauses: Option<Instant>,
 }
 
+impl Row {
+    fn is_paused(&self, now: Instant) -> bool {
+        self.pauses.is_some_and(|until| now < until)
+    }
+}
+
 /// How many targets are listed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -39,9 +57,7 @@
     pub fn note(&self, target: Hash, changes: &[Change], now: Instant) {
         for change in changes {
             match change {
-                Change::Leaves => {
-                    self.lock().entry(target).or_default().leaves = Some(now + LEAVING)
-                }
+                Change::Leaves => self.depart(target, now),
                 Change::Pauses(pause) => {
                     self.lock().entry(target).or_default().pauses = Some(now + *pause);
                 }
@@ -50,18 +66,60 @@
         }
     }
 
+    fn depart(&self, target: Hash, now: Instant) {
+        let mut rows = self.lock();
+        if rows.len() >= MAX_REMEMBERED {
+            forget(&mut rows, now);
+        }
+        rows.entry(target).or_default().leaves = Some(now);
+        drop(rows);
+        self.leaving.lock().unwrap_or_else(PoisonError::into_inner).push_back((now, target));
+        self.departed.lock().unwrap_or_else(PoisonError::into_inner).push(target);
+        self.has_departed.store(true, Ordering::Release);
+    }
+
+    /// Targets that have said since this was last asked that they leave.
+    pub fn take_departed(&self) -> Vec<Hash> {
+        if !self.has_departed.swap(false, Ordering::Acquire) {
+            return Vec::new();
+        }
+        std::mem::take(&mut *self.departed.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// What this life of a target said before.
+    pub fn known(&self, target: Hash) -> Standing {
+        let leaving = self.lock().get(&target).is_some_and(|row| row.leaves.is_some());
+        Standing::restored(leaving)
+    }
+
+    /// Targets that lately said that they leave.
+    pub fn leaving(&self, now: Instant) -> Vec<Hash> {
+        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
+        while leaving.front().is_some_and(|(at, _)| now.duration_since(*at) >= LATELY) {
+            leaving.pop_front();
+        }
+        leaving.iter().map(|(_, target)| *target).collect()
+    }
+
     /// How many targets leave or pause.
     pub fn counts(&self, now: Instant) -> Counts {
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        let leaving = count(self.leaving(now).len());
         let mut rows = self.lock();
-        let lasts = |until: Option<Instant>| until.is_some_and(|until| now < until);
-        rows.retain(|_, row| lasts(row.leaves) || lasts(row.pauses));
-        let count = |of: fn(&Row) -> Option<Instant>| {
-            i64::try_from(rows.values().filter(|row| lasts(of(row))).count()).unwrap_or(i64::MAX)
-        };
-        Counts { leaving: count(|row| row.leaves), paused: count(|row| row.pauses) }
+        rows.retain(|_, row| row.leaves.is_some() || row.is_paused(now));
+        let paused = count(rows.values().filter(|row| row.is_paused(now)).count());
+        Counts { leaving, paused }
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Hash, Row>> {
         self.rows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Forgets the older half of the lives that left, and all pauses that are over.
+fn forget(rows: &mut HashMap<Hash, Row>, now: Instant) {
+    let mut times: Vec<Instant> = rows.values().filter_map(|row| row.leaves).collect();
+    times.sort_unstable();
+    let middle = times.get(times.len() / 2).copied().unwrap_or(now);
+    rows.retain(|_, row| row.leaves.is_some_and(|at| at > middle) || row.is_paused(now));
+}
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -10,7 +10,7 @@
 use policy::handover::Handover;
 use policy::pacing::Rate;
 use policy::reach::Reach;
-use policy::signals::{Change as Said, Signals, Standing};
+use policy::signals::{Change as Said, Closed, Signals, Standing};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -152,7 +152,9 @@
     ) -> Self {
         let key = born.map_or(policy::hash(&id), |born| policy::mix(policy::hash(&id), born));
         let domain_key = policy::hash(&domain);
-        let (load, known) = (Mutex::default(), Instant::now());
+        let standing = workload.standings.known(key);
+        let load = Mutex::new(Load { standing, ..Load::default() });
+        let known = Instant::now();
         let (pool, engine) = (Pool::new(address), Engine::new(key, workload.clone()));
         Self {
             id,
@@ -244,6 +246,17 @@
         changes
     }
 
+    /// Whether the target wants requests, by its own word. To be asked right before one is written: what it
+    /// says may come while a request waits for a permit, a place or a connection.
+    pub fn look(&self) -> Result<(), Closed> {
+        self.load().standing.look()
+    }
+
+    /// Whether it has said in an answer that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.load().standing.is_leaving()
+    }
+
     fn log_change(&self, change: Said) {
         let id = self.id.as_str();
         match change {
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -15,8 +15,8 @@
 /// Targets that can't be reached, of which nothing arrives, tried for one request.
 const UNREACHABLE: u32 = 3;
 
-/// Targets that take in no more now, tried for one request. Each costs a question to its coordinator.
-const LIMITED: u32 = 3;
+/// Targets that want no request now, tried for one request. Each may cost a question to its coordinator.
+const CLOSED: u32 = 3;
 
 /// The sendings so far.
 #[derive(Debug, Default)]
@@ -26,7 +26,7 @@
     /// Those of them that the request reached.
     pub sent: u32,
     unreachable: u32,
-    limited: u32,
+    closed: u32,
     maybe_run: bool,
 }
 
@@ -38,7 +38,7 @@
         choose: impl FnOnce(&[Arc<Target>]) -> Option<Arc<Target>>,
     ) -> Option<Arc<Target>> {
         let over = self.sent >= job.route.attempts.max(1) || self.unreachable >= UNREACHABLE;
-        let over = over || self.limited >= LIMITED;
+        let over = over || self.closed >= CLOSED;
         if over || Instant::now() >= job.until {
             return None;
         }
@@ -58,13 +58,13 @@
             self.unreachable += 1;
             return true;
         }
-        if let Outcome::Limited = outcome {
-            self.limited += 1;
+        if let Outcome::Closed(_) = outcome {
+            self.closed += 1;
             return true;
         }
         self.sent += 1;
         match outcome {
-            Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Limited => true,
+            Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Closed(_) => true,
             Outcome::Answered(answered) => {
                 self.maybe_run = true;
                 answered.response.status().is_server_error() && job.may_repeat()
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -4,6 +4,7 @@
 use direct::fleet::{Born, Condition, Fleet, News, Sighting};
 use direct::route::Stage;
 use direct::target::CHANGE;
+use policy::signals::{Said, Signals};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -348,3 +349,44 @@
     let same = fleet.get("d").is_some_and(|target| std::sync::Arc::ptr_eq(target, &kept));
     assert!(same, "it was taken for gone");
 }
+
+/// The life of a target that has said in an answer that it leaves, with its list.
+fn departed(fleet: &mut Fleet, id: &str) {
+    let target = fleet.get(id).expect("it is listed").clone();
+    let signals = Signals { leaving: Said::Value(true), ..Signals::default() };
+    let now = Instant::now();
+    target.hear_signals(&signals, now, now);
+    fleet.take_departures();
+}
+
+/// The list says `ready` of a target that has said in an answer that it leaves: in a newer record, in one that comes
+/// after its entry vanished, or read from a store that came back older. It must not get work again.
+#[test]
+fn a_target_that_says_it_leaves_is_not_brought_back_by_the_list() {
+    let mut fleet = four();
+    departed(&mut fleet, "a");
+    assert_eq!(usable(&fleet), ["b", "c", "d"]);
+    fleet.apply(vec![(10, seen("a", 2, false))], Instant::now(), Condition::Calm);
+    assert_eq!(usable(&fleet), ["b", "c", "d"]);
+    fleet.apply(vec![(11, News::Gone("a".into()))], Instant::now(), Condition::Calm);
+    fleet.apply(vec![(12, seen("a", 3, false))], Instant::now(), Condition::Calm);
+    assert_eq!(usable(&fleet), ["b", "c", "d"]);
+    let all = ["a", "b", "c", "d"].iter().zip(0..).map(|(id, at)| (at, seen(id, 9, false)));
+    fleet.replace(all.collect(), 20, Instant::now(), Condition::Restored);
+    assert_eq!(usable(&fleet), ["b", "c", "d"]);
+}
+
+/// A target that left starts again under its id, before its record of leaving was ever written. Its new life is
+/// another target, and serves at once.
+#[test]
+fn a_new_life_of_a_target_that_left_serves_at_once() {
+    let mut fleet = Fleet::default();
+    fleet.apply(vec![(0, life("a", Some(1), 1, false, None))], Instant::now(), Condition::Calm);
+    departed(&mut fleet, "a");
+    assert!(usable(&fleet).is_empty());
+    fleet.apply(vec![(1, life("a", Some(2), 1, false, None))], Instant::now(), Condition::Calm);
+    assert_eq!(usable(&fleet), ["a"]);
+    // A late record of the former life changes nothing.
+    fleet.apply(vec![(2, life("a", Some(1), 7, true, None))], Instant::now(), Condition::Calm);
+    assert_eq!(usable(&fleet), ["a"]);
+}
--- a/crates/policy/src/signals.rs
+++ b/crates/policy/src/signals.rs
@@ -45,6 +45,15 @@
     Unreadable(Name),
 }
 
+/// Why a target gets no request now, by its own word.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Closed {
+    /// It named a limit, and there is no permit.
+    Limited,
+    /// It leaves.
+    Leaving,
+}
+
 /// What is known of one life of a target by its own answers.
 #[derive(Debug, Clone, Default)]
 pub struct Standing {
@@ -55,6 +64,11 @@
 }
 
 impl Standing {
+    /// What is left of an earlier account of the same life.
+    pub fn restored(leaving: bool) -> Self {
+        Self { leaving, ..Self::default() }
+    }
+
     /// Takes in what an answer that came at `now` says; its request was sent at `sent`.
     pub fn hear(&mut self, signals: &Signals, sent: Time, now: Time) -> Vec<Change> {
         let Signals { limit, leaving, pause } = *signals;
@@ -75,6 +89,11 @@
         self.leaving
     }
 
+    /// Whether it wants requests now.
+    pub fn look(&self) -> Result<(), Closed> {
+        if self.leaving { Err(Closed::Leaving) } else { Ok(()) }
+    }
+
     fn hear_limit(&mut self, said: Said<Rate>, sent: Time, now: Time) -> Option<Change> {
         let named = match said {
             Said::Nothing => None,
