fix(direct): a target that asks for a pause gets none of this entry's requests until it is over

Cause: Retry-After of a target was read nowhere, and a rejection counted for its own request alone; a rejection is quick, so whoever rejects looks idle. Class: a target says something that nobody reads. Evidence: 23 to 80 requests a second at an engine that had asked for 3 s, up to 17 and 23 from one entry.

policy::pause keeps the end of the pause on the runtime's clock; a second one lengthens it, an answer to a request sent before its end ends nothing. Both ways to a target ask it right before a request is written. It counts as away in all choices, those of coordinators and the split included. Where all that write, or all that read, pause, no prompt is read; callers are refused at once, told when the first pause ends, and spread. After the end single requests show whether the target is well, then it gets its work back by degrees. Frees of unused KV cache wait for the end.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -95,7 +95,7 @@
                 return Outcome::NotSent(error.to_compact_string());
             }
         };
-        if let Err(closed) = target.look() {
+        if let Err(closed) = target.take(Instant::now()) {
             connection.keep(None, Instant::now());
             return Outcome::Closed(closed);
         }
@@ -155,7 +155,7 @@
         let host = HeaderValue::from_str(&target.address.to_string());
         let host = host.map_err(|error| error.to_compact_string())?;
         request.headers_mut().insert(http::header::HOST, host);
-        if let Err(closed) = target.look() {
+        if let Err(closed) = target.take(Instant::now()) {
             connection.keep(None, Instant::now());
             return Err(format_compact!("not sent: {closed:?}"));
         }
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -7,12 +7,12 @@
 
 use crate::answer::{Body, Refusal};
 use crate::border::Prompt;
-use crate::plain;
 use crate::reservation;
 use crate::route::Stage;
 use crate::serve::Job;
 use crate::target::{Target, Way};
 use crate::trace::Trace;
+use crate::{permits, plain};
 use http::Response;
 use policy::Hash;
 use policy::writers::{self, Writer};
@@ -33,6 +33,9 @@
     if let Some(back) = until_written(&job, &engines) {
         return job.refuse(&mut trace, Refusal::NoWriter, back);
     }
+    if let Some(pause) = until_wanted(&engines) {
+        return job.refuse(&mut trace, Refusal::Limited, permits::come_back(&job, pause));
+    }
     match read::run(&job, &prompt, &mut trace).await {
         Read::Refused(refusal, back) => job.refuse(&mut trace, refusal, back),
         Read::Placed(place) => write::run(job, prompt, place, trace).await,
@@ -63,6 +66,17 @@
     Some(left + TOLD)
 }
 
+/// How long until engines want requests again, if all that could read the prompt or all that could write the
+/// output want none: what is read meanwhile is read for nobody.
+fn until_wanted(engines: &[Arc<Target>]) -> Option<Duration> {
+    let now = Instant::now();
+    let pause = |engines: &mut dyn Iterator<Item = &Arc<Target>>| {
+        engines.map(|engine| engine.paused_for(now)).min().flatten()
+    };
+    let mut writers = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
+    pause(&mut writers).or_else(|| pause(&mut engines.iter()))
+}
+
 /// How long it takes until it is noticed that nobody writes.
 const NOTICED: Duration = Duration::from_millis(1_500);
 
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -7,10 +7,14 @@
 use http::Method;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long freeing a KV cache may take.
 const FREE: Duration = Duration::from_millis(500);
 
+/// After this time an engine has dropped what nobody took, most likely.
+const KEPT: Duration = Duration::from_secs(10);
+
 /// KV cache that an engine holds for another. Dropped, it is freed: it would push out what others
 /// need until it lapses.
 pub(super) struct Cache {
@@ -48,6 +52,9 @@
         let border = self.job.shared.border.clone();
         let path = border.free_path(&handle.id);
         tokio::spawn(async move {
+            if let Some(pause) = engine.paused_for(Instant::now()).filter(|pause| *pause < KEPT) {
+                tokio::time::sleep(pause).await;
+            }
             let freed =
                 attempt::call(&*border, &engine, Method::DELETE, &path, Vec::new(), FREE).await;
             if let Err(detail) = freed {
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/generate/read.rs
@@ -116,10 +116,13 @@
         if place.engine.stage() != Some(Stage::Prefill) {
             return Read::Placed(Place::There(place));
         }
+        tried.push(place.engine.clone());
+        if place.engine.look(Instant::now()).is_err() {
+            continue;
+        }
         if trace.sendings > 0 && !job.shared.may_send_extra(&job.service.name) {
             return Read::Refused(Refusal::TargetRefused, SHORTLY);
         }
-        tried.push(place.engine.clone());
         if let Some(cache) = prefill(job, prompt, place, trace).await {
             return Read::Placed(Place::Kept(cache));
         }
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -94,7 +94,8 @@
         if matches!(self.place, Place::There(_)) && tried.is_empty() {
             return None;
         }
-        places::find(&self.job, tried, self.place.near(&self.job)).await
+        let place = places::find(&self.job, tried, self.place.near(&self.job)).await;
+        place.filter(|place| place.engine.look(Instant::now()).is_ok())
     }
 
     fn prepare(&self, engine: &Arc<Target>) -> (Sending, Booking) {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 /// How a sending can have gone.
-pub const OUTCOMES: [&str; 8] =
-    ["ok", "failed", "refused", "not-sent", "unknown", "late", "limited", "leaving"];
+pub const OUTCOMES: [&str; 9] =
+    ["ok", "failed", "refused", "not-sent", "unknown", "late", "limited", "leaving", "paused"];
 
 /// How a request ended, or why it was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -8,9 +8,11 @@
 use crate::groups::Group;
 use crate::inquiry;
 use crate::question::{AskPermit, Room, TargetLimit, Word};
+use crate::route::Stage;
 use crate::serve::Job;
 use crate::shared::Shared;
 use crate::target::Target;
+use policy::prompts;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -43,7 +45,7 @@
 /// How long a target gets nothing from an entry that no coordinator answers.
 const UNANSWERED: Duration = Duration::from_millis(200);
 
-/// By how much entries differ in when they ask again, as a part of the time that they were told.
+/// By how much entries and callers differ in when they ask again, as a part of the time that they were told.
 const SPREAD: f64 = 0.5;
 
 /// Asks for a permit to send to a target; one that named no limit needs none.
@@ -83,11 +85,31 @@
     groups.iter().find(|group| group.engines.iter().any(|other| other.key == target.key))
 }
 
-/// The soonest that a target of the request's service takes in something again, if some wait for that.
-pub fn soonest(job: &Job) -> Option<Duration> {
+/// When something may be sent to targets of a service that is closed to this entry.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Opening {
+    /// How long until the first of those that are closed opens.
+    pub soonest: Option<Duration>,
+    /// Whether none is open now.
+    pub all: bool,
+}
+
+/// When one of the targets opens that could serve the request to its end.
+pub fn opening(job: &Job) -> Opening {
     let now = Instant::now();
     let targets = job.shared.usable(&job.service.name);
-    targets.iter().filter_map(|target| target.closed_for(now)).min()
+    let able = targets.iter().filter(|target| target.stage() != Some(Stage::Prefill));
+    let closed: Vec<_> = able.map(|target| target.closed_for(now)).collect();
+    let soonest = closed.iter().flatten().min().copied();
+    Opening { soonest, all: closed.iter().all(Option::is_some) }
+}
+
+/// When a caller is to come back to a target that opens in `soonest`.
+pub fn come_back(job: &Job, soonest: Duration) -> Duration {
+    let (settings, random) = (&job.shared.settings.prompts, job.shared.random());
+    let spread = soonest.mul_f64(1.0 + random * SPREAD);
+    // Sooner than that would be in vain, however long its caller waits.
+    prompts::come_back(settings, soonest, job.left(), random).max(spread)
 }
 
 /// Tells a target's coordinators which limit it names, after an answer to a request sent at `sent`, if
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -284,5 +284,6 @@
         Outcome::Late => "late",
         Outcome::Closed(Closed::Limited) => "limited",
         Outcome::Closed(Closed::Leaving) => "leaving",
+        Outcome::Closed(Closed::Paused) => "paused",
     }
 }
--- a/crates/direct/src/standings.rs
+++ b/crates/direct/src/standings.rs
@@ -58,10 +58,10 @@
         for change in changes {
             match change {
                 Change::Leaves => self.depart(target, now),
-                Change::Pauses(pause) => {
-                    self.lock().entry(target).or_default().pauses = Some(now + *pause);
+                Change::Pauses { span, .. } => {
+                    self.lock().entry(target).or_default().pauses = Some(now + *span);
                 }
-                Change::Limit(_) | Change::Unreadable(_) => {}
+                Change::Limit(_) | Change::Resumes | Change::Unreadable(_) => {}
             }
         }
     }
@@ -86,10 +86,11 @@
         std::mem::take(&mut *self.departed.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// What this life of a target said before.
-    pub fn known(&self, target: Hash) -> Standing {
-        let leaving = self.lock().get(&target).is_some_and(|row| row.leaves.is_some());
-        Standing::restored(leaving)
+    /// What this life of a target said before; times count from `now`.
+    pub fn known(&self, target: Hash, now: Instant) -> Standing {
+        let row = self.lock().get(&target).copied().unwrap_or_default();
+        let pause = row.pauses.map(|until| until.saturating_duration_since(now));
+        Standing::restored(row.leaves.is_some(), pause.filter(|pause| !pause.is_zero()))
     }
 
     /// Targets that lately said that they leave.
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -152,9 +152,9 @@
     ) -> Self {
         let key = born.map_or(policy::hash(&id), |born| policy::mix(policy::hash(&id), born));
         let domain_key = policy::hash(&domain);
-        let standing = workload.standings.known(key);
-        let load = Mutex::new(Load { standing, ..Load::default() });
         let known = Instant::now();
+        let standing = workload.standings.known(key, known);
+        let load = Mutex::new(Load { standing, ..Load::default() });
         let (pool, engine) = (Pool::new(address), Engine::new(key, workload.clone()));
         Self {
             id,
@@ -246,10 +246,20 @@
         changes
     }
 
-    /// Whether the target wants requests, by its own word. To be asked right before one is written: what it
-    /// says may come while a request waits for a permit, a place or a connection.
-    pub fn look(&self) -> Result<(), Closed> {
-        self.load().standing.look()
+    /// Whether the target wants requests, by its own word.
+    pub fn look(&self, now: Instant) -> Result<(), Closed> {
+        self.load().standing.look(self.time(now))
+    }
+
+    /// The same right before a request is written, which then counts as sent: what the target says may come
+    /// while a request waits for a permit, a place or a connection.
+    pub fn take(&self, now: Instant) -> Result<(), Closed> {
+        self.load().standing.take(self.time(now))
+    }
+
+    /// How long until it wants requests again after a pause, if it does not now.
+    pub fn paused_for(&self, now: Instant) -> Option<Duration> {
+        self.load().standing.paused_for(self.time(now))
     }
 
     /// Whether it has said in an answer that it leaves.
@@ -266,8 +276,12 @@
             Said::Leaves => {
                 log::info!(target: "fleet", target_id = id; "target says that it leaves");
             }
-            Said::Pauses(pause) => {
-                log::info!(target: "fleet", target_id = id, ms = pause.as_millis(); "target wants a pause");
+            Said::Pauses { span, is_new: true } => {
+                log::info!(target: "fleet", target_id = id, ms = span.as_millis(); "target wants a pause");
+            }
+            Said::Pauses { is_new: false, .. } => {}
+            Said::Resumes => {
+                log::info!(target: "fleet", target_id = id; "target is back after a pause");
             }
             Said::Unreadable(signal) => {
                 log::warn!(target: "fleet", target_id = id, signal; "signal not readable");
@@ -313,10 +327,12 @@
         lately && load.standing.limit().rate().is_some()
     }
 
-    /// How long until there may be a permit to send to it, if there is none now.
+    /// How long until something may be sent to it, if there is no permit now, or it wants a pause.
     pub fn closed_for(&self, now: Instant) -> Option<Duration> {
-        let closed = self.load().closed.filter(|closed| now < *closed);
-        closed.map(|closed| closed.duration_since(now))
+        let load = self.load();
+        let closed = load.closed.filter(|closed| now < *closed);
+        let closed = closed.map(|closed| closed.duration_since(now));
+        closed.max(load.standing.paused_for(self.time(now)))
     }
 
     /// Takes in how an exchange with it ended.
@@ -393,11 +409,12 @@
         self.load().misdirected = None;
     }
 
-    /// Whether it could lately not be reached, is not at its address, or has said nothing for
-    /// `patience` though it has work: others go first.
+    /// Whether it could lately not be reached, is not at its address, wants no requests now, or has said
+    /// nothing for `patience` though it has work: others go first.
     pub fn is_away(&self, patience: Duration, now: Instant) -> bool {
         let load = self.load();
         load.misdirected.is_some_and(|until| now < until)
+            || load.standing.look(self.time(now)).is_err()
             || load.reach.is_paused()
             || load.reach.is_silent(patience, self.time(now))
     }
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -8,7 +8,6 @@
 use crate::target::Target;
 use crate::trace::Trace;
 use http::Response;
-use policy::prompts;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -88,14 +87,9 @@
             let late = Instant::now() >= job.until;
             return job.fail(trace, if late { Failure::Late } else { Failure::Lost });
         }
-        if let Some(back) = permits::soonest(job).filter(|_| self.sent == 0) {
-            let back = prompts::come_back(
-                &job.shared.settings.prompts,
-                back,
-                job.left(),
-                job.shared.random(),
-            );
-            return job.refuse(trace, Refusal::Limited, back);
+        let opening = permits::opening(job);
+        if let Some(soonest) = opening.soonest.filter(|_| self.sent == 0 || opening.all) {
+            return job.refuse(trace, Refusal::Limited, permits::come_back(job, soonest));
         }
         let refusal = match (self.sent, self.unreachable) {
             (0, 0) => Refusal::NoTarget,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod outlier;
 pub mod pacing;
 pub mod patience;
+pub mod pause;
 pub mod prompts;
 pub mod quarantine;
 pub mod queue;
--- a/crates/policy/src/signals.rs
+++ b/crates/policy/src/signals.rs
@@ -4,6 +4,7 @@
 
 use crate::Time;
 use crate::pacing::{Limit, Rate};
+use crate::pause::Pause;
 use std::time::Duration;
 
 /// One signal, as the head of an answer has it.
@@ -40,7 +41,14 @@
     /// It leaves.
     Leaves,
     /// It wants no requests for so long.
-    Pauses(Duration),
+    Pauses {
+        /// From now on.
+        span: Duration,
+        /// Whether it took requests until now.
+        is_new: bool,
+    },
+    /// It takes requests again after a pause.
+    Resumes,
     /// A signal can't be read; what was known stays in force.
     Unreadable(Name),
 }
@@ -52,6 +60,8 @@
     Limited,
     /// It leaves.
     Leaving,
+    /// It wants none for a while, or not yet as many again.
+    Paused,
 }
 
 /// What is known of one life of a target by its own answers.
@@ -59,14 +69,15 @@
 pub struct Standing {
     limit: Limit,
     leaving: bool,
-    pause: Option<Time>,
+    pause: Pause,
     unreadable: Vec<Name>,
 }
 
 impl Standing {
-    /// What is left of an earlier account of the same life.
-    pub fn restored(leaving: bool) -> Self {
-        Self { leaving, ..Self::default() }
+    /// What is left of an earlier account of the same life, which may have wanted a pause until then.
+    pub fn restored(leaving: bool, pause: Option<Time>) -> Self {
+        let pause = pause.map(Pause::new).unwrap_or_default();
+        Self { leaving, pause, ..Self::default() }
     }
 
     /// Takes in what an answer that came at `now` says; its request was sent at `sent`.
@@ -75,7 +86,7 @@
         let mut changes = Vec::new();
         changes.extend(self.hear_limit(limit, sent, now));
         changes.extend(self.hear_leaving(leaving));
-        changes.extend(self.hear_pause(pause, now));
+        changes.extend(self.hear_pause(pause, sent, now));
         changes
     }
 
@@ -90,8 +101,22 @@
     }
 
     /// Whether it wants requests now.
-    pub fn look(&self) -> Result<(), Closed> {
-        if self.leaving { Err(Closed::Leaving) } else { Ok(()) }
+    pub fn look(&self, now: Time) -> Result<(), Closed> {
+        if self.leaving {
+            return Err(Closed::Leaving);
+        }
+        self.pause.look(now).map_err(|_| Closed::Paused)
+    }
+
+    /// Counts a request that is sent, if the target wants any now.
+    pub fn take(&mut self, now: Time) -> Result<(), Closed> {
+        self.look(now)?;
+        self.pause.take(now).map_err(|_| Closed::Paused)
+    }
+
+    /// How long until it wants requests again after a pause, if it does not now.
+    pub fn paused_for(&self, now: Time) -> Option<Duration> {
+        self.pause.look(now).err()
     }
 
     fn hear_limit(&mut self, said: Said<Rate>, sent: Time, now: Time) -> Option<Change> {
@@ -116,15 +141,13 @@
         }
     }
 
-    fn hear_pause(&mut self, said: Said<Duration>, now: Time) -> Option<Change> {
+    fn hear_pause(&mut self, said: Said<Duration>, sent: Time, now: Time) -> Option<Change> {
         match said {
-            Said::Value(pause) => {
-                let until = now.saturating_add(pause);
-                let longer = self.pause.is_none_or(|known| known < until);
-                self.pause = Some(self.pause.map_or(until, |known| known.max(until)));
-                longer.then_some(Change::Pauses(pause))
+            Said::Value(span) => {
+                let is_new = !self.pause.lasts(now);
+                self.pause.begin(span, now).then_some(Change::Pauses { span, is_new })
             }
-            Said::Nothing => None,
+            Said::Nothing => self.pause.answered(sent, now).then_some(Change::Resumes),
             Said::Unreadable => self.is_first_unreadable("pause"),
         }
     }
