feat(direct): entries tell each other which targets leave or pause

Cause: each entry found out by a request of its own, which a target that leaves may cut and one that pauses rejects: with hundreds of entries that is as many retries for each pause.

Rows of 14 bytes in the state datagrams that go anyhow, 64 at most, none where no target says anything. A target that leaves gets nothing new at any entry; one that pauses for another entry is asked last, since it may want this one's requests.

--- a/crates/direct/src/datagram.rs
+++ b/crates/direct/src/datagram.rs
@@ -31,6 +31,23 @@
     /// What its VM's clock shows, in microseconds since the start of 1970.
     #[prost(fixed64, tag = "8")]
     pub clock: u64,
+    /// Targets that leave or want no requests now, by their own answers.
+    #[prost(message, repeated, tag = "9")]
+    pub standings: Vec<TargetStanding>,
+}
+
+/// What one life of a target said of itself.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TargetStanding {
+    /// The key of the life, whole: whoever is taken for one that leaves gets no work any more.
+    #[prost(fixed64, tag = "1")]
+    pub target: u64,
+    /// Whether it leaves.
+    #[prost(bool, tag = "2")]
+    pub leaves: bool,
+    /// For how long it wants no requests from the entry that tells, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub pause_ms: u32,
 }
 
 /// What was asked of an entry for one service since it started, and what it has learnt.
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -276,6 +276,11 @@
         self.members.get(id).filter(|member| !member.leaving).map(|member| &member.target)
     }
 
+    /// A target by the key of its life, if it may get new work.
+    pub fn life(&self, key: Hash) -> Option<&Arc<Target>> {
+        self.get(self.ids.get(&key)?)
+    }
+
     /// Notes that an engine is about to change its stage until then. One that isn't listed yet is remembered:
     /// a process that starts may read the announcement before the list.
     pub fn expect_stage(&mut self, id: TargetId, stage: Stage, now: Instant, until: Instant) {
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::broadcast;
 use crate::clock;
 use crate::coordinator;
-use crate::datagram::{Read, ServiceLoad, State, UNIT, Work, short};
+use crate::datagram::{Read, ServiceLoad, State, TargetStanding, UNIT, Work, short};
 use crate::groups::Member;
 use crate::loads::Loads;
 use crate::question::{Answer, Exchange, Granted, Report, Room, Word};
@@ -192,7 +192,8 @@
         };
         let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.tell());
         let clock = clock::time_of_day();
-        let state = State { entry, run, sequence, work, reads, loads, clock };
+        let standings = shared.workload.standings.tell(Instant::now());
+        let state = State { entry, run, sequence, work, reads, loads, clock, standings };
         let datagram = Bytes::from(state.encode_to_vec());
         for address in &addresses {
             if let Err(error) = socket.send_to(&datagram, address).await {
@@ -276,9 +277,28 @@
 
 fn take_state(shared: &Shared, mut state: State) {
     let (entry, reads, now) = (state.entry, std::mem::take(&mut state.reads), Instant::now());
+    let standings = std::mem::take(&mut state.standings);
     shared.usage.clock.hear(entry, state.clock);
     if shared.peers.lock().hear(state, &shared.loads, now) {
         take_reads(shared, entry, &reads, now);
+        take_standings(shared, &standings, now);
+    }
+}
+
+/// The longest that an entry goes by another's pause without hearing of it again.
+const LONGEST_PAUSE_TOLD: Duration = Duration::from_secs(2);
+
+/// Takes in what targets said to another entry. Those that leave get nothing new here either. Those that pause
+/// for that entry may take this one's requests: others go first.
+fn take_standings(shared: &Shared, standings: &[TargetStanding], now: Instant) {
+    for standing in standings {
+        if standing.leaves {
+            shared.workload.standings.depart(standing.target, now);
+        }
+        let pause = Duration::from_millis(standing.pause_ms.into()).min(LONGEST_PAUSE_TOLD);
+        if let Some(target) = shared.fleet().life(standing.target).filter(|_| !pause.is_zero()) {
+            target.pauses_elsewhere(now + pause);
+        }
     }
 }
 
--- a/crates/direct/src/standings.rs
+++ b/crates/direct/src/standings.rs
@@ -1,8 +1,10 @@
 //! Targets that said in an answer that they leave, or that they want no requests for a while.
 //!
 //! Only those are listed, so what is told of them grows with what they say, not with their number. What a
-//! life of a target said outlasts its entry in the log's list, which may vanish and come back.
+//! life of a target said outlasts its entry in the log's list, which may vanish and come back. The other
+//! entries are told in the datagrams that go anyhow.
 
+use crate::datagram::TargetStanding;
 use policy::Hash;
 use policy::signals::{Change, Standing};
 use std::collections::{HashMap, VecDeque};
@@ -11,42 +13,39 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// For how long a target counts as one that lately said that it leaves.
+/// For how long the others are told that a target leaves; by then the log's list has dropped it.
 const LATELY: Duration = Duration::from_secs(60);
 
-/// Lives that are remembered; of more, those that said last.
-const MAX_REMEMBERED: usize = 4_096;
+/// Targets of which one datagram tells.
+const MAX_TOLD: usize = 64;
 
-/// What targets said.
+/// Lives that are remembered as leaving; of more, those that said so last.
+const MAX_LEFT: usize = 4_096;
+
+/// What targets said, by the keys of their lives.
 #[derive(Debug, Default)]
 pub struct Standings {
-    rows: Mutex<HashMap<Hash, Row>>,
-    /// Targets that lately said that they leave, and when; the first first.
-    leaving: Mutex<VecDeque<(Instant, Hash)>>,
-    /// Targets that were not yet taken out of the list.
-    departed: Mutex<Vec<Hash>>,
+    inner: Mutex<Inner>,
+    /// Whether a target waits to be taken out of the fleet, so that requests need no lock to see that none does.
     has_departed: AtomicBool,
 }
 
-/// What one life of a target said.
-#[derive(Debug, Clone, Copy, Default)]
-struct Row {
-    /// When it said that it leaves.
-    leaves: Option<Instant>,
-    /// Until when it wants no requests.
-    pauses: Option<Instant>,
-}
-
-impl Row {
-    fn is_paused(&self, now: Instant) -> bool {
-        self.pauses.is_some_and(|until| now < until)
-    }
+#[derive(Debug, Default)]
+struct Inner {
+    /// Those that leave, and since when this process knows it.
+    left: HashMap<Hash, Instant>,
+    /// The same in that order, as long as others are told.
+    leaving: VecDeque<(Hash, Instant)>,
+    /// Until when targets want no requests.
+    paused: HashMap<Hash, Instant>,
+    /// Those that leave and were not yet taken out of the fleet.
+    departed: Vec<Hash>,
 }
 
 /// How many targets are listed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Those that leave.
+    /// Those that lately said that they leave.
     pub leaving: i64,
     /// Those that want no requests now.
     pub paused: i64,
@@ -59,68 +58,92 @@
             match change {
                 Change::Leaves => self.depart(target, now),
                 Change::Pauses { span, .. } => {
-                    self.lock().entry(target).or_default().pauses = Some(now + *span);
+                    self.lock().paused.insert(target, now + *span);
                 }
                 Change::Limit(_) | Change::Resumes | Change::Unreadable(_) => {}
             }
         }
     }
 
-    fn depart(&self, target: Hash, now: Instant) {
-        let mut rows = self.lock();
-        if rows.len() >= MAX_REMEMBERED {
-            forget(&mut rows, now);
+    /// Takes in that a target leaves.
+    pub fn depart(&self, target: Hash, now: Instant) {
+        let mut inner = self.lock();
+        if inner.left.contains_key(&target) {
+            return;
+        }
+        if inner.left.len() >= MAX_LEFT {
+            inner.forget_older_half();
         }
-        rows.entry(target).or_default().leaves = Some(now);
-        drop(rows);
-        self.leaving.lock().unwrap_or_else(PoisonError::into_inner).push_back((now, target));
-        self.departed.lock().unwrap_or_else(PoisonError::into_inner).push(target);
+        inner.left.insert(target, now);
+        inner.leaving.push_back((target, now));
+        inner.departed.push(target);
         self.has_departed.store(true, Ordering::Release);
     }
 
-    /// Targets that have said since this was last asked that they leave.
+    /// Targets that were found to leave since this was last asked.
     pub fn take_departed(&self) -> Vec<Hash> {
         if !self.has_departed.swap(false, Ordering::Acquire) {
             return Vec::new();
         }
-        std::mem::take(&mut *self.departed.lock().unwrap_or_else(PoisonError::into_inner))
+        std::mem::take(&mut self.lock().departed)
     }
 
     /// What this life of a target said before; times count from `now`.
     pub fn known(&self, target: Hash, now: Instant) -> Standing {
-        let row = self.lock().get(&target).copied().unwrap_or_default();
-        let pause = row.pauses.map(|until| until.saturating_duration_since(now));
-        Standing::restored(row.leaves.is_some(), pause.filter(|pause| !pause.is_zero()))
+        let inner = self.lock();
+        let pause = inner.paused.get(&target).and_then(|until| until.checked_duration_since(now));
+        Standing::restored(inner.left.contains_key(&target), pause)
     }
 
     /// Targets that lately said that they leave.
     pub fn leaving(&self, now: Instant) -> Vec<Hash> {
-        let mut leaving = self.leaving.lock().unwrap_or_else(PoisonError::into_inner);
-        while leaving.front().is_some_and(|(at, _)| now.duration_since(*at) >= LATELY) {
-            leaving.pop_front();
-        }
-        leaving.iter().map(|(_, target)| *target).collect()
+        let mut inner = self.lock();
+        inner.expire(now);
+        inner.leaving.iter().map(|(target, _)| *target).collect()
+    }
+
+    /// What the other entries are to know.
+    pub fn tell(&self, now: Instant) -> Vec<TargetStanding> {
+        let mut inner = self.lock();
+        inner.expire(now);
+        let leaving = inner.leaving.iter().rev().map(|(target, _)| TargetStanding {
+            target: *target,
+            leaves: true,
+            pause_ms: 0,
+        });
+        let paused = inner.paused.iter().map(|(target, until)| TargetStanding {
+            target: *target,
+            leaves: false,
+            pause_ms: u32::try_from((*until - now).as_millis()).unwrap_or(u32::MAX),
+        });
+        leaving.chain(paused).take(MAX_TOLD).collect()
     }
 
     /// How many targets leave or pause.
     pub fn counts(&self, now: Instant) -> Counts {
+        let mut inner = self.lock();
+        inner.expire(now);
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        let leaving = count(self.leaving(now).len());
-        let mut rows = self.lock();
-        rows.retain(|_, row| row.leaves.is_some() || row.is_paused(now));
-        let paused = count(rows.values().filter(|row| row.is_paused(now)).count());
-        Counts { leaving, paused }
+        Counts { leaving: count(inner.leaving.len()), paused: count(inner.paused.len()) }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Hash, Row>> {
-        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Forgets the older half of the lives that left, and all pauses that are over.
-fn forget(rows: &mut HashMap<Hash, Row>, now: Instant) {
-    let mut times: Vec<Instant> = rows.values().filter_map(|row| row.leaves).collect();
-    times.sort_unstable();
-    let middle = times.get(times.len() / 2).copied().unwrap_or(now);
-    rows.retain(|_, row| row.leaves.is_some_and(|at| at > middle) || row.is_paused(now));
+impl Inner {
+    fn expire(&mut self, now: Instant) {
+        self.paused.retain(|_, until| now < *until);
+        while self.leaving.front().is_some_and(|(_, since)| now.duration_since(*since) >= LATELY) {
+            self.leaving.pop_front();
+        }
+    }
+
+    fn forget_older_half(&mut self) {
+        let mut times: Vec<Instant> = self.left.values().copied().collect();
+        times.sort_unstable();
+        let middle = times[times.len() / 2];
+        self.left.retain(|_, since| *since > middle);
+    }
 }
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -119,6 +119,8 @@
     closed: Option<Instant>,
     /// When a permit was last refused.
     refused: Option<Instant>,
+    /// Until when it wants no requests from some other entry.
+    paused_elsewhere: Option<Instant>,
 }
 
 /// A change of stage that was announced.
@@ -242,10 +244,18 @@
         for change in &changes {
             self.log_change(*change);
         }
-        self.workload.standings.note(self.key, &changes, now);
+        if !changes.is_empty() {
+            self.workload.standings.note(self.key, &changes, now);
+            self.workload.change();
+        }
         changes
     }
 
+    /// Takes in that it wants no requests from some other entry until then.
+    pub fn pauses_elsewhere(&self, until: Instant) {
+        self.load().paused_elsewhere = Some(until);
+    }
+
     /// Whether the target wants requests, by its own word.
     pub fn look(&self, now: Instant) -> Result<(), Closed> {
         self.load().standing.look(self.time(now))
@@ -415,6 +425,7 @@
         let load = self.load();
         load.misdirected.is_some_and(|until| now < until)
             || load.standing.look(self.time(now)).is_err()
+            || load.paused_elsewhere.is_some_and(|until| now < until)
             || load.reach.is_paused()
             || load.reach.is_silent(patience, self.time(now))
     }
