--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -181,6 +181,8 @@
 fn metrics_page(shared: Arc<Shared>) -> probe::Page {
     Arc::new(move |_| {
         let dropped = crate::journal::dropped();
+        let unknown = crate::unknown::count();
+        shared.metrics.unknown_names.set(i64::try_from(unknown).unwrap_or(i64::MAX));
         shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
         let now = Instant::now();
         let standings = shared.workload.standings.counts(now);
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -54,5 +54,6 @@
 pub mod target;
 pub mod trace;
 pub mod tries;
+pub mod unknown;
 pub mod usage;
 pub mod workload;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -105,6 +105,8 @@
     pub entries: Gauge,
     /// Lines of the log that were dropped.
     pub dropped_lines: Gauge,
+    /// Names that no decoder knows.
+    pub unknown_names: Gauge,
 }
 
 /// The least latency told apart, in seconds; twelve buckets reach 2 s, the shortest deadline.
@@ -143,6 +145,7 @@
             paused: Gauge::default(),
             entries: Gauge::default(),
             dropped_lines: Gauge::default(),
+            unknown_names: Gauge::default(),
         };
         metrics.register_requests(&mut registry);
         metrics.register_sendings(&mut registry);
@@ -188,6 +191,8 @@
         to.register("targets_leaving", leaving, self.leaving.clone());
         let paused = "Targets that want no requests from this entry now";
         to.register("targets_paused", paused, self.paused.clone());
+        let unknown = "Names that no decoder knows, sent by targets or the log";
+        to.register("unknown_names", unknown, self.unknown_names.clone());
         to.register("entries", "Entries that share the work", self.entries.clone());
     }
 
--- a/crates/direct/src/story.rs
+++ b/crates/direct/src/story.rs
@@ -6,7 +6,8 @@
 use compact_str::CompactString;
 
 /// Modules whose lines tell what a process believes, not what it did for a request.
-const BELIEFS: [&str; 7] = ["config", "fleet", "stages", "store", "bulletin", "peers", "process"];
+const BELIEFS: [&str; 8] =
+    ["config", "fleet", "stages", "store", "bulletin", "peers", "process", "unknown"];
 
 /// The text of one process's log, with the name it is shown under.
 #[derive(Debug, Clone, Copy)]
