fix(direct): an answer that belongs to another request says nothing of its target's load either

Found by reading: load was taken before the answer was found to belong to another request, or to come from another target at the address. Tests: an answer to another request doesn't close its target, and calls of the entry itself (orders, reports, lists) keep to a pause; both pass without this change, the second door was untested.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -208,9 +208,6 @@
     let now = Instant::now();
     let status = response.status();
     let reply = border.reply(status, response.headers());
-    if let Some(busy) = reply.busy {
-        target.hear(busy, now);
-    }
     let refused = reply.not_run || status == StatusCode::MISDIRECTED_REQUEST;
     let other = reply.attempt.is_some() && reply.attempt != sending.attempt;
     if other {
@@ -222,6 +219,9 @@
     // One that says so is another target.
     if status != StatusCode::MISDIRECTED_REQUEST {
         target.hear_signals(&reply.signals, sent, now);
+        if let Some(busy) = reply.busy {
+            target.hear(busy, now);
+        }
     }
     if refused {
         if status == StatusCode::MISDIRECTED_REQUEST {
