--- a/crates/policy/tests/signals.rs
+++ b/crates/policy/tests/signals.rs
@@ -1,6 +1,8 @@
 //! What follows from what a target says of itself.
 
 use policy::signals::{Change, Closed, Said, Signals, Standing};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
 const fn ms(ms: u64) -> Duration {
@@ -70,3 +72,61 @@
     assert_eq!(standing.look(ms(70)), Ok(()));
     assert_eq!(Standing::restored(true, None).look(ms(0)), Err(Closed::Leaving));
 }
+
+/// What one answer says, or a request that is to be sent.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Answer { signals: Signals, sent: Duration },
+    Send,
+}
+
+fn draw(random: &mut ChaCha8Rng, now: Duration) -> Event {
+    if random.random_bool(0.7) {
+        return Event::Send;
+    }
+    let said = |random: &mut ChaCha8Rng, value| match random.random_range(0..6) {
+        0 => Said::Value(value),
+        1 => Said::Unreadable,
+        _ => Said::Nothing,
+    };
+    let span = ms(random.random_range(0..400));
+    let pause = said(random, span);
+    let leaving = match random.random_range(0..200) {
+        0 => Said::Value(true),
+        1 => Said::Unreadable,
+        2 => Said::Value(false),
+        _ => Said::Nothing,
+    };
+    let sent = now.saturating_sub(ms(random.random_range(0..300)));
+    Event::Answer { signals: Signals { pause, leaving, limit: Said::Nothing }, sent }
+}
+
+/// Answers that overtake each other, pauses within pauses, requests that are never answered, in any order. A target that
+/// leaves gets nothing for good, one that pauses nothing until its end, and one that said nothing for long gets work.
+#[test]
+fn in_any_order_a_closed_target_gets_nothing_and_an_open_one_work() {
+    for seed in 0..10_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let (mut standing, mut now) = (Standing::default(), Duration::ZERO);
+        let (mut left, mut until) = (false, Duration::ZERO);
+        for _ in 0..200 {
+            now += ms(random.random_range(0..25));
+            match draw(&mut random, now) {
+                Event::Answer { signals, sent } => {
+                    standing.hear(&signals, sent, now);
+                    left |= signals.leaving == Said::Value(true);
+                    if let Said::Value(span) = signals.pause {
+                        until = until.max(now + span);
+                    }
+                }
+                Event::Send => {
+                    let taken = standing.take(now);
+                    let closed = left || now < until;
+                    assert!(!closed || taken.is_err(), "seed {seed} at {now:?}");
+                }
+            }
+        }
+        now = until.max(now) + ms(2_500);
+        assert_eq!(standing.take(now).is_ok(), !left, "seed {seed}");
+    }
+}
