feat(direct): prompts are not read while no engine could write in time; what is read in vain is counted

Cause: until now only pauses of all engines that write kept a prompt from being read; where all named a limit and none has a permit within half of the objective, it was read and then refused. lapismast_prompt_tokens_total{kind="vain"} counts tokens of prompts that no engine wrote for.

--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -33,8 +33,8 @@
     if let Some(back) = until_written(&job, &engines) {
         return job.refuse(&mut trace, Refusal::NoWriter, back);
     }
-    if let Some(pause) = until_wanted(&engines) {
-        return job.refuse(&mut trace, Refusal::Limited, permits::come_back(&job, pause));
+    if let Some(back) = until_open(&job, &engines) {
+        return job.refuse(&mut trace, Refusal::Limited, permits::come_back(&job, back));
     }
     match read::run(&job, &prompt, &mut trace).await {
         Read::Refused(refusal, back) => job.refuse(&mut trace, refusal, back),
@@ -66,17 +66,19 @@
     Some(left + TOLD)
 }
 
-/// How long until engines want requests again, if all that could read the prompt or all that could write the
-/// output want none: what is read meanwhile is read for nobody.
-fn until_wanted(engines: &[Arc<Target>]) -> Option<Duration> {
-    let now = Instant::now();
-    let pause = |engines: &mut dyn Iterator<Item = &Arc<Target>>| {
-        engines.map(|engine| engine.paused_for(now)).min().flatten()
-    };
-    let mut writers = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
-    pause(&mut writers).or_else(|| pause(&mut engines.iter()))
+/// How long until engines take requests again, if all that could read the prompt or all that could write the
+/// output pause, or have no permit left: what is read meanwhile is read for nobody.
+fn until_open(job: &Job, engines: &[Arc<Target>]) -> Option<Duration> {
+    let (now, reading) = (Instant::now(), job.route.objective.mul_f64(READING_PART));
+    let closed = |engine: &Arc<Target>| engine.closed_for(now).filter(|left| *left > reading);
+    let writers = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
+    let until_written = writers.map(closed).min().flatten();
+    until_written.or_else(|| engines.iter().map(closed).min().flatten())
 }
 
+/// The part of an objective that reading a prompt takes: who opens within it can write what was read.
+const READING_PART: f64 = 0.5;
+
 /// How long it takes until it is noticed that nobody writes.
 const NOTICED: Duration = Duration::from_millis(1_500);
 
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -48,6 +48,8 @@
 impl Drop for Cache {
     fn drop(&mut self) {
         let Some(handle) = self.handle.take() else { return };
+        let tokens = self.job.ask.prompt.as_ref().map_or(0, |prompt| prompt.input);
+        self.job.shared.metrics.read_in_vain(tokens.into());
         let engine = self.engine.clone();
         let border = self.job.shared.border.clone();
         let path = border.free_path(&handle.id);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -169,7 +169,7 @@
         let sent = "Time until a target's head by step: it waits there and is worked on";
         to.register("sending_seconds", sent, self.sent.clone());
         to.register("target_answers", "Sendings by target and how they went", self.answers.clone());
-        let tokens = "Prompt tokens by whether an engine was believed to keep them";
+        let tokens = "Prompt tokens: read, believed to be kept by an engine, read in vain";
         to.register("prompt_tokens", tokens, self.tokens.clone());
         let permits = "Questions for permits to send to targets that named a limit";
         to.register("permits", permits, self.permits.clone());
@@ -257,6 +257,11 @@
         self.tokens.get_or_create(&ByKind { kind: "kept".into() }).inc_by(kept);
     }
 
+    /// Counts the tokens of a prompt that was read for an output that no engine wrote.
+    pub fn read_in_vain(&self, tokens: u64) {
+        self.tokens.get_or_create(&ByKind { kind: "vain".into() }).inc_by(tokens);
+    }
+
     /// Counts an order to an engine.
     pub fn order(&self, went: &'static str) {
         self.orders.get_or_create(&ByKind { kind: went.into() }).inc();
