refactor(direct): types that many need lie below what uses them

Born, Content, Others, Booked and the error of a body move to modules that import none of their users. No behaviour changes; tests of direct pass.

--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/answer.rs
@@ -1,7 +1,7 @@
 //! The answers of this process itself: refusals that promise the request has not run, and failures
 //! that promise nothing.
 
-use crate::relay::Relay;
+use crate::relay::{Error, Relay, Result};
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
@@ -83,15 +83,6 @@
     Relay(Box<Relay>),
 }
 
-/// The result of making an answer's body.
-pub type Result<T, E = Error> = std::result::Result<T, E>;
-
-/// Why a body ends early; the connection to the caller is closed then, so that the answer does not
-/// look complete.
-#[derive(Debug, Clone, thiserror::Error)]
-#[error("the answer was cut off: {0}")]
-pub struct Error(pub compact_str::CompactString);
-
 impl hyper::body::Body for Body {
     type Data = Bytes;
     type Error = Error;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -1,11 +1,12 @@
 //! One sending of a request to one target, and what can be said of it afterwards.
 
 use crate::border::{Border, Reply, Sending};
+use crate::content::Content;
 use crate::pool::{self, Connection};
 use crate::target::{Health, Target};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use policy::signals::Closed;
@@ -13,19 +14,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// A caller's request as it is sent on, unchanged but for its headers.
-#[derive(Debug, Clone)]
-pub struct Content {
-    /// The method.
-    pub method: Method,
-    /// The path with its query.
-    pub path: Uri,
-    /// The caller's headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
 /// How a sending ended.
 #[derive(Debug)]
 pub enum Outcome {
--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -4,7 +4,6 @@
 //! and prompts and never sees a header's name.
 
 use crate::customers::{Caller, Credential};
-use crate::fleet::Born;
 use crate::route::Stage;
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
@@ -19,6 +18,10 @@
 /// [`Born`].
 pub type TargetId = CompactString;
 
+/// When a life of a target began, in milliseconds since 1970 by its own clock. It tells its lives
+/// apart; it is never compared with another target's, or with the time here.
+pub type Born = u64;
+
 /// The id of one part of a prompt.
 pub type PartId = u64;
 
--- a/crates/direct/src/datagram.rs
+++ b/crates/direct/src/datagram.rs
@@ -1,6 +1,5 @@
 //! The datagrams that entries send each other, see [`crate::peers`].
 
-use crate::peers::Others;
 use policy::Hash;
 use prost::Message;
 
@@ -95,6 +94,15 @@
     pub streams: Vec<u32>,
 }
 
+/// The work of the other entries at one engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Others {
+    /// Tokens to be read.
+    pub reading: u64,
+    /// Streams.
+    pub streams: u32,
+}
+
 impl Work {
     /// The rows; those of a datagram with columns of different lengths end with the shortest.
     pub fn rows(self) -> Vec<(u32, Others)> {
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/engine.rs
@@ -1,7 +1,7 @@
 //! What this process knows of one engine's prompts: tokens to be read there, streams, kept parts.
 
 use crate::border::{Part, PartId};
-use crate::workload::Workload;
+use crate::workload::{Booked, Workload};
 use policy::Hash;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,12 +18,6 @@
     workload: Arc<Workload>,
 }
 
-/// What is booked at an engine.
-pub trait Booked: std::fmt::Debug + Send + Sync {
-    /// Tokens to be read, and streams.
-    fn booked(&self) -> (u64, u32);
-}
-
 impl Booked for Inner {
     fn booked(&self) -> (u64, u32) {
         let state = self.lock();
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/fleet.rs
@@ -5,7 +5,7 @@
 //! again under its id: its new life replaces the former one with all that was believed of it (stage,
 //! kept parts, connections, pauses, announced changes), and a former life never comes back.
 
-use crate::border::TargetId;
+use crate::border::{Born, TargetId};
 use crate::route::{ServiceName, Stage};
 use crate::target::{self, Target};
 use crate::workload::Workload;
@@ -21,10 +21,6 @@
 /// A place in the log, see [`plat::Offset`].
 pub type Offset = plat::Offset;
 
-/// When a life of a target began, in milliseconds since 1970 by its own clock. It tells its lives
-/// apart; it is never compared with another target's, or with the time here.
-pub type Born = u64;
-
 /// What a target tells of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sighting {
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/intake.rs
@@ -1,7 +1,7 @@
 //! Callers' connections: heads and bodies within limits, answers, and a stop that cuts nothing.
 
 use crate::answer::{self, Body};
-use crate::attempt::Content;
+use crate::content::Content;
 use crate::route::Limits;
 use crate::serve;
 use crate::shared::Shared;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod broadcast;
 pub mod bulletin;
 pub mod clock;
+pub mod content;
 pub mod coordinator;
 pub mod customers;
 pub mod daemon;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::broadcast;
 use crate::clock;
 use crate::coordinator;
-use crate::datagram::{Read, ServiceLoad, State, TargetStanding, UNIT, Work, short};
+use crate::datagram::{Others, Read, ServiceLoad, State, TargetStanding, UNIT, Work, short};
 use crate::groups::Member;
 use crate::loads::Loads;
 use crate::question::{Answer, Exchange, Granted, Report, Room, Word};
@@ -50,15 +50,6 @@
 /// The largest datagram that is read, in bytes: the largest that there can be.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
-/// The work of the other entries at one engine.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Others {
-    /// Tokens to be read.
-    pub reading: u64,
-    /// Streams.
-    pub streams: u32,
-}
-
 /// What is known of the other entries.
 #[derive(Debug, Default)]
 pub struct Peers {
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/relay.rs
@@ -1,6 +1,5 @@
 //! Passes a target's answer on as it comes, and goes on elsewhere if a resumable stream breaks.
 
-use crate::answer::{Error, Result};
 use crate::attempt::Answered;
 use crate::engine::{Reading, Writing};
 use crate::events::Events;
@@ -19,6 +18,15 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep};
 
+/// The result of making an answer's body.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a body ends early; the connection to the caller is closed then, so that the answer does not
+/// look complete.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("the answer was cut off: {0}")]
+pub struct Error(pub compact_str::CompactString);
+
 /// What is booked at a target while it works on a request.
 #[derive(Debug)]
 pub struct Booking {
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/serve.rs
@@ -1,8 +1,9 @@
 //! The way of one request: route, quarantine, then the plain or the engines' way.
 
 use crate::answer::{self, Body, Failure, Refusal};
-use crate::attempt::{self, Content, Outcome};
+use crate::attempt::{self, Outcome};
 use crate::border::{Ask, Sending};
+use crate::content::Content;
 use crate::customers::Caller;
 use crate::engine::Writing;
 use crate::permits::Permit;
--- a/crates/direct/src/suspects.rs
+++ b/crates/direct/src/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests that were running when a target crashed.
 
-use crate::attempt::Content;
+use crate::content::Content;
 use crate::customers::Customer;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/target.rs
@@ -1,8 +1,7 @@
 //! One target as this process knows it: its identity, its connections, its load.
 
-use crate::border::{Busy, TargetId};
+use crate::border::{Born, Busy, TargetId};
 use crate::engine::Engine;
-use crate::fleet::Born;
 use crate::pool::Pool;
 use crate::route::{ServiceName, Stage};
 use crate::workload::Workload;
--- a/crates/direct/src/workload.rs
+++ b/crates/direct/src/workload.rs
@@ -3,13 +3,18 @@
 //! Engines that have none are in no list: what the other entries are told then grows with the requests
 //! of this entry, not with the engines that there are.
 
-use crate::engine::Booked;
 use crate::standings::Standings;
 use policy::Hash;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Notify;
 
+/// What is booked at an engine.
+pub trait Booked: std::fmt::Debug + Send + Sync {
+    /// Tokens to be read, and streams.
+    fn booked(&self) -> (u64, u32);
+}
+
 /// The work of one process at all engines.
 #[derive(Debug, Default)]
 pub struct Workload {
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -1,7 +1,8 @@
 //! The list of targets: late records, lapses, targets that leave.
 
+use direct::border::Born;
 use direct::border::Part;
-use direct::fleet::{Born, Condition, Fleet, News, Sighting};
+use direct::fleet::{Condition, Fleet, News, Sighting};
 use direct::route::Stage;
 use direct::target::CHANGE;
 use policy::signals::{Said, Signals};
