refactor(direct): a request's way and what entries tell each other are no rings any more

- job holds what all steps know of a request; dispatch sends it and passes the answer on; serve only picks the way.
Outcome::name replaces serve::went.
- State lies below the tasks that work on it: peers and gossip, usage and metering, coordinator and coordination; what tail did with the whole entry is the entry's (Shared::observe_epoch, note_read).

No behaviour changes; all tests of direct pass, none changed but by the new paths.

--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/attempt.rs
@@ -32,6 +32,21 @@
 }
 
 impl Outcome {
+    /// Its name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(answered) if answered.response.status().is_success() => "ok",
+            Self::Answered(_) => "failed",
+            Self::NotRun(_) => "refused",
+            Self::NotSent(_) => "not-sent",
+            Self::Unknown(_) => "unknown",
+            Self::Late => "late",
+            Self::Closed(Closed::Limited) => "limited",
+            Self::Closed(Closed::Leaving) => "leaving",
+            Self::Closed(Closed::Paused) => "paused",
+        }
+    }
+
     /// Whether the target ran the request, or may have.
     pub fn may_have_run(&self) -> bool {
         match self {
--- a/crates/direct/src/billing.rs
+++ b/crates/direct/src/billing.rs
@@ -13,6 +13,7 @@
 mod record;
 
 use crate::clock::since_boot;
+use crate::metering;
 use crate::question::{Billed, Word};
 use crate::shared::Shared;
 use crate::usage;
@@ -278,7 +279,7 @@
         self.next = Some(after);
         log::info!(target: "billing", offset, next = after; "bill fixed");
         let billed = Billed { end: self.end, next: after };
-        usage::tell_billers(&self.shared, &Word::Billed(billed));
+        metering::publish(&self.shared, &Word::Billed(billed));
         Ok(())
     }
 
--- a/crates/direct/src/bulletin/reader.rs
+++ b/crates/direct/src/bulletin/reader.rs
@@ -126,7 +126,7 @@
     /// Takes in records that were read.
     fn take_batch(&mut self, batch: Batch) {
         self.again = None;
-        tail::hear_epoch(&self.shared, epoch::epoch(batch.end), "log");
+        self.shared.observe_epoch(epoch::epoch(batch.end), "log");
         let (now, before) = (Instant::now(), self.news);
         let mut read = self.bulletin.borrow().clone();
         let is_first = read.end.is_none();
@@ -161,7 +161,7 @@
             let span = tail::Told { topic, before, troubled, records: changed };
             broadcast::pass_on(&self.shared, &span);
         }
-        tail::note(&self.shared, Topic::Notices, self.news);
+        self.shared.note_read(Topic::Notices, self.news);
         self.heard.retain(|_, heard| now.duration_since(heard.at) < SILENCE);
         self.publish(read);
     }
--- a/crates/direct/src/coordinator.rs
+++ b/crates/direct/src/coordinator.rs
@@ -1,28 +1,15 @@
-//! Decides for the other entries which engine of a group reads a prompt or writes an output, see
-//! [`policy::groups`].
-//!
-//! What it grants it books, so its view of an engine's queue is as old as the way to the entry that
-//! was granted. It answers whoever asks, whether or not it holds itself responsible: two that both
-//! coordinate a group for a moment make a queue longer than meant, and break nothing.
+//! What this entry has granted to others as a coordinator, see [`crate::coordination`].
 
 mod permits;
-mod reading;
-mod writing;
-
-use crate::datagram::short;
-use crate::groups::Group;
-use crate::question::{Answer, Report, Word};
-use crate::route::Service;
-use crate::shared::Shared;
-use crate::target::{Target, Way};
+
 use policy::Hash;
 use policy::bookings::Bookings;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
-pub use permits::{Permits, hear as hear_limit};
+pub use permits::Permits;
 
 /// What this entry has granted.
 #[derive(Debug)]
@@ -50,10 +37,6 @@
 /// Engines and groups that are remembered; those that are gone are forgotten with all others.
 const MAX_REMEMBERED: usize = 4_096;
 
-/// An engine that has work counts as away when it has said nothing for so many times what a first
-/// answer may take.
-const SILENCE: u32 = 3;
-
 impl Default for Coordinator {
     fn default() -> Self {
         let (inner, permits) = (Mutex::default(), Permits::default());
@@ -69,7 +52,8 @@
         inner.engines.get_mut(&engine).map_or(0, |bookings| bookings.waiting(time))
     }
 
-    fn is_new(&self, group: Hash, now: Instant) -> bool {
+    /// Whether this entry was first asked for a group only lately.
+    pub fn is_new(&self, group: Hash, now: Instant) -> bool {
         let mut inner = self.lock();
         if inner.since.len() >= MAX_REMEMBERED {
             inner.since.clear();
@@ -77,7 +61,8 @@
         now.duration_since(*inner.since.entry(group).or_insert(now)) < NEW
     }
 
-    fn book(&self, engine: Hash, booking: u64, tokens: u64, now: Instant) {
+    /// Books a prompt at an engine.
+    pub fn book(&self, engine: Hash, booking: u64, tokens: u64, now: Instant) {
         let time = self.time(now);
         let mut inner = self.lock();
         if inner.engines.len() >= MAX_REMEMBERED {
@@ -94,7 +79,8 @@
         u32::try_from(streams).unwrap_or(u32::MAX)
     }
 
-    fn book_place(&self, engine: Hash, booking: u64, span: Duration, now: Instant) {
+    /// Books a place for a stream at an engine.
+    pub fn book_place(&self, engine: Hash, booking: u64, span: Duration, now: Instant) {
         let time = self.time(now);
         let mut inner = self.lock();
         if inner.places.len() >= MAX_REMEMBERED {
@@ -103,7 +89,8 @@
         inner.places.entry(engine).or_default().book_for(booking, 1, time, span);
     }
 
-    fn end(&self, engine: Hash, booking: u64) {
+    /// Ends a booking.
+    pub fn end(&self, engine: Hash, booking: u64) {
         let inner = &mut *self.lock();
         for engines in [&mut inner.engines, &mut inner.places] {
             if let Some(bookings) = engines.get_mut(&engine) {
@@ -120,66 +107,3 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Answers a question; `None` if it is none, or its group or service is not known here.
-pub fn answer(shared: &Shared, question: &Word) -> Option<Answer> {
-    match question {
-        Word::Ask(ask) => reading::decide(shared, ask),
-        Word::Place(ask) => writing::decide(shared, ask),
-        Word::Permit(ask) => Some(permits::decide(shared, ask)),
-        Word::Answer(_)
-        | Word::Report(_)
-        | Word::News(_)
-        | Word::Lack(_)
-        | Word::Used(_)
-        | Word::Billed(_)
-        | Word::Limit(_) => None,
-    }
-}
-
-fn service(shared: &Shared, key: u32) -> Option<Arc<Service>> {
-    let table = shared.table.borrow().clone()?;
-    let mut services = table.services();
-    services.find(|service| short(policy::hash(&service.name)) == key).cloned()
-}
-
-/// Takes in what became of a prompt.
-pub fn take(shared: &Shared, report: &Report) {
-    let engines = shared.fleet().engines();
-    let engine = engines.iter().find(|engine| short(engine.key) == report.engine);
-    // One that is gone, or that is not yet listed here.
-    let Some(engine) = engine else { return };
-    shared.coordinator.end(engine.key, report.booking);
-    if let Some(kept) = &report.kept {
-        engine.engine.keep(&kept.rows(), room(shared, engine));
-    }
-    if let Some(moved) = &report.moved {
-        let (now, took) = (Instant::now(), Duration::from_micros(moved.took_us));
-        engine.handed_over(Way::In, took, now);
-        if let Some(from) = engines.iter().find(|engine| short(engine.key) == moved.from) {
-            from.handed_over(Way::Out, took, now);
-        }
-    }
-    if report.failed && !engine.is_away(Duration::MAX, Instant::now()) {
-        // One refused connection seen here keeps all entries away from an engine that crashed.
-        let engine = engine.clone();
-        tokio::spawn(async move {
-            engine.still_listens().await;
-        });
-    }
-}
-
-/// How many tokens this entry may believe an engine to keep. Of one that others coordinate it hears
-/// only about prompts that ask its own groups first, about as large a part as these are of all groups:
-/// what pushes the rest out it does not hear.
-fn room(shared: &Shared, engine: &Target) -> u64 {
-    let memory = shared.room(&engine.service);
-    let groups = shared.groups(&engine.service);
-    let ours = |group: &&Group| group.coordinators.iter().any(|member| member.address.is_none());
-    let listed = |group: &Group| group.engines.iter().any(|other| other.key == engine.key);
-    if groups.iter().filter(ours).any(listed) {
-        return memory;
-    }
-    let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
-    memory * count(groups.iter().filter(ours).count()) / count(groups.len()).max(1)
-}
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -3,14 +3,14 @@
 use crate::billing::{self, Meter};
 use crate::bulletin::{self, Bulletin};
 use crate::follow::{self, Decode};
+use crate::gossip;
 use crate::intake::Intake;
 use crate::measured::Measured;
-use crate::peers;
+use crate::metering;
 use crate::probe;
 use crate::recall;
 use crate::shared::{Shared, Stop};
 use crate::stages;
-use crate::usage;
 use http::StatusCode;
 use plat::KeyedLog;
 use std::net::SocketAddr;
@@ -124,12 +124,12 @@
         tasks.spawn(bulletin::tell(shared.clone(), log.clone(), addresses.peers, stop.clone()));
         tasks.spawn(bulletin::suspect(shared.clone(), log.clone()));
         tasks.spawn(bulletin::read(shared.clone(), log.clone(), told));
-        tasks.spawn(peers::tell(shared.clone(), peers.clone()));
-        tasks.spawn(peers::hear(shared.clone(), peers));
+        tasks.spawn(gossip::publish(shared.clone(), peers.clone()));
+        tasks.spawn(gossip::receive(shared.clone(), peers));
         if let Some((meter, settings)) = meter {
             let life = shared.post.name();
             shared.usage.open(settings.window, life);
-            tasks.spawn(usage::tell(shared.clone()));
+            tasks.spawn(metering::run(shared.clone()));
             tasks.spawn(billing::run(shared.clone(), log.clone(), meter, settings, life));
         }
         tasks.spawn(stages::run(shared.clone(), log, heard));
--- /dev/null
+++ b/crates/direct/src/dispatch.rs
@@ -0,0 +1,63 @@
+//! One sending of a request: permit, booking, attempt, and its answer on the way back.
+
+use crate::answer::Body;
+use crate::attempt::{self, Outcome};
+use crate::border::Sending;
+use crate::engine::Writing;
+use crate::job::Job;
+use crate::permits::{self, Permit};
+use crate::relay::{Booking, Relay, Resume, Source};
+use crate::target::Target;
+use crate::trace::Trace;
+use http::Response;
+use policy::signals::Closed;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Sends the request to a target, with a permit if it needs one.
+pub async fn send(job: &Job, target: &Arc<Target>, sending: &Sending, permit: Permit) -> Outcome {
+    if permit == Permit::Wanted && permits::take(job, target).await.is_err() {
+        return Outcome::Closed(Closed::Limited);
+    }
+    let sent = Instant::now();
+    // Generations have booked the link before.
+    if job.ask.prompt.is_none() {
+        job.shared.book_bytes(job.content.body.len());
+    }
+    let bounds = attempt::Bounds {
+        connections: job.shared.connections(&job.service),
+        connect: job.shared.connect_patience(target),
+        until: job.last_word(),
+    };
+    let outcome = attempt::send(&*job.shared.border, target, &job.content, sending, &bounds).await;
+    if let Outcome::Answered(answered) = &outcome
+        && let Some(took) = answered.connection.opened
+    {
+        job.shared.connected(target, took);
+    }
+    if matches!(outcome, Outcome::Answered(_) | Outcome::NotRun(_)) {
+        permits::publish(&job.shared, target, permit, sent);
+    }
+    outcome
+}
+
+/// Passes a target's answer on.
+pub fn pass_on(
+    job: &Job,
+    source: Source,
+    resume: Option<Box<dyn Resume>>,
+    trace: Trace,
+) -> Response<Body> {
+    let mut response = Response::new(());
+    *response.status_mut() = source.answered.response.status();
+    *response.headers_mut() = source.answered.response.headers().clone();
+    job.shared.border.answer(response.headers_mut());
+    let relay = Relay::new(source, job.until, resume, trace);
+    response.map(|()| Body::Relay(Box::new(relay)))
+}
+
+/// Books a request at a target.
+pub fn book(target: &Arc<Target>, writing: Option<Writing>) -> Booking {
+    let entered = target.enter();
+    Booking { target: target.clone(), entered, reading: None, writing, place: None }
+}
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/follow.rs
@@ -8,7 +8,7 @@
 use crate::fleet::{Condition, News, Sighting};
 use crate::route::Table;
 use crate::shared::Shared;
-use crate::tail::{self, Told, Topic, Turn};
+use crate::tail::{Told, Topic, Turn};
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset, Record, StreamName, epoch};
 use std::collections::HashMap;
@@ -147,7 +147,7 @@
     }
 
     fn read_up_to(&mut self, end: Offset) {
-        tail::hear_epoch(&self.shared, epoch::epoch(end), "log");
+        self.shared.observe_epoch(epoch::epoch(end), "log");
         self.next = Some(end);
     }
 
@@ -227,7 +227,7 @@
 /// Notes the offset after the last news: of a read of this entry's own, or as it was told.
 fn note(shared: &Shared, topic: Topic, news: Offset, own: bool) {
     if own {
-        tail::note(shared, topic, news);
+        shared.note_read(topic, news);
     } else {
         shared.tail.knows(topic, news);
     }
--- a/crates/direct/src/generate.rs
+++ b/crates/direct/src/generate.rs
@@ -7,9 +7,9 @@
 
 use crate::answer::{Body, Refusal};
 use crate::border::Prompt;
+use crate::job::Job;
 use crate::reservation;
 use crate::route::Stage;
-use crate::serve::Job;
 use crate::target::{Target, Way};
 use crate::trace::Trace;
 use crate::{permits, plain};
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/generate/cache.rs
@@ -2,7 +2,7 @@
 
 use crate::attempt;
 use crate::border::Handle;
-use crate::serve::Job;
+use crate::job::Job;
 use crate::target::Target;
 use http::Method;
 use std::sync::Arc;
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/generate/resume.rs
@@ -3,9 +3,10 @@
 use super::writer;
 use crate::attempt::Outcome;
 use crate::border::Sending;
+use crate::dispatch;
+use crate::job::Job;
 use crate::permits::Permit;
 use crate::relay::{Resume, Source};
-use crate::serve::{Job, book, went};
 use crate::target::Target;
 use std::future::Future;
 use std::pin::Pin;
@@ -45,7 +46,7 @@
             let mut tried = vec![failed.clone()];
             while tried.len() <= ENGINES {
                 let engine = writer(&job, &tried, &failed.domain)?;
-                let booking = book(&engine, Some(engine.engine.write()));
+                let booking = dispatch::book(&engine, Some(engine.engine.write()));
                 let outcome = resume(&job, &engine, after).await;
                 match outcome {
                     Outcome::Answered(answered) if answered.response.status().is_success() => {
@@ -64,8 +65,8 @@
 async fn resume(job: &Job, engine: &Arc<Target>, after: Option<u64>) -> Outcome {
     let sending = Sending { after_event: after, ..job.sending(engine) };
     let began = Instant::now();
-    let outcome = job.send(engine, &sending, Permit::Wanted).await;
-    let name = went(&outcome);
+    let outcome = dispatch::send(job, engine, &sending, Permit::Wanted).await;
+    let name = outcome.name();
     job.shared.metrics.sending("resume", &engine.id, name, began.elapsed());
     log::info!(target: "request", id = job.id(), target_id = engine.id.as_str(),
         after:? = after, went = name; "stream resumed");
--- a/crates/direct/src/generate/write.rs
+++ b/crates/direct/src/generate/write.rs
@@ -6,12 +6,13 @@
 use crate::answer::Body;
 use crate::attempt::{Answered, Outcome};
 use crate::border::{Prompt, Sending, Step};
+use crate::dispatch;
+use crate::job::Job;
 use crate::permits::Permit;
 use crate::places;
 use crate::relay::{Booking, Source};
 use crate::reservation::{self, Reservation};
 use crate::route::Repeat;
-use crate::serve::{Job, book, relay, went};
 use crate::target::{Target, Way};
 use crate::trace::Trace;
 use crate::tries::Tries;
@@ -32,8 +33,8 @@
         let (sending, mut booking) = write.prepare(&engine);
         booking.place = reservation;
         let began = Instant::now();
-        let outcome = write.job.send(&engine, &sending, permit).await;
-        write.trace.tried("write", &engine.id, went(&outcome), began.elapsed());
+        let outcome = dispatch::send(&write.job, &engine, &sending, permit).await;
+        write.trace.tried("write", &engine.id, outcome.name(), began.elapsed());
         write.note_handover(&engine, &outcome, began.elapsed());
         let another = write.tries.note(&write.job, &engine, &outcome);
         match outcome {
@@ -99,7 +100,7 @@
     }
 
     fn prepare(&self, engine: &Arc<Target>) -> (Sending, Booking) {
-        let mut booking = book(engine, Some(engine.engine.write()));
+        let mut booking = dispatch::book(engine, Some(engine.engine.write()));
         let mut sending = self.job.sending(engine);
         match &self.place {
             Place::Kept(cache) => {
@@ -155,6 +156,6 @@
         }
         let resumable = success && self.job.route.repeat == Repeat::Resumable;
         let resume = resumable.then(|| Continuation::boxed(&self.job, self.tries.sent));
-        relay(&self.job, Source { answered, booking }, resume, self.trace)
+        dispatch::pass_on(&self.job, Source { answered, booking }, resume, self.trace)
     }
 }
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/groups.rs
@@ -66,6 +66,11 @@
     }
 }
 
+/// The group of a target.
+pub fn of<'a>(groups: &'a [Group], target: &Target) -> Option<&'a Group> {
+    groups.iter().find(|group| group.engines.iter().any(|other| other.key == target.key))
+}
+
 fn divide(engines: &[Arc<Target>], members: &[Member]) -> Groups {
     let keys = engines.iter().map(|engine| Engine { key: engine.key, domain: engine.domain_key });
     let entries = members.iter().map(|member| Entry { key: member.key, weight: member.link });
--- a/crates/direct/src/inquiry.rs
+++ b/crates/direct/src/inquiry.rs
@@ -5,11 +5,11 @@
 //! silent one is passed over for [`SILENT`]. A grant that comes when nobody waits for it any more is given
 //! back, see [`crate::peers`].
 
-use crate::coordinator;
+use crate::coordination;
 use crate::datagram::short;
 use crate::groups::{Group, Member};
+use crate::job::Job;
 use crate::question::{Answer, Room, Word};
-use crate::serve::Job;
 use crate::shared::Shared;
 use policy::bookings::BookingId;
 use std::time::Duration;
@@ -64,7 +64,7 @@
     patience: Duration,
 ) -> Option<Answer> {
     let Some(address) = coordinator.address else {
-        return coordinator::answer(shared, &question);
+        return coordination::answer(shared, &question);
     };
     let mut waiting = shared.post.expect(booking);
     shared.post.send(question, address);
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/permits.rs
@@ -3,13 +3,13 @@
 //! Whoever is about to send to such a target asks the coordinators of its group for a permit, unless one
 //! came with the place that was booked there. Without one nothing is sent, and the request goes elsewhere.
 
-use crate::coordinator;
+use crate::coordination;
 use crate::datagram::short;
-use crate::groups::Group;
+use crate::groups;
 use crate::inquiry;
+use crate::job::Job;
 use crate::question::{AskPermit, Room, TargetLimit, Word};
 use crate::route::Stage;
-use crate::serve::Job;
 use crate::shared::Shared;
 use crate::target::Target;
 use policy::prompts;
@@ -63,7 +63,7 @@
         let (target, limit) = (short(target.key), limit(target, now));
         Word::Permit(AskPermit { booking, service, target, asker: Some(job.asker()), limit })
     };
-    let room = match group(&groups, target) {
+    let room = match groups::of(&groups, target) {
         Some(group) => inquiry::ask(job, group, job.route.objective, make).await,
         None => None,
     };
@@ -80,11 +80,6 @@
     Err(Refused)
 }
 
-/// The group of a target.
-pub fn group<'a>(groups: &'a [Group], target: &Target) -> Option<&'a Group> {
-    groups.iter().find(|group| group.engines.iter().any(|other| other.key == target.key))
-}
-
 /// When something may be sent to targets of a service that is closed to this entry.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Opening {
@@ -126,11 +121,12 @@
     let limit =
         limit.unwrap_or_else(|| row(target, None, now.duration_since(sent), Duration::ZERO));
     let groups = shared.groups(&target.service);
-    let coordinators = group(&groups, target).into_iter().flat_map(|group| &group.coordinators);
+    let coordinators =
+        groups::of(&groups, target).into_iter().flat_map(|group| &group.coordinators);
     for coordinator in coordinators {
         match coordinator.address {
             Some(address) => shared.post.send(Word::Limit(limit), address),
-            None => coordinator::hear_limit(shared, &limit),
+            None => coordination::hear_limit(shared, &limit),
         }
     }
 }
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/places.rs
@@ -11,10 +11,10 @@
 use crate::datagram::short;
 use crate::groups::Group;
 use crate::inquiry;
+use crate::job::Job;
 use crate::permits::Permit;
 use crate::question::{AskPlace, Room, Word};
 use crate::reservation::Reservation;
-use crate::serve::Job;
 use crate::target::Target;
 use policy::bookings::BookingId;
 use std::sync::Arc;
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/plain.rs
@@ -2,9 +2,10 @@
 
 use crate::answer::Body;
 use crate::attempt::Outcome;
+use crate::dispatch;
+use crate::job::Job;
 use crate::permits::Permit;
 use crate::relay::Source;
-use crate::serve::{Job, book, relay, went};
 use crate::target::Target;
 use crate::trace::Trace;
 use crate::tries::Tries;
@@ -17,10 +18,10 @@
     let mut tries = Tries::default();
     let mut last = None;
     while let Some(target) = tries.next(&job, |tried| choose(&job, tried)) {
-        let booking = book(&target, None);
+        let booking = dispatch::book(&target, None);
         let began = Instant::now();
-        let outcome = job.send(&target, &job.sending(&target), Permit::Wanted).await;
-        trace.tried("whole", &target.id, went(&outcome), began.elapsed());
+        let outcome = dispatch::send(&job, &target, &job.sending(&target), Permit::Wanted).await;
+        trace.tried("whole", &target.id, outcome.name(), began.elapsed());
         let another = tries.note(&job, &target, &outcome);
         if outcome.may_have_run() {
             job.count_run(began);
@@ -35,7 +36,7 @@
     match last {
         Some(source) => {
             trace.sendings += tries.sent;
-            relay(&job, source, None, trace)
+            dispatch::pass_on(&job, source, None, trace)
         }
         None => tries.give_up(&job, &mut trace),
     }
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/reservation.rs
@@ -1,7 +1,7 @@
 //! Bookings at coordinators, and what they are told of engines.
 
 use crate::border::Part;
-use crate::coordinator;
+use crate::coordination;
 use crate::datagram::short;
 use crate::groups::{Group, Member};
 use crate::question::{Moved, Parts, Report, Word};
@@ -127,7 +127,7 @@
 fn send(shared: &Shared, coordinator: &Member, report: Report) {
     match coordinator.address {
         Some(address) => shared.post.send(Word::Report(report), address),
-        None => coordinator::take(shared, &report),
+        None => coordination::take(shared, &report),
     }
 }
 
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -16,6 +16,8 @@
 use crate::usage::Usage;
 use crate::workload::Workload;
 use compact_str::CompactString;
+use plat::Offset;
+use plat::epoch::Epoch;
 use policy::{Hash, balance, dial, link, patience, prompts, split, window};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -188,6 +190,22 @@
         self.tail.age(Topic::Config, now).is_some_and(|age| age < lapse)
     }
 
+    /// Takes in an epoch of the log, of which `from` says how it is known.
+    pub fn observe_epoch(&self, epoch: Epoch, from: &'static str) {
+        let Some(new) = self.tail.hear_epoch(epoch, Instant::now()) else { return };
+        if let Some(before) = new.before {
+            log::warn!(target: "store", epoch, before, from; "log came back older");
+        }
+        self.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
+    }
+
+    /// Notes a read, and tells the others at once if it brought news.
+    pub fn note_read(&self, topic: Topic, news: Offset) {
+        if self.tail.read(topic, news, Instant::now()) {
+            self.workload.change();
+        }
+    }
+
     /// The targets of a service that may get new work.
     pub fn usable(&self, service: &str) -> Arc<[Arc<Target>]> {
         self.fleet().usable(service)
--- a/crates/direct/src/tail.rs
+++ b/crates/direct/src/tail.rs
@@ -8,7 +8,6 @@
 //! also when nobody's last read is fresh, so that losing the readers costs a second and not the
 //! news; and now and then in any case.
 
-use crate::shared::Shared;
 use compact_str::CompactString;
 use plat::epoch::{self, Epoch};
 use plat::{Offset, Record};
@@ -409,19 +408,3 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Takes in an epoch of the log, of which `from` says how it is known.
-pub fn hear_epoch(shared: &Shared, epoch: Epoch, from: &'static str) {
-    let Some(new) = shared.tail.hear_epoch(epoch, Instant::now()) else { return };
-    if let Some(before) = new.before {
-        log::warn!(target: "store", epoch, before, from; "log came back older");
-    }
-    shared.metrics.epoch.set(i64::try_from(epoch).unwrap_or(i64::MAX));
-}
-
-/// Notes a read, and tells the others at once if it brought news.
-pub fn note(shared: &Shared, topic: Topic, news: Offset) {
-    if shared.tail.read(topic, news, Instant::now()) {
-        shared.workload.change();
-    }
-}
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/tries.rs
@@ -3,8 +3,8 @@
 
 use crate::answer::{Body, Failure, Refusal};
 use crate::attempt::Outcome;
+use crate::job::{Job, SHORTLY};
 use crate::permits;
-use crate::serve::{Job, SHORTLY};
 use crate::target::Target;
 use crate::trace::Trace;
 use http::Response;
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/usage.rs
@@ -8,11 +8,9 @@
 use crate::customers::CustomerName;
 use crate::groups::Member;
 use crate::question::{Billed, Used, Word};
-use crate::shared::Shared;
 use policy::usage::{Counts, Ledger, Life, Own, Row, Window};
 use policy::{Hash, Time};
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 /// Entries that hear of all counts, and of which one bills them.
@@ -124,14 +122,15 @@
     }
 
     /// How long until this entry tells the billers what is due.
-    fn pause(&self, entries: u32) -> Duration {
+    pub fn pause(&self, entries: u32) -> Duration {
         let pause = (EACH * entries).clamp(LEAST_PAUSE, MOST_PAUSE);
         let now = self.clock.now();
         let left = self.window_at(now).map(|window| self.end(window).saturating_sub(now));
         left.map_or(pause, |left| pause.min(left + TOLD / 2))
     }
 
-    fn due(&self, all: bool) -> Vec<Word> {
+    /// What the billers are to be told now: all that was counted, or what they have not heard of.
+    pub fn due(&self, all: bool) -> Vec<Word> {
         let mut inner = self.lock();
         if all {
             inner.own.repeat();
@@ -160,33 +159,3 @@
     members.truncate(BILLERS);
     members
 }
-
-/// Sends a word to all others that may bill.
-pub fn tell_billers(shared: &Shared, word: &Word) {
-    for address in addresses(shared) {
-        shared.post.send(word.clone(), address);
-    }
-}
-
-fn addresses(shared: &Shared) -> Vec<SocketAddr> {
-    let billers = billers(&shared.peers.members());
-    billers.into_iter().filter_map(|member| member.address).collect()
-}
-
-/// Tells the billers what this entry has counted, for as long as the process lives.
-pub async fn tell(shared: Arc<Shared>) {
-    let mut told = Vec::new();
-    loop {
-        tokio::time::sleep(shared.usage.pause(shared.entries())).await;
-        if let Some(present) = shared.usage.window_at(shared.usage.clock.now()) {
-            shared.usage.forget(present);
-        }
-        let billers = addresses(&shared);
-        // One that has just become a biller has heard of nothing.
-        let new = billers.iter().any(|address| !told.contains(address));
-        for word in shared.usage.due(new) {
-            tell_billers(&shared, &word);
-        }
-        told = billers;
-    }
-}
