refactor(direct): folders that are layers, kept by a test

Fifty-four files lay flat. Now config, border and content, targets, cluster (state and messages), shared, exchange (tasks that keep entries in step), duty, request, daemon: each imports only those before it. tests/layers.rs reads the crate's own use lines and fails on an import that runs back up, or on a ring of over three files; with 'use crate::daemon' in targets/pool.rs both of its tests fail. What targets said goes to other entries by a type of its own layer. docs/DESIGN.md walks one request and one datagram by file names.

No behaviour changes.

--- a/crates/direct/src/border.rs
+++ b/crates/direct/src/border.rs
@@ -3,8 +3,8 @@
 //! A deployment's adapter implements [`Border`]. Everything behind it speaks of attempts, deadlines
 //! and prompts and never sees a header's name.
 
-use crate::customers::{Caller, Credential};
-use crate::route::Stage;
+use crate::config::customers::{Caller, Credential};
+use crate::config::route::Stage;
 use compact_str::CompactString;
 use http::{HeaderMap, StatusCode};
 use policy::signals::Signals;
--- /dev/null
+++ b/crates/direct/src/cluster.rs
@@ -0,0 +1,14 @@
+//! What entries know of each other and of the log, and the messages between them. No task runs here, and
+//! nothing here knows the whole entry.
+
+pub mod clock;
+pub mod coordinator;
+pub mod datagram;
+pub mod groups;
+pub mod loads;
+pub mod peers;
+pub mod post;
+pub mod question;
+pub mod suspects;
+pub mod tail;
+pub mod usage;
--- a/crates/direct/src/coordinator.rs
+++ b/crates/direct/src/cluster/coordinator.rs
@@ -1,4 +1,4 @@
-//! What this entry has granted to others as a coordinator, see [`crate::coordination`].
+//! What this entry has granted to others as a coordinator, see [`crate::exchange::coordination`].
 
 mod permits;
 
--- a/crates/direct/src/datagram.rs
+++ b/crates/direct/src/cluster/datagram.rs
@@ -1,4 +1,4 @@
-//! The datagrams that entries send each other, see [`crate::peers`].
+//! The datagrams that entries send each other, see [`crate::cluster::peers`].
 
 use policy::Hash;
 use prost::Message;
@@ -24,7 +24,7 @@
     /// How far it has read the log.
     #[prost(message, repeated, tag = "6")]
     pub reads: Vec<Read>,
-    /// The load of each service, see [`crate::loads`].
+    /// The load of each service, see [`crate::cluster::loads`].
     #[prost(message, repeated, tag = "7")]
     pub loads: Vec<ServiceLoad>,
     /// What its VM's clock shows, in microseconds since the start of 1970.
--- a/crates/direct/src/groups.rs
+++ b/crates/direct/src/cluster/groups.rs
@@ -1,7 +1,7 @@
 //! The groups of a service's engines, and which entries coordinate them, as this entry sees it.
 
-use crate::route::ServiceName;
-use crate::target::Target;
+use crate::config::route::ServiceName;
+use crate::targets::target::Target;
 use policy::Hash;
 use policy::groups::{self, Engine, Entry, Settings};
 use std::collections::HashMap;
--- a/crates/direct/src/loads.rs
+++ b/crates/direct/src/cluster/loads.rs
@@ -1,7 +1,7 @@
 //! What callers ask of the engines of each service, and what engines do: counted and learnt here,
 //! and told among the entries, so that each of them can plan for all.
 
-use crate::datagram::{self, ServiceLoad};
+use crate::cluster::datagram::{self, ServiceLoad};
 use policy::demand::{Pace, Step};
 use policy::prompts::Rate;
 use std::collections::HashMap;
--- a/crates/direct/src/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -1,8 +1,8 @@
 //! What is known of the other entries: where they are, and the work that they told of.
 
-use crate::datagram::{Others, ServiceLoad, State, Work, short};
-use crate::groups::Member;
-use crate::loads::Loads;
+use crate::cluster::datagram::{Others, ServiceLoad, State, Work, short};
+use crate::cluster::groups::Member;
+use crate::cluster::loads::Loads;
 use policy::Hash;
 use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
--- a/crates/direct/src/post.rs
+++ b/crates/direct/src/cluster/post.rs
@@ -1,6 +1,6 @@
 //! The socket on which entries hear each other, and the questions that wait for an answer on it.
 
-use crate::question::{Answer, Exchange, Word};
+use crate::cluster::question::{Answer, Exchange, Word};
 use policy::Hash;
 use policy::bookings::BookingId;
 use prost::Message;
--- a/crates/direct/src/question.rs
+++ b/crates/direct/src/cluster/question.rs
@@ -1,7 +1,7 @@
-//! The datagrams by which an entry asks another to have a prompt read, see [`crate::reserve`] and
-//! [`crate::coordinator`], and by which it passes on what it has read in the log.
+//! The datagrams by which an entry asks another to have a prompt read, see [`crate::request::reserve`] and
+//! [`crate::cluster::coordinator`], and by which it passes on what it has read in the log.
 //!
-//! They share a socket with [`crate::datagram::State`], whose fields have lower tags: each reader
+//! They share a socket with [`crate::cluster::datagram::State`], whose fields have lower tags: each reader
 //! leaves the other's fields alone. Engines and services are named by the lower half of their hashes;
 //! 0 names none.
 
@@ -30,22 +30,22 @@
     /// It tells what became of one.
     #[prost(message, tag = "18")]
     Report(Report),
-    /// It passes on what it has read in the log, see [`crate::broadcast`].
+    /// It passes on what it has read in the log, see [`crate::exchange::broadcast`].
     #[prost(message, tag = "19")]
     News(News),
     /// It asks for an engine that writes an output.
     #[prost(message, tag = "20")]
     Place(AskPlace),
-    /// It can't read the log and asks for the configuration, see [`crate::broadcast`].
+    /// It can't read the log and asks for the configuration, see [`crate::exchange::broadcast`].
     #[prost(message, tag = "21")]
     Lack(Lack),
-    /// It tells how far it has counted what customers used, see [`crate::usage`].
+    /// It tells how far it has counted what customers used, see [`crate::cluster::usage`].
     #[prost(message, tag = "22")]
     Used(Used),
-    /// It has written a bill to the log, see [`crate::billing`].
+    /// It has written a bill to the log, see [`crate::duty::billing`].
     #[prost(message, tag = "23")]
     Billed(Billed),
-    /// It asks for a permit to send to a target that named a limit, see [`crate::permits`].
+    /// It asks for a permit to send to a target that named a limit, see [`crate::request::permits`].
     #[prost(message, tag = "24")]
     Permit(AskPermit),
     /// It tells which limit a target names.
@@ -284,7 +284,7 @@
     /// Tokens that waited there before it.
     #[prost(uint64, tag = "4")]
     pub waiting: u64,
-    /// Whether a permit was given with it, see [`crate::permits`].
+    /// Whether a permit was given with it, see [`crate::request::permits`].
     #[prost(bool, tag = "5")]
     pub permit: bool,
 }
@@ -337,7 +337,7 @@
 /// Records of a stream of the log that changed something, all that did within a span of it.
 #[derive(Clone, PartialEq, Message)]
 pub struct News {
-    /// The stream, as its place in [`crate::tail::TOPICS`].
+    /// The stream, as its place in [`crate::cluster::tail::TOPICS`].
     #[prost(uint32, tag = "1")]
     pub topic: u32,
     /// The start of the span: whoever has read up to here lacks nothing but these records.
--- a/crates/direct/src/usage.rs
+++ b/crates/direct/src/cluster/usage.rs
@@ -4,10 +4,10 @@
 //! same for all by the hashes of their names, hear of every count within a fraction of a second, so that
 //! entries that are killed take little with them. See [`policy::usage`].
 
-use crate::clock::Clock;
-use crate::customers::CustomerName;
-use crate::groups::Member;
-use crate::question::{Billed, Used, Word};
+use crate::cluster::clock::Clock;
+use crate::cluster::groups::Member;
+use crate::cluster::question::{Billed, Used, Word};
+use crate::config::customers::CustomerName;
 use policy::usage::{Counts, Ledger, Life, Own, Row, Window};
 use policy::{Hash, Time};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
--- a/crates/direct/src/route.rs
+++ b/crates/direct/src/config/route.rs
@@ -1,6 +1,6 @@
 //! What operators configured: routes, services and limits, as one immutable table a version.
 
-use crate::customers::{self, Caller, Credential, Customers};
+use crate::config::customers::{self, Caller, Credential, Customers};
 use compact_str::CompactString;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -1,16 +1,16 @@
 //! The process: its tasks, when it is ready, and how it stops.
 
-use crate::billing::{self, Meter};
-use crate::bulletin::{self, Bulletin};
-use crate::follow::{self, Decode};
-use crate::gossip;
-use crate::intake::Intake;
+use crate::duty::billing::{self, Meter};
+use crate::duty::metering;
+use crate::duty::recall;
+use crate::duty::stages;
+use crate::exchange::bulletin::{self, Bulletin};
+use crate::exchange::follow::{self, Decode};
+use crate::exchange::gossip;
 use crate::measured::Measured;
-use crate::metering;
 use crate::probe;
-use crate::recall;
+use crate::request::intake::Intake;
 use crate::shared::{Shared, Stop};
-use crate::stages;
 use http::StatusCode;
 use plat::KeyedLog;
 use std::net::SocketAddr;
--- a/crates/direct/src/durations.rs
+++ b/crates/direct/src/durations.rs
@@ -1,7 +1,7 @@
 //! How long requests of each route take, for an entry that stops and must not begin what it can't
 //! end.
 
-use crate::route::RouteName;
+use crate::config::route::RouteName;
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
--- a/crates/direct/src/billing.rs
+++ b/crates/direct/src/duty/billing.rs
@@ -12,11 +12,11 @@
 
 mod record;
 
-use crate::clock::since_boot;
-use crate::metering;
-use crate::question::{Billed, Word};
+use crate::cluster::clock::since_boot;
+use crate::cluster::question::{Billed, Word};
+use crate::cluster::usage;
+use crate::duty::metering;
 use crate::shared::Shared;
-use crate::usage;
 use async_trait::async_trait;
 use plat::epoch::{Epoch, epoch, place};
 use plat::{Entry, KeyedLog, Offset};
--- a/crates/direct/src/metering.rs
+++ b/crates/direct/src/duty/metering.rs
@@ -1,8 +1,8 @@
-//! Tells the entries that may bill what customers have used, see [`crate::usage`].
+//! Tells the entries that may bill what customers have used, see [`crate::cluster::usage`].
 
-use crate::question::Word;
+use crate::cluster::question::Word;
+use crate::cluster::usage::billers;
 use crate::shared::Shared;
-use crate::usage::billers;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/crates/direct/src/recall.rs
+++ b/crates/direct/src/duty/recall.rs
@@ -7,10 +7,10 @@
 //! stands by for, as soon as it knows that it does: it is the one to be asked which engine keeps what.
 //!
 
-use crate::attempt;
-use crate::groups::Member;
+use crate::cluster::groups::Member;
 use crate::shared::Shared;
-use crate::target::Target;
+use crate::targets::attempt;
+use crate::targets::target::Target;
 use http::Method;
 use policy::Hash;
 use std::collections::HashSet;
--- a/crates/direct/src/stages.rs
+++ b/crates/direct/src/duty/stages.rs
@@ -17,10 +17,10 @@
 mod orders;
 
 use crate::border::TargetId;
-use crate::bulletin::Bulletin;
-use crate::route::{Service, ServiceName, Stage};
+use crate::config::route::{Service, ServiceName, Stage};
+use crate::exchange::bulletin::Bulletin;
 use crate::shared::Shared;
-use crate::target::Target;
+use crate::targets::target::Target;
 use orders::{ANNOUNCED, Changes, TOLD};
 use plat::KeyedLog;
 use policy::balance;
--- a/crates/direct/src/stages/orders.rs
+++ b/crates/direct/src/duty/stages/orders.rs
@@ -4,15 +4,15 @@
 //! is measured on a clock that also counts suspended time, from before the append.
 
 use super::Planner;
-use crate::attempt;
 use crate::border::{Report, StageOrder};
-use crate::broadcast;
-use crate::bulletin;
-use crate::clock::since_boot;
-use crate::notice::{self, Kind, Plan};
-use crate::route::Stage;
-use crate::tail::{Told, Topic};
-use crate::target::{CHANGE, Target};
+use crate::cluster::clock::since_boot;
+use crate::cluster::tail::{Told, Topic};
+use crate::config::route::Stage;
+use crate::exchange::broadcast;
+use crate::exchange::bulletin;
+use crate::exchange::notice::{self, Kind, Plan};
+use crate::targets::attempt;
+use crate::targets::target::{CHANGE, Target};
 use compact_str::CompactString;
 use http::{Method, StatusCode};
 use plat::{Offset, Record};
--- a/crates/direct/src/broadcast.rs
+++ b/crates/direct/src/exchange/broadcast.rs
@@ -5,11 +5,11 @@
 //! record. **How.** An entry that reads for all sends the records themselves to
 //! the others. Whoever has read up to where they begin takes them as if it had read them; whoever lacks
 //! something before them, or does not get the datagram, reads the log as soon as it hears that there is
-//! news, see [`crate::tail`]. Nothing is taken twice or out of order.
+//! news, see [`crate::cluster::tail`]. Nothing is taken twice or out of order.
 
-use crate::question::{Lack, News, Row, Word};
+use crate::cluster::question::{Lack, News, Row, Word};
+use crate::cluster::tail::{TOPICS, Told, Topic};
 use crate::shared::Shared;
-use crate::tail::{TOPICS, Told, Topic};
 use bytes::Bytes;
 use plat::{Offset, Record, epoch};
 use std::net::SocketAddr;
--- a/crates/direct/src/bulletin.rs
+++ b/crates/direct/src/exchange/bulletin.rs
@@ -7,7 +7,7 @@
 mod reader;
 
 use crate::border::TargetId;
-use crate::notice::{self, Heartbeat, Kind, Plan, Suspects};
+use crate::exchange::notice::{self, Heartbeat, Kind, Plan, Suspects};
 use crate::shared::Shared;
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset};
--- a/crates/direct/src/bulletin/reader.rs
+++ b/crates/direct/src/exchange/bulletin/reader.rs
@@ -1,12 +1,12 @@
 //! Reads what the entries tell, and folds it into a [`Bulletin`].
 
 use super::{Bulletin, MAX_READ, PACE, REMEMBERED, SILENCE, STREAM, WAIT, announce};
-use crate::broadcast;
-use crate::groups::Member;
-use crate::notice::{Heartbeat, Kind, Notice, Plan, Suspects};
+use crate::cluster::groups::Member;
+use crate::cluster::tail::{self, Topic, Turn};
+use crate::exchange::broadcast;
+use crate::exchange::notice::{Heartbeat, Kind, Notice, Plan, Suspects};
 use crate::shared::Shared;
-use crate::tail::{self, Topic, Turn};
-use crate::target::CHANGE;
+use crate::targets::target::CHANGE;
 use compact_str::CompactString;
 use plat::{Batch, Entry, KeyedLog, Offset, Record, epoch};
 use prost::Message;
--- a/crates/direct/src/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -9,12 +9,12 @@
 mod reading;
 mod writing;
 
-use crate::datagram::short;
-use crate::groups::Group;
-use crate::question::{Answer, Report, Word};
-use crate::route::Service;
+use crate::cluster::datagram::short;
+use crate::cluster::groups::Group;
+use crate::cluster::question::{Answer, Report, Word};
+use crate::config::route::Service;
 use crate::shared::Shared;
-use crate::target::{Target, Way};
+use crate::targets::target::{Target, Way};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/direct/src/coordination/permits.rs
+++ b/crates/direct/src/exchange/coordination/permits.rs
@@ -1,10 +1,10 @@
 //! Whether a request may be sent to a target that named a limit.
 
-use crate::datagram::short;
-use crate::groups::{self, Group};
-use crate::question::{Answer, AskPermit, Full, Permitted, Room, TargetLimit};
+use crate::cluster::datagram::short;
+use crate::cluster::groups::{self, Group};
+use crate::cluster::question::{Answer, AskPermit, Full, Permitted, Room, TargetLimit};
 use crate::shared::Shared;
-use crate::target::Target;
+use crate::targets::target::Target;
 use policy::pacing::{ALONE_PART, STANDBY_PART};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/coordination/reading.rs
+++ b/crates/direct/src/exchange/coordination/reading.rs
@@ -3,12 +3,12 @@
 use super::permits::part;
 use super::{SILENCE, service};
 use crate::border::Part;
-use crate::datagram::short;
-use crate::groups::Group;
-use crate::question::{Answer, Ask, Full, Granted, Holder, Parts, Room};
-use crate::route::{Service, Stage};
+use crate::cluster::datagram::short;
+use crate::cluster::groups::Group;
+use crate::cluster::question::{Answer, Ask, Full, Granted, Holder, Parts, Room};
+use crate::config::route::{Service, Stage};
 use crate::shared::Shared;
-use crate::target::{Target, Way};
+use crate::targets::target::{Target, Way};
 use policy::pacing;
 use policy::prompts::{self, Place, Prompt, Reader};
 use std::sync::Arc;
--- a/crates/direct/src/coordination/writing.rs
+++ b/crates/direct/src/exchange/coordination/writing.rs
@@ -2,12 +2,12 @@
 
 use super::permits::part;
 use super::{SILENCE, service};
-use crate::datagram::short;
-use crate::groups::Group;
-use crate::question::{Answer, AskPlace, Full, Granted, Room};
-use crate::route::Stage;
+use crate::cluster::datagram::short;
+use crate::cluster::groups::Group;
+use crate::cluster::question::{Answer, AskPlace, Full, Granted, Room};
+use crate::config::route::Stage;
 use crate::shared::Shared;
-use crate::target::{Target, Way};
+use crate::targets::target::{Target, Way};
 use policy::writers::{self, Writer};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -4,11 +4,11 @@
 //! gone, the newest records are read again. What is known stays in force while the log is away.
 
 use crate::border::TargetId;
-use crate::broadcast;
-use crate::fleet::{Condition, News, Sighting};
-use crate::route::Table;
+use crate::cluster::tail::{Told, Topic, Turn};
+use crate::config::route::Table;
+use crate::exchange::broadcast;
 use crate::shared::Shared;
-use crate::tail::{Told, Topic, Turn};
+use crate::targets::fleet::{Condition, News, Sighting};
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset, Record, StreamName, epoch};
 use std::collections::HashMap;
--- a/crates/direct/src/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -6,16 +6,17 @@
 //! prompt from each makes the queue five times too long, so those that were let in are late.
 //! **How.** Each entry sends its whole state, at most every few milliseconds and only when it
 //! changed, so a lost datagram matters until the next. Coordinators know what is booked, see
-//! [`crate::coordinator`]; this is what entries go by when none answers, and those that have just come
+//! [`crate::cluster::coordinator`]; this is what entries go by when none answers, and those that have just come
 //! to coordinate. What a silent entry said expires, and its part is then guessed from the others'.
 
-use crate::broadcast;
-use crate::clock;
-use crate::coordination;
-use crate::datagram::{Read, State, TargetStanding, UNIT, Work, short};
-use crate::question::{Answer, Exchange, Granted, Report, Room, Word};
+use crate::cluster::clock;
+use crate::cluster::datagram::{Read, State, TargetStanding, UNIT, Work, short};
+use crate::cluster::question::{Answer, Exchange, Granted, Report, Room, Word};
+use crate::cluster::tail::{self, Seen};
+use crate::exchange::broadcast;
+use crate::exchange::coordination;
 use crate::shared::{LONGEST_PAUSE, Shared};
-use crate::tail::{self, Seen};
+use crate::targets::standings::{Row, Said};
 use bytes::Bytes;
 use prost::Message;
 use std::net::SocketAddr;
@@ -50,7 +51,8 @@
         let addresses = shared.peers.turn(shared.tail.reads_for_all(), Instant::now());
         let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.tell());
         let clock = clock::time_of_day();
-        let standings = shared.workload.standings.tell(Instant::now());
+        let standings = shared.workload.standings.rows(Instant::now());
+        let standings = standings.into_iter().map(standing).collect();
         let state = State { entry, run, sequence, work, reads, loads, clock, standings };
         let datagram = Bytes::from(state.encode_to_vec());
         for address in &addresses {
@@ -139,6 +141,16 @@
     }
 }
 
+fn standing(Row { target, said }: Row) -> TargetStanding {
+    match said {
+        Said::Leaves => TargetStanding { target, leaves: true, pause_ms: 0 },
+        Said::Pauses(span) => {
+            let pause_ms = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+            TargetStanding { target, leaves: false, pause_ms }
+        }
+    }
+}
+
 /// The longest that an entry goes by another's pause without hearing of it again.
 const LONGEST_PAUSE_TOLD: Duration = Duration::from_secs(2);
 
--- a/crates/direct/src/notice.rs
+++ b/crates/direct/src/exchange/notice.rs
@@ -1,7 +1,7 @@
-//! The records of the entries' stream, see [`crate::bulletin`].
+//! The records of the entries' stream, see [`crate::exchange::bulletin`].
 
 use crate::border::TargetId;
-use crate::route::Stage;
+use crate::config::route::Stage;
 use bytes::Bytes;
 use prost::Message;
 use std::time::Duration;
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -1,65 +1,32 @@
 //! An entry that sends requests straight to targets, where no agent stands beside them.
 //!
-//! A request goes forward through [`intake`], [`serve`], then [`plain`] or [`generate`], then
-//! [`attempt`] and [`relay`]. What they share is behind [`shared::Shared`]. Whose a request is stands
-//! in [`customers`]; what each customer used is counted in [`usage`] and reported by [`billing`]. The
-//! [`border`] towards callers and targets, and [`follow::Decode`] for records, are implemented by a
-//! deployment's adapter.
+//! From the bottom up, each folder imports only those before it:
+//!
+//! - [`config`]: what the operator decides.
+//! - [`border`] and [`content`]: what callers and targets say, in the product's own types. A deployment's adapter
+//!   implements [`border::Border`], and [`exchange::follow::Decode`] for records.
+//! - [`targets`]: targets as this entry knows them, and one sending to one of them.
+//! - [`cluster`]: what entries know of each other and of the log, and their messages.
+//! - [`shared`]: the state of one entry.
+//! - [`exchange`]: the tasks that keep entries in step.
+//! - [`duty`]: what one entry does for all.
+//! - [`request`]: the way of a request.
+//! - [`daemon`]: all of it as a process.
 
-pub mod answer;
-pub mod attempt;
-pub mod billing;
 pub mod border;
-pub mod broadcast;
-pub mod bulletin;
-pub mod clock;
+pub mod cluster;
+pub mod config;
 pub mod content;
-pub mod coordination;
-pub mod coordinator;
-pub mod customers;
 pub mod daemon;
-pub mod datagram;
-pub mod dispatch;
 pub mod durations;
-pub mod engine;
-pub mod events;
-pub mod fleet;
-pub mod follow;
-pub mod generate;
-pub mod gossip;
-pub mod groups;
-pub mod inquiry;
-pub mod intake;
-pub mod job;
+pub mod duty;
+pub mod exchange;
 pub mod journal;
-pub mod loads;
 pub mod measured;
-pub mod metering;
 pub mod metrics;
-pub mod notice;
-pub mod peers;
-pub mod permits;
-pub mod places;
-pub mod plain;
-pub mod pool;
-pub mod post;
 pub mod probe;
-pub mod question;
-pub mod recall;
-pub mod relay;
-pub mod reservation;
-pub mod reserve;
-pub mod route;
-pub mod serve;
+pub mod request;
 pub mod shared;
-pub mod stages;
-pub mod standings;
 pub mod story;
-pub mod suspects;
-pub mod tail;
-pub mod target;
-pub mod trace;
-pub mod tries;
+pub mod targets;
 pub mod unknown;
-pub mod usage;
-pub mod workload;
--- a/crates/direct/src/answer.rs
+++ b/crates/direct/src/request/answer.rs
@@ -1,7 +1,7 @@
 //! The answers of this process itself: refusals that promise the request has not run, and failures
 //! that promise nothing.
 
-use crate::relay::{Error, Relay, Result};
+use crate::request::relay::{Error, Relay, Result};
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
--- a/crates/direct/src/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -1,14 +1,14 @@
 //! One sending of a request: permit, booking, attempt, and its answer on the way back.
 
-use crate::answer::Body;
-use crate::attempt::{self, Outcome};
 use crate::border::Sending;
-use crate::engine::Writing;
-use crate::job::Job;
-use crate::permits::{self, Permit};
-use crate::relay::{Booking, Relay, Resume, Source};
-use crate::target::Target;
-use crate::trace::Trace;
+use crate::request::answer::Body;
+use crate::request::job::Job;
+use crate::request::permits::{self, Permit};
+use crate::request::relay::{Booking, Relay, Resume, Source};
+use crate::request::trace::Trace;
+use crate::targets::attempt::{self, Outcome};
+use crate::targets::engine::Writing;
+use crate::targets::target::Target;
 use http::Response;
 use policy::signals::Closed;
 use std::sync::Arc;
--- a/crates/direct/src/generate/cache.rs
+++ b/crates/direct/src/request/generate/cache.rs
@@ -1,9 +1,9 @@
 //! KV cache that waits for the engine that writes.
 
-use crate::attempt;
 use crate::border::Handle;
-use crate::job::Job;
-use crate::target::Target;
+use crate::request::job::Job;
+use crate::targets::attempt;
+use crate::targets::target::Target;
 use http::Method;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/generate/read.rs
+++ b/crates/direct/src/request/generate/read.rs
@@ -2,17 +2,17 @@
 
 use super::cache::Cache;
 use super::{keep, start};
-use crate::answer::Refusal;
-use crate::attempt::{self, Outcome};
 use crate::border::{Handle, Prompt, Sending, Step};
-use crate::dispatch;
-use crate::job::{Job, SHORTLY};
-use crate::permits::Permit;
-use crate::reservation::Reservation;
-use crate::reserve;
-use crate::route::Stage;
-use crate::target::{Target, Way};
-use crate::trace::Trace;
+use crate::config::route::Stage;
+use crate::request::answer::Refusal;
+use crate::request::dispatch;
+use crate::request::job::{Job, SHORTLY};
+use crate::request::permits::Permit;
+use crate::request::reservation::Reservation;
+use crate::request::reserve;
+use crate::request::trace::Trace;
+use crate::targets::attempt::{self, Outcome};
+use crate::targets::target::{Target, Way};
 use compact_str::CompactString;
 use http_body_util::BodyExt;
 use policy::prompts::{self, Reader};
--- a/crates/direct/src/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -1,13 +1,13 @@
 //! Going on with a stream that broke.
 
 use super::writer;
-use crate::attempt::Outcome;
 use crate::border::Sending;
-use crate::dispatch;
-use crate::job::Job;
-use crate::permits::Permit;
-use crate::relay::{Resume, Source};
-use crate::target::Target;
+use crate::request::dispatch;
+use crate::request::job::Job;
+use crate::request::permits::Permit;
+use crate::request::relay::{Resume, Source};
+use crate::targets::attempt::Outcome;
+use crate::targets::target::Target;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
--- a/crates/direct/src/inquiry.rs
+++ b/crates/direct/src/request/inquiry.rs
@@ -3,13 +3,13 @@
 //! **What can go wrong.** A coordinator is killed, frozen, slow, cut off or new. It then says nothing, or
 //! what it says comes late: after [`PATIENCE_PART`] of the objective the one that stands by is asked, and the
 //! silent one is passed over for [`SILENT`]. A grant that comes when nobody waits for it any more is given
-//! back, see [`crate::peers`].
+//! back, see [`crate::cluster::peers`].
 
-use crate::coordination;
-use crate::datagram::short;
-use crate::groups::{Group, Member};
-use crate::job::Job;
-use crate::question::{Answer, Room, Word};
+use crate::cluster::datagram::short;
+use crate::cluster::groups::{Group, Member};
+use crate::cluster::question::{Answer, Room, Word};
+use crate::exchange::coordination;
+use crate::request::job::Job;
 use crate::shared::Shared;
 use policy::bookings::BookingId;
 use std::time::Duration;
--- a/crates/direct/src/intake.rs
+++ b/crates/direct/src/request/intake.rs
@@ -1,9 +1,9 @@
 //! Callers' connections: heads and bodies within limits, answers, and a stop that cuts nothing.
 
-use crate::answer::{self, Body};
+use crate::config::route::Limits;
 use crate::content::Content;
-use crate::route::Limits;
-use crate::serve;
+use crate::request::answer::{self, Body};
+use crate::request::serve;
 use crate::shared::Shared;
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
--- a/crates/direct/src/job.rs
+++ b/crates/direct/src/request/job.rs
@@ -1,15 +1,15 @@
 //! One request on its way: what all steps know of it.
 
-use crate::answer::{self, Body, Failure, Refusal};
 use crate::border::{Ask, Sending};
+use crate::cluster::question::Asker;
+use crate::cluster::suspects::{Fingerprint, fingerprint};
+use crate::config::customers::Caller;
+use crate::config::route::{Repeat, Route, Service, Table};
 use crate::content::Content;
-use crate::customers::Caller;
-use crate::question::Asker;
-use crate::route::{Repeat, Route, Service, Table};
+use crate::request::answer::{self, Body, Failure, Refusal};
+use crate::request::trace::Trace;
 use crate::shared::Shared;
-use crate::suspects::{Fingerprint, fingerprint};
-use crate::target::Target;
-use crate::trace::Trace;
+use crate::targets::target::Target;
 use compact_str::CompactString;
 use http::Response;
 use std::sync::Arc;
@@ -112,7 +112,7 @@
 
     /// Until when the head of an answer is waited for.
     pub fn last_word(&self) -> Instant {
-        self.until + crate::relay::LAST_WORD
+        self.until + crate::request::relay::LAST_WORD
     }
 
     /// Whether the process ends before the request does: probably, or, once the balancer should
--- a/crates/direct/src/permits.rs
+++ b/crates/direct/src/request/permits.rs
@@ -3,15 +3,15 @@
 //! Whoever is about to send to such a target asks the coordinators of its group for a permit, unless one
 //! came with the place that was booked there. Without one nothing is sent, and the request goes elsewhere.
 
-use crate::coordination;
-use crate::datagram::short;
-use crate::groups;
-use crate::inquiry;
-use crate::job::Job;
-use crate::question::{AskPermit, Room, TargetLimit, Word};
-use crate::route::Stage;
+use crate::cluster::datagram::short;
+use crate::cluster::groups;
+use crate::cluster::question::{AskPermit, Room, TargetLimit, Word};
+use crate::config::route::Stage;
+use crate::exchange::coordination;
+use crate::request::inquiry;
+use crate::request::job::Job;
 use crate::shared::Shared;
-use crate::target::Target;
+use crate::targets::target::Target;
 use policy::prompts;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/places.rs
+++ b/crates/direct/src/request/places.rs
@@ -4,18 +4,18 @@
 //! at once, while streams of seconds come and go there. **Without it** each entry goes by what the
 //! others told it 85 to 300 ms ago, in which time ten others have chosen: prompts that were read in time
 //! wait for a place or for the link of one engine while others are free. **How.** As for prompts, see
-//! [`crate::reserve`]: the group of the engine that read the prompt is asked first, since KV cache takes
+//! [`crate::request::reserve`]: the group of the engine that read the prompt is asked first, since KV cache takes
 //! half as long within a failure domain, and others if its engines are half full. If nobody answers, the
 //! entry chooses by what it knows.
 
-use crate::datagram::short;
-use crate::groups::Group;
-use crate::inquiry;
-use crate::job::Job;
-use crate::permits::Permit;
-use crate::question::{AskPlace, Room, Word};
-use crate::reservation::Reservation;
-use crate::target::Target;
+use crate::cluster::datagram::short;
+use crate::cluster::groups::Group;
+use crate::cluster::question::{AskPlace, Room, Word};
+use crate::request::inquiry;
+use crate::request::job::Job;
+use crate::request::permits::Permit;
+use crate::request::reservation::Reservation;
+use crate::targets::target::Target;
 use policy::bookings::BookingId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,7 +66,10 @@
 /// one group has no room for spreads over all others. Those without an engine that writes are left out.
 fn order(job: &Job, groups: &[Group], near: &str) -> Vec<usize> {
     let writes = |group: &Group| {
-        group.engines.iter().any(|engine| engine.stage() == Some(crate::route::Stage::Decode))
+        group
+            .engines
+            .iter()
+            .any(|engine| engine.stage() == Some(crate::config::route::Stage::Decode))
     };
     let able = (0..groups.len()).filter(|&at| writes(&groups[at]));
     let is_far = |at: usize| groups[at].engines.iter().all(|engine| engine.domain != near);
--- a/crates/direct/src/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -1,14 +1,14 @@
 //! Requests to plain services, and to engines that do all of a request by themselves.
 
-use crate::answer::Body;
-use crate::attempt::Outcome;
-use crate::dispatch;
-use crate::job::Job;
-use crate::permits::Permit;
-use crate::relay::Source;
-use crate::target::Target;
-use crate::trace::Trace;
-use crate::tries::Tries;
+use crate::request::answer::Body;
+use crate::request::dispatch;
+use crate::request::job::Job;
+use crate::request::permits::Permit;
+use crate::request::relay::Source;
+use crate::request::trace::Trace;
+use crate::request::tries::Tries;
+use crate::targets::attempt::Outcome;
+use crate::targets::target::Target;
 use http::Response;
 use std::sync::Arc;
 use tokio::time::Instant;
--- a/crates/direct/src/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -1,12 +1,12 @@
 //! Passes a target's answer on as it comes, and goes on elsewhere if a resumable stream breaks.
 
-use crate::attempt::Answered;
-use crate::engine::{Reading, Writing};
-use crate::events::Events;
-use crate::pool::Connection;
-use crate::reservation::Reservation;
-use crate::target::{Entered, Health, Target};
-use crate::trace::{COMPLETE, Trace};
+use crate::request::events::Events;
+use crate::request::reservation::Reservation;
+use crate::request::trace::{COMPLETE, Trace};
+use crate::targets::attempt::Answered;
+use crate::targets::engine::{Reading, Writing};
+use crate::targets::pool::Connection;
+use crate::targets::target::{Entered, Health, Target};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/crates/direct/src/reservation.rs
+++ b/crates/direct/src/request/reservation.rs
@@ -1,12 +1,12 @@
 //! Bookings at coordinators, and what they are told of engines.
 
 use crate::border::Part;
-use crate::coordination;
-use crate::datagram::short;
-use crate::groups::{Group, Member};
-use crate::question::{Moved, Parts, Report, Word};
+use crate::cluster::datagram::short;
+use crate::cluster::groups::{Group, Member};
+use crate::cluster::question::{Moved, Parts, Report, Word};
+use crate::exchange::coordination;
 use crate::shared::Shared;
-use crate::target::Target;
+use crate::targets::target::Target;
 use policy::bookings::BookingId;
 use policy::{Hash, groups};
 use std::sync::Arc;
--- a/crates/direct/src/reserve.rs
+++ b/crates/direct/src/request/reserve.rs
@@ -3,14 +3,14 @@
 //! others told it of their work, as it would alone.
 
 use crate::border::Prompt;
-use crate::datagram::short;
-use crate::groups::{Group, Member};
-use crate::inquiry;
-use crate::job::Job;
-use crate::permits::Permit;
-use crate::question::{Ask, Full, Granted, Holder, Parts, Room, Word};
-use crate::reservation::{Reservation, order};
-use crate::target::Target;
+use crate::cluster::datagram::short;
+use crate::cluster::groups::{Group, Member};
+use crate::cluster::question::{Ask, Full, Granted, Holder, Parts, Room, Word};
+use crate::request::inquiry;
+use crate::request::job::Job;
+use crate::request::permits::Permit;
+use crate::request::reservation::{Reservation, order};
+use crate::targets::target::Target;
 use policy::bookings::BookingId;
 use policy::prompts;
 use std::sync::Arc;
--- a/crates/direct/src/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -1,12 +1,12 @@
 //! The way of one request: route, quarantine, then the plain or the engines' way.
 
-use crate::answer::{self, Body, Refusal};
+use crate::config::customers::Caller;
 use crate::content::Content;
-use crate::customers::Caller;
-use crate::job::Job;
+use crate::request::answer::{self, Body, Refusal};
+use crate::request::job::Job;
+use crate::request::trace::Trace;
+use crate::request::{generate, plain};
 use crate::shared::Shared;
-use crate::trace::Trace;
-use crate::{generate, plain};
 use http::{Response, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/direct/src/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -1,7 +1,7 @@
 //! What is told of one request when it ends: one line in the log and the metrics.
 
+use crate::config::route::{RouteName, ServiceName};
 use crate::metrics::Outcome;
-use crate::route::{RouteName, ServiceName};
 use crate::shared::Shared;
 use compact_str::{CompactString, ToCompactString};
 use prometheus_client::metrics::histogram::Histogram;
--- a/crates/direct/src/tries.rs
+++ b/crates/direct/src/request/tries.rs
@@ -1,12 +1,12 @@
 //! The sendings of one request: which targets were tried, whether there may be another, and what
 //! the caller is told when none answered.
 
-use crate::answer::{Body, Failure, Refusal};
-use crate::attempt::Outcome;
-use crate::job::{Job, SHORTLY};
-use crate::permits;
-use crate::target::Target;
-use crate::trace::Trace;
+use crate::request::answer::{Body, Failure, Refusal};
+use crate::request::job::{Job, SHORTLY};
+use crate::request::permits;
+use crate::request::trace::Trace;
+use crate::targets::attempt::Outcome;
+use crate::targets::target::Target;
 use http::Response;
 use std::sync::Arc;
 use tokio::time::Instant;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,20 +1,20 @@
 //! What all requests of an entry share.
 
 use crate::border::Border;
-use crate::coordinator::Coordinator;
+use crate::cluster::coordinator::Coordinator;
+use crate::cluster::groups::{self, Groups};
+use crate::cluster::loads::Loads;
+use crate::cluster::peers::Peers;
+use crate::cluster::post::Post;
+use crate::cluster::suspects::Suspects;
+use crate::cluster::tail::{Tail, Topic};
+use crate::cluster::usage::Usage;
+use crate::config::route::{Route, RouteName, Service, Table};
 use crate::durations::Durations;
-use crate::fleet::Fleet;
-use crate::groups::{self, Groups};
-use crate::loads::Loads;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
-use crate::post::Post;
-use crate::route::{Route, RouteName, Service, Table};
-use crate::suspects::Suspects;
-use crate::tail::{Tail, Topic};
-use crate::target::Target;
-use crate::usage::Usage;
-use crate::workload::Workload;
+use crate::targets::fleet::Fleet;
+use crate::targets::target::Target;
+use crate::targets::workload::Workload;
 use compact_str::CompactString;
 use plat::Offset;
 use plat::epoch::Epoch;
--- a/crates/direct/src/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -2,8 +2,8 @@
 
 use crate::border::{Border, Reply, Sending};
 use crate::content::Content;
-use crate::pool::{self, Connection};
-use crate::target::{Health, Target};
+use crate::targets::pool::{self, Connection};
+use crate::targets::target::{Health, Target};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
--- a/crates/direct/src/engine.rs
+++ b/crates/direct/src/targets/engine.rs
@@ -1,7 +1,7 @@
 //! What this process knows of one engine's prompts: tokens to be read there, streams, kept parts.
 
 use crate::border::{Part, PartId};
-use crate::workload::{Booked, Workload};
+use crate::targets::workload::{Booked, Workload};
 use policy::Hash;
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/direct/src/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -6,9 +6,9 @@
 //! kept parts, connections, pauses, announced changes), and a former life never comes back.
 
 use crate::border::{Born, TargetId};
-use crate::route::{ServiceName, Stage};
-use crate::target::{self, Target};
-use crate::workload::Workload;
+use crate::config::route::{ServiceName, Stage};
+use crate::targets::target::{self, Target};
+use crate::targets::workload::Workload;
 use compact_str::CompactString;
 use plat::epoch;
 use policy::Hash;
--- a/crates/direct/src/standings.rs
+++ b/crates/direct/src/targets/standings.rs
@@ -4,7 +4,6 @@
 //! life of a target said outlasts its entry in the log's list, which may vanish and come back. The other
 //! entries are told in the datagrams that go anyhow.
 
-use crate::datagram::TargetStanding;
 use policy::Hash;
 use policy::signals::{Change, Standing};
 use std::collections::{HashMap, VecDeque};
@@ -42,6 +41,24 @@
     departed: Vec<Hash>,
 }
 
+/// What one life of a target said of itself, for other entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Row {
+    /// The key of the life.
+    pub target: Hash,
+    /// What it said.
+    pub said: Said,
+}
+
+/// See [`Row`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Said {
+    /// It leaves.
+    Leaves,
+    /// It wants no requests from this entry for so long.
+    Pauses(Duration),
+}
+
 /// How many targets are listed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -103,19 +120,15 @@
     }
 
     /// What the other entries are to know.
-    pub fn tell(&self, now: Instant) -> Vec<TargetStanding> {
+    pub fn rows(&self, now: Instant) -> Vec<Row> {
         let mut inner = self.lock();
         inner.expire(now);
-        let leaving = inner.leaving.iter().rev().map(|(target, _)| TargetStanding {
-            target: *target,
-            leaves: true,
-            pause_ms: 0,
-        });
-        let paused = inner.paused.iter().map(|(target, until)| TargetStanding {
-            target: *target,
-            leaves: false,
-            pause_ms: u32::try_from((*until - now).as_millis()).unwrap_or(u32::MAX),
-        });
+        let leaving = inner.leaving.iter().rev();
+        let leaving = leaving.map(|(target, _)| Row { target: *target, said: Said::Leaves });
+        let paused = inner
+            .paused
+            .iter()
+            .map(|(target, until)| Row { target: *target, said: Said::Pauses(*until - now) });
         leaving.chain(paused).take(MAX_TOLD).collect()
     }
 
--- a/crates/direct/src/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -1,10 +1,10 @@
 //! One target as this process knows it: its identity, its connections, its load.
 
 use crate::border::{Born, Busy, TargetId};
-use crate::engine::Engine;
-use crate::pool::Pool;
-use crate::route::{ServiceName, Stage};
-use crate::workload::Workload;
+use crate::config::route::{ServiceName, Stage};
+use crate::targets::engine::Engine;
+use crate::targets::pool::Pool;
+use crate::targets::workload::Workload;
 use compact_str::CompactString;
 use policy::handover::Handover;
 use policy::pacing::Rate;
@@ -396,7 +396,9 @@
     /// Tries to connect, after an exchange broke off: a single connection may have been reset, or
     /// the target may have crashed.
     pub async fn still_listens(self: &Arc<Self>) -> bool {
-        let Err(error) = crate::pool::connect(self.address, CHECK).await else { return true };
+        let Err(error) = crate::targets::pool::connect(self.address, CHECK).await else {
+            return true;
+        };
         log::info!(target: "fleet", target_id = self.id.as_str(), error:% = error;
             "target does not listen");
         self.judge(Health::Unreachable, Instant::now());
--- a/crates/direct/src/workload.rs
+++ b/crates/direct/src/targets/workload.rs
@@ -3,7 +3,7 @@
 //! Engines that have none are in no list: what the other entries are told then grows with the requests
 //! of this entry, not with the engines that there are.
 
-use crate::standings::Standings;
+use crate::targets::standings::Standings;
 use policy::Hash;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/direct/tests/engine.rs
+++ b/crates/direct/tests/engine.rs
@@ -1,7 +1,7 @@
 //! What an entry remembers of an engine's prompts.
 
 use direct::border::Part;
-use direct::engine::Engine;
+use direct::targets::engine::Engine;
 
 fn parts(ids: &[u64]) -> Vec<Part> {
     ids.iter().map(|id| Part { id: *id, tokens: 100 }).collect()
--- a/crates/direct/tests/events.rs
+++ b/crates/direct/tests/events.rs
@@ -1,7 +1,7 @@
 //! Only whole events are passed on.
 
 use bytes::Bytes;
-use direct::events::Events;
+use direct::request::events::Events;
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
 
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -2,9 +2,9 @@
 
 use direct::border::Born;
 use direct::border::Part;
-use direct::fleet::{Condition, Fleet, News, Sighting};
-use direct::route::Stage;
-use direct::target::CHANGE;
+use direct::config::route::Stage;
+use direct::targets::fleet::{Condition, Fleet, News, Sighting};
+use direct::targets::target::CHANGE;
 use policy::signals::{Said, Signals};
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/direct/tests/loads.rs
+++ b/crates/direct/tests/loads.rs
@@ -1,7 +1,7 @@
 //! What entries learn of engines, and tell each other.
 
-use direct::datagram::ServiceLoad;
-use direct::loads::Loads;
+use direct::cluster::datagram::ServiceLoad;
+use direct::cluster::loads::Loads;
 use std::time::Duration;
 
 const ASSUMED: f64 = 300_000.0;
--- a/crates/direct/tests/route.rs
+++ b/crates/direct/tests/route.rs
@@ -1,6 +1,6 @@
 //! Which route a request takes.
 
-use direct::route::{Limits, Portion, Repeat, Route, Table};
+use direct::config::route::{Limits, Portion, Repeat, Route, Table};
 use std::time::Duration;
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
--- a/crates/direct/tests/tail.rs
+++ b/crates/direct/tests/tail.rs
@@ -1,7 +1,7 @@
 //! Who reads the log.
 
 use compact_str::{CompactString, format_compact};
-use direct::tail::{Reason, Seen, Tail, Told, Topic, Turn};
+use direct::cluster::tail::{Reason, Seen, Tail, Told, Topic, Turn};
 use plat::Record;
 use std::time::Duration;
 use tokio::time::Instant;
--- a/crates/direct/tests/target.rs
+++ b/crates/direct/tests/target.rs
@@ -1,6 +1,6 @@
 //! One target as an entry knows it.
 
-use direct::target::{Identity, Target};
+use direct::targets::target::{Identity, Target};
 use policy::signals::{Said, Signals};
 use std::sync::Arc;
 use tokio::time::Instant;
--- a/crates/direct/tests/usage.rs
+++ b/crates/direct/tests/usage.rs
@@ -1,7 +1,7 @@
 //! What an entry remembers of what customers used.
 
-use direct::question::Used;
-use direct::usage::Usage;
+use direct::cluster::question::Used;
+use direct::cluster::usage::Usage;
 use std::time::Duration;
 
 fn used(window: u64) -> Used {
