refactor(direct): what a target has said, its condition and its stage are types of their own

Role is the stage and the announced change, Condition what exchanges showed, Intake what it takes in from this entry (its standing, permits, other entries' pauses).

--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -1,15 +1,21 @@
 //! One target as this process knows it: its identity, its connections, its load.
 
+mod condition;
+mod intake;
+mod role;
+
 use crate::border::{Born, Busy, TargetId};
 use crate::config::route::{ServiceName, Stage};
 use crate::targets::engine::Engine;
 use crate::targets::pool::Pool;
 use crate::targets::workload::Workload;
 use compact_str::CompactString;
+use condition::Condition;
+use intake::Intake;
 use policy::handover::Handover;
 use policy::pacing::Rate;
-use policy::reach::Reach;
-use policy::signals::{Change as Said, Closed, Signals, Standing};
+use policy::signals::{Change as Said, Closed, Signals};
+use role::Role;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -65,13 +71,6 @@
     In,
 }
 
-/// The weight of a new sample in the average of failures: it forgets within some ten samples.
-const SMOOTHING: f64 = 0.15;
-
-/// What a target that always fails counts as, in requests that fill all its slots. One that fails
-/// half of its requests then gets work only when the others are about full.
-const FAILURE_WEIGHT: f64 = 2.0;
-
 /// Half of the longest that a transfer waits, see [`Target::is_choked`].
 const CHOKED: Duration = Duration::from_millis(1_000);
 
@@ -86,48 +85,15 @@
 /// and the news of it. An order that was lost costs the engine's work for this time.
 pub const CHANGE: Duration = Duration::from_millis(9_000);
 
-/// How long a target is left alone after another answered in its place, unless it tells of itself
-/// again: by then its entry has lapsed, or one of a stage that changed has said so.
-const MISDIRECTED: Duration = Duration::from_secs(4);
-
-/// For how long a target that refused a permit counts as spent: longer than an entry waits before it asks
-/// again.
-const SPENT: Duration = Duration::from_millis(2_500);
-
-/// How often its coordinators are told of a limit that stays the same.
-const LIMIT_TOLD: Duration = Duration::from_millis(250);
-
 #[derive(Debug, Default)]
 struct Load {
-    stage: Option<Stage>,
-    reach: Reach,
+    role: Role,
+    condition: Condition,
+    intake: Intake,
     handed_out: Handover,
     taken_in: Handover,
-    failures: f64,
+    /// What it said of its requests, and when.
     busy: Option<(Busy, Instant)>,
-    /// Until when it counts as not being there, because what stands at its address said so.
-    misdirected: Option<Instant>,
-    change: Option<Change>,
-    /// What its answers say of it.
-    standing: Standing,
-    /// Whether its limit has changed since the coordinators were told of it.
-    limit_untold: bool,
-    /// When they last were.
-    limit_told: Option<Instant>,
-    /// Until when there is no permit to send to it.
-    closed: Option<Instant>,
-    /// When a permit was last refused.
-    refused: Option<Instant>,
-    /// Until when it wants no requests from some other entry.
-    paused_elsewhere: Option<Instant>,
-}
-
-/// A change of stage that was announced.
-#[derive(Debug, Clone, Copy)]
-struct Change {
-    stage: Stage,
-    since: Instant,
-    until: Instant,
 }
 
 /// How an exchange with a target ended, as far as its health goes.
@@ -155,7 +121,7 @@
         let domain_key = policy::hash(&domain);
         let known = Instant::now();
         let standing = workload.standings.known(key, known);
-        let load = Mutex::new(Load { standing, ..Load::default() });
+        let load = Mutex::new(Load { intake: Intake::new(standing), ..Load::default() });
         let (pool, engine) = (Pool::new(address), Engine::new(key, workload.clone()));
         Self {
             id,
@@ -177,53 +143,43 @@
 
     /// Its stage, if it is an engine that has one.
     pub fn stage(&self) -> Option<Stage> {
-        self.load().stage
+        self.load().role.stage()
     }
 
     /// Takes in its stage and says whether it changed.
     pub fn set_stage(&self, stage: Option<Stage>) -> bool {
-        let mut load = self.load();
-        let changed = load.stage != stage;
-        load.stage = stage;
-        changed
+        self.load().role.set(stage)
     }
 
     /// Notes that its stage is about to change: it gets no new work until it has, or that time.
     pub fn expect_stage(&self, stage: Stage, now: Instant, until: Instant) {
-        let mut load = self.load();
-        if load.stage != Some(stage) {
-            load.change = Some(Change { stage, since: now, until });
-        }
+        self.load().role.expect(stage, now, until);
     }
 
     /// Whether it is about to change its stage.
     pub fn is_changing(&self, now: Instant) -> bool {
-        let load = self.load();
-        load.change.is_some_and(|change| load.stage != Some(change.stage) && now < change.until)
+        self.load().role.is_changing(now)
     }
 
     /// For how long it has been about to have this stage, if it is.
     pub fn changes_since(&self, stage: Stage, now: Instant) -> Option<Duration> {
-        let change = self.load().change.filter(|change| change.stage == stage);
-        change.filter(|_| self.is_changing(now)).map(|change| now.duration_since(change.since))
+        self.load().role.changes_since(stage, now)
     }
 
     /// The stage that it has, or is about to have.
     pub fn next_stage(&self, now: Instant) -> Option<Stage> {
-        let load = self.load();
-        let change = load.change.filter(|change| now < change.until);
-        Some(change.map_or(load.stage?, |change| change.stage))
+        self.load().role.next(now)
     }
 
     /// Requests of this process that it has.
     pub fn in_flight(&self) -> u32 {
-        self.load().reach.outstanding()
+        self.load().condition.reach.outstanding()
     }
 
     /// Books a request sent there; the booking ends with the guard.
     pub fn enter(self: &Arc<Self>) -> Entered {
         let now = self.time(Instant::now());
-        self.load().reach.enter(now);
+        self.load().condition.reach.enter(now);
         Entered(self.clone())
     }
 
@@ -234,12 +190,7 @@
 
     /// Takes in what an answer says of the target, and returns what changed; the request was sent at `sent`.
     pub fn hear_signals(&self, signals: &Signals, sent: Instant, now: Instant) -> Vec<Said> {
-        let mut load = self.load();
-        let changes = load.standing.hear(signals, self.time(sent), self.time(now));
-        if changes.iter().any(|change| matches!(change, Said::Limit(_))) {
-            (load.limit_untold, load.closed) = (true, None);
-        }
-        drop(load);
+        let changes = self.load().intake.hear(signals, self.time(sent), self.time(now));
         for change in &changes {
             self.log_change(*change);
         }
@@ -252,28 +203,28 @@
 
     /// Takes in that it wants no requests from some other entry until then.
     pub fn pauses_elsewhere(&self, until: Instant) {
-        self.load().paused_elsewhere = Some(until);
+        self.load().intake.pauses_elsewhere(self.time(until));
     }
 
     /// Whether the target wants requests, by its own word.
     pub fn look(&self, now: Instant) -> Result<(), Closed> {
-        self.load().standing.look(self.time(now))
+        self.load().intake.standing.look(self.time(now))
     }
 
     /// The same right before a request is written, which then counts as sent: what the target says may come
     /// while a request waits for a permit, a place or a connection.
     pub fn take(&self, now: Instant) -> Result<(), Closed> {
-        self.load().standing.take(self.time(now))
+        self.load().intake.standing.take(self.time(now))
     }
 
     /// How long until it wants requests again after a pause, if it does not now.
     pub fn paused_for(&self, now: Instant) -> Option<Duration> {
-        self.load().standing.paused_for(self.time(now))
+        self.load().intake.standing.paused_for(self.time(now))
     }
 
     /// Whether it has said in an answer that it leaves.
     pub fn is_leaving(&self) -> bool {
-        self.load().standing.is_leaving()
+        self.load().intake.standing.is_leaving()
     }
 
     fn log_change(&self, change: Said) {
@@ -300,63 +251,40 @@
 
     /// The limit that it named, in requests a second from all entries together.
     pub fn limit(&self) -> Option<Rate> {
-        self.load().standing.limit().rate()
+        self.load().intake.standing.limit().rate()
     }
 
     /// When it was last sent a request that it answered with its limit, and when that answer came.
     pub fn limit_times(&self) -> (Instant, Instant) {
-        let limit = self.load().standing.limit();
+        let limit = self.load().intake.standing.limit();
         (self.known + limit.sent(), self.known + limit.heard())
     }
 
     /// Whether its coordinators are to be told of its limit, or, if `is_outdated`, that it has none. They
     /// then count as told.
     pub fn is_limit_due(&self, is_outdated: bool, now: Instant) -> bool {
-        let mut load = self.load();
-        let lately = load.limit_told.is_some_and(|told| now.duration_since(told) < LIMIT_TOLD);
-        let matters = is_outdated || load.standing.limit().rate().is_some();
-        if !load.limit_untold && (!matters || lately) {
-            return false;
-        }
-        (load.limit_untold, load.limit_told) = (false, Some(now));
-        true
+        self.load().intake.is_limit_due(is_outdated, self.time(now))
     }
 
     /// Notes that there is no permit to send to it until then.
     pub fn close_until(&self, until: Instant, now: Instant) {
-        let mut load = self.load();
-        (load.closed, load.refused) = (Some(until), Some(now));
+        self.load().intake.close_until(self.time(until), self.time(now));
     }
 
     /// Whether it named a limit and takes in less than is asked for: as one that could do more it is as
     /// good as away.
     pub fn is_spent(&self, now: Instant) -> bool {
-        let load = self.load();
-        let lately = load.refused.is_some_and(|at| now.duration_since(at) < SPENT);
-        lately && load.standing.limit().rate().is_some()
+        self.load().intake.is_spent(self.time(now))
     }
 
     /// How long until something may be sent to it, if there is no permit now, or it wants a pause.
     pub fn closed_for(&self, now: Instant) -> Option<Duration> {
-        let load = self.load();
-        let closed = load.closed.filter(|closed| now < *closed);
-        let closed = closed.map(|closed| closed.duration_since(now));
-        closed.max(load.standing.paused_for(self.time(now)))
+        self.load().intake.closed_for(self.time(now))
     }
 
     /// Takes in how an exchange with it ended.
     pub fn judge(self: &Arc<Self>, health: Health, now: Instant) {
-        let mut load = self.load();
-        let failed = match health {
-            Health::Sound => 0.0,
-            Health::Failing | Health::Unreachable => 1.0,
-        };
-        load.failures += (failed - load.failures) * SMOOTHING;
-        match health {
-            Health::Sound | Health::Failing => load.reach.heard(self.time(now)),
-            Health::Unreachable => load.reach.unreachable(self.time(now)),
-        }
-        drop(load);
+        self.load().condition.judge(health, self.time(now));
         if health == Health::Unreachable {
             self.probe_until_reached();
         }
@@ -364,7 +292,7 @@
 
     /// Notes that a piece of an answer came from it.
     pub fn heard(&self, now: Instant) {
-        self.load().reach.heard(self.time(now));
+        self.load().condition.reach.heard(self.time(now));
     }
 
     /// Takes in how long KV cache was on its way.
@@ -412,23 +340,19 @@
     /// so nothing else would keep requests from being sent and refused, each at the price of one of
     /// the few sendings that a request may have.
     pub fn misdirected(&self, now: Instant) {
-        self.load().misdirected = Some(now + MISDIRECTED);
+        self.load().condition.misdirected(self.time(now));
     }
 
     /// Notes that the target itself has told of itself again.
     pub fn renewed(&self) {
-        self.load().misdirected = None;
+        self.load().condition.renewed();
     }
 
     /// Whether it could lately not be reached, is not at its address, wants no requests now, or has said
     /// nothing for `patience` though it has work: others go first.
     pub fn is_away(&self, patience: Duration, now: Instant) -> bool {
-        let load = self.load();
-        load.misdirected.is_some_and(|until| now < until)
-            || load.standing.look(self.time(now)).is_err()
-            || load.paused_elsewhere.is_some_and(|until| now < until)
-            || load.reach.is_paused()
-            || load.reach.is_silent(patience, self.time(now))
+        let (load, now) = (self.load(), self.time(now));
+        load.intake.is_away(now) || load.condition.is_away(patience, now)
     }
 
     /// Tries to connect to it, after pauses, until that succeeds or it is gone.
@@ -442,7 +366,7 @@
                 tokio::time::sleep_until(due).await;
                 let Some(target) = target.upgrade() else { return };
                 let now = target.time(Instant::now());
-                let begun = target.load().reach.begin_probe(now);
+                let begun = target.load().condition.reach.begin_probe(now);
                 if begun && target.still_listens().await {
                     target.heard(Instant::now());
                 }
@@ -455,7 +379,7 @@
 
     /// When it is to be tried again, if it could not be reached.
     fn probe_due(&self) -> Option<Instant> {
-        self.load().reach.probe_due().map(|due| self.known + due)
+        self.load().condition.reach.probe_due().map(|due| self.known + due)
     }
 
     /// How full it is, as a share of its slots: what this process has there or what it said, and
@@ -466,8 +390,8 @@
             Some((busy, at)) if now.duration_since(at) < FRESH => busy.running + busy.waiting,
             _ => 0,
         };
-        let requests = f64::from(load.reach.outstanding().max(heard));
-        requests / f64::from(self.slots.max(1)) + load.failures * FAILURE_WEIGHT
+        let requests = f64::from(load.condition.reach.outstanding().max(heard));
+        requests / f64::from(self.slots.max(1)) + load.condition.weight()
     }
 
     fn time(&self, now: Instant) -> policy::Time {
@@ -485,6 +409,6 @@
 
 impl Drop for Entered {
     fn drop(&mut self) {
-        self.0.load().reach.leave();
+        self.0.load().condition.reach.leave();
     }
 }
