fix(direct): a request looks at engines up to the first that is open

Cause: before a prompt is read it is asked whether all engines that write, or all that read, are closed; min() looked at every engine of the service, twice a request, so what a request costs grew with the targets.

--- a/crates/direct/src/request/generate.rs
+++ b/crates/direct/src/request/generate.rs
@@ -15,6 +15,7 @@
 use crate::targets::target::{Target, Way};
 use http::Response;
 use policy::Hash;
+use policy::signals;
 use policy::writers::{self, Writer};
 use read::Read;
 use std::sync::Arc;
@@ -72,8 +73,8 @@
     let (now, reading) = (Instant::now(), job.route.objective.mul_f64(READING_PART));
     let closed = |engine: &Arc<Target>| engine.closed_for(now).filter(|left| *left > reading);
     let writers = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
-    let until_written = writers.map(closed).min().flatten();
-    until_written.or_else(|| engines.iter().map(closed).min().flatten())
+    let until_written = signals::until_open(writers.map(closed));
+    until_written.or_else(|| signals::until_open(engines.iter().map(closed)))
 }
 
 /// The part of an objective that reading a prompt takes: who opens within it can write what was read.
--- a/crates/policy/src/signals.rs
+++ b/crates/policy/src/signals.rs
@@ -64,6 +64,17 @@
     Paused,
 }
 
+/// How long until the first of some targets opens, if each of them is closed for a time; they are looked at up
+/// to the first that is open.
+pub fn until_open(closed: impl IntoIterator<Item = Option<Duration>>) -> Option<Duration> {
+    let mut soonest = None;
+    for left in closed {
+        let left = left?;
+        soonest = Some(soonest.map_or(left, |soonest: Duration| soonest.min(left)));
+    }
+    soonest
+}
+
 /// What is known of one life of a target by its own answers.
 #[derive(Debug, Clone, Default)]
 pub struct Standing {
--- a/crates/policy/tests/signals.rs
+++ b/crates/policy/tests/signals.rs
@@ -1,6 +1,6 @@
 //! What follows from what a target says of itself.
 
-use policy::signals::{Change, Closed, Said, Signals, Standing};
+use policy::signals::{Change, Closed, Said, Signals, Standing, until_open};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -145,3 +145,18 @@
     standing.observe(&leaves(), ms(0), ms(300));
     assert_eq!(standing.recheck(ms(301)), Err(Closed::Leaving));
 }
+
+/// Each request asks whether anything is open. What that costs must not grow with the targets.
+#[test]
+fn targets_are_looked_at_up_to_the_first_that_is_open() {
+    let mut looked = 0;
+    let targets = (0..3_000).map(|_| {
+        looked += 1;
+        None
+    });
+    assert_eq!(until_open(targets), None);
+    assert_eq!(looked, 1);
+    assert_eq!(until_open([Some(ms(30)), Some(ms(20)), Some(ms(25))]), Some(ms(20)));
+    assert_eq!(until_open([Some(ms(30)), None]), None);
+    assert_eq!(until_open([]), None);
+}
