--- /dev/null
+++ b/crates/policy/src/dissemination.rs
@@ -0,0 +1,82 @@
+//! Sends news to all entries along a tree.
+//!
+//! **Load pattern.** What one entry has read concerns all others, and there are hundreds of them.
+//! **Without this**, the reader sends to each of them, and its link and processor limit the size of
+//! the system. **Approach.** The sender divides the key space into as many ranges as it sends
+//! copies, and gives each range to one entry in it, which does the same with its part. No entry
+//! sends more copies than the fan-out, and the number of hops grows with the logarithm of the
+//! number of entries. Ranges of keys instead of lists of entries make the tree tolerate differing
+//! views of who is alive. What a lost datagram or a dead delegate leaves out is mended by pulling.
+
+use crate::Hash;
+
+/// The largest number of copies that one entry sends.
+pub const FAN_OUT: usize = 16;
+
+/// How many entries of a range are compared to find one with a large link.
+const COMPARED: usize = 4;
+
+/// A range of keys on the ring, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Range {
+    /// The first key.
+    pub first: Hash,
+    /// The last key; below `first` if the range wraps around.
+    pub last: Hash,
+}
+
+impl Range {
+    /// All keys but `key`.
+    pub fn all_but(key: Hash) -> Self {
+        Self { first: key.wrapping_add(1), last: key.wrapping_sub(1) }
+    }
+}
+
+/// An entry that may receive news.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Recipient {
+    /// The hash of its name.
+    pub key: Hash,
+    /// The rate of its VM's link in bytes per second.
+    pub link_rate: f64,
+}
+
+/// A recipient and the range in which it passes the news on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Delegate {
+    /// The index of the recipient.
+    pub index: usize,
+    /// The range, which contains the recipient; none if no other entry is in it.
+    pub range: Option<Range>,
+}
+
+/// Returns the largest fan-out at which an entry sends at most `max_datagrams` datagrams of news
+/// that take `datagrams` each.
+pub fn fan_out(datagrams: usize, max_datagrams: usize) -> usize {
+    (max_datagrams / datagrams.max(1)).clamp(2, FAN_OUT)
+}
+
+/// Chooses who receives news in a range. The entries are sorted by key; `own` is left out.
+pub fn delegates(entries: &[Recipient], own: Hash, range: Range, fan_out: usize) -> Vec<Delegate> {
+    let lower = |key: Hash| entries.partition_point(|entry| entry.key < key);
+    let upper = |key: Hash| entries.partition_point(|entry| entry.key <= key);
+    let (start, end) = (lower(range.first), upper(range.last));
+    // Indexes continue beyond the end of the list where the range wraps around.
+    let end = if range.first <= range.last { end } else { entries.len() + end };
+    let position = |at: usize| at % entries.len().max(1);
+    let own_at = (start..end).find(|&at| entries[position(at)].key == own);
+    let indexes: Vec<usize> = (start..end).filter(|at| Some(*at) != own_at).collect();
+    // No range may contain this entry, which would get the news again.
+    let (before, after) = indexes.split_at(own_at.map_or(0, |own_at| own_at - start));
+    let parts = if before.is_empty() || after.is_empty() { fan_out } else { fan_out - 1 };
+    let share = indexes.len().div_ceil(parts.max(1)).max(1);
+    let chunks = before.chunks(share).chain(after.chunks(share)).map(|chunk| {
+        let compared = chunk.iter().take(COMPARED).copied();
+        let rate = |at: &usize| entries[position(*at)].link_rate;
+        let best = compared.max_by(|a, b| rate(a).total_cmp(&rate(b))).unwrap_or(chunk[0]);
+        let keys = |at: usize| entries[position(at)].key;
+        let range = Range { first: keys(chunk[0]), last: keys(chunk[chunk.len() - 1]) };
+        Delegate { index: position(best), range: (chunk.len() > 1).then_some(range) }
+    });
+    chunks.collect()
+}
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -101,7 +101,7 @@
 
 /// Returns the score of an entry in weighted rendezvous hashing: the highest score wins, with a
 /// probability in proportion to the weight.
-fn score(group: Hash, entry: &Entry) -> f64 {
+pub(crate) fn score(group: Hash, entry: &Entry) -> f64 {
     const RANGE: f64 = 4_294_967_296.0;
     let drawn = u32::try_from(mix(entry.key, group) >> 32).unwrap_or(u32::MAX);
     let drawn = (f64::from(drawn) + 0.5) / RANGE;
