--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -1,7 +1,10 @@
 //! The state that each entry sends to the others by datagram, see [`crate::cluster::peers`].
 
+use crate::cluster::member_updates::MemberUpdate;
+use crate::cluster::tail::{ReadId, ReadStatus, TOPICS};
 use policy::Hash;
 use prost::Message;
+use std::time::Duration;
 
 /// Tokens are counted in units of this many: an engine prefills a unit in less than a third of a
 /// millisecond.
@@ -34,6 +37,9 @@
     /// Targets that are leaving or paused, by their own responses.
     #[prost(message, repeated, tag = "9")]
     pub unavailable: Vec<UnavailableTarget>,
+    /// What the entry knows of others, itself first.
+    #[prost(message, repeated, tag = "10")]
+    pub members: Vec<MemberUpdate>,
 }
 
 /// A target that is leaving or paused, by its own response.
@@ -77,9 +83,40 @@
     /// The offset after the last record that changed something.
     #[prost(uint64, tag = "2")]
     pub change_end: u64,
-    /// How long ago the stream was last read, in milliseconds.
+    /// How long ago the newest read was made that found nothing more, in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
+    /// The process that made that read.
+    #[prost(fixed64, tag = "4")]
+    pub reader: u64,
+    /// Counts the reads of that process; 0 from a build that doesn't count them.
+    #[prost(uint64, tag = "5")]
+    pub number: u64,
+}
+
+impl StreamRead {
+    /// Encodes what an entry tells about a stream.
+    pub fn new(status: &ReadStatus) -> Self {
+        let topic = (0..).zip(TOPICS).find(|(_, topic)| *topic == status.topic);
+        Self {
+            topic: topic.map_or(u32::MAX, |(index, _)| index),
+            change_end: status.change_end,
+            age_ms: u32::try_from(status.age.as_millis()).unwrap_or(u32::MAX),
+            reader: status.read.reader,
+            number: status.read.number,
+        }
+    }
+
+    /// Decodes it; `None` for a stream that only a newer build follows.
+    pub fn status(&self) -> Option<ReadStatus> {
+        let topic = TOPICS.get(usize::try_from(self.topic).ok()?)?;
+        Some(ReadStatus {
+            topic: *topic,
+            change_end: self.change_end,
+            read: ReadId { reader: self.reader, number: self.number },
+            age: Duration::from_millis(self.age_ms.into()),
+        })
+    }
 }
 
 /// The work of an entry at engines, as columns of equal length: seven bytes per engine.
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -6,6 +6,8 @@
 //! tags: each decoder ignores the fields of the other type. Engines, targets and services are
 //! identified by the lower half of their hashes; 0 identifies none.
 
+use crate::cluster::entry_state::StreamRead;
+use crate::cluster::member_updates::MembershipMessage;
 use crate::codec::Part;
 use policy::pacing;
 use policy::reservations::ReservationId;
@@ -15,7 +17,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Envelope {
     /// The message; none if the datagram is of another type or from a newer version.
-    #[prost(oneof = "Payload", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25")]
+    #[prost(oneof = "Payload", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27")]
     pub payload: Option<Payload>,
 }
 
@@ -31,14 +33,13 @@
     /// Reports the outcome of a prompt.
     #[prost(message, tag = "18")]
     Report(Report),
-    /// Forwards records that were read in the log, see [`crate::exchange::broadcast`].
+    /// Sends records that were read in the log, see [`crate::exchange::dissemination`].
     #[prost(message, tag = "19")]
     LogRecords(LogRecords),
     /// Requests an engine that decodes a stream.
     #[prost(message, tag = "20")]
     DecodeRequest(DecodeRequest),
-    /// Requests the configuration for an entry that can't read the log, see
-    /// [`crate::exchange::broadcast`].
+    /// Requests the configuration; earlier builds send it.
     #[prost(message, tag = "21")]
     ConfigRequest(ConfigRequest),
     /// Publishes usage counts of customers, see [`crate::cluster::usage`].
@@ -53,6 +54,43 @@
     /// Publishes the limit that a target named.
     #[prost(message, tag = "25")]
     TargetLimit(TargetLimit),
+    /// Exchanges which entries are alive, see [`crate::exchange::membership`].
+    #[prost(message, tag = "26")]
+    Membership(MembershipMessage),
+    /// Requests records that the sender lacks, see [`crate::exchange::catch_up`].
+    #[prost(message, tag = "27")]
+    RecordsRequest(RecordsRequest),
+}
+
+impl Payload {
+    /// Returns the name of the message in metrics and logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::PrefillRequest(_) => "prefill-request",
+            Self::Response(_) => "response",
+            Self::Report(_) => "report",
+            Self::LogRecords(_) => "records",
+            Self::DecodeRequest(_) => "decode-request",
+            Self::ConfigRequest(_) => "config-request",
+            Self::UsageCounts(_) => "usage",
+            Self::BillingProgress(_) => "billing",
+            Self::PermitRequest(_) => "permit-request",
+            Self::TargetLimit(_) => "limit",
+            Self::Membership(_) => "membership",
+            Self::RecordsRequest(_) => "records-request",
+        }
+    }
+}
+
+/// A request for the records of a stream that changed something.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RecordsRequest {
+    /// The stream, as its index in [`crate::cluster::tail::TOPICS`].
+    #[prost(uint32, tag = "1")]
+    pub topic: u32,
+    /// The offset up to which the sender has applied the stream; 0 for all that matter.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
 }
 
 /// A request for the configuration.
@@ -351,6 +389,32 @@
     /// Whether calls to the log have recently failed for the entry that read the records.
     #[prost(bool, tag = "4")]
     pub log_degraded: bool,
+    /// The end of the span; 0 if it is the end of the last record.
+    #[prost(uint64, tag = "5")]
+    pub end: u64,
+    /// What the sender tells about the stream.
+    #[prost(message, optional, tag = "6")]
+    pub status: Option<StreamRead>,
+    /// The hash of the sender's name; 0 if unknown.
+    #[prost(fixed64, tag = "7")]
+    pub sender: u64,
+    /// The range of entries to which the recipient passes the records on.
+    #[prost(message, optional, tag = "8")]
+    pub range: Option<KeyRange>,
+    /// To how many entries each recipient passes the records on.
+    #[prost(uint32, tag = "9")]
+    pub fan_out: u32,
+}
+
+/// A range of hashes of names, both ends included.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct KeyRange {
+    /// The first hash.
+    #[prost(fixed64, tag = "1")]
+    pub first: u64,
+    /// The last hash; below the first if the range wraps around.
+    #[prost(fixed64, tag = "2")]
+    pub last: u64,
 }
 
 /// One record of the log.
--- a/crates/direct/src/cluster/peer_socket.rs
+++ b/crates/direct/src/cluster/peer_socket.rs
@@ -1,10 +1,11 @@
 //! The socket for datagrams between entries, and the requests that wait for a response on it.
 
 use crate::cluster::messages::{Envelope, Payload, Response};
+use crate::costs;
 use policy::Hash;
 use policy::reservations::ReservationId;
 use prost::Message;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,6 +22,8 @@
     /// Entries that did not respond, with the time until which they get no requests.
     unresponsive: Mutex<HashMap<Hash, Instant>>,
     next_id: AtomicU64,
+    /// Datagrams and bytes that were sent since they were last logged, by kind.
+    sent: Mutex<BTreeMap<&'static str, (u64, u64)>>,
 }
 
 /// A request that waits for its response, until it is dropped.
@@ -36,7 +39,8 @@
     /// Creates a socket whose ids count from `first`, which has to differ between processes.
     pub fn new(first: ReservationId) -> Self {
         let (socket, pending, unresponsive) = (OnceLock::new(), Mutex::default(), Mutex::default());
-        Self { socket, pending, unresponsive, next_id: AtomicU64::new(first) }
+        let (next_id, sent) = (AtomicU64::new(first), Mutex::default());
+        Self { socket, pending, unresponsive, next_id, sent }
     }
 
     /// Sets the bound socket, on which datagrams are sent from now on.
@@ -86,7 +90,9 @@
     /// Sends a message. Like any datagram, it may be lost.
     pub fn send(&self, payload: Payload, to: SocketAddr) {
         let Some(socket) = self.socket.get() else { return };
+        let kind = payload.kind();
         let bytes = Envelope { payload: Some(payload) }.encode_to_vec();
+        self.count_sent(kind, bytes.len(), 1);
         let log_failure = move |error: std::io::Error| {
             log::debug!(target: "peers", address:% = to, error:% = error; "datagram not sent");
         };
@@ -104,6 +110,23 @@
         }
     }
 
+    /// Counts datagrams that are sent to other entries.
+    pub fn count_sent(&self, kind: &'static str, bytes: usize, copies: usize) {
+        let number = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
+        let mut sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        let (count, total) = sent.entry(kind).or_default();
+        *count += number(copies);
+        *total += number(bytes * copies);
+    }
+
+    /// Logs how many datagrams were sent since the last call.
+    pub fn log_sent(&self) {
+        let sent = std::mem::take(&mut *self.sent.lock().unwrap_or_else(PoisonError::into_inner));
+        for (kind, (count, bytes)) in sent {
+            costs::datagrams(kind, count, bytes);
+        }
+    }
+
     fn pending(&self) -> MutexGuard<'_, HashMap<ReservationId, oneshot::Sender<Response>>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -3,35 +3,39 @@
 use crate::cluster::entry_state::{EntryState, PeerLoad, ServiceLoad, Work, short_hash};
 use crate::cluster::groups::Member;
 use crate::cluster::loads::Loads;
+use crate::cluster::members::Members;
 use policy::Hash;
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The maximum number of peers that receive one datagram. With more peers they take turns, except
-/// that designated readers of the log send to all of them. Coordinators record all reservations, so
-/// other state may be older: 16 datagrams each 300 ms are 12 KB per second, however many entries
-/// there are.
+/// The maximum number of peers that receive one datagram. With more peers they take turns.
+/// Coordinators record all reservations, so other state may be older: 16 datagrams each 300 ms are
+/// 12 KB per second, however many entries there are.
 const MAX_RECIPIENTS: usize = 16;
 
 /// How long the state of a peer is valid, multiplied by the number of rounds that it needs to send
-/// to all others.
+/// to all others, up to [`MAX_STATE_ROUNDS`].
 const STATE_TTL: Duration = Duration::from_millis(700);
 
+/// With more rounds than this, the state of some peers is unknown at any time, and is estimated
+/// from that of the others: older state says nothing of an engine's queue.
+const MAX_STATE_ROUNDS: usize = 3;
+
 /// The other entries.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// Which entries are alive.
+    pub directory: Members,
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    addresses: Vec<SocketAddr>,
     /// The index of the first address of the next round.
     next: usize,
-    members: Arc<[Member]>,
     /// Peers whose state is still valid.
     peers: HashMap<u64, Peer>,
     totals: HashMap<u32, PeerLoad>,
@@ -52,42 +56,30 @@
         self.lock().totals.get(&short_hash(engine)).copied().unwrap_or_default()
     }
 
-    /// Returns the number of other entries whose datagrams currently arrive.
+    /// Returns the number of other entries whose work is currently known.
     pub fn reachable_count(&self) -> u32 {
         u32::try_from(self.lock().peers.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns whether the datagrams of another entry currently arrive.
+    /// Returns whether another entry currently responds: its datagrams arrive, or, where the
+    /// entries take turns, it acknowledges probes.
     pub fn is_reachable(&self, entry: Hash) -> bool {
-        self.lock().peers.contains_key(&entry)
-    }
-
-    /// Sets the live entries with their addresses, including this one.
-    pub fn set_members(&self, mut members: Vec<Member>) {
-        members.sort_by_key(|member| member.key);
-        let mut inner = self.lock();
-        inner.addresses = members.iter().filter_map(|member| member.address).collect();
-        if *inner.members != *members {
-            inner.members = members.into();
-        }
+        let takes_turns = self.directory.addresses().len() > MAX_RECIPIENTS;
+        self.lock().peers.contains_key(&entry) || (takes_turns && self.directory.is_alive(entry))
     }
 
     /// Returns the live entries, including this one.
     pub fn members(&self) -> Arc<[Member]> {
-        self.lock().members.clone()
+        self.directory.snapshot()
     }
 
-    /// Returns the recipients of the next datagram: `all`, or those whose turn it is. Drops the
-    /// state of peers that are no longer reachable.
-    pub fn recipients(&self, all: bool, now: Instant) -> Vec<SocketAddr> {
+    /// Returns the peers whose turn it is to receive the next datagram. Drops the state of peers
+    /// that was not renewed.
+    pub fn recipients(&self, now: Instant) -> Vec<SocketAddr> {
+        let addresses = self.directory.addresses();
         let mut inner = self.lock();
-        inner.expire(now);
-        if all { inner.addresses.clone() } else { inner.next_recipients() }
-    }
-
-    /// Returns whether a live entry has this address.
-    pub fn is_known(&self, ip: IpAddr) -> bool {
-        self.lock().addresses.iter().any(|address| address.ip() == ip)
+        inner.expire(addresses.len(), now);
+        inner.next_recipients(&addresses)
     }
 
     /// Applies the state of an entry; returns `false` if a newer one is known.
@@ -140,22 +132,23 @@
     }
 
     /// Returns the peers whose turn it is, and advances to the next round.
-    fn next_recipients(&mut self) -> Vec<SocketAddr> {
-        let count = self.addresses.len();
-        let round = self.addresses.iter().cycle().skip(self.next).take(count.min(MAX_RECIPIENTS));
-        let round = round.copied().collect();
+    fn next_recipients(&mut self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
+        let count = addresses.len();
+        let indexes = (self.next..).take(count.min(MAX_RECIPIENTS));
+        let round = indexes.filter_map(|at| addresses.get(at.checked_rem(count)?).copied());
+        let round = round.collect();
         self.next = (self.next + MAX_RECIPIENTS).checked_rem(count).unwrap_or_default();
         round
     }
 
-    fn expire(&mut self, now: Instant) {
-        let rounds = self.addresses.len().div_ceil(MAX_RECIPIENTS).max(1);
+    fn expire(&mut self, peers: usize, now: Instant) {
+        let rounds = peers.div_ceil(MAX_RECIPIENTS).clamp(1, MAX_STATE_ROUNDS);
         let ttl = STATE_TTL * u32::try_from(rounds).unwrap_or(u32::MAX);
         let unreachable =
             self.peers.iter().filter(|(_, peer)| now.duration_since(peer.received_at) > ttl);
         let unreachable: Vec<u64> = unreachable.map(|(entry, _)| *entry).collect();
         for entry in unreachable {
-            log::info!(target: "peers", entry; "entry silent");
+            log::debug!(target: "peers", entry; "entry silent");
             self.remove(entry);
         }
         self.totals.retain(|_, load| *load != PeerLoad::default());
--- /dev/null
+++ b/crates/direct/src/cluster/replica.rs
@@ -0,0 +1,67 @@
+//! The records of one stream that still matter, kept so that other entries can get them here
+//! instead of from the log.
+
+use compact_str::CompactString;
+use plat::{Offset, Record};
+use std::collections::{BTreeMap, HashMap};
+
+/// The maximum number of records that only say that a key was removed, or that have no key.
+const MAX_TRANSIENT: usize = 512;
+
+/// The newest record of each key, and the newest records without a key, by offset.
+#[derive(Debug, Default)]
+pub struct Replica {
+    records: BTreeMap<Offset, Record>,
+    offsets: HashMap<CompactString, Offset>,
+    /// The offsets of removals and of records without a key, oldest first.
+    transient: BTreeMap<Offset, ()>,
+    /// Changes from this offset on are complete.
+    complete_from: Offset,
+}
+
+impl Replica {
+    /// Adds a record. An older one than the known record of its key is left out.
+    pub fn insert(&mut self, record: Record) {
+        if !record.key.is_empty() {
+            match self.offsets.get(&record.key) {
+                Some(known) if *known >= record.offset => return,
+                Some(known) => {
+                    self.records.remove(known);
+                    self.transient.remove(known);
+                }
+                None => {}
+            }
+            self.offsets.insert(record.key.clone(), record.offset);
+        }
+        if record.key.is_empty() || record.value.is_none() {
+            self.transient.insert(record.offset, ());
+        }
+        self.records.insert(record.offset, record);
+        self.limit_transient();
+    }
+
+    /// Replaces everything by a complete list.
+    pub fn replace(&mut self, records: impl IntoIterator<Item = Record>) {
+        *self = Self::default();
+        for record in records {
+            self.insert(record);
+        }
+    }
+
+    /// Returns the records from an offset on; `None` if some of them were dropped. From the offset
+    /// 0 on it returns all that matter to an entry that knows none.
+    pub fn changes(&self, from: Offset) -> Option<impl Iterator<Item = &Record>> {
+        let is_complete = from == 0 || from >= self.complete_from;
+        is_complete.then(|| self.records.range(from..).map(|(_, record)| record))
+    }
+
+    fn limit_transient(&mut self) {
+        while self.transient.len() > MAX_TRANSIENT {
+            let Some((offset, ())) = self.transient.pop_first() else { return };
+            if let Some(record) = self.records.remove(&offset) {
+                self.offsets.remove(&record.key);
+            }
+            self.complete_from = offset + 1;
+        }
+    }
+}
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -1,18 +1,25 @@
 //! Decides which entries read the log, so that not every entry has to poll it.
 //!
 //! **Load pattern.** Each entry follows three streams that rarely change, and every call to the log
-//! is paid for. **Without this**, the entries of a small system make 100 calls per second to
-//! observe one change every few seconds. **Approach.** A few designated readers, which all entries
-//! derive from the hashes of their names, read as often as changes have to be observed. Their
-//! datagrams carry the offset after the newest change and the age of their last read. The other
-//! entries read when there are new records; when no peer's last read is recent, so that the loss of
-//! all readers delays changes by a second instead of hiding them; and at a long interval in any
-//! case.
-
-use compact_str::CompactString;
+//! is paid for. **Without this**, the number of calls grows with the number of entries. **Approach.**
+//! The first entries of a common order, see [`policy::succession`], read as often as changes have to
+//! be observed, and send what they read to the others, see [`crate::exchange::dissemination`].
+//! Every entry also passes on by which read its view was confirmed. The age of that read bounds the
+//! age of the view: an entry whose view grows too old reads the log itself, whatever the reason,
+//! and one that lacks records which another entry has gets them from there.
+
+mod confirmation;
+mod span;
+
+pub use confirmation::{Read, ReadId};
+pub use span::RecordSpan;
+
+use crate::cluster::replica::Replica;
+use confirmation::Confirmation;
 use plat::epoch::{self, Epoch};
 use plat::{Offset, Record};
-use std::collections::HashMap;
+use policy::{Hash, succession};
+use span::Offered;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -30,14 +37,6 @@
 }
 
 impl Topic {
-    /// Returns the age from which on a read of the stream is no longer recent.
-    fn max_read_age(self) -> Duration {
-        match self {
-            Self::Config | Self::Targets => MAX_READ_AGE,
-            Self::Notices => MAX_NOTICES_READ_AGE,
-        }
-    }
-
     /// Returns the name in metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -56,11 +55,9 @@
 pub enum ReadReason {
     /// It is a designated reader.
     DesignatedReader,
-    /// Its own last read is too old.
-    OwnReadDue,
-    /// No reachable peer has read the stream recently.
-    NoFreshPeer,
-    /// A peer has read new records.
+    /// No entry has confirmed its view recently.
+    ViewTooOld,
+    /// It lacks records that no other entry sent in time.
     NewRecords,
 }
 
@@ -69,111 +66,155 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::DesignatedReader => "for-all",
-            Self::OwnReadDue => "own",
-            Self::NoFreshPeer => "none-fresh",
+            Self::ViewTooOld => "none-fresh",
             Self::NewRecords => "news",
         }
     }
 }
 
-/// How far an entry has read a stream.
+/// What an entry tells about one stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReadStatus {
     /// The stream.
     pub topic: Topic,
-    /// The offset after the last record that changed something.
+    /// The offset after the last record that changed something and that the entry has applied.
     pub change_end: Offset,
-    /// How long ago the stream was last read.
+    /// The newest read that found no change beyond that offset.
+    pub read: ReadId,
+    /// How long ago that read was made.
     pub age: Duration,
 }
 
-/// Records of a stream that another entry forwards: all that changed something, from `start` to the
-/// last of them.
-#[derive(Debug, Clone)]
-pub struct RecordSpan {
-    /// The stream.
-    pub topic: Topic,
-    /// The start of the span.
-    pub start: Offset,
-    /// Whether calls to the log have recently failed for the entry that read the records.
-    pub log_degraded: bool,
-    /// The records, in order.
-    pub records: Vec<Record>,
-}
-
-impl RecordSpan {
-    /// Returns the end of the span.
-    pub fn end(&self) -> Offset {
-        self.records.last().map_or(self.start, |last| last.offset + 1)
-    }
-}
-
 /// The next step of an entry that follows a stream.
 #[derive(Debug, Clone)]
 pub enum FollowStep {
     /// Read the stream.
     Read(ReadReason),
-    /// Apply records that a peer forwarded.
+    /// Apply records that another entry sent.
     Apply(RecordSpan),
+    /// Request the missing records from another entry, named by the hash of its name.
+    Pull(Hash),
+    /// Obtain the whole stream again, since the log was restored from an older copy.
+    Restart,
 }
 
-/// The maximum number of spans that wait for the records before them. Further ones are dropped, and
-/// their records read from the log.
-const MAX_OFFERED: usize = 64;
+/// When to call the log again after a failed call.
+#[derive(Debug, Clone, Copy)]
+pub struct Retry {
+    /// When the call failed.
+    pub failed_at: Instant,
+    /// When to call again, unless another call has succeeded in the meantime.
+    pub at: Instant,
+}
+
+/// How often changes have to be observed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// The time within which a change has to take effect at all entries.
+    pub change_bound: Duration,
+}
 
-/// Designated readers of a small system.
-const SMALL_SYSTEM_READERS: usize = 2;
+impl Default for Timing {
+    fn default() -> Self {
+        Self { change_bound: Duration::from_secs(2) }
+    }
+}
+
+impl Timing {
+    /// How long a read of the configuration waits for new records. A connection without a response
+    /// is detected after this time plus the timeout of a call, which together stay below the bound.
+    pub fn config_read_wait(self) -> Duration {
+        self.change_bound.mul_f64(0.4)
+    }
 
-/// Designated readers of a system of more than [`SMALL_SYSTEM`] entries.
-const READERS: usize = 3;
+    /// How long a read of the list of targets waits for new records.
+    pub fn targets_read_wait(self) -> Duration {
+        self.change_bound / 4
+    }
+
+    /// The interval between reads of the list of targets, in which some target always renews its
+    /// record.
+    pub fn targets_read_interval(self) -> Duration {
+        self.change_bound.mul_f64(0.225)
+    }
+
+    /// The age from which on a view is too old: the call that follows has to succeed within the
+    /// bound.
+    fn max_age(self, topic: Topic) -> Duration {
+        match topic {
+            Topic::Config | Topic::Targets => self.change_bound.mul_f64(0.65),
+            // Stage changes are announced 2.2 seconds ahead.
+            Topic::Notices => Duration::from_millis(1_700),
+        }
+    }
+}
 
-/// The largest number of entries of a small system.
-const SMALL_SYSTEM: usize = 8;
+/// How many entries read the log for the others.
+pub const READERS: u32 = 2;
 
-/// A read older than this is not recent. A reader waits up to a second for new records; and when no
-/// peer's read is recent, this entry's own read has to follow within the two seconds in which a
-/// change has to take effect.
-const MAX_READ_AGE: Duration = Duration::from_millis(1_300);
+/// Identifies the task of reading the log among those that few entries perform for all.
+pub const READING: Hash = 0x7761_7463_6865_7273;
 
-/// The same for the entries' own stream: stage changes are announced 2.2 seconds ahead.
-const MAX_NOTICES_READ_AGE: Duration = Duration::from_millis(1_700);
+/// For how long an entry that lacks records waits for other entries to send them.
+const PULL_PATIENCE: Duration = Duration::from_millis(450);
 
-/// Each entry reads at least this often, so that it doesn't rely on others for long.
-const OWN_READ_INTERVAL: Duration = Duration::from_secs(10);
+/// How long an entry waits before it requests records: they are often on their way.
+const PULL_DELAY: Duration = Duration::from_millis(60);
 
-/// How often an entry that doesn't read checks whether its peers' reads are still recent.
+/// How often an entry requests the records that it lacks.
+const PULL_INTERVAL: Duration = Duration::from_millis(120);
+
+/// How often an entry that doesn't read checks whether its view is still recent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Mixed into the hashes of names, so that the readers are not the entries that other rankings put
-/// first.
-const SALT: policy::Hash = 0x7761_7463_6865_7273;
+/// The same while it lacks records.
+const PULL_CHECK_INTERVAL: Duration = Duration::from_millis(30);
 
-/// How far each entry has read the log.
-#[derive(Debug, Default)]
+/// What this entry knows of the log.
+#[derive(Debug)]
 pub struct Tail {
+    timing: Timing,
     inner: Mutex<Inner>,
-    /// Notified when a peer reports or forwards something new.
+    /// Notified when a peer reports or sends something new.
     updated: Notify,
     /// The newest observed epoch of the log; none before the first.
     epoch: watch::Sender<Option<Epoch>>,
 }
 
-#[derive(Debug, Default)]
+impl Default for Tail {
+    fn default() -> Self {
+        Self::new(0, Timing::default())
+    }
+}
+
+#[derive(Debug)]
 struct Inner {
-    is_designated_reader: bool,
-    /// The change end of each stream and the time of the last read, for this entry.
-    own: HashMap<Topic, (Offset, Instant)>,
-    /// The same for other entries, by the hash of the name.
-    peers: HashMap<(u64, Topic), (Offset, Instant)>,
-    /// Spans that were forwarded and not yet applied.
-    offered: Vec<RecordSpan>,
-    /// The configuration in force, as it was written.
-    config: Option<Record>,
+    /// This entry's rank in the order in which the entries read the log.
+    rank: u32,
+    streams: [Followed; TOPICS.len()],
     /// The newest epoch of the log, if the log was restored from an older copy since this entry
     /// first read it.
     restored: Option<Restored>,
-    /// This entry's rank in the order in which the entries read a restored log.
-    rank: u32,
+    /// When this entry last reached the log.
+    reached_at: Option<Instant>,
+}
+
+/// What this entry knows of one stream.
+#[derive(Debug, Default)]
+struct Followed {
+    confirmation: Confirmation,
+    offered: Offered,
+    replica: Replica,
+    /// An entry that has applied more than this one, how far, and since when that is known.
+    ahead: Option<Ahead>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ahead {
+    peer: Hash,
+    change_end: Offset,
+    since: Instant,
+    pulled_at: Option<Instant>,
 }
 
 /// An epoch of the log that began during the lifetime of this process.
@@ -191,33 +232,84 @@
     pub before: Option<Epoch>,
 }
 
-/// The delay between the reads of two entries after the log was restored: all of them have to read
-/// it, and if they did so at once they would make more calls than it can serve in a second.
-const RESTORE_STAGGER: Duration = Duration::from_millis(5);
-
 impl Inner {
-    /// Returns the delay before this entry reads a restored log.
-    fn restore_delay(&self) -> Duration {
-        RESTORE_STAGGER * self.rank
+    fn stream(&mut self, topic: Topic) -> &mut Followed {
+        &mut self.streams[topic as usize]
     }
 
-    /// Returns whether this entry, which has read up to `next`, still has to leave a restored log
-    /// to entries of lower rank.
-    fn defers_restored_read(&self, next: Offset, now: Instant) -> bool {
-        let Some(Restored { epoch, observed_at }) = self.restored else { return false };
-        epoch::epoch(next) < epoch && now < observed_at + self.restore_delay()
+    /// Returns the delay before this entry reads in place of those before it in the order.
+    fn succession_delay(&self) -> Duration {
+        succession::delay(self.rank, READERS)
+    }
+
+    /// Returns whether the log was restored since this entry read up to `next`.
+    fn is_restored_since(&self, next: Offset) -> bool {
+        self.restored.is_some_and(|restored| epoch::epoch(next) < restored.epoch)
+    }
+
+    /// Returns whether this entry still has to leave a restored log to entries of lower rank.
+    fn defers_restored_read(&self, now: Instant) -> bool {
+        let delay = self.succession_delay();
+        self.restored.is_some_and(|restored| now < restored.observed_at + delay)
+    }
+
+    fn read_reason(
+        &mut self,
+        topic: Topic,
+        next: Offset,
+        max_age: Duration,
+        now: Instant,
+    ) -> Option<ReadReason> {
+        if self.rank < READERS {
+            return Some(ReadReason::DesignatedReader);
+        }
+        let delay = self.succession_delay();
+        let stream = self.stream(topic);
+        stream.ahead = stream.ahead.filter(|ahead| ahead.change_end > next);
+        if stream.ahead.is_some_and(|ahead| now >= ahead.since + PULL_PATIENCE) {
+            return Some(ReadReason::NewRecords);
+        }
+        let is_too_old = |at: Instant| now.duration_since(at) >= max_age + delay;
+        stream.confirmation.at().is_none_or(is_too_old).then_some(ReadReason::ViewTooOld)
+    }
+
+    /// Returns the entry from which missing records are to be requested now.
+    fn pull_source(&mut self, topic: Topic, next: Offset, now: Instant) -> Option<Hash> {
+        let ahead = self.stream(topic).ahead.as_mut().filter(|ahead| ahead.change_end > next)?;
+        let due = ahead.pulled_at.map_or(ahead.since + PULL_DELAY, |at| at + PULL_INTERVAL);
+        if now < due {
+            return None;
+        }
+        ahead.pulled_at = Some(now);
+        Some(ahead.peer)
     }
 }
 
 impl Tail {
-    /// Sets the live entries.
-    pub fn set_entries(&self, own: &str, entries: &[CompactString]) {
-        let readers = if entries.len() <= SMALL_SYSTEM { SMALL_SYSTEM_READERS } else { READERS };
-        let order = |name: &str| policy::mix(policy::hash(name), SALT);
-        let rank = entries.iter().filter(|name| order(name) < order(own)).count();
-        let mut inner = self.lock();
-        inner.is_designated_reader = rank < readers;
-        inner.rank = u32::try_from(rank).unwrap_or(u32::MAX);
+    /// Creates the state of an entry; `reader` identifies the process in the reads that it makes.
+    pub fn new(reader: u64, timing: Timing) -> Self {
+        let mut streams: [Followed; TOPICS.len()] = Default::default();
+        for stream in &mut streams {
+            stream.confirmation = Confirmation::new(reader);
+        }
+        let inner = Inner { rank: 0, streams, restored: None, reached_at: None };
+        let (updated, epoch) = (Notify::new(), watch::Sender::default());
+        Self { timing, inner: Mutex::new(inner), updated, epoch }
+    }
+
+    /// How often changes have to be observed.
+    pub fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    /// Sets this entry's rank in the order in which the entries read the log.
+    pub fn set_rank(&self, rank: u32) {
+        self.lock().rank = rank;
+    }
+
+    /// Returns the delay before this entry reads in place of those before it in the order.
+    pub fn succession_delay(&self) -> Duration {
+        self.lock().succession_delay()
     }
 
     /// Records an epoch of the log that this entry has read or that a peer reports. Returns it if
@@ -237,6 +329,11 @@
         Some(NewEpoch { before })
     }
 
+    /// Returns the newest observed epoch of the log.
+    pub fn known_epoch(&self) -> Epoch {
+        self.epoch.borrow().unwrap_or_default()
+    }
+
     /// Waits until the log has been restored from an older copy since the epoch `seen`, and then
     /// for this entry's turn to read it.
     pub async fn wait_for_restore(&self, seen: &mut Option<Epoch>) {
@@ -251,128 +348,133 @@
                 break;
             }
         }
-        let delay = self.lock().restore_delay();
-        tokio::time::sleep(delay).await;
+        tokio::time::sleep(self.succession_delay()).await;
     }
 
     /// Returns whether this entry reads the log for the others.
     pub fn is_designated_reader(&self) -> bool {
-        self.lock().is_designated_reader
+        self.lock().rank < READERS
     }
 
-    /// Queues records that another entry forwards.
-    pub fn offer(&self, span: RecordSpan) {
-        let mut inner = self.lock();
-        if inner.offered.len() < MAX_OFFERED {
-            inner.offered.push(span);
+    /// Queues records that another entry has sent, and applies what it tells about its view.
+    pub fn offer(&self, peer: Hash, span: RecordSpan, status: Option<ReadStatus>, now: Instant) {
+        let queued = self.lock().stream(span.topic).offered.push(span);
+        if let Some(status) = status {
+            self.observe(peer, status, now);
+        }
+        if queued {
+            self.updated.notify_waiters();
         }
-        drop(inner);
-        self.updated.notify_waiters();
     }
 
     /// Takes the queued records that continue at `next`, without those before it.
-    fn take_offered(&self, topic: Topic, next: Offset) -> Option<RecordSpan> {
-        let mut inner = self.lock();
-        inner.offered.retain(|span| span.topic != topic || span.end() > next);
-        let at = inner.offered.iter().position(|s| s.topic == topic && s.start <= next)?;
-        let mut span = inner.offered.swap_remove(at);
-        // Spans that continue it are merged: applying a span costs time in proportion to the number
-        // of targets, however few records it has.
-        while let Some(at) =
-            inner.offered.iter().position(|s| s.topic == topic && s.start <= span.end())
-        {
-            let more = inner.offered.swap_remove(at);
-            let end = span.end();
-            span.log_degraded |= more.log_degraded;
-            span.records.extend(more.records.into_iter().filter(|record| record.offset >= end));
-        }
-        span.records.retain(|record| record.offset >= next);
-        Some(span)
+    pub fn take_offered(&self, topic: Topic, next: Offset) -> Option<RecordSpan> {
+        self.lock().stream(topic).offered.take(next)
+    }
+
+    /// Waits until another entry sends or reports something new, `limit` at the longest.
+    pub async fn wait_for_update(&self, limit: Duration) {
+        // Only the time that passed matters to the callers.
+        let _ = timeout(limit, self.updated.notified()).await;
     }
 
-    /// Stores the configuration in force, for entries that can't read the log.
-    pub fn store_config(&self, record: Record) {
+    /// Keeps records that changed something, for other entries.
+    pub fn keep(&self, topic: Topic, records: impl IntoIterator<Item = Record>) {
         let mut inner = self.lock();
-        if inner.config.as_ref().is_none_or(|known| known.offset < record.offset) {
-            inner.config = Some(record);
-        }
+        let replica = &mut inner.stream(topic).replica;
+        records.into_iter().for_each(|record| replica.insert(record));
     }
 
-    /// Returns the configuration in force, if it was written at `from` or later.
-    pub fn config(&self, from: Offset) -> Option<Record> {
-        self.lock().config.clone().filter(|record| record.offset >= from)
+    /// Replaces the kept records by a complete list.
+    pub fn keep_all(&self, topic: Topic, records: impl IntoIterator<Item = Record>) {
+        self.lock().stream(topic).replica.replace(records);
+    }
+
+    /// Returns the kept records from an offset on; `None` if this entry knows nothing of the
+    /// stream, or lacks some of them.
+    pub fn kept(&self, topic: Topic, from: Offset) -> Option<Vec<Record>> {
+        let mut inner = self.lock();
+        let stream = inner.stream(topic);
+        stream.confirmation.at()?;
+        Some(stream.replica.changes(from)?.cloned().collect())
     }
 
     /// Returns the offset after the last known record that changed something.
     pub fn change_end(&self, topic: Topic) -> Offset {
-        self.lock().own.get(&topic).map_or(0, |(change_end, _)| *change_end)
+        self.lock().stream(topic).confirmation.change_end()
     }
 
-    /// Records changes that a peer forwarded. This doesn't count as a read of the log.
+    /// Records changes that another entry sent. This doesn't count as a read of the log.
     pub fn record_forwarded(&self, topic: Topic, change_end: Offset) {
-        if let Some((known, _)) = self.lock().own.get_mut(&topic) {
-            *known = change_end.max(*known);
-        }
+        self.lock().stream(topic).confirmation.advance(change_end);
     }
 
     /// Records a read by this entry, with the offset after the last record that changed something.
     /// Returns whether to publish it at once.
     pub fn record_read(&self, topic: Topic, change_end: Offset, now: Instant) -> bool {
-        let previous = self.lock().own.insert(topic, (change_end, now));
-        previous.is_none_or(|(previous, _)| previous < change_end)
+        let mut inner = self.lock();
+        inner.reached_at = Some(now);
+        inner.stream(topic).confirmation.record_read(change_end, now)
     }
 
-    /// Returns how far this entry has read each stream, for its peers.
+    /// Returns what this entry tells the others about each stream.
     pub fn read_statuses(&self, now: Instant) -> Vec<ReadStatus> {
-        let inner = self.lock();
-        let statuses = inner.own.iter().map(|(topic, (change_end, read_at))| ReadStatus {
-            topic: *topic,
-            change_end: *change_end,
-            age: now.duration_since(*read_at),
-        });
-        statuses.collect()
+        TOPICS.into_iter().filter_map(|topic| self.read_status(topic, now)).collect()
     }
 
-    /// Records how far another entry has read a stream.
-    pub fn observe(&self, entry: u64, status: ReadStatus, now: Instant) {
-        let Some(read_at) = now.checked_sub(status.age) else { return };
+    /// Returns what this entry tells the others about a stream, once it knows it.
+    pub fn read_status(&self, topic: Topic, now: Instant) -> Option<ReadStatus> {
         let mut inner = self.lock();
-        inner.peers.insert((entry, status.topic), (status.change_end, read_at));
-        let known = inner
-            .own
-            .get(&status.topic)
-            .is_some_and(|(change_end, _)| *change_end >= status.change_end);
-        drop(inner);
-        // Hundreds of datagrams per second report nothing new; each would wake all waiting tasks.
-        if !known {
-            self.updated.notify_waiters();
-        }
+        let confirmation = &inner.stream(topic).confirmation;
+        let Read { id, at } = confirmation.read()?;
+        let (change_end, age) = (confirmation.change_end(), now.saturating_duration_since(at));
+        Some(ReadStatus { topic, change_end, read: id, age })
     }
 
-    /// Removes what an unreachable entry has reported.
-    pub fn forget(&self, entry: u64) {
-        self.lock().peers.retain(|(other, _), _| *other != entry);
+    /// Records what another entry tells about a stream.
+    pub fn observe(&self, peer: Hash, status: ReadStatus, now: Instant) {
+        let Some(at) = now.checked_sub(status.age) else { return };
+        let mut inner = self.lock();
+        let stream = inner.stream(status.topic);
+        stream.confirmation.observe(status.change_end, Read { id: status.read, at });
+        let own = stream.confirmation.change_end();
+        let known = stream.ahead.filter(|ahead| ahead.change_end > own);
+        if status.change_end <= own || known.is_some_and(|it| it.change_end > status.change_end) {
+            return;
+        }
+        // Of several entries that are ahead alike, the last one to say so: the requests spread.
+        let (since, pulled_at) = known.map_or((now, None), |ahead| (ahead.since, ahead.pulled_at));
+        stream.ahead = Some(Ahead { peer, change_end: status.change_end, since, pulled_at });
+        if known.is_some_and(|known| known.change_end == status.change_end) {
+            return;
+        }
+        drop(inner);
+        // Hundreds of datagrams per second report nothing new; each would wake all waiting tasks.
+        self.updated.notify_waiters();
     }
 
     /// Returns the age of this entry's view of a stream: the time since the newest read by any
     /// entry that found no more records than this entry has applied.
     pub fn age(&self, topic: Topic, now: Instant) -> Option<Duration> {
-        let inner = self.lock();
-        let (known, read_at) = *inner.own.get(&topic)?;
-        let peers = inner
-            .peers
-            .iter()
-            .filter(|((_, of), (change_end, _))| *of == topic && *change_end <= known);
-        let newest = peers.map(|(_, (_, read_at))| *read_at).chain([read_at]).max()?;
-        Some(now.saturating_duration_since(newest))
+        let at = self.lock().stream(topic).confirmation.at()?;
+        Some(now.saturating_duration_since(at))
+    }
+
+    /// Returns whether an entry that has the records before `next` has all that any entry is known
+    /// to have.
+    pub fn is_complete(&self, topic: Topic, next: Offset) -> bool {
+        self.lock().stream(topic).confirmation.is_complete(next)
+    }
+
+    /// Returns the configuration in force, if it was written at `from` or later.
+    pub fn config(&self, from: Offset) -> Option<Record> {
+        self.kept(Topic::Config, from)?.pop()
     }
 
     /// Returns an entry that has read a stream beyond `next`.
-    pub fn peer_ahead(&self, topic: Topic, next: Offset) -> Option<u64> {
-        let inner = self.lock();
-        let mut peers = inner.peers.iter();
-        let ahead = peers.find(|((_, of), (change_end, _))| *of == topic && *change_end > next);
-        ahead.map(|((entry, _), _)| *entry)
+    pub fn peer_ahead(&self, topic: Topic, next: Offset) -> Option<Hash> {
+        let ahead = self.lock().stream(topic).ahead;
+        ahead.filter(|ahead| ahead.change_end > next).map(|ahead| ahead.peer)
     }
 
     /// Returns whether this entry should read the stream, which it has read up to `next`.
@@ -382,49 +484,49 @@
 
     /// Returns the reason for which this entry should read the stream, if it should.
     pub fn read_reason(&self, topic: Topic, next: Offset, now: Instant) -> Option<ReadReason> {
-        let inner = self.lock();
-        let is_recent = |at: Instant, span: Duration| now.duration_since(at) < span;
-        let own = inner.own.get(&topic).is_some_and(|(_, at)| is_recent(*at, OWN_READ_INTERVAL));
-        if inner.is_designated_reader {
-            return Some(ReadReason::DesignatedReader);
-        }
-        if !own {
-            return Some(ReadReason::OwnReadDue);
-        }
-        let peers = inner.peers.iter().filter(|((_, of), _)| *of == topic);
-        let mut recent =
-            peers.filter(|(_, (_, at))| is_recent(*at, topic.max_read_age())).peekable();
-        if recent.peek().is_none() {
-            return Some(ReadReason::NoFreshPeer);
-        }
-        recent.any(|(_, (change_end, _))| *change_end > next).then_some(ReadReason::NewRecords)
+        let max_age = self.timing.max_age(topic);
+        self.lock().read_reason(topic, next, max_age, now)
     }
 
-    /// Waits until this entry should read the stream, or a peer forwards its next records. After a
-    /// failed call, the lack of recent reads is no reason to read again before `retry_at`.
-    pub async fn next_step(
-        &self,
-        topic: Topic,
-        next: Offset,
-        retry_at: Option<Instant>,
-    ) -> FollowStep {
+    /// Waits until this entry should read the stream, or request or apply its next records. After a
+    /// failed call, the age of the view is no reason to call again before the retry is due.
+    pub async fn next_step(&self, topic: Topic, next: Offset, retry: Option<Retry>) -> FollowStep {
         loop {
             if let Some(span) = self.take_offered(topic, next) {
                 return FollowStep::Apply(span);
             }
-            let now = Instant::now();
-            let backs_off = retry_at.is_some_and(|retry_at| now < retry_at);
-            let defers = self.lock().defers_restored_read(next, now);
-            match self.read_reason(topic, next, now) {
-                Some(ReadReason::NoFreshPeer | ReadReason::OwnReadDue) if backs_off => {}
-                Some(ReadReason::NoFreshPeer | ReadReason::OwnReadDue | ReadReason::NewRecords)
-                    if defers => {}
-                Some(reason) => return FollowStep::Read(reason),
-                None => {}
+            if let Some(step) = self.due_step(topic, next, retry, Instant::now()) {
+                return step;
             }
-            // Ends early when a peer reports or forwards something new.
-            let _ = timeout(CHECK_INTERVAL, self.updated.notified()).await;
+            let lacks_records = self.peer_ahead(topic, next).is_some();
+            let interval = if lacks_records { PULL_CHECK_INTERVAL } else { CHECK_INTERVAL };
+            self.wait_for_update(interval).await;
+        }
+    }
+
+    fn due_step(
+        &self,
+        topic: Topic,
+        next: Offset,
+        retry: Option<Retry>,
+        now: Instant,
+    ) -> Option<FollowStep> {
+        let max_age = self.timing.max_age(topic);
+        let mut inner = self.lock();
+        let reached_at = inner.reached_at;
+        let backs_off = retry.is_some_and(|retry| {
+            now < retry.at && reached_at.is_none_or(|at| at <= retry.failed_at)
+        });
+        let reason = inner.read_reason(topic, next, max_age, now);
+        if inner.is_restored_since(next) && reason != Some(ReadReason::DesignatedReader) {
+            return (!inner.defers_restored_read(now)).then_some(FollowStep::Restart);
+        }
+        match reason {
+            Some(ReadReason::ViewTooOld) if backs_off => {}
+            Some(reason) => return Some(FollowStep::Read(reason)),
+            None => {}
         }
+        inner.pull_source(topic, next, now).map(FollowStep::Pull)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/direct/src/codec.rs
+++ b/crates/direct/src/codec.rs
@@ -82,6 +82,17 @@
     Decode(KvHandle),
 }
 
+impl Step {
+    /// Returns the name in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Prefill => "prefill",
+            Self::Decode(_) => "decode",
+        }
+    }
+}
+
 /// What the headers of one attempt at one target carry.
 #[derive(Debug, Clone, Default)]
 pub struct AttemptHead {
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::exchange::entry_stream::{self, StreamView};
 use crate::exchange::follow::{self, Decode};
 use crate::exchange::gossip;
+use crate::exchange::membership;
 use crate::instrumented_log::InstrumentedLog;
 use crate::probe;
 use crate::request::server::CallerServer;
@@ -130,6 +131,7 @@
         ));
         tasks.spawn(entry_stream::publish_suspects(shared.clone(), log.clone()));
         tasks.spawn(entry_stream::follow(shared.clone(), log.clone(), updates));
+        tasks.spawn(membership::run(shared.clone(), addresses.peers, stop.clone()));
         tasks.spawn(gossip::publish(shared.clone(), peers.clone()));
         tasks.spawn(gossip::receive(shared.clone(), peers));
         if let Some((reporter, settings)) = reporter {
@@ -141,6 +143,7 @@
         tasks.spawn(stage_planner::run(shared.clone(), log, view));
         tasks.spawn(cache_inventory::run(shared.clone()));
         tasks.spawn(expire_targets(shared.clone()));
+        tasks.spawn(log_costs(shared.clone()));
         tasks.spawn(server.clone().accept(shared.clone(), callers, stop_accepting.clone()));
         tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
         tasks.spawn(probe::serve(metrics, metrics_page(shared.clone())));
@@ -207,6 +210,16 @@
     })
 }
 
+/// How often the datagrams that were sent are logged.
+const COSTS_INTERVAL: Duration = Duration::from_secs(10);
+
+async fn log_costs(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(COSTS_INTERVAL).await;
+        shared.peer_socket.log_sent();
+    }
+}
+
 /// How often targets whose records have expired are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/direct/src/duty/billing.rs
+++ b/crates/direct/src/duty/billing.rs
@@ -101,13 +101,19 @@
         overdue: Duration::from_millis(1_600),
         stagger: Duration::from_millis(600),
     };
+    let mut lease = Lease::default();
+    if !shared.settings.first_start {
+        // A restored log may lack the record of a holder that goes on billing. The others know of
+        // it, and one of them takes over if it is gone.
+        lease.observe_record(0, since_boot());
+    }
     let mut biller = Biller {
         shared,
         log,
         reporter,
         incarnation,
         settings: lease_settings,
-        lease: Lease::default(),
+        lease,
         stream_end: 0,
         next_window: None,
         unreported: BTreeMap::new(),
--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -44,7 +44,7 @@
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 
 /// How many entries check it at all: one plans, and the others are standbys.
-const MAX_PLANNERS: usize = 6;
+const MAX_PLANNERS: u32 = 6;
 
 /// How long the same number of engines must have the wrong split before it is changed: longer than
 /// the heartbeat interval of an engine that has just changed, or of one that is not listed yet when
@@ -60,8 +60,8 @@
 /// and a lease of three seconds.
 const QUIET_PERIOD: Duration = Duration::from_millis(10_000);
 
-/// How much longer each entry waits than the one before it in the order of names, so that they
-/// rarely race.
+/// How much longer each entry waits than the one before it in the order of planning, so that
+/// they rarely race.
 const STAGGER: Duration = Duration::from_millis(700);
 
 /// The same for an urgent plan.
@@ -179,12 +179,9 @@
         (CHECK_INTERVAL * (engines / ENGINES_PER_INTERVAL).max(1)).min(MAX_CHECK_INTERVAL)
     }
 
-    /// Whether this entry is among the first in the order of names, of which one plans.
+    /// Whether this entry is among the first in the order of planning, of which one plans.
     fn may_plan(&self) -> bool {
-        let view = self.stream_view.borrow();
-        let name = &self.shared.settings.name;
-        let before = view.entries.iter().take_while(|entry| *entry != name).count();
-        before < MAX_PLANNERS
+        self.shared.peers.directory.planning_rank() < MAX_PLANNERS
     }
 
     async fn tick(&mut self) {
@@ -401,8 +398,7 @@
             return false;
         };
         let name = &self.shared.settings.name;
-        let before = view.entries.iter().take_while(|entry| *entry != name).count();
-        let turns = u32::try_from(before).unwrap_or(u32::MAX);
+        let turns = self.shared.peers.directory.planning_rank();
         // At the first start there can't be plans older than those in the stream.
         let first = self.shared.settings.first_start && !view.has_plan;
         let has_all_plans = first || now.duration_since(complete) >= QUIET_PERIOD;
--- a/crates/direct/src/duty/stage_planner/orders.rs
+++ b/crates/direct/src/duty/stage_planner/orders.rs
@@ -8,7 +8,7 @@
 use crate::cluster::tail::{RecordSpan, Topic};
 use crate::codec::{EngineReport, StageOrder};
 use crate::config::route::Stage;
-use crate::exchange::broadcast;
+use crate::exchange::dissemination;
 use crate::exchange::entry_stream;
 use crate::exchange::notice::{self, Kind, Plan};
 use crate::targets::attempt;
@@ -67,13 +67,12 @@
             }
         };
         entry_stream::expect_changes(&self.shared, &plan, STAGE_CHANGE_TIMEOUT);
-        let (topic, change_end) = (Topic::Notices, self.shared.tail.change_end(Topic::Notices));
+        let (topic, start) = (Topic::Notices, self.shared.tail.change_end(Topic::Notices));
         let record =
             Record { offset: plan_offset, key: CompactString::default(), value: Some(record) };
-        broadcast::send(
-            &self.shared,
-            &RecordSpan { topic, start: change_end, log_degraded: false, records: vec![record] },
-        );
+        let (end, log_degraded, records) = (plan_offset + 1, false, vec![record]);
+        let span = RecordSpan { topic, start, end, log_degraded, records };
+        dissemination::publish(&self.shared, &span);
         tokio::time::sleep(announcement_time).await;
         let orders = changes.into_iter().map(|(target, stage)| async move {
             if since_boot().saturating_sub(began) > MAX_PLAN_AGE {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -1,9 +1,11 @@
-//! Keeps entries in sync: reads the log and forwards the records, publishes and receives the state
-//! of the entries, and responds to requests as a coordinator.
+//! Keeps entries in sync: reads the log and sends the records to all, exchanges which entries are
+//! alive and what they do, and responds to requests as a coordinator.
 
-pub mod broadcast;
+pub mod catch_up;
 pub mod coordination;
+pub mod dissemination;
 pub mod entry_stream;
 pub mod follow;
 pub mod gossip;
+pub mod membership;
 pub mod notice;
--- /dev/null
+++ b/crates/direct/src/exchange/catch_up.rs
@@ -0,0 +1,140 @@
+//! Gets records from another entry instead of from the log.
+//!
+//! **Load pattern.** All entries are killed and start again together, or many miss the same
+//! datagrams. **Without this**, each of them reads the whole list of targets from the log: hundreds
+//! of reads of a hundred kilobytes exceed what the log can send, calls end before their responses,
+//! and the calls made in their place keep it overloaded. **Approach.** An entry asks others first,
+//! chosen at random, so that the load spreads and each entry that has the records serves those that
+//! don't. Only the first entries of the order in which they read the log turn to it at once, and
+//! the rest when the others had time to get the records and to pass them on.
+
+use crate::cluster::messages::{Payload, RecordsRequest};
+use crate::cluster::tail::{RecordSpan, Topic};
+use crate::exchange::dissemination::{split, topic_at, topic_index};
+use crate::shared::Shared;
+use plat::{Newest, Offset, epoch};
+use policy::Hash;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The maximum number of datagrams in response to one request, after which the requester asks
+/// again. They are sent at once, and links are slow.
+const MAX_RESPONSE: usize = 16;
+
+/// How long an entry waits for a response before it asks another entry.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// The longest gap within a response; after that the rest is requested.
+const RESPONSE_GAP: Duration = Duration::from_millis(15);
+
+/// How long an entry that starts tries to join the others before it assumes that there are none.
+const JOIN_PATIENCE: Duration = Duration::from_millis(600);
+
+/// How long a designated reader asks the others before it reads the log.
+const READER_PATIENCE: Duration = Duration::from_millis(250);
+
+/// How long any other entry does so, besides its delay in the order of reading.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// How often an entry that knows no other checks whether it has joined.
+const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Requests the records that this entry lacks from another one.
+pub fn request_from(shared: &Shared, topic: Topic, next: Offset, peer: Hash) {
+    if let Some(address) = shared.peers.directory.address(peer) {
+        request(shared, topic, next, address);
+    }
+}
+
+fn request(shared: &Shared, topic: Topic, from: Offset, to: SocketAddr) {
+    let request = RecordsRequest { topic: topic_index(topic), from };
+    shared.peer_socket.send(Payload::RecordsRequest(request), to);
+}
+
+/// Responds to a request with the records that this entry has, as far as they fit into a response.
+pub fn respond(shared: &Shared, request: RecordsRequest, to: SocketAddr) {
+    let Some(topic) = topic_at(request.topic) else { return };
+    let Some(records) = shared.tail.kept(topic, request.from) else { return };
+    let end = shared.tail.change_end(topic);
+    let span = RecordSpan { topic, start: request.from, end, log_degraded: false, records };
+    for message in split(shared, &span).into_iter().take(MAX_RESPONSE) {
+        shared.peer_socket.send(Payload::LogRecords(message), to);
+    }
+}
+
+/// Gets all records of a stream that matter from other entries; `None` if it is this entry's turn
+/// to read them in the log.
+pub async fn fetch_all(shared: &Shared, topic: Topic) -> Option<Newest> {
+    wait_until_joined(shared).await;
+    let began = Instant::now();
+    let mut fetch = Fetch { shared, topic, newest: Newest::default() };
+    while began.elapsed() < patience(shared) {
+        let peer = shared.peers.directory.sample(1).pop()?;
+        request(shared, topic, fetch.newest.end, peer.address);
+        if fetch.receive().await {
+            log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
+                records = fetch.newest.records.len(), ms = began.elapsed().as_millis();
+                "records received from peers");
+            return Some(fetch.newest);
+        }
+    }
+    None
+}
+
+async fn wait_until_joined(shared: &Shared) {
+    let began = Instant::now();
+    while !shared.settings.seeds.is_empty()
+        && shared.peers.directory.is_alone()
+        && began.elapsed() < JOIN_PATIENCE
+    {
+        tokio::time::sleep(JOIN_CHECK_INTERVAL).await;
+    }
+}
+
+fn patience(shared: &Shared) -> Duration {
+    if shared.tail.is_designated_reader() {
+        READER_PATIENCE
+    } else {
+        PATIENCE + shared.tail.succession_delay()
+    }
+}
+
+/// Records that are being received.
+struct Fetch<'a> {
+    shared: &'a Shared,
+    topic: Topic,
+    newest: Newest,
+}
+
+impl Fetch<'_> {
+    /// Receives what arrives until the response is over; returns whether the records are complete.
+    async fn receive(&mut self) -> bool {
+        let mut deadline = Instant::now() + RESPONSE_TIMEOUT;
+        loop {
+            while let Some(span) = self.shared.tail.take_offered(self.topic, self.newest.end) {
+                if self.append(span) {
+                    deadline = Instant::now() + RESPONSE_GAP;
+                }
+            }
+            if self.shared.tail.is_complete(self.topic, self.newest.end) {
+                return true;
+            }
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            self.shared.tail.wait_for_update(left).await;
+        }
+    }
+
+    /// Appends a span; returns `false` for one from before the log was restored.
+    fn append(&mut self, span: RecordSpan) -> bool {
+        if epoch::epoch(span.end) < self.shared.tail.known_epoch() {
+            return false;
+        }
+        self.newest.end = span.end;
+        self.newest.records.extend(span.records);
+        true
+    }
+}
--- a/crates/direct/src/exchange/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -39,7 +39,9 @@
         | Payload::ConfigRequest(_)
         | Payload::UsageCounts(_)
         | Payload::BillingProgress(_)
-        | Payload::TargetLimit(_) => None,
+        | Payload::TargetLimit(_)
+        | Payload::Membership(_)
+        | Payload::RecordsRequest(_) => None,
     }
 }
 
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -1,8 +1,9 @@
-//! The stream of the log that entries share: their heartbeats, announced stage changes of engines,
-//! and requests suspected of crashing targets.
+//! The stream of the log that entries share: announced stage changes of engines, requests suspected
+//! of crashing targets, and heartbeats of a few entries.
 //!
-//! No request waits for this stream. Each entry writes to it every few seconds and reads it every
-//! second, and what an entry has read stays valid while the log is unavailable.
+//! No request waits for this stream, and what an entry has read stays valid while the log is
+//! unavailable. Entries learn from each other which of them are alive, see
+//! [`crate::exchange::membership`]; the heartbeats are for those that know no other entry.
 
 mod reader;
 
@@ -22,13 +23,12 @@
 /// The name of the stream.
 pub const STREAM: &str = "lapismast.entries";
 
-/// The interval between heartbeats. The number of entries changes a few times a day, and each
-/// record is a paid call.
+/// The interval between heartbeats: each is a paid call, and the log keeps a few of them even where
+/// its records expire after 20 seconds.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(5);
 
-/// After this time without a heartbeat an entry is no longer counted as live: one heartbeat may be
-/// lost, and an entry that is no designated reader may read only every ten seconds.
-const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(21);
+/// How long an entry with seeds tries to join the others before it writes its first heartbeat.
+const FIRST_HEARTBEAT_DELAY: Duration = Duration::from_millis(800);
 
 /// The shortest interval between reads; announcements are made two seconds ahead.
 const READ_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -63,8 +63,6 @@
     pub complete_since: Option<Instant>,
     /// Engines named by plans that were read within the last `PLAN_RETENTION`.
     pub planned_engines: Vec<PlannedEngine>,
-    /// The names of the live entries, sorted.
-    pub entries: Vec<CompactString>,
 }
 
 /// An engine named by a plan.
@@ -82,7 +80,7 @@
 /// them.
 const PLAN_RETENTION: Duration = Duration::from_secs(15);
 
-/// Publishes heartbeats, and when the process stops, that this entry is leaving.
+/// Publishes heartbeats while this entry is one of those that do.
 pub async fn publish_heartbeats(
     shared: Arc<Shared>,
     log: Arc<dyn KeyedLog>,
@@ -90,11 +88,17 @@
     stop: CancellationToken,
 ) {
     let mut epoch = None;
+    if !shared.settings.seeds.is_empty() {
+        tokio::time::sleep(FIRST_HEARTBEAT_DELAY).await;
+    }
     loop {
         let leaving = stop.is_cancelled();
-        let (name, address) = (shared.settings.name.to_string(), address.to_string());
-        let link_rate = shared.settings.link.bytes_per_second;
-        write(&*log, Kind::Heartbeat(Heartbeat { name, leaving, address, link_rate })).await;
+        if shared.peers.directory.is_anchor() {
+            let (name, address) = (shared.settings.name.to_string(), address.to_string());
+            let link_rate = shared.settings.link.bytes_per_second;
+            let heartbeat = Heartbeat { name, leaving, address, link_rate, takes_part: true };
+            write(&*log, Kind::Heartbeat(heartbeat)).await;
+        }
         if leaving {
             return;
         }
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -1,20 +1,17 @@
 //! Reads the entries' stream and folds its records into a [`StreamView`].
 
 use super::{
-    HEARTBEAT_TIMEOUT, MAX_RECORDS, PLAN_RETENTION, READ_INTERVAL, READ_WAIT, STREAM, StreamView,
-    expect_changes,
+    MAX_RECORDS, PLAN_RETENTION, READ_INTERVAL, READ_WAIT, STREAM, StreamView, expect_changes,
 };
-use crate::cluster::groups::Member;
-use crate::cluster::tail::{self, FollowStep, Topic};
-use crate::exchange::broadcast;
+use crate::cluster::tail::{self, FollowStep, Retry, Topic};
 use crate::exchange::notice::{Heartbeat, Kind, Notice, Plan, SuspectedRequests};
+use crate::exchange::{catch_up, dissemination, membership};
 use crate::shared::Shared;
 use crate::targets::target::STAGE_CHANGE_TIMEOUT;
 use compact_str::CompactString;
-use plat::{Batch, Entry, KeyedLog, Offset, Record, epoch};
+use plat::{Batch, Entry, KeyedLog, Newest, Offset, Record, epoch};
+use policy::membership::Node;
 use prost::Message;
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -29,19 +26,9 @@
     next: Offset,
     /// The offset after the last record that changed something.
     change_end: Offset,
-    entries: HashMap<CompactString, LiveEntry>,
     reread: Reread,
-    /// After a failed call, when to retry although no peer has read the stream.
-    retry_at: Option<Instant>,
-}
-
-/// An entry whose heartbeats arrive.
-#[derive(Debug, Clone, Copy)]
-struct LiveEntry {
-    heartbeat_at: Instant,
-    address: SocketAddr,
-    /// The rate of its VM's link in bytes per second.
-    link_rate: f64,
+    /// After a failed call, when to call again although no peer has read the stream.
+    retry: Option<Retry>,
 }
 
 /// The records that may have been read before, after the log was restored from an older copy.
@@ -72,11 +59,14 @@
         log: Arc<dyn KeyedLog>,
         view: watch::Sender<StreamView>,
     ) -> Self {
-        let (entries, reread) = (HashMap::new(), Reread::Nothing);
-        Self { shared, log, view, next: 0, change_end: 0, entries, reread, retry_at: None }
+        let reread = Reread::Nothing;
+        Self { shared, log, view, next: 0, change_end: 0, reread, retry: None }
     }
 
     pub(super) async fn run(mut self) {
+        if let Some(newest) = catch_up::fetch_all(&self.shared, Topic::Notices).await {
+            self.apply_received(newest);
+        }
         loop {
             if let Some(span) = self.forwarded_span().await {
                 self.apply_span(span);
@@ -86,8 +76,9 @@
                 Ok(batch) => self.apply_batch(batch),
                 Err(plat::Error::Gone { oldest, .. }) => self.restart(oldest),
                 Err(error) => {
-                    // Entries stay live: while the log is unavailable no heartbeat can arrive.
-                    self.retry_at = Some(Instant::now() + self.shared.log_retry_delay());
+                    let now = Instant::now();
+                    let at = now + self.shared.log_retry_delay(Topic::Notices);
+                    self.retry = Some(Retry { failed_at: now, at });
                     log::debug!(target: "bulletin", error:% = error; "entry stream not read");
                 }
             }
@@ -101,35 +92,70 @@
         // Peers can't forward the records before the first read.
         self.view.borrow().end?;
         tokio::select! {
-            step = self.shared.tail.next_step(Topic::Notices, self.next, self.retry_at) =>
-                match step {
-                    FollowStep::Read(reason) => {
-                        self.shared.metrics.stream_read(Topic::Notices.name(), reason.name());
-                        None
-                    }
-                    FollowStep::Apply(span) => Some(span),
-                },
+            span = self.next_span() => span,
             () = self.shared.entry_stream_changed.notified() => None,
         }
     }
 
+    async fn next_span(&self) -> Option<tail::RecordSpan> {
+        let topic = Topic::Notices;
+        loop {
+            match self.shared.tail.next_step(topic, self.next, self.retry).await {
+                FollowStep::Read(reason) => {
+                    self.shared.metrics.stream_read(topic.name(), reason.name());
+                    return None;
+                }
+                FollowStep::Apply(span) => return Some(span),
+                FollowStep::Restart => {
+                    self.shared.metrics.stream_read(topic.name(), "restored");
+                    return None;
+                }
+                FollowStep::Pull(peer) => {
+                    catch_up::request_from(&self.shared, topic, self.next, peer);
+                }
+            }
+        }
+    }
+
+    /// Applies the records that another entry has kept of the stream, in place of a first read.
+    fn apply_received(&mut self, newest: Newest) {
+        let now = Instant::now();
+        let mut view = self.view.borrow().clone();
+        (view.last_plan_at, view.complete_since) = (Some(now), Some(now));
+        (self.next, self.change_end) = (newest.end, newest.end);
+        self.apply_records(newest.records, &mut view, now, Age::FromRecord);
+        self.shared.tail.record_forwarded(Topic::Notices, self.change_end);
+        self.publish(view);
+    }
+
     /// Applies records that a peer forwarded.
     fn apply_span(&mut self, span: tail::RecordSpan) {
-        (self.next, self.change_end) = (self.next.max(span.end()), self.change_end.max(span.end()));
+        (self.next, self.change_end) = (self.next.max(span.end), self.change_end.max(span.end));
         self.shared.tail.record_forwarded(Topic::Notices, self.change_end);
         let (mut view, now) = (self.view.borrow().clone(), Instant::now());
-        for record in span.records {
-            let effect = self.apply_record(&record.value.unwrap_or_default(), now, Age::New);
-            if let Effect::Plan(plan) = effect {
+        self.apply_records(span.records, &mut view, now, Age::New);
+        self.publish(view);
+    }
+
+    fn apply_records(
+        &mut self,
+        records: Vec<Record>,
+        view: &mut StreamView,
+        now: Instant,
+        age: Age,
+    ) {
+        for record in records {
+            let value = record.value.clone().unwrap_or_default();
+            if let Effect::Plan(plan) = apply_record(&self.shared, &value, age) {
                 view.record_plan(&plan, now);
             }
+            self.shared.tail.keep(Topic::Notices, [record]);
         }
-        self.publish(view);
     }
 
     /// Applies records that were read from the log.
     fn apply_batch(&mut self, batch: Batch) {
-        self.retry_at = None;
+        self.retry = None;
         self.shared.observe_epoch(epoch::epoch(batch.end), "log");
         let (now, start) = (Instant::now(), self.change_end);
         let mut view = self.view.borrow().clone();
@@ -150,7 +176,7 @@
             self.next = entry.offset + 1;
             // The records of a process's first read may be minutes old.
             let age = if is_first { Age::FromRecord } else { Age::New };
-            let effect = self.apply_record(&entry.bytes, now, age);
+            let effect = apply_record(&self.shared, &entry.bytes, age);
             if effect != Effect::Nothing {
                 self.change_end = self.next;
                 changed.push(record(entry));
@@ -160,13 +186,14 @@
             }
         }
         self.update_reread(reread_end);
-        if !is_first {
-            let (topic, log_degraded) = (Topic::Notices, false);
-            let span = tail::RecordSpan { topic, start, log_degraded, records: changed };
-            broadcast::forward(&self.shared, &span);
-        }
+        self.shared.tail.keep(Topic::Notices, changed.iter().cloned());
         self.shared.record_read(Topic::Notices, self.change_end);
-        self.entries.retain(|_, entry| now.duration_since(entry.heartbeat_at) < HEARTBEAT_TIMEOUT);
+        // Others may not know that records before the first read have expired.
+        let (start, records) =
+            if is_first { (self.change_end, Vec::new()) } else { (start, changed) };
+        let (topic, end, log_degraded) = (Topic::Notices, self.change_end, false);
+        let span = tail::RecordSpan { topic, start, end, log_degraded, records };
+        dissemination::publish(&self.shared, &span);
         self.publish(view);
     }
 
@@ -199,7 +226,6 @@
     }
 
     fn publish(&self, mut view: StreamView) {
-        view.entries = set_entries(&self.shared, &self.entries);
         view.end = Some(self.next);
         self.view.send_replace(view);
     }
@@ -230,64 +256,60 @@
     Plan(Plan),
 }
 
-impl Reader {
-    /// Applies one record.
-    fn apply_record(&mut self, record: &[u8], now: Instant, age: Age) -> Effect {
-        let (shared, entries) = (&*self.shared, &mut self.entries);
-        let notice = match Notice::decode(record) {
-            Ok(notice) => notice,
-            Err(error) => {
-                log::warn!(target: "bulletin", error:% = error; "notice not readable, left out");
-                return Effect::Nothing;
-            }
-        };
-        match notice.kind {
-            Some(Kind::Heartbeat(Heartbeat { name, leaving: true, .. })) => {
-                if entries.remove(name.as_str()).is_some() {
-                    Effect::Change
-                } else {
-                    Effect::Nothing
-                }
-            }
-            Some(Kind::Heartbeat(heartbeat)) => apply_heartbeat(entries, heartbeat, now),
-            Some(Kind::Plan(plan)) => {
-                if plan.planner != shared.settings.name {
-                    expect_changes(shared, &plan, remaining(shared, &plan, age));
-                }
-                Effect::Plan(plan)
+/// Applies one record.
+fn apply_record(shared: &Shared, record: &[u8], age: Age) -> Effect {
+    let notice = match Notice::decode(record) {
+        Ok(notice) => notice,
+        Err(error) => {
+            log::warn!(target: "bulletin", error:% = error; "notice not readable, left out");
+            return Effect::Nothing;
+        }
+    };
+    match notice.kind {
+        Some(Kind::Heartbeat(heartbeat)) => apply_heartbeat(shared, &heartbeat),
+        Some(Kind::Plan(plan)) => {
+            if plan.planner != shared.settings.name {
+                expect_changes(shared, &plan, remaining(shared, &plan, age));
             }
-            Some(Kind::SuspectedRequests(SuspectedRequests { entry, requests })) => {
-                if entry != shared.settings.name {
-                    shared.suspects.observe_crashes(&requests);
-                }
-                Effect::Change
+            Effect::Plan(plan)
+        }
+        Some(Kind::SuspectedRequests(SuspectedRequests { entry, requests })) => {
+            if entry != shared.settings.name {
+                shared.suspects.observe_crashes(&requests);
             }
-            // A kind of a newer version.
-            None => Effect::Nothing,
+            Effect::Change
         }
+        // A kind of a newer version.
+        None => Effect::Nothing,
     }
 }
 
-fn apply_heartbeat(
-    entries: &mut HashMap<CompactString, LiveEntry>,
-    heartbeat: Heartbeat,
-    now: Instant,
-) -> Effect {
-    let Heartbeat { name, address, link_rate, .. } = heartbeat;
-    let name = CompactString::from(name);
-    match address.parse() {
-        Ok(address) => {
-            let previous =
-                entries.insert(name, LiveEntry { heartbeat_at: now, address, link_rate });
-            let known = previous.is_some_and(|previous| previous.address == address);
-            if known { Effect::Nothing } else { Effect::Change }
-        }
+/// Applies a heartbeat: joins an entry that takes part in the membership and isn't known yet, and
+/// counts any other as live.
+fn apply_heartbeat(shared: &Shared, heartbeat: &Heartbeat) -> Effect {
+    let Heartbeat { name, leaving, address, link_rate, takes_part } = heartbeat;
+    let (key, directory) = (policy::hash(name), &shared.peers.directory);
+    if *name == shared.settings.name {
+        return Effect::Nothing;
+    }
+    let address = match address.parse() {
+        Ok(address) => address,
         Err(error) => {
             log::warn!(target: "bulletin", name = name.as_str(), error:% = error;
                 "heartbeat without an address, left out");
-            Effect::Nothing
+            return Effect::Nothing;
+        }
+    };
+    let is_known = directory.address(key) == Some(address);
+    match (takes_part, leaving) {
+        (true, false) if !is_known => membership::join(shared, address),
+        (true, _) => {}
+        (false, true) => directory.remove_heartbeat(key),
+        (false, false) => {
+            directory.record_heartbeat(Node { key, address, link_rate: *link_rate }, shared.time());
         }
     }
+    if *takes_part || (is_known && !leaving) { Effect::Nothing } else { Effect::Change }
 }
 
 /// How old a record is.
@@ -307,33 +329,3 @@
     };
     age.map_or(Duration::ZERO, |age| STAGE_CHANGE_TIMEOUT.saturating_sub(age))
 }
-
-/// Applies the set of live entries to the shared state. Returns their names, sorted.
-fn set_entries(shared: &Shared, entries: &HashMap<CompactString, LiveEntry>) -> Vec<CompactString> {
-    let mut names: Vec<_> = entries.keys().cloned().collect();
-    if !entries.contains_key(&shared.settings.name) {
-        names.push(shared.settings.name.clone());
-    }
-    names.sort();
-    shared.peers.set_members(members(shared, entries));
-    let count = u32::try_from(names.len()).unwrap_or(u32::MAX);
-    if count != shared.entries() {
-        log::info!(target: "bulletin", entries = count, before = shared.entries();
-            "entries changed");
-    }
-    shared.set_entries(count);
-    shared.tail.set_entries(&shared.settings.name, &names);
-    names
-}
-
-/// Returns the live entries. This one is described by its own settings instead of its heartbeats.
-fn members(shared: &Shared, entries: &HashMap<CompactString, LiveEntry>) -> Vec<Member> {
-    let peers = entries.iter().filter(|(name, _)| **name != shared.settings.name);
-    let peers = peers.map(|(name, entry)| Member {
-        key: policy::hash(name),
-        address: Some(entry.address),
-        link_rate: entry.link_rate,
-    });
-    let (key, link_rate) = (shared.key(), shared.settings.link.bytes_per_second);
-    peers.chain([Member { key, address: None, link_rate }]).collect()
-}
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -1,13 +1,13 @@
 //! Follows the configuration and the list of targets in the log.
 //!
-//! Each of them is one stream. The newest record of each key is read once, then the changes. When
-//! the changes have expired, the newest records are read again. What was read stays in force while
-//! the log is unavailable.
+//! Each of them is one stream. The newest record of each key is obtained once, from another entry
+//! or from the log, then the changes. When the changes have expired, the newest records are
+//! obtained again. What was read stays in force while the log is unavailable.
 
-use crate::cluster::tail::{FollowStep, RecordSpan, Topic};
+use crate::cluster::tail::{FollowStep, RecordSpan, Retry, Topic};
 use crate::codec::TargetId;
 use crate::config::route::Table;
-use crate::exchange::broadcast;
+use crate::exchange::{catch_up, dissemination};
 use crate::shared::Shared;
 use crate::targets::fleet::{FleetUpdate, LogState, TargetRecord};
 use compact_str::CompactString;
@@ -47,22 +47,6 @@
     fn target_record(&self, value: &[u8]) -> Result<TargetRecord, CompactString>;
 }
 
-/// How long a read of the configuration waits for new records. A connection without a response is
-/// detected after this time plus the timeout of a call, which together are below the two seconds in
-/// which a change has to take effect.
-const CONFIG_READ_WAIT: Duration = Duration::from_millis(800);
-
-/// How long a read of the list of targets waits for new records. The sum of this,
-/// [`TARGETS_READ_INTERVAL`] and the time until peers are informed stays below the age at which
-/// they no longer rely on a read. With a wait of one second, all entries read for themselves
-/// whenever no target wrote for that long, which made a third of all calls.
-const TARGETS_READ_WAIT: Duration = Duration::from_millis(500);
-
-/// The interval between reads of the list of targets: each target renews its record about every
-/// second, and each read is paid for. It is a quarter of the time within which a leaving target
-/// must get no more requests.
-const TARGETS_READ_INTERVAL: Duration = Duration::from_millis(450);
-
 /// The backoff after a failed call; it doubles up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -76,12 +60,24 @@
 enum Update {
     /// The newest records of all keys, and the end of the stream.
     All(Vec<Record>, Offset),
+    /// The same, received from another entry.
+    AllReceived(Vec<Record>, Offset),
     /// New records, read from the log.
     Changes(Vec<Record>),
     /// New records, forwarded by a peer.
     Forwarded(RecordSpan),
 }
 
+impl Update {
+    /// Whether this entry read the log itself.
+    fn is_own_read(&self) -> bool {
+        match self {
+            Self::All(..) | Self::Changes(_) => true,
+            Self::AllReceived(..) | Self::Forwarded(_) => false,
+        }
+    }
+}
+
 /// A stream that this entry follows.
 struct Stream {
     shared: Arc<Shared>,
@@ -96,8 +92,8 @@
     failed_at: Option<Instant>,
     /// Since when the log has been unavailable.
     lost_at: Option<Instant>,
-    /// After a failed call, when to retry although no peer has read the stream.
-    retry_at: Option<Instant>,
+    /// After a failed call, when to call again although no peer has read the stream.
+    retry: Option<Retry>,
     /// Whether the log was restored from an older copy since the stream was last read.
     restored: bool,
 }
@@ -110,7 +106,7 @@
         name: &'static str,
         read_wait: Duration,
     ) -> Self {
-        let (next, backoff, failed_at, lost_at, retry_at) = (None, MIN_BACKOFF, None, None, None);
+        let (next, backoff, failed_at, lost_at, retry) = (None, MIN_BACKOFF, None, None, None);
         let restored = false;
         Self {
             shared,
@@ -122,7 +118,7 @@
             backoff,
             failed_at,
             lost_at,
-            retry_at,
+            retry,
             restored,
         }
     }
@@ -131,10 +127,10 @@
     async fn read(&mut self) -> Update {
         loop {
             match self.try_read().await {
-                // A forwarded update doesn't show whether this entry reaches the log.
-                Ok(update @ Update::Forwarded(_)) => return update,
+                // What a peer sends doesn't show whether this entry reaches the log.
+                Ok(update) if !update.is_own_read() => return update,
                 Ok(update) => {
-                    (self.backoff, self.retry_at) = (MIN_BACKOFF, None);
+                    (self.backoff, self.retry) = (MIN_BACKOFF, None);
                     if let Some(lost_at) = self.lost_at.take() {
                         let lost_ms = lost_at.elapsed().as_millis();
                         log::info!(target: "store", stream = self.name, lost_ms; "log regained");
@@ -147,18 +143,24 @@
     }
 
     async fn try_read(&mut self) -> plat::Result<Update> {
-        let Some(next) = self.next else {
-            let newest = self.log.newest(self.name).await?;
-            self.advance(newest.end);
-            return Ok(Update::All(newest.records, newest.end));
-        };
-        match self.shared.tail.next_step(self.topic, next, self.retry_at).await {
-            FollowStep::Read(reason) => {
-                self.shared.metrics.stream_read(self.topic.name(), reason.name())
-            }
-            FollowStep::Apply(span) => {
-                self.next = Some(span.end().max(next));
-                return Ok(Update::Forwarded(span));
+        let Some(next) = self.next else { return self.try_read_all().await };
+        loop {
+            match self.shared.tail.next_step(self.topic, next, self.retry).await {
+                FollowStep::Read(reason) => {
+                    self.shared.metrics.stream_read(self.topic.name(), reason.name());
+                    break;
+                }
+                FollowStep::Apply(span) => {
+                    self.next = Some(span.end.max(next));
+                    return Ok(Update::Forwarded(span));
+                }
+                FollowStep::Pull(peer) => {
+                    catch_up::request_from(&self.shared, self.topic, next, peer);
+                }
+                FollowStep::Restart => {
+                    (self.next, self.restored) = (None, true);
+                    return self.try_read_all().await;
+                }
             }
         }
         let (records, end) = self.log.changes(self.name, next, self.read_wait).await?;
@@ -166,6 +168,17 @@
         Ok(Update::Changes(records))
     }
 
+    async fn try_read_all(&mut self) -> plat::Result<Update> {
+        if let Some(newest) = catch_up::fetch_all(&self.shared, self.topic).await {
+            self.next = Some(newest.end);
+            return Ok(Update::AllReceived(newest.records, newest.end));
+        }
+        self.shared.metrics.stream_read(self.topic.name(), "all");
+        let newest = self.log.newest(self.name).await?;
+        self.advance(newest.end);
+        Ok(Update::All(newest.records, newest.end))
+    }
+
     fn advance(&mut self, end: Offset) {
         self.shared.observe_epoch(epoch::epoch(end), "log");
         self.next = Some(end);
@@ -184,16 +197,14 @@
             return;
         }
         let now = Instant::now();
-        if let (Topic::Config, Some(next)) = (self.topic, self.next) {
-            broadcast::request_config(&self.shared, next);
-        }
         self.failed_at = Some(now);
         if self.lost_at.is_none() {
             self.lost_at = Some(now);
             log::warn!(target: "store", stream = self.name, error:% = error; "log lost");
         }
         tokio::time::sleep(self.backoff).await;
-        self.retry_at = Some(now + self.shared.log_retry_delay());
+        self.retry =
+            Some(Retry { failed_at: now, at: now + self.shared.log_retry_delay(self.topic) });
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
@@ -205,57 +216,58 @@
 /// Keeps the configuration up to date for the lifetime of the process.
 pub async fn config(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
     let (name, key) = decode.config_stream();
-    let mut stream = Stream::new(shared.clone(), log, Topic::Config, name, CONFIG_READ_WAIT);
+    let read_wait = shared.tail.timing().config_read_wait();
+    let mut stream = Stream::new(shared.clone(), log, Topic::Config, name, read_wait);
     let mut change_end = 0;
     loop {
-        let (own, records, end) = match stream.read().await {
-            Update::All(records, end) => (true, records, end),
-            Update::Changes(records) => (true, records, 0),
-            Update::Forwarded(span) => (false, span.records, 0),
+        let update = stream.read().await;
+        let (own, start) = (update.is_own_read(), change_end);
+        let (records, end) = match update {
+            Update::All(records, end) | Update::AllReceived(records, end) => (records, end),
+            Update::Changes(records) => (records, 0),
+            Update::Forwarded(span) => (span.records, span.end),
         };
         let versions: Vec<_> = records.into_iter().filter(|record| record.key == key).collect();
-        if own {
-            let log_degraded = stream.is_degraded(Instant::now());
-            let span = RecordSpan {
-                topic: Topic::Config,
-                start: change_end,
-                log_degraded,
-                records: versions.clone(),
-            };
-            broadcast::forward(&shared, &span);
-        }
-        let versions = versions.into_iter().rev();
-        for record in versions {
+        for record in versions.iter().rev() {
             change_end = change_end.max(record.offset + 1);
-            let Some(value) = record.value.clone() else { continue };
-            match decode.table(&value) {
-                Ok(table) => {
-                    if apply(&shared, table, record.offset) {
-                        shared.tail.store_config(record);
-                    }
-                }
-                Err(detail) => {
-                    let error = Error { stream: name.into(), key: key.into(), detail };
-                    log::warn!(target: "config", offset = record.offset, error:% = error;
-                        "configuration not readable, the last one stays in force");
-                }
-            }
+            apply_version(&shared, &*decode, record);
         }
-        if std::mem::take(&mut stream.restored) {
+        if std::mem::take(&mut stream.restored) || !own {
             // Peers have to read the restored stream as well, even if no record changed anything.
             change_end = change_end.max(end);
         }
-        record_change(&shared, Topic::Config, change_end, own);
+        let log_degraded = stream.is_degraded(Instant::now());
+        let topic = Topic::Config;
+        let span = RecordSpan { topic, start, end: change_end, log_degraded, records: versions };
+        record_span(&shared, span, own);
     }
 }
 
-/// Records the offset after the last change, found by a read of this entry's own or forwarded by a
-/// peer.
-fn record_change(shared: &Shared, topic: Topic, change_end: Offset, own: bool) {
+/// Puts a version of the configuration in force, unless it can't be decoded or is outdated.
+fn apply_version(shared: &Shared, decode: &dyn Decode, record: &Record) {
+    let Some(value) = &record.value else { return };
+    match decode.table(value) {
+        Ok(table) => {
+            if apply(shared, table, record.offset) {
+                shared.tail.keep(Topic::Config, [record.clone()]);
+            }
+        }
+        Err(detail) => {
+            let stream = decode.config_stream().0.into();
+            let error = Error { stream, key: record.key.clone(), detail };
+            log::warn!(target: "config", offset = record.offset, error:% = error;
+                "configuration not readable, the last one stays in force");
+        }
+    }
+}
+
+/// Records how far a stream was applied, and sends what this entry read itself to the others.
+fn record_span(shared: &Shared, span: RecordSpan, own: bool) {
     if own {
-        shared.record_read(topic, change_end);
+        shared.record_read(span.topic, span.end);
+        dissemination::publish(shared, &span);
     } else {
-        shared.tail.record_forwarded(topic, change_end);
+        shared.tail.record_forwarded(span.topic, span.end);
     }
 }
 
@@ -276,61 +288,110 @@
 
 /// Keeps the list of targets up to date for the lifetime of the process.
 pub async fn targets(shared: Arc<Shared>, log: Arc<dyn KeyedLog>, decode: Arc<dyn Decode>) {
-    let name = decode.target_stream();
-    let mut stream = Stream::new(shared.clone(), log, Topic::Targets, name, TARGETS_READ_WAIT);
+    let (name, timing) = (decode.target_stream(), shared.tail.timing());
+    let read_wait = timing.targets_read_wait();
+    let mut stream = Stream::new(shared.clone(), log, Topic::Targets, name, read_wait);
     let mut invalid = InvalidRecords::default();
     loop {
         let update = stream.read().await;
-        let now = Instant::now();
-        let forwarded = match &update {
-            Update::Forwarded(span) => Some(span.log_degraded),
-            Update::All(..) | Update::Changes(_) => None,
-        };
-        let degraded = stream.is_degraded(now) || forwarded == Some(true);
-        let log_state = match (std::mem::take(&mut stream.restored), degraded) {
-            (true, _) => LogState::Restored,
-            (false, true) => LogState::Degraded,
-            (false, false) => LogState::Healthy,
-        };
-        let start = shared.fleet().change_end();
-        let own = forwarded.is_none();
-        let changed = match update {
-            Update::All(records, end) => {
-                let updates = fleet_updates(&*decode, records, &mut invalid);
-                let mut fleet = shared.fleet();
-                fleet.replace(updates, end, now, log_state);
-                // A complete list has no changes to forward.
-                drop(fleet.take_changed());
-                Vec::new()
-            }
-            Update::Changes(records) | Update::Forwarded(RecordSpan { records, .. }) => {
-                let updates = fleet_updates(&*decode, records.clone(), &mut invalid);
-                let mut fleet = shared.fleet();
-                fleet.apply(updates, now, log_state);
-                let changed = fleet.take_changed();
-                records.into_iter().filter(|record| changed.contains(&record.offset)).collect()
-            }
-        };
-        let (count, change_end) = {
+        let own = update.is_own_read();
+        let span = apply_targets(&shared, &*decode, update, &mut stream, &mut invalid);
+        let count = {
             let fleet = shared.fleet();
             shared.metrics.forget_targets(|id| fleet.get(id).is_some());
-            (fleet.len(), fleet.change_end())
+            fleet.len()
         };
-        if own {
-            let (topic, log_degraded) = (Topic::Targets, degraded);
-            broadcast::forward(
-                &shared,
-                &RecordSpan { topic, start, log_degraded, records: changed },
-            );
-        }
-        record_change(&shared, Topic::Targets, change_end, own);
+        record_span(&shared, span, own);
         shared.metrics.targets.set(i64::try_from(count).unwrap_or(i64::MAX));
         if own {
-            tokio::time::sleep(TARGETS_READ_INTERVAL).await;
+            tokio::time::sleep(timing.targets_read_interval()).await;
         }
     }
 }
 
+/// Applies an update of the list of targets; returns the records that changed something.
+fn apply_targets(
+    shared: &Shared,
+    decode: &dyn Decode,
+    update: Update,
+    stream: &mut Stream,
+    invalid: &mut InvalidRecords,
+) -> RecordSpan {
+    let now = Instant::now();
+    let forwarded_degraded = match &update {
+        Update::Forwarded(span) => span.log_degraded,
+        Update::All(..) | Update::AllReceived(..) | Update::Changes(_) => false,
+    };
+    let log_degraded = stream.is_degraded(now) || forwarded_degraded;
+    let log_state = match (std::mem::take(&mut stream.restored), log_degraded) {
+        (true, _) => LogState::Restored,
+        (false, true) => LogState::Degraded,
+        (false, false) => LogState::Healthy,
+    };
+    let start = shared.fleet().change_end();
+    let (records, forwarded_end) = match update {
+        Update::All(records, end) => {
+            replace_targets(shared, decode, records, end, log_state, invalid);
+            // A complete list has no changes to forward.
+            (Vec::new(), 0)
+        }
+        Update::AllReceived(records, end) => {
+            replace_targets(shared, decode, records, end, log_state, invalid);
+            (Vec::new(), end)
+        }
+        Update::Changes(records) => {
+            (change_targets(shared, decode, records, log_state, invalid), 0)
+        }
+        Update::Forwarded(span) => {
+            (change_targets(shared, decode, span.records, log_state, invalid), span.end)
+        }
+    };
+    let end = {
+        let mut fleet = shared.fleet();
+        fleet.advance(forwarded_end);
+        fleet.change_end()
+    };
+    let topic = Topic::Targets;
+    // An empty span starts where it ends: the records of a complete list are requested.
+    let start = if records.is_empty() { end } else { start };
+    RecordSpan { topic, start, end, log_degraded, records }
+}
+
+fn replace_targets(
+    shared: &Shared,
+    decode: &dyn Decode,
+    records: Vec<Record>,
+    end: Offset,
+    log_state: LogState,
+    invalid: &mut InvalidRecords,
+) {
+    let updates = fleet_updates(decode, records.clone(), invalid);
+    shared.tail.keep_all(Topic::Targets, records);
+    let mut fleet = shared.fleet();
+    fleet.replace(updates, end, Instant::now(), log_state);
+    drop(fleet.take_changed());
+}
+
+/// Applies records; returns those that changed something.
+fn change_targets(
+    shared: &Shared,
+    decode: &dyn Decode,
+    records: Vec<Record>,
+    log_state: LogState,
+    invalid: &mut InvalidRecords,
+) -> Vec<Record> {
+    let updates = fleet_updates(decode, records.clone(), invalid);
+    let changed = {
+        let mut fleet = shared.fleet();
+        fleet.apply(updates, Instant::now(), log_state);
+        fleet.take_changed()
+    };
+    let is_changed = |record: &Record| changed.contains(&record.offset);
+    let changed: Vec<Record> = records.into_iter().filter(is_changed).collect();
+    shared.tail.keep(Topic::Targets, changed.iter().cloned());
+    changed
+}
+
 /// The cause for which the record of each key could not be decoded. The same cause is logged only
 /// once, because a writer may renew its record every second.
 #[derive(Default)]
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -15,13 +15,16 @@
 use crate::cluster::entry_state::{
     EntryState, StreamRead, TOKENS_PER_UNIT, UnavailableTarget, Work, short_hash,
 };
-use crate::cluster::messages::{Decision, Envelope, Granted, Payload, Report, Response};
-use crate::cluster::tail::{self, ReadStatus};
-use crate::exchange::broadcast;
-use crate::exchange::coordination;
+use crate::cluster::member_updates::MemberUpdate;
+use crate::cluster::messages::{
+    ConfigRequest, Decision, Envelope, Granted, Payload, RecordsRequest, Report, Response,
+};
+use crate::cluster::tail::Topic;
+use crate::exchange::{catch_up, coordination, dissemination, membership};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
 use crate::targets::availability::{Reason, Unavailable};
 use bytes::Bytes;
+use policy::membership::Source;
 use prost::Message;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,14 +58,25 @@
         // Ends early when something has changed.
         let _ = timeout(KEEPALIVE, shared.workload.changed()).await;
         sequence += 1;
-        let addresses = shared.peers.recipients(shared.tail.is_designated_reader(), Instant::now());
+        let addresses = shared.peers.recipients(Instant::now());
         let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.snapshot());
         let clock = clock::time_of_day();
         let unavailable = shared.workload.availability.snapshot(Instant::now());
         let unavailable = unavailable.into_iter().map(encode_unavailable).collect();
-        let state =
-            EntryState { entry, incarnation, sequence, work, reads, loads, clock, unavailable };
+        let members = member_updates(&shared, addresses.len());
+        let state = EntryState {
+            entry,
+            incarnation,
+            sequence,
+            work,
+            reads,
+            loads,
+            clock,
+            unavailable,
+            members,
+        };
         let datagram = Bytes::from(state.encode_to_vec());
+        shared.peer_socket.count_sent("state", datagram.len(), addresses.len());
         for address in &addresses {
             if let Err(error) = socket.send_to(&datagram, address).await {
                 log::debug!(target: "peers", address:% = address, error:% = error;
@@ -77,27 +91,30 @@
     }
 }
 
-/// Returns how far this entry has read the log.
+/// The maximum number of updates of the membership in a datagram that is sent to several entries.
+const MAX_MEMBER_UPDATES: usize = 24;
+
+/// Returns what this entry tells of the membership to so many others.
+fn member_updates(shared: &Shared, copies: usize) -> Vec<MemberUpdate> {
+    let copies = u32::try_from(copies).unwrap_or(u32::MAX);
+    let updates = shared
+        .peers
+        .directory
+        .with(|membership, _| membership.updates(MAX_MEMBER_UPDATES, copies))
+        .unwrap_or_default();
+    updates.iter().map(MemberUpdate::new).collect()
+}
+
+/// Returns what this entry knows of the log.
 fn reads(shared: &Shared) -> Vec<StreamRead> {
-    let topics = (0..).zip(tail::TOPICS);
-    let statuses = shared.tail.read_statuses(Instant::now());
-    let reads = statuses.into_iter().filter_map(|status| {
-        let (topic, _) = topics.clone().find(|(_, topic)| *topic == status.topic)?;
-        let age_ms = u32::try_from(status.age.as_millis()).unwrap_or(u32::MAX);
-        Some(StreamRead { topic, change_end: status.change_end, age_ms })
-    });
-    reads.collect()
+    shared.tail.read_statuses(Instant::now()).iter().map(StreamRead::new).collect()
 }
 
-/// Applies how far another entry has read the log.
+/// Applies what another entry knows of the log.
 fn apply_reads(shared: &Shared, entry: u64, reads: &[StreamRead], now: Instant) {
-    for read in reads {
-        let topic = usize::try_from(read.topic).ok().and_then(|index| tail::TOPICS.get(index));
-        // A stream that only a newer version follows.
-        let Some(topic) = topic.copied() else { continue };
-        let age = Duration::from_millis(read.age_ms.into());
-        shared.observe_epoch(plat::epoch::epoch(read.change_end), "peer");
-        shared.tail.observe(entry, ReadStatus { topic, change_end: read.change_end, age }, now);
+    for status in reads.iter().filter_map(StreamRead::status) {
+        shared.observe_epoch(plat::epoch::epoch(status.change_end), "peer");
+        shared.tail.observe(entry, status, now);
     }
 }
 
@@ -125,9 +142,6 @@
                 continue;
             }
         };
-        if !shared.peers.is_known(from.ip()) {
-            continue;
-        }
         if let Err(error) = handle_datagram(&shared, &buffer[..length], from) {
             log::warn!(target: "peers", from:% = from, error:% = error; "not readable");
         }
@@ -139,9 +153,20 @@
     datagram: &[u8],
     from: SocketAddr,
 ) -> Result<(), prost::DecodeError> {
+    let is_known = || shared.peers.directory.is_known(from.ip());
     match Envelope::decode(datagram)?.payload {
-        Some(payload) => handle_message(shared, payload, from),
-        None => apply_state(shared, EntryState::decode(datagram)?),
+        // Entries introduce themselves with this message.
+        Some(Payload::Membership(message)) => membership::receive(shared, message, from),
+        Some(payload) if is_known() => handle_message(shared, payload, from),
+        Some(_) => {}
+        None => {
+            let mut state = EntryState::decode(datagram)?;
+            let members = std::mem::take(&mut state.members);
+            membership::apply(shared, &members, Source::News, from);
+            if is_known() {
+                apply_state(shared, state);
+            }
+        }
     }
     Ok(())
 }
@@ -198,8 +223,13 @@
         }
         Payload::Report(report) => coordination::apply_report(shared, &report),
         Payload::TargetLimit(limit) => coordination::observe_limit(shared, &limit),
-        Payload::LogRecords(message) => broadcast::receive(shared, message),
-        Payload::ConfigRequest(request) => broadcast::send_config(shared, request, from),
+        Payload::LogRecords(message) => dissemination::receive(shared, message),
+        Payload::RecordsRequest(request) => catch_up::respond(shared, request, from),
+        Payload::ConfigRequest(ConfigRequest { next }) => {
+            let topic = dissemination::topic_index(Topic::Config);
+            catch_up::respond(shared, RecordsRequest { topic, from: next }, from);
+        }
+        Payload::Membership(message) => membership::receive(shared, message, from),
         Payload::UsageCounts(usage) => shared.usage.observe(usage),
         Payload::BillingProgress(progress) => {
             shared.usage.observe_billing(progress, clock::since_boot())
--- a/crates/direct/src/exchange/notice.rs
+++ b/crates/direct/src/exchange/notice.rs
@@ -44,6 +44,10 @@
     /// The rate of its VM's link in bytes per second, as a measure of the VM's size; 0 if unknown.
     #[prost(double, tag = "4")]
     pub link_rate: f64,
+    /// Whether the entry takes part in the membership, see [`crate::exchange::membership`]. One
+    /// that doesn't is live for as long as its heartbeats arrive.
+    #[prost(bool, tag = "5")]
+    pub takes_part: bool,
 }
 
 /// The announcement of stage changes by an entry.
--- a/crates/direct/src/instrumented_log.rs
+++ b/crates/direct/src/instrumented_log.rs
@@ -1,5 +1,6 @@
 //! A log that counts and times the calls to it.
 
+use crate::costs;
 use crate::metrics::Metrics;
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -20,7 +21,13 @@
         Self { log, metrics }
     }
 
-    fn record<T>(&self, call: &'static str, began: Instant, result: Result<T>) -> Result<T> {
+    fn record<T>(
+        &self,
+        call: &'static str,
+        stream: &str,
+        began: Instant,
+        result: Result<T>,
+    ) -> Result<T> {
         let outcome = match &result {
             Ok(_) => "ok",
             Err(Error::Gone { .. }) => "gone",
@@ -28,6 +35,7 @@
             Err(_) => "failed",
         };
         self.metrics.log_call(call, outcome, began.elapsed());
+        costs::log_call(call, stream, outcome, began.elapsed());
         result
     }
 }
@@ -36,7 +44,7 @@
 impl Log for InstrumentedLog {
     async fn append(&self, stream: &str, records: Vec<Bytes>) -> Result<Offset> {
         let began = Instant::now();
-        self.record("append", began, self.log.append(stream, records).await)
+        self.record("append", stream, began, self.log.append(stream, records).await)
     }
 
     async fn read(
@@ -47,7 +55,7 @@
         wait: Duration,
     ) -> Result<Batch> {
         let began = Instant::now();
-        self.record("read", began, self.log.read(stream, from, limit, wait).await)
+        self.record("read", stream, began, self.log.read(stream, from, limit, wait).await)
     }
 }
 
@@ -55,7 +63,7 @@
 impl KeyedLog for InstrumentedLog {
     async fn newest(&self, stream: &str) -> Result<Newest> {
         let began = Instant::now();
-        self.record("newest", began, self.log.newest(stream).await)
+        self.record("newest", stream, began, self.log.newest(stream).await)
     }
 
     async fn changes(
@@ -65,11 +73,11 @@
         wait: Duration,
     ) -> Result<(Vec<Record>, Offset)> {
         let began = Instant::now();
-        self.record("changes", began, self.log.changes(stream, from, wait).await)
+        self.record("changes", stream, began, self.log.changes(stream, from, wait).await)
     }
 
     async fn append_at(&self, stream: &str, at: Offset, record: Bytes) -> Result<Offset> {
         let began = Instant::now();
-        self.record("append-at", began, self.log.append_at(stream, at, record).await)
+        self.record("append-at", stream, began, self.log.append_at(stream, at, record).await)
     }
 }
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`codec`] and [`buffered_request`]: requests and responses in the product's own types. A
 //!   deployment's adapter implements [`codec::Codec`], and [`exchange::follow::Decode`] for
 //!   records.
+//! - [`costs`]: what the entries log as paid for, and its sums.
 //! - [`targets`]: this entry's view of the targets, and single attempts to send to one of them.
 //! - [`cluster`]: the observed state of the other entries and of the log, and the messages between
 //!   entries.
@@ -19,6 +20,7 @@
 pub mod cluster;
 pub mod codec;
 pub mod config;
+pub mod costs;
 pub mod daemon;
 pub mod durations;
 pub mod duty;
--- a/crates/direct/src/log_search.rs
+++ b/crates/direct/src/log_search.rs
@@ -96,7 +96,7 @@
 }
 
 /// Returns the value of a key, without quotes.
-fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+pub(crate) fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
     let mut from = 0;
     loop {
         let at = from + text[from..].find(key)?;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms, served as text.
 
+use crate::costs;
 use compact_str::CompactString;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
@@ -263,6 +264,7 @@
         self.stream_reads
             .get_or_create(&CallLabels { call: stream.into(), kind: reason.into() })
             .inc();
+        costs::read_reason(stream, reason);
     }
 
     /// Counts a call to the log, and records its duration.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -6,7 +6,7 @@
 use crate::cluster::peer_socket::PeerSocket;
 use crate::cluster::peers::Peers;
 use crate::cluster::suspects::Suspects;
-use crate::cluster::tail::{Tail, Topic};
+use crate::cluster::tail::{Tail, Timing, Topic};
 use crate::cluster::usage::Usage;
 use crate::codec::Codec;
 use crate::config::route::{Route, RouteName, Service, Table};
@@ -18,10 +18,13 @@
 use compact_str::CompactString;
 use plat::Offset;
 use plat::epoch::Epoch;
-use policy::{Hash, balance, connect_timeout, extra_budget, link, prefill, retry_detection, split};
+use policy::{
+    Hash, balance, connect_timeout, extra_budget, link, prefill, retry_detection, split, succession,
+};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
@@ -50,6 +53,10 @@
     /// Age of the latest read of the configuration up to which customers' keys are accepted; `None`
     /// if they are accepted at any age.
     pub keys_max_age: Option<Duration>,
+    /// How often changes in the log have to be observed.
+    pub timing: Timing,
+    /// Addresses for datagrams of entries that may be running when this one starts.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// The share of an entry's link that its datagrams to the other entries may take. Some entries have
@@ -148,6 +155,7 @@
         let link = Mutex::new(link::Link::new(settings.link.clone()));
         let incarnation = policy::hash(&format!("{} {:?}", std::process::id(), Instant::now()));
         let first_id = policy::mix(policy::hash(&settings.name), incarnation);
+        let tail = Tail::new(first_id, settings.timing);
         Self {
             settings,
             codec,
@@ -160,7 +168,7 @@
             usage: Usage::default(),
             peer_socket: PeerSocket::new(first_id),
             loads: Loads::default(),
-            tail: Tail::default(),
+            tail,
             entry_stream_changed: Notify::new(),
             workload: workload.clone(),
             fleet: Mutex::new(Fleet::new(workload)),
@@ -258,15 +266,23 @@
         (f64::from(self.entries()) / known).max(1.0)
     }
 
-    /// The delay before this entry retries a log that did not respond, while no other entry has
+    /// The delay before this entry calls a log again that did not respond, while no other entry has
     /// reached it either.
     ///
-    /// While the log is unavailable, no entry can reach it, and one of them has to notice its
-    /// recovery: all together retry as often as eight would without this delay. An entry that
-    /// receives no reports from others retries as if it were alone.
-    pub fn log_retry_delay(&self) -> Duration {
-        const PER_PEER: Duration = Duration::from_millis(60);
-        PER_PEER * self.peers.reachable_count()
+    /// One of the streams shows whether the log responds again; the others are read then, or after
+    /// a longer delay. An entry that hears of no other retries as if it were alone.
+    pub fn log_retry_delay(&self, topic: Topic) -> Duration {
+        const LONGEST: Duration = Duration::from_secs(10);
+        let entries = if self.peers.reachable_count() == 0 { 0 } else { self.entries() - 1 };
+        match topic {
+            Topic::Targets => succession::retry_delay(entries, LONGEST),
+            Topic::Config | Topic::Notices => succession::retry_delay(entries * 2, LONGEST * 2),
+        }
+    }
+
+    /// The time since the process started, for decisions in [`policy`].
+    pub fn time(&self) -> policy::Time {
+        self.started.elapsed()
     }
 
     /// The number of entries that share the work, as far as known.
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::buffered_request::BufferedRequest;
 use crate::codec::{AttemptHead, Codec, ResponseHead};
+use crate::costs;
 use crate::targets::pool::{self, Connection};
 use crate::targets::target::{Health, Target};
 use bytes::Bytes;
@@ -101,6 +102,9 @@
                     return Outcome::NotSent(error.to_compact_string());
                 }
             };
+        if connection.connect_time.is_some() {
+            costs::connection(&target.service, head.step.name());
+        }
         let now = Instant::now();
         let admitted = if counted { target.recheck(now) } else { target.acquire(now) };
         if let Err(closed) = admitted {
@@ -155,6 +159,9 @@
     let exchange = async {
         let connection = target.pool.take(u32::MAX, pool::CONNECT_TIMEOUT, Instant::now()).await;
         let mut connection = connection.map_err(|error| error.to_compact_string())?;
+        if connection.connect_time.is_some() {
+            costs::connection(&target.service, "own");
+        }
         let mut request = Request::builder()
             .method(method)
             .uri(path)
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -311,6 +311,11 @@
         self.change_end
     }
 
+    /// Records that all changes before an offset were applied.
+    pub fn advance(&mut self, change_end: Offset) {
+        self.change_end = self.change_end.max(change_end);
+    }
+
     /// Takes the offsets of the records that changed something since the last call.
     pub fn take_changed(&mut self) -> Vec<Offset> {
         std::mem::take(&mut self.changed_offsets)
