feat(direct): large records in parts, whole lists pushed by their reader

After kill_all no entry but the two readers had the list of targets, a random peer had it with a chance of 1 in 260, and 420 entries read it after their patience. Change: a record that doesn't fit into a datagram is cut into parts, which are put together and requested again singly; who reads a whole list pushes it along the tree, marked as whole, since it doesn't tell what was removed: running entries don't take it for changes, and an entry that started from a list doesn't answer for changes before it.

--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -88,9 +88,26 @@
     /// The stream, as its index in [`crate::cluster::tail::TOPICS`].
     #[prost(uint32, tag = "1")]
     pub topic: u32,
-    /// The offset up to which the sender has applied the stream; 0 for all that matter.
+    /// The offset up to which the sender has the stream.
     #[prost(uint64, tag = "2")]
     pub from: u64,
+    /// The record of which the sender has the first parts, and their number.
+    #[prost(message, optional, tag = "3")]
+    pub received: Option<ReceivedParts>,
+    /// Whether the sender gets the whole list, instead of the changes.
+    #[prost(bool, tag = "4")]
+    pub whole: bool,
+}
+
+/// The first parts of a record that were received.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ReceivedParts {
+    /// The offset of the record.
+    #[prost(uint64, tag = "1")]
+    pub offset: u64,
+    /// The number of parts.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// A request for the configuration.
@@ -404,6 +421,23 @@
     /// To how many entries each recipient passes the records on.
     #[prost(uint32, tag = "9")]
     pub fan_out: u32,
+    /// Set if the message holds only a part of the value of its one record.
+    #[prost(message, optional, tag = "10")]
+    pub part: Option<RecordPart>,
+    /// Whether the records belong to a whole list, which doesn't tell what was removed.
+    #[prost(bool, tag = "11")]
+    pub whole: bool,
+}
+
+/// Which part of a record a message holds.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct RecordPart {
+    /// The index of the part.
+    #[prost(uint32, tag = "1")]
+    pub index: u32,
+    /// The number of parts.
+    #[prost(uint32, tag = "2")]
+    pub count: u32,
 }
 
 /// A range of hashes of names, both ends included.
--- a/crates/direct/src/cluster/replica.rs
+++ b/crates/direct/src/cluster/replica.rs
@@ -40,19 +40,23 @@
         self.limit_transient();
     }
 
-    /// Replaces everything by a complete list.
-    pub fn replace(&mut self, records: impl IntoIterator<Item = Record>) {
-        *self = Self::default();
+    /// Replaces everything by a whole list, which was read at `end`.
+    pub fn replace(&mut self, records: impl IntoIterator<Item = Record>, end: Offset) {
+        // The list doesn't tell which keys were removed before.
+        *self = Self { complete_from: end, ..Self::default() };
         for record in records {
             self.insert(record);
         }
     }
 
-    /// Returns the records from an offset on; `None` if some of them were dropped. From the offset
-    /// 0 on it returns all that matter to an entry that knows none.
+    /// Returns the changes from an offset on; `None` if some of them are not known.
     pub fn changes(&self, from: Offset) -> Option<impl Iterator<Item = &Record>> {
-        let is_complete = from == 0 || from >= self.complete_from;
-        is_complete.then(|| self.records.range(from..).map(|(_, record)| record))
+        (from >= self.complete_from).then(|| self.newest(from))
+    }
+
+    /// Returns the newest record of each key, as far as it stands at an offset or after it.
+    pub fn newest(&self, from: Offset) -> impl Iterator<Item = &Record> {
+        self.records.range(from..).map(|(_, record)| record)
     }
 
     fn limit_transient(&mut self) {
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -9,13 +9,16 @@
 //! and one that lacks records which another entry has gets them from there.
 
 mod confirmation;
+mod parts;
 mod span;
 
 pub use confirmation::{Read, ReadId};
+pub use parts::Part;
 pub use span::RecordSpan;
 
 use crate::cluster::replica::Replica;
 use confirmation::Confirmation;
+use parts::Parts;
 use plat::epoch::{self, Epoch};
 use plat::{Offset, Record};
 use policy::{Hash, succession};
@@ -204,11 +207,19 @@
 struct Followed {
     confirmation: Confirmation,
     offered: Offered,
+    parts: Parts,
     replica: Replica,
     /// An entry that has applied more than this one, how far, and since when that is known.
     ahead: Option<Ahead>,
 }
 
+impl Followed {
+    fn take_offered(&mut self, next: Offset, whole: bool) -> Option<RecordSpan> {
+        self.parts.forget_before(next);
+        self.offered.take(next, whole)
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Ahead {
     peer: Hash,
@@ -367,9 +378,33 @@
         }
     }
 
-    /// Takes the queued records that continue at `next`, without those before it.
+    /// Queues a part of a record that another entry has sent, see [`Self::offer`].
+    pub fn offer_part(&self, peer: Hash, part: Part, status: Option<ReadStatus>, now: Instant) {
+        let topic = part.span.topic;
+        let complete = self.lock().stream(topic).parts.push(part);
+        match (complete, status) {
+            (Some(span), status) => self.offer(peer, span, status, now),
+            (None, Some(status)) => self.observe(peer, status, now),
+            (None, None) => {}
+        }
+        // Who waits for the rest learns that it is arriving.
+        self.updated.notify_waiters();
+    }
+
+    /// Returns the first record after `next` that has arrived in part, and how many of its first
+    /// parts have.
+    pub fn received_parts(&self, topic: Topic, next: Offset) -> Option<(Offset, usize)> {
+        self.lock().stream(topic).parts.received(next)
+    }
+
+    /// Takes the queued changes that continue at `next`, without those before it.
     pub fn take_offered(&self, topic: Topic, next: Offset) -> Option<RecordSpan> {
-        self.lock().stream(topic).offered.take(next)
+        self.lock().stream(topic).take_offered(next, false)
+    }
+
+    /// The same for an entry that receives a whole list, in which `next` is the end so far.
+    pub fn take_offered_list(&self, topic: Topic, next: Offset) -> Option<RecordSpan> {
+        self.lock().stream(topic).take_offered(next, true)
     }
 
     /// Waits until another entry sends or reports something new, `limit` at the longest.
@@ -385,18 +420,29 @@
         records.into_iter().for_each(|record| replica.insert(record));
     }
 
-    /// Replaces the kept records by a complete list.
-    pub fn keep_all(&self, topic: Topic, records: impl IntoIterator<Item = Record>) {
-        self.lock().stream(topic).replica.replace(records);
+    /// Replaces the kept records by a whole list, which was read at `end`.
+    pub fn keep_all(&self, topic: Topic, records: impl IntoIterator<Item = Record>, end: Offset) {
+        self.lock().stream(topic).replica.replace(records, end);
     }
 
-    /// Returns the kept records from an offset on; `None` if this entry knows nothing of the
-    /// stream, or lacks some of them.
-    pub fn kept(&self, topic: Topic, from: Offset) -> Option<Vec<Record>> {
+    /// Returns the kept changes from an offset on; `None` if this entry lacks some of them.
+    pub fn kept_changes(&self, topic: Topic, from: Offset) -> Option<Vec<Record>> {
+        let mut inner = self.lock();
+        Some(inner.stream(topic).replica.changes(from)?.cloned().collect())
+    }
+
+    /// Returns all kept records.
+    pub fn kept_all(&self, topic: Topic) -> Vec<Record> {
+        self.lock().stream(topic).replica.newest(0).cloned().collect()
+    }
+
+    /// Returns the kept records of the whole list from an offset on; `None` if this entry has no
+    /// list yet.
+    pub fn kept_list(&self, topic: Topic, from: Offset) -> Option<Vec<Record>> {
         let mut inner = self.lock();
         let stream = inner.stream(topic);
         stream.confirmation.at()?;
-        Some(stream.replica.changes(from)?.cloned().collect())
+        Some(stream.replica.newest(from).cloned().collect())
     }
 
     /// Returns the offset after the last known record that changed something.
@@ -466,9 +512,14 @@
         self.lock().stream(topic).confirmation.is_complete(next)
     }
 
+    /// Returns the offset up to which any entry is known to have a stream.
+    pub fn known_end(&self, topic: Topic) -> Offset {
+        self.lock().stream(topic).confirmation.known_end()
+    }
+
     /// Returns the configuration in force, if it was written at `from` or later.
     pub fn config(&self, from: Offset) -> Option<Record> {
-        self.kept(Topic::Config, from)?.pop()
+        self.kept_list(Topic::Config, from)?.pop()
     }
 
     /// Returns an entry that has read a stream beyond `next`.
--- a/crates/direct/src/cluster/tail/confirmation.rs
+++ b/crates/direct/src/cluster/tail/confirmation.rs
@@ -62,8 +62,12 @@
 
     /// Returns whether the records before `next` are all that any known read has found.
     pub(super) fn is_complete(&self, next: Offset) -> bool {
-        let found = self.pending.map_or(self.change_end, |(end, _)| end.max(self.change_end));
-        (self.read.is_some() || self.pending.is_some()) && next >= found
+        (self.read.is_some() || self.pending.is_some()) && next >= self.known_end()
+    }
+
+    /// Returns the end of the stream by all known reads.
+    pub(super) fn known_end(&self) -> Offset {
+        self.pending.map_or(self.change_end, |(end, _)| end.max(self.change_end))
     }
 
     /// Records that the entry has applied all changes before an offset.
--- a/crates/direct/src/cluster/tail/span.rs
+++ b/crates/direct/src/cluster/tail/span.rs
@@ -3,7 +3,8 @@
 use super::Topic;
 use plat::{Offset, Record};
 
-/// Records of a stream that another entry sent: all that changed something within the span.
+/// Records of a stream that another entry sent: all that changed something within the span, or the
+/// part of a whole list that stands there.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RecordSpan {
     /// The stream.
@@ -14,6 +15,9 @@
     pub end: Offset,
     /// Whether calls to the log have recently failed for the entry that read the records.
     pub log_degraded: bool,
+    /// Whether the span is a part of a whole list. It doesn't tell what was removed, so that only an
+    /// entry that has no records yet can use it.
+    pub whole: bool,
     /// The records, in order.
     pub records: Vec<Record>,
 }
@@ -38,9 +42,9 @@
 
     /// Takes the records that continue at `next`, without those before it. Spans that follow are
     /// merged: applying a span costs time in proportion to the number of targets, however few
-    /// records it has.
-    pub(super) fn take(&mut self, next: Offset) -> Option<RecordSpan> {
-        self.0.retain(|span| span.end > next);
+    /// records it has. Parts of a whole list are taken only if `whole` is set.
+    pub(super) fn take(&mut self, next: Offset, whole: bool) -> Option<RecordSpan> {
+        self.0.retain(|span| span.end > next && (whole || !span.whole));
         let at = self.0.iter().position(|span| span.start <= next)?;
         let mut span = self.0.swap_remove(at);
         while let Some(at) = self.0.iter().position(|other| other.start <= span.end) {
--- a/crates/direct/src/duty/stage_planner/orders.rs
+++ b/crates/direct/src/duty/stage_planner/orders.rs
@@ -71,7 +71,7 @@
         let record =
             Record { offset: plan_offset, key: CompactString::default(), value: Some(record) };
         let (end, log_degraded, records) = (plan_offset + 1, false, vec![record]);
-        let span = RecordSpan { topic, start, end, log_degraded, records };
+        let span = RecordSpan { topic, start, end, log_degraded, whole: false, records };
         dissemination::publish(&self.shared, &span);
         tokio::time::sleep(announcement_time).await;
         let orders = changes.into_iter().map(|(target, stage)| async move {
--- a/crates/direct/src/exchange/catch_up.rs
+++ b/crates/direct/src/exchange/catch_up.rs
@@ -8,7 +8,7 @@
 //! don't. Only the first entries of the order in which they read the log turn to it at once, and
 //! the rest when the others had time to get the records and to pass them on.
 
-use crate::cluster::messages::{Payload, RecordsRequest};
+use crate::cluster::messages::{LogRecords, Payload, ReceivedParts, RecordsRequest};
 use crate::cluster::tail::{RecordSpan, Topic};
 use crate::exchange::dissemination::{split, topic_at, topic_index};
 use crate::shared::Shared;
@@ -22,7 +22,10 @@
 /// again. They are sent at once, and links are slow.
 const MAX_RESPONSE: usize = 16;
 
-/// How long an entry waits for a response before it asks another entry.
+/// How many entries are asked at once: some may have nothing either.
+const ASKED_PEERS: usize = 2;
+
+/// How long an entry waits for a response before it asks other entries.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// The longest gap within a response; after that the rest is requested.
@@ -32,7 +35,7 @@
 const JOIN_PATIENCE: Duration = Duration::from_millis(600);
 
 /// How long a designated reader asks the others before it reads the log.
-const READER_PATIENCE: Duration = Duration::from_millis(250);
+const READER_PATIENCE: Duration = Duration::from_millis(150);
 
 /// How long any other entry does so, besides its delay in the order of reading.
 const PATIENCE: Duration = Duration::from_millis(1_500);
@@ -43,22 +46,39 @@
 /// Requests the records that this entry lacks from another one.
 pub fn request_from(shared: &Shared, topic: Topic, next: Offset, peer: Hash) {
     if let Some(address) = shared.peers.directory.address(peer) {
-        request(shared, topic, next, address);
+        request(shared, topic, next, false, address);
     }
 }
 
-fn request(shared: &Shared, topic: Topic, from: Offset, to: SocketAddr) {
-    let request = RecordsRequest { topic: topic_index(topic), from };
+fn request(shared: &Shared, topic: Topic, from: Offset, whole: bool, to: SocketAddr) {
+    let received = shared.tail.received_parts(topic, from).map(|(offset, count)| ReceivedParts {
+        offset,
+        count: u32::try_from(count).unwrap_or(u32::MAX),
+    });
+    let request = RecordsRequest { topic: topic_index(topic), from, received, whole };
     shared.peer_socket.send(Payload::RecordsRequest(request), to);
 }
 
 /// Responds to a request with the records that this entry has, as far as they fit into a response.
 pub fn respond(shared: &Shared, request: RecordsRequest, to: SocketAddr) {
     let Some(topic) = topic_at(request.topic) else { return };
-    let Some(records) = shared.tail.kept(topic, request.from) else { return };
+    let (start, whole) = (request.from, request.whole);
+    let records = if whole {
+        shared.tail.kept_list(topic, start)
+    } else {
+        shared.tail.kept_changes(topic, start)
+    };
+    let Some(records) = records else { return };
     let end = shared.tail.change_end(topic);
-    let span = RecordSpan { topic, start: request.from, end, log_degraded: false, records };
-    for message in split(shared, &span).into_iter().take(MAX_RESPONSE) {
+    let span = RecordSpan { topic, start, end, log_degraded: false, whole, records };
+    let is_received = |message: &LogRecords| {
+        let record = message.records.first().zip(message.part);
+        record.zip(request.received).is_some_and(|((record, part), received)| {
+            record.offset == received.offset && part.index < received.count
+        })
+    };
+    let missing = split(shared, &span).into_iter().skip_while(is_received);
+    for message in missing.take(MAX_RESPONSE) {
         shared.peer_socket.send(Payload::LogRecords(message), to);
     }
 }
@@ -68,10 +88,15 @@
 pub async fn fetch_all(shared: &Shared, topic: Topic) -> Option<Newest> {
     wait_until_joined(shared).await;
     let began = Instant::now();
-    let mut fetch = Fetch { shared, topic, newest: Newest::default() };
+    let mut fetch = Fetch { shared, topic, newest: Newest::default(), parts: None };
     while began.elapsed() < patience(shared) {
-        let peer = shared.peers.directory.sample(1).pop()?;
-        request(shared, topic, fetch.newest.end, peer.address);
+        let mut peers: Vec<SocketAddr> =
+            shared.peers.directory.sample(ASKED_PEERS).iter().map(|peer| peer.address).collect();
+        if peers.is_empty() {
+            return None;
+        }
+        peers.extend(known_source(shared, topic, fetch.newest.end));
+        peers.iter().for_each(|peer| request(shared, topic, fetch.newest.end, true, *peer));
         if fetch.receive().await {
             log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
                 records = fetch.newest.records.len(), ms = began.elapsed().as_millis();
@@ -79,9 +104,20 @@
             return Some(fetch.newest);
         }
     }
+    log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
+        records = fetch.newest.records.len(), known = shared.tail.known_end(topic),
+        ms = began.elapsed().as_millis();
+        "records not received from peers");
     None
 }
 
+/// An entry that said that it has records beyond `next`, once some have arrived: those that told of
+/// their read first can't serve all others.
+fn known_source(shared: &Shared, topic: Topic, next: Offset) -> Option<SocketAddr> {
+    let source = shared.tail.peer_ahead(topic, next).filter(|_| next > 0)?;
+    shared.peers.directory.address(source)
+}
+
 async fn wait_until_joined(shared: &Shared) {
     let began = Instant::now();
     while !shared.settings.seeds.is_empty()
@@ -105,6 +141,8 @@
     shared: &'a Shared,
     topic: Topic,
     newest: Newest,
+    /// The record that has arrived in part, and how many of its parts.
+    parts: Option<(Offset, usize)>,
 }
 
 impl Fetch<'_> {
@@ -112,11 +150,15 @@
     async fn receive(&mut self) -> bool {
         let mut deadline = Instant::now() + RESPONSE_TIMEOUT;
         loop {
-            while let Some(span) = self.shared.tail.take_offered(self.topic, self.newest.end) {
+            while let Some(span) = self.shared.tail.take_offered_list(self.topic, self.newest.end) {
                 if self.append(span) {
                     deadline = Instant::now() + RESPONSE_GAP;
                 }
             }
+            let parts = self.shared.tail.received_parts(self.topic, self.newest.end);
+            if parts != std::mem::replace(&mut self.parts, parts) {
+                deadline = Instant::now() + RESPONSE_GAP;
+            }
             if self.shared.tail.is_complete(self.topic, self.newest.end) {
                 return true;
             }
--- a/crates/direct/src/exchange/dissemination.rs
+++ b/crates/direct/src/exchange/dissemination.rs
@@ -10,8 +10,8 @@
 
 use crate::cluster::entry_state::StreamRead;
 use crate::cluster::groups::Member;
-use crate::cluster::messages::{KeyRange, LogRecord, LogRecords, Payload};
-use crate::cluster::tail::{RecordSpan, TOPICS, Topic};
+use crate::cluster::messages::{KeyRange, LogRecord, LogRecords, Payload, RecordPart};
+use crate::cluster::tail::{Part, RecordSpan, TOPICS, Topic};
 use crate::shared::Shared;
 use bytes::Bytes;
 use plat::{Offset, Record};
@@ -21,10 +21,6 @@
 /// Bytes of records in one datagram, which then crosses networks without fragmentation.
 const MAX_BYTES: usize = 1_200;
 
-/// A larger record is not sent, for it would have to fit into one datagram: the others read a
-/// configuration of hundreds of routes or customers from the log.
-const MAX_RECORD: usize = 32_000;
-
 /// The number of datagrams up to which an entry sends news with the largest fan-out.
 const MAX_DATAGRAMS: usize = 64;
 
@@ -56,42 +52,53 @@
 /// ends with the span; a span without records is one message.
 pub fn split(shared: &Shared, span: &RecordSpan) -> Vec<LogRecords> {
     let status = shared.tail.read_status(span.topic, Instant::now());
-    let message = |start, records| LogRecords {
+    let empty = LogRecords {
         topic: topic_index(span.topic),
-        start,
-        records,
         log_degraded: span.log_degraded,
+        whole: span.whole,
         status: status.as_ref().map(StreamRead::new),
         sender: shared.key(),
         ..LogRecords::default()
     };
     let mut messages: Vec<LogRecords> = Vec::new();
     let (mut start, mut remaining) = (span.start, 0);
-    let sent = span.records.iter().take_while(|record| size(record) <= MAX_RECORD);
-    for record in sent {
-        match messages.last_mut().filter(|_| size(record) <= remaining) {
-            Some(message) => message.records.push(encode(record)),
-            None => {
-                messages.push(message(start, vec![encode(record)]));
-                remaining = MAX_BYTES;
-            }
-        }
-        remaining = remaining.saturating_sub(size(record));
-        start = record.offset + 1;
-        if let Some(message) = messages.last_mut() {
-            message.end = start;
+    for record in &span.records {
+        let end = record.offset + 1;
+        if size(record) > MAX_BYTES {
+            let message = LogRecords { start, end, ..empty.clone() };
+            messages.extend(parts(&message, record));
+            remaining = 0;
+        } else if let Some(message) = messages.last_mut().filter(|_| size(record) <= remaining) {
+            (message.end, remaining) = (end, remaining - size(record));
+            message.records.push(encode(record));
+        } else {
+            let records = vec![encode(record)];
+            messages.push(LogRecords { start, end, records, ..empty.clone() });
+            remaining = MAX_BYTES.saturating_sub(size(record));
         }
+        start = end;
     }
     if messages.is_empty() {
-        messages.push(message(span.start, Vec::new()));
+        messages.push(LogRecords { start, ..empty });
     }
-    let is_whole = span.records.iter().all(|record| size(record) <= MAX_RECORD);
-    if let Some(last) = messages.last_mut().filter(|_| is_whole) {
+    if let Some(last) = messages.last_mut() {
         last.end = span.end;
     }
     messages
 }
 
+/// Cuts a record into messages with a part of its value each.
+fn parts(message: &LogRecords, record: &Record) -> Vec<LogRecords> {
+    let value = record.value.clone().unwrap_or_default();
+    let count = u32::try_from(value.len().div_ceil(MAX_BYTES)).unwrap_or(u32::MAX);
+    let parts = (0..).zip(value.chunks(MAX_BYTES)).map(|(index, part)| {
+        let record = Record { value: Some(value.slice_ref(part)), ..record.clone() };
+        let part = Some(RecordPart { index, count });
+        LogRecords { records: vec![encode(&record)], part, ..message.clone() }
+    });
+    parts.collect()
+}
+
 fn size(record: &Record) -> usize {
     record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
 }
@@ -118,16 +125,24 @@
         relay(shared, &message, Range { first, last });
     }
     let Some(topic) = topic_at(message.topic) else { return };
-    let (start, log_degraded) = (message.start, message.log_degraded);
+    let (start, log_degraded, whole) = (message.start, message.log_degraded, message.whole);
     let status = message.status.and_then(|status| status.status());
     let records: Vec<Record> = message.records.into_iter().map(decode).collect();
     let last_end = records.last().map_or(start, |record: &Record| record.offset + 1);
     let end: Offset = message.end.max(last_end);
-    let span = RecordSpan { topic, start, end, log_degraded, records };
+    let span = RecordSpan { topic, start, end, log_degraded, whole, records };
     if let Some(status) = &status {
         shared.observe_epoch(plat::epoch::epoch(status.change_end), "peer");
     }
-    shared.tail.offer(message.sender, span, status, Instant::now());
+    let (sender, now) = (message.sender, Instant::now());
+    match message.part {
+        None => shared.tail.offer(sender, span, status, now),
+        Some(RecordPart { index, count }) => {
+            let number = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
+            let part = Part { span, index: number(index), count: number(count) };
+            shared.tail.offer_part(sender, part, status, now);
+        }
+    }
 }
 
 fn decode(record: LogRecord) -> Record {
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -192,7 +192,7 @@
         let (start, records) =
             if is_first { (self.change_end, Vec::new()) } else { (start, changed) };
         let (topic, end, log_degraded) = (Topic::Notices, self.change_end, false);
-        let span = tail::RecordSpan { topic, start, end, log_degraded, records };
+        let span = tail::RecordSpan { topic, start, end, log_degraded, whole: false, records };
         dissemination::publish(&self.shared, &span);
         self.publish(view);
     }
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -238,7 +238,14 @@
         }
         let log_degraded = stream.is_degraded(Instant::now());
         let topic = Topic::Config;
-        let span = RecordSpan { topic, start, end: change_end, log_degraded, records: versions };
+        let span = RecordSpan {
+            topic,
+            start,
+            end: change_end,
+            log_degraded,
+            whole: false,
+            records: versions,
+        };
         record_span(&shared, span, own);
     }
 }
@@ -328,12 +335,13 @@
         (false, true) => LogState::Degraded,
         (false, false) => LogState::Healthy,
     };
-    let start = shared.fleet().change_end();
+    // Whoever reads the whole list does so because no other entry had it.
+    let is_whole = matches!(update, Update::All(..));
+    let start = if is_whole { 0 } else { shared.fleet().change_end() };
     let (records, forwarded_end) = match update {
         Update::All(records, end) => {
             replace_targets(shared, decode, records, end, log_state, invalid);
-            // A complete list has no changes to forward.
-            (Vec::new(), 0)
+            (shared.tail.kept_all(Topic::Targets), 0)
         }
         Update::AllReceived(records, end) => {
             replace_targets(shared, decode, records, end, log_state, invalid);
@@ -352,9 +360,8 @@
         fleet.change_end()
     };
     let topic = Topic::Targets;
-    // An empty span starts where it ends: the records of a complete list are requested.
     let start = if records.is_empty() { end } else { start };
-    RecordSpan { topic, start, end, log_degraded, records }
+    RecordSpan { topic, start, end, log_degraded, whole: is_whole, records }
 }
 
 fn replace_targets(
@@ -366,7 +373,7 @@
     invalid: &mut InvalidRecords,
 ) {
     let updates = fleet_updates(decode, records.clone(), invalid);
-    shared.tail.keep_all(Topic::Targets, records);
+    shared.tail.keep_all(Topic::Targets, records, end);
     let mut fleet = shared.fleet();
     fleet.replace(updates, end, Instant::now(), log_state);
     drop(fleet.take_changed());
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -227,7 +227,8 @@
         Payload::RecordsRequest(request) => catch_up::respond(shared, request, from),
         Payload::ConfigRequest(ConfigRequest { next }) => {
             let topic = dissemination::topic_index(Topic::Config);
-            catch_up::respond(shared, RecordsRequest { topic, from: next }, from);
+            let request = RecordsRequest { topic, from: next, received: None, whole: true };
+            catch_up::respond(shared, request, from);
         }
         Payload::Membership(message) => membership::receive(shared, message, from),
         Payload::UsageCounts(usage) => shared.usage.observe(usage),
--- a/crates/direct/tests/tail.rs
+++ b/crates/direct/tests/tail.rs
@@ -1,7 +1,8 @@
 //! Which entries read the log, and how the others follow it.
 
 use direct::cluster::tail::{
-    FollowStep, READERS, ReadId, ReadReason, ReadStatus, RecordSpan, Retry, Tail, Timing, Topic,
+    FollowStep, Part, READERS, ReadId, ReadReason, ReadStatus, RecordSpan, Retry, Tail, Timing,
+    Topic,
 };
 use plat::Record;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -181,7 +182,14 @@
     let record = |offset: &u64| Record { offset: *offset, key: "k".into(), value: None };
     let records = offsets.iter().map(record).collect();
     let end = offsets.last().map_or(from, |last| last + 1);
-    RecordSpan { topic: Topic::Config, start: from, end, log_degraded: false, records }
+    RecordSpan {
+        topic: Topic::Config,
+        start: from,
+        end,
+        log_degraded: false,
+        whole: false,
+        records,
+    }
 }
 
 fn offer(tail: &Tail, span: RecordSpan) {
@@ -240,33 +248,72 @@
     assert_eq!(applied_offsets(&tail, 5).await, [7, 9]);
 }
 
+fn record(offset: u64, key: &str, value: Option<&'static str>) -> Record {
+    let value = value.map(|value| bytes::Bytes::from_static(value.as_bytes()));
+    Record { offset, key: key.into(), value }
+}
+
+fn offsets(records: Option<Vec<Record>>) -> Option<Vec<u64>> {
+    Some(records?.iter().map(|record| record.offset).collect())
+}
+
 /// An entry that starts gets the list from one that has read it. Records that were replaced are not
 /// sent, and removals stay known to those that lack them.
 #[test]
 fn kept_records_bring_another_entry_up_to_date() {
     let tail = Tail::new(7, Timing::default());
-    assert!(tail.kept(Topic::Targets, 0).is_none(), "it knows nothing yet");
-    let record = |offset, key: &str, value: Option<&'static str>| Record {
-        offset,
-        key: key.into(),
-        value: value.map(|value| bytes::Bytes::from_static(value.as_bytes())),
-    };
-    tail.keep_all(Topic::Targets, [record(1, "a", Some("a1")), record(2, "b", Some("b1"))]);
+    assert!(tail.kept_list(Topic::Targets, 0).is_none(), "it knows nothing yet");
+    tail.keep_all(Topic::Targets, [record(1, "a", Some("a1")), record(2, "b", Some("b1"))], 3);
     tail.record_read(Topic::Targets, 3, Instant::now());
     tail.keep(Topic::Targets, [record(4, "a", Some("a2")), record(6, "b", None)]);
     tail.keep(Topic::Targets, [record(3, "a", Some("late"))]);
-    let offsets = |from| {
-        let kept = tail.kept(Topic::Targets, from)?;
-        Some(kept.iter().map(|record| record.offset).collect::<Vec<_>>())
-    };
-    assert_eq!(offsets(0), Some(vec![4, 6]));
-    assert_eq!(offsets(5), Some(vec![6]));
+    assert_eq!(offsets(tail.kept_list(Topic::Targets, 0)), Some(vec![4, 6]));
+    assert_eq!(offsets(tail.kept_changes(Topic::Targets, 5)), Some(vec![6]));
     // Removals are not kept for ever; one that lacks them has to get the whole list.
     for number in 0..600 {
         tail.keep(Topic::Targets, [record(10 + number, &format!("gone-{number}"), None)]);
     }
-    assert_eq!(offsets(5), None);
-    assert!(offsets(0).is_some_and(|offsets| offsets.len() <= 600));
+    assert_eq!(offsets(tail.kept_changes(Topic::Targets, 5)), None);
+    assert!(offsets(tail.kept_list(Topic::Targets, 0)).is_some_and(|it| it.len() <= 600));
+}
+
+/// An entry has got a whole list, which doesn't say that a target was removed just before. Another
+/// entry that still lists the target must not take that list for the changes that it lacks, or it
+/// would send requests to the target for ever.
+#[test]
+fn whole_list_is_no_substitute_for_changes() {
+    let tail = Tail::new(7, Timing::default());
+    tail.keep_all(Topic::Targets, [record(9, "a", Some("a1"))], 10);
+    tail.record_read(Topic::Targets, 10, Instant::now());
+    assert_eq!(offsets(tail.kept_changes(Topic::Targets, 4)), None);
+    assert_eq!(offsets(tail.kept_changes(Topic::Targets, 10)), Some(vec![]));
+    offer(&tail, RecordSpan { whole: true, ..record_span(0, &[4, 9]) });
+    assert_eq!(tail.take_offered(Topic::Config, 5), None);
+    offer(&tail, RecordSpan { whole: true, ..record_span(0, &[4, 9]) });
+    assert!(tail.take_offered_list(Topic::Config, 0).is_some());
+}
+
+/// A configuration of hundreds of routes doesn't fit into one datagram, and datagrams are lost. The
+/// parts that have arrived are not sent again.
+#[test]
+fn a_record_in_parts_is_put_together() {
+    let tail = follower(5);
+    let part = |index| {
+        let text = ["one ", "two ", "three"][index];
+        let span = RecordSpan { records: vec![record(7, "k", Some(text))], ..record_span(5, &[7]) };
+        Part { span, index, count: 3 }
+    };
+    let offer_part = |index| tail.offer_part(PEER, part(index), None, Instant::now());
+    offer_part(0);
+    offer_part(2);
+    offer_part(2);
+    assert_eq!(tail.received_parts(Topic::Config, 5), Some((7, 1)));
+    assert_eq!(tail.take_offered(Topic::Config, 5), None);
+    offer_part(1);
+    let span = tail.take_offered(Topic::Config, 5).expect("all parts have arrived");
+    assert_eq!(span.records, [record(7, "k", Some("one two three"))]);
+    assert_eq!((span.start, span.end), (5, 8));
+    assert_eq!(tail.received_parts(Topic::Config, 5), None);
 }
 
 /// The log is restored from an older copy while an entry is busy writing to it, and calls are slow
