--- a/crates/direct/src/cluster/groups.rs
+++ b/crates/direct/src/cluster/groups.rs
@@ -13,6 +13,8 @@
 pub struct Member {
     /// The hash of the entry's name.
     pub key: Hash,
+    /// The hash of its failure domain.
+    pub domain: Hash,
     /// Where it receives datagrams of other entries; none for this entry itself.
     pub address: Option<SocketAddr>,
     /// The rate of its VM's link in bytes per second.
--- a/crates/direct/src/cluster/member_updates.rs
+++ b/crates/direct/src/cluster/member_updates.rs
@@ -112,6 +112,9 @@
     /// Its status.
     #[prost(enumeration = "WireStatus", tag = "5")]
     pub status: i32,
+    /// The hash of its failure domain.
+    #[prost(fixed64, tag = "6")]
+    pub domain: u64,
 }
 
 /// The status of an entry in datagrams.
@@ -171,6 +174,7 @@
         let link_rate = update.node.link_rate as f32;
         Self {
             key: update.node.key,
+            domain: update.node.domain,
             address: Some(Address::new(update.node.address)),
             link_rate,
             incarnation: update.incarnation,
@@ -188,7 +192,8 @@
             WireStatus::Left => Status::Left,
         };
         let address = self.address.and_then(|address| address.socket_address())?;
-        let node = Node { key: self.key, address, link_rate: self.link_rate.into() };
+        let Self { key, domain, .. } = *self;
+        let node = Node { key, domain, address, link_rate: self.link_rate.into() };
         Some(Update { node, incarnation: self.incarnation, status })
     }
 }
--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -3,7 +3,7 @@
 use crate::cluster::groups::Member;
 use policy::groups::Entry;
 use policy::membership::{Due, Incarnation, Membership, Node, Settings, Source, Update};
-use policy::{Hash, Time, succession};
+use policy::{Hash, Time, dissemination, succession};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -24,6 +24,22 @@
 /// the log.
 const HEARTBEAT_TTL: Duration = Duration::from_secs(21);
 
+/// The addresses of the other live entries.
+#[derive(Debug, Clone, Default)]
+pub struct Addresses {
+    /// Those in this entry's failure domain.
+    pub near: Arc<[SocketAddr]>,
+    /// Those in other failure domains.
+    pub far: Arc<[SocketAddr]>,
+}
+
+impl Addresses {
+    /// Returns the number of other live entries.
+    pub fn count(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+}
+
 /// The entries.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -37,7 +53,7 @@
     /// Entries of builds before the membership, with the time of their last heartbeat in the log.
     heartbeats: HashMap<Hash, (Node, Time)>,
     snapshot: Arc<[Member]>,
-    addresses: Arc<[SocketAddr]>,
+    addresses: Addresses,
     /// The version of the membership and the number of heartbeats in the snapshot.
     version: (u64, usize),
     anchor_rank: u32,
@@ -53,13 +69,13 @@
         inner.rebuild();
     }
 
-    /// Returns the live entries, including this one, sorted by key.
+    /// Returns the live entries, including this one, in the order of their positions.
     pub fn snapshot(&self) -> Arc<[Member]> {
         self.lock().snapshot.clone()
     }
 
     /// Returns the addresses of the other live entries.
-    pub fn addresses(&self) -> Arc<[SocketAddr]> {
+    pub fn addresses(&self) -> Addresses {
         self.lock().addresses.clone()
     }
 
@@ -85,7 +101,7 @@
 
     /// Returns whether this entry knows no other one.
     pub fn is_alone(&self) -> bool {
-        self.lock().addresses.is_empty()
+        self.lock().addresses.count() == 0
     }
 
     /// Returns whether this entry writes heartbeats to the log: a few do, so that an entry that
@@ -180,14 +196,18 @@
             node.key != own.key && membership.live_node(node.key).is_none()
         }));
         let member = |node: &Node, address| {
-            let Node { key, link_rate, .. } = *node;
-            Member { key, address, link_rate }
+            let Node { key, domain, link_rate, .. } = *node;
+            Member { key, domain, address, link_rate }
         };
         let mut members: Vec<Member> =
             others.map(|node| member(node, Some(node.address))).collect();
         members.push(member(&own, None));
-        members.sort_by_key(|member| member.key);
-        self.addresses = members.iter().filter_map(|member| member.address).collect();
+        members.sort_by_key(|member| dissemination::position(member.domain, member.key));
+        let addresses = |near: bool| {
+            let found = members.iter().filter(|member| (member.domain == own.domain) == near);
+            found.filter_map(|member| member.address).collect()
+        };
+        self.addresses = Addresses { near: addresses(true), far: addresses(false) };
         if *self.snapshot != *members {
             self.snapshot = members.into();
         }
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -9,6 +9,7 @@
 use crate::cluster::entry_state::StreamRead;
 use crate::cluster::member_updates::MembershipMessage;
 use crate::codec::Part;
+use bytes::Bytes;
 use policy::pacing;
 use policy::reservations::ReservationId;
 use prost::Message;
@@ -91,7 +92,7 @@
     /// The offset up to which the sender has the stream.
     #[prost(uint64, tag = "2")]
     pub from: u64,
-    /// The record of which the sender has the first parts, and their number.
+    /// The block of which the sender has the first parts, and their number.
     #[prost(message, optional, tag = "3")]
     pub received: Option<ReceivedParts>,
     /// Whether the sender gets the whole list, instead of the changes.
@@ -99,12 +100,12 @@
     pub whole: bool,
 }
 
-/// The first parts of a record that were received.
+/// The first parts of a block that were received.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct ReceivedParts {
-    /// The offset of the record.
-    #[prost(uint64, tag = "1")]
-    pub offset: u64,
+    /// The hash of the block.
+    #[prost(fixed64, tag = "1")]
+    pub block: u64,
     /// The number of parts.
     #[prost(uint32, tag = "2")]
     pub count: u32,
@@ -421,32 +422,46 @@
     /// To how many entries each recipient passes the records on.
     #[prost(uint32, tag = "9")]
     pub fan_out: u32,
-    /// Set if the message holds only a part of the value of its one record.
+    /// A part of a block that holds the records, if they don't fit into one datagram.
     #[prost(message, optional, tag = "10")]
-    pub part: Option<RecordPart>,
+    pub part: Option<BlockPart>,
     /// Whether the records belong to a whole list, which doesn't tell what was removed.
     #[prost(bool, tag = "11")]
     pub whole: bool,
 }
 
-/// Which part of a record a message holds.
-#[derive(Clone, Copy, PartialEq, Eq, Message)]
-pub struct RecordPart {
+/// A part of a compressed [`RecordBlock`].
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BlockPart {
+    /// The hash of the block.
+    #[prost(fixed64, tag = "1")]
+    pub block: u64,
     /// The index of the part.
-    #[prost(uint32, tag = "1")]
+    #[prost(uint32, tag = "2")]
     pub index: u32,
     /// The number of parts.
-    #[prost(uint32, tag = "2")]
+    #[prost(uint32, tag = "3")]
     pub count: u32,
+    /// The bytes of the part.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub data: Bytes,
+}
+
+/// Records that are compressed together.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecordBlock {
+    /// The records, in order.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<LogRecord>,
 }
 
-/// A range of hashes of names, both ends included.
+/// A range of positions, see [`policy::dissemination`], both ends included.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct KeyRange {
-    /// The first hash.
+    /// The first position.
     #[prost(fixed64, tag = "1")]
     pub first: u64,
-    /// The last hash; below the first if the range wraps around.
+    /// The last position; below the first if the range wraps around.
     #[prost(fixed64, tag = "2")]
     pub last: u64,
 }
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -3,7 +3,7 @@
 use crate::cluster::entry_state::{EntryState, PeerLoad, ServiceLoad, Work, short_hash};
 use crate::cluster::groups::Member;
 use crate::cluster::loads::Loads;
-use crate::cluster::members::Members;
+use crate::cluster::members::{Addresses, Members};
 use policy::Hash;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,10 +16,18 @@
 /// 12 KB per second, however many entries there are.
 const MAX_RECIPIENTS: usize = 16;
 
+/// How many of them are in the same failure domain if there are that many. Bytes between failure
+/// domains are paid for.
+const MAX_NEAR_RECIPIENTS: usize = 12;
+
 /// How long the state of a peer is valid, multiplied by the number of rounds that it needs to send
 /// to all others, up to [`MAX_STATE_ROUNDS`].
 const STATE_TTL: Duration = Duration::from_millis(700);
 
+/// For how long the demand that a peer has counted is remembered, so that what it adds later can be
+/// told from what it had counted before.
+const COUNTS_TTL: Duration = Duration::from_secs(60);
+
 /// With more rounds than this, the state of some peers is unknown at any time, and is estimated
 /// from that of the others: older state says nothing of an engine's queue.
 const MAX_STATE_ROUNDS: usize = 3;
@@ -34,10 +42,12 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    /// The index of the first address of the next round.
-    next: usize,
-    /// Peers whose state is still valid.
+    /// The indexes of the first near and far address of the next round.
+    next: (usize, usize),
+    /// Peers whose state was received lately.
     peers: HashMap<u64, Peer>,
+    /// How many of them have a valid state.
+    valid: u32,
     totals: HashMap<u32, PeerLoad>,
 }
 
@@ -46,7 +56,8 @@
     incarnation: u64,
     sequence: u64,
     received_at: Instant,
-    work: Vec<(u32, PeerLoad)>,
+    /// Its work; none once its state is no longer valid.
+    work: Option<Vec<(u32, PeerLoad)>>,
     loads: Vec<ServiceLoad>,
 }
 
@@ -58,14 +69,16 @@
 
     /// Returns the number of other entries whose work is currently known.
     pub fn reachable_count(&self) -> u32 {
-        u32::try_from(self.lock().peers.len()).unwrap_or(u32::MAX)
+        self.lock().valid
     }
 
     /// Returns whether another entry currently responds: its datagrams arrive, or, where the
     /// entries take turns, it acknowledges probes.
     pub fn is_reachable(&self, entry: Hash) -> bool {
-        let takes_turns = self.directory.addresses().len() > MAX_RECIPIENTS;
-        self.lock().peers.contains_key(&entry) || (takes_turns && self.directory.is_alive(entry))
+        let takes_turns = self.directory.addresses().count() > MAX_RECIPIENTS;
+        let is_valid = |peer: &Peer| peer.work.is_some();
+        self.lock().peers.get(&entry).is_some_and(is_valid)
+            || (takes_turns && self.directory.is_alive(entry))
     }
 
     /// Returns the live entries, including this one.
@@ -73,12 +86,12 @@
         self.directory.snapshot()
     }
 
-    /// Returns the peers whose turn it is to receive the next datagram. Drops the state of peers
-    /// that was not renewed.
+    /// Returns the peers whose turn it is to receive the next datagram. Drops the work of peers
+    /// whose state was not renewed.
     pub fn recipients(&self, now: Instant) -> Vec<SocketAddr> {
         let addresses = self.directory.addresses();
         let mut inner = self.lock();
-        inner.expire(addresses.len(), now);
+        inner.expire(&addresses, now);
         inner.next_recipients(&addresses)
     }
 
@@ -107,23 +120,26 @@
                 previous.and_then(|rows| rows.iter().find(|row| row.service == load.service));
             loads.observe(previous, load);
         }
-        self.remove(entry);
+        self.invalidate(entry);
         let work = work.map(Work::rows).unwrap_or_default();
         for (engine, load) in &work {
             let total = self.totals.entry(*engine).or_default();
             total.prefill_tokens += load.prefill_tokens;
             total.streams += load.streams;
         }
-        self.peers.insert(
-            entry,
-            Peer { incarnation, sequence, received_at: now, work, loads: service_loads },
-        );
+        self.valid += 1;
+        let (work, loads) = (Some(work), service_loads);
+        self.peers.insert(entry, Peer { incarnation, sequence, received_at: now, work, loads });
         true
     }
 
-    fn remove(&mut self, entry: u64) {
-        let Some(peer) = self.peers.remove(&entry) else { return };
-        for (engine, load) in peer.work {
+    /// Drops the work of a peer, but not what it has counted.
+    fn invalidate(&mut self, entry: u64) {
+        let Some(work) = self.peers.get_mut(&entry).and_then(|peer| peer.work.take()) else {
+            return;
+        };
+        self.valid -= 1;
+        for (engine, load) in work {
             if let Some(total) = self.totals.get_mut(&engine) {
                 total.prefill_tokens = total.prefill_tokens.saturating_sub(load.prefill_tokens);
                 total.streams = total.streams.saturating_sub(load.streams);
@@ -132,25 +148,43 @@
     }
 
     /// Returns the peers whose turn it is, and advances to the next round.
-    fn next_recipients(&mut self, addresses: &[SocketAddr]) -> Vec<SocketAddr> {
-        let count = addresses.len();
-        let indexes = (self.next..).take(count.min(MAX_RECIPIENTS));
-        let round = indexes.filter_map(|at| addresses.get(at.checked_rem(count)?).copied());
-        let round = round.collect();
-        self.next = (self.next + MAX_RECIPIENTS).checked_rem(count).unwrap_or_default();
+    fn next_recipients(&mut self, addresses: &Addresses) -> Vec<SocketAddr> {
+        let (near, far) = recipient_counts(addresses);
+        let mut round = turn(&addresses.near, &mut self.next.0, near);
+        round.extend(turn(&addresses.far, &mut self.next.1, far));
         round
     }
 
-    fn expire(&mut self, peers: usize, now: Instant) {
-        let rounds = peers.div_ceil(MAX_RECIPIENTS).clamp(1, MAX_STATE_ROUNDS);
+    fn expire(&mut self, addresses: &Addresses, now: Instant) {
+        let (near, far) = recipient_counts(addresses);
+        let near_rounds = addresses.near.len().div_ceil(near.max(1));
+        let far_rounds = addresses.far.len().div_ceil(far.max(1));
+        let rounds = near_rounds.max(far_rounds).clamp(1, MAX_STATE_ROUNDS);
         let ttl = STATE_TTL * u32::try_from(rounds).unwrap_or(u32::MAX);
-        let unreachable =
-            self.peers.iter().filter(|(_, peer)| now.duration_since(peer.received_at) > ttl);
-        let unreachable: Vec<u64> = unreachable.map(|(entry, _)| *entry).collect();
-        for entry in unreachable {
-            log::debug!(target: "peers", entry; "entry silent");
-            self.remove(entry);
+        let is_silent =
+            |peer: &Peer| peer.work.is_some() && now.duration_since(peer.received_at) > ttl;
+        let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer));
+        for entry in silent.map(|(entry, _)| *entry).collect::<Vec<u64>>() {
+            self.invalidate(entry);
         }
+        self.peers.retain(|_, peer| now.duration_since(peer.received_at) < COUNTS_TTL);
         self.totals.retain(|_, load| *load != PeerLoad::default());
     }
 }
+
+/// How many recipients a datagram has in the same failure domain, and in others.
+fn recipient_counts(addresses: &Addresses) -> (usize, usize) {
+    let near = addresses.near.len().min(MAX_NEAR_RECIPIENTS);
+    let far = addresses.far.len().min(MAX_RECIPIENTS - near);
+    let near = addresses.near.len().min(MAX_RECIPIENTS - far);
+    (near, far)
+}
+
+/// Takes the next `count` addresses in turn.
+fn turn(addresses: &[SocketAddr], next: &mut usize, count: usize) -> Vec<SocketAddr> {
+    let indexes = (*next..).take(count);
+    let taken = indexes.filter_map(|at| addresses.get(at.checked_rem(addresses.len())?).copied());
+    let taken = taken.collect();
+    *next = (*next + count).checked_rem(addresses.len()).unwrap_or_default();
+    taken
+}
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -13,7 +13,7 @@
 mod span;
 
 pub use confirmation::{Read, ReadId};
-pub use parts::Part;
+pub use parts::{Block, Part};
 pub use span::RecordSpan;
 
 use crate::cluster::replica::Replica;
@@ -211,6 +211,23 @@
     replica: Replica,
     /// An entry that has applied more than this one, how far, and since when that is known.
     ahead: Option<Ahead>,
+    seen: Seen,
+}
+
+/// What other entries have sent of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    /// The end of the last span.
+    end: Offset,
+    /// Whether any part of a whole list arrived.
+    whole: bool,
+}
+
+impl Seen {
+    fn record(&mut self, span: &RecordSpan) {
+        self.end = self.end.max(span.end);
+        self.whole |= span.whole;
+    }
 }
 
 impl Followed {
@@ -362,6 +379,19 @@
         tokio::time::sleep(self.succession_delay()).await;
     }
 
+    /// Returns whether this entry is the first to send what the designated readers have read.
+    pub fn is_first_reader(&self) -> bool {
+        self.lock().rank == 0
+    }
+
+    /// Returns whether other entries have sent the records of a span.
+    pub fn was_sent_by_others(&self, span: &RecordSpan) -> bool {
+        let mut inner = self.lock();
+        let seen = inner.stream(span.topic).seen;
+        // Of a whole list, the parts are sent one after the other.
+        if span.whole { seen.whole } else { seen.end >= span.end }
+    }
+
     /// Returns whether this entry reads the log for the others.
     pub fn is_designated_reader(&self) -> bool {
         self.lock().rank < READERS
@@ -369,7 +399,12 @@
 
     /// Queues records that another entry has sent, and applies what it tells about its view.
     pub fn offer(&self, peer: Hash, span: RecordSpan, status: Option<ReadStatus>, now: Instant) {
-        let queued = self.lock().stream(span.topic).offered.push(span);
+        let queued = {
+            let mut inner = self.lock();
+            let stream = inner.stream(span.topic);
+            stream.seen.record(&span);
+            stream.offered.push(span)
+        };
         if let Some(status) = status {
             self.observe(peer, status, now);
         }
@@ -378,23 +413,35 @@
         }
     }
 
-    /// Queues a part of a record that another entry has sent, see [`Self::offer`].
-    pub fn offer_part(&self, peer: Hash, part: Part, status: Option<ReadStatus>, now: Instant) {
+    /// Adds a part of a block that another entry has sent; returns the block once it is complete.
+    /// Its records are to be offered then.
+    #[must_use]
+    pub fn add_part(
+        &self,
+        peer: Hash,
+        part: Part,
+        status: Option<ReadStatus>,
+        now: Instant,
+    ) -> Option<Block> {
         let topic = part.span.topic;
-        let complete = self.lock().stream(topic).parts.push(part);
-        match (complete, status) {
-            (Some(span), status) => self.offer(peer, span, status, now),
-            (None, Some(status)) => self.observe(peer, status, now),
-            (None, None) => {}
+        let block = {
+            let mut inner = self.lock();
+            let stream = inner.stream(topic);
+            stream.seen.record(&part.span);
+            stream.parts.push(part)
+        };
+        if let Some(status) = status {
+            self.observe(peer, status, now);
         }
         // Who waits for the rest learns that it is arriving.
         self.updated.notify_waiters();
+        block
     }
 
-    /// Returns the first record after `next` that has arrived in part, and how many of its first
+    /// Returns the first block that has arrived in part, by its hash, and how many of its first
     /// parts have.
-    pub fn received_parts(&self, topic: Topic, next: Offset) -> Option<(Offset, usize)> {
-        self.lock().stream(topic).parts.received(next)
+    pub fn received_parts(&self, topic: Topic) -> Option<(u64, usize)> {
+        self.lock().stream(topic).parts.received()
     }
 
     /// Takes the queued changes that continue at `next`, without those before it.
@@ -422,7 +469,10 @@
 
     /// Replaces the kept records by a whole list, which was read at `end`.
     pub fn keep_all(&self, topic: Topic, records: impl IntoIterator<Item = Record>, end: Offset) {
-        self.lock().stream(topic).replica.replace(records, end);
+        let mut inner = self.lock();
+        let stream = inner.stream(topic);
+        stream.replica.replace(records, end);
+        stream.seen.whole = false;
     }
 
     /// Returns the kept changes from an offset on; `None` if this entry lacks some of them.
--- a/crates/direct/src/cluster/tail/parts.rs
+++ b/crates/direct/src/cluster/tail/parts.rs
@@ -1,34 +1,47 @@
-//! Puts records together that are too large for one datagram.
+//! Puts blocks of records together that are too large for one datagram.
 
 use super::RecordSpan;
 use bytes::{Bytes, BytesMut};
-use plat::{Offset, Record};
+use plat::Offset;
 
-/// A part of a record in a span of its own.
+/// A part of a block.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Part {
-    /// The span, whose only record has this part as its value.
+    /// The span of the block, without the records.
     pub span: RecordSpan,
+    /// The hash of the block.
+    pub block: u64,
     /// The index of the part.
     pub index: usize,
     /// The number of parts.
     pub count: usize,
+    /// The bytes of the part.
+    pub data: Bytes,
 }
 
-/// The maximum number of incomplete records of a stream. The oldest is dropped first.
-const MAX_RECORDS: usize = 4;
+/// A block of which all parts have arrived.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Block {
+    /// The span of the block, without the records.
+    pub span: RecordSpan,
+    /// The bytes of the block.
+    pub data: Bytes,
+}
 
-/// The maximum number of parts of a record.
+/// The maximum number of incomplete blocks of a stream. The oldest is dropped first.
+const MAX_BLOCKS: usize = 16;
+
+/// The maximum number of parts of a block.
 const MAX_PARTS: usize = 4_096;
 
-/// Records of which some parts have arrived.
+/// Blocks of which some parts have arrived.
 #[derive(Debug, Default)]
 pub(super) struct Parts(Vec<Incomplete>);
 
 #[derive(Debug)]
 struct Incomplete {
     span: RecordSpan,
-    offset: Offset,
+    block: u64,
     parts: Vec<Option<Bytes>>,
 }
 
@@ -40,49 +53,39 @@
 }
 
 impl Parts {
-    /// Adds a part; returns the span with the whole record once all have arrived.
-    pub(super) fn push(&mut self, part: Part) -> Option<RecordSpan> {
-        let Part { span, index, count } = part;
-        let Record { offset, value, .. } = span.records.first()?.clone();
+    /// Adds a part; returns the block once all have arrived.
+    pub(super) fn push(&mut self, part: Part) -> Option<Block> {
+        let Part { span, block, index, count, data } = part;
         if count > MAX_PARTS || index >= count {
             return None;
         }
-        let same = |known: &&mut Incomplete| known.offset == offset && known.parts.len() == count;
+        let same = |known: &&mut Incomplete| known.block == block && known.parts.len() == count;
         if self.0.iter_mut().find(same).is_none() {
-            if self.0.len() >= MAX_RECORDS {
+            if self.0.len() >= MAX_BLOCKS {
                 self.0.remove(0);
             }
-            self.0.push(Incomplete { span: span.clone(), offset, parts: vec![None; count] });
+            self.0.push(Incomplete { span, block, parts: vec![None; count] });
         }
         let known = self.0.iter_mut().find(same)?;
-        known.parts[index] = value;
-        // Of several senders, one may know of no change between an earlier offset and the record.
-        known.span.start = known.span.start.min(span.start);
-        known.span.end = known.span.end.max(span.end);
+        known.parts[index] = Some(data);
         if known.leading() < count {
             return None;
         }
-        let at = self.0.iter().position(|known| known.offset == offset)?;
-        let Incomplete { mut span, parts, .. } = self.0.remove(at);
-        let mut value = BytesMut::new();
-        parts.iter().flatten().for_each(|part| value.extend_from_slice(part));
-        if let Some(record) = span.records.first_mut() {
-            record.value = Some(value.freeze());
-        }
-        span.end = span.end.max(offset + 1);
-        Some(span)
+        let at = self.0.iter().position(|known| known.block == block)?;
+        let Incomplete { span, parts, .. } = self.0.remove(at);
+        let mut data = BytesMut::new();
+        parts.iter().flatten().for_each(|part| data.extend_from_slice(part));
+        Some(Block { span, data: data.freeze() })
     }
 
-    /// Returns the first incomplete record after `next`, and how many of its first parts have
-    /// arrived.
-    pub(super) fn received(&self, next: Offset) -> Option<(Offset, usize)> {
-        let waiting = self.0.iter().filter(|known| known.offset >= next);
-        let first = waiting.min_by_key(|known| known.offset)?;
-        Some((first.offset, first.leading()))
+    /// Returns the first incomplete block, and how many of its first parts have arrived.
+    pub(super) fn received(&self) -> Option<(u64, usize)> {
+        let first = self.0.iter().min_by_key(|known| known.span.start)?;
+        Some((first.block, first.leading()))
     }
 
-    /// Drops records that are no longer needed.
+    /// Drops blocks that are no longer needed.
     pub(super) fn forget_before(&mut self, next: Offset) {
-        self.0.retain(|known| known.offset >= next);
+        self.0.retain(|known| known.span.end > next);
     }
 }
--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -26,7 +26,7 @@
 use orders::{ANNOUNCEMENT_TIME, DATAGRAM_ANNOUNCEMENT_TIME, StageChanges};
 use plat::KeyedLog;
 use policy::balance;
-use policy::demand::DemandTracker;
+use policy::demand::{DemandTracker, EngineProfile};
 use policy::split::{self, Engine, EngineRole};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -193,6 +193,7 @@
         for service in table.services().filter(|service| service.engine.is_some()) {
             let mut state = self.services.remove(&service.name).unwrap_or_default();
             self.sample_demand(service, &mut state, now);
+            let idle = state.demand.is_idle();
             let found = self.find_imbalance(service, &state, now);
             state.imbalance = found.as_ref().map(|(imbalance, _)| match state.imbalance {
                 Some((before, since)) if before == *imbalance => (before, since),
@@ -200,8 +201,7 @@
             });
             let due = state
                 .imbalance
-                .is_some_and(|(imbalance, since)| self.is_our_turn(imbalance, since, now));
-            let idle = state.demand.is_idle();
+                .is_some_and(|(imbalance, since)| self.is_our_turn(imbalance, since, idle, now));
             self.services.insert(service.name.clone(), state);
             if let Some((imbalance, changes)) = found.filter(|_| due) {
                 log::info!(target: "stages", service = service.name.as_str(), wrong:? = imbalance;
@@ -233,8 +233,13 @@
         let streams = engines
             .iter()
             .map(|engine| engine.engine.streams() + self.shared.peers.load_at(engine.key).streams);
+        // The work of only some of the other entries is known at a time.
+        let streams = f64::from(streams.sum::<u32>()) * self.shared.load_scale();
+        // Casting a positive float to an integer saturates.
+        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+        let streams = streams.round() as u32;
         let elapsed = now.duration_since(at);
-        state.demand.observe(requested.saturating_sub(before), streams.sum(), elapsed);
+        state.demand.observe(requested.saturating_sub(before), streams, elapsed);
     }
 
     /// What is wrong with the split, and the changes that would correct it.
@@ -343,6 +348,12 @@
         if urgent {
             return Some(desired);
         }
+        if let Some(profile) = self.profile(service, urgent) {
+            let peak = state.demand.peak_load(&profile);
+            if !split::is_worth_changing(&peak, engines.len(), prefill, desired) {
+                return None;
+            }
+        }
         let recently = |at: Instant| now.duration_since(at) < REBALANCE_HOLD;
         if state.loan.is_some_and(|loan| recently(loan.last)) {
             return None;
@@ -357,15 +368,19 @@
     /// The share of the service's engines that should prefill; `None` while the engines have not
     /// been measured and the plan is not `urgent`.
     fn prefill_share(&self, service: &Service, state: &ServiceState, urgent: bool) -> Option<f64> {
-        let settings = &self.shared.settings.split;
+        let profile = self.profile(service, urgent)?;
+        let peak = state.demand.peak_load(&profile);
+        Some(split::prefill_share(&self.shared.settings.split, &profile, &peak))
+    }
+
+    /// The speed of the service's engines, as measured or assumed.
+    fn profile(&self, service: &Service, urgent: bool) -> Option<EngineProfile> {
         let max_streams = service.engine.as_ref().map_or(1, |engine| engine.max_streams);
         // A system that starts for the first time has served no requests that could have been
         // measured.
         let first = self.shared.settings.first_start && !self.stream_view.borrow().has_plan;
         let assumed = (urgent || first).then(|| split::default_profile(max_streams));
-        let profile = self.shared.loads.engine_profile(&service.name, max_streams).or(assumed)?;
-        let peak = state.demand.peak_load(&profile);
-        Some(split::prefill_share(settings, &profile, &peak))
+        self.shared.loads.engine_profile(&service.name, max_streams).or(assumed)
     }
 
     fn engine(&self, target: &Target, stage: Stage, now: Instant) -> Engine {
@@ -392,7 +407,7 @@
     }
 
     /// Whether it is this entry's turn to plan against an imbalance that has lasted since `since`.
-    fn is_our_turn(&self, imbalance: Imbalance, since: Instant, now: Instant) -> bool {
+    fn is_our_turn(&self, imbalance: Imbalance, since: Instant, idle: bool, now: Instant) -> bool {
         let view = self.stream_view.borrow();
         let (Some(last_plan_at), Some(complete)) = (view.last_plan_at, view.complete_since) else {
             return false;
@@ -404,6 +419,11 @@
         let has_all_plans = first || now.duration_since(complete) >= QUIET_PERIOD;
         let duration = now.duration_since(since);
         match imbalance {
+            // While nothing is to be served, a missing role may be one whose engines are not listed
+            // yet.
+            Imbalance::Lacks(_) if idle => {
+                has_all_plans && duration >= REGULAR_DELAY + URGENT_STAGGER * turns
+            }
             Imbalance::Lacks(_) => {
                 has_all_plans && duration >= URGENT_DELAY + URGENT_STAGGER * turns
             }
--- a/crates/direct/src/duty/stage_planner/orders.rs
+++ b/crates/direct/src/duty/stage_planner/orders.rs
@@ -72,7 +72,7 @@
             Record { offset: plan_offset, key: CompactString::default(), value: Some(record) };
         let (end, log_degraded, records) = (plan_offset + 1, false, vec![record]);
         let span = RecordSpan { topic, start, end, log_degraded, whole: false, records };
-        dissemination::publish(&self.shared, &span);
+        dissemination::send(&self.shared, &span);
         tokio::time::sleep(announcement_time).await;
         let orders = changes.into_iter().map(|(target, stage)| async move {
             if since_boot().saturating_sub(began) > MAX_PLAN_AGE {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -2,6 +2,7 @@
 //! alive and what they do, and responds to requests as a coordinator.
 
 pub mod catch_up;
+pub mod compression;
 pub mod coordination;
 pub mod dissemination;
 pub mod entry_stream;
--- a/crates/direct/src/exchange/catch_up.rs
+++ b/crates/direct/src/exchange/catch_up.rs
@@ -51,8 +51,8 @@
 }
 
 fn request(shared: &Shared, topic: Topic, from: Offset, whole: bool, to: SocketAddr) {
-    let received = shared.tail.received_parts(topic, from).map(|(offset, count)| ReceivedParts {
-        offset,
+    let received = shared.tail.received_parts(topic).map(|(block, count)| ReceivedParts {
+        block,
         count: u32::try_from(count).unwrap_or(u32::MAX),
     });
     let request = RecordsRequest { topic: topic_index(topic), from, received, whole };
@@ -72,9 +72,8 @@
     let end = shared.tail.change_end(topic);
     let span = RecordSpan { topic, start, end, log_degraded: false, whole, records };
     let is_received = |message: &LogRecords| {
-        let record = message.records.first().zip(message.part);
-        record.zip(request.received).is_some_and(|((record, part), received)| {
-            record.offset == received.offset && part.index < received.count
+        message.part.as_ref().zip(request.received).is_some_and(|(part, received)| {
+            part.block == received.block && part.index < received.count
         })
     };
     let missing = split(shared, &span).into_iter().skip_while(is_received);
@@ -141,8 +140,8 @@
     shared: &'a Shared,
     topic: Topic,
     newest: Newest,
-    /// The record that has arrived in part, and how many of its parts.
-    parts: Option<(Offset, usize)>,
+    /// The block that has arrived in part, and how many of its parts.
+    parts: Option<(u64, usize)>,
 }
 
 impl Fetch<'_> {
@@ -155,7 +154,7 @@
                     deadline = Instant::now() + RESPONSE_GAP;
                 }
             }
-            let parts = self.shared.tail.received_parts(self.topic, self.newest.end);
+            let parts = self.shared.tail.received_parts(self.topic);
             if parts != std::mem::replace(&mut self.parts, parts) {
                 deadline = Instant::now() + RESPONSE_GAP;
             }
--- a/crates/direct/src/exchange/coordination/prefill.rs
+++ b/crates/direct/src/exchange/coordination/prefill.rs
@@ -51,8 +51,12 @@
 impl PrefillPlacement<'_> {
     fn decide(&self) -> Decision {
         let Candidates { prefill, decode, permit_delay } = self.candidates();
-        let requested = if self.request.decode_engines { &decode } else { &prefill };
-        let (placement, engines) = self.place(requested);
+        let (placement, engines) = if self.request.decode_engines {
+            self.place(&decode)
+        } else {
+            let colocated = self.place_colocated(&decode, prefill.len());
+            colocated.unwrap_or_else(|| self.place(&prefill))
+        };
         match placement {
             Placement::Prefill { engine: at, copy_from, tokens } => {
                 let engine = &engines[at];
@@ -60,6 +64,7 @@
                     Ok(permit) => permit,
                     Err(retry_after) => return self.refuse(retry_after, &engines, false),
                 };
+                self.shared.coordinator.record_granted(self.group.key, tokens, self.now);
                 self.shared.coordinator.reserve_prefill(
                     engine.key,
                     self.request.reservation,
@@ -154,14 +159,38 @@
     fn place(&self, candidates: &[PrefillCandidate]) -> (Placement, Vec<PrefillCandidate>) {
         let mut engines = candidates.to_vec();
         engines.extend(self.copy_sources(candidates));
-        let prompt = Prompt {
+        let settings = self.shared.prefill_settings(&self.service.name);
+        let placement =
+            prefill::place_among(&settings, &self.prompt(), &engines, candidates.len(), 1);
+        (placement, engines)
+    }
+
+    /// Places the prompt at a decode engine that has little to do, in a group that is lightly
+    /// loaded.
+    fn place_colocated(
+        &self,
+        candidates: &[PrefillCandidate],
+        prefill_engines: usize,
+    ) -> Option<(Placement, Vec<PrefillCandidate>)> {
+        let settings = self.shared.prefill_settings(&self.service.name);
+        let rate = self.shared.coordinator.granted_rate(self.group.key, self.now);
+        if !prefill::is_lightly_loaded(&settings, rate, prefill_engines) {
+            return None;
+        }
+        let mut engines = candidates.to_vec();
+        engines.extend(self.copy_sources(candidates));
+        let placement =
+            prefill::place_colocated(&settings, &self.prompt(), &engines, candidates.len());
+        matches!(placement, Placement::Prefill { .. }).then_some((placement, engines))
+    }
+
+    fn prompt(&self) -> Prompt {
+        Prompt {
             prefix_hash: self.request.prefix_hash,
             tokens: self.request.tokens.into(),
             objective: Duration::from_millis(self.request.objective_ms.into()),
             late: self.request.late,
-        };
-        let settings = self.shared.prefill_settings(&self.service.name);
-        (prefill::place_among(&settings, &prompt, &engines, candidates.len(), 1), engines)
+        }
     }
 
     /// Returns engines from which the prefix can only be copied: all other engines known to have a
--- a/crates/direct/src/exchange/dissemination.rs
+++ b/crates/direct/src/exchange/dissemination.rs
@@ -10,37 +10,76 @@
 
 use crate::cluster::entry_state::StreamRead;
 use crate::cluster::groups::Member;
-use crate::cluster::messages::{KeyRange, LogRecord, LogRecords, Payload, RecordPart};
-use crate::cluster::tail::{Part, RecordSpan, TOPICS, Topic};
+use crate::cluster::messages::{BlockPart, KeyRange, LogRecord, LogRecords, Payload, RecordBlock};
+use crate::cluster::tail::{Block, Part, RecordSpan, TOPICS, Topic};
+use crate::exchange::compression;
 use crate::shared::Shared;
 use bytes::Bytes;
-use plat::{Offset, Record};
-use policy::dissemination::{FAN_OUT, Range, Recipient, delegates, fan_out};
+use compact_str::ToCompactString;
+use plat::Record;
+use policy::Hash;
+use policy::dissemination::{FAN_OUT, Position, Range, Recipient, delegates, fan_out, position};
+use prost::Message;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Bytes of records in one datagram, which then crosses networks without fragmentation.
 const MAX_BYTES: usize = 1_200;
 
+/// Bytes of records that are compressed together: enough that their common text takes no space, and
+/// little enough that a lost datagram holds up few of them.
+const MAX_BLOCK: usize = 64 * 1_024;
+
 /// The number of datagrams up to which an entry sends news with the largest fan-out.
 const MAX_DATAGRAMS: usize = 64;
 
-/// Sends what this entry has read to all others.
-pub fn publish(shared: &Shared, span: &RecordSpan) {
+/// How long a reader waits before it sends records that the first reader probably sends as well.
+const STANDBY_DELAY: Duration = Duration::from_millis(80);
+
+/// Sends what this entry has read to all others. Where several entries read, only the first one
+/// sends the records, and the others if it hasn't in time.
+pub fn publish(shared: &Arc<Shared>, span: RecordSpan) {
+    if span.records.is_empty() || shared.tail.is_first_reader() {
+        send(shared, &span);
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(STANDBY_DELAY).await;
+        if shared.tail.was_sent_by_others(&span) {
+            let (start, records) = (span.end, Vec::new());
+            send(&shared, &RecordSpan { start, records, whole: false, ..span });
+        } else {
+            send(&shared, &span);
+        }
+    });
+}
+
+/// Sends records along the tree at once.
+pub fn send(shared: &Shared, span: &RecordSpan) {
     let messages = split(shared, span);
     let fan_out = fan_out(messages.len(), MAX_DATAGRAMS);
     for message in messages {
         let message = LogRecords { fan_out: u32::try_from(fan_out).unwrap_or(u32::MAX), ..message };
-        relay(shared, &message, Range::all_but(shared.key()));
+        relay(shared, &message, Range::all_but(own_position(shared)));
     }
 }
 
+fn own_position(shared: &Shared) -> Position {
+    position(policy::hash(&shared.settings.domain), shared.key())
+}
+
 /// Passes a message on to the entries in a range.
 fn relay(shared: &Shared, message: &LogRecords, range: Range) {
     let members = shared.peers.members();
-    let recipient = |member: &Member| Recipient { key: member.key, link_rate: member.link_rate };
+    let recipient = |member: &Member| {
+        let position = position(member.domain, member.key);
+        Recipient { position, link_rate: member.link_rate }
+    };
     let recipients: Vec<Recipient> = members.iter().map(recipient).collect();
-    let fan_out = usize::try_from(message.fan_out).unwrap_or(usize::MAX);
-    for delegate in delegates(&recipients, shared.key(), range, fan_out.clamp(2, FAN_OUT)) {
+    let fan_out = usize::try_from(message.fan_out).unwrap_or(usize::MAX).clamp(2, FAN_OUT);
+    for delegate in delegates(&recipients, own_position(shared), range, fan_out) {
         let Some(address) = members[delegate.index].address else { continue };
         let range = delegate.range.map(|Range { first, last }| KeyRange { first, last });
         let message = LogRecords { range, ..message.clone() };
@@ -48,59 +87,71 @@
     }
 }
 
-/// Splits records into messages, each of which starts at the end of the previous one. The last one
-/// ends with the span; a span without records is one message.
+/// Splits records into messages, each of which starts where the previous one ends or holds another
+/// part of the same block. The last one ends with the span; a span without records is one message.
 pub fn split(shared: &Shared, span: &RecordSpan) -> Vec<LogRecords> {
     let status = shared.tail.read_status(span.topic, Instant::now());
-    let empty = LogRecords {
+    let message = LogRecords {
         topic: topic_index(span.topic),
+        start: span.start,
+        end: span.end,
         log_degraded: span.log_degraded,
         whole: span.whole,
         status: status.as_ref().map(StreamRead::new),
         sender: shared.key(),
         ..LogRecords::default()
     };
-    let mut messages: Vec<LogRecords> = Vec::new();
-    let (mut start, mut remaining) = (span.start, 0);
-    for record in &span.records {
-        let end = record.offset + 1;
-        if size(record) > MAX_BYTES {
-            let message = LogRecords { start, end, ..empty.clone() };
-            messages.extend(parts(&message, record));
-            remaining = 0;
-        } else if let Some(message) = messages.last_mut().filter(|_| size(record) <= remaining) {
-            (message.end, remaining) = (end, remaining - size(record));
-            message.records.push(encode(record));
-        } else {
-            let records = vec![encode(record)];
-            messages.push(LogRecords { start, end, records, ..empty.clone() });
-            remaining = MAX_BYTES.saturating_sub(size(record));
-        }
-        start = end;
-    }
-    if messages.is_empty() {
-        messages.push(LogRecords { start, ..empty });
+    let records: Vec<LogRecord> = span.records.iter().map(encode).collect();
+    if records.iter().map(size).sum::<usize>() <= MAX_BYTES {
+        return vec![LogRecords { records, ..message }];
     }
-    if let Some(last) = messages.last_mut() {
-        last.end = span.end;
+    let mut messages = Vec::new();
+    let mut start = span.start;
+    let blocks = blocks(records);
+    let count = blocks.len();
+    for (index, records) in blocks.into_iter().enumerate() {
+        let last = records.last().map_or(start, |record| record.offset + 1);
+        let end = if index + 1 == count { span.end } else { last };
+        messages.extend(parts(&LogRecords { start, end, ..message.clone() }, records));
+        start = end;
     }
     messages
 }
 
-/// Cuts a record into messages with a part of its value each.
-fn parts(message: &LogRecords, record: &Record) -> Vec<LogRecords> {
-    let value = record.value.clone().unwrap_or_default();
-    let count = u32::try_from(value.len().div_ceil(MAX_BYTES)).unwrap_or(u32::MAX);
-    let parts = (0..).zip(value.chunks(MAX_BYTES)).map(|(index, part)| {
-        let record = Record { value: Some(value.slice_ref(part)), ..record.clone() };
-        let part = Some(RecordPart { index, count });
-        LogRecords { records: vec![encode(&record)], part, ..message.clone() }
+/// Divides records into blocks of about [`MAX_BLOCK`] bytes.
+fn blocks(records: Vec<LogRecord>) -> Vec<Vec<LogRecord>> {
+    let mut blocks: Vec<Vec<LogRecord>> = Vec::new();
+    let mut room = 0;
+    for record in records {
+        let bytes = size(&record);
+        match blocks.last_mut().filter(|_| bytes <= room) {
+            Some(block) => {
+                block.push(record);
+                room -= bytes;
+            }
+            None => {
+                blocks.push(vec![record]);
+                room = MAX_BLOCK.saturating_sub(bytes);
+            }
+        }
+    }
+    blocks
+}
+
+/// Compresses records and cuts them into messages.
+fn parts(message: &LogRecords, records: Vec<LogRecord>) -> Vec<LogRecords> {
+    let data = compression::compress(&RecordBlock { records }.encode_to_vec());
+    let block = xxhash_rust::xxh3::xxh3_64(&data);
+    let count = u32::try_from(data.len().div_ceil(MAX_BYTES)).unwrap_or(u32::MAX);
+    let parts = (0..).zip(data.chunks(MAX_BYTES)).map(|(index, part)| {
+        let part = BlockPart { block, index, count, data: data.slice_ref(part) };
+        LogRecords { part: Some(part), ..message.clone() }
     });
     parts.collect()
 }
 
-fn size(record: &Record) -> usize {
-    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+fn size(record: &LogRecord) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Vec::len)
 }
 
 fn encode(record: &Record) -> LogRecord {
@@ -125,22 +176,40 @@
         relay(shared, &message, Range { first, last });
     }
     let Some(topic) = topic_at(message.topic) else { return };
-    let (start, log_degraded, whole) = (message.start, message.log_degraded, message.whole);
+    let LogRecords { start, records, log_degraded, end, sender, part, whole, .. } = message;
     let status = message.status.and_then(|status| status.status());
-    let records: Vec<Record> = message.records.into_iter().map(decode).collect();
-    let last_end = records.last().map_or(start, |record: &Record| record.offset + 1);
-    let end: Offset = message.end.max(last_end);
-    let span = RecordSpan { topic, start, end, log_degraded, whole, records };
     if let Some(status) = &status {
         shared.observe_epoch(plat::epoch::epoch(status.change_end), "peer");
     }
-    let (sender, now) = (message.sender, Instant::now());
-    match message.part {
+    let records: Vec<Record> = records.into_iter().map(decode).collect();
+    // Earlier builds leave the end out.
+    let end = end.max(records.last().map_or(start, |record: &Record| record.offset + 1));
+    let (span, now) =
+        (RecordSpan { topic, start, end, log_degraded, whole, records }, Instant::now());
+    match part {
         None => shared.tail.offer(sender, span, status, now),
-        Some(RecordPart { index, count }) => {
+        Some(BlockPart { block, index, count, data }) => {
             let number = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
-            let part = Part { span, index: number(index), count: number(count) };
-            shared.tail.offer_part(sender, part, status, now);
+            let part = Part { span, block, index: number(index), count: number(count), data };
+            if let Some(block) = shared.tail.add_part(sender, part, status, now) {
+                receive_block(shared, sender, block);
+            }
+        }
+    }
+}
+
+fn receive_block(shared: &Shared, sender: Hash, block: Block) {
+    let Block { span, data } = block;
+    let decoded = compression::decompress(&data)
+        .map_err(|error| error.to_compact_string())
+        .and_then(|data| RecordBlock::decode(data).map_err(|error| error.to_compact_string()));
+    match decoded {
+        Ok(RecordBlock { records }) => {
+            let records = records.into_iter().map(decode).collect();
+            shared.tail.offer(sender, RecordSpan { records, ..span }, None, Instant::now());
+        }
+        Err(error) => {
+            log::warn!(target: "peers", sender, error:% = error; "records not readable");
         }
     }
 }
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -193,7 +193,7 @@
             if is_first { (self.change_end, Vec::new()) } else { (start, changed) };
         let (topic, end, log_degraded) = (Topic::Notices, self.change_end, false);
         let span = tail::RecordSpan { topic, start, end, log_degraded, whole: false, records };
-        dissemination::publish(&self.shared, &span);
+        dissemination::publish(&self.shared, span);
         self.publish(view);
     }
 
@@ -306,7 +306,9 @@
         (true, _) => {}
         (false, true) => directory.remove_heartbeat(key),
         (false, false) => {
-            directory.record_heartbeat(Node { key, address, link_rate: *link_rate }, shared.time());
+            // Heartbeats of earlier builds don't tell the failure domain.
+            let node = Node { key, domain: 0, address, link_rate: *link_rate };
+            directory.record_heartbeat(node, shared.time());
         }
     }
     if *takes_part || (is_known && !leaving) { Effect::Nothing } else { Effect::Change }
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -269,10 +269,10 @@
 }
 
 /// Records how far a stream was applied, and sends what this entry read itself to the others.
-fn record_span(shared: &Shared, span: RecordSpan, own: bool) {
+fn record_span(shared: &Arc<Shared>, span: RecordSpan, own: bool) {
     if own {
         shared.record_read(span.topic, span.end);
-        dissemination::publish(shared, &span);
+        dissemination::publish(shared, span);
     } else {
         shared.tail.record_forwarded(span.topic, span.end);
     }
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -45,6 +45,10 @@
 /// entry.
 const KEEPALIVE: Duration = Duration::from_millis(250);
 
+/// With more peers than this, a peer hears of an entry each few seconds in any case. Sending half as
+/// often halves the control traffic, and changes of the membership still reach all within seconds.
+const LONG_TURNS: usize = 128;
+
 /// The size of the receive buffer in bytes: no datagram can be larger.
 const MAX_DATAGRAM: usize = 64 * 1024;
 
@@ -86,6 +90,8 @@
         let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
         let steps = peers.div_ceil(PEERS_PER_STEP).max(1);
         let interval = (MIN_INTERVAL * steps * steps).min(MAX_DATAGRAM_INTERVAL);
+        let takes_long_turns = shared.peers.directory.addresses().count() > LONG_TURNS;
+        let interval = if takes_long_turns { interval * 2 } else { interval };
         tokio::time::sleep(interval.max(shared.settings.datagram_interval(datagram.len(), peers)))
             .await;
     }
--- a/crates/direct/src/exchange/membership.rs
+++ b/crates/direct/src/exchange/membership.rs
@@ -56,7 +56,8 @@
     // Like in the datagrams of others, so that all entries compute the same order.
     #[expect(clippy::cast_possible_truncation, reason = "a rate needs few digits")]
     let link_rate = shared.settings.link.bytes_per_second as f32;
-    let node = Node { key: shared.key(), address, link_rate: link_rate.into() };
+    let domain = policy::hash(&shared.settings.domain);
+    let node = Node { key: shared.key(), domain, address, link_rate: link_rate.into() };
     let started = crate::cluster::clock::time_of_day() / 1_000;
     shared.peers.directory.start(node, started, policy::mix(node.key, started));
 }
--- a/crates/policy/src/dissemination.rs
+++ b/crates/policy/src/dissemination.rs
@@ -2,7 +2,7 @@
 //!
 //! **Load pattern.** What one entry has read concerns all others, and there are hundreds of them.
 //! **Without this**, the reader sends to each of them, and its link and processor limit the size of
-//! the system. **Approach.** The sender divides the key space into as many ranges as it sends
+//! the system. **Approach.** The entries stand on a ring. The sender divides it into as many ranges as it sends
 //! copies, and gives each range to one entry in it, which does the same with its part. No entry
 //! sends more copies than the fan-out, and the number of hops grows with the logarithm of the
 //! number of entries. Ranges of keys instead of lists of entries make the tree tolerate differing
@@ -16,27 +16,39 @@
 /// How many entries of a range are compared to find one with a large link.
 const COMPARED: usize = 4;
 
-/// A range of keys on the ring, both ends included.
+/// Where an entry stands on the ring.
+pub type Position = u64;
+
+/// The bits of a position that come from the failure domain.
+const DOMAIN_BITS: u32 = 16;
+
+/// Returns the position of the entry with this key in this failure domain.
+pub fn position(domain: Hash, key: Hash) -> Position {
+    let upper = domain & !(u64::MAX >> DOMAIN_BITS);
+    upper | key >> DOMAIN_BITS
+}
+
+/// A range on the ring, both ends included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Range {
-    /// The first key.
-    pub first: Hash,
-    /// The last key; below `first` if the range wraps around.
-    pub last: Hash,
+    /// The first position.
+    pub first: Position,
+    /// The last position; below `first` if the range wraps around.
+    pub last: Position,
 }
 
 impl Range {
-    /// All keys but `key`.
-    pub fn all_but(key: Hash) -> Self {
-        Self { first: key.wrapping_add(1), last: key.wrapping_sub(1) }
+    /// The whole ring but one position.
+    pub fn all_but(position: Position) -> Self {
+        Self { first: position.wrapping_add(1), last: position.wrapping_sub(1) }
     }
 }
 
 /// An entry that may receive news.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Recipient {
-    /// The hash of its name.
-    pub key: Hash,
+    /// Where it stands on the ring.
+    pub position: Position,
     /// The rate of its VM's link in bytes per second.
     pub link_rate: f64,
 }
@@ -56,15 +68,20 @@
     (max_datagrams / datagrams.max(1)).clamp(2, FAN_OUT)
 }
 
-/// Chooses who receives news in a range. The entries are sorted by key; `own` is left out.
-pub fn delegates(entries: &[Recipient], own: Hash, range: Range, fan_out: usize) -> Vec<Delegate> {
-    let lower = |key: Hash| entries.partition_point(|entry| entry.key < key);
-    let upper = |key: Hash| entries.partition_point(|entry| entry.key <= key);
+/// Chooses who receives news in a range. The entries are sorted by position; `own` is left out.
+pub fn delegates(
+    entries: &[Recipient],
+    own: Position,
+    range: Range,
+    fan_out: usize,
+) -> Vec<Delegate> {
+    let lower = |position: Position| entries.partition_point(|entry| entry.position < position);
+    let upper = |position: Position| entries.partition_point(|entry| entry.position <= position);
     let (start, end) = (lower(range.first), upper(range.last));
     // Indexes continue beyond the end of the list where the range wraps around.
     let end = if range.first <= range.last { end } else { entries.len() + end };
-    let position = |at: usize| at % entries.len().max(1);
-    let own_at = (start..end).find(|&at| entries[position(at)].key == own);
+    let index = |at: usize| at % entries.len().max(1);
+    let own_at = (start..end).find(|&at| entries[index(at)].position == own);
     let indexes: Vec<usize> = (start..end).filter(|at| Some(*at) != own_at).collect();
     // No range may contain this entry, which would get the news again.
     let (before, after) = indexes.split_at(own_at.map_or(0, |own_at| own_at - start));
@@ -72,11 +89,11 @@
     let share = indexes.len().div_ceil(parts.max(1)).max(1);
     let chunks = before.chunks(share).chain(after.chunks(share)).map(|chunk| {
         let compared = chunk.iter().take(COMPARED).copied();
-        let rate = |at: &usize| entries[position(*at)].link_rate;
+        let rate = |at: &usize| entries[index(*at)].link_rate;
         let best = compared.max_by(|a, b| rate(a).total_cmp(&rate(b))).unwrap_or(chunk[0]);
-        let keys = |at: usize| entries[position(at)].key;
-        let range = Range { first: keys(chunk[0]), last: keys(chunk[chunk.len() - 1]) };
-        Delegate { index: position(best), range: (chunk.len() > 1).then_some(range) }
+        let position = |at: usize| entries[index(at)].position;
+        let range = Range { first: position(chunk[0]), last: position(chunk[chunk.len() - 1]) };
+        Delegate { index: index(best), range: (chunk.len() > 1).then_some(range) }
     });
     chunks.collect()
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -64,6 +64,8 @@
 pub struct Node {
     /// The hash of its name.
     pub key: Hash,
+    /// The hash of its failure domain.
+    pub domain: Hash,
     /// Where it receives datagrams.
     pub address: SocketAddr,
     /// The rate of its VM's link in bytes per second, as a measure of the VM's size.
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -44,6 +44,12 @@
     /// this. Its streams pause for that time in total and continue between the chunks of the
     /// prompt.
     pub decode_pause: Duration,
+    /// Utilization of the prefill engines up to which a pool is lightly loaded. A decode engine needs
+    /// twice the time for a prompt, and streams in between.
+    pub colocated_max_load: f64,
+    /// Share of the time allowed for a prefill that it may take at an engine that also decodes the
+    /// output, see [`place_colocated`].
+    pub colocated_share: f64,
     /// A prefix is copied if that saves prefilling this many tokens. Copying a token takes a tenth
     /// of the time of prefilling it, and setting up a copy as long as prefilling some hundred.
     pub min_copy_tokens: u64,
@@ -61,6 +67,8 @@
             decode_rate_share: 0.5,
             decode_max_usage: 0.125,
             decode_pause: Duration::ZERO,
+            colocated_max_load: 0.1,
+            colocated_share: 0.5,
             min_copy_tokens: 512,
         }
     }
@@ -144,12 +152,46 @@
     candidates: &[PrefillCandidate],
     eligible: usize,
     load_scale: impl Into<f64>,
+) -> Placement {
+    let max = max_duration(settings, prompt).as_secs_f64() / load_scale.into().max(1.0);
+    place_within(settings, prompt, candidates, eligible, max)
+}
+
+/// Places a prompt at one of the first `eligible` candidates, which decode and are to keep the
+/// prompt for themselves: no KV cache is transferred, and one engine is called instead of two.
+///
+/// Such an engine prefills at a lower rate, between the tokens of its streams. So this is for
+/// lightly loaded pools, see [`is_lightly_loaded`], takes an engine only while it has little to do,
+/// and leaves time to prefill elsewhere after all.
+pub fn place_colocated(
+    settings: &Settings,
+    prompt: &Prompt,
+    candidates: &[PrefillCandidate],
+    eligible: usize,
+) -> Placement {
+    let max = max_duration(settings, prompt).mul_f64(settings.colocated_share).as_secs_f64();
+    place_within(settings, prompt, candidates, eligible, max)
+}
+
+/// Returns whether so few tokens are given out per second that engines that decode can prefill them
+/// besides, where `engines` engines only prefill.
+pub fn is_lightly_loaded(settings: &Settings, tokens_per_second: f64, engines: usize) -> bool {
+    let capacity = settings.prefill_rate * float(u64::try_from(engines).unwrap_or(u64::MAX));
+    tokens_per_second < capacity * settings.colocated_max_load
+}
+
+/// Places a prompt at an engine that prefills it within `max` seconds.
+fn place_within(
+    settings: &Settings,
+    prompt: &Prompt,
+    candidates: &[PrefillCandidate],
+    eligible: usize,
+    max: f64,
 ) -> Placement {
     let order = order(prompt, &candidates[..eligible.min(candidates.len())]);
     if order.is_empty() {
         return Placement::Full(prompt.objective);
     }
-    let max = max_duration(settings, prompt).as_secs_f64() / load_scale.into().max(1.0);
     // Few engines have any of a prompt cached. Comparing all 700 candidates with all others would
     // take a millisecond.
     let sources: Vec<usize> =
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -133,6 +133,26 @@
     usize::try_from(count(desired)).unwrap_or(engines).max(1).min(max)
 }
 
+/// Returns whether the role that would get engines if `desired` engines prefilled has use for them,
+/// by the recent peak of demand. Each change costs an order and takes an engine out of service, and
+/// observed demand moves the desired split for minutes.
+pub fn is_worth_changing(peak: &PeakLoad, engines: usize, prefill: usize, desired: usize) -> bool {
+    let (load, present) = if desired > prefill {
+        (peak.prefill, prefill)
+    } else {
+        (peak.decode, engines.saturating_sub(prefill))
+    };
+    let is_observed = peak.observed >= MIN_OBSERVED;
+    let present = float(u64::try_from(present).unwrap_or(u64::MAX));
+    !is_observed || load >= present * MIN_USE
+}
+
+/// For how long demand has to be observed before it tells that a role has no use for more engines.
+const MIN_OBSERVED: Duration = Duration::from_secs(5);
+
+/// Peak utilization below which a role has no use for more engines.
+const MIN_USE: f64 = 0.2;
+
 /// Clamps a number of prefill engines to what a pool of `engines` engines allows; `None` if it has
 /// only one.
 pub fn clamp_prefill(engines: usize, prefill: usize) -> Option<usize> {
