fix(direct): a log that forgets its history is read once

Change: expired changes are read in the log; a read tells how far it went, and an entry that has to read begins there, also where the read was another entry's.

--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -92,6 +92,9 @@
     /// Counts the reads of that process; 0 from a build that doesn't count them.
     #[prost(uint64, tag = "5")]
     pub number: u64,
+    /// How far that read went.
+    #[prost(uint64, tag = "6")]
+    pub position: u64,
 }
 
 impl StreamRead {
@@ -104,6 +107,7 @@
             age_ms: u32::try_from(status.age.as_millis()).unwrap_or(u32::MAX),
             reader: status.read.reader,
             number: status.read.number,
+            position: status.position,
         }
     }
 
@@ -115,6 +119,7 @@
             change_end: self.change_end,
             read: ReadId { reader: self.reader, number: self.number },
             age: Duration::from_millis(self.age_ms.into()),
+            position: self.position,
         })
     }
 }
--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -1,6 +1,7 @@
 //! The live entries as this entry knows them, see [`policy::membership`].
 
 use crate::cluster::groups::Member;
+use policy::dissemination::Recipient;
 use policy::groups::Entry;
 use policy::membership::{Due, Incarnation, Membership, Node, Settings, Source, Update};
 use policy::{Hash, Time, dissemination, succession};
@@ -24,6 +25,15 @@
 /// the log.
 const HEARTBEAT_TTL: Duration = Duration::from_secs(21);
 
+/// The live entries, including this one, as recipients of news.
+#[derive(Debug, Clone, Default)]
+pub struct Ring {
+    /// The entries in the order of their positions.
+    pub recipients: Arc<[Recipient]>,
+    /// Their addresses, at the same indexes; none for this entry itself.
+    pub addresses: Arc<[Option<SocketAddr>]>,
+}
+
 /// The addresses of the other live entries.
 #[derive(Debug, Clone, Default)]
 pub struct Addresses {
@@ -53,6 +63,7 @@
     /// Entries of builds before the membership, with the time of their last heartbeat in the log.
     heartbeats: HashMap<Hash, (Node, Time)>,
     snapshot: Arc<[Member]>,
+    ring: Ring,
     addresses: Addresses,
     /// The version of the membership and the number of heartbeats in the snapshot.
     version: (u64, usize),
@@ -74,6 +85,11 @@
         self.lock().snapshot.clone()
     }
 
+    /// Returns the live entries as recipients of news.
+    pub fn ring(&self) -> Ring {
+        self.lock().ring.clone()
+    }
+
     /// Returns the addresses of the other live entries.
     pub fn addresses(&self) -> Addresses {
         self.lock().addresses.clone()
@@ -208,6 +224,14 @@
             found.filter_map(|member| member.address).collect()
         };
         self.addresses = Addresses { near: addresses(true), far: addresses(false) };
+        let recipient = |member: &Member| {
+            let position = dissemination::position(member.domain, member.key);
+            Recipient { position, link_rate: member.link_rate }
+        };
+        self.ring = Ring {
+            recipients: members.iter().map(recipient).collect(),
+            addresses: members.iter().map(|member| member.address).collect(),
+        };
         if *self.snapshot != *members {
             self.snapshot = members.into();
         }
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -86,6 +86,8 @@
     pub read: ReadId,
     /// How long ago that read was made.
     pub age: Duration,
+    /// How far it went.
+    pub position: Offset,
 }
 
 /// The next step of an entry that follows a stream.
@@ -505,12 +507,26 @@
         self.lock().stream(topic).confirmation.advance(change_end);
     }
 
-    /// Records a read by this entry, with the offset after the last record that changed something.
-    /// Returns whether to publish it at once.
-    pub fn record_read(&self, topic: Topic, change_end: Offset, now: Instant) -> bool {
+    /// Records a read by this entry that went up to `position`, with the offset after the last
+    /// record that changed something. Returns whether to publish it at once.
+    pub fn record_read(
+        &self,
+        topic: Topic,
+        change_end: Offset,
+        position: Offset,
+        now: Instant,
+    ) -> bool {
         let mut inner = self.lock();
         inner.reached_at = Some(now);
-        inner.stream(topic).confirmation.record_read(change_end, now)
+        inner.stream(topic).confirmation.record_read(change_end, position, now)
+    }
+
+    /// Returns from where this entry, which has applied the stream up to `next`, has to read it in
+    /// the log: older records may have expired, though none of them changed anything.
+    pub fn read_position(&self, topic: Topic, next: Offset) -> Offset {
+        let read = self.lock().stream(topic).confirmation.read();
+        let position = read.map_or(next, |read| read.position);
+        if epoch::epoch(position) == epoch::epoch(next) { position.max(next) } else { next }
     }
 
     /// Returns what this entry tells the others about each stream.
@@ -522,9 +538,9 @@
     pub fn read_status(&self, topic: Topic, now: Instant) -> Option<ReadStatus> {
         let mut inner = self.lock();
         let confirmation = &inner.stream(topic).confirmation;
-        let Read { id, at } = confirmation.read()?;
+        let Read { id, at, position } = confirmation.read()?;
         let (change_end, age) = (confirmation.change_end(), now.saturating_duration_since(at));
-        Some(ReadStatus { topic, change_end, read: id, age })
+        Some(ReadStatus { topic, change_end, read: id, age, position })
     }
 
     /// Records what another entry tells about a stream.
@@ -532,7 +548,8 @@
         let Some(at) = now.checked_sub(status.age) else { return };
         let mut inner = self.lock();
         let stream = inner.stream(status.topic);
-        stream.confirmation.observe(status.change_end, Read { id: status.read, at });
+        let ReadStatus { read: id, position, change_end, .. } = status;
+        stream.confirmation.observe(change_end, Read { id, at, position });
         let own = stream.confirmation.change_end();
         let known = stream.ahead.filter(|ahead| ahead.change_end > own);
         if status.change_end <= own || known.is_some_and(|it| it.change_end > status.change_end) {
--- a/crates/direct/src/cluster/tail/confirmation.rs
+++ b/crates/direct/src/cluster/tail/confirmation.rs
@@ -24,6 +24,8 @@
     pub id: ReadId,
     /// When it was made, by this process's clock.
     pub at: Instant,
+    /// How far it went. Records between the last change and here changed nothing.
+    pub position: Offset,
 }
 
 /// Upper bound on the readers whose last number is kept. On overflow all are dropped.
@@ -79,13 +81,18 @@
     }
 
     /// Records a read by this entry; returns whether it brought changes.
-    pub(super) fn record_read(&mut self, change_end: Offset, now: Instant) -> bool {
+    pub(super) fn record_read(
+        &mut self,
+        change_end: Offset,
+        position: Offset,
+        now: Instant,
+    ) -> bool {
         let is_news = self.read.is_none() || self.change_end < change_end;
         self.reads += 1;
         let id = ReadId { reader: self.reader, number: self.reads };
         self.numbers.insert(id.reader, id.number);
         self.change_end = self.change_end.max(change_end);
-        self.confirm(Read { id, at: now });
+        self.confirm(Read { id, at: now, position });
         is_news
     }
 
--- a/crates/direct/src/exchange/dissemination.rs
+++ b/crates/direct/src/exchange/dissemination.rs
@@ -9,7 +9,6 @@
 //! [`crate::exchange::catch_up`]. No record is applied twice or out of order.
 
 use crate::cluster::entry_state::StreamRead;
-use crate::cluster::groups::Member;
 use crate::cluster::messages::{BlockPart, KeyRange, LogRecord, LogRecords, Payload, RecordBlock};
 use crate::cluster::tail::{Block, Part, RecordSpan, TOPICS, Topic};
 use crate::exchange::compression;
@@ -18,7 +17,7 @@
 use compact_str::ToCompactString;
 use plat::Record;
 use policy::Hash;
-use policy::dissemination::{FAN_OUT, Position, Range, Recipient, delegates, fan_out, position};
+use policy::dissemination::{FAN_OUT, Position, Range, delegates, fan_out, position};
 use prost::Message;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,15 +71,10 @@
 
 /// Passes a message on to the entries in a range.
 fn relay(shared: &Shared, message: &LogRecords, range: Range) {
-    let members = shared.peers.members();
-    let recipient = |member: &Member| {
-        let position = position(member.domain, member.key);
-        Recipient { position, link_rate: member.link_rate }
-    };
-    let recipients: Vec<Recipient> = members.iter().map(recipient).collect();
+    let ring = shared.peers.directory.ring();
     let fan_out = usize::try_from(message.fan_out).unwrap_or(usize::MAX).clamp(2, FAN_OUT);
-    for delegate in delegates(&recipients, own_position(shared), range, fan_out) {
-        let Some(address) = members[delegate.index].address else { continue };
+    for delegate in delegates(&ring.recipients, own_position(shared), range, fan_out) {
+        let Some(address) = ring.addresses[delegate.index] else { continue };
         let range = delegate.range.map(|Range { first, last }| KeyRange { first, last });
         let message = LogRecords { range, ..message.clone() };
         shared.peer_socket.send(Payload::LogRecords(message), address);
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -88,20 +88,22 @@
     }
 
     /// Waits until this entry should read the stream, or a peer forwards its next records.
-    async fn forwarded_span(&self) -> Option<tail::RecordSpan> {
+    async fn forwarded_span(&mut self) -> Option<tail::RecordSpan> {
         // Peers can't forward the records before the first read.
         self.view.borrow().end?;
+        let shared = self.shared.clone();
         tokio::select! {
             span = self.next_span() => span,
-            () = self.shared.entry_stream_changed.notified() => None,
+            () = shared.entry_stream_changed.notified() => None,
         }
     }
 
-    async fn next_span(&self) -> Option<tail::RecordSpan> {
+    async fn next_span(&mut self) -> Option<tail::RecordSpan> {
         let topic = Topic::Notices;
         loop {
             match self.shared.tail.next_step(topic, self.next, self.retry).await {
                 FollowStep::Read(reason) => {
+                    self.next = self.shared.tail.read_position(topic, self.next);
                     self.shared.metrics.stream_read(topic.name(), reason.name());
                     return None;
                 }
@@ -187,7 +189,7 @@
         }
         self.update_reread(reread_end);
         self.shared.tail.keep(Topic::Notices, changed.iter().cloned());
-        self.shared.record_read(Topic::Notices, self.change_end);
+        self.shared.record_read(Topic::Notices, self.change_end, self.next);
         // Others may not know that records before the first read have expired.
         let (start, records) =
             if is_first { (self.change_end, Vec::new()) } else { (start, changed) };
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -96,6 +96,9 @@
     retry: Option<Retry>,
     /// Whether the log was restored from an older copy since the stream was last read.
     restored: bool,
+    /// Whether the changes since the last read have expired in the log. Another entry can't tell
+    /// from where to read on.
+    expired: bool,
 }
 
 impl Stream {
@@ -107,7 +110,7 @@
         read_wait: Duration,
     ) -> Self {
         let (next, backoff, failed_at, lost_at, retry) = (None, MIN_BACKOFF, None, None, None);
-        let restored = false;
+        let (restored, expired) = (false, false);
         Self {
             shared,
             log,
@@ -120,6 +123,7 @@
             lost_at,
             retry,
             restored,
+            expired,
         }
     }
 
@@ -144,11 +148,11 @@
 
     async fn try_read(&mut self) -> plat::Result<Update> {
         let Some(next) = self.next else { return self.try_read_all().await };
-        loop {
+        let from = loop {
             match self.shared.tail.next_step(self.topic, next, self.retry).await {
                 FollowStep::Read(reason) => {
                     self.shared.metrics.stream_read(self.topic.name(), reason.name());
-                    break;
+                    break self.shared.tail.read_position(self.topic, next);
                 }
                 FollowStep::Apply(span) => {
                     self.next = Some(span.end.max(next));
@@ -162,19 +166,22 @@
                     return self.try_read_all().await;
                 }
             }
-        }
-        let (records, end) = self.log.changes(self.name, next, self.read_wait).await?;
-        self.advance(end.max(next));
+        };
+        let (records, end) = self.log.changes(self.name, from, self.read_wait).await?;
+        self.advance(end.max(from));
         Ok(Update::Changes(records))
     }
 
     async fn try_read_all(&mut self) -> plat::Result<Update> {
-        if let Some(newest) = catch_up::fetch_all(&self.shared, self.topic).await {
+        if !self.expired
+            && let Some(newest) = catch_up::fetch_all(&self.shared, self.topic).await
+        {
             self.next = Some(newest.end);
             return Ok(Update::AllReceived(newest.records, newest.end));
         }
         self.shared.metrics.stream_read(self.topic.name(), "all");
         let newest = self.log.newest(self.name).await?;
+        self.expired = false;
         self.advance(newest.end);
         Ok(Update::All(newest.records, newest.end))
     }
@@ -189,6 +196,7 @@
             let next = self.next.take().unwrap_or_default();
             if epoch::epoch(oldest) == epoch::epoch(next) {
                 log::info!(target: "store", stream = self.name, oldest; "history gone");
+                self.expired = true;
                 return;
             }
             let (epoch, read) = (epoch::epoch(oldest), epoch::index(next));
@@ -246,7 +254,7 @@
             whole: false,
             records: versions,
         };
-        record_span(&shared, span, own);
+        record_span(&shared, span, stream.next.filter(|_| own));
     }
 }
 
@@ -268,10 +276,11 @@
     }
 }
 
-/// Records how far a stream was applied, and sends what this entry read itself to the others.
-fn record_span(shared: &Arc<Shared>, span: RecordSpan, own: bool) {
-    if own {
-        shared.record_read(span.topic, span.end);
+/// Records how far a stream was applied, and sends what this entry read itself, up to `read_end`, to
+/// the others.
+fn record_span(shared: &Arc<Shared>, span: RecordSpan, read_end: Option<Offset>) {
+    if let Some(read_end) = read_end {
+        shared.record_read(span.topic, span.end, read_end);
         dissemination::publish(shared, span);
     } else {
         shared.tail.record_forwarded(span.topic, span.end);
@@ -308,7 +317,7 @@
             shared.metrics.forget_targets(|id| fleet.get(id).is_some());
             fleet.len()
         };
-        record_span(&shared, span, own);
+        record_span(&shared, span, stream.next.filter(|_| own));
         shared.metrics.targets.set(i64::try_from(count).unwrap_or(i64::MAX));
         if own {
             tokio::time::sleep(timing.targets_read_interval()).await;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -215,8 +215,8 @@
     }
 
     /// Records a read, and informs the other entries at once if it brought changes.
-    pub fn record_read(&self, topic: Topic, change_end: Offset) {
-        if self.tail.record_read(topic, change_end, Instant::now()) {
+    pub fn record_read(&self, topic: Topic, change_end: Offset, position: Offset) {
+        if self.tail.record_read(topic, change_end, position, Instant::now()) {
             self.workload.notify_changed();
         }
     }
--- a/crates/policy/src/dissemination.rs
+++ b/crates/policy/src/dissemination.rs
@@ -69,6 +69,9 @@
 }
 
 /// Chooses who receives news in a range. The entries are sorted by position; `own` is left out.
+///
+/// The cost grows with the fan-out and the logarithm of the number of entries: this is done for each
+/// datagram that is passed on.
 pub fn delegates(
     entries: &[Recipient],
     own: Position,
@@ -79,21 +82,32 @@
     let upper = |position: Position| entries.partition_point(|entry| entry.position <= position);
     let (start, end) = (lower(range.first), upper(range.last));
     // Indexes continue beyond the end of the list where the range wraps around.
-    let end = if range.first <= range.last { end } else { entries.len() + end };
-    let index = |at: usize| at % entries.len().max(1);
-    let own_at = (start..end).find(|&at| entries[index(at)].position == own);
-    let indexes: Vec<usize> = (start..end).filter(|at| Some(*at) != own_at).collect();
+    let end = if range.first <= range.last { end.max(start) } else { entries.len() + end };
+    let own_index = lower(own);
+    let is_own = |at: &usize| start <= *at && *at < end;
+    let is_listed = entries.get(own_index).is_some_and(|entry| entry.position == own);
+    let own_at = [own_index, own_index + entries.len()].into_iter().find(is_own);
     // No range may contain this entry, which would get the news again.
-    let (before, after) = indexes.split_at(own_at.map_or(0, |own_at| own_at - start));
+    let (before, after) = match own_at.filter(|_| is_listed) {
+        Some(own_at) => (start..own_at, own_at + 1..end),
+        None => (start..end, end..end),
+    };
     let parts = if before.is_empty() || after.is_empty() { fan_out } else { fan_out - 1 };
-    let share = indexes.len().div_ceil(parts.max(1)).max(1);
-    let chunks = before.chunks(share).chain(after.chunks(share)).map(|chunk| {
-        let compared = chunk.iter().take(COMPARED).copied();
-        let rate = |at: &usize| entries[index(*at)].link_rate;
-        let best = compared.max_by(|a, b| rate(a).total_cmp(&rate(b))).unwrap_or(chunk[0]);
-        let position = |at: usize| entries[index(at)].position;
-        let range = Range { first: position(chunk[0]), last: position(chunk[chunk.len() - 1]) };
-        Delegate { index: index(best), range: (chunk.len() > 1).then_some(range) }
+    let share = (before.len() + after.len()).div_ceil(parts.max(1)).max(1);
+    let chunks = [before, after].into_iter().flat_map(|part| {
+        let starts = part.clone().step_by(share);
+        starts.map(move |at| at..(at + share).min(part.end))
     });
-    chunks.collect()
+    chunks.map(|chunk| delegate(entries, chunk)).collect()
+}
+
+/// Chooses the delegate for a part of the ring that isn't empty.
+fn delegate(entries: &[Recipient], chunk: std::ops::Range<usize>) -> Delegate {
+    let index = |at: usize| at % entries.len();
+    let rate = |at: &usize| entries[index(*at)].link_rate;
+    let compared = chunk.clone().take(COMPARED);
+    let best = compared.max_by(|a, b| rate(a).total_cmp(&rate(b))).unwrap_or(chunk.start);
+    let position = |at: usize| entries[index(at)].position;
+    let range = Range { first: position(chunk.start), last: position(chunk.end - 1) };
+    Delegate { index: index(best), range: (chunk.len() > 1).then_some(range) }
 }
