--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -9,166 +9,34 @@
 //! and one that lacks records which another entry has gets them from there.
 
 mod confirmation;
+mod followed;
 mod parts;
 mod span;
+mod step;
+mod timing;
 
 pub use confirmation::{Read, ReadId};
 pub use parts::{Block, Part};
 pub use span::RecordSpan;
+pub use step::{FollowStep, ReadReason, ReadStatus, Retry, TOPICS, Topic};
+pub use timing::Timing;
 
-use crate::cluster::replica::Replica;
 use confirmation::Confirmation;
-use parts::Parts;
+use followed::Followed;
 use plat::epoch::{self, Epoch};
 use plat::{Offset, Record};
 use policy::{Hash, succession};
-use span::Offered;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout};
 
-/// A stream that entries follow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum Topic {
-    /// The configuration.
-    Config,
-    /// The list of targets.
-    Targets,
-    /// The entries' own stream, see [`crate::exchange::entry_stream`].
-    Notices,
-}
-
-impl Topic {
-    /// Returns the name in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Targets => "targets",
-            Self::Notices => "notices",
-        }
-    }
-}
-
-/// All topics. Datagrams carry a topic as its index in this list.
-pub const TOPICS: [Topic; 3] = [Topic::Config, Topic::Targets, Topic::Notices];
-
-/// Why an entry reads a stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ReadReason {
-    /// It is a designated reader.
-    DesignatedReader,
-    /// No entry has confirmed its view recently.
-    ViewTooOld,
-    /// It lacks records that no other entry sent in time.
-    NewRecords,
-}
-
-impl ReadReason {
-    /// Returns the name in metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::DesignatedReader => "for-all",
-            Self::ViewTooOld => "none-fresh",
-            Self::NewRecords => "news",
-        }
-    }
-}
-
-/// What an entry tells about one stream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct ReadStatus {
-    /// The stream.
-    pub topic: Topic,
-    /// The offset after the last record that changed something and that the entry has applied.
-    pub change_end: Offset,
-    /// The newest read that found no change beyond that offset.
-    pub read: ReadId,
-    /// How long ago that read was made.
-    pub age: Duration,
-    /// How far it went.
-    pub position: Offset,
-}
-
-/// The next step of an entry that follows a stream.
-#[derive(Debug, Clone)]
-pub enum FollowStep {
-    /// Read the stream.
-    Read(ReadReason),
-    /// Apply records that another entry sent.
-    Apply(RecordSpan),
-    /// Request the missing records from another entry, named by the hash of its name.
-    Pull(Hash),
-    /// Obtain the whole stream again, since the log was restored from an older copy.
-    Restart,
-}
-
-/// When to call the log again after a failed call.
-#[derive(Debug, Clone, Copy)]
-pub struct Retry {
-    /// When the call failed.
-    pub failed_at: Instant,
-    /// When to call again, unless another call has succeeded in the meantime.
-    pub at: Instant,
-}
-
-/// How often changes have to be observed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Timing {
-    /// The time within which a change has to take effect at all entries.
-    pub change_bound: Duration,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Self { change_bound: Duration::from_secs(2) }
-    }
-}
-
-impl Timing {
-    /// How long a read of the configuration waits for new records. A connection without a response
-    /// is detected after this time plus the timeout of a call, which together stay below the bound.
-    pub fn config_read_wait(self) -> Duration {
-        self.change_bound.mul_f64(0.4)
-    }
-
-    /// How long a read of the list of targets waits for new records.
-    pub fn targets_read_wait(self) -> Duration {
-        self.change_bound / 4
-    }
-
-    /// The interval between reads of the list of targets, in which some target always renews its
-    /// record.
-    pub fn targets_read_interval(self) -> Duration {
-        self.change_bound.mul_f64(0.225)
-    }
-
-    /// The age from which on a view is too old: the call that follows has to succeed within the
-    /// bound.
-    fn max_age(self, topic: Topic) -> Duration {
-        match topic {
-            Topic::Config | Topic::Targets => self.change_bound.mul_f64(0.65),
-            // Stage changes are announced 2.2 seconds ahead.
-            Topic::Notices => Duration::from_millis(1_700),
-        }
-    }
-}
-
 /// How many entries read the log for the others.
 pub const READERS: u32 = 2;
 
 /// Identifies the task of reading the log among those that few entries perform for all.
 pub const READING: Hash = 0x7761_7463_6865_7273;
 
-/// For how long an entry that lacks records waits for other entries to send them.
-const PULL_PATIENCE: Duration = Duration::from_millis(450);
-
-/// How long an entry waits before it requests records: they are often on their way.
-const PULL_DELAY: Duration = Duration::from_millis(60);
-
-/// How often an entry requests the records that it lacks.
-const PULL_INTERVAL: Duration = Duration::from_millis(120);
-
 /// How often an entry that doesn't read checks whether its view is still recent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -204,49 +72,6 @@
     reached_at: Option<Instant>,
 }
 
-/// What this entry knows of one stream.
-#[derive(Debug, Default)]
-struct Followed {
-    confirmation: Confirmation,
-    offered: Offered,
-    parts: Parts,
-    replica: Replica,
-    /// An entry that has applied more than this one, how far, and since when that is known.
-    ahead: Option<Ahead>,
-    seen: Seen,
-}
-
-/// What other entries have sent of a stream.
-#[derive(Debug, Clone, Copy, Default)]
-struct Seen {
-    /// The end of the last span.
-    end: Offset,
-    /// Whether any part of a whole list arrived.
-    whole: bool,
-}
-
-impl Seen {
-    fn record(&mut self, span: &RecordSpan) {
-        self.end = self.end.max(span.end);
-        self.whole |= span.whole;
-    }
-}
-
-impl Followed {
-    fn take_offered(&mut self, next: Offset, whole: bool) -> Option<RecordSpan> {
-        self.parts.forget_before(next);
-        self.offered.take(next, whole)
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Ahead {
-    peer: Hash,
-    change_end: Offset,
-    since: Instant,
-    pulled_at: Option<Instant>,
-}
-
 /// An epoch of the log that began during the lifetime of this process.
 #[derive(Debug, Clone, Copy)]
 struct Restored {
@@ -293,25 +118,8 @@
         if self.rank < READERS {
             return Some(ReadReason::DesignatedReader);
         }
-        let delay = self.succession_delay();
-        let stream = self.stream(topic);
-        stream.ahead = stream.ahead.filter(|ahead| ahead.change_end > next);
-        if stream.ahead.is_some_and(|ahead| now >= ahead.since + PULL_PATIENCE) {
-            return Some(ReadReason::NewRecords);
-        }
-        let is_too_old = |at: Instant| now.duration_since(at) >= max_age + delay;
-        stream.confirmation.at().is_none_or(is_too_old).then_some(ReadReason::ViewTooOld)
-    }
-
-    /// Returns the entry from which missing records are to be requested now.
-    fn pull_source(&mut self, topic: Topic, next: Offset, now: Instant) -> Option<Hash> {
-        let ahead = self.stream(topic).ahead.as_mut().filter(|ahead| ahead.change_end > next)?;
-        let due = ahead.pulled_at.map_or(ahead.since + PULL_DELAY, |at| at + PULL_INTERVAL);
-        if now < due {
-            return None;
-        }
-        ahead.pulled_at = Some(now);
-        Some(ahead.peer)
+        let max_age = max_age + self.succession_delay();
+        self.stream(topic).read_reason(next, max_age, now)
     }
 }
 
@@ -547,18 +355,7 @@
     pub fn observe(&self, peer: Hash, status: ReadStatus, now: Instant) {
         let Some(at) = now.checked_sub(status.age) else { return };
         let mut inner = self.lock();
-        let stream = inner.stream(status.topic);
-        let ReadStatus { read: id, position, change_end, .. } = status;
-        stream.confirmation.observe(change_end, Read { id, at, position });
-        let own = stream.confirmation.change_end();
-        let known = stream.ahead.filter(|ahead| ahead.change_end > own);
-        if status.change_end <= own || known.is_some_and(|it| it.change_end > status.change_end) {
-            return;
-        }
-        // Of several entries that are ahead alike, the last one to say so: the requests spread.
-        let (since, pulled_at) = known.map_or((now, None), |ahead| (ahead.since, ahead.pulled_at));
-        stream.ahead = Some(Ahead { peer, change_end: status.change_end, since, pulled_at });
-        if known.is_some_and(|known| known.change_end == status.change_end) {
+        if !inner.stream(status.topic).observe(peer, &status, at, now) {
             return;
         }
         drop(inner);
@@ -644,7 +441,7 @@
             Some(reason) => return Some(FollowStep::Read(reason)),
             None => {}
         }
-        inner.pull_source(topic, next, now).map(FollowStep::Pull)
+        inner.stream(topic).pull_source(next, now).map(FollowStep::Pull)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
