fix(direct): a list read again reaches all entries as a list

Cause: after the log had forgotten the changes a reader read the whole list and could not answer for the changes before it; each other entry waited 0.45 s and read the log. Change: an entry that lacks changes which nobody sends takes the whole list, which its reader pushes; a removal found in a list counts before its end.

--- a/crates/direct/src/cluster/tail/span.rs
+++ b/crates/direct/src/cluster/tail/span.rs
@@ -44,10 +44,12 @@
     /// merged: applying a span costs time in proportion to the number of targets, however few
     /// records it has. Parts of a whole list are taken only if `whole` is set.
     pub(super) fn take(&mut self, next: Offset, whole: bool) -> Option<RecordSpan> {
-        self.0.retain(|span| span.end > next && (whole || !span.whole));
-        let at = self.0.iter().position(|span| span.start <= next)?;
+        self.0.retain(|span| span.end > next);
+        let is_usable = |span: &RecordSpan| whole || !span.whole;
+        let at = self.0.iter().position(|span| is_usable(span) && span.start <= next)?;
         let mut span = self.0.swap_remove(at);
-        while let Some(at) = self.0.iter().position(|other| other.start <= span.end) {
+        let follows = |other: &RecordSpan, end| is_usable(other) && other.start <= end;
+        while let Some(at) = self.0.iter().position(|other| follows(other, span.end)) {
             let more = self.0.swap_remove(at);
             let end = span.end;
             span.log_degraded |= more.log_degraded;
--- a/crates/direct/src/exchange/catch_up.rs
+++ b/crates/direct/src/exchange/catch_up.rs
@@ -40,6 +40,10 @@
 /// How long any other entry does so, besides its delay in the order of reading.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// How long an entry that lacks changes asks others for the whole list, as a share of the time within
+/// which a change has to take effect.
+const PATIENCE_SHARE: f64 = 0.2;
+
 /// How often an entry that knows no other checks whether it has joined.
 const JOIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -82,13 +86,31 @@
     }
 }
 
-/// Gets all records of a stream that matter from other entries; `None` if it is this entry's turn
-/// to read them in the log.
-pub async fn fetch_all(shared: &Shared, topic: Topic) -> Option<Newest> {
+/// Gets all records of a stream that matter from other entries, for an entry that starts; `None` if
+/// it is its turn to read them in the log.
+pub async fn fetch_first(shared: &Shared, topic: Topic) -> Option<Newest> {
     wait_until_joined(shared).await;
+    fetch_all(shared, topic, patience(shared)).await
+}
+
+/// The same for an entry that lacks changes which no other entry can send it: those were read as a
+/// whole list, which is sent to all, after the log had forgotten them.
+pub async fn fetch_again(shared: &Shared, topic: Topic) -> Option<Newest> {
+    let patience = shared.tail.timing().change_bound.mul_f64(PATIENCE_SHARE);
+    fetch_all(shared, topic, patience).await
+}
+
+async fn fetch_all(shared: &Shared, topic: Topic, patience: Duration) -> Option<Newest> {
     let began = Instant::now();
     let mut fetch = Fetch { shared, topic, newest: Newest::default(), parts: None };
-    while began.elapsed() < patience(shared) {
+    fetch.receive_offered();
+    while began.elapsed() < patience {
+        if shared.tail.is_complete(topic, fetch.newest.end) {
+            log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
+                records = fetch.newest.records.len(), ms = began.elapsed().as_millis();
+                "records received from peers");
+            return Some(fetch.newest);
+        }
         let mut peers: Vec<SocketAddr> =
             shared.peers.directory.sample(ASKED_PEERS).iter().map(|peer| peer.address).collect();
         if peers.is_empty() {
@@ -96,12 +118,7 @@
         }
         peers.extend(known_source(shared, topic, fetch.newest.end));
         peers.iter().for_each(|peer| request(shared, topic, fetch.newest.end, true, *peer));
-        if fetch.receive().await {
-            log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
-                records = fetch.newest.records.len(), ms = began.elapsed().as_millis();
-                "records received from peers");
-            return Some(fetch.newest);
-        }
+        fetch.receive().await;
     }
     log::info!(target: "store", stream = topic.name(), end = fetch.newest.end,
         records = fetch.newest.records.len(), known = shared.tail.known_end(topic),
@@ -145,30 +162,34 @@
 }
 
 impl Fetch<'_> {
-    /// Receives what arrives until the response is over; returns whether the records are complete.
-    async fn receive(&mut self) -> bool {
+    /// Receives what arrives until the records are complete or the response is over.
+    async fn receive(&mut self) {
         let mut deadline = Instant::now() + RESPONSE_TIMEOUT;
         loop {
-            while let Some(span) = self.shared.tail.take_offered_list(self.topic, self.newest.end) {
-                if self.append(span) {
-                    deadline = Instant::now() + RESPONSE_GAP;
-                }
+            if self.receive_offered() {
+                deadline = Instant::now() + RESPONSE_GAP;
             }
             let parts = self.shared.tail.received_parts(self.topic);
             if parts != std::mem::replace(&mut self.parts, parts) {
                 deadline = Instant::now() + RESPONSE_GAP;
             }
-            if self.shared.tail.is_complete(self.topic, self.newest.end) {
-                return true;
-            }
             let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return false;
+            if left.is_zero() || self.shared.tail.is_complete(self.topic, self.newest.end) {
+                return;
             }
             self.shared.tail.wait_for_update(left).await;
         }
     }
 
+    /// Takes what has arrived; returns whether it was anything.
+    fn receive_offered(&mut self) -> bool {
+        let mut any = false;
+        while let Some(span) = self.shared.tail.take_offered_list(self.topic, self.newest.end) {
+            any |= self.append(span);
+        }
+        any
+    }
+
     /// Appends a span; returns `false` for one from before the log was restored.
     fn append(&mut self, span: RecordSpan) -> bool {
         if epoch::epoch(span.end) < self.shared.tail.known_epoch() {
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -64,7 +64,7 @@
     }
 
     pub(super) async fn run(mut self) {
-        if let Some(newest) = catch_up::fetch_all(&self.shared, Topic::Notices).await {
+        if let Some(newest) = catch_up::fetch_first(&self.shared, Topic::Notices).await {
             self.apply_received(newest);
         }
         loop {
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -4,7 +4,7 @@
 //! or from the log, then the changes. When the changes have expired, the newest records are
 //! obtained again. What was read stays in force while the log is unavailable.
 
-use crate::cluster::tail::{FollowStep, RecordSpan, Retry, Topic};
+use crate::cluster::tail::{FollowStep, ReadReason, RecordSpan, Retry, Topic};
 use crate::codec::TargetId;
 use crate::config::route::Table;
 use crate::exchange::{catch_up, dissemination};
@@ -151,6 +151,12 @@
         let from = loop {
             match self.shared.tail.next_step(self.topic, next, self.retry).await {
                 FollowStep::Read(reason) => {
+                    if reason == ReadReason::NewRecords
+                        && let Some(newest) = catch_up::fetch_again(&self.shared, self.topic).await
+                    {
+                        self.next = Some(newest.end.max(next));
+                        return Ok(Update::AllReceived(newest.records, newest.end));
+                    }
                     self.shared.metrics.stream_read(self.topic.name(), reason.name());
                     break self.shared.tail.read_position(self.topic, next);
                 }
@@ -174,7 +180,7 @@
 
     async fn try_read_all(&mut self) -> plat::Result<Update> {
         if !self.expired
-            && let Some(newest) = catch_up::fetch_all(&self.shared, self.topic).await
+            && let Some(newest) = catch_up::fetch_first(&self.shared, self.topic).await
         {
             self.next = Some(newest.end);
             return Ok(Update::AllReceived(newest.records, newest.end));
@@ -344,7 +350,7 @@
         (false, true) => LogState::Degraded,
         (false, false) => LogState::Healthy,
     };
-    // Whoever reads the whole list does so because no other entry had it.
+    // Nobody can send the changes of a whole list one by one: no entry had it, or the log forgot them.
     let is_whole = matches!(update, Update::All(..));
     let start = if is_whole { 0 } else { shared.fleet().change_end() };
     let (records, forwarded_end) = match update {
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -221,7 +221,10 @@
             })
             .collect();
         let missing = self.members.keys().filter(|id| !listed.contains(*id));
-        let missing: Vec<_> = missing.map(|id| (end, FleetUpdate::Removed(id.clone()))).collect();
+        // They were removed before the end: a change at the end would hide the record that is
+        // written there next.
+        let at = if epoch::index(end) > 0 { end - 1 } else { end };
+        let missing: Vec<_> = missing.map(|id| (at, FleetUpdate::Removed(id.clone()))).collect();
         self.apply(all.into_iter().chain(missing).collect(), now, log_state);
         if log_state == LogState::Restored {
             // The other entries have to read it as well, though nothing may have changed.
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -73,6 +73,17 @@
     assert_eq!(usable(&fleet), ["a", "b", "c", "d"]);
 }
 
+/// A list that was read at offset 20 lacks a target, and the next record is written at 20. If the
+/// removal counted as a change at 20, entries that have applied it would leave that record out.
+#[test]
+fn a_target_missing_from_a_list_hides_no_later_record() {
+    let mut fleet = four_targets();
+    let listed = ["a", "b", "c"].map(|id| (19, registered(id, 2, false)));
+    fleet.replace(listed.to_vec(), 20, Instant::now(), LogState::Healthy);
+    assert_eq!(usable(&fleet), ["a", "b", "c"]);
+    assert_eq!(fleet.change_end(), 20);
+}
+
 /// While the store is unavailable, targets can't renew their registrations, and all expire although
 /// all targets are alive. An entry that emptied its list would refuse every caller until they are
 /// registered again.
