--- a/crates/direct/src/cluster/member_updates.rs
+++ b/crates/direct/src/cluster/member_updates.rs
@@ -89,7 +89,7 @@
     /// The lower half of an IPv6 address.
     #[prost(fixed64, tag = "3")]
     pub v6_lower: u64,
-    /// The port.
+    /// The port for datagrams.
     #[prost(uint32, tag = "4")]
     pub port: u32,
 }
@@ -106,10 +106,10 @@
     /// The rate of its VM's link in bytes per second.
     #[prost(float, tag = "3")]
     pub link_rate: f32,
-    /// Its incarnation.
+    /// The incarnation that the status belongs to.
     #[prost(uint64, tag = "4")]
     pub incarnation: u64,
-    /// Its status.
+    /// What is known of that incarnation.
     #[prost(enumeration = "WireStatus", tag = "5")]
     pub status: i32,
     /// The hash of its failure domain.
--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// The entries.
+/// This entry's view of which entries are live.
 #[derive(Debug, Default)]
 pub struct Members {
     inner: Mutex<Inner>,
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -458,10 +458,10 @@
 /// A range of positions, see [`policy::dissemination`], both ends included.
 #[derive(Clone, Copy, PartialEq, Eq, Message)]
 pub struct KeyRange {
-    /// The first position.
+    /// Where the range begins.
     #[prost(fixed64, tag = "1")]
     pub first: u64,
-    /// The last position; below the first if the range wraps around.
+    /// Where it ends; below the first if the range wraps around.
     #[prost(fixed64, tag = "2")]
     pub last: u64,
 }
--- a/crates/direct/src/cluster/tail/confirmation.rs
+++ b/crates/direct/src/cluster/tail/confirmation.rs
@@ -20,7 +20,7 @@
 /// A read of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Read {
-    /// Its identity.
+    /// Tells it from all other reads.
     pub id: ReadId,
     /// When it was made, by this process's clock.
     pub at: Instant,
--- a/crates/policy/src/dissemination.rs
+++ b/crates/policy/src/dissemination.rs
@@ -31,9 +31,9 @@
 /// A range on the ring, both ends included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Range {
-    /// The first position.
+    /// Where the range begins.
     pub first: Position,
-    /// The last position; below `first` if the range wraps around.
+    /// Where it ends; below `first` if the range wraps around.
     pub last: Position,
 }
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -118,9 +118,9 @@
 /// What one entry tells another about an entry.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Update {
-    /// The entry.
+    /// The entry that this is about.
     pub node: Node,
-    /// Its incarnation.
+    /// The incarnation that the status belongs to.
     pub incarnation: Incarnation,
     /// Its status in that incarnation.
     pub status: Status,
@@ -135,7 +135,7 @@
 /// A probe to be sent.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Probe {
-    /// The recipient.
+    /// Where the probe is sent.
     pub to: SocketAddr,
     /// The entry that is probed through the recipient; none if it is the recipient itself.
     pub through_to: Option<SocketAddr>,
@@ -146,7 +146,7 @@
 /// A request for a part of another entry's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PageRequest {
-    /// The recipient.
+    /// Where the request is sent.
     pub to: SocketAddr,
     /// The key after which the part starts.
     pub after: Hash,
