feat(direct): waits for coordinators follow their round trips

Cause: answers over a round trip of 16 ms come after the wait of a tenth of the objective; the request loses that time, and the coordinator counts as silent for half a second. Change: the wait follows policy::round_trip; answers that come after it are measured as well. A coordinator is skipped after two silences in a row. Settings hold the regions of the failure domains (region, zones.DOMAIN). Round trips by distance are logged and exported.

--- a/crates/direct/src/cluster/peer_socket.rs
+++ b/crates/direct/src/cluster/peer_socket.rs
@@ -3,22 +3,40 @@
 use crate::cluster::messages::{Envelope, Payload, Response};
 use crate::costs;
 use policy::Hash;
+use policy::distance::Distance;
 use policy::reservations::ReservationId;
+use policy::round_trip::Estimator;
 use prost::Message;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// For how long the answer to an abandoned request is still measured. A later one comes from a peer
+/// that was frozen, and says nothing of the network.
+const MAX_ROUND_TRIP: Duration = Duration::from_millis(500);
+
+/// An entry to which a request is sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Peer {
+    /// The hash of its name.
+    pub key: Hash,
+    /// How far away it is.
+    pub distance: Distance,
+}
+
 /// The socket, once it is bound, and the pending requests.
 #[derive(Debug)]
 pub struct PeerSocket {
     socket: OnceLock<Arc<UdpSocket>>,
-    pending: Mutex<HashMap<ReservationId, oneshot::Sender<Response>>>,
+    pending: Mutex<Pending>,
+    round_trips: Mutex<Estimator>,
+    started: Instant,
     /// Entries that did not respond, with the time until which they get no requests.
     unresponsive: Mutex<HashMap<Hash, Instant>>,
     next_id: AtomicU64,
@@ -26,6 +44,37 @@
     sent: Mutex<BTreeMap<&'static str, (u64, u64)>>,
 }
 
+/// Requests that were sent and not yet answered.
+#[derive(Debug, Default)]
+struct Pending {
+    requests: HashMap<ReservationId, SentRequest>,
+    /// Requests that no longer wait, the oldest first.
+    abandoned: VecDeque<(ReservationId, Instant)>,
+}
+
+#[derive(Debug)]
+struct SentRequest {
+    peer: Peer,
+    sent_at: Instant,
+    /// None once the request no longer waits.
+    sender: Option<oneshot::Sender<Response>>,
+}
+
+impl Pending {
+    fn abandon(&mut self, id: ReservationId, now: Instant) {
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.sender = None;
+            self.abandoned.push_back((id, now));
+        }
+        while let Some((oldest, _)) =
+            self.abandoned.front().filter(|(_, at)| now.duration_since(*at) > MAX_ROUND_TRIP)
+        {
+            self.requests.remove(oldest);
+            self.abandoned.pop_front();
+        }
+    }
+}
+
 /// A request that waits for its response, until it is dropped.
 #[derive(Debug)]
 pub struct PendingRequest<'a> {
@@ -40,7 +89,8 @@
     pub fn new(first: ReservationId) -> Self {
         let (socket, pending, unresponsive) = (OnceLock::new(), Mutex::default(), Mutex::default());
         let (next_id, sent) = (AtomicU64::new(first), Mutex::default());
-        Self { socket, pending, unresponsive, next_id, sent }
+        let (round_trips, started) = (Mutex::default(), Instant::now());
+        Self { socket, pending, round_trips, started, unresponsive, next_id, sent }
     }
 
     /// Sets the bound socket, on which datagrams are sent from now on.
@@ -56,24 +106,51 @@
         self.next_id.fetch_add(1, Ordering::Relaxed).max(1)
     }
 
-    /// Registers a request whose response will be awaited.
-    pub fn expect_response(&self, id: ReservationId) -> PendingRequest<'_> {
+    /// Registers a request that is sent to `peer` now and whose response will be awaited.
+    pub fn expect_response(&self, id: ReservationId, peer: Peer) -> PendingRequest<'_> {
         let (sender, response) = oneshot::channel();
-        self.pending().insert(id, sender);
+        let request = SentRequest { peer, sent_at: Instant::now(), sender: Some(sender) };
+        self.pending().requests.insert(id, request);
         PendingRequest { socket: self, id, response }
     }
 
     /// Delivers a response to its pending request; returns it if there is none any more.
+    /// Records how long the response took in either case.
     pub fn deliver(&self, response: Response) -> Result<(), Response> {
-        match self.pending().remove(&response.reservation) {
-            Some(sender) => sender.send(response),
-            None => Err(response),
+        let request = self.pending().requests.remove(&response.reservation);
+        let Some(SentRequest { peer, sent_at, sender }) = request else { return Err(response) };
+        let (round_trip, now) = (sent_at.elapsed(), self.started.elapsed());
+        let mut round_trips = self.round_trips();
+        if round_trip <= MAX_ROUND_TRIP {
+            round_trips.sample(peer.key, peer.distance, round_trip, now);
+        }
+        let Some(sender) = sender else { return Err(response) };
+        round_trips.answered(peer.key, now);
+        sender.send(response)
+    }
+
+    /// Returns how long to wait for the response of an entry to a request with this objective.
+    pub fn wait(&self, peer: Peer, objective: Duration) -> Duration {
+        self.round_trips().wait(peer.key, peer.distance, objective)
+    }
+
+    /// Records that an entry did not respond within `wait`. If that makes it unresponsive, it gets
+    /// no requests for `skipped_for`.
+    pub fn record_timeout(
+        &self,
+        peer: Peer,
+        wait: Duration,
+        objective: Duration,
+        skipped_for: Duration,
+    ) {
+        if self.round_trips().timed_out(peer.key, wait, objective, self.started.elapsed()) {
+            self.unresponsive().insert(peer.key, Instant::now() + skipped_for);
         }
     }
 
-    /// Records that an entry did not respond; it gets no requests until then.
-    pub fn mark_unresponsive(&self, entry: Hash, until: Instant) {
-        self.unresponsive().insert(entry, until);
+    /// Returns the estimates of round trips.
+    pub fn round_trips(&self) -> MutexGuard<'_, Estimator> {
+        self.round_trips.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns whether an entry recently did not respond.
@@ -127,13 +204,13 @@
         }
     }
 
-    fn pending(&self) -> MutexGuard<'_, HashMap<ReservationId, oneshot::Sender<Response>>> {
+    fn pending(&self) -> MutexGuard<'_, Pending> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
-        self.socket.pending().remove(&self.id);
+        self.socket.pending().abandon(self.id, Instant::now());
     }
 }
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -13,10 +13,13 @@
 use crate::probe;
 use crate::request::server::CallerServer;
 use crate::shared::{Shared, Stop};
+use compact_str::CompactString;
 use http::StatusCode;
 use plat::KeyedLog;
+use policy::distance::Distance;
 use policy::pace::Summary;
-use std::collections::HashMap;
+use policy::round_trip::Estimate;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -214,17 +217,33 @@
         for status in shared.tail.read_statuses(now) {
             shared.metrics.age(status.topic.name(), status.age);
         }
+        for (distance, estimate) in round_trips(&shared) {
+            shared.metrics.round_trip(distance, estimate.mean());
+        }
         (StatusCode::OK, shared.metrics.text())
     })
 }
 
-/// How often the datagrams that were sent are logged.
+/// The estimated round trips to other entries, by distance, as far as known.
+fn round_trips(shared: &Shared) -> Vec<(Distance, Estimate)> {
+    let estimator = shared.peer_socket.round_trips();
+    let known = |distance| Some((distance, estimator.by_distance(distance)?));
+    Distance::ALL.into_iter().filter_map(known).collect()
+}
+
+/// How often the datagrams that were sent are logged, and the round trips.
 const COSTS_INTERVAL: Duration = Duration::from_secs(10);
 
 async fn log_costs(shared: Arc<Shared>) {
     loop {
         tokio::time::sleep(COSTS_INTERVAL).await;
         shared.peer_socket.log_sent();
+        for (distance, estimate) in round_trips(&shared) {
+            let micros = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+            log::info!(target: "peers", distance = distance.name(),
+                mean_us = micros(estimate.mean()), upper_us = micros(estimate.upper());
+                "round trips");
+        }
     }
 }
 
@@ -238,14 +257,27 @@
     }
 }
 
-/// How often engines are checked against the pause limit of their service.
+/// How often engines are checked against the pause limit of their service and for their regions.
 const PACE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Follows which engines miss the pause limit of their service for the lifetime of the process.
 async fn watch_pace(shared: Arc<Shared>) {
+    let mut without_region = HashSet::new();
     loop {
         tokio::time::sleep(PACE_CHECK_INTERVAL).await;
         check_pace(&shared, Instant::now());
+        check_regions(&shared, &mut without_region);
+    }
+}
+
+/// Logs each failure domain of engines once that has no region although others have.
+fn check_regions(shared: &Shared, logged: &mut HashSet<CompactString>) {
+    for engine in shared.fleet().engines().iter() {
+        if shared.settings.topology.lacks(engine.domain_key) && logged.insert(engine.domain.clone())
+        {
+            log::warn!(target: "fleet", domain = engine.domain.as_str();
+                "failure domain without a region counts as a region of its own");
+        }
     }
 }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::costs;
 use compact_str::CompactString;
+use policy::distance::Distance;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -96,6 +97,7 @@
     limits: Family<TargetLabel, Gauge<f64, AtomicU64>>,
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     ages: Family<KindLabel, Gauge<f64, AtomicU64>>,
+    round_trips: Family<KindLabel, Gauge<f64, AtomicU64>>,
     /// The version of the configuration in force.
     pub version: Gauge,
     /// The epoch of the log, see [`plat::epoch`].
@@ -145,6 +147,7 @@
             limits: Family::default(),
             piece_times: Family::default(),
             ages: Family::default(),
+            round_trips: Family::default(),
             version: Gauge::default(),
             epoch: Gauge::default(),
             targets: Gauge::default(),
@@ -210,6 +213,8 @@
         to.register("targets_paused", paused, self.paused.clone());
         let unknown = "Names that no decoder knows, sent by targets or the log";
         to.register("unknown_names", unknown, self.unknown_names.clone());
+        let round_trips = "Mean round trip to other entries by distance";
+        to.register("round_trip_seconds", round_trips, self.round_trips.clone());
         to.register("entries", "Entries that share the work", self.entries.clone());
     }
 
@@ -342,6 +347,12 @@
         self.ages.get_or_create(&KindLabel { kind: stream.into() }).set(age.as_secs_f64());
     }
 
+    /// Sets the mean round trip to the entries at a distance.
+    pub fn round_trip(&self, distance: Distance, mean: Duration) {
+        let distance = KindLabel { kind: distance.name().into() };
+        self.round_trips.get_or_create(&distance).set(mean.as_secs_f64());
+    }
+
     /// Counts an extra attempt as allowed or denied.
     pub fn extra(&self, allowed: bool) {
         let kind = if allowed { "allowed" } else { "denied" }.into();
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -18,6 +18,7 @@
 use compact_str::CompactString;
 use plat::Offset;
 use plat::epoch::Epoch;
+use policy::distance::{Distance, Topology};
 use policy::{
     Hash, connect_timeout, extra_budget, link, prefill, retry_detection, split, succession,
 };
@@ -38,6 +39,8 @@
     pub name: CompactString,
     /// Its failure domain.
     pub domain: CompactString,
+    /// The regions of the failure domains.
+    pub topology: Topology,
     /// The budget for extra attempts.
     pub extra_budget: extra_budget::Settings,
     /// How prompts are placed on engines.
@@ -187,6 +190,11 @@
         policy::hash(&self.settings.name)
     }
 
+    /// How far a failure domain is from this entry's own.
+    pub fn distance_from_here(&self, domain: Hash) -> Distance {
+        self.settings.topology.distance(policy::hash(&self.settings.domain), domain)
+    }
+
     /// Locks the list of targets, after excluding from new work those that announced that they are
     /// leaving.
     pub fn fleet(&self) -> MutexGuard<'_, Fleet> {
--- /dev/null
+++ b/crates/direct/tests/peer_socket.rs
@@ -0,0 +1,73 @@
+//! Waits for the answers of other entries.
+
+use direct::cluster::messages::Response;
+use direct::cluster::peer_socket::{Peer, PeerSocket};
+use policy::distance::Distance;
+use std::time::Duration;
+use tokio::time::{Instant, advance};
+
+const PEER: Peer = Peer { key: 7, distance: Distance::OtherRegion };
+const OBJECTIVE: Duration = Duration::from_millis(250);
+const SKIPPED_FOR: Duration = Duration::from_millis(500);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// An answer after `took` to a request that waited for `wait`.
+async fn exchange(socket: &PeerSocket, wait: Duration, took: Duration) {
+    let id = socket.unique_id();
+    let pending = socket.expect_response(id, PEER);
+    let response = Response { reservation: id, decision: None };
+    if took <= wait {
+        advance(took).await;
+        assert!(socket.deliver(response).is_ok());
+    } else {
+        advance(wait).await;
+        drop(pending);
+        socket.record_timeout(PEER, wait, OBJECTIVE, SKIPPED_FOR);
+        advance(took - wait).await;
+        assert!(socket.deliver(response).is_err(), "no request waits for it");
+    }
+}
+
+/// A link between regions becomes slow: if only answers within the wait counted, each request over
+/// it would time out for good.
+#[tokio::test(start_paused = true)]
+async fn late_answers_lengthen_the_wait() {
+    let socket = PeerSocket::new(1);
+    exchange(&socket, ms(25), ms(4)).await;
+    assert_eq!(socket.wait(PEER, OBJECTIVE), ms(25));
+    for _ in 0..20 {
+        exchange(&socket, socket.wait(PEER, OBJECTIVE), ms(40)).await;
+    }
+    assert!(socket.wait(PEER, OBJECTIVE) > ms(40));
+    assert!(!socket.is_unresponsive(PEER.key, Instant::now()));
+}
+
+/// A coordinator that was frozen answers after seconds. Its round trips must not count as those of
+/// its network.
+#[tokio::test(start_paused = true)]
+async fn answers_of_a_frozen_entry_are_not_measured() {
+    let socket = PeerSocket::new(1);
+    exchange(&socket, ms(25), ms(4)).await;
+    exchange(&socket, ms(25), ms(4_000)).await;
+    assert_eq!(socket.wait(PEER, OBJECTIVE), ms(25));
+}
+
+/// Links lose datagrams: one loss must not cost a coordinator half a second of its requests. Both
+/// directions of a cut link lose all of them.
+#[tokio::test(start_paused = true)]
+async fn entry_is_skipped_after_two_silences_in_a_row() {
+    let socket = PeerSocket::new(1);
+    let silent = || socket.is_unresponsive(PEER.key, Instant::now());
+    exchange(&socket, ms(25), ms(100)).await;
+    assert!(!silent());
+    exchange(&socket, ms(25), ms(20)).await;
+    exchange(&socket, ms(25), ms(100)).await;
+    assert!(!silent(), "it answered in between");
+    exchange(&socket, ms(25), ms(100)).await;
+    assert!(silent());
+    advance(SKIPPED_FOR).await;
+    assert!(!silent(), "it is asked again");
+}
