feat(direct): groups are coordinated by entries of their region

Cause: a coordinator in another region costs each prompt a round trip between regions, also where the engines are near. Change: live entries of the group's region come before all others; others are chosen where there are fewer than two.

--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -157,6 +157,7 @@
         let incarnation = policy::hash(&format!("{} {:?}", std::process::id(), Instant::now()));
         let first_id = policy::mix(policy::hash(&settings.name), incarnation);
         let tail = Tail::new(first_id, settings.timing);
+        let groups = groups::Cache::new(settings.topology.clone());
         Self {
             settings,
             codec,
@@ -173,7 +174,7 @@
             entry_stream_changed: Notify::new(),
             workload: workload.clone(),
             fleet: Mutex::new(Fleet::new(workload)),
-            groups: groups::Cache::default(),
+            groups,
             link,
             connect_timeouts: Mutex::default(),
             retry_detectors: Mutex::default(),
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -96,6 +96,24 @@
     best.into_iter().map(|(index, _)| index).collect()
 }
 
+/// Like [`coordinators`], but entries that are near the group come before all others, so that a
+/// request to them takes no round trip between regions.
+///
+/// A single near entry has a standby far away: while it is silent, requests are answered late rather
+/// than not at all.
+pub fn coordinators_near(
+    group: Hash,
+    entries: &[Entry],
+    is_near: impl Fn(usize) -> bool,
+) -> Vec<usize> {
+    let (near, far): (Vec<usize>, Vec<usize>) = (0..entries.len()).partition(|&at| is_near(at));
+    let among = |indexes: Vec<usize>| {
+        let entries: Vec<Entry> = indexes.iter().map(|&at| entries[at]).collect();
+        coordinators(group, &entries).into_iter().map(move |at| indexes[at])
+    };
+    among(near).chain(among(far)).take(COORDINATORS).collect()
+}
+
 /// Number of entries that coordinate a group, including the standby.
 pub const COORDINATORS: usize = 2;
 
--- a/crates/policy/tests/groups.rs
+++ b/crates/policy/tests/groups.rs
@@ -1,6 +1,6 @@
 //! Groups of engines, their coordinators, and the order in which groups are asked.
 
-use policy::groups::{Engine, Entry, Settings, coordinators, divide, order};
+use policy::groups::{Engine, Entry, Settings, coordinators, coordinators_near, divide, order};
 use policy::{hash, mix};
 use std::collections::HashMap;
 
@@ -106,3 +106,20 @@
     }
     assert!(first.values().all(|&count| (150..250).contains(&count)), "{first:?}");
 }
+
+/// A coordinator in another region costs each of its prompts two round trips between regions. If
+/// the entries that are near the group were the only choice, it would have none once they are dead.
+#[test]
+fn near_entries_coordinate_before_all_others() {
+    let entries = entries(12);
+    for group in 0..100 {
+        let near = coordinators_near(group, &entries, |at| at % 3 == 0);
+        assert!(near.len() == 2 && near.iter().all(|at| at % 3 == 0), "{near:?}");
+        let single = coordinators_near(group, &entries, |at| at == 5);
+        assert!(single.len() == 2 && single[0] == 5, "{single:?}");
+        for all in [true, false] {
+            let chosen = coordinators_near(group, &entries, |_| all);
+            assert_eq!(chosen, coordinators(group, &entries), "nothing distinguishes them");
+        }
+    }
+}
