--- a/crates/policy/src/decode.rs
+++ b/crates/policy/src/decode.rs
@@ -11,6 +11,7 @@
 //! that the engine takes per piece, compared with the others. If all engines that hold the limit
 //! are full, one that misses it is used: a late piece is better than a stream that waits.
 
+use crate::distance::Distance;
 use std::time::Duration;
 
 /// Number of levels by which slot usage is compared. Within one level the engine in the same
@@ -46,8 +47,8 @@
     pub streams: u32,
     /// Streams that it can decode concurrently.
     pub slots: u32,
-    /// Whether the KV cache is in the same failure domain.
-    pub same_domain: bool,
+    /// How far it is from the KV cache.
+    pub distance: Distance,
 }
 
 impl DecodeCandidate {
@@ -81,7 +82,7 @@
     misses_pause: bool,
     transfer_level: u128,
     usage_level: u64,
-    other_domain: bool,
+    distance: Distance,
     load: u64,
 }
 
@@ -97,13 +98,16 @@
     let streams = u64::from(candidate.streams);
     let percent = candidate.piece_percent(piece_time);
     let level = u64::from((candidate.slots / USAGE_LEVELS).max(1));
+    // A KV cache is sent to another region only if all near engines are full.
+    let is_far = candidate.distance == Distance::OtherRegion;
+    let far_levels = if is_far { u64::from(USAGE_LEVELS) } else { 0 };
     Rank {
         unavailable: candidate.unavailable,
         changing: candidate.changing,
         misses_pause: candidate.misses_pause,
         transfer_level: candidate.transfer_excess.as_micros() / step.as_micros(),
-        usage_level: streams * percent / 100 / level,
-        other_domain: !candidate.same_domain,
+        usage_level: streams * percent / 100 / level + far_levels,
+        distance: candidate.distance,
         load: (streams + 1) * percent,
     }
 }
--- a/crates/policy/src/distance.rs
+++ b/crates/policy/src/distance.rs
@@ -27,6 +27,15 @@
     /// All distances, the shortest first.
     pub const ALL: [Self; 3] = [Self::SameDomain, Self::SameRegion, Self::OtherRegion];
 
+    /// Returns how many times as long a KV cache transfer takes as within a failure domain.
+    pub fn transfer_factor(self) -> u32 {
+        match self {
+            Self::SameDomain => 1,
+            Self::SameRegion => 2,
+            Self::OtherRegion => 10,
+        }
+    }
+
     /// Returns its name in log lines and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod reachability;
+pub mod region_order;
 pub mod reservations;
 pub mod retry;
 pub mod retry_detection;
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -16,10 +16,12 @@
 //! decode engine only if its streams can bear the pause and slots are left: first, if its output is
 //! so short that it is hardly worth a transfer, and else if no prefill engine has room.
 
+use crate::distance::{Distance, Topology};
 use crate::number::{float, span};
 use crate::{Hash, mix, pace};
 use std::cmp::Reverse;
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Settings of prefill placement.
@@ -66,6 +68,8 @@
     /// A prefix is copied if that saves prefilling this many tokens. Copying a token takes a tenth
     /// of the time of prefilling it, and setting up a copy as long as prefilling some hundred.
     pub min_copy_tokens: u64,
+    /// The regions of the engines.
+    pub topology: Arc<Topology>,
 }
 
 impl Default for Settings {
@@ -85,6 +89,7 @@
             colocated_max_load: 0.1,
             colocated_share: 0.5,
             min_copy_tokens: 512,
+            topology: Arc::default(),
         }
     }
 }
@@ -300,8 +305,7 @@
 }
 
 /// Returns the engine from which the one at `to` copies the prompt's prefix: of the sources the one
-/// with the most cached tokens, if a copy is worth it. Among equals, one in the same failure
-/// domain.
+/// with the most cached tokens, if a copy is worth it. Among equals, the nearest one.
 fn copy_source(
     settings: &Settings,
     candidates: &[PrefillCandidate],
@@ -316,16 +320,18 @@
         let source = &candidates[from];
         (
             source.cached_tokens,
-            source.domain == destination.domain,
+            Reverse(settings.topology.distance(source.domain, destination.domain)),
             mix(source.key, destination.key),
         )
     })
 }
 
-/// Returns whether a copy saves enough prefill, also if the link of the source is slow.
+/// Returns whether a copy saves enough prefill, also if the link of the source is slow. Between
+/// regions, copying a token takes as long as prefilling it.
 fn is_worth_copying(settings: &Settings, to: &PrefillCandidate, from: &PrefillCandidate) -> bool {
     let saved = from.cached_tokens.saturating_sub(to.cached_tokens);
-    saved >= settings.min_copy_tokens
+    settings.topology.distance(from.domain, to.domain) < Distance::OtherRegion
+        && saved >= settings.min_copy_tokens
         && float(saved) / settings.prefill_rate > from.transfer_excess.as_secs_f64()
 }
 
--- a/crates/policy/src/simulation/disaggregated/fleet.rs
+++ b/crates/policy/src/simulation/disaggregated/fleet.rs
@@ -4,6 +4,7 @@
 use super::traffic::{Class, Request, Traffic};
 use super::{OutcomeCounts, Results};
 use crate::decode::{self, DecodeCandidate};
+use crate::distance::{Distance, Topology};
 use crate::number::{count, float};
 use crate::prefill::{self, Placement, PrefillCandidate};
 use crate::retry_detection::RetryDetector;
@@ -368,6 +369,14 @@
         self.begin_prefill(at);
     }
 
+    fn decode_distance(&self, from: usize, to: usize) -> Distance {
+        if self.options.prefer_same_domain {
+            Topology::default().distance(self.engines[from].domain, self.engines[to].domain)
+        } else {
+            Distance::SameDomain
+        }
+    }
+
     fn choose_decode_engine(&mut self, entry: usize, from: usize, request: &Request) -> usize {
         let objective = Duration::from_secs_f64(request.objective);
         let slots = u32::try_from(self.parameters.slots).unwrap_or(u32::MAX);
@@ -378,8 +387,7 @@
                 transfer_excess: self.incoming[at].excess(self.time()),
                 streams: self.known_load(entry, at).1,
                 slots,
-                same_domain: !self.options.prefer_same_domain
-                    || self.engines[at].domain == self.engines[from].domain,
+                distance: self.decode_distance(from, at),
                 ..DecodeCandidate::default()
             };
             (decode::rank(&candidate, objective), at)
--- a/crates/policy/tests/decode.rs
+++ b/crates/policy/tests/decode.rs
@@ -1,12 +1,14 @@
 //! Placement of decode.
 
 use policy::decode::{DecodeCandidate, Offer, choose, rank};
+use policy::distance::Distance;
 use std::time::Duration;
 
 const OBJECTIVE: Duration = Duration::from_millis(150);
 
 fn candidate(streams: u32, same_domain: bool) -> DecodeCandidate {
-    DecodeCandidate { streams, same_domain, slots: 32, ..DecodeCandidate::default() }
+    let distance = if same_domain { Distance::SameDomain } else { Distance::SameRegion };
+    DecodeCandidate { streams, distance, slots: 32, ..DecodeCandidate::default() }
 }
 
 fn best(candidates: &[DecodeCandidate]) -> usize {
@@ -26,6 +28,15 @@
     assert_eq!(best(&[candidate(5, true), candidate(4, true)]), 1);
 }
 
+/// A KV cache that is sent to another region takes ten times as long, and its bytes are paid for. A
+/// stream would rather wait than that only where all engines of the region are full.
+#[test]
+fn engine_in_another_region_is_used_if_all_near_ones_are_full() {
+    let far = DecodeCandidate { distance: Distance::OtherRegion, ..candidate(0, true) };
+    assert_eq!(best(&[far, candidate(31, false)]), 1);
+    assert_eq!(best(&[far, candidate(40, false)]), 0);
+}
+
 /// The link of the engine with the fewest streams is slow. Transfers to it pile up until each waits
 /// for seconds.
 #[test]
--- a/crates/policy/tests/prefill.rs
+++ b/crates/policy/tests/prefill.rs
@@ -1,10 +1,12 @@
 //! Placement of prefill.
 
+use policy::distance::Topology;
 use policy::pace::Summary;
 use policy::prefill::{
     Placement, PrefillCandidate, PrefillRate, Prompt, Settings, colocated_duration, is_short,
     is_short_output, place, retry_after,
 };
+use std::sync::Arc;
 use std::time::Duration;
 
 const ENTRIES: u32 = 1;
@@ -384,3 +386,21 @@
     let duration = colocated_duration(&pool_with_pause_limit(), 15_000, 2);
     assert_eq!(duration, Duration::from_millis(200));
 }
+
+/// Between regions, copying a prefix takes as long as prefilling it, and its bytes are paid for.
+#[test]
+fn prefix_is_not_copied_between_regions() {
+    let mut candidates = vec![candidate(0), candidate(1)];
+    let mut settings = Settings::default();
+    let home = at(place(&settings, &prompt(5), &candidates, ENTRIES)).unwrap();
+    candidates[1 - home].cached_tokens = 6_000;
+    let copied = |settings: &Settings| match place(settings, &prompt(5), &candidates, ENTRIES) {
+        Placement::Prefill { copy_from, tokens, .. } => (copy_from, tokens),
+        Placement::Full(_) => panic!("both are idle"),
+    };
+    assert_eq!(copied(&settings), (Some(1 - home), 3_000));
+    settings.topology = Arc::new(Topology::new([(0, 7), (1, 7)]));
+    assert_eq!(copied(&settings), (Some(1 - home), 3_000), "both are in one region");
+    settings.topology = Arc::new(Topology::new([(0, 7), (1, 8)]));
+    assert_eq!(copied(&settings), (None, 9_000));
+}
