feat(direct): prompts and streams stay in their region unless it is full

Cause: the region of an engine plays no part in the order in which coordinators are asked. Change: prefill and decode placement use policy::region_order, with observed round trips and a learned share of cached tokens. A region whose coordinators don't respond is left out of the search. Cached parts are reported to the home in the region of the engine. Placements are counted and logged by distance.

--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -10,6 +10,7 @@
 use crate::exchange::gossip;
 use crate::exchange::membership;
 use crate::instrumented_log::InstrumentedLog;
+use crate::metrics::PlacedStep;
 use crate::probe;
 use crate::request::server::CallerServer;
 use crate::shared::{Shared, Stop};
@@ -231,7 +232,16 @@
     Distance::ALL.into_iter().filter_map(known).collect()
 }
 
-/// How often the datagrams that were sent are logged, and the round trips.
+/// How many prompts and outputs were placed at each distance since the start, if there were any.
+fn placements(shared: &Shared) -> Vec<(PlacedStep, Distance, u64)> {
+    let steps = PlacedStep::ALL.into_iter();
+    let all = steps.flat_map(|step| Distance::ALL.map(|distance| (step, distance)));
+    let counted =
+        all.map(|(step, distance)| (step, distance, shared.metrics.placements(step, distance)));
+    counted.filter(|(_, _, count)| *count > 0).collect()
+}
+
+/// How often the datagrams that were sent are logged, and the round trips and placements.
 const COSTS_INTERVAL: Duration = Duration::from_secs(10);
 
 async fn log_costs(shared: Arc<Shared>) {
@@ -244,6 +254,10 @@
                 mean_us = micros(estimate.mean()), upper_us = micros(estimate.upper());
                 "round trips");
         }
+        for (step, distance, count) in placements(&shared) {
+            log::info!(target: "costs", step = step.name(), distance = distance.name(), count;
+                "placements by distance");
+        }
     }
 }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -75,6 +75,32 @@
     }
 }
 
+/// A step of a generation that is counted by distance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacedStep {
+    /// The prefill of its prompt.
+    Prefill,
+    /// The decoding of its output.
+    Decode,
+}
+
+impl PlacedStep {
+    /// All steps.
+    pub const ALL: [Self; 2] = [Self::Prefill, Self::Decode];
+
+    /// Returns its name in log lines and metrics, as that of the attempts of this step.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Prefill => "read",
+            Self::Decode => "write",
+        }
+    }
+
+    fn labels(self, distance: Distance) -> CallLabels {
+        CallLabels { call: self.name().into(), kind: distance.name().into() }
+    }
+}
+
 /// All metrics of an entry.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -98,6 +124,7 @@
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     ages: Family<KindLabel, Gauge<f64, AtomicU64>>,
     round_trips: Family<KindLabel, Gauge<f64, AtomicU64>>,
+    placements: Family<CallLabels, Counter>,
     /// The version of the configuration in force.
     pub version: Gauge,
     /// The epoch of the log, see [`plat::epoch`].
@@ -148,6 +175,7 @@
             piece_times: Family::default(),
             ages: Family::default(),
             round_trips: Family::default(),
+            placements: Family::default(),
             version: Gauge::default(),
             epoch: Gauge::default(),
             targets: Gauge::default(),
@@ -213,6 +241,8 @@
         to.register("targets_paused", paused, self.paused.clone());
         let unknown = "Names that no decoder knows, sent by targets or the log";
         to.register("unknown_names", unknown, self.unknown_names.clone());
+        let placements = "Prompts prefilled, and outputs decoded, by distance";
+        to.register("placements", placements, self.placements.clone());
         let round_trips = "Mean round trip to other entries by distance";
         to.register("round_trip_seconds", round_trips, self.round_trips.clone());
         to.register("entries", "Entries that share the work", self.entries.clone());
@@ -353,6 +383,17 @@
         self.round_trips.get_or_create(&distance).set(mean.as_secs_f64());
     }
 
+    /// Counts a prompt that was prefilled at a distance from this entry, or an output that is decoded
+    /// at a distance from the engine that prefilled its prompt.
+    pub fn placement(&self, step: PlacedStep, distance: Distance) {
+        self.placements.get_or_create(&step.labels(distance)).inc();
+    }
+
+    /// Returns how many prompts or outputs were placed at a distance.
+    pub fn placements(&self, step: PlacedStep, distance: Distance) -> u64 {
+        self.placements.get_or_create(&step.labels(distance)).get()
+    }
+
     /// Counts an extra attempt as allowed or denied.
     pub fn extra(&self, allowed: bool) {
         let kind = if allowed { "allowed" } else { "denied" }.into();
--- a/crates/direct/src/request/decode_placement.rs
+++ b/crates/direct/src/request/decode_placement.rs
@@ -6,8 +6,9 @@
 //! chosen: prompts that were prefilled in time wait for a slot or for the link of one engine while
 //! others are free. **Approach.** As for prompts, see [`crate::request::prefill_placement`]. The
 //! group of the engine that prefilled the prompt is asked first, since a transfer takes half as
-//! long within a failure domain; the others are asked if its engines are half full. If no
-//! coordinator responds, the entry decides by its own view of the engines.
+//! long within a failure domain; the others are asked if its engines are half full, and those of
+//! other regions last, see [`policy::region_order`]. If no coordinator responds, the entry decides by
+//! its own view of the engines.
 
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::Group;
@@ -17,15 +18,12 @@
 use crate::request::permits::Permit;
 use crate::request::reservation::Reservation;
 use crate::targets::target::Target;
+use policy::distance::Distance;
+use policy::region_order::{self, DecodeStep};
 use policy::reservations::ReservationId;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How full an engine may be for a stream, in percent of its slots, for each group asked in turn.
-/// The last one may queue some: a stream that waits for one of its slots proceeds sooner than after
-/// another round of requests.
-const MAX_FILL_PERCENT: [u32; 4] = [50, 75, 100, 150];
-
 /// The longest time to live: a stream that was reserved longer ago has ended, even if the report of
 /// its end was lost.
 const MAX_TTL: Duration = Duration::from_secs(20);
@@ -55,12 +53,23 @@
     domain: &str,
 ) -> Option<DecodePlacement> {
     let groups = request.shared.groups(&request.service.name);
-    for (at, max_fill) in group_order(request, &groups, domain).into_iter().zip(MAX_FILL_PERCENT) {
-        let group = &groups[at];
-        let make_payload =
-            |id| Payload::DecodeRequest(decode_request(request, group, tried, id, max_fill));
-        let (response, coordinator) =
-            coordinator_client::call(request, group, request.route.objective, make_payload).await?;
+    let distance = |group: &Group| {
+        request.shared.settings.topology.distance(group.domain, policy::hash(domain))
+    };
+    for DecodeStep { group, max_fill_percent } in steps(request, &groups, distance) {
+        let group = &groups[group];
+        let make_payload = |id| {
+            Payload::DecodeRequest(decode_request(request, group, tried, id, max_fill_percent))
+        };
+        let answer =
+            coordinator_client::call(request, group, request.route.objective, make_payload).await;
+        let Some((response, coordinator)) = answer else {
+            // The links between regions may be cut while the near coordinators respond.
+            if distance(group) == Distance::OtherRegion {
+                continue;
+            }
+            return None;
+        };
         if let Some(Decision::Granted(granted)) = response.decision {
             let engine = group
                 .engines
@@ -76,23 +85,27 @@
     None
 }
 
-/// The groups to ask: those of the failure domain first, the others in random order, so that the
-/// streams that one group has no room for spread over all others. Groups without a decode engine
-/// are left out.
-fn group_order(request: &RequestContext, groups: &[Group], domain: &str) -> Vec<usize> {
+/// The groups to ask, the nearest first. Groups without a decode engine are left out.
+fn steps(
+    request: &RequestContext,
+    groups: &[Group],
+    distance: impl Fn(&Group) -> Distance,
+) -> Vec<DecodeStep> {
     let has_decode_engine = |group: &Group| {
         group
             .engines
             .iter()
             .any(|engine| engine.stage() == Some(crate::config::route::Stage::Decode))
     };
-    let eligible = (0..groups.len()).filter(|&at| has_decode_engine(&groups[at]));
-    let is_remote = |at: usize| groups[at].engines.iter().all(|engine| engine.domain != domain);
-    let mut order: Vec<_> =
-        eligible.map(|at| (is_remote(at), request.shared.random(), at)).collect();
-    order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-    // A single group, or the last of few, may be filled as far as the last of many.
-    order.into_iter().map(|(_, _, at)| at).cycle().take(MAX_FILL_PERCENT.len()).collect()
+    let eligible: Vec<usize> =
+        (0..groups.len()).filter(|&at| has_decode_engine(&groups[at])).collect();
+    let distances: Vec<Distance> = eligible.iter().map(|&at| distance(&groups[at])).collect();
+    let random: Vec<f64> = eligible.iter().map(|_| request.shared.random()).collect();
+    let mut steps = region_order::for_decode(&distances, &random);
+    for step in &mut steps {
+        step.group = eligible[step.group];
+    }
+    steps
 }
 
 fn decode_request(
--- a/crates/direct/src/request/generate.rs
+++ b/crates/direct/src/request/generate.rs
@@ -126,6 +126,7 @@
     let untried = untried.filter(|engine| engine.closed_for(now).is_none());
     let max_gap = request.route.max_gap.unwrap_or_default();
     let prefill = request.shared.prefill_settings(&request.service.name);
+    let topology = &request.shared.settings.topology;
     let offers = untried.map(|engine| {
         let others = request.shared.peers.load_at(engine.key);
         let streams = engine.engine.streams() + others.streams;
@@ -140,7 +141,7 @@
             transfer_excess: engine.transfer_excess(TransferDirection::In, now),
             streams,
             slots: engine.slots,
-            same_domain: engine.domain == domain,
+            distance: topology.distance(engine.domain_key, policy::hash(domain)),
         };
         Offer { candidate, engine, random: request.shared.random() }
     });
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -168,6 +168,15 @@
         record_prefill(&self.request, &self.prompt, &attempt.target, reservation);
         let success = responded.response.status().is_success();
         if success {
+            match &self.prompt_state {
+                PromptState::Cached(cache) => {
+                    self.request.shared.record_decode_placement(cache.holder(), &attempt.target);
+                }
+                PromptState::Engine(_) | PromptState::AnyEngine => {
+                    self.request.shared.record_prefill_placement(&attempt.target);
+                    self.request.shared.record_decode_placement(&attempt.target, &attempt.target);
+                }
+            }
             // Engines send the head of their response with the first token.
             self.request.count_usage(Instant::now());
         }
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -358,6 +358,7 @@
                 duration,
             );
             record_prefill(request, prompt, engine, reservation);
+            request.shared.record_prefill_placement(engine);
             let handle = KvHandle { holder: engine.address, id };
             return Some(HeldCache::new(request, engine, handle));
         }
--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -1,18 +1,23 @@
 //! Reserves an engine that can prefill a prompt in time, by asking the coordinators of groups in
 //! the order that all prompts with its prefix hash use. If no coordinator of a group responds, this
 //! entry decides by the load that the other entries reported, as it would without coordinators.
+//!
+//! Groups of other regions are asked if enough time is left. One whose coordinators don't respond is
+//! left out with its region, since more likely the links between the regions are cut.
 
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::{Group, Member};
 use crate::cluster::messages::{
-    CachedPrefix, Decision, Granted, Parts, Payload, PrefillRequest, Refused,
+    CachedPrefix, Decision, Granted, Parts, Payload, PrefillRequest, Refused, Response,
 };
 use crate::codec::Prompt;
 use crate::request::context::RequestContext;
 use crate::request::coordinator_client;
 use crate::request::permits::Permit;
-use crate::request::reservation::{Reservation, group_order};
+use crate::request::region_steps::{self, PromptStep};
+use crate::request::reservation::Reservation;
 use crate::targets::target::Target;
+use policy::Hash;
 use policy::prefill;
 use policy::reservations::ReservationId;
 use std::sync::Arc;
@@ -67,22 +72,38 @@
         cached_prefix: None,
         retry_after: None,
         unanswered: Vec::new(),
+        began: Instant::now(),
+        silent_regions: Vec::new(),
     };
     let mut decode_group = None;
-    let order = group_order(&groups, requirements.prefix_hash);
-    for (asked, &at) in order.iter().enumerate() {
-        match search.ask_group(&groups[at], false).await {
+    let steps = region_steps::for_prompt(request, &groups, prompt, requirements.prefix_hash);
+    for (asked, step) in steps.iter().enumerate() {
+        let group = &groups[step.group];
+        // A decode engine of the own region costs less than the way to another one.
+        if step.far.is_some()
+            && let Some(at) = decode_group.take()
+            && let GroupResponse::Reserved(reserved) =
+                search.ask_group(&groups[at], None, requirements.objective).await
+        {
+            return SearchResult::Reserved(reserved);
+        }
+        let Some(objective) = search.objective_at(group, step) else { continue };
+        match search.ask_group(group, Some(step), objective).await {
             GroupResponse::Reserved(reserved) => return SearchResult::Reserved(reserved),
             GroupResponse::Full { decode_engine } => {
                 if decode_engine {
-                    decode_group.get_or_insert(at);
+                    decode_group.get_or_insert(step.group);
                 }
             }
+            GroupResponse::NoResponse if step.far.is_some() => {
+                search.silent_regions.push(search.region(group));
+            }
             // Neither of two coordinators responded: more likely this entry's own link is full or
             // cut than theirs. Waiting for those of each other group as well would cost the caller
             // half of the objective.
             GroupResponse::NoResponse => {
-                let rest = order[asked..].iter().flat_map(|&at| &groups[at].engines);
+                let rest = steps[asked..].iter().filter(|step| step.far.is_none());
+                let rest = rest.flat_map(|step| &groups[step.group].engines);
                 search.unanswered.extend(rest.cloned());
                 break;
             }
@@ -90,7 +111,8 @@
     }
     // Decode engines are asked only where no prefill engine has room.
     if let Some(at) = decode_group
-        && let GroupResponse::Reserved(reserved) = search.ask_group(&groups[at], true).await
+        && let GroupResponse::Reserved(reserved) =
+            search.ask_group(&groups[at], None, requirements.objective).await
     {
         return SearchResult::Reserved(reserved);
     }
@@ -109,6 +131,9 @@
     retry_after: Option<Duration>,
     /// Engines of groups of which no coordinator responded.
     unanswered: Vec<Arc<Target>>,
+    began: Instant,
+    /// Other regions of which no coordinator responded.
+    silent_regions: Vec<Hash>,
 }
 
 /// The result of asking the coordinators of one group.
@@ -122,15 +147,48 @@
 }
 
 impl Search<'_> {
-    async fn ask_group(&mut self, group: &Group, use_decode_engines: bool) -> GroupResponse {
-        let make_payload =
-            |id| Payload::PrefillRequest(self.prefill_request(group, use_decode_engines, id));
-        let objective = self.requirements.objective;
+    /// Returns within which time the first piece is due, as seen by the group of a step; `None` if
+    /// the prompt would be late there or nobody responds in its region.
+    fn objective_at(&self, group: &Group, step: &PromptStep) -> Option<Duration> {
+        let Some(network_delay) = step.far else { return Some(self.requirements.objective) };
+        if self.silent_regions.contains(&self.region(group)) {
+            return None;
+        }
+        let (prompt, elapsed) = (self.prompt, self.began.elapsed());
+        let requirements = self.requirements;
+        region_steps::objective_in_region(
+            self.request,
+            prompt,
+            requirements,
+            elapsed,
+            network_delay,
+        )
+    }
+
+    fn region(&self, group: &Group) -> Hash {
+        self.request.shared.settings.topology.region(group.domain)
+    }
+
+    /// Asks a group for an engine that prefills, or for a decode engine without a step.
+    async fn ask_group(
+        &mut self,
+        group: &Group,
+        step: Option<&PromptStep>,
+        objective: Duration,
+    ) -> GroupResponse {
+        let make_payload = |id| {
+            Payload::PrefillRequest(self.prefill_request(group, step.is_none(), objective, id))
+        };
         let Some((response, coordinator)) =
             coordinator_client::call(self.request, group, objective, make_payload).await
         else {
             return GroupResponse::NoResponse;
         };
+        if let Some(step) = step.filter(|step| step.is_home)
+            && let Some(cached) = self.cached_tokens(&response)
+        {
+            region_steps::record_hit(self.request, self.prompt, step.far.is_some(), cached);
+        }
         match response.decision {
             Some(Decision::Granted(granted)) => {
                 match self.accept_grant(&granted, response.reservation, &coordinator) {
@@ -143,10 +201,24 @@
         }
     }
 
+    /// Returns how many tokens of the prompt the group that sent a response has cached.
+    fn cached_tokens(&self, response: &Response) -> Option<u64> {
+        match &response.decision {
+            Some(Decision::Granted(granted)) => {
+                Some(u64::from(self.prompt.input_tokens).saturating_sub(granted.tokens))
+            }
+            Some(Decision::Refused(refused)) => {
+                Some(refused.cached_prefix.map_or(0, |prefix| prefix.tokens.into()))
+            }
+            Some(Decision::Permitted(_)) | None => None,
+        }
+    }
+
     fn prefill_request(
         &self,
         group: &Group,
         use_decode_engines: bool,
+        objective: Duration,
         id: ReservationId,
     ) -> PrefillRequest {
         let now = Instant::now();
@@ -162,8 +234,7 @@
             service: short_hash(policy::hash(&self.request.service.name)),
             prefix_hash: self.requirements.prefix_hash,
             tokens: self.prompt.input_tokens,
-            objective_ms: u32::try_from(self.requirements.objective.as_millis())
-                .unwrap_or(u32::MAX),
+            objective_ms: u32::try_from(objective.as_millis()).unwrap_or(u32::MAX),
             late: self.requirements.late,
             parts: Some(Parts::new(&self.prompt.parts)),
             avoid: avoid.map(short_hash).collect(),
--- a/crates/direct/src/request/reservation.rs
+++ b/crates/direct/src/request/reservation.rs
@@ -7,6 +7,7 @@
 use crate::exchange::coordination;
 use crate::shared::Shared;
 use crate::targets::target::Target;
+use policy::distance::Distance;
 use policy::reservations::ReservationId;
 use policy::{Hash, groups};
 use std::sync::Arc;
@@ -113,8 +114,8 @@
 }
 
 /// Sends a report to the coordinators of the engine's group and, if it lists cached parts, also to
-/// those of the group that is asked first for prompts with this prefix hash. Returns whom it was
-/// sent to.
+/// those of the group that is asked first for prompts with this prefix hash in the engine's region.
+/// Returns whom it was sent to.
 ///
 /// A cached prefix is looked for in the group that its prompts ask first, but engines of other
 /// failure domains also cache it after they decoded for it or prefilled it while the first were
@@ -129,7 +130,7 @@
     let groups = shared.groups(&engine.service);
     let lists_engine = |group: &&Group| group.engines.iter().any(|other| other.key == engine.key);
     let own = groups.iter().find(lists_engine);
-    let first = group_order(&groups, prefix_hash).first().map(|&at| &groups[at]);
+    let first = first_group(shared, &groups, engine, prefix_hash);
     let first = first.filter(|_| report.cached.is_some());
     let mut notified: Vec<Member> = Vec::new();
     for coordinator in own.into_iter().chain(first).flat_map(|group| &group.coordinators) {
@@ -141,6 +142,21 @@
     notified
 }
 
+/// The group that is asked first for prompts with this prefix hash in the region of an engine.
+fn first_group<'a>(
+    shared: &Shared,
+    groups: &'a [Group],
+    engine: &Target,
+    prefix_hash: Hash,
+) -> Option<&'a Group> {
+    let topology = &shared.settings.topology;
+    let is_near =
+        |group: &&Group| topology.distance(group.domain, engine.domain_key) < Distance::OtherRegion;
+    let near: Vec<&Group> = groups.iter().filter(is_near).collect();
+    let keys: Vec<Hash> = near.iter().map(|group| group.key).collect();
+    groups::order(&keys, prefix_hash).first().map(|&at| near[at])
+}
+
 /// The order in which groups are asked for prompts with this prefix hash.
 pub fn group_order(all: &[Group], prefix_hash: Hash) -> Vec<usize> {
     let keys: Vec<Hash> = all.iter().map(|group| group.key).collect();
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -9,9 +9,9 @@
 use crate::cluster::tail::{Tail, Timing, Topic};
 use crate::cluster::usage::Usage;
 use crate::codec::Codec;
-use crate::config::route::{Route, RouteName, Service, Table};
+use crate::config::route::{Route, RouteName, Service, ServiceName, Table};
 use crate::durations::Durations;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, PlacedStep};
 use crate::targets::fleet::Fleet;
 use crate::targets::target::Target;
 use crate::targets::workload::Workload;
@@ -19,6 +19,7 @@
 use plat::Offset;
 use plat::epoch::Epoch;
 use policy::distance::{Distance, Topology};
+use policy::region_order::HitShares;
 use policy::{
     Hash, connect_timeout, extra_budget, link, prefill, retry_detection, split, succession,
 };
@@ -129,6 +130,8 @@
     connect_timeouts: Mutex<connect_timeout::ConnectTimeouts>,
     /// Detects retries, by route.
     retry_detectors: Mutex<HashMap<RouteName, retry_detection::RetryDetector>>,
+    /// How much of a prompt is found cached, by service.
+    hit_shares: Mutex<HashMap<ServiceName, HitShares>>,
     /// The budgets of extra attempts, by service.
     extra_budgets: Mutex<HashMap<CompactString, extra_budget::ExtraBudget>>,
     entries: AtomicU32,
@@ -151,7 +154,8 @@
 
 impl Shared {
     /// Creates the state of an entry that has just started.
-    pub fn new(settings: Settings, codec: Arc<dyn Codec>, seed: u64) -> Self {
+    pub fn new(mut settings: Settings, codec: Arc<dyn Codec>, seed: u64) -> Self {
+        settings.prefill.topology = Arc::new(settings.topology.clone());
         let workload: Arc<Workload> = Arc::default();
         let link = Mutex::new(link::Link::new(settings.link.clone()));
         let incarnation = policy::hash(&format!("{} {:?}", std::process::id(), Instant::now()));
@@ -178,6 +182,7 @@
             link,
             connect_timeouts: Mutex::default(),
             retry_detectors: Mutex::default(),
+            hit_shares: Mutex::default(),
             extra_budgets: Mutex::default(),
             entries: AtomicU32::new(1),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
@@ -345,6 +350,30 @@
         }
     }
 
+    /// Counts a prompt that `engine` prefilled.
+    pub fn record_prefill_placement(&self, engine: &Target) {
+        let distance = self.distance_from_here(engine.domain_key);
+        self.metrics.placement(PlacedStep::Prefill, distance);
+    }
+
+    /// Counts an output that `engine` decodes, for a prompt that `source` prefilled.
+    pub fn record_decode_placement(&self, source: &Target, engine: &Target) {
+        let distance = self.settings.topology.distance(source.domain_key, engine.domain_key);
+        self.metrics.placement(PlacedStep::Decode, distance);
+    }
+
+    /// How much of a prompt of a service is found cached where it is looked for first.
+    pub fn hit_shares(&self, service: &ServiceName) -> HitShares {
+        let known = self.hit_shares.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(service).copied().unwrap_or_default()
+    }
+
+    /// Records the share of a prompt that was found cached there, in the own or another region.
+    pub fn record_hit(&self, service: &ServiceName, is_far: bool, share: f64) {
+        let mut known = self.hit_shares.lock().unwrap_or_else(PoisonError::into_inner);
+        known.entry(service.clone()).or_default().record(is_far, share);
+    }
+
     /// Records the time that an engine of a service needed to prefill `tokens`: a prompt and what
     /// was queued before it.
     pub fn record_prefill_time(&self, service: &str, tokens: u64, duration: Duration) {
