feat(direct): peers in other regions get every second state

Cause: states of entries are most of what is sent between regions besides KV cache. Change: a peer in another region is left out at every second turn, unless its state would then be older than 300 ms. The interval of all others stays.

--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -2,12 +2,13 @@
 
 use crate::cluster::groups::Member;
 use policy::dissemination::Recipient;
+use policy::distance::{Distance, Topology};
 use policy::groups::Entry;
 use policy::membership::{Due, Incarnation, Membership, Node, Settings, Source, Update};
 use policy::{Hash, Time, dissemination, succession};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -41,6 +42,8 @@
     pub near: Arc<[SocketAddr]>,
     /// Those in other failure domains.
     pub far: Arc<[SocketAddr]>,
+    /// Those among `far` in other regions.
+    pub other_regions: Arc<HashSet<SocketAddr>>,
 }
 
 impl Addresses {
@@ -58,6 +61,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    topology: Topology,
     /// Set once the entry's own address is known.
     membership: Option<(Membership, ChaCha8Rng)>,
     /// Entries of builds before the membership, with the time of their last heartbeat in the log.
@@ -74,6 +78,11 @@
 }
 
 impl Members {
+    /// Creates the view of an entry that has not heard of any other, in these regions.
+    pub fn new(topology: Topology) -> Self {
+        Self { inner: Mutex::new(Inner { topology, ..Inner::default() }) }
+    }
+
     /// Starts to take part, as the node itself describes it.
     pub fn start(&self, node: Node, incarnation: Incarnation, seed: u64) {
         let membership = Membership::new(Settings::default(), node, incarnation);
@@ -230,7 +239,15 @@
             let found = members.iter().filter(|member| (member.domain == own.domain) == near);
             found.filter_map(|member| member.address).collect()
         };
-        self.addresses = Addresses { near: addresses(true), far: addresses(false) };
+        let other_regions = members.iter().filter(|member| {
+            self.topology.distance(member.domain, own.domain) == Distance::OtherRegion
+        });
+        let other_regions = other_regions.filter_map(|member| member.address).collect();
+        self.addresses = Addresses {
+            near: addresses(true),
+            far: addresses(false),
+            other_regions: Arc::new(other_regions),
+        };
         let recipient = |member: &Member| {
             let position = dissemination::position(member.domain, member.key);
             Recipient { position, link_rate: member.link_rate }
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -5,6 +5,7 @@
 use crate::cluster::loads::Loads;
 use crate::cluster::members::{Addresses, Members};
 use policy::Hash;
+use policy::distance::Topology;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -20,6 +21,11 @@
 /// domains are paid for.
 const MAX_NEAR_RECIPIENTS: usize = 12;
 
+/// The longest interval at which state is sent to a peer in another region because of the distance;
+/// it is longer only where all peers take turns for that long. With half of the bytes between
+/// regions, the state there is as old as that of a peer behind a small link.
+const MAX_REMOTE_INTERVAL: Duration = Duration::from_millis(300);
+
 /// How long the state of a peer is valid, multiplied by the number of rounds that it needs to send
 /// to all others, up to [`MAX_STATE_ROUNDS`].
 const STATE_TTL: Duration = Duration::from_millis(700);
@@ -40,8 +46,26 @@
     inner: Mutex<Inner>,
 }
 
+/// The peers that receive the next datagram.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Recipients {
+    /// Their addresses.
+    pub addresses: Vec<SocketAddr>,
+    /// The number of peers whose turn it was, including those in other regions that get the next
+    /// datagram instead.
+    pub turns: usize,
+}
+
+/// When a peer in another region had its last turn, and when state was last sent to it.
+#[derive(Debug, Clone, Copy)]
+struct RemoteTurn {
+    turn: Instant,
+    sent: Instant,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
+    remote_turns: HashMap<SocketAddr, RemoteTurn>,
     /// The indexes of the first near and far address of the next round.
     next: (usize, usize),
     /// Peers whose state was received lately.
@@ -62,6 +86,11 @@
 }
 
 impl Peers {
+    /// Creates the peers of an entry that has not heard of any other, in these regions.
+    pub fn new(topology: Topology) -> Self {
+        Self { directory: Members::new(topology), inner: Mutex::default() }
+    }
+
     /// Returns the work of the other entries at an engine.
     pub fn load_at(&self, engine: Hash) -> PeerLoad {
         self.lock().totals.get(&short_hash(engine)).copied().unwrap_or_default()
@@ -86,13 +115,13 @@
         self.directory.snapshot()
     }
 
-    /// Returns the peers whose turn it is to receive the next datagram. Drops the work of peers
-    /// whose state was not renewed.
-    pub fn recipients(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Returns the peers whose turn it is to receive the next datagram; those in other regions only
+    /// at every second turn. Drops the work of peers whose state was not renewed.
+    pub fn recipients(&self, now: Instant) -> Recipients {
         let addresses = self.directory.addresses();
         let mut inner = self.lock();
         inner.expire(&addresses, now);
-        inner.next_recipients(&addresses)
+        inner.next_recipients(&addresses, now)
     }
 
     /// Applies the state of an entry; returns `false` if a newer one is known.
@@ -148,11 +177,33 @@
     }
 
     /// Returns the peers whose turn it is, and advances to the next round.
-    fn next_recipients(&mut self, addresses: &Addresses) -> Vec<SocketAddr> {
+    fn next_recipients(&mut self, addresses: &Addresses, now: Instant) -> Recipients {
         let (near, far) = recipient_counts(addresses);
         let mut round = turn(&addresses.near, &mut self.next.0, near);
         round.extend(turn(&addresses.far, &mut self.next.1, far));
-        round
+        let turns = round.len();
+        round.retain(|address| {
+            !addresses.other_regions.contains(address) || self.is_due(*address, now)
+        });
+        self.remote_turns.retain(|address, _| addresses.other_regions.contains(address));
+        Recipients { addresses: round, turns }
+    }
+
+    /// Returns whether state is sent to a peer in another region at this turn: after one that was
+    /// skipped, or if the next turn would be too late.
+    fn is_due(&mut self, address: SocketAddr, now: Instant) -> bool {
+        let Some(known) = self.remote_turns.get_mut(&address) else {
+            self.remote_turns.insert(address, RemoteTurn { turn: now, sent: now });
+            return true;
+        };
+        let next = now + now.duration_since(known.turn);
+        let was_skipped = known.sent < known.turn;
+        let due = was_skipped || next.duration_since(known.sent) > MAX_REMOTE_INTERVAL;
+        known.turn = now;
+        if due {
+            known.sent = now;
+        }
+        due
     }
 
     fn expire(&mut self, addresses: &Addresses, now: Instant) {
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -19,6 +19,7 @@
 use crate::cluster::messages::{
     ConfigRequest, Decision, Envelope, Granted, Payload, RecordsRequest, Report, Response,
 };
+use crate::cluster::peers::Recipients;
 use crate::cluster::tail::Topic;
 use crate::exchange::{catch_up, coordination, dissemination, membership};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
@@ -62,7 +63,7 @@
         // Ends early when something has changed.
         let _ = timeout(KEEPALIVE, shared.workload.changed()).await;
         sequence += 1;
-        let addresses = shared.peers.recipients(Instant::now());
+        let Recipients { addresses, turns } = shared.peers.recipients(Instant::now());
         let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.snapshot());
         let clock = clock::time_of_day();
         let unavailable = shared.workload.availability.snapshot(Instant::now());
@@ -90,7 +91,7 @@
                     "state not sent");
             }
         }
-        let peers = u32::try_from(addresses.len()).unwrap_or(u32::MAX);
+        let peers = u32::try_from(turns).unwrap_or(u32::MAX);
         let steps = peers.div_ceil(PEERS_PER_STEP).max(1);
         let interval = (MIN_INTERVAL * steps * steps).min(MAX_DATAGRAM_INTERVAL);
         let takes_long_turns = shared.peers.directory.addresses().count() > LONG_TURNS;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -162,6 +162,7 @@
         let first_id = policy::mix(policy::hash(&settings.name), incarnation);
         let tail = Tail::new(first_id, settings.timing);
         let groups = groups::Cache::new(settings.topology.clone());
+        let peers = Peers::new(settings.topology.clone());
         Self {
             settings,
             codec,
@@ -169,7 +170,7 @@
             suspects: Suspects::default(),
             durations: Durations::default(),
             metrics: Arc::default(),
-            peers: Peers::default(),
+            peers,
             coordinator: Coordinator::default(),
             usage: Usage::default(),
             peer_socket: PeerSocket::new(first_id),
