fix(direct): a decode engine of another region is asked with the time left there

Cause: the last request to a group's decode engines used the whole objective, also in another region; and the order of prompts read the state of each engine once per group. Change: the objective is kept with the group; domains with decode engines are found once per prompt.

--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -81,9 +81,9 @@
         let group = &groups[step.group];
         // A decode engine of the own region costs less than the way to another one.
         if step.far.is_some()
-            && let Some(at) = decode_group.take()
+            && let Some((at, objective)) = decode_group.take()
             && let GroupResponse::Reserved(reserved) =
-                search.ask_group(&groups[at], None, requirements.objective).await
+                search.ask_group(&groups[at], None, objective).await
         {
             return SearchResult::Reserved(reserved);
         }
@@ -92,7 +92,7 @@
             GroupResponse::Reserved(reserved) => return SearchResult::Reserved(reserved),
             GroupResponse::Full { decode_engine } => {
                 if decode_engine {
-                    decode_group.get_or_insert(step.group);
+                    decode_group.get_or_insert((step.group, objective));
                 }
             }
             GroupResponse::NoResponse if step.far.is_some() => {
@@ -110,9 +110,9 @@
         }
     }
     // Decode engines are asked only where no prefill engine has room.
-    if let Some(at) = decode_group
+    if let Some((at, objective)) = decode_group
         && let GroupResponse::Reserved(reserved) =
-            search.ask_group(&groups[at], None, requirements.objective).await
+            search.ask_group(&groups[at], None, objective).await
     {
         return SearchResult::Reserved(reserved);
     }
@@ -131,6 +131,7 @@
     retry_after: Option<Duration>,
     /// Engines of groups of which no coordinator responded.
     unanswered: Vec<Arc<Target>>,
+    /// When the search began.
     began: Instant,
     /// Other regions of which no coordinator responded.
     silent_regions: Vec<Hash>,
--- a/crates/direct/src/request/region_steps.rs
+++ b/crates/direct/src/request/region_steps.rs
@@ -6,14 +6,14 @@
 use crate::config::route::Stage;
 use crate::request::context::RequestContext;
 use crate::request::reservation::group_order;
-use crate::targets::target::{Target, TransferDirection};
-use policy::distance::Distance;
+use crate::targets::target::Target;
+use policy::distance::{Distance, Topology};
 use policy::region_order::{self, Candidate};
 use policy::transfer::TransferTime;
 use policy::{Hash, prefill};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// The share of the objective that a round trip to another region counts as until one was measured.
 const UNKNOWN_ROUND_TRIP_SHARE: f64 = 0.1;
@@ -86,11 +86,13 @@
 
 fn candidates(request: &RequestContext, groups: &[Group]) -> Vec<Candidate> {
     let shared = &request.shared;
-    let now = Instant::now();
+    let decodes = |engine: &Arc<Target>| engine.stage() != Some(Stage::Prefill);
+    let decode_groups = groups.iter().filter(|group| group.engines.iter().any(decodes));
+    let decode_domains: BTreeSet<Hash> = decode_groups.map(|group| group.domain).collect();
     let candidate = |group: &Group| {
         let distance = shared.distance_from_here(group.domain);
         let round_trip = round_trip(request, group, distance);
-        let transfer = transfer_time(request, groups, group, now);
+        let transfer = transfer_time(&shared.settings.topology, &decode_domains, group.domain);
         Candidate { key: group.key, distance, round_trip, transfer }
     };
     groups.iter().map(candidate).collect()
@@ -114,19 +116,9 @@
     estimate.map_or(unknown, |estimate| estimate.mean())
 }
 
-/// The duration of a transfer from an engine of the group to the nearest decode engine.
-fn transfer_time(
-    request: &RequestContext,
-    groups: &[Group],
-    group: &Group,
-    now: Instant,
-) -> Duration {
-    let topology = &request.shared.settings.topology;
-    let decodes = |engine: &Arc<Target>| engine.stage() != Some(Stage::Prefill);
-    let decode_groups = groups.iter().filter(|other| other.engines.iter().any(decodes));
-    let nearest = decode_groups.map(|other| topology.distance(group.domain, other.domain)).min();
-    let excess = group.engines.iter();
-    let excess = excess.map(|engine| engine.transfer_excess(TransferDirection::Out, now)).min();
+/// The usual duration of a transfer from an engine in `domain` to the nearest decode engine.
+fn transfer_time(topology: &Topology, decode_domains: &BTreeSet<Hash>, domain: Hash) -> Duration {
+    let distances = decode_domains.iter().map(|&other| topology.distance(domain, other));
     let usual = TransferTime::default().expected(policy::Time::ZERO);
-    (usual + excess.unwrap_or_default()) * nearest.unwrap_or_default().transfer_factor()
+    usual * distances.min().unwrap_or_default().transfer_factor()
 }
