fix(policy): engines stop decoding only for demand seen over two horizons

Cause: a plan followed the phase of prompts that was just ending. Change: demand is remembered for two horizons, a phase of each kind, before an engine stops decoding; the way back still follows the last horizon at once.

--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -27,7 +27,7 @@
 use plat::KeyedLog;
 use policy::demand::{DemandTracker, EngineProfile, PromptProfile};
 use policy::pace::slow_engines;
-use policy::split::{self, ChangeTime, Demand, Engine, EngineRole, Pool};
+use policy::split::{self, ChangeTime, Engine, EngineRole, History, Pool};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -216,11 +216,12 @@
         }
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
         let prefill = split::count_prefill(&engines);
-        let demands = self.demands(service, state);
+        let history = self.history(service, state);
+        let settings = &self.shared.settings.split;
         let desired = match missing {
-            Some(_) => split::desired_prefill(&self.shared.settings.split, &demands, engines.len()),
+            Some(_) => split::desired_prefill(settings, &history.recent, engines.len()),
             None if state.demand.is_idle() => self.first_prefill(&engines)?,
-            None => self.required_prefill(service, &engines, &demands, state.demand.observed())?,
+            None => self.required_prefill(service, &engines, &history)?,
         };
         let changes = split::engines_to_change(&engines, desired);
         let allowed = changes.into_iter().filter(|&at| self.may_order(&staged[at].0.id, now));
@@ -248,8 +249,7 @@
         &self,
         service: &Service,
         engines: &[Engine],
-        demands: &[Demand],
-        observed: Duration,
+        history: &History,
     ) -> Option<usize> {
         let count_available =
             |role| engines.iter().filter(|engine| engine.available && engine.role == role).count();
@@ -263,19 +263,24 @@
             colocated_share: self.colocated_share(service),
         };
         let change_time = self.change_time(service);
-        let desired =
-            split::choose(&self.shared.settings.split, demands, pool, change_time, observed)?;
+        let desired = split::choose(&self.shared.settings.split, history, pool, change_time)?;
         // Unavailable engines are left as they are.
         let unavailable = split::count_prefill(engines).saturating_sub(pool.prefill);
         split::clamp_prefill(engines.len(), desired + unavailable)
     }
 
-    /// The demand of the last seconds; none until demand and the speed of the engines are known.
-    fn demands(&self, service: &Service, state: &ServiceState) -> Vec<Demand> {
-        let Some((profile, prompts)) = self.profiles(service) else { return Vec::new() };
+    /// The demand observed so far; none until demand and the speed of the engines are known.
+    fn history(&self, service: &Service, state: &ServiceState) -> History {
+        let Some((profile, prompts)) = self.profiles(service) else { return History::default() };
         let change_time = self.change_time(service);
-        let memory = split::horizon(&self.shared.settings.split, change_time);
-        state.demand.demands(&profile, &prompts, memory, change_time.to_decode)
+        let horizon = split::horizon(&self.shared.settings.split, change_time);
+        let demands =
+            |memory| state.demand.demands(&profile, &prompts, memory, change_time.to_decode);
+        History {
+            recent: demands(horizon),
+            long: demands(horizon * split::LONG_HORIZONS),
+            observed: state.demand.observed(),
+        }
     }
 
     /// What a decode engine without streams can prefill, relative to a prefill engine.
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -142,54 +142,65 @@
     share(lost.prefill, total.prefill) + share(lost.decode, total.decode)
 }
 
-/// Returns how many engines should prefill instead, if a change is worth what it costs, by the
-/// `demands` of the last `observed`.
+/// Returns how many engines should prefill instead, if a change is worth what it costs.
 ///
-/// What has been observed for a time is expected to last as long again. A decode engine first has to
-/// finish its streams, a burst of prompts is over by then, and the engine has to change back, so the
-/// time for which it is missing counts twice. A prefill engine changes at once, and streams that rise
-/// last for seconds, so that more of them are certain.
+/// Engines that start to decode change at once, for the demand of the last horizon. Engines that
+/// stop decoding first have to finish their streams, and are missing again while they change back,
+/// so the time for which they are missing counts twice. They stop only for demand observed for two
+/// horizons: phases of prompts and of streams alternate, and one phase that has lasted for seconds
+/// says nothing about the streams of the next one.
 pub fn choose(
     settings: &Settings,
-    demands: &[Demand],
+    history: &History,
     pool: Pool,
     change_time: ChangeTime,
-    observed: Duration,
 ) -> Option<usize> {
     let all = pool.prefill + pool.decode;
-    let horizon = horizon(settings, change_time).as_secs_f64();
-    let present = shortage(settings, demands, pool);
+    let horizon = horizon(settings, change_time);
     let mut best: Option<(f64, usize)> = None;
     for prefill in candidates(all) {
         let moved = prefill.abs_diff(pool.prefill);
-        if moved == 0 {
+        let stops_decoding = prefill > pool.prefill;
+        if moved == 0 || (stops_decoding && history.observed < horizon * LONG_HORIZONS) {
             continue;
         }
         let after = pool.with_prefill(prefill);
-        let (during, outage) = if prefill > pool.prefill {
-            (Pool { prefill: pool.prefill, ..after }, change_time.to_prefill)
+        let (demands, during, outage, missing) = if stops_decoding {
+            let during = Pool { prefill: pool.prefill, ..after };
+            (&history.long, during, change_time.to_prefill, change_time.to_prefill * 2)
         } else {
-            (Pool { prefill: pool.prefill - moved, ..pool }, change_time.to_decode)
+            let during = Pool { prefill: pool.prefill - moved, ..pool };
+            (&history.recent, during, change_time.to_decode, change_time.to_decode)
         };
-        let outage = outage.as_secs_f64();
-        let expected = if prefill > pool.prefill {
-            horizon.min(observed.as_secs_f64()) - outage * 2.0
-        } else {
-            horizon - outage
-        };
-        let saved = (present - shortage(settings, demands, after)) * expected.max(0.0);
-        let spent = (shortage(settings, demands, during) - present) * outage;
+        let present = shortage(settings, demands, pool);
+        let expected = horizon.saturating_sub(missing).as_secs_f64();
+        let saved = (present - shortage(settings, demands, after)) * expected;
+        let spent = (shortage(settings, demands, during) - present) * outage.as_secs_f64();
         let gain = saved - spent;
         let is_better = best.is_none_or(|(most, at)| {
             gain > most + TIE || (gain > most - TIE && moved < at.abs_diff(pool.prefill))
         });
-        if gain > settings.min_gain * horizon && is_better {
+        if gain > settings.min_gain * horizon.as_secs_f64() && is_better {
             best = Some((gain, prefill));
         }
     }
     best.map(|(_, prefill)| prefill)
 }
 
+/// Demand as it was observed, oldest first.
+#[derive(Debug, Clone, Default)]
+pub struct History {
+    /// The demands of the last [`horizon`], and the one that is expected next.
+    pub recent: Vec<Demand>,
+    /// The same for [`LONG_HORIZONS`] times as long.
+    pub long: Vec<Demand>,
+    /// For how long demand has been observed.
+    pub observed: Duration,
+}
+
+/// Horizons for which demand is remembered before engines stop decoding: a phase of each kind.
+pub const LONG_HORIZONS: u32 = 2;
+
 /// Gains that differ by less are equal: the change that moves fewer engines is made.
 const TIE: f64 = 1e-9;
 
--- a/crates/policy/tests/split.rs
+++ b/crates/policy/tests/split.rs
@@ -3,7 +3,7 @@
 use policy::demand::{DemandTracker, EngineProfile, PromptProfile};
 use policy::prefill;
 use policy::split::{
-    ChangeTime, Demand, Engine, EngineRole, Pool, Settings, choose, colocated_share,
+    ChangeTime, Demand, Engine, EngineRole, History, Pool, Settings, choose, colocated_share,
     desired_prefill, engines_to_change, horizon, is_unbalanced, missing_role, prefill_utilization,
     shortage,
 };
@@ -19,7 +19,12 @@
 /// Share of a prefill engine's rate that a decode engine without streams has.
 const SHARE: f64 = 0.5;
 
-const OBSERVED: Duration = Duration::from_secs(30);
+/// Longer than two horizons of [`CHANGE_TIME`], so that engines may stop decoding.
+const OBSERVED: Duration = Duration::from_secs(60);
+
+fn history(demands: &[Demand], observed: Duration) -> History {
+    History { recent: demands.to_vec(), long: demands.to_vec(), observed }
+}
 
 fn engines(prefill: usize, decode: usize) -> Vec<Engine> {
     let prefill = (0..prefill).map(|_| PREFILL);
@@ -32,13 +37,8 @@
 }
 
 fn decide(demands: &[Demand], prefill: usize, decode: usize) -> Option<usize> {
-    choose(
-        &Settings::default(),
-        demands,
-        Pool { prefill, decode, unfit: 0, colocated_share: SHARE },
-        CHANGE_TIME,
-        OBSERVED,
-    )
+    let pool = Pool { prefill, decode, unfit: 0, colocated_share: SHARE };
+    choose(&Settings::default(), &history(demands, OBSERVED), pool, CHANGE_TIME)
 }
 
 /// Phases of prompts and of streams that are shorter than a change of role. Engines that followed
@@ -66,15 +66,22 @@
     assert_eq!(decide(&[demand(14.0, 0.6); 4], 4, 8), Some(10));
 }
 
-/// A burst of prompts that began a second ago. A decode engine is missing for seven seconds when it
-/// changes, and the burst is over by then.
+/// Prompts that began seconds ago, and streams that are the other half of the load and have not
+/// arrived yet. Decode engines that follow the prompts are missing when the streams come.
 #[test]
-fn no_decode_engine_changes_for_a_burst_of_prompts() {
+fn no_decode_engine_changes_for_one_phase_of_prompts() {
     let settings = Settings::default();
-    let pool = Pool { prefill: 4, decode: 8, unfit: 0, colocated_share: SHARE };
-    let decide = |observed| choose(&settings, &[demand(14.0, 0.6); 4], pool, CHANGE_TIME, observed);
-    assert_eq!(decide(Duration::from_secs(1)), None);
-    assert!(decide(OBSERVED).is_some());
+    let pool = Pool { prefill: 32, decode: 17, unfit: 0, colocated_share: 0.0 };
+    let prompts = vec![demand(44.0, 3.0); 60];
+    let decide = |history: &History| choose(&settings, history, pool, CHANGE_TIME);
+    for seconds in [1, 10, 20, 50] {
+        let history = history(&prompts, Duration::from_secs(seconds));
+        assert_eq!(decide(&history), None, "{seconds}");
+    }
+    let both = [vec![demand(10.0, 17.0); 60], prompts.clone()].concat();
+    let alternating = History { recent: prompts.clone(), long: both, observed: OBSERVED };
+    assert_eq!(decide(&alternating), None);
+    assert!(decide(&history(&prompts, OBSERVED)).is_some());
 }
 
 /// Demand that the pool meets, or that it would meet only while the engines change. Each change
@@ -212,7 +219,7 @@
     let streams = [demand(4.0, 9.0); 40];
     let decide = |unfit| {
         let pool = Pool { prefill: 20, decode: 10, unfit, colocated_share: SHARE };
-        choose(&Settings::default(), &streams, pool, CHANGE_TIME, OBSERVED)
+        choose(&Settings::default(), &history(&streams, OBSERVED), pool, CHANGE_TIME)
     };
     assert_eq!(decide(0), None);
     assert!(decide(6).is_some_and(|prefill| prefill <= 15), "{:?}", decide(6));
@@ -236,7 +243,9 @@
     assert!((0.35..0.5).contains(&share(19, 425)), "{}", share(19, 425));
     let pool = |colocated_share| Pool { prefill: 5, decode: 4, unfit: 0, colocated_share };
     let prompts = [demand(9.0, 1.2); 40];
-    let decide = |share| choose(&Settings::default(), &prompts, pool(share), CHANGE_TIME, OBSERVED);
+    let decide = |share| {
+        choose(&Settings::default(), &history(&prompts, OBSERVED), pool(share), CHANGE_TIME)
+    };
     assert_eq!(decide(0.0), Some(7));
 }
 
