feat(direct): promised and actual time of first pieces by part

First pieces were late although an engine was reserved for them in time, and neither logs nor metrics showed in which part of their way. A grant now carries what the coordinator promised. The line of a request has it together with network and expected transfer, the metrics promises and promise_seconds count it, and waits sums up how many promises were kept. The time that a prompt may take counts from the arrival of its request, also at a second attempt; before, waits at the entry and failed attempts were left out.

--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -11,8 +11,10 @@
 use crate::codec::Part;
 use bytes::Bytes;
 use policy::pacing;
+use policy::promise::Promise;
 use policy::reservations::ReservationId;
 use prost::Message;
+use std::time::Duration;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -351,6 +353,34 @@
     /// Whether the grant includes a permit, see [`crate::request::permits`].
     #[prost(bool, tag = "5")]
     pub permit: bool,
+    /// What is promised to the caller, if its objective has not passed.
+    #[prost(message, optional, tag = "10")]
+    pub promise: Option<Promised>,
+}
+
+/// What is promised for a first piece, see [`policy::promise::Promise`].
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Promised {
+    /// The queue and the prefill, in microseconds.
+    #[prost(uint64, tag = "1")]
+    pub prefill_us: u64,
+    /// What was left for everything else, in microseconds.
+    #[prost(uint64, tag = "2")]
+    pub reserve_us: u64,
+}
+
+impl Promised {
+    /// Encodes a promise.
+    pub fn new(promise: Promise) -> Self {
+        let micros = |span: Duration| u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self { prefill_us: micros(promise.prefill), reserve_us: micros(promise.reserve) }
+    }
+
+    /// Decodes it.
+    pub fn to_policy(self) -> Promise {
+        let [prefill, reserve] = [self.prefill_us, self.reserve_us].map(Duration::from_micros);
+        Promise { prefill, reserve }
+    }
 }
 
 /// A refusal by a group without a free engine or permit.
--- a/crates/direct/src/exchange/coordination/prefill.rs
+++ b/crates/direct/src/exchange/coordination/prefill.rs
@@ -5,7 +5,7 @@
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::Group;
 use crate::cluster::messages::{
-    CachedPrefix, Decision, Granted, Parts, PrefillRequest, Refused, Response,
+    CachedPrefix, Decision, Granted, Parts, PrefillRequest, Promised, Refused, Response,
 };
 use crate::codec::Part;
 use crate::config::route::{Service, Stage};
@@ -67,9 +67,12 @@
                     Err(retry_after) => return self.refuse(retry_after, &engines, false),
                 };
                 self.reserve(engine, tokens);
+                let promise = prefill::promise(&self.settings, &self.prompt(), engine, tokens);
+                let promise = promise.map(Promised::new);
                 let copy_from = copy_from.map_or(0, |from| short_hash(engines[from].key));
                 let (engine, queued_tokens) = (short_hash(engine.key), engines[at].queued_tokens);
-                Decision::Granted(Granted { engine, copy_from, tokens, queued_tokens, permit })
+                let granted = Granted { engine, copy_from, tokens, queued_tokens, permit, promise };
+                Decision::Granted(granted)
             }
             Placement::Full(retry_after) => {
                 let decode_engine = !self.request.decode_engines
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use crate::costs;
 use compact_str::CompactString;
+use policy::promise::{Parts, Promise};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -90,6 +91,8 @@
     stream_reads: Family<CallLabels, Counter>,
     log_call_seconds: Family<KindLabel, Histogram>,
     extra_attempts: Family<KindLabel, Counter>,
+    promises: Family<KindLabel, Counter>,
+    promise_seconds: Family<KindLabel, Histogram>,
     prompt_tokens: Family<KindLabel, Counter>,
     orders: Family<KindLabel, Counter>,
     permits: Family<KindLabel, Counter>,
@@ -139,6 +142,8 @@
             stream_reads: Family::default(),
             log_call_seconds: Family::new_with_constructor(latencies),
             extra_attempts: Family::default(),
+            promises: Family::default(),
+            promise_seconds: Family::new_with_constructor(latencies),
             prompt_tokens: Family::default(),
             orders: Family::default(),
             permits: Family::default(),
@@ -168,6 +173,10 @@
         to.register("gap_seconds", "Time between pieces of a stream", self.gaps.clone());
         to.register("request_seconds", "Time of whole requests", self.request_seconds.clone());
         to.register("extras", "Extra sendings, allowed and denied", self.extra_attempts.clone());
+        let promises = "First pieces promised in time, kept and broken";
+        to.register("promises", promises, self.promises.clone());
+        let parts = "Time of first pieces that were promised in time, as promised and by part";
+        to.register("promise_seconds", parts, self.promise_seconds.clone());
         to.register("log_lines_dropped", "Log lines dropped", self.dropped_lines.clone());
     }
 
@@ -229,6 +238,22 @@
             .observe(duration.as_secs_f64());
     }
 
+    /// Counts a first piece that was promised in time, and records its time as promised and, if it
+    /// came, by part.
+    pub fn promise(&self, promise: &Promise, parts: Option<&Parts>, kept: bool) {
+        let outcome = if kept { "kept" } else { "broken" };
+        self.promises.get_or_create(&KindLabel { kind: outcome.into() }).inc();
+        let promised = [("promised", promise.prefill), ("reserve", promise.reserve)];
+        let actual = parts.map(|parts| {
+            let Parts { prefill, network, transfer, slot } = *parts;
+            [("prefill", prefill), ("network", network), ("transfer", transfer), ("slot", slot)]
+        });
+        for (kind, time) in promised.into_iter().chain(actual.into_iter().flatten()) {
+            let histogram = self.promise_seconds.get_or_create(&KindLabel { kind: kind.into() });
+            histogram.observe(time.as_secs_f64());
+        }
+    }
+
     /// The histogram of times between pieces of a route's streams.
     pub fn gaps(&self, route: &str) -> Histogram {
         self.gaps.get_or_create(&RouteLabel { route: route.into() }).clone()
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -36,6 +36,7 @@
         let began = Instant::now();
         let outcome = dispatch::send(&step.request, &engine, &head, permit).await;
         step.trace.record_attempt("write", &engine.id, outcome.name(), began.elapsed());
+        step.trace.record_expected_transfer(step.expected_transfer(&engine));
         step.record_transfer_time(&engine, &outcome, began.elapsed());
         let retry = step.attempts.record(&step.request, &engine, &outcome);
         match outcome {
@@ -131,6 +132,15 @@
         (head, attempt)
     }
 
+    /// How long the transfer of the KV cache to an engine usually takes at present; `None` if nothing
+    /// is transferred.
+    fn expected_transfer(&self, destination: &Target) -> Option<Duration> {
+        let PromptState::Cached(cache) = &self.prompt_state else { return None };
+        let now = Instant::now();
+        let out = cache.holder().expected_transfer(TransferDirection::Out, now);
+        Some(out.max(destination.expected_transfer(TransferDirection::In, now)))
+    }
+
     /// Records for both ends how long the transfer of the KV cache took. An engine that refuses it
     /// has too many other transfers queued.
     fn record_transfer_time(
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -17,6 +17,7 @@
 use compact_str::CompactString;
 use http_body_util::BodyExt;
 use policy::prefill::{self, PrefillCandidate};
+use policy::promise::Promise;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -68,6 +69,8 @@
     pub(super) tokens: u64,
     /// Tokens queued there before it.
     queued_tokens: u64,
+    /// What was promised for the first piece.
+    promise: Option<Promise>,
     /// Whether the request may be sent there.
     pub(super) permit: Permit,
     /// Its reservation, unless this entry decided by itself.
@@ -80,7 +83,6 @@
     prompt: &Prompt,
     trace: &mut Trace,
 ) -> PrefillResult {
-    let began = Instant::now();
     // The body is sent to the prefill engine and to the decode engine.
     let body_bytes = u64::try_from(request.buffered.body.len()).unwrap_or(u64::MAX);
     match request.shared.reserve_link(body_bytes * 2, request.route.objective) {
@@ -91,7 +93,7 @@
             return PrefillResult::Refused(Refusal::LinkFull, retry_after.min(TARGET_RETRY_AFTER));
         }
     }
-    let result = place_and_prefill(request, prompt, trace, began).await;
+    let result = place_and_prefill(request, prompt, trace).await;
     match &result {
         PrefillResult::Refused(..) => request.shared.release_link(body_bytes * 2),
         PrefillResult::Ready(PromptState::Engine(_) | PromptState::AnyEngine) => {
@@ -107,9 +109,9 @@
     request: &Arc<RequestContext>,
     prompt: &Prompt,
     trace: &mut Trace,
-    began: Instant,
 ) -> PrefillResult {
-    let requirements = requirements(request, prompt, began.elapsed());
+    let retried = request.shared.is_retry(&request.route, request.head.deadline);
+    let requirements = requirements(request, prompt, retried, trace.arrived.elapsed());
     let count_demand = |tokens| {
         let max_duration = prefill::max_duration(&request.shared.settings.prefill, &requirements);
         request.shared.loads.record_request(&request.service.name, tokens, max_duration);
@@ -123,6 +125,8 @@
     let mut counted = requirements.late;
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.attempts < MAX_PREFILL_ATTEMPTS {
+        let asked_at = Instant::now();
+        let requirements = self::requirements(request, prompt, retried, asked_at - trace.arrived);
         let choice = find(request, prompt, &requirements, &tried).await;
         if !std::mem::replace(&mut counted, true) {
             count_demand(choice.uncached_tokens(prompt));
@@ -140,6 +144,7 @@
             }
             Choice::Engine(placement) => placement,
         };
+        trace.record_promise(placement.promise, asked_at);
         if placement.engine.stage() != Some(Stage::Prefill) {
             return PrefillResult::Ready(PromptState::Engine(placement));
         }
@@ -214,6 +219,7 @@
                 fetch_from,
                 tokens,
                 queued_tokens,
+                promise,
                 permit,
                 reservation,
             } = reserved;
@@ -223,6 +229,7 @@
                 fetch_from,
                 tokens,
                 queued_tokens,
+                promise,
                 permit,
                 reservation,
             })
@@ -261,11 +268,13 @@
             let (engine, queued_tokens) = (engines[at].clone(), candidates[at].queued_tokens);
             let fetch_from = copy_from.map(|at| engines[at].clone());
             let permit = Permit::Required;
+            let promise = prefill::promise(&settings, requirements, &candidates[at], tokens);
             Choice::Engine(PrefillPlacement {
                 engine,
                 fetch_from,
                 tokens,
                 queued_tokens,
+                promise,
                 permit,
                 reservation: None,
             })
@@ -309,11 +318,21 @@
     }
 }
 
-/// What a prompt that has `waited` here requires of an engine.
-fn requirements(request: &RequestContext, prompt: &Prompt, waited: Duration) -> prefill::Prompt {
-    let late = request.shared.is_retry(&request.route, request.head.deadline);
-    let (tokens, objective) =
-        (u64::from(prompt.input_tokens), request.route.objective.saturating_sub(waited));
+/// Share of the objective after which a prompt that still waits here counts as late: it could only
+/// be in time at an engine that is idle.
+const MAX_WAIT_SHARE: f64 = 0.5;
+
+/// What a prompt that has `waited` here requires of an engine; `retried` if its objective has
+/// passed before.
+fn requirements(
+    request: &RequestContext,
+    prompt: &Prompt,
+    retried: bool,
+    waited: Duration,
+) -> prefill::Prompt {
+    let (tokens, objective) = (u64::from(prompt.input_tokens), request.route.objective);
+    let late = retried || waited > objective.mul_f64(MAX_WAIT_SHARE);
+    let objective = if late { objective } else { objective.saturating_sub(waited) };
     let piece_tokens = request.service.engine.as_ref().and_then(|engine| engine.piece_tokens);
     let short_output = prefill::is_short_output(prompt.max_output_tokens, piece_tokens);
     prefill::Prompt { prefix_hash: prefix_hash(prompt), tokens, objective, late, short_output }
@@ -326,7 +345,7 @@
     placement: PrefillPlacement,
     trace: &mut Trace,
 ) -> Option<HeldCache> {
-    let PrefillPlacement { engine, fetch_from, tokens, queued_tokens, permit, reservation } =
+    let PrefillPlacement { engine, fetch_from, tokens, queued_tokens, permit, reservation, .. } =
         placement;
     let engine = &engine;
     let _in_flight = engine.begin_request();
--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -5,7 +5,7 @@
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::{Group, Member};
 use crate::cluster::messages::{
-    CachedPrefix, Decision, Granted, Parts, Payload, PrefillRequest, Refused,
+    CachedPrefix, Decision, Granted, Parts, Payload, PrefillRequest, Promised, Refused,
 };
 use crate::codec::Prompt;
 use crate::request::context::RequestContext;
@@ -14,6 +14,7 @@
 use crate::request::reservation::{Reservation, group_order};
 use crate::targets::target::Target;
 use policy::prefill;
+use policy::promise::Promise;
 use policy::reservations::ReservationId;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,6 +45,9 @@
     pub tokens: u64,
     /// Tokens that were queued there before it.
     pub queued_tokens: u64,
+    /// What the coordinator promised, if the objective has not passed; coordinators of earlier
+    /// builds promise nothing.
+    pub promise: Option<Promise>,
     /// Whether the request may be sent there.
     pub permit: Permit,
     /// The reservation.
@@ -190,7 +194,16 @@
         let fetch_from = find(granted.copy_from);
         let Granted { tokens, queued_tokens, permit, .. } = *granted;
         let permit = Permit::from_grant(permit);
-        Some(ReservedEngine { engine, fetch_from, tokens, queued_tokens, permit, reservation })
+        let promise = granted.promise.map(Promised::to_policy);
+        Some(ReservedEngine {
+            engine,
+            fetch_from,
+            tokens,
+            queued_tokens,
+            promise,
+            permit,
+            reservation,
+        })
     }
 
     fn record_refusal(&mut self, refused: &Refused) -> GroupResponse {
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -5,6 +5,7 @@
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::{CompactString, ToCompactString};
+use policy::promise::{Parts, Promise};
 use prometheus_client::metrics::histogram::Histogram;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,12 @@
 /// Outcome of a request whose response was forwarded whole.
 pub const COMPLETE: &str = "complete";
 
+/// Outcome of a request whose caller left before its end.
+const CALLER_LEFT: &str = "caller-left";
+
+/// The step of an attempt in which an engine prefills the prompt for another one.
+const PREFILL_STEP: &str = "read";
+
 /// The step of an attempt in which an engine decodes the output.
 const DECODE_STEP: &str = "write";
 
@@ -38,8 +45,14 @@
     /// The service of a generation, and how many tokens of output a piece holds.
     pub generation: Option<(ServiceName, u32)>,
     first_piece_at: Option<Instant>,
+    /// How long the last prefill attempt took.
+    prefill: Option<Duration>,
     /// When the last decode attempt was dispatched.
     dispatched_at: Option<Instant>,
+    /// How long the transfer of its KV cache was expected to take.
+    transfer: Option<Duration>,
+    /// What was promised for the first piece, and when the engine was asked for.
+    promise: Option<(Promise, Instant)>,
     /// The pieces forwarded so far; none before the first one.
     pieces: Option<Pieces>,
     ended: bool,
@@ -97,7 +110,10 @@
             targets: CompactString::default(),
             generation: None,
             first_piece_at: None,
+            prefill: None,
             dispatched_at: None,
+            transfer: None,
+            promise: None,
             pieces: None,
             ended: false,
             shared,
@@ -114,8 +130,10 @@
         duration: Duration,
     ) {
         self.shared.metrics.attempt(step, target, outcome, duration);
-        if step == DECODE_STEP {
-            self.dispatched_at = Instant::now().checked_sub(duration);
+        match step {
+            PREFILL_STEP => self.prefill = Some(duration),
+            DECODE_STEP => self.dispatched_at = Instant::now().checked_sub(duration),
+            _ => {}
         }
         if !self.targets.is_empty() {
             self.targets.push(',');
@@ -129,12 +147,25 @@
         }
     }
 
+    /// Records what was promised for the first piece when an engine was asked for at `asked_at`;
+    /// `None` if the objective has passed.
+    pub fn record_promise(&mut self, promise: Option<Promise>, asked_at: Instant) {
+        self.promise = promise.map(|promise| (promise, asked_at));
+    }
+
+    /// Records how long the transfer of the KV cache is expected to take; `None` if nothing is
+    /// transferred.
+    pub fn record_expected_transfer(&mut self, duration: Option<Duration>) {
+        self.transfer = duration;
+    }
+
     /// Records that a piece from `target` is forwarded to the caller.
     pub fn record_piece(&mut self, target: &Arc<Target>) {
         let now = Instant::now();
         let Some(pieces) = &mut self.pieces else {
             self.first_piece_at = Some(now);
             self.shared.metrics.first_piece(&self.route.name, now - self.arrived);
+            self.compare_with_promise(now);
             let gaps = self.shared.metrics.gaps(&self.route.name);
             let last = Piece::new(now, target);
             self.pieces = Some(Pieces { count: 1, gaps, last, longest_gap: None });
@@ -158,6 +189,20 @@
             "target broke off");
     }
 
+    /// Counts whether the first piece was promised in time and is, by part.
+    fn compare_with_promise(&self, now: Instant) {
+        let Some((promise, _)) = self.promise else { return };
+        let in_time = now - self.arrived <= self.route.objective;
+        self.shared.metrics.promise(&promise, self.parts().as_ref(), in_time);
+    }
+
+    /// How long the first piece took, by part.
+    fn parts(&self) -> Option<Parts> {
+        let total = self.first_piece_at? - self.arrived;
+        let (prefill, transfer) = (self.prefill.unwrap_or_default(), self.transfer);
+        Some(Parts::new(total, prefill, self.slot_wait()?, transfer.unwrap_or_default()))
+    }
+
     /// Logs and counts how the request ended.
     pub fn end(&mut self, outcome: &'static str) {
         if std::mem::replace(&mut self.ended, true) {
@@ -165,6 +210,9 @@
         }
         let duration = self.arrived.elapsed();
         self.shared.metrics.request_ended(&self.route.name, Outcome(outcome), duration);
+        if outcome != CALLER_LEFT && self.first_piece_at.is_none() {
+            self.compare_with_promise(Instant::now());
+        }
         if outcome == COMPLETE {
             self.shared.durations.record(&self.route.name, duration);
         }
@@ -174,6 +222,12 @@
     fn log_end(&self, outcome: &'static str, duration: Duration) {
         let first_ms = millis(self.first_piece_at.map(|first| first - self.arrived));
         let slot_ms = millis(self.slot_wait());
+        let parts = self.parts();
+        let network_ms = millis(parts.map(|parts| parts.network));
+        let transfer_ms = millis(parts.and(self.transfer));
+        let promise = self.promise.map(|(promise, _)| promise);
+        let promised_ms = millis(promise.map(|promise| promise.prefill));
+        let reserve_ms = millis(promise.map(|promise| promise.reserve));
         let pieces = self.pieces.as_ref().map_or(0, |pieces| pieces.count);
         let gap = self.longest_gap();
         let gap_ms = millis(gap.map(|gap| gap.duration));
@@ -187,15 +241,17 @@
             log::info!(target: "request", id = self.attempt_id.as_str(),
                 route = self.route.name.as_str(), version = self.config_version, outcome,
                 sendings = self.attempts, targets = self.targets.as_str(),
-                first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, pieces, gap_ms:?, gap_target,
-                gap_streams, gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
+                first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
+                transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
+                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
                 "request served");
         } else {
             log::warn!(target: "request", id = self.attempt_id.as_str(),
                 route = self.route.name.as_str(), version = self.config_version, outcome,
                 sendings = self.attempts, targets = self.targets.as_str(),
-                first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, pieces, gap_ms:?, gap_target,
-                gap_streams, gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
+                first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
+                transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
+                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
                 "request not served");
         }
     }
@@ -255,6 +311,6 @@
 
 impl Drop for Trace {
     fn drop(&mut self) {
-        self.end("caller-left");
+        self.end(CALLER_LEFT);
     }
 }
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -352,6 +352,15 @@
         }
     }
 
+    /// How long KV cache transfers take at present.
+    pub fn expected_transfer(&self, direction: TransferDirection, now: Instant) -> Duration {
+        let (state, now) = (self.state(), self.time(now));
+        match direction {
+            TransferDirection::Out => state.transfers_out.expected(now),
+            TransferDirection::In => state.transfers_in.expected(now),
+        }
+    }
+
     /// How much longer than usual KV cache transfers take.
     pub fn transfer_excess(&self, direction: TransferDirection, now: Instant) -> Duration {
         let (state, now) = (self.state(), self.time(now));
--- a/crates/direct/src/waits.rs
+++ b/crates/direct/src/waits.rs
@@ -57,6 +57,13 @@
     /// Milliseconds from the dispatch of the decode attempt to the first piece or, without one, to
     /// the end of the wait for it.
     pub slot_ms: Option<f32>,
+    /// Milliseconds to the first piece that were spent neither at a prefill engine nor at the
+    /// decode engine.
+    pub network_ms: Option<f32>,
+    /// Milliseconds of `slot_ms` that the transfer of the KV cache was expected to take.
+    pub transfer_ms: Option<f32>,
+    /// Milliseconds of queue and prefill after which the first piece was promised in time.
+    pub promised_ms: Option<f32>,
     /// The longest pause between its pieces, if it had more than one.
     pub pause: Option<Pause<'a>>,
 }
@@ -126,6 +133,9 @@
             outcome,
             prefill_ms: attempts.prefill_ms(),
             slot_ms: duration(fields, "slot_ms")?.or_else(|| attempts.late_decode_ms()),
+            network_ms: optional(fields, "network_ms"),
+            transfer_ms: optional(fields, "transfer_ms"),
+            promised_ms: optional(fields, "promised_ms"),
             pause,
         })
     }
@@ -173,6 +183,11 @@
     Some((ms >= 0.0).then_some(ms))
 }
 
+/// A duration in milliseconds; `None` also if the line is of a build that doesn't log it.
+fn optional(fields: &Fields<'_>, key: &str) -> Option<f32> {
+    duration(fields, key).flatten()
+}
+
 /// The attempts of a request, such as `read:i-1:ok:12,write:i-2:ok:5`.
 struct Attempts<'a>(&'a str);
 
--- a/crates/direct/src/waits/summary.rs
+++ b/crates/direct/src/waits/summary.rs
@@ -1,6 +1,6 @@
 //! Sums up the ends of requests by the second of their arrival, route, outcome and target.
 //!
-//! Lines are taken one at a time. Of a request, only its two waiting times are kept, for the
+//! Lines are taken one at a time. Of a request, only its waiting times are kept, for the
 //! percentiles.
 
 use super::{EndedRequest, Line, Pause, Second, Verdict};
@@ -38,6 +38,10 @@
     pub refused: u64,
     /// Failed.
     pub failed: u64,
+    /// Promised in time when an engine was reserved.
+    pub promised: u64,
+    /// Those of them whose first piece was in time.
+    pub kept: u64,
 }
 
 /// Requests by how they ended, with their waiting times.
@@ -49,6 +53,12 @@
     pub prefill: Samples,
     /// Waiting times for a decode slot.
     pub slot: Samples,
+    /// Times to the first piece at neither engine.
+    pub network: Samples,
+    /// Expected times of transfers, which are part of those for a slot.
+    pub transfer: Samples,
+    /// Times for queue and prefill, as promised.
+    pub promise: Samples,
 }
 
 /// Longest pauses that came from one target.
@@ -126,8 +136,9 @@
 
 impl Counts {
     /// The counts with their names, in the order in which they are shown.
-    pub fn columns(&self) -> [(&'static str, u64); 6] {
-        let Self { arrivals, in_time, late_first, late_pause, refused, failed } = *self;
+    pub fn columns(&self) -> [(&'static str, u64); 8] {
+        let Self { arrivals, in_time, late_first, late_pause, refused, failed, promised, kept } =
+            *self;
         [
             ("arrivals", arrivals),
             ("in_time", in_time),
@@ -135,10 +146,15 @@
             ("late_pause", late_pause),
             ("refused", refused),
             ("failed", failed),
+            ("promised", promised),
+            ("kept", kept),
         ]
     }
 
-    fn add(&mut self, verdict: Verdict) {
+    fn add(&mut self, verdict: Verdict, promised: bool) {
+        let in_time = matches!(verdict, Verdict::InTime | Verdict::LatePause);
+        self.promised += u64::from(promised);
+        self.kept += u64::from(promised && in_time);
         self.arrivals += 1;
         let count = match verdict {
             Verdict::InTime => &mut self.in_time,
@@ -157,20 +173,28 @@
         self.late_pause += other.late_pause;
         self.refused += other.refused;
         self.failed += other.failed;
+        self.promised += other.promised;
+        self.kept += other.kept;
     }
 }
 
 impl Tally {
     fn add(&mut self, request: &EndedRequest<'_>) {
-        self.counts.add(request.verdict);
+        self.counts.add(request.verdict, request.promised_ms.is_some());
         self.prefill.0.extend(request.prefill_ms);
         self.slot.0.extend(request.slot_ms);
+        self.network.0.extend(request.network_ms);
+        self.transfer.0.extend(request.transfer_ms);
+        self.promise.0.extend(request.promised_ms);
     }
 
     fn merge(&mut self, other: &Self) {
         self.counts.merge(&other.counts);
         self.prefill.0.extend(&other.prefill.0);
         self.slot.0.extend(&other.slot.0);
+        self.network.0.extend(&other.network.0);
+        self.transfer.0.extend(&other.transfer.0);
+        self.promise.0.extend(&other.promise.0);
     }
 }
 
--- a/crates/direct/src/waits/table.rs
+++ b/crates/direct/src/waits/table.rs
@@ -134,6 +134,10 @@
     row.push(("prefill_p90", number(tally.prefill.p90())));
     row.push(("slot_ms", number(tally.slot.mean())));
     row.push(("slot_p90", number(tally.slot.p90())));
+    row.push(("network_ms", number(tally.network.mean())));
+    row.push(("network_p90", number(tally.network.p90())));
+    row.push(("transfer_ms", number(tally.transfer.mean())));
+    row.push(("promised_ms", number(tally.promise.mean())));
     row
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pacing;
 pub mod pause;
 pub mod prefill;
+pub mod promise;
 pub mod quarantine;
 pub mod queue;
 pub mod reachability;
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -17,6 +17,7 @@
 //! so short that it is hardly worth a transfer, and else if no prefill engine has room.
 
 use crate::number::{float, span};
+use crate::promise::Promise;
 use crate::{Hash, mix, pace};
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -275,11 +276,28 @@
 
 /// Returns how long prefill may take, including the wait for prompts queued before it.
 pub fn max_duration(settings: &Settings, prompt: &Prompt) -> Duration {
-    let left = prompt.objective.saturating_sub(settings.reserve);
-    let max = left.max(prompt.objective.mul_f64(settings.min_share));
+    let max = usable(settings, prompt.objective);
     if prompt.late { max.mul_f64(settings.late_fraction) } else { max }
 }
 
+/// Returns how much of an objective prefill may take.
+fn usable(settings: &Settings, objective: Duration) -> Duration {
+    objective.saturating_sub(settings.reserve).max(objective.mul_f64(settings.min_share))
+}
+
+/// Returns what is promised to the caller of a prompt of which a candidate prefills `tokens`
+/// tokens; `None` if its objective has passed.
+pub fn promise(
+    settings: &Settings,
+    prompt: &Prompt,
+    candidate: &PrefillCandidate,
+    tokens: u64,
+) -> Option<Promise> {
+    let prefill = span(wait(settings, candidate, tokens));
+    let reserve = prompt.objective.saturating_sub(usable(settings, prompt.objective));
+    (!prompt.late).then_some(Promise { prefill, reserve })
+}
+
 /// Returns the order in which candidates are tried: by rendezvous hashing, but decode engines that
 /// are preferred to prefill engines first, see [`prefers_decode`], and the other ones last. All
 /// entries use the same order for prompts with the same prefix and other orders for other prompts. If each entry chose the engine with the shortest queue, all would choose the
