feat(policy): the time that first pieces need besides prefill is learned

A reservation left 75 ms of the objective for the network, the transfer and the wait for a slot, whatever these took. Each entry now learns by how much the first pieces of its requests exceeded the promised prefill, and sends that with its requests for engines. Coordinators leave this much, up to half of the objective. For requests of entries that have learned nothing or are of earlier builds they use their own estimate, or else 75 ms.

--- a/crates/direct/src/cluster/loads.rs
+++ b/crates/direct/src/cluster/loads.rs
@@ -4,6 +4,7 @@
 use crate::cluster::entry_state::{self, ServiceLoad};
 use policy::demand::{EngineProfile, PromptProfile, TokenTime};
 use policy::prefill::PrefillRate;
+use policy::{Time, promise};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -24,6 +25,8 @@
     /// Seconds per token as a peer has measured it.
     peer_token_time: Option<f64>,
     prompts: Prompts,
+    /// What first pieces take beyond the prefill that was promised.
+    first_piece_excess: promise::Estimator,
     /// Mean age of streams in seconds, over the pieces that arrived.
     stream_age: f64,
 }
@@ -69,6 +72,17 @@
             .sample(tokens, duration);
     }
 
+    /// Records that a first piece took `excess` longer than its prefill was promised to.
+    pub fn record_first_piece_excess(&self, service: &str, excess: Duration, now: Time) {
+        let mut loads = self.lock();
+        loads.entry(key(service)).or_default().first_piece_excess.record(excess, now);
+    }
+
+    /// Returns the excess that nearly all recent first pieces keep to, once it has been learned.
+    pub fn first_piece_excess(&self, service: &str, now: Time) -> Option<Duration> {
+        self.lock().get(&key(service))?.first_piece_excess.get(now)
+    }
+
     /// Records how long `tokens` tokens of a stream took whose first piece arrived `age` ago.
     pub fn record_decode(&self, service: &str, tokens: u32, duration: Duration, age: Duration) {
         let mut loads = self.lock();
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -191,6 +191,10 @@
     /// The maximum number of output tokens; 0 if unknown.
     #[prost(uint32, tag = "13")]
     pub output_tokens: u32,
+    /// What the requester has learned that first pieces take beyond queue and prefill, in
+    /// microseconds; none if it has learned nothing.
+    #[prost(uint64, optional, tag = "20")]
+    pub excess_us: Option<u64>,
 }
 
 /// A request for an engine of one group that decodes a stream.
--- a/crates/direct/src/exchange/coordination/prefill.rs
+++ b/crates/direct/src/exchange/coordination/prefill.rs
@@ -24,7 +24,11 @@
     let groups = shared.groups(&service.name);
     let group = groups.iter().find(|group| group.key == request.group)?;
     let parts = request.parts.as_ref().map(Parts::rows).unwrap_or_default();
-    let settings = shared.prefill_settings(&service.name);
+    let mut settings = shared.prefill_settings(&service.name);
+    // The requester knows its own link and distance best. One that has learned nothing, or is of an
+    // earlier build, is assumed to be like this entry.
+    let learned = request.excess_us.map(Duration::from_micros);
+    settings.learned_reserve = learned.or(settings.learned_reserve);
     let placement =
         PrefillPlacement { shared, service: &service, settings, group, request, parts, now };
     Some(Response { reservation: request.reservation, decision: Some(placement.decide()) })
--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -125,6 +125,10 @@
     NoResponse,
 }
 
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Search<'_> {
     async fn ask_group(&mut self, group: &Group, use_decode_engines: bool) -> GroupResponse {
         let make_payload =
@@ -175,6 +179,11 @@
             cached_prefix: self.cached_prefix,
             requester: Some(self.request.requester()),
             output_tokens: self.prompt.max_output_tokens,
+            excess_us: self
+                .request
+                .shared
+                .first_piece_excess(&self.request.service.name)
+                .map(micros),
         }
     }
 
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -189,11 +189,21 @@
             "target broke off");
     }
 
-    /// Counts whether the first piece was promised in time and is, by part.
+    /// Counts whether the first piece was promised in time and is, by part, and learns from it.
     fn compare_with_promise(&self, now: Instant) {
-        let Some((promise, _)) = self.promise else { return };
+        let Some((promise, asked_at)) = self.promise else { return };
         let in_time = now - self.arrived <= self.route.objective;
         self.shared.metrics.promise(&promise, self.parts().as_ref(), in_time);
+        // Nothing is transferred where the engine that prefills also decodes. An attempt that ended
+        // early without a piece says nothing about how long it would have taken.
+        let is_measured = self.first_piece_at.is_some() || !in_time;
+        if let Some((service, _)) = &self.generation
+            && self.prefill.is_some()
+            && is_measured
+        {
+            let excess = (now - asked_at).saturating_sub(promise.prefill);
+            self.shared.record_first_piece_excess(service, excess);
+        }
     }
 
     /// How long the first piece took, by part.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -332,6 +332,7 @@
             // Until it is known, streams are assumed to bear no pause.
             piece_time: piece_time.unwrap_or(max_gap),
             rate_learned: self.loads.is_prefill_rate_learned(service),
+            learned_reserve: self.first_piece_excess(service),
             ..self.settings.prefill.clone()
         }
     }
@@ -342,6 +343,16 @@
         self.loads.record_prefill(service, self.settings.prefill.prefill_rate, tokens, duration);
     }
 
+    /// What the first pieces of a service take beyond queue and prefill, once it has been learned.
+    pub fn first_piece_excess(&self, service: &str) -> Option<Duration> {
+        self.loads.first_piece_excess(service, self.time())
+    }
+
+    /// Records that a first piece took `excess` longer than queue and prefill were promised to.
+    pub fn record_first_piece_excess(&self, service: &str, excess: Duration) {
+        self.loads.record_first_piece_excess(service, excess, self.time());
+    }
+
     /// Whether this is a retry: the caller, who waits for `left` from now on, has already waited
     /// longer than the route's objective.
     pub fn is_retry(&self, route: &Route, left: Option<Duration>) -> bool {
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -17,7 +17,7 @@
 //! so short that it is hardly worth a transfer, and else if no prefill engine has room.
 
 use crate::number::{float, span};
-use crate::promise::Promise;
+use crate::promise::{self, Promise};
 use crate::{Hash, mix, pace};
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -33,6 +33,8 @@
     /// ms and of 500 ms: half of the objective, which left 75 ms of the one and 250 ms of the
     /// other, refused prompts of the latter that could have been in time.
     pub reserve: Duration,
+    /// What all that takes, once it has been learned, see [`promise`]. It counts where it is longer.
+    pub learned_reserve: Option<Duration>,
     /// Share of the objective that prefill may always take, however short the objective is.
     pub min_share: f64,
     /// Share of the allowed time for a prompt whose objective has passed because its caller was
@@ -74,6 +76,7 @@
         Self {
             prefill_rate: 300_000.0,
             reserve: Duration::from_millis(75),
+            learned_reserve: None,
             min_share: 0.3,
             late_fraction: 0.6,
             max_retry_share: 1.0 / 3.0,
@@ -282,7 +285,10 @@
 
 /// Returns how much of an objective prefill may take.
 fn usable(settings: &Settings, objective: Duration) -> Duration {
-    objective.saturating_sub(settings.reserve).max(objective.mul_f64(settings.min_share))
+    let usable =
+        objective.saturating_sub(settings.reserve).max(objective.mul_f64(settings.min_share));
+    let learned = settings.learned_reserve.map(|estimate| promise::reserve(estimate, objective));
+    learned.map_or(usable, |reserve| usable.min(objective.saturating_sub(reserve)))
 }
 
 /// Returns what is promised to the caller of a prompt of which a candidate prefills `tokens`
--- a/crates/policy/src/simulation/disaggregated.rs
+++ b/crates/policy/src/simulation/disaggregated.rs
@@ -47,6 +47,10 @@
     pub recomputed_tokens: u64,
     /// How often a stream was preempted.
     pub preempted: u64,
+    /// Long prompts that were promised in time and got a first token.
+    pub promised: u64,
+    /// Those of them whose first token was in time.
+    pub kept: u64,
     /// An upper bound for long prompts in time: no shared part is prefilled twice, and engines
     /// never idle because entries lack an update.
     pub bound: u64,
--- a/crates/policy/src/simulation/disaggregated/engine.rs
+++ b/crates/policy/src/simulation/disaggregated/engine.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Clone)]
 pub(super) struct Stream {
     pub request: Request,
+    /// When the prefill was promised to end, if the objective had not passed.
+    pub promised_at: Option<f64>,
     pub generated: u64,
     /// The time of the first token.
     pub first_token: Option<f64>,
@@ -69,6 +71,8 @@
     pub entry: usize,
     /// Tokens that the entry has reserved for it.
     pub tokens: u64,
+    /// When its prefill was promised to end, if the objective had not passed.
+    pub promised_at: Option<f64>,
     /// Tokens of its prefix that were copied from another engine.
     pub copied: u64,
     pub priority: u8,
--- a/crates/policy/src/simulation/disaggregated/fleet.rs
+++ b/crates/policy/src/simulation/disaggregated/fleet.rs
@@ -6,6 +6,7 @@
 use crate::decode::{self, DecodeCandidate};
 use crate::number::{count, float};
 use crate::prefill::{self, Placement, PrefillCandidate};
+use crate::promise;
 use crate::retry_detection::RetryDetector;
 use crate::simulation::Random;
 use crate::transfer::TransferTime;
@@ -18,6 +19,8 @@
 pub struct Options {
     /// Settings for the placement of prefill.
     pub prefill: prefill::Settings,
+    /// Whether entries learn what to reserve of the objective, see [`crate::promise`].
+    pub learn_reserve: bool,
     /// Share of the engines that only prefill.
     pub prefill_share: f64,
     /// The number of engines.
@@ -41,6 +44,7 @@
     fn default() -> Self {
         Self {
             prefill: prefill::Settings::default(),
+            learn_reserve: false,
             prefill_share: 0.71,
             engines: 14,
             entries: 5,
@@ -140,6 +144,8 @@
     /// Transfer times by destination engine.
     incoming: Vec<TransferTime>,
     retry_detector: RetryDetector,
+    /// What entries have learned.
+    reserves: Vec<promise::Estimator>,
     /// Shared parts that have been prefilled at some engine.
     prefilled_parts: HashSet<u32>,
     /// Events by time, as the bits of the float, and sequence number.
@@ -168,6 +174,7 @@
             outgoing: vec![TransferTime::default(); options.engines],
             incoming: vec![TransferTime::default(); options.engines],
             retry_detector: RetryDetector::default(),
+            reserves: vec![promise::Estimator::default(); options.entries],
             prefilled_parts: HashSet::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -265,16 +272,31 @@
         let objective = Duration::from_secs_f64(request.objective);
         let late = request.class == Class::Long && self.retry_detector.is_retry(left, objective);
         let candidates = self.prefill_candidates(entry, &request);
-        match prefill::place(&self.options.prefill, &request.prompt(late), &candidates, 1) {
+        let mut settings = self.options.prefill.clone();
+        if self.options.learn_reserve {
+            settings.learned_reserve = self.reserves[entry].get(self.time());
+        }
+        let prompt = request.prompt(late);
+        match prefill::place(&settings, &prompt, &candidates, 1) {
             Placement::Full(soonest) => self.refuse(request, soonest, left),
             Placement::Prefill { engine: at, copy_from, tokens } => {
+                let promise = prefill::promise(&settings, &prompt, &candidates[at], tokens);
+                let promised_at = promise.map(|promise| self.now + promise.prefill.as_secs_f64());
                 self.queued_tokens[entry][at] += tokens;
                 self.sequence += 1;
                 let class_priority = u8::from(request.class == Class::Short);
                 let priority = prefill::priority(&self.options.prefill, tokens, class_priority);
                 let sequence = self.sequence;
                 let (copied, ready) = self.copy_prefix(copy_from, at, &request);
-                let prompt = QueuedPrompt { request, entry, tokens, copied, priority, sequence };
+                let prompt = QueuedPrompt {
+                    request,
+                    entry,
+                    tokens,
+                    promised_at,
+                    copied,
+                    priority,
+                    sequence,
+                };
                 self.schedule(ready, Event::PromptReady(at, prompt));
             }
         }
@@ -341,10 +363,8 @@
     }
 
     fn finish_prefill(&mut self, at: usize) {
-        let Some(QueuedPrompt { request, entry, tokens, .. }) = self.engines[at].current.take()
-        else {
-            return;
-        };
+        let Some(prompt) = self.engines[at].current.take() else { return };
+        let QueuedPrompt { request, entry, tokens, promised_at, .. } = prompt;
         self.queued_tokens[entry][at] -= tokens;
         let memory = self.parameters.memory;
         self.engines[at].cache(&request, memory);
@@ -358,6 +378,7 @@
         let last_event = arrives;
         let stream = Stream {
             request,
+            promised_at,
             generated: 0,
             first_token: None,
             last_event,
@@ -409,10 +430,18 @@
         let (now, parameters) = (self.now, self.parameters);
         let engine = &mut self.engines[at];
         engine.stepping = false;
+        let mut first_tokens = Vec::new();
         for stream in &mut engine.running {
             stream.generated += 1;
             let is_first = stream.first_token.is_none();
             stream.first_token.get_or_insert(now);
+            if is_first && stream.request.class == Class::Long {
+                first_tokens.extend(stream.promised_at.map(|promised| {
+                    let in_time =
+                        now + NETWORK_DELAY - stream.request.first_sent <= stream.request.objective;
+                    (stream.entry, now - promised, in_time)
+                }));
+            }
             if stream.generated % parameters.stride == 0
                 || stream.generated == stream.request.output
             {
@@ -423,6 +452,12 @@
         let (ended, running): (Vec<_>, Vec<_>) =
             engine.running.drain(..).partition(|s| s.generated >= s.request.output);
         engine.running = running;
+        for (entry, excess, in_time) in first_tokens {
+            let excess = Duration::from_secs_f64(excess.max(0.0));
+            self.reserves[entry].record(excess, Time::from_secs_f64(now));
+            self.results.promised += 1;
+            self.results.kept += u64::from(in_time);
+        }
         for stream in ended {
             self.streams[stream.entry][at] -= 1;
             self.finish(&stream);
--- a/crates/policy/src/simulation/disaggregated/traffic.rs
+++ b/crates/policy/src/simulation/disaggregated/traffic.rs
@@ -59,6 +59,8 @@
     pub long: f64,
     /// Short prompts per second.
     pub short: f64,
+    /// The objective of long prompts for the time to the first token, in seconds.
+    pub long_objective: f64,
     /// Changes of the rates: the second from which they hold, and the factors for long and for
     /// short prompts.
     pub swings: Vec<(f64, f64, f64)>,
@@ -93,7 +95,7 @@
         swings.push((at, long, short));
         at += 0.1;
     }
-    Traffic { long: 179.0, short: 12.8, swings, documents: 675, end: 34.0 }
+    Traffic { long: 179.0, short: 12.8, long_objective: 0.15, swings, documents: 675, end: 34.0 }
 }
 
 /// The number of system prompts; each long prompt begins with one of them.
@@ -123,7 +125,7 @@
                 let rate = self.rate(class, at);
                 at += random.exponential(1.0 / rate.max(1e-6)).min(1.0);
                 if at < self.end {
-                    all.push(request(class, at, &documents, &mut random));
+                    all.push(request(class, at, self.long_objective, &documents, &mut random));
                 }
             }
         }
@@ -145,14 +147,20 @@
     }
 }
 
-fn request(class: Class, at: f64, documents: &[u64], random: &mut Random) -> Request {
+fn request(
+    class: Class,
+    at: f64,
+    long_objective: f64,
+    documents: &[u64],
+    random: &mut Random,
+) -> Request {
     let (shared, own, output, objective, deadline) = match class {
         Class::Long => {
             let system_prompt = u32::try_from(random.below(SYSTEM_PROMPTS)).unwrap_or(0);
             let document = random.below(documents.len());
             let id = FIRST_DOCUMENT + u32::try_from(document).unwrap_or(0);
             let shared = vec![(system_prompt, 2_520), (id, documents[document])];
-            (shared, tokens(random, 2_890.0, 1.0), tokens(random, 76.0, 0.5), 0.15, 2.0)
+            (shared, tokens(random, 2_890.0, 1.0), tokens(random, 76.0, 0.5), long_objective, 2.0)
         }
         Class::Short => (
             vec![(SHORT_PROMPT_PREFIX, 79)],
--- a/crates/policy/tests/disaggregated.rs
+++ b/crates/policy/tests/disaggregated.rs
@@ -2,7 +2,9 @@
 //! simulation of disaggregated engines.
 
 use policy::prefill;
-use policy::simulation::disaggregated::{EngineParameters, Options, Results, run, swinging};
+use policy::simulation::disaggregated::{
+    EngineParameters, Options, Results, Traffic, run, swinging,
+};
 use std::time::Duration;
 
 fn simulate(options: Options) -> Results {
@@ -64,6 +66,24 @@
     assert!(chosen > larger + 100 && chosen > smaller, "{larger} {chosen} {smaller}");
 }
 
+/// Prompts arrive at twice their mean rate, at times at six times. Where engines are slower than
+/// assumed, what a prompt takes beyond its promise grows with the queue, and the longer objectives
+/// allow long queues.
+#[test]
+fn learned_reserve_keeps_nine_of_ten_promises_in_a_surge() {
+    let results = |long_objective, learn_reserve| {
+        let traffic = Traffic { long: swinging().long * 2.0, long_objective, ..swinging() };
+        let options = Options { learn_reserve, coordinated: true, ..Options::default() };
+        run(&EngineParameters::default(), &traffic, &options)
+    };
+    let kept = |results: &Results| results.kept as f64 / results.promised as f64;
+    let (fixed, learned) = (results(0.5, false), results(0.5, true));
+    assert!(kept(&fixed) < 0.7 && kept(&learned) > 0.9, "{fixed:?} {learned:?}");
+    assert!(learned.long.in_time > fixed.long.in_time + 2_000, "{fixed:?} {learned:?}");
+    // What is in time is not made worse.
+    assert_eq!(results(0.15, false), results(0.15, true));
+}
+
 /// With too many prefill engines, streams wait for slots and are preempted; with too few, prompts
 /// are refused in bursts. A share of two thirds balances both.
 #[test]
--- a/crates/policy/tests/promise.rs
+++ b/crates/policy/tests/promise.rs
@@ -1,7 +1,7 @@
 //! Promises for first pieces, and what became of them.
 
 use policy::prefill::{self, PrefillCandidate, Prompt, Settings};
-use policy::promise::Parts;
+use policy::promise::{Estimator, Parts};
 use std::time::Duration;
 
 const fn ms(ms: u64) -> Duration {
@@ -49,3 +49,42 @@
     assert_eq!(prefill::max_duration(&settings, &prompt()) + promised.reserve, ms(250));
     assert_eq!(promise(Prompt { late: true, ..prompt() }), None);
 }
+
+/// An estimator with the excesses of `count` first pieces, one each 50 ms: 1 ms, 2 ms and so on.
+fn estimator(count: u64) -> Estimator {
+    let mut estimator = Estimator::default();
+    (1..=count).for_each(|number| estimator.record(ms(number), ms(number * 50)));
+    estimator
+}
+
+/// One first piece was late by an accident. If the longest of a few values counted, a lightly
+/// loaded pool would refuse prompts.
+#[test]
+fn estimate_needs_some_values_and_ignores_the_longest() {
+    assert_eq!(estimator(19).get(ms(1_000)), None);
+    assert_eq!(estimator(20).get(ms(1_000)), Some(ms(19)));
+    assert_eq!(estimator(100).get(ms(5_000)), Some(ms(97)), "the latest 64 count");
+}
+
+/// An entry is cut off from the engines, or its callers have left. What it learned in a surge must
+/// not hold for the next one.
+#[test]
+fn estimate_ages_out() {
+    let estimator = estimator(60);
+    assert!(estimator.get(ms(12_000)).is_some());
+    assert_eq!(estimator.get(ms(12_500)), None, "fewer than 20 are younger than 10 s");
+}
+
+/// First pieces wait 110 ms for slots and the network, where 75 ms are reserved. Prompts that are
+/// promised 175 of 250 ms are late. With a short excess the queues must not become longer.
+#[test]
+fn learned_excess_shortens_the_time_for_prefill_but_never_extends_it() {
+    let allowed = |excess: Option<u64>, prompt: Prompt| {
+        let settings = Settings { learned_reserve: excess.map(ms), ..Settings::default() };
+        prefill::max_duration(&settings, &prompt).as_millis()
+    };
+    let excesses = [None, Some(0), Some(75), Some(110), Some(3_000)];
+    assert_eq!(excesses.map(|excess| allowed(excess, prompt())), [175, 175, 175, 140, 125]);
+    let short = Prompt { objective: ms(100), ..prompt() };
+    assert_eq!([None, Some(75)].map(|excess| allowed(excess, short)), [30, 30]);
+}
