feat(policy): short outputs go ahead of streams that are as urgent

Outputs of up to 8 pieces whose KV cache is transferred waited for slots behind streams of seconds, and were sent from group to group for an engine that is half empty. They now have a priority ahead of streams of the same priority: streams are sent with the next one. Groups are asked for any engine with a free slot, the nearest first. Where the size of pieces is not configured, nothing changes; nor does the order of requests whose priorities differ by two or more.

--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -108,6 +108,26 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether its output is short, see [`policy::prefill::is_short_output`].
+    pub fn has_short_output(&self) -> bool {
+        let tokens = self.head.prompt.as_ref().map_or(0, |prompt| prompt.max_output_tokens);
+        policy::prefill::is_short_output(tokens, self.piece_tokens())
+    }
+
+    /// Its priority at an engine that decodes it, after another one has prefilled the prompt if
+    /// `transferred` is set. Where the size of pieces is unknown, no output counts as short.
+    pub fn decode_priority(&self, transferred: bool) -> u8 {
+        let priority = self.priority().min(LOWEST_PRIORITY);
+        if self.piece_tokens().is_none() {
+            return priority;
+        }
+        policy::decode::priority(transferred && self.has_short_output(), priority)
+    }
+
+    fn piece_tokens(&self) -> Option<u32> {
+        self.service.engine.as_ref().and_then(|engine| engine.piece_tokens)
+    }
+
     /// The requester to name to coordinators.
     pub fn requester(&self) -> Requester {
         Requester { entry: self.shared.key(), priority: self.priority().into() }
--- a/crates/direct/src/request/decode_placement.rs
+++ b/crates/direct/src/request/decode_placement.rs
@@ -6,7 +6,8 @@
 //! chosen: prompts that were prefilled in time wait for a slot or for the link of one engine while
 //! others are free. **Approach.** As for prompts, see [`crate::request::prefill_placement`]. The
 //! group of the engine that prefilled the prompt is asked first, since a transfer takes half as
-//! long within a failure domain; the others are asked if its engines are half full. If no
+//! long within a failure domain; the others are asked if its engines are half full or, for a short
+//! output, have no free slot. If no
 //! coordinator responds, the entry decides by its own view of the engines.
 
 use crate::cluster::entry_state::short_hash;
@@ -17,15 +18,11 @@
 use crate::request::permits::Permit;
 use crate::request::reservation::Reservation;
 use crate::targets::target::Target;
+use policy::decode;
 use policy::reservations::ReservationId;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// How full an engine may be for a stream, in percent of its slots, for each group asked in turn.
-/// The last one may queue some: a stream that waits for one of its slots proceeds sooner than after
-/// another round of requests.
-const MAX_FILL_PERCENT: [u32; 4] = [50, 75, 100, 150];
-
 /// The longest time to live: a stream that was reserved longer ago has ended, even if the report of
 /// its end was lost.
 const MAX_TTL: Duration = Duration::from_secs(20);
@@ -55,7 +52,8 @@
     domain: &str,
 ) -> Option<DecodePlacement> {
     let groups = request.shared.groups(&request.service.name);
-    for (at, max_fill) in group_order(request, &groups, domain).into_iter().zip(MAX_FILL_PERCENT) {
+    let max_fills = decode::max_fill_percent(request.has_short_output());
+    for (at, max_fill) in group_order(request, &groups, domain).into_iter().zip(max_fills) {
         let group = &groups[at];
         let make_payload =
             |id| Payload::DecodeRequest(decode_request(request, group, tried, id, max_fill));
@@ -92,7 +90,7 @@
         eligible.map(|at| (is_remote(at), request.shared.random(), at)).collect();
     order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
     // A single group, or the last of few, may be filled as far as the last of many.
-    order.into_iter().map(|(_, _, at)| at).cycle().take(MAX_FILL_PERCENT.len()).collect()
+    order.into_iter().map(|(_, _, at)| at).cycle().take(decode::MAX_ASKED_GROUPS).collect()
 }
 
 fn decode_request(
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -114,6 +114,10 @@
     fn prepare(&self, engine: &Arc<Target>) -> (AttemptHead, ActiveAttempt) {
         let mut attempt = dispatch::begin(engine, Some(engine.engine.begin_stream()));
         let mut head = self.request.attempt_head(engine);
+        // Prompts that the engine prefills itself keep their order, so that long ones don't delay
+        // the short ones of streams.
+        let transferred = matches!(self.prompt_state, PromptState::Cached(_));
+        head.priority = head.priority.map(|_| self.request.decode_priority(transferred));
         match &self.prompt_state {
             PromptState::Cached(cache) => {
                 if let Some(handle) = cache.handle() {
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -333,8 +333,7 @@
     let (tokens, objective) = (u64::from(prompt.input_tokens), request.route.objective);
     let late = retried || waited > objective.mul_f64(MAX_WAIT_SHARE);
     let objective = if late { objective } else { objective.saturating_sub(waited) };
-    let piece_tokens = request.service.engine.as_ref().and_then(|engine| engine.piece_tokens);
-    let short_output = prefill::is_short_output(prompt.max_output_tokens, piece_tokens);
+    let short_output = request.has_short_output();
     prefill::Prompt { prefix_hash: prefix_hash(prompt), tokens, objective, late, short_output }
 }
 
--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -68,7 +68,8 @@
     engine: &Arc<Target>,
     last_event_id: Option<u64>,
 ) -> Outcome {
-    let head = AttemptHead { last_event_id, ..request.attempt_head(engine) };
+    let mut head = AttemptHead { last_event_id, ..request.attempt_head(engine) };
+    head.priority = head.priority.map(|_| request.decode_priority(false));
     let began = Instant::now();
     let outcome = dispatch::send(request, engine, &head, Permit::Required).await;
     let outcome_name = outcome.name();
--- a/crates/policy/src/decode.rs
+++ b/crates/policy/src/decode.rs
@@ -10,6 +10,10 @@
 //! the slots are in use, then the distance, then the number of streams. Streams count by the time
 //! that the engine takes per piece, compared with the others. If all engines that hold the limit
 //! are full, one that misses it is used: a late piece is better than a stream that waits.
+//!
+//! Short outputs keep a slot for a tenth of a second and streams for seconds, so short outputs go
+//! ahead of streams whose requests are as urgent, see [`priority`], and take any free slot nearby,
+//! see [`max_fill_percent`].
 
 use std::time::Duration;
 
@@ -144,6 +148,34 @@
     Some(best)
 }
 
+/// Returns the priority at the decode engine of an output of a request with priority `request`: 0
+/// goes first, 9 last.
+///
+/// Engines give slots in this order, and put a stream back for a more urgent one. Short outputs go
+/// ahead of streams of the same priority, behind which they would wait for seconds; a stream that
+/// is put back continues when they have ended.
+pub fn priority(short_output: bool, request: u8) -> u8 {
+    let priority = if short_output { request } else { request.saturating_add(1) };
+    priority.min(LOWEST_PRIORITY)
+}
+
+/// The lowest priority that engines accept.
+const LOWEST_PRIORITY: u8 = 9;
+
+/// Groups of engines that are asked for a slot before an engine is chosen without them.
+pub const MAX_ASKED_GROUPS: usize = 4;
+
+/// Returns how full an engine may be for an output, in percent of its slots, for each group asked in
+/// turn. The last one may queue some: a stream that waits for one of its slots proceeds sooner than
+/// after another round of requests.
+///
+/// A short output takes a free slot wherever it finds one: another group would cost it a round trip
+/// and a longer transfer. Below 100, other groups are asked before an engine that misses the pause
+/// limit is used; engines with up to 100 slots have a free one then.
+pub const fn max_fill_percent(short_output: bool) -> [u32; MAX_ASKED_GROUPS] {
+    if short_output { [99, 99, 100, 150] } else { [50, 75, 100, 150] }
+}
+
 /// The median of the known times; zero if none is known.
 fn median(times: impl Iterator<Item = Duration>) -> Duration {
     let mut times: Vec<Duration> = times.filter(|time| !time.is_zero()).collect();
--- a/crates/policy/src/simulation/disaggregated/engine.rs
+++ b/crates/policy/src/simulation/disaggregated/engine.rs
@@ -1,6 +1,6 @@
 //! One engine: its cache, its prefill queue and its streams.
 
-use super::traffic::{Class, PartId, Request};
+use super::traffic::{PartId, Request};
 use crate::number::float;
 use std::collections::HashMap;
 
@@ -53,6 +53,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Stream {
     pub request: Request,
+    pub priority: u8,
     /// When the prefill was promised to end, if the objective had not passed.
     pub promised_at: Option<f64>,
     pub generated: u64,
@@ -165,16 +166,16 @@
     /// preemptions.
     pub fn fill_slots(&mut self, slots: usize) -> u64 {
         let mut preempted = 0;
-        self.waiting.sort_by_key(priority);
+        self.waiting.sort_by_key(|stream| stream.priority);
         while !self.waiting.is_empty() {
             if self.running.len() < slots {
                 let next = self.waiting.remove(0);
                 self.running.push(next);
                 continue;
             }
-            let least = (0..self.running.len()).max_by_key(|&at| (priority(&self.running[at]), at));
+            let least = (0..self.running.len()).max_by_key(|&at| (self.running[at].priority, at));
             let Some(least) =
-                least.filter(|&at| priority(&self.running[at]) > priority(&self.waiting[0]))
+                least.filter(|&at| self.running[at].priority > self.waiting[0].priority)
             else {
                 break;
             };
@@ -186,11 +187,3 @@
         preempted
     }
 }
-
-/// Returns the priority of a stream: today's users give long prompts the higher one.
-fn priority(stream: &Stream) -> u8 {
-    match stream.request.class {
-        Class::Long => 0,
-        Class::Short => 1,
-    }
-}
--- a/crates/policy/src/simulation/disaggregated/fleet.rs
+++ b/crates/policy/src/simulation/disaggregated/fleet.rs
@@ -21,6 +21,8 @@
     pub prefill: prefill::Settings,
     /// Whether entries learn what to reserve of the objective, see [`crate::promise`].
     pub learn_reserve: bool,
+    /// The priority of short prompts; that of long ones is 0.
+    pub short_priority: u8,
     /// Share of the engines that only prefill.
     pub prefill_share: f64,
     /// The number of engines.
@@ -45,6 +47,7 @@
         Self {
             prefill: prefill::Settings::default(),
             learn_reserve: false,
+            short_priority: 1,
             prefill_share: 0.71,
             engines: 14,
             entries: 5,
@@ -284,7 +287,7 @@
                 let promised_at = promise.map(|promise| self.now + promise.prefill.as_secs_f64());
                 self.queued_tokens[entry][at] += tokens;
                 self.sequence += 1;
-                let class_priority = u8::from(request.class == Class::Short);
+                let class_priority = self.request_priority(&request);
                 let priority = prefill::priority(&self.options.prefill, tokens, class_priority);
                 let sequence = self.sequence;
                 let (copied, ready) = self.copy_prefix(copy_from, at, &request);
@@ -302,6 +305,10 @@
         }
     }
 
+    fn request_priority(&self, request: &Request) -> u8 {
+        if request.class == Class::Short { self.options.short_priority } else { 0 }
+    }
+
     fn refuse(&mut self, mut request: Request, soonest: Duration, left: Duration) {
         if request.refused >= MAX_RETRIES {
             self.counts(request.class).refused += 1;
@@ -377,6 +384,10 @@
         self.incoming[to].sample(duration, now);
         let last_event = arrives;
         let stream = Stream {
+            priority: decode::priority(
+                request.class == Class::Long,
+                self.request_priority(&request),
+            ),
             request,
             promised_at,
             generated: 0,
--- a/crates/policy/tests/decode.rs
+++ b/crates/policy/tests/decode.rs
@@ -1,6 +1,6 @@
 //! Placement of decode.
 
-use policy::decode::{DecodeCandidate, Offer, choose, rank};
+use policy::decode::{DecodeCandidate, Offer, choose, max_fill_percent, priority, rank};
 use std::time::Duration;
 
 const OBJECTIVE: Duration = Duration::from_millis(150);
@@ -57,6 +57,27 @@
     assert!(!DecodeCandidate { unavailable: true, ..candidate }.has_room(75), "it is unavailable");
 }
 
+/// All engines are more than half full. Short outputs were sent from group to group for an emptier
+/// one, each time for a round trip, although the first had free slots.
+#[test]
+fn short_output_takes_the_last_free_slot_of_the_first_group() {
+    let has_room = |short_output, asked: usize, streams| {
+        candidate(streams, true).has_room(max_fill_percent(short_output)[asked])
+    };
+    assert!(has_room(true, 0, 31) && !has_room(true, 0, 32) && !has_room(true, 2, 32));
+    assert!(!has_room(false, 0, 16) && has_room(false, 1, 16) && !has_room(false, 1, 24));
+    assert!(has_room(true, 3, 47) && has_room(false, 3, 47), "the last one may queue some");
+}
+
+/// Outputs of two pieces waited behind streams that last seconds. A less urgent request must not
+/// gain from a short output, though.
+#[test]
+fn short_outputs_go_ahead_of_streams_that_are_no_more_urgent() {
+    assert!((0..9).all(|request| priority(true, request) < priority(false, request)));
+    assert!((1..=9).all(|request| priority(true, request) >= priority(false, request - 1)));
+    assert_eq!([priority(true, 9), priority(false, 9), priority(false, 255)], [9, 9, 9]);
+}
+
 /// Returns the engine chosen for a stream, among equals the first.
 fn chosen(candidates: &[DecodeCandidate], may_miss_pause: bool) -> usize {
     let offers = (0..).zip(candidates);
--- a/crates/policy/tests/disaggregated.rs
+++ b/crates/policy/tests/disaggregated.rs
@@ -84,6 +84,18 @@
     assert_eq!(results(0.15, false), results(0.15, true));
 }
 
+/// Callers of both kinds are as urgent. Outputs of two pieces waited for slots behind streams that
+/// last seconds, and nearly half of what was promised in time was late.
+#[test]
+fn short_outputs_do_not_wait_behind_streams_that_are_as_urgent() {
+    let results = |short_priority| {
+        simulate(Options { short_priority, coordinated: true, ..Options::default() })
+    };
+    let equal = results(0);
+    assert!(equal.kept * 100 > equal.promised * 95, "{equal:?}");
+    assert_eq!(equal.long.in_time, results(1).long.in_time);
+}
+
 /// With too many prefill engines, streams wait for slots and are preempted; with too few, prompts
 /// are refused in bursts. A share of two thirds balances both.
 #[test]
