fix(policy): a retry within the objective has only the rest of it

Retries within half of the objective counted as first attempts with the whole objective. Placed behind queues that left no time, they were late, and displaced prompts that could be in time. What is missing of the time that all callers send now tells how long ago the first attempt was, and is taken off the objective; promises are judged from the first attempt as well. Where callers differ, nothing is concluded, as before.

--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -18,6 +18,7 @@
 use http_body_util::BodyExt;
 use policy::prefill::{self, PrefillCandidate};
 use policy::promise::Promise;
+use policy::retry_detection::Attempt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -110,8 +111,9 @@
     prompt: &Prompt,
     trace: &mut Trace,
 ) -> PrefillResult {
-    let retried = request.shared.is_retry(&request.route, request.head.deadline);
-    let requirements = requirements(request, prompt, retried, trace.arrived.elapsed());
+    let attempt = request.shared.detect_retry(&request.route, request.head.deadline);
+    trace.since_first = attempt.since_first;
+    let requirements = requirements(request, prompt, attempt, trace.arrived.elapsed());
     let count_demand = |tokens| {
         let max_duration = prefill::max_duration(&request.shared.settings.prefill, &requirements);
         request.shared.loads.record_request(&request.service.name, tokens, max_duration);
@@ -126,7 +128,7 @@
     let mut tried: Vec<Arc<Target>> = Vec::new();
     while trace.attempts < MAX_PREFILL_ATTEMPTS {
         let asked_at = Instant::now();
-        let requirements = self::requirements(request, prompt, retried, asked_at - trace.arrived);
+        let requirements = self::requirements(request, prompt, attempt, asked_at - trace.arrived);
         let choice = find(request, prompt, &requirements, &tried).await;
         if !std::mem::replace(&mut counted, true) {
             count_demand(choice.uncached_tokens(prompt));
@@ -318,20 +320,20 @@
     }
 }
 
-/// Share of the objective after which a prompt that still waits here counts as late: it could only
-/// be in time at an engine that is idle.
+/// Share of the objective after which a prompt that still waits counts as late: it could only be in
+/// time at an engine that is idle.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
-/// What a prompt that has `waited` here requires of an engine; `retried` if its objective has
-/// passed before.
+/// What a prompt that has `waited` here requires of an engine.
 fn requirements(
     request: &RequestContext,
     prompt: &Prompt,
-    retried: bool,
+    attempt: Attempt,
     waited: Duration,
 ) -> prefill::Prompt {
     let (tokens, objective) = (u64::from(prompt.input_tokens), request.route.objective);
-    let late = retried || waited > objective.mul_f64(MAX_WAIT_SHARE);
+    let waited = waited + attempt.since_first;
+    let late = attempt.is_late || waited > objective.mul_f64(MAX_WAIT_SHARE);
     let objective = if late { objective } else { objective.saturating_sub(waited) };
     let short_output = request.has_short_output();
     prefill::Prompt { prefix_hash: prefix_hash(prompt), tokens, objective, late, short_output }
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -38,6 +38,8 @@
     pub config_version: u64,
     /// When its head was read.
     pub arrived: Instant,
+    /// How long before that the caller sent its first attempt, as far as known.
+    pub since_first: Duration,
     /// Attempts at targets so far.
     pub attempts: u32,
     /// The targets tried, in order, each with its outcome.
@@ -106,6 +108,7 @@
             route,
             config_version,
             arrived,
+            since_first: Duration::ZERO,
             attempts: 0,
             targets: CompactString::default(),
             generation: None,
@@ -192,7 +195,7 @@
     /// Counts whether the first piece was promised in time and is, by part, and learns from it.
     fn compare_with_promise(&self, now: Instant) {
         let Some((promise, asked_at)) = self.promise else { return };
-        let in_time = now - self.arrived <= self.route.objective;
+        let in_time = self.since_first + (now - self.arrived) <= self.route.objective;
         self.shared.metrics.promise(&promise, self.parts().as_ref(), in_time);
         // Nothing is transferred where the engine that prefills also decodes. An attempt that ended
         // early without a piece says nothing about how long it would have taken.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -18,6 +18,7 @@
 use compact_str::CompactString;
 use plat::Offset;
 use plat::epoch::Epoch;
+use policy::retry_detection::Attempt;
 use policy::{
     Hash, connect_timeout, extra_budget, link, prefill, retry_detection, split, succession,
 };
@@ -353,16 +354,16 @@
         self.loads.record_first_piece_excess(service, excess, self.time());
     }
 
-    /// Whether this is a retry: the caller, who waits for `left` from now on, has already waited
-    /// longer than the route's objective.
-    pub fn is_retry(&self, route: &Route, left: Option<Duration>) -> bool {
-        let Some(left) = left else { return false };
+    /// Whether a caller who waits for `left` from now on has waited before, see
+    /// [`policy::retry_detection`].
+    pub fn detect_retry(&self, route: &Route, left: Option<Duration>) -> Attempt {
+        let Some(left) = left else { return Attempt::default() };
         let mut detectors = self.retry_detectors.lock().unwrap_or_else(PoisonError::into_inner);
         if detectors.len() >= MAX_ROUTES {
             detectors.clear();
         }
         let detector = detectors.entry(route.name.clone()).or_default();
-        detector.is_retry(left, route.objective)
+        detector.attempt(left, route.objective)
     }
 
     /// Reserves the link for a request of `bytes` bytes. Returns how long it has to wait for its
--- a/crates/policy/src/simulation/disaggregated/fleet.rs
+++ b/crates/policy/src/simulation/disaggregated/fleet.rs
@@ -7,7 +7,7 @@
 use crate::number::{count, float};
 use crate::prefill::{self, Placement, PrefillCandidate};
 use crate::promise;
-use crate::retry_detection::RetryDetector;
+use crate::retry_detection::{Attempt, RetryDetector};
 use crate::simulation::Random;
 use crate::transfer::TransferTime;
 use crate::{Hash, Time};
@@ -273,13 +273,19 @@
         let left =
             Duration::from_secs_f64((request.first_sent + request.deadline - self.now).max(0.0));
         let objective = Duration::from_secs_f64(request.objective);
-        let late = request.class == Class::Long && self.retry_detector.is_retry(left, objective);
+        let attempt = match request.class {
+            Class::Long => self.retry_detector.attempt(left, objective),
+            Class::Short => Attempt::default(),
+        };
         let candidates = self.prefill_candidates(entry, &request);
         let mut settings = self.options.prefill.clone();
         if self.options.learn_reserve {
             settings.learned_reserve = self.reserves[entry].get(self.time());
         }
-        let prompt = request.prompt(late);
+        let mut prompt = request.prompt(attempt.is_late);
+        if !attempt.is_late {
+            prompt.objective = objective.saturating_sub(attempt.since_first);
+        }
         match prefill::place(&settings, &prompt, &candidates, 1) {
             Placement::Full(soonest) => self.refuse(request, soonest, left),
             Placement::Prefill { engine: at, copy_from, tokens } => {
--- a/crates/policy/tests/disaggregated.rs
+++ b/crates/policy/tests/disaggregated.rs
@@ -96,6 +96,21 @@
     assert_eq!(equal.long.in_time, results(1).long.in_time);
 }
 
+/// Refused callers retry within 40 ms, while their objective has not passed. Taken for first
+/// attempts, they got the full time for prefill, were late, and made others late.
+#[test]
+fn soon_retries_get_the_rest_of_their_objective() {
+    let results = |max_retry_share| {
+        let prefill = prefill::Settings { max_retry_share, ..prefill::Settings::default() };
+        let traffic = Traffic { long: swinging().long * 2.0, ..swinging() };
+        let options = Options { prefill, coordinated: true, ..Options::default() };
+        run(&EngineParameters::default(), &traffic, &options)
+    };
+    let (soon, late) = (results(0.02), results(1.0 / 3.0));
+    assert!(soon.kept * 100 > soon.promised * 98, "{soon:?}");
+    assert!(soon.long.in_time * 100 > late.long.in_time * 99, "{soon:?} {late:?}");
+}
+
 /// With too many prefill engines, streams wait for slots and are preempted; with too few, prompts
 /// are refused in bursts. A share of two thirds balances both.
 #[test]
