--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod prefill;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod reachability;
 pub mod reservations;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/quota/bucket.rs
@@ -0,0 +1,1 @@
+//! The token bucket of a customer at its coordinator.
