--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -2,8 +2,30 @@
 
 use super::{EntryKey, PARTITIONS, Partition, RENEWALS_PER_TERM};
 use crate::Time;
+use crate::number::float;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+/// For how long the view of the entries has to be unchanged after a start. Entries that start
+/// together and divide the limits by the few that they know already exceed them.
+const SETTLED: Duration = Duration::from_millis(500);
+
+/// Time after the start from which a view counts that still changes.
+const LONGEST_START: Duration = Duration::from_secs(3);
+
+/// Time after the start from which an entry without any peer counts as the only one.
+const LONGEST_ALONE: Duration = Duration::from_secs(16);
+
+/// For how long entries that are no longer known count, since they may come back.
+const COUNT_RETENTION: Duration = Duration::from_secs(30);
+
+/// For how long a holder that doesn't answer gets no share at first. Doubled each time, so that
+/// neither a lost datagram nor a holder that is down costs its customers much.
+const SILENCE: Duration = Duration::from_secs(1);
+
+/// Longest time for which a silent holder gets no share: longer than it takes to suspect it.
+const LONGEST_SILENCE: Duration = Duration::from_secs(8);
+
 /// A return of a share that this entry requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Return {
@@ -14,49 +36,137 @@
     pub sent: Time,
 }
 
+/// A share that is lent.
+#[derive(Debug, Clone, Copy)]
+struct Lease {
+    holder: EntryKey,
+    sent: Time,
+    ends: Time,
+}
+
+/// A holder that didn't answer.
+#[derive(Debug, Clone, Copy)]
+struct Silence {
+    until: Time,
+    duration: Duration,
+}
+
+/// How many entries were known at a time.
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    entries: usize,
+    at: Time,
+}
+
+/// Entries that stopped as planned.
+#[derive(Debug, Clone, Copy)]
+struct Departure {
+    entries: usize,
+    announced: Time,
+    counts_from: Time,
+}
+
 /// The holder of this entry's share, by partition.
 #[derive(Debug)]
 pub struct Lender {
     own: EntryKey,
-    entries: usize,
+    started: Option<Time>,
+    settled: bool,
+    /// The counts of the entries within the retention, each larger than all later ones.
+    counts: VecDeque<Count>,
+    departures: Vec<Departure>,
+    leases: Vec<Option<Lease>>,
+    silences: HashMap<EntryKey, Silence>,
 }
 
 impl Lender {
     /// Creates a lender that has lent nothing and has no share yet. The first observation counts as
     /// the start of the process.
     pub fn new(own: EntryKey) -> Self {
-        Self { own, entries: 1 }
+        Self {
+            own,
+            started: None,
+            settled: false,
+            counts: VecDeque::new(),
+            departures: Vec::new(),
+            leases: vec![None; usize::from(PARTITIONS)],
+            silences: HashMap::new(),
+        }
     }
 
     /// Records the number of entries that this one knows, itself and dead ones included, and for how
     /// long this view has been unchanged. `count` is 0 while an entry with seeds knows no other.
     pub fn observe_entries(&mut self, count: usize, unchanged: Duration, now: Time) {
-        let _ = (unchanged, now);
-        self.entries = count;
+        let age = now.saturating_sub(*self.started.get_or_insert(now));
+        self.settled |= if count == 0 {
+            age >= LONGEST_ALONE
+        } else {
+            unchanged >= SETTLED && age >= SETTLED || age >= LONGEST_START
+        };
+        self.push(count, now);
+        self.apply_departures(now);
+        self.silences.retain(|_, silence| now < silence.until + LONGEST_SILENCE);
     }
 
     /// Records the number of entries that another entry counts, from its answers. An entry that
-    /// restarts within a partition learns from it of entries that it has never reached.
+    /// restarts within a partition learns from it of entries that it has never reached. Ignored some
+    /// time after the start, since counts that are passed on forever would never fall.
     pub fn observe_peer_count(&mut self, count: usize, now: Time) {
-        let _ = (count, now);
+        if self.started.is_none_or(|started| now.saturating_sub(started) < LONGEST_ALONE) {
+            self.push(count, now);
+        }
     }
 
-    /// Records that so many entries stopped as planned, after they had returned what they held.
+    /// Records that so many entries stopped as planned. They count until what they lent has ended.
     pub fn observe_departures(&mut self, departed: usize, now: Time) {
-        let _ = (departed, now);
+        let counts_from = now + self.term(now);
+        self.departures.push(Departure { entries: departed, announced: now, counts_from });
+    }
+
+    fn push(&mut self, entries: usize, now: Time) {
+        while self.counts.back().is_some_and(|count| count.entries <= entries) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back(Count { entries, at: now });
+        // The newest count stays, however old it is.
+        while self.counts.len() > 1 && self.counts[0].at + COUNT_RETENTION <= now {
+            self.counts.pop_front();
+        }
+    }
+
+    fn apply_departures(&mut self, now: Time) {
+        for departure in self.departures.extract_if(.., |departure| departure.counts_from <= now) {
+            for count in self.counts.iter_mut().filter(|count| count.at <= departure.announced) {
+                count.entries = count.entries.saturating_sub(departure.entries);
+            }
+        }
+        // A count that was reduced may be smaller than a later one.
+        let mut largest = 0;
+        let mut at = self.counts.len();
+        while at > 0 {
+            at -= 1;
+            if self.counts[at].entries < largest {
+                self.counts.remove(at);
+            } else {
+                largest = self.counts[at].entries;
+            }
+        }
     }
 
     /// Returns the number of entries by which the limits are divided, at least 1.
     pub fn entries(&self, now: Time) -> usize {
-        let _ = now;
-        self.entries.max(1)
+        let recent = self.counts.iter().find(|count| now < count.at + COUNT_RETENTION);
+        recent.or(self.counts.back()).map_or(1, |count| count.entries.max(1))
     }
 
     /// Returns the share of each limit that this entry may lend: 0 until its view of the entries has
     /// settled and a lease of its previous process has ended.
     pub fn share(&self, now: Time) -> f64 {
-        let _ = now;
-        0.0
+        let waited = self.started.is_some_and(|started| now >= started + self.term(now));
+        if !self.settled || !waited {
+            return 0.0;
+        }
+        1.0 / float(u64::try_from(self.entries(now)).unwrap_or(u64::MAX))
     }
 
     /// Returns the term of the leases.
@@ -71,44 +181,80 @@
 
     /// Returns the entry to lend to and to ask: the first of the candidates that is not silent, once
     /// no other entry holds the share; the own key for this entry itself; none if there is no holder
-    /// yet. Without candidates, this entry coordinates its own share.
+    /// yet. Without candidates that answer, this entry coordinates its own share.
     pub fn holder(
         &mut self,
         partition: Partition,
         candidates: &[EntryKey],
         now: Time,
     ) -> Option<EntryKey> {
-        let _ = (partition, candidates, now, PARTITIONS);
-        Some(self.own)
+        let preferred = candidates.iter().find(|candidate| !self.is_silent(**candidate, now));
+        let preferred = preferred.copied().unwrap_or(self.own);
+        let lease = self.leases.get_mut(usize::from(partition))?;
+        if lease.is_some_and(|lease| lease.ends <= now) {
+            *lease = None;
+        }
+        lease.is_none_or(|lease| lease.holder == preferred).then_some(preferred)
+    }
+
+    fn is_silent(&self, holder: EntryKey, now: Time) -> bool {
+        holder != self.own && self.silences.get(&holder).is_some_and(|silence| now < silence.until)
     }
 
     /// Records that a renewal, or a request for tokens that renews, is sent to a holder. Must be
     /// called before it is sent, and only with what [`Self::holder`] has just returned.
     pub fn record_sent(&mut self, partition: Partition, holder: EntryKey, now: Time) {
-        let _ = (partition, holder, now);
+        let ends = now + self.term(now);
+        let Some(lease) = self.leases.get_mut(usize::from(partition)) else { return };
+        // An earlier renewal may have had a longer term.
+        let ends = lease.map_or(ends, |lease| ends.max(lease.ends));
+        *lease = Some(Lease { holder, sent: now, ends });
     }
 
-    /// Returns the return to request, once per renewal interval or earlier, while a previous holder
-    /// keeps another one from being used.
-    pub fn pending_return(&self, partition: Partition, now: Time) -> Option<Return> {
-        let _ = (partition, now);
-        None
+    /// Returns the return to request while a lease keeps a better candidate from being used. It may
+    /// be requested again at any interval, since a lost request only delays the change.
+    pub fn pending_return(
+        &self,
+        partition: Partition,
+        candidates: &[EntryKey],
+        now: Time,
+    ) -> Option<Return> {
+        let lease = (*self.leases.get(usize::from(partition))?)?;
+        let preferred = candidates.iter().find(|candidate| !self.is_silent(**candidate, now));
+        let differs = lease.holder != preferred.copied().unwrap_or(self.own);
+        (differs && now < lease.ends).then_some(Return { holder: lease.holder, sent: lease.sent })
     }
 
     /// Records that a holder confirmed the return of the share.
     pub fn returned(&mut self, partition: Partition, confirmed: Return) {
-        let _ = (partition, confirmed);
+        let Some(lease) = self.leases.get_mut(usize::from(partition)) else { return };
+        let is_last =
+            |lease: Lease| lease.holder == confirmed.holder && lease.sent == confirmed.sent;
+        if lease.is_some_and(is_last) {
+            *lease = None;
+        }
     }
 
     /// Records that a holder doesn't answer. It gets no share for some time, and the next candidate
     /// gets it once the lease has ended.
     pub fn silent(&mut self, partition: Partition, holder: EntryKey, now: Time) {
-        let _ = (partition, holder, now);
+        let lent = self.leases.get(usize::from(partition)).copied().flatten();
+        // Several requests may have waited for one holder.
+        if lent.is_none_or(|lease| lease.holder != holder) || self.is_silent(holder, now) {
+            return;
+        }
+        let previous = self.silences.get(&holder).map(|silence| silence.duration * 2);
+        let duration = previous.unwrap_or(SILENCE).min(LONGEST_SILENCE);
+        self.silences.insert(holder, Silence { until: now + duration, duration });
+    }
+
+    /// Records that a holder answered.
+    pub fn answered(&mut self, holder: EntryKey) {
+        self.silences.remove(&holder);
     }
 
     /// Returns when the present lease ends if it is not renewed; none if nothing is lent.
     pub fn lease_end(&self, partition: Partition) -> Option<Time> {
-        let _ = partition;
-        None
+        self.leases.get(usize::from(partition)).copied().flatten().map(|lease| lease.ends)
     }
 }
