feat(policy): coordinators of customer limits

A coordinator fills the buckets of its customers by the integral of the shares that are lent to it, and cuts them when a share ends. Requests are promised tokens at a time; a grant is made only if it breaks no promise. A bucket of a new coordinator is not overdrawn before the debt that a previous one may have left would have been repaid.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -20,6 +20,7 @@
 mod held;
 mod lender;
 mod partition;
+mod shares;
 
 pub use coordinator::{Answer, Ask, Coordinator, Refund};
 pub use held::Held;
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -1,1 +1,346 @@
-//! The token bucket of a customer at its coordinator.
+//! The token bucket of a customer at its coordinator, with what is promised to its callers.
+
+use super::shares::Shares;
+use super::{Bounds, EntryKey, Limit};
+use crate::Time;
+use crate::number::span;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Part of the overage that is granted ahead of use. The rest covers what entries spend later than
+/// it was granted.
+const AHEAD: f64 = 0.5;
+
+/// Part of the allowance by which requests larger than the bucket may overdraw it.
+const OVERDRAFT: f64 = 0.5;
+
+/// Time for which smaller requests find tokens that larger ones leave.
+const LEFT_FOR_SMALL: Duration = Duration::from_millis(500);
+
+/// Time over which the mean amount and the use of small requests are averaged.
+const MEAN: Duration = Duration::from_secs(10);
+
+/// How far above the mean a request is large. Amounts of requests of the same size differ less.
+const LARGE: f64 = 1.01;
+
+/// Largest part of the rate that small requests take from large ones in promises.
+const MOST_FOR_SMALL: f64 = 0.9;
+
+/// For how long a reserved amount is kept after the time at which its caller was told to retry.
+const KEPT: Duration = Duration::from_secs(1);
+
+/// Number of reservations per customer: a decision walks over them.
+const MAX_RESERVATIONS: usize = 256;
+
+/// Age from which a refund doesn't count. Until then, the level since its grant is known.
+pub(super) const REFUND_AGE: Duration = Duration::from_secs(4);
+
+/// Time for which levels are remembered: tokens granted ahead are refunded a term later.
+const PEAKS: Duration = Duration::from_secs(8);
+
+/// Time without requests after which a customer with a full bucket is forgotten.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// Tokens, by which rounded levels may differ.
+const ROUNDING: f64 = 1e-6;
+
+/// An amount that is promised to a caller at a time.
+#[derive(Debug, Clone, Copy)]
+struct Reservation {
+    amount: f64,
+    /// The level that the amount requires.
+    level: f64,
+    due: Time,
+}
+
+/// Tokens that were granted ahead to an entry, which may not have been used yet.
+#[derive(Debug, Clone, Copy)]
+struct Lot {
+    entry: EntryKey,
+    tokens: f64,
+    until: Time,
+}
+
+/// A level before a request was decided.
+#[derive(Debug, Clone, Copy)]
+struct Peak {
+    level: f64,
+    at: Time,
+}
+
+/// When a request can be granted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum Availability {
+    Now,
+    In(Duration),
+    /// Not with the shares that are lent now.
+    Never,
+}
+
+/// The bucket of one customer.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    limit: Limit,
+    level: f64,
+    /// What a previous coordinator may have overdrawn. As a new bucket doesn't contain this debt, it
+    /// is not overdrawn itself before the debt would have been repaid.
+    debt: f64,
+    overdraft: f64,
+    fraction: f64,
+    filled: Duration,
+    gained: f64,
+    /// In the order of time, each lower than all earlier ones.
+    peaks: VecDeque<Peak>,
+    /// In the order in which they are due.
+    reservations: Vec<Reservation>,
+    lots: Vec<Lot>,
+    amounts: f64,
+    count: f64,
+    small_amounts: f64,
+    used_at: Time,
+}
+
+impl Bucket {
+    pub(super) fn new(bounds: &Bounds, limit: Limit, shares: &Shares, now: Time) -> Self {
+        let overdraft = bounds.allowance * OVERDRAFT;
+        let idle = (shares.filled() - shares.gained_at()).as_secs_f64() * limit.rate;
+        let repaid = (idle - limit.burst * shares.fraction()).max(0.0);
+        Self {
+            limit,
+            level: shares.idle_level(limit.rate, limit.burst).max(0.0),
+            debt: (overdraft * shares.fraction() - repaid).max(0.0),
+            overdraft,
+            fraction: shares.fraction(),
+            filled: shares.filled(),
+            gained: shares.gained(),
+            peaks: VecDeque::new(),
+            reservations: Vec::new(),
+            lots: Vec::new(),
+            amounts: 0.0,
+            count: 0.0,
+            small_amounts: 0.0,
+            used_at: now,
+        }
+    }
+
+    pub(super) fn limit(&self) -> &Limit {
+        &self.limit
+    }
+
+    fn capacity(&self) -> f64 {
+        self.limit.burst * self.fraction
+    }
+
+    fn rate(&self) -> f64 {
+        self.limit.rate * self.fraction
+    }
+
+    /// Fills the bucket up to an integral of the fraction, which is still the same or has fallen.
+    pub(super) fn fill(&mut self, filled: Duration, fraction: f64) {
+        self.fraction = fraction;
+        let level = self.level + self.limit.rate * (filled - self.filled).as_secs_f64();
+        self.filled = filled;
+        self.level = level.min(self.capacity());
+        self.debt = (self.debt - (level - self.level)).max(0.0);
+    }
+
+    /// Brings the bucket up to date with the shares, whose fraction may have changed just now.
+    pub(super) fn advance(&mut self, shares: &Shares) {
+        self.debt += (shares.gained() - self.gained) * self.overdraft;
+        self.gained = shares.gained();
+        self.fill(shares.filled(), shares.fraction());
+    }
+
+    /// Ends what has expired.
+    pub(super) fn expire(&mut self, now: Time) {
+        self.reservations.retain(|reservation| now < reservation.due + KEPT);
+        self.lots.retain(|lot| now < lot.until);
+        self.record_peak(now);
+    }
+
+    fn record_peak(&mut self, now: Time) {
+        while self.peaks.back().is_some_and(|peak| peak.level <= self.level) {
+            self.peaks.pop_back();
+        }
+        self.peaks.push_back(Peak { level: self.level, at: now });
+        while self.peaks.front().is_some_and(|peak| peak.at + PEAKS < now) {
+            self.peaks.pop_front();
+        }
+    }
+
+    /// Applies a limit that an entry knows, if it is newer.
+    pub(super) fn update(&mut self, limit: &Limit) {
+        if limit.version <= self.limit.version {
+            return;
+        }
+        if limit.rate < self.limit.rate {
+            // What was promised at the higher rate doesn't become available in time.
+            self.reservations.clear();
+        }
+        self.limit = *limit;
+        self.level = self.level.min(self.capacity());
+        self.lots.clear();
+    }
+
+    /// Returns the level that a request requires; none if this bucket never reaches it.
+    fn required_level(&self, amount: f64) -> Option<f64> {
+        let capacity = self.capacity();
+        if amount <= capacity {
+            return Some(amount);
+        }
+        // What is overdrawn must not exceed this coordinator's part of the allowance.
+        let least = amount - self.overdraft * self.fraction;
+        (least <= capacity + ROUNDING).then_some(capacity)
+    }
+
+    /// Records the amount of a request, granted or not.
+    pub(super) fn observe(&mut self, amount: f64, now: Time) {
+        let decay = (-now.saturating_sub(self.used_at).as_secs_f64() / MEAN.as_secs_f64()).exp();
+        self.used_at = self.used_at.max(now);
+        self.amounts = self.amounts * decay + amount;
+        self.count = self.count * decay + 1.0;
+        let small = if self.is_large(amount) { 0.0 } else { amount };
+        self.small_amounts = self.small_amounts * decay + small;
+    }
+
+    fn is_large(&self, amount: f64) -> bool {
+        amount * self.count > self.amounts * LARGE
+    }
+
+    /// Tokens per second that requests up to the mean amount use. Without larger ones, nothing is
+    /// left for them.
+    fn small_rate(&self) -> f64 {
+        (self.small_amounts / MEAN.as_secs_f64()).min(self.rate())
+    }
+
+    /// Returns when an amount becomes available that nobody else was promised.
+    pub(super) fn availability(&self, amount: f64, now: Time) -> Availability {
+        let Some(required) = self.required_level(amount) else { return Availability::Never };
+        if self.rate() <= 0.0 {
+            return Availability::Never;
+        }
+        let debt = if amount > required { self.debt } else { 0.0 };
+        let (rate, left) = if self.is_large(amount) {
+            let small_rate = self.small_rate();
+            let rate = self.rate() - small_rate.min(self.rate() * MOST_FOR_SMALL);
+            (rate, small_rate * LEFT_FOR_SMALL.as_secs_f64())
+        } else {
+            (self.rate(), 0.0)
+        };
+        // A full bucket is available however much is to be left in it.
+        let required = (required + left).min(self.capacity().max(required)) + debt;
+        let blocking = self.slacks(now).iter().rposition(|slack| *slack < amount - ROUNDING);
+        let mut due = blocking.map_or(now, |at| self.reservations[at].due.max(now));
+        let mut first = blocking.map_or(0, |at| at + 1);
+        let mut promised: f64 = self.reservations[..first].iter().map(|other| other.amount).sum();
+        loop {
+            let lacking = required + promised - self.level;
+            if lacking > ROUNDING {
+                due = due.max(now + span(lacking / rate));
+            }
+            match self.reservations.get(first).filter(|other| other.due <= due) {
+                Some(other) => promised += other.amount,
+                None => break,
+            }
+            first += 1;
+        }
+        if due <= now { Availability::Now } else { Availability::In(due - now) }
+    }
+
+    /// What could be taken now without breaking each of the promises.
+    fn slacks(&self, now: Time) -> Vec<f64> {
+        let mut promised = 0.0;
+        let slack = |reservation: &Reservation| {
+            let gained = self.rate() * reservation.due.saturating_sub(now).as_secs_f64();
+            let slack = self.level + gained - promised - reservation.level;
+            promised += reservation.amount;
+            slack
+        };
+        self.reservations.iter().map(slack).collect()
+    }
+
+    pub(super) fn take(&mut self, amount: f64) {
+        self.level -= amount;
+    }
+
+    /// Promises an amount at a time. Returns whether there was room for the reservation.
+    pub(super) fn reserve(&mut self, amount: f64, due: Time) -> bool {
+        let Some(level) = self.required_level(amount) else { return false };
+        if self.reservations.len() >= MAX_RESERVATIONS {
+            return false;
+        }
+        let at = self.reservations.partition_point(|other| other.due <= due);
+        self.reservations.insert(at, Reservation { amount, level, due });
+        true
+    }
+
+    /// Grants what was reserved for a caller that retries. Returns how long it has to wait, if it
+    /// came early or the shares have changed since; none if nothing is reserved for it.
+    pub(super) fn redeem(&mut self, amount: f64, now: Time) -> Option<Duration> {
+        let same = |other: &Reservation| (other.amount - amount).abs() <= ROUNDING;
+        let at = self.reservations.iter().position(same)?;
+        let reservation = self.reservations[at];
+        if now < reservation.due {
+            return Some(reservation.due - now);
+        }
+        let required = self.required_level(amount)?;
+        let debt = if amount > required { self.debt } else { 0.0 };
+        let lacking = required + debt - self.level;
+        if lacking > ROUNDING {
+            return (self.rate() > 0.0).then(|| span(lacking / self.rate()));
+        }
+        self.reservations.remove(at);
+        self.take(amount);
+        Some(Duration::ZERO)
+    }
+
+    /// Grants tokens ahead of use to an entry, at most `wanted`, if they cover a request of this
+    /// amount: fewer tokens would only expire. Half of the bucket stays for other entries.
+    pub(super) fn grant_ahead(
+        &mut self,
+        bounds: &Bounds,
+        entry: EntryKey,
+        (wanted, amount): (f64, f64),
+        entries: f64,
+        (now, until): (Time, Time),
+    ) -> f64 {
+        let window = self.limit.rate * bounds.window.as_secs_f64() + self.limit.burst;
+        let most = AHEAD * bounds.overage * window * self.fraction / entries;
+        let lots = self.lots.iter().filter(|lot| lot.entry == entry);
+        let outstanding: f64 = lots.map(|lot| lot.tokens).sum();
+        let unpromised = self.slacks(now).into_iter().fold(self.level, f64::min);
+        let spare = unpromised - self.capacity() / 2.0;
+        let tokens = wanted.min(most - outstanding).min(spare);
+        if tokens < amount || tokens <= 0.0 {
+            return 0.0;
+        }
+        self.take(tokens);
+        self.lots.push(Lot { entry, tokens, until });
+        tokens
+    }
+
+    /// Takes back tokens that were granted ahead.
+    pub(super) fn give_back(&mut self, entry: EntryKey, tokens: f64) {
+        self.level = (self.level + tokens).min(self.capacity());
+        let mut rest = tokens;
+        for lot in self.lots.iter_mut().filter(|lot| lot.entry == entry) {
+            let taken = lot.tokens.min(rest);
+            lot.tokens -= taken;
+            rest -= taken;
+        }
+    }
+
+    /// Takes back tokens granted at a time, as far as the bucket would contain them now if they had
+    /// not been granted: it might have been full since.
+    pub(super) fn refund(&mut self, amount: f64, granted: Time) {
+        let highest = self.peaks.iter().find(|peak| granted < peak.at);
+        let highest = highest.map_or(self.level, |peak| peak.level.max(self.level));
+        self.level += amount.min(self.capacity() - highest).max(0.0);
+    }
+
+    /// Whether a new bucket would contain as much.
+    pub(super) fn is_idle(&self, now: Time) -> bool {
+        let full = self.level >= self.capacity() - ROUNDING && self.debt <= 0.0;
+        now >= self.used_at + IDLE && (full || self.fraction <= 0.0)
+    }
+}
--- a/crates/policy/src/quota/coordinator.rs
+++ b/crates/policy/src/quota/coordinator.rs
@@ -1,9 +1,21 @@
 //! The shares that are lent to this entry, and the buckets of customers that they fill.
 
+use super::bucket::{Availability, Bucket, REFUND_AGE};
+use super::shares::Shares;
 use super::{Bounds, CustomerKey, EntryKey, Life, Limit, Partition, RequestId, Stamp};
+use super::{ConfigVersion, PARTITIONS};
 use crate::Time;
+use crate::number::float;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
+/// Time for which answers are remembered: longer than the stamp of a request is recent, so that a
+/// duplicate that comes later returns nothing.
+const ANSWERED: Duration = Duration::from_secs(5);
+
+/// How often idle customers are looked for.
+const SWEEP: Duration = Duration::from_secs(10);
+
 /// A request for tokens.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -55,25 +67,83 @@
     pub entry: EntryKey,
     /// Identifies the refund, so that a duplicate has no effect.
     pub id: RequestId,
-    /// The latest stamp that the entry had from this coordinator when it took the tokens.
+    /// The stamp of the answer that granted the tokens, or, if they were granted ahead, the latest
+    /// one from this coordinator when they were spent. A later stamp would refund too much, an
+    /// earlier one too little.
     pub granted: Stamp,
+    /// Whether the tokens were granted ahead of use.
+    pub ahead: bool,
     /// The customer.
     pub customer: CustomerKey,
     /// The amount that was not used.
     pub amount: f64,
 }
 
+/// The shares of one partition and the buckets that they fill.
+#[derive(Debug, Default)]
+struct Coordinated {
+    shares: Shares,
+    buckets: HashMap<CustomerKey, Bucket>,
+}
+
+impl Coordinated {
+    /// Advances the time. Buckets are cut when the fraction falls, not when they are used next.
+    fn advance(&mut self, now: Time) {
+        if self.shares.advance(now) {
+            self.advance_buckets();
+        }
+    }
+
+    fn advance_buckets(&mut self) {
+        for bucket in self.buckets.values_mut() {
+            bucket.advance(&self.shares);
+        }
+    }
+
+    /// Changes the shares; all buckets are filled by the shares from before and cut to the new ones.
+    fn change(&mut self, now: Time, change: impl FnOnce(&mut Shares)) {
+        self.advance(now);
+        let before = self.shares.fraction();
+        // A renewal that changes nothing, which most do, needs no walk over the customers.
+        let filled = Shares::filled(&self.shares);
+        change(&mut self.shares);
+        if self.shares.fraction() != before {
+            for bucket in self.buckets.values_mut() {
+                bucket.fill(filled, before);
+                bucket.advance(&self.shares);
+            }
+        }
+    }
+}
+
 /// The shares lent to this entry, and the buckets of the customers that it coordinates.
 #[derive(Debug)]
 pub struct Coordinator {
     bounds: Bounds,
     life: Life,
+    partitions: Vec<Coordinated>,
+    /// The answers to recent requests for tokens; none for refunds.
+    answered: HashMap<(EntryKey, RequestId), Option<Answer>>,
+    answered_at: VecDeque<(Time, (EntryKey, RequestId))>,
+    swept_at: Time,
 }
 
 impl Coordinator {
     /// Creates a coordinator without shares. `life` is random or otherwise unique per process.
     pub fn new(bounds: Bounds, life: Life) -> Self {
-        Self { bounds, life }
+        Self {
+            bounds,
+            life,
+            partitions: (0..PARTITIONS).map(|_| Coordinated::default()).collect(),
+            answered: HashMap::new(),
+            answered_at: VecDeque::new(),
+            swept_at: Time::ZERO,
+        }
+    }
+
+    /// Returns the stamp for an answer that is given now.
+    pub fn stamp(&self, now: Time) -> Stamp {
+        Stamp { life: self.life, at: now }
     }
 
     /// Records that a lender lends its share of a partition, or renews the lease. The lease ends one
@@ -88,40 +158,146 @@
         echoed: Option<Stamp>,
         now: Time,
     ) -> Stamp {
-        let _ = (partition, lender, share, term, echoed, self.bounds);
-        Stamp { life: self.life, at: now }
+        let echoed = echoed.filter(|stamp| stamp.life == self.life && stamp.at <= now);
+        if let Some(echoed) = echoed
+            && let Some(coordinated) = self.partitions.get_mut(usize::from(partition))
+        {
+            coordinated.change(now, |shares| {
+                shares.renew(lender, share, echoed.at, echoed.at + term);
+            });
+        }
+        self.stamp(now)
     }
 
     /// Ends the lease of a lender. Renewals that were sent before have no effect after this.
     pub fn give_back_share(&mut self, partition: Partition, lender: EntryKey, now: Time) {
-        let _ = (partition, lender, now);
+        if let Some(coordinated) = self.partitions.get_mut(usize::from(partition)) {
+            coordinated.change(now, |shares| shares.give_back(lender));
+        }
     }
 
     /// Decides on a request for tokens. `entries` is the number of entries that this one knows.
     pub fn ask(&mut self, ask: &Ask, entries: usize, now: Time) -> Answer {
-        let _ = (ask, entries, now);
-        Answer::Refused { retry_after: Duration::ZERO, reserved: false }
+        self.sweep(now);
+        if let Some(answer) = self.answered.get(&(ask.entry, ask.id)) {
+            return answer.unwrap_or(Answer::Granted { ahead: 0.0 });
+        }
+        let answer = self.decide(ask, entries, now);
+        self.remember((ask.entry, ask.id), Some(answer), now);
+        answer
+    }
+
+    fn decide(&mut self, ask: &Ask, entries: usize, now: Time) -> Answer {
+        let term = super::term(entries);
+        let is_recent = ask.echoed.is_some_and(|stamp| {
+            let age = now.saturating_sub(stamp.at);
+            stamp.life == self.life && stamp.at <= now && age <= term.min(REFUND_AGE)
+        });
+        let Some(coordinated) =
+            self.partitions.get_mut(usize::from(super::partition(ask.customer)))
+        else {
+            return Answer::Refused { retry_after: term, reserved: false };
+        };
+        coordinated.advance(now);
+        let Coordinated { shares, buckets } = coordinated;
+        let bucket = buckets
+            .entry(ask.customer)
+            .or_insert_with(|| Bucket::new(&self.bounds, ask.limit, shares, now));
+        bucket.advance(shares);
+        bucket.expire(now);
+        bucket.update(&ask.limit);
+        if is_recent && ask.limit.version == bucket.limit().version {
+            bucket.give_back(ask.entry, ask.returned.max(0.0));
+        }
+        if ask.amount <= 0.0 {
+            return Answer::Granted { ahead: 0.0 };
+        }
+        bucket.observe(ask.amount, now);
+        if ask.returning
+            && let Some(retry_after) = bucket.redeem(ask.amount, now)
+        {
+            return if retry_after.is_zero() {
+                Answer::Granted { ahead: 0.0 }
+            } else {
+                Answer::Refused { retry_after, reserved: true }
+            };
+        }
+        match bucket.availability(ask.amount, now) {
+            Availability::Now => {
+                bucket.take(ask.amount);
+                let entries = float(u64::try_from(entries.max(1)).unwrap_or(u64::MAX));
+                let wanted = (ask.ahead, ask.amount);
+                let times = (now, now + term);
+                let ahead = bucket.grant_ahead(&self.bounds, ask.entry, wanted, entries, times);
+                Answer::Granted { ahead }
+            }
+            Availability::In(retry_after) => {
+                let reserved =
+                    retry_after <= ask.max_wait && bucket.reserve(ask.amount, now + retry_after);
+                Answer::Refused { retry_after, reserved }
+            }
+            // The shares may change within a term.
+            Availability::Never => Answer::Refused { retry_after: term, reserved: false },
+        }
     }
 
     /// Returns the version of the limit by which requests of a customer are decided.
-    pub fn version(&self, customer: CustomerKey) -> Option<super::ConfigVersion> {
-        let _ = customer;
-        None
+    pub fn version(&self, customer: CustomerKey) -> Option<ConfigVersion> {
+        let coordinated = self.partitions.get(usize::from(super::partition(customer)))?;
+        Some(coordinated.buckets.get(&customer)?.limit().version)
     }
 
     /// Takes back tokens that were granted and not used, unless they were granted too long ago.
-    pub fn refund(&mut self, refund: &Refund, now: Time) {
-        let _ = (refund, now);
+    pub fn refund(&mut self, refund: &Refund, entries: usize, now: Time) {
+        self.sweep(now);
+        let Stamp { life, at } = refund.granted;
+        let is_known = self.answered.contains_key(&(refund.entry, refund.id));
+        if is_known || life != self.life || at > now || now > at + REFUND_AGE {
+            return;
+        }
+        self.remember((refund.entry, refund.id), None, now);
+        let partition = usize::from(super::partition(refund.customer));
+        let Some(coordinated) = self.partitions.get_mut(partition) else { return };
+        coordinated.advance(now);
+        let Some(bucket) = coordinated.buckets.get_mut(&refund.customer) else { return };
+        bucket.advance(&coordinated.shares);
+        bucket.expire(now);
+        let granted = if refund.ahead { at.saturating_sub(super::term(entries)) } else { at };
+        bucket.refund(refund.amount.max(0.0), granted);
     }
 
     /// Returns the fraction of all limits of a partition that this entry may grant, from 0 to 1.
     pub fn fraction(&self, partition: Partition, now: Time) -> f64 {
-        let _ = (partition, now);
-        0.0
+        let coordinated = self.partitions.get(usize::from(partition));
+        coordinated.map_or(0.0, |coordinated| coordinated.shares.fraction_at(now))
     }
 
     /// Returns the number of customers that state is kept for.
     pub fn customers(&self) -> usize {
-        0
+        self.partitions.iter().map(|coordinated| coordinated.buckets.len()).sum()
+    }
+
+    fn remember(&mut self, key: (EntryKey, RequestId), answer: Option<Answer>, now: Time) {
+        self.answered.insert(key, answer);
+        self.answered_at.push_back((now, key));
+    }
+
+    /// Forgets old answers and idle customers.
+    fn sweep(&mut self, now: Time) {
+        while let Some((at, key)) = self.answered_at.front()
+            && *at + ANSWERED < now
+        {
+            self.answered.remove(key);
+            self.answered_at.pop_front();
+        }
+        if now.saturating_sub(self.swept_at) < SWEEP {
+            return;
+        }
+        self.swept_at = now;
+        for coordinated in &mut self.partitions {
+            coordinated.advance(now);
+            coordinated.advance_buckets();
+            coordinated.buckets.retain(|_, bucket| !bucket.is_idle(now));
+        }
     }
 }
