feat(direct): limits of customers over all entries

Customers' limits were decoded nowhere and enforced by no entry. Each entry now lends its share of every limit to one holder per partition, asks the holder before a request goes to a target, and spends tokens granted ahead without asking. Beyond the limit it answers 429 with a Retry-After at which the tokens are reserved; without a holder 503. Tokens of requests that no target ran are given back. Settings without bounds, and customers without a limit, take the same path as before.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -11,6 +11,7 @@
 pub mod messages;
 pub mod peer_socket;
 pub mod peers;
+pub mod quota;
 pub mod replica;
 pub mod suspects;
 pub mod tail;
--- a/crates/direct/src/cluster/clock.rs
+++ b/crates/direct/src/cluster/clock.rs
@@ -15,6 +15,22 @@
     Duration::new(seconds, u32::try_from(now.tv_nsec).unwrap_or_default())
 }
 
+/// A clock that counts suspended time. Tests replace it to freeze an entry.
+pub trait SuspendClock: std::fmt::Debug + Send + Sync {
+    /// Returns the time since the VM started.
+    fn now(&self) -> policy::Time;
+}
+
+/// The clock of this VM.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BootClock;
+
+impl SuspendClock for BootClock {
+    fn now(&self) -> policy::Time {
+        since_boot()
+    }
+}
+
 /// Returns this VM's time of day in microseconds since the start of 1970. It may jump.
 pub fn time_of_day() -> u64 {
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
--- /dev/null
+++ b/crates/direct/src/cluster/quota.rs
@@ -0,0 +1,771 @@
+//! The limits of customers at this entry, see [`policy::quota`]: the shares that it lends and those
+//! that are lent to it, the tokens that it holds, and its requests that wait for an answer.
+
+mod pending;
+
+use crate::cluster::clock::SuspendClock;
+use crate::cluster::groups::Member;
+use crate::cluster::messages::{
+    CustomerLimit, QuotaDecision, QuotaRenewal, QuotaRequest, QuotaResponse, QuotaReturn,
+    RefundedTokens, ShareLease, Stamp as WireStamp, UnspentTokens, micros,
+};
+use crate::cluster::suspects::Fingerprint;
+use pending::{Advance, Asked, Promised, Unsent};
+use policy::groups::{self, Entry};
+use policy::quota::{
+    Answer, Ask, Bounds, Coordinator, CustomerKey, EntryKey, Held, Lender, Life, Limit, PARTITIONS,
+    Partition, Refund, Return, Stamp, partition,
+};
+use policy::reservations::ReservationId;
+use policy::{Hash, Time, mix};
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+
+/// Mixed into the numbers of partitions, so that their coordinators are not the entries that other
+/// rankings put first.
+const SALT: Hash = 0x7175_6F74_6173_2121;
+
+/// The number of consecutive messages without an answer after which a holder counts as silent: one
+/// datagram may be lost.
+const SILENT_MESSAGES: u32 = 2;
+
+/// The shortest interval between two log lines about refusals of one customer.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Customers with refusals from which on those without recent ones are dropped.
+const MAX_LOGGED_CUSTOMERS: usize = 1_024;
+
+/// The share of the renewal interval within which a lease is not renewed again.
+const FRESH_SHARE: f64 = 0.5;
+
+/// Rows of each kind in one renewal, which then crosses networks without fragmentation.
+const MAX_ROWS: usize = 12;
+
+/// How limits are enforced.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// By how much limits may be exceeded.
+    pub bounds: Bounds,
+    /// The clock of leases.
+    pub clock: Arc<dyn SuspendClock>,
+}
+
+/// What a caller's request needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Demand {
+    /// The customer.
+    pub customer: CustomerKey,
+    /// Its limit.
+    pub limit: Limit,
+    /// What the request costs.
+    pub amount: f64,
+    /// How long the caller would wait before it retries.
+    pub max_wait: Duration,
+    /// Whether the caller retries after a refusal.
+    pub returning: bool,
+    /// Identifies the request over all attempts of its caller.
+    pub fingerprint: Fingerprint,
+}
+
+/// Tokens that were taken for a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Taken {
+    /// The customer.
+    pub customer: CustomerKey,
+    /// The tokens.
+    pub amount: f64,
+    /// The entry that granted them.
+    pub holder: EntryKey,
+    /// The newest stamp of that entry by then.
+    pub granted: Stamp,
+    /// Whether they were granted ahead of use.
+    pub ahead: bool,
+}
+
+/// The decision of a holder.
+#[derive(Debug, Clone, Copy)]
+pub enum Verdict {
+    /// The request may run.
+    Taken(Taken),
+    /// The customer is beyond its limit.
+    Refused {
+        /// When the tokens will be available.
+        retry_after: Duration,
+        /// Whether they are reserved for the caller then.
+        reserved: bool,
+    },
+}
+
+/// The next step towards the tokens of a request.
+#[derive(Debug)]
+pub enum Step {
+    /// This entry coordinates the customer and has decided.
+    Decided(Verdict),
+    /// A holder has to be asked.
+    Ask {
+        /// The holder.
+        holder: EntryKey,
+        /// The message.
+        message: QuotaRequest,
+        /// Resolves to the decision.
+        verdict: oneshot::Receiver<Verdict>,
+    },
+    /// There is no holder yet; with the time after which to try again.
+    NoHolder(Duration),
+}
+
+/// Messages that are due, by recipient.
+#[derive(Debug, Default)]
+pub struct Due {
+    /// Renewals of leases.
+    pub renewals: Vec<(EntryKey, QuotaRenewal)>,
+    /// Requests to return leases.
+    pub returns: Vec<(EntryKey, QuotaReturn)>,
+}
+
+/// Counts of changes since they were last taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Counts {
+    /// Leases to this entry that began.
+    pub gained: u64,
+    /// Leases that were returned at the lender's request.
+    pub lost: u64,
+    /// Leases that ended without a renewal.
+    pub expired: u64,
+    /// Tokens that this entry granted as a coordinator, those ahead of use included.
+    pub granted: f64,
+    /// Tokens that were taken for requests at this entry.
+    pub used: f64,
+    /// Tokens of requests that no target ran.
+    pub refunded: f64,
+    /// Tokens granted ahead of use that were given back.
+    pub unspent: f64,
+}
+
+/// The limits of customers at this entry.
+#[derive(Debug)]
+pub struct Quota {
+    clock: Arc<dyn SuspendClock>,
+    state: Mutex<State>,
+    /// Notified when leases are to be renewed at once.
+    pub due: Notify,
+}
+
+impl Quota {
+    /// Creates the state of an entry that has just started; `life` is unique to the process.
+    pub fn new(settings: &Settings, own: EntryKey, life: Life) -> Self {
+        let state = State {
+            own,
+            life,
+            coordinator: Coordinator::new(settings.bounds, life),
+            lender: Lender::new(own),
+            held: Held::default(),
+            candidates: Candidates::default(),
+            stamps: HashMap::new(),
+            unanswered: HashMap::new(),
+            asked: HashMap::new(),
+            ahead: HashMap::new(),
+            refunds: Vec::new(),
+            shares: HashMap::new(),
+            counts: Counts::default(),
+            promised: Promised::default(),
+            refusals: HashMap::new(),
+            renewed: [None; PARTITIONS as usize],
+        };
+        Self { clock: settings.clock.clone(), state: Mutex::new(state), due: Notify::new() }
+    }
+
+    /// Calls a function with the state and the time.
+    pub fn with<T>(&self, act: impl FnOnce(&mut State, Time) -> T) -> T {
+        let now = self.clock.now();
+        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner), now)
+    }
+}
+
+/// The state behind [`Quota`].
+#[derive(Debug)]
+pub struct State {
+    own: EntryKey,
+    life: Life,
+    coordinator: Coordinator,
+    /// This entry's share.
+    pub lender: Lender,
+    held: Held,
+    candidates: Candidates,
+    /// The newest stamps of other entries.
+    stamps: HashMap<EntryKey, Stamp>,
+    /// Consecutive messages to other entries without an answer.
+    unanswered: HashMap<EntryKey, u32>,
+    asked: HashMap<ReservationId, Asked>,
+    /// Customers for which tokens are held.
+    ahead: HashMap<CustomerKey, Advance>,
+    /// Refunds that were not sent yet.
+    refunds: Vec<Unsent>,
+    /// When the leases to this entry end.
+    shares: HashMap<(Partition, EntryKey), Time>,
+    counts: Counts,
+    /// Callers that were told to retry.
+    promised: Promised,
+    /// When refusals of a customer were last logged, and how many were since.
+    refusals: HashMap<CustomerKey, (Time, u64)>,
+    /// When, and at which holder, [`State::renew`] last renewed the lease of each partition.
+    renewed: [Option<(EntryKey, Time)>; PARTITIONS as usize],
+}
+
+/// The entries that may coordinate each partition, recomputed when entries change.
+#[derive(Debug, Default)]
+struct Candidates {
+    members: Option<Arc<[Member]>>,
+    keys: Vec<Vec<EntryKey>>,
+}
+
+impl Candidates {
+    fn of(&mut self, partition: Partition, members: &Arc<[Member]>) -> &[EntryKey] {
+        if !self.members.as_ref().is_some_and(|known| Arc::ptr_eq(known, members)) {
+            let entry = |member: &Member| Entry { key: member.key, weight: member.link_rate };
+            let entries: Vec<Entry> = members.iter().map(entry).collect();
+            let keys = (0..PARTITIONS).map(|partition| {
+                let ranked = groups::coordinators(mix(SALT, partition.into()), &entries);
+                ranked.into_iter().map(|at| entries[at].key).collect()
+            });
+            self.keys = keys.collect();
+            self.members = Some(members.clone());
+        }
+        self.keys.get(usize::from(partition)).map_or(&[], Vec::as_slice)
+    }
+}
+
+impl State {
+    /// Takes what a request costs from the tokens held here, if they cover it.
+    pub fn spend(&mut self, demand: &Demand, now: Time) -> Option<Taken> {
+        let Demand { customer, limit, amount, .. } = *demand;
+        if !self.held.spend(customer, &limit, amount, now) {
+            return None;
+        }
+        let holder = self.ahead.get(&customer)?.holder;
+        self.counts.used += amount;
+        let granted = self.stamp_of(holder, now);
+        Some(Taken { customer, amount, holder, granted, ahead: true })
+    }
+
+    /// Takes the next step for a request that the held tokens don't cover.
+    pub fn next_step(
+        &mut self,
+        demand: &Demand,
+        members: &Arc<[Member]>,
+        id: ReservationId,
+        now: Time,
+    ) -> Step {
+        let partition = partition(demand.customer);
+        let Some(holder) = self.holder(partition, members, now) else {
+            let lease_end = self.lender.lease_end(partition).unwrap_or(now);
+            return Step::NoHolder(lease_end.saturating_sub(now));
+        };
+        let lease = self.lease(holder, &[partition], now);
+        let ask = self.ask(demand, holder, id, now);
+        if holder == self.own {
+            self.lend(&lease, now);
+            let answer = self.decide_request(ask, demand.fingerprint, now);
+            let version = self.coordinator.version(demand.customer).unwrap_or_default();
+            let asked = Asked::new(demand, holder, now).0;
+            return Step::Decided(self.apply(&asked, answer, version, self.own_stamp(now), now));
+        }
+        let (asked, verdict) = Asked::new(demand, holder, now);
+        self.asked.insert(id, asked);
+        let message = QuotaRequest {
+            id,
+            lease: Some(lease),
+            limit: Some(encode_limit(ask.customer, &ask.limit)),
+            amount: ask.amount,
+            ahead: ask.ahead,
+            returned: ask.returned,
+            max_wait_us: micros(ask.max_wait),
+            returning: ask.returning,
+            fingerprint: demand.fingerprint,
+        };
+        Step::Ask { holder, message, verdict }
+    }
+
+    fn ask(&mut self, demand: &Demand, holder: EntryKey, id: ReservationId, now: Time) -> Ask {
+        let Demand { customer, limit, amount, max_wait, returning, .. } = *demand;
+        // Tokens go back only to the entry that granted them; those of another one are dropped.
+        let unspent = self.held.take_unspent(customer, now);
+        let own = self.ahead.remove(&customer).filter(|ahead| ahead.holder == holder);
+        let returned = own.map_or(0.0, |_| unspent);
+        self.counts.unspent += returned;
+        let ahead = self.held.wanted(customer, now);
+        let echoed = Some(self.stamp_of(holder, now)).filter(|stamp| !stamp.at.is_zero());
+        let entry = self.own;
+        Ask { entry, id, echoed, customer, limit, amount, ahead, returned, max_wait, returning }
+    }
+
+    /// Records the answer to a request for tokens of this entry.
+    fn apply(
+        &mut self,
+        asked: &Asked,
+        answer: Answer,
+        version: u64,
+        granted: Stamp,
+        now: Time,
+    ) -> Verdict {
+        let Asked { demand, holder, sent_at, .. } = asked;
+        let Demand { customer, limit, amount, .. } = *demand;
+        match answer {
+            Answer::Granted { ahead } => {
+                let until = *sent_at + self.lender.term(now);
+                if ahead > 0.0 && until > now {
+                    let limit = Limit { version, ..limit };
+                    self.held.add(customer, &limit, ahead, until, now);
+                    self.ahead.insert(customer, Advance { holder: *holder, until, limit });
+                }
+                self.counts.used += amount;
+                let (holder, ahead) = (*holder, false);
+                Verdict::Taken(Taken { customer, amount, holder, granted, ahead })
+            }
+            Answer::Refused { retry_after, reserved } => Verdict::Refused { retry_after, reserved },
+        }
+    }
+
+    /// Applies the response of another entry; returns whether the renewal is to be repeated.
+    pub fn deliver(&mut self, response: &QuotaResponse, now: Time) -> bool {
+        let Some(stamp) = response.stamp.map(|stamp| stamp.decode()) else { return false };
+        let holder = response.holder;
+        let known = self.stamps.entry(holder).or_insert(stamp);
+        if known.life != stamp.life || known.at < stamp.at {
+            *known = stamp;
+        }
+        self.unanswered.remove(&holder);
+        self.lender.answered(holder);
+        self.lender.observe_peer_count(usize::try_from(response.entries).unwrap_or(0), now);
+        if let Some(decision) = &response.decision
+            && let Some(mut asked) = self.asked.remove(&response.id)
+            && let Some(sender) = asked.sender.take()
+        {
+            let answer = decision.decode();
+            // A process that was frozen meanwhile finds an answer that is no longer valid.
+            let is_valid = now.saturating_sub(asked.sent_at) < self.lender.term(now);
+            if is_valid {
+                let verdict = self.apply(&asked, answer, response.version, stamp, now);
+                if let Err(Verdict::Taken(taken)) = sender.send(verdict) {
+                    // The request has stopped waiting.
+                    self.refund(&taken, now);
+                }
+            }
+        }
+        response.not_lent
+    }
+
+    /// Gives back the tokens of a request that no target ran.
+    pub fn refund(&mut self, taken: &Taken, now: Time) {
+        self.counts.refunded += taken.amount;
+        self.refunds.push(Unsent { taken: *taken, since: now });
+    }
+
+    /// Records that a holder did not answer a request in time.
+    pub fn record_unanswered(&mut self, holder: EntryKey, now: Time) {
+        *self.unanswered.entry(holder).or_default() += 1;
+        self.check_silent(holder, now);
+    }
+
+    /// Gives a holder no more shares once it has left several messages unanswered.
+    fn check_silent(&mut self, holder: EntryKey, now: Time) {
+        if self.unanswered.get(&holder).is_some_and(|count| *count >= SILENT_MESSAGES) {
+            self.unanswered.remove(&holder);
+            for partition in 0..PARTITIONS {
+                self.lender.silent(partition, holder, now);
+            }
+        }
+    }
+
+    /// Returns for how long the lease of a customer's partition still runs.
+    pub fn lease_left(&self, customer: CustomerKey, now: Time) -> Duration {
+        let end = self.lender.lease_end(partition(customer));
+        end.unwrap_or(now + self.lender.term(now)).saturating_sub(now)
+    }
+
+    fn holder(
+        &mut self,
+        partition: Partition,
+        members: &Arc<[Member]>,
+        now: Time,
+    ) -> Option<EntryKey> {
+        let candidates = self.candidates.of(partition, members);
+        self.lender.holder(partition, candidates, now)
+    }
+
+    /// Returns the lease of some partitions to an entry that [`Lender::holder`] has just returned
+    /// for them, and records that it is sent.
+    fn lease(&mut self, holder: EntryKey, partitions: &[Partition], now: Time) -> ShareLease {
+        for partition in partitions {
+            self.lender.record_sent(*partition, holder, now);
+        }
+        let echoed = match holder == self.own {
+            true => Some(self.own_stamp(now)),
+            false => self.stamps.get(&holder).copied(),
+        };
+        ShareLease {
+            lender: self.own,
+            holder,
+            partitions: partitions.iter().map(|partition| u32::from(*partition)).collect(),
+            share: self.lender.share(now),
+            term_us: micros(self.lender.term(now)),
+            echoed: echoed.map(WireStamp::new),
+        }
+    }
+
+    /// Returns the messages that are due, and lends to this entry itself what it coordinates.
+    /// `unique_id` returns ids for them.
+    pub fn renew(
+        &mut self,
+        members: &Arc<[Member]>,
+        unique_id: impl Fn() -> ReservationId,
+        now: Time,
+    ) -> Due {
+        let mut due = Due::default();
+        let mut holders: HashMap<EntryKey, Vec<Partition>> = HashMap::new();
+        let fresh = self.lender.interval(now).mul_f64(FRESH_SHARE);
+        for partition in 0..PARTITIONS {
+            let Some(holder) = self.holder(partition, members, now) else { continue };
+            let renewed = &mut self.renewed[usize::from(partition)];
+            // This round may be early, for partitions that have a new holder.
+            let is_fresh = |(at, time)| at == holder && now.saturating_sub(time) < fresh;
+            if !renewed.is_some_and(is_fresh) {
+                *renewed = Some((holder, now));
+                holders.entry(holder).or_default().push(partition);
+            }
+        }
+        let mut unspent = self.take_unspent(&unique_id, now);
+        let mut refunds = self.take_refunds(&unique_id, now);
+        let others = unspent.keys().chain(refunds.keys()).copied().collect::<HashSet<_>>();
+        for holder in others {
+            holders.entry(holder).or_default();
+        }
+        for (holder, partitions) in holders {
+            let lease = self.lease(holder, &partitions, now);
+            let renewals = split(
+                &lease,
+                &unspent.remove(&holder).unwrap_or_default(),
+                &refunds.remove(&holder).unwrap_or_default(),
+                &unique_id,
+            );
+            if holder == self.own {
+                for renewal in renewals {
+                    self.respond_to_renewal(&renewal, now);
+                }
+                continue;
+            }
+            if !partitions.is_empty() {
+                self.check_silent(holder, now);
+                // Until an answer arrives.
+                *self.unanswered.entry(holder).or_default() += 1;
+            }
+            due.renewals.extend(renewals.into_iter().map(|renewal| (holder, renewal)));
+        }
+        due.returns = self.returns(members, now);
+        due
+    }
+
+    /// Takes the tokens that would be void before the next renewal.
+    fn take_unspent(
+        &mut self,
+        unique_id: impl Fn() -> ReservationId,
+        now: Time,
+    ) -> HashMap<EntryKey, Vec<UnspentTokens>> {
+        let horizon = now + self.lender.interval(now).mul_f64(1.5);
+        let ending = self.ahead.extract_if(|_, ahead| ahead.until <= horizon);
+        let ending: Vec<_> = ending.collect();
+        let mut unspent: HashMap<EntryKey, Vec<UnspentTokens>> = HashMap::new();
+        for (customer, Advance { holder, limit, .. }) in ending {
+            let amount = self.held.take_unspent(customer, now);
+            if amount > 0.0 {
+                self.counts.unspent += amount;
+                let limit = Some(encode_limit(customer, &limit));
+                let row = UnspentTokens { id: unique_id(), limit, amount };
+                unspent.entry(holder).or_default().push(row);
+            }
+        }
+        unspent
+    }
+
+    fn take_refunds(
+        &mut self,
+        unique_id: impl Fn() -> ReservationId,
+        now: Time,
+    ) -> HashMap<EntryKey, Vec<RefundedTokens>> {
+        let mut refunds: HashMap<EntryKey, Vec<RefundedTokens>> = HashMap::new();
+        let term = self.lender.term(now);
+        for Unsent { taken, since } in self.refunds.drain(..) {
+            if now.saturating_sub(since) < term {
+                let Taken { customer, amount, holder, granted, ahead } = taken;
+                let granted = Some(WireStamp::new(granted));
+                let row = RefundedTokens { id: unique_id(), customer, amount, granted, ahead };
+                refunds.entry(holder).or_default().push(row);
+            }
+        }
+        refunds
+    }
+
+    fn returns(&mut self, members: &Arc<[Member]>, now: Time) -> Vec<(EntryKey, QuotaReturn)> {
+        let mut returns: HashMap<EntryKey, QuotaReturn> = HashMap::new();
+        for partition in 0..PARTITIONS {
+            let candidates = self.candidates.of(partition, members);
+            let pending = self.lender.pending_return(partition, candidates, now);
+            let Some(pending) = pending else { continue };
+            let message = returns.entry(pending.holder).or_insert_with(|| QuotaReturn {
+                lender: self.own,
+                holder: pending.holder,
+                ..QuotaReturn::default()
+            });
+            message.partitions.push(partition.into());
+            let sent = u64::try_from(pending.sent.as_nanos()).unwrap_or(u64::MAX);
+            message.sent_ns.push(sent);
+        }
+        returns.into_iter().collect()
+    }
+
+    /// Returns the renewal of all leases to one holder.
+    pub fn renewal_for(
+        &mut self,
+        holder: EntryKey,
+        members: &Arc<[Member]>,
+        id: ReservationId,
+        now: Time,
+    ) -> Option<QuotaRenewal> {
+        let held = (0..PARTITIONS)
+            .filter(|partition| self.holder(*partition, members, now) == Some(holder))
+            .collect::<Vec<_>>();
+        if held.is_empty() || holder == self.own {
+            return None;
+        }
+        let lease = Some(self.lease(holder, &held, now));
+        Some(QuotaRenewal { id, lease, ..QuotaRenewal::default() })
+    }
+
+    /// Decides on a request of another entry; `None` if it isn't addressed to this one or invalid.
+    pub fn respond(&mut self, request: &QuotaRequest, now: Time) -> Option<QuotaResponse> {
+        let lease = request.lease.as_ref().filter(|lease| lease.holder == self.own)?;
+        let (customer, limit) = decode_limit(request.limit.as_ref()?)?;
+        let is_amount = |amount: f64| amount.is_finite() && amount >= 0.0;
+        if ![request.amount, request.ahead, request.returned].into_iter().all(is_amount) {
+            return None;
+        }
+        let not_lent = !self.lend(lease, now);
+        let ask = Ask {
+            entry: lease.lender,
+            id: request.id,
+            echoed: lease.echoed.map(|stamp| stamp.decode()),
+            customer,
+            limit,
+            amount: request.amount,
+            ahead: request.ahead,
+            returned: request.returned,
+            max_wait: Duration::from_micros(request.max_wait_us),
+            returning: request.returning,
+        };
+        let decision = Some(QuotaDecision::new(self.decide_request(ask, request.fingerprint, now)));
+        let version = self.coordinator.version(customer).unwrap_or(limit.version);
+        Some(QuotaResponse { version, decision, ..self.response(request.id, not_lent, now) })
+    }
+
+    /// Decides on a request for tokens. A caller that returns soon after a refusal has almost the
+    /// same time left as at its first attempt, so it is also recognized by the request itself.
+    fn decide_request(&mut self, ask: Ask, fingerprint: Fingerprint, now: Time) -> Answer {
+        let key = (ask.customer, fingerprint);
+        let returns = self.promised.remove_due(key, now);
+        let ask = Ask { returning: ask.returning || returns, ..ask };
+        let answer = self.decide(&ask, now);
+        if let Answer::Refused { retry_after, reserved: true } = answer {
+            self.promised.insert(key, now + retry_after, now);
+        }
+        answer
+    }
+
+    fn decide(&mut self, ask: &Ask, now: Time) -> Answer {
+        let entries = self.lender.entries(now);
+        let answer = self.coordinator.ask(ask, entries, now);
+        if let Answer::Granted { ahead } = answer {
+            self.counts.granted += ask.amount + ahead;
+        }
+        answer
+    }
+
+    /// Applies a renewal; `None` if it isn't addressed to this entry.
+    pub fn respond_to_renewal(
+        &mut self,
+        renewal: &QuotaRenewal,
+        now: Time,
+    ) -> Option<QuotaResponse> {
+        let lease = renewal.lease.as_ref().filter(|lease| lease.holder == self.own)?;
+        let not_lent = !self.lend(lease, now);
+        let entries = self.lender.entries(now);
+        let is_amount = |amount: f64| amount.is_finite() && amount > 0.0;
+        for row in renewal.unspent.iter().filter(|row| is_amount(row.amount)) {
+            let Some((customer, limit)) = row.limit.as_ref().and_then(decode_limit) else {
+                continue;
+            };
+            let ask = Ask {
+                entry: lease.lender,
+                id: row.id,
+                echoed: lease.echoed.map(|stamp| stamp.decode()),
+                customer,
+                limit,
+                amount: 0.0,
+                ahead: 0.0,
+                returned: row.amount,
+                max_wait: Duration::ZERO,
+                returning: false,
+            };
+            self.decide(&ask, now);
+        }
+        for row in renewal.refunds.iter().filter(|row| is_amount(row.amount)) {
+            let Some(granted) = row.granted.map(|stamp| stamp.decode()) else { continue };
+            let RefundedTokens { id, customer, amount, ahead, .. } = *row;
+            let refund = Refund { entry: lease.lender, id, granted, ahead, customer, amount };
+            self.coordinator.refund(&refund, entries, now);
+        }
+        Some(self.response(renewal.id, not_lent, now))
+    }
+
+    fn response(&self, id: ReservationId, not_lent: bool, now: Time) -> QuotaResponse {
+        QuotaResponse {
+            id,
+            holder: self.own,
+            stamp: Some(WireStamp::new(self.own_stamp(now))),
+            not_lent,
+            entries: u32::try_from(self.lender.entries(now)).unwrap_or(u32::MAX),
+            ..QuotaResponse::default()
+        }
+    }
+
+    /// Counts a lease to this entry; returns whether it has a stamp from which its term counts.
+    fn lend(&mut self, lease: &ShareLease, now: Time) -> bool {
+        let echoed = lease.echoed.map(|stamp| stamp.decode());
+        let term = Duration::from_micros(lease.term_us);
+        let ends = echoed
+            .filter(|stamp| stamp.life == self.life && stamp.at <= now)
+            .map(|stamp| stamp.at + term)
+            .filter(|ends| *ends > now);
+        if !(lease.share.is_finite() && (0.0..=1.0).contains(&lease.share)) {
+            return ends.is_some();
+        }
+        for partition in lease.partitions.iter().filter_map(|at| Partition::try_from(*at).ok()) {
+            if partition >= PARTITIONS {
+                continue;
+            }
+            self.coordinator.lend(partition, lease.lender, lease.share, term, echoed, now);
+            if let Some(ends) = ends.filter(|_| lease.share > 0.0) {
+                let known = self.shares.insert((partition, lease.lender), ends);
+                self.counts.gained += u64::from(known.is_none());
+            }
+        }
+        ends.is_some()
+    }
+
+    /// Handles a request to return leases, or its confirmation; returns the confirmation to send.
+    pub fn apply_return(&mut self, message: &QuotaReturn, now: Time) -> Option<QuotaReturn> {
+        let rows = message.partitions.iter().zip(&message.sent_ns).filter_map(|(at, sent)| {
+            let partition = Partition::try_from(*at).ok().filter(|at| *at < PARTITIONS)?;
+            Some((partition, Duration::from_nanos(*sent)))
+        });
+        if message.confirmed {
+            if message.lender == self.own {
+                for (partition, sent) in rows {
+                    self.lender.returned(partition, Return { holder: message.holder, sent });
+                }
+                self.unanswered.remove(&message.holder);
+            }
+            return None;
+        }
+        if message.holder != self.own {
+            return None;
+        }
+        for (partition, _) in rows {
+            self.coordinator.give_back_share(partition, message.lender, now);
+            if self.shares.remove(&(partition, message.lender)).is_some() {
+                self.counts.lost += 1;
+            }
+        }
+        Some(QuotaReturn { confirmed: true, ..message.clone() })
+    }
+
+    /// Drops what has ended, and takes the counts.
+    pub fn take_counts(&mut self, now: Time) -> Counts {
+        let before = self.shares.len();
+        self.shares.retain(|_, ends| *ends > now);
+        self.counts.expired += u64::try_from(before - self.shares.len()).unwrap_or(u64::MAX);
+        let term = self.lender.term(now);
+        self.asked.retain(|_, asked| now.saturating_sub(asked.sent_at) < term);
+        std::mem::take(&mut self.counts)
+    }
+
+    /// Returns the fraction of the limits of a partition that this entry may grant.
+    pub fn fraction(&self, partition: Partition, now: Time) -> f64 {
+        self.coordinator.fraction(partition, now)
+    }
+
+    /// Drops tokens granted under an older configuration.
+    pub fn observe_version(&mut self, version: u64) {
+        self.held.clear_older(version);
+    }
+
+    /// Counts a refusal; returns the number to log, at most once a second.
+    pub fn count_refusal(&mut self, customer: CustomerKey, now: Time) -> Option<u64> {
+        if self.refusals.len() >= MAX_LOGGED_CUSTOMERS {
+            self.refusals.retain(|_, (at, _)| now.saturating_sub(*at) < REFUSAL_LOG_INTERVAL);
+        }
+        let known = self.refusals.get_mut(&customer);
+        if let Some((at, count)) = known
+            && now.saturating_sub(*at) < REFUSAL_LOG_INTERVAL
+        {
+            *count += 1;
+            return None;
+        }
+        let before = self.refusals.insert(customer, (now, 0));
+        Some(before.map_or(0, |(_, count)| count) + 1)
+    }
+
+    fn own_stamp(&self, now: Time) -> Stamp {
+        Stamp { life: self.life, at: now }
+    }
+
+    /// Returns the newest stamp of an entry; one of no process if none is known.
+    fn stamp_of(&self, entry: EntryKey, now: Time) -> Stamp {
+        if entry == self.own {
+            return self.own_stamp(now);
+        }
+        self.stamps.get(&entry).copied().unwrap_or(Stamp { life: 0, at: Time::ZERO })
+    }
+}
+
+/// Spreads tokens that are given back over as many renewals as needed, at least one.
+fn split(
+    lease: &ShareLease,
+    unspent: &[UnspentTokens],
+    refunds: &[RefundedTokens],
+    unique_id: impl Fn() -> ReservationId,
+) -> Vec<QuotaRenewal> {
+    let count = unspent.len().max(refunds.len()).div_ceil(MAX_ROWS).max(1);
+    let mut unspent = unspent.chunks(MAX_ROWS);
+    let mut refunds = refunds.chunks(MAX_ROWS);
+    let renewal = |_| QuotaRenewal {
+        id: unique_id(),
+        lease: Some(lease.clone()),
+        unspent: unspent.next().unwrap_or_default().to_vec(),
+        refunds: refunds.next().unwrap_or_default().to_vec(),
+    };
+    (0..count).map(renewal).collect()
+}
+
+fn encode_limit(customer: CustomerKey, limit: &Limit) -> CustomerLimit {
+    let Limit { rate, burst, version } = *limit;
+    CustomerLimit { customer, rate, burst, version }
+}
+
+/// Decodes a limit; `None` if a figure is no amount.
+fn decode_limit(limit: &CustomerLimit) -> Option<(CustomerKey, Limit)> {
+    let CustomerLimit { customer, rate, burst, version } = *limit;
+    let valid = [rate, burst].into_iter().all(|figure| figure.is_finite() && figure >= 0.0);
+    valid.then_some((customer, Limit { rate, burst, version }))
+}
--- a/crates/direct/src/config/customers.rs
+++ b/crates/direct/src/config/customers.rs
@@ -54,17 +54,49 @@
     Invalid,
 }
 
+/// What the limit of a customer counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Unit {
+    /// Tokens of prompt and output. A request that states none counts as this many.
+    Tokens {
+        /// The tokens of a request that states none.
+        plain: f64,
+    },
+    /// Requests.
+    Requests,
+}
+
+/// What a customer may use, over all entries together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Units per second; positive.
+    pub rate: f64,
+    /// Units that may be used at once; positive.
+    pub burst: f64,
+    /// The unit.
+    pub unit: Unit,
+}
+
 /// A customer, as operators configured it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Customer {
     /// Its name.
     pub name: CustomerName,
     /// Its priority, which overrides the route's: 0 is the most urgent.
     pub priority: Option<u8>,
+    /// Its limit, if it has one.
+    pub limit: Option<Limit>,
+}
+
+impl Customer {
+    /// Its identity in decisions: the hash of its name.
+    pub fn key(&self) -> policy::Hash {
+        policy::hash(&self.name)
+    }
 }
 
 /// Who sent a request.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub enum Caller {
     /// Not checked: no customers are configured.
     #[default]
@@ -89,11 +121,13 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Customers {
     by_key: HashMap<KeyDigest, Arc<Customer>>,
+    any_limit: bool,
 }
 
 impl Customers {
     /// Adds a customer with its keys.
     pub fn add(&mut self, customer: Customer, keys: impl IntoIterator<Item = KeyDigest>) {
+        self.any_limit |= customer.limit.is_some();
         let customer = Arc::new(customer);
         for key in keys {
             match self.by_key.entry(key) {
@@ -115,6 +149,11 @@
         self.by_key.len()
     }
 
+    /// Whether any of them has a limit.
+    pub fn any_limit(&self) -> bool {
+        self.any_limit
+    }
+
     /// Identifies the caller by its credential. A `public` route needs no key.
     pub fn caller(&self, credential: Credential, public: bool) -> Result<Caller> {
         let customer = match credential {
--- a/crates/direct/src/config/route.rs
+++ b/crates/direct/src/config/route.rs
@@ -165,6 +165,11 @@
         self.customers.as_ref().map(Customers::key_count)
     }
 
+    /// Whether any customer has a limit.
+    pub fn any_limit(&self) -> bool {
+        self.customers.as_ref().is_some_and(Customers::any_limit)
+    }
+
     /// The route of `host` with the longest prefix that `path` begins with.
     ///
     /// Prefixes end with a slash, so it tries the path up to each slash from the last: as many
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -9,6 +9,7 @@
 use crate::exchange::follow::{self, Decode};
 use crate::exchange::gossip;
 use crate::exchange::membership;
+use crate::exchange::quota;
 use crate::instrumented_log::InstrumentedLog;
 use crate::probe;
 use crate::request::server::CallerServer;
@@ -135,6 +136,7 @@
         tasks.spawn(entry_stream::publish_suspects(shared.clone(), log.clone()));
         tasks.spawn(entry_stream::follow(shared.clone(), log.clone(), updates));
         tasks.spawn(membership::run(shared.clone(), addresses.peers, stop.clone()));
+        tasks.spawn(quota::run(shared.clone(), addresses.peers));
         tasks.spawn(gossip::publish(shared.clone(), peers.clone()));
         tasks.spawn(gossip::receive(shared.clone(), peers));
         if let Some((reporter, settings)) = reporter {
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,3 +10,4 @@
 pub mod gossip;
 pub mod membership;
 pub mod notice;
+pub mod quota;
--- a/crates/direct/src/exchange/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -41,7 +41,11 @@
         | Payload::BillingProgress(_)
         | Payload::TargetLimit(_)
         | Payload::Membership(_)
-        | Payload::RecordsRequest(_) => None,
+        | Payload::RecordsRequest(_)
+        | Payload::QuotaRequest(_)
+        | Payload::QuotaResponse(_)
+        | Payload::QuotaRenewal(_)
+        | Payload::QuotaReturn(_) => None,
     }
 }
 
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -20,7 +20,7 @@
     ConfigRequest, Decision, Envelope, Granted, Payload, RecordsRequest, Report, Response,
 };
 use crate::cluster::tail::Topic;
-use crate::exchange::{catch_up, coordination, dissemination, membership};
+use crate::exchange::{catch_up, coordination, dissemination, membership, quota};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
 use crate::targets::availability::{Reason, Unavailable};
 use bytes::Bytes;
@@ -246,6 +246,10 @@
         Payload::BillingProgress(progress) => {
             shared.usage.observe_billing(progress, clock::since_boot())
         }
+        Payload::QuotaRequest(_)
+        | Payload::QuotaResponse(_)
+        | Payload::QuotaRenewal(_)
+        | Payload::QuotaReturn(_) => quota::receive(shared, payload, from),
     }
 }
 
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -59,6 +59,11 @@
     target: Text,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PartitionLabel {
+    partition: u32,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Text(CompactString);
 
@@ -96,6 +101,10 @@
     limits: Family<TargetLabel, Gauge<f64, AtomicU64>>,
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     ages: Family<KindLabel, Gauge<f64, AtomicU64>>,
+    quota_tokens: Family<KindLabel, Counter<f64, AtomicU64>>,
+    quota_leases: Family<KindLabel, Counter>,
+    quota_refusals: Family<KindLabel, Counter>,
+    quota_fractions: Family<PartitionLabel, Gauge<f64, AtomicU64>>,
     /// The version of the configuration in force.
     pub version: Gauge,
     /// The epoch of the log, see [`plat::epoch`].
@@ -145,6 +154,10 @@
             limits: Family::default(),
             piece_times: Family::default(),
             ages: Family::default(),
+            quota_tokens: Family::default(),
+            quota_leases: Family::default(),
+            quota_refusals: Family::default(),
+            quota_fractions: Family::default(),
             version: Gauge::default(),
             epoch: Gauge::default(),
             targets: Gauge::default(),
@@ -157,6 +170,7 @@
         metrics.register_requests(&mut registry);
         metrics.register_attempts(&mut registry);
         metrics.register_state(&mut registry);
+        metrics.register_quota(&mut registry);
         Self { registry: Mutex::new(registry), ..metrics }
     }
 }
@@ -213,6 +227,39 @@
         to.register("entries", "Entries that share the work", self.entries.clone());
     }
 
+    fn register_quota(&self, to: &mut Registry) {
+        let tokens = "Tokens of customers' limits: granted as coordinator, used here, refunded \
+                      since no target ran the request, returned unspent";
+        to.register("quota_tokens", tokens, self.quota_tokens.clone());
+        let leases = "Leases of other entries' shares to this one: gained, lost, expired";
+        to.register("quota_leases", leases, self.quota_leases.clone());
+        let refusals = "Requests refused for their customers' limits by reason";
+        to.register("quota_refusals", refusals, self.quota_refusals.clone());
+        let fractions = "Fraction of the limits of a partition that this entry grants";
+        to.register("quota_fraction", fractions, self.quota_fractions.clone());
+    }
+
+    /// Adds tokens of customers' limits by what happened to them; the amount must not be negative.
+    pub fn quota_tokens(&self, kind: &'static str, amount: f64) {
+        self.quota_tokens.get_or_create(&KindLabel { kind: kind.into() }).inc_by(amount);
+    }
+
+    /// Counts changes of the leases of other entries' shares.
+    pub fn quota_leases(&self, kind: &'static str, count: u64) {
+        self.quota_leases.get_or_create(&KindLabel { kind: kind.into() }).inc_by(count);
+    }
+
+    /// Counts a request that was refused for its customer's limit.
+    pub fn quota_refused(&self, reason: &'static str) {
+        self.quota_refusals.get_or_create(&KindLabel { kind: reason.into() }).inc();
+    }
+
+    /// Sets the fraction of the limits of a partition that this entry grants.
+    pub fn quota_fraction(&self, partition: u16, fraction: f64) {
+        let label = PartitionLabel { partition: partition.into() };
+        self.quota_fractions.get_or_create(&label).set(fraction);
+    }
+
     /// Counts a request that ended.
     pub fn request_ended(&self, route: &str, outcome: Outcome, duration: Duration) {
         let (route, outcome) = (Text::from(route), Text::from(outcome.0));
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -12,6 +12,7 @@
 pub mod permits;
 pub mod plain;
 pub mod prefill_placement;
+pub mod quota;
 pub mod relay;
 pub mod reservation;
 pub mod response;
--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -6,14 +6,15 @@
 use crate::codec::{AttemptHead, RequestHead};
 use crate::config::customers::Caller;
 use crate::config::route::{RetryPolicy, Route, Service, Table};
+use crate::request::quota::Charge;
 use crate::request::response::{self, Body, Failure, Refusal};
 use crate::request::trace::Trace;
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::CompactString;
 use http::Response;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -35,8 +36,11 @@
     pub deadline: Instant,
     /// Identifies equal requests over all attempts.
     pub fingerprint: Fingerprint,
+    /// What it takes from its customer's limit, if it has one.
+    pub charge: Option<Charge>,
     /// Whether it has been counted in its customer's usage.
     usage_counted: AtomicBool,
+    is_retry: OnceLock<bool>,
 }
 
 /// A target with work counts as unresponsive after this many times the objective without a
@@ -76,7 +80,9 @@
             service,
             deadline,
             fingerprint,
+            charge: None,
             usage_counted,
+            is_retry: OnceLock::new(),
         })
     }
 
@@ -108,6 +114,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether its caller retries after a refusal, see [`Shared::is_retry`].
+    pub fn is_retry(&self) -> bool {
+        *self.is_retry.get_or_init(|| self.shared.is_retry(&self.route, self.head.deadline))
+    }
+
     /// The requester to name to coordinators.
     pub fn requester(&self) -> Requester {
         Requester { entry: self.shared.key(), priority: self.priority().into() }
@@ -175,6 +186,9 @@
         refusal: Refusal,
         retry_after: Duration,
     ) -> Response<Body> {
+        if let Some(charge) = &self.charge {
+            charge.refund();
+        }
         trace.end(refusal.name());
         response::refuse(refusal, retry_after)
     }
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -35,8 +35,14 @@
         connect_timeout: request.shared.connect_timeout(target),
         deadline: request.response_deadline(),
     };
+    if let Some(charge) = &request.charge {
+        charge.begin_attempt();
+    }
     let outcome =
         attempt::send(&*request.shared.codec, target, &request.buffered, head, &bounds).await;
+    if let Some(charge) = &request.charge {
+        charge.end_attempt(outcome.may_have_run());
+    }
     if let Outcome::Responded(responded) = &outcome
         && let Some(duration) = responded.connection.connect_time
     {
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -311,7 +311,7 @@
 
 /// What a prompt that has `waited` here requires of an engine.
 fn requirements(request: &RequestContext, prompt: &Prompt, waited: Duration) -> prefill::Prompt {
-    let late = request.shared.is_retry(&request.route, request.head.deadline);
+    let late = request.is_retry();
     let (tokens, objective) =
         (u64::from(prompt.input_tokens), request.route.objective.saturating_sub(waited));
     let piece_tokens = request.service.engine.as_ref().and_then(|engine| engine.piece_tokens);
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -28,6 +28,10 @@
     TargetRefused,
     /// All targets that could be tried have a rate limit and accept no more now.
     RateLimited,
+    /// The customer is beyond its limit.
+    QuotaExceeded,
+    /// No entry could decide whether the customer is within its limit.
+    QuotaUnavailable,
     /// No target could be reached.
     Unreachable,
     /// The request crashed several targets.
@@ -57,11 +61,32 @@
             Self::LinkFull => "link-full",
             Self::TargetRefused => "target-refused",
             Self::RateLimited => "limited",
+            Self::QuotaExceeded => "quota-exceeded",
+            Self::QuotaUnavailable => "quota-unavailable",
             Self::Unreachable => "unreachable",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
         }
     }
+
+    /// The status of the response: only what the caller itself can change is its own fault.
+    fn status(self) -> StatusCode {
+        match self {
+            Self::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration
+            | Self::KeysStale
+            | Self::NoTarget
+            | Self::PrefillFull
+            | Self::NoDecodeEngine
+            | Self::LinkFull
+            | Self::TargetRefused
+            | Self::RateLimited
+            | Self::QuotaUnavailable
+            | Self::Unreachable
+            | Self::Quarantined
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
 }
 
 impl Failure {
@@ -114,7 +139,7 @@
 
 /// A refusal with the time after which the caller should retry.
 pub fn refuse(refusal: Refusal, retry_after: Duration) -> Response<Body> {
-    let mut response = local(StatusCode::SERVICE_UNAVAILABLE, refusal.name());
+    let mut response = local(refusal.status(), refusal.name());
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -5,7 +5,7 @@
 use crate::request::context::RequestContext;
 use crate::request::response::{self, Body, Refusal};
 use crate::request::trace::Trace;
-use crate::request::{generate, plain};
+use crate::request::{generate, plain, quota};
 use crate::shared::Shared;
 use http::{Response, StatusCode};
 use std::sync::Arc;
@@ -64,7 +64,10 @@
         trace.end(Refusal::Quarantined.name());
         return response::refuse(Refusal::Quarantined, request.route.timeout);
     }
-    let request = Arc::new(request);
+    let request = match quota::charge(request, table.version, &mut trace).await {
+        Ok(request) => Arc::new(request),
+        Err(refused) => return refused,
+    };
     match (&request.service.engine, &request.head.prompt) {
         (Some(_), Some(_)) => generate::run(request, trace).await,
         _ => plain::run(request, trace).await,
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -5,6 +5,7 @@
 use crate::cluster::loads::Loads;
 use crate::cluster::peer_socket::PeerSocket;
 use crate::cluster::peers::Peers;
+use crate::cluster::quota::{self, Quota};
 use crate::cluster::suspects::Suspects;
 use crate::cluster::tail::{Tail, Timing, Topic};
 use crate::cluster::usage::Usage;
@@ -55,6 +56,8 @@
     pub timing: Timing,
     /// Addresses for datagrams of entries that may be running when this one starts.
     pub seeds: Vec<SocketAddr>,
+    /// How the limits of customers are enforced; `None` if none are in force.
+    pub quota: Option<quota::Settings>,
 }
 
 /// The share of an entry's link that its datagrams to the other entries may take. Some entries have
@@ -110,6 +113,8 @@
     pub coordinator: Coordinator,
     /// What customers have used.
     pub usage: Usage,
+    /// The limits of customers; `None` if none are in force.
+    pub quota: Option<Quota>,
     /// The socket for messages to the other entries.
     pub peer_socket: PeerSocket,
     /// The demand on engines, and the rates they achieve.
@@ -154,6 +159,8 @@
         let incarnation = policy::hash(&format!("{} {:?}", std::process::id(), Instant::now()));
         let first_id = policy::mix(policy::hash(&settings.name), incarnation);
         let tail = Tail::new(first_id, settings.timing);
+        let quota = settings.quota.as_ref();
+        let quota = quota.map(|quota| Quota::new(quota, policy::hash(&settings.name), first_id));
         Self {
             settings,
             codec,
@@ -164,6 +171,7 @@
             peers: Peers::default(),
             coordinator: Coordinator::default(),
             usage: Usage::default(),
+            quota,
             peer_socket: PeerSocket::new(first_id),
             loads: Loads::default(),
             tail,
