feat(direct): planned handover of customers' shares; returning callers by request

A holder that stopped as planned kept its leases until they ended, and counted as an entry for half a minute. It now tells so in its answers, lenders take their shares back, and its departure reduces the number by which limits are divided. A holder without shares gives no decision in place of a refusal. Callers that return within half an objective are not seen as retries by the time they have left; the coordinator now recognizes them by their request, and gives a place whose caller is gone to another request of the same amount.

--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -122,6 +122,11 @@
         u32::try_from(others + inner.heartbeats.len() + 1).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many other entries have stopped as planned so far.
+    pub fn departures(&self) -> usize {
+        self.with(|membership, _| membership.departures()).unwrap_or_default()
+    }
+
     /// Returns whether this entry knows no other one.
     pub fn is_alone(&self) -> bool {
         self.lock().addresses.count() == 0
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -637,6 +637,9 @@
     /// The decision; none on a renewal.
     #[prost(oneof = "QuotaDecision", tags = "7, 8")]
     pub decision: Option<QuotaDecision>,
+    /// Whether the sender stops, so that its leases are to be taken back.
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
 }
 
 /// The decision on a request for tokens.
--- a/crates/direct/src/cluster/quota.rs
+++ b/crates/direct/src/cluster/quota.rs
@@ -96,6 +96,8 @@
         /// Whether they are reserved for the caller then.
         reserved: bool,
     },
+    /// The holder has no shares yet.
+    NotReady,
 }
 
 /// The next step towards the tokens of a request.
@@ -116,6 +118,17 @@
     NoHolder(Duration),
 }
 
+/// What follows from a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Followup {
+    /// Nothing.
+    Nothing,
+    /// The renewal is to be repeated, now that there is a stamp to echo.
+    Repeat,
+    /// The holder stops, or no longer does: leases are to be moved.
+    NewHolder,
+}
+
 /// Messages that are due, by recipient.
 #[derive(Debug, Default)]
 pub struct Due {
@@ -170,6 +183,8 @@
             refunds: Vec::new(),
             shares: HashMap::new(),
             counts: Counts::default(),
+            is_leaving: false,
+            leaving: HashSet::new(),
             promised: Promised::default(),
             refusals: HashMap::new(),
             renewed: [None; PARTITIONS as usize],
@@ -206,6 +221,10 @@
     /// When the leases to this entry end.
     shares: HashMap<(Partition, EntryKey), Time>,
     counts: Counts,
+    /// Whether this entry stops: it no longer lends its share, and others are to hold theirs.
+    is_leaving: bool,
+    /// Other entries that stop.
+    leaving: HashSet<EntryKey>,
     /// Callers that were told to retry.
     promised: Promised,
     /// When refusals of a customer were last logged, and how many were since.
@@ -222,10 +241,16 @@
 }
 
 impl Candidates {
-    fn of(&mut self, partition: Partition, members: &Arc<[Member]>) -> &[EntryKey] {
+    fn of(
+        &mut self,
+        partition: Partition,
+        members: &Arc<[Member]>,
+        leaving: &HashSet<EntryKey>,
+    ) -> &[EntryKey] {
         if !self.members.as_ref().is_some_and(|known| Arc::ptr_eq(known, members)) {
             let entry = |member: &Member| Entry { key: member.key, weight: member.link_rate };
-            let entries: Vec<Entry> = members.iter().map(entry).collect();
+            let staying = members.iter().filter(|member| !leaving.contains(&member.key));
+            let entries: Vec<Entry> = staying.map(entry).collect();
             let keys = (0..PARTITIONS).map(|partition| {
                 let ranked = groups::coordinators(mix(SALT, partition.into()), &entries);
                 ranked.into_iter().map(|at| entries[at].key).collect()
@@ -267,7 +292,9 @@
         let ask = self.ask(demand, holder, id, now);
         if holder == self.own {
             self.lend(&lease, now);
-            let answer = self.decide_request(ask, demand.fingerprint, now);
+            let Some(answer) = self.decide_request(ask, demand.fingerprint, now) else {
+                return Step::Decided(Verdict::NotReady);
+            };
             let version = self.coordinator.version(demand.customer).unwrap_or_default();
             let asked = Asked::new(demand, holder, now).0;
             return Step::Decided(self.apply(&asked, answer, version, self.own_stamp(now), now));
@@ -328,9 +355,35 @@
         }
     }
 
-    /// Applies the response of another entry; returns whether the renewal is to be repeated.
-    pub fn deliver(&mut self, response: &QuotaResponse, now: Time) -> bool {
-        let Some(stamp) = response.stamp.map(|stamp| stamp.decode()) else { return false };
+    /// Records that this entry stops. It lends its share no longer, and asks others to take theirs
+    /// back while it still answers.
+    pub fn leave(&mut self) {
+        self.is_leaving = true;
+        self.set_leaving(self.own, true);
+    }
+
+    /// Whether this entry stops.
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving
+    }
+
+    /// Records whether an entry stops; returns whether this is new.
+    fn set_leaving(&mut self, entry: EntryKey, leaving: bool) -> bool {
+        let changed = match leaving {
+            true => self.leaving.insert(entry),
+            false => self.leaving.remove(&entry),
+        };
+        if changed {
+            self.candidates = Candidates::default();
+        }
+        changed
+    }
+
+    /// Applies the response of another entry; returns what follows from it.
+    pub fn deliver(&mut self, response: &QuotaResponse, now: Time) -> Followup {
+        let Some(stamp) = response.stamp.map(|stamp| stamp.decode()) else {
+            return Followup::Nothing;
+        };
         let holder = response.holder;
         let known = self.stamps.entry(holder).or_insert(stamp);
         if known.life != stamp.life || known.at < stamp.at {
@@ -339,22 +392,27 @@
         self.unanswered.remove(&holder);
         self.lender.answered(holder);
         self.lender.observe_peer_count(usize::try_from(response.entries).unwrap_or(0), now);
-        if let Some(decision) = &response.decision
-            && let Some(mut asked) = self.asked.remove(&response.id)
+        if let Some(mut asked) = self.asked.remove(&response.id)
             && let Some(sender) = asked.sender.take()
-        {
-            let answer = decision.decode();
             // A process that was frozen meanwhile finds an answer that is no longer valid.
-            let is_valid = now.saturating_sub(asked.sent_at) < self.lender.term(now);
-            if is_valid {
-                let verdict = self.apply(&asked, answer, response.version, stamp, now);
-                if let Err(Verdict::Taken(taken)) = sender.send(verdict) {
-                    // The request has stopped waiting.
-                    self.refund(&taken, now);
-                }
+            && now.saturating_sub(asked.sent_at) < self.lender.term(now)
+        {
+            let answer = response.decision.map(|decision| decision.decode());
+            let verdict = answer.map_or(Verdict::NotReady, |answer| {
+                self.apply(&asked, answer, response.version, stamp, now)
+            });
+            if let Err(Verdict::Taken(taken)) = sender.send(verdict) {
+                // The request has stopped waiting.
+                self.refund(&taken, now);
             }
         }
-        response.not_lent
+        if self.set_leaving(holder, response.leaving) {
+            Followup::NewHolder
+        } else if response.not_lent && !response.leaving {
+            Followup::Repeat
+        } else {
+            Followup::Nothing
+        }
     }
 
     /// Gives back the tokens of a request that no target ran.
@@ -391,7 +449,7 @@
         members: &Arc<[Member]>,
         now: Time,
     ) -> Option<EntryKey> {
-        let candidates = self.candidates.of(partition, members);
+        let candidates = self.candidates.of(partition, members, &self.leaving);
         self.lender.holder(partition, candidates, now)
     }
 
@@ -409,7 +467,7 @@
             lender: self.own,
             holder,
             partitions: partitions.iter().map(|partition| u32::from(*partition)).collect(),
-            share: self.lender.share(now),
+            share: if self.is_leaving { 0.0 } else { self.lender.share(now) },
             term_us: micros(self.lender.term(now)),
             echoed: echoed.map(WireStamp::new),
         }
@@ -510,7 +568,7 @@
     fn returns(&mut self, members: &Arc<[Member]>, now: Time) -> Vec<(EntryKey, QuotaReturn)> {
         let mut returns: HashMap<EntryKey, QuotaReturn> = HashMap::new();
         for partition in 0..PARTITIONS {
-            let candidates = self.candidates.of(partition, members);
+            let candidates = self.candidates.of(partition, members, &self.leaving);
             let pending = self.lender.pending_return(partition, candidates, now);
             let Some(pending) = pending else { continue };
             let message = returns.entry(pending.holder).or_insert_with(|| QuotaReturn {
@@ -564,22 +622,27 @@
             max_wait: Duration::from_micros(request.max_wait_us),
             returning: request.returning,
         };
-        let decision = Some(QuotaDecision::new(self.decide_request(ask, request.fingerprint, now)));
+        let answer = self.decide_request(ask, request.fingerprint, now);
+        let decision = answer.map(QuotaDecision::new);
         let version = self.coordinator.version(customer).unwrap_or(limit.version);
         Some(QuotaResponse { version, decision, ..self.response(request.id, not_lent, now) })
     }
 
     /// Decides on a request for tokens. A caller that returns soon after a refusal has almost the
-    /// same time left as at its first attempt, so it is also recognized by the request itself.
-    fn decide_request(&mut self, ask: Ask, fingerprint: Fingerprint, now: Time) -> Answer {
-        let key = (ask.customer, fingerprint);
-        let returns = self.promised.remove_due(key, now);
+    /// same time left as at its first attempt, so it is also recognized by the request itself. `None`
+    /// if this entry has no shares, so that nothing can be said about the customer's limit.
+    fn decide_request(&mut self, ask: Ask, fingerprint: Fingerprint, now: Time) -> Option<Answer> {
+        if self.coordinator.fraction(partition(ask.customer), now) <= 0.0 {
+            return None;
+        }
+        let (customer, amount) = (ask.customer, ask.amount);
+        let returns = self.promised.take_due(customer, fingerprint, amount, now);
         let ask = Ask { returning: ask.returning || returns, ..ask };
         let answer = self.decide(&ask, now);
         if let Answer::Refused { retry_after, reserved: true } = answer {
-            self.promised.insert(key, now + retry_after, now);
+            self.promised.insert(customer, fingerprint, amount, now + retry_after);
         }
-        answer
+        Some(answer)
     }
 
     fn decide(&mut self, ask: &Ask, now: Time) -> Answer {
@@ -634,6 +697,7 @@
             holder: self.own,
             stamp: Some(WireStamp::new(self.own_stamp(now))),
             not_lent,
+            leaving: self.is_leaving,
             entries: u32::try_from(self.lender.entries(now)).unwrap_or(u32::MAX),
             ..QuotaResponse::default()
         }
--- a/crates/direct/src/cluster/quota/pending.rs
+++ b/crates/direct/src/cluster/quota/pending.rs
@@ -53,36 +53,68 @@
 /// own clock.
 const EARLY: Duration = Duration::from_millis(5);
 
-/// For how long after the time that it was told a caller is expected.
+/// How long after the time that it was told a caller counts as gone, so that another request of the
+/// same customer and amount can use what is reserved.
+const GONE: Duration = Duration::from_millis(250);
+
+/// For how long after that time tokens stay reserved.
 const LATE: Duration = Duration::from_secs(1);
 
-/// Callers that were told to retry, by customer and request, with the time.
-#[derive(Debug, Default)]
-pub(super) struct Promised {
-    due: HashMap<(CustomerKey, Fingerprint), Time>,
-    /// In the order in which they were refused.
-    order: VecDeque<(Time, (CustomerKey, Fingerprint))>,
+/// A caller that was told to retry.
+#[derive(Debug, Clone, Copy)]
+struct Promise {
+    fingerprint: Fingerprint,
+    amount: f64,
+    due: Time,
 }
 
+/// Callers that were told to retry, by customer.
+#[derive(Debug, Default)]
+pub(super) struct Promised(HashMap<CustomerKey, VecDeque<Promise>>);
+
 impl Promised {
     /// Records that a caller was told to retry at a time.
-    pub(super) fn insert(&mut self, caller: (CustomerKey, Fingerprint), due: Time, now: Time) {
-        while let Some((at, key)) = self.order.front().filter(|(at, _)| *at + LATE < now) {
-            if self.due.get(key) == Some(at) {
-                self.due.remove(key);
-            }
-            self.order.pop_front();
-        }
-        self.due.insert(caller, due);
-        self.order.push_back((due, caller));
+    pub(super) fn insert(
+        &mut self,
+        customer: CustomerKey,
+        fingerprint: Fingerprint,
+        amount: f64,
+        due: Time,
+    ) {
+        let promises = self.0.entry(customer).or_default();
+        let at = promises.partition_point(|other| other.due <= due);
+        promises.insert(at, Promise { fingerprint, amount, due });
     }
 
-    /// Forgets a caller whose time has come; returns whether it was told to retry.
-    pub(super) fn remove_due(&mut self, caller: (CustomerKey, Fingerprint), now: Time) -> bool {
-        let is_due = self.due.get(&caller).is_some_and(|due| *due <= now + EARLY);
-        if is_due {
-            self.due.remove(&caller);
+    /// Returns whether a request may use what is reserved for a caller: because it is the one that
+    /// was told to retry by now, or because that one has not come. Forgets that caller.
+    pub(super) fn take_due(
+        &mut self,
+        customer: CustomerKey,
+        fingerprint: Fingerprint,
+        amount: f64,
+        now: Time,
+    ) -> bool {
+        let Some(promises) = self.0.get_mut(&customer) else { return false };
+        while promises.front().is_some_and(|promise| promise.due + LATE <= now) {
+            promises.pop_front();
+        }
+        let due = promises.iter().take_while(|promise| promise.due <= now + EARLY);
+        let mut gone = None;
+        let mut own = None;
+        for (at, promise) in due.enumerate() {
+            if promise.fingerprint == fingerprint {
+                own = Some(at);
+                break;
+            }
+            if gone.is_none() && promise.amount == amount && promise.due + GONE <= now {
+                gone = Some(at);
+            }
+        }
+        let taken = own.or(gone).and_then(|at| promises.remove(at)).is_some();
+        if promises.is_empty() {
+            self.0.remove(&customer);
         }
-        is_due
+        taken
     }
 }
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -136,7 +136,7 @@
         tasks.spawn(entry_stream::publish_suspects(shared.clone(), log.clone()));
         tasks.spawn(entry_stream::follow(shared.clone(), log.clone(), updates));
         tasks.spawn(membership::run(shared.clone(), addresses.peers, stop.clone()));
-        tasks.spawn(quota::run(shared.clone(), addresses.peers));
+        tasks.spawn(quota::run(shared.clone(), addresses.peers, stop.clone()));
         tasks.spawn(gossip::publish(shared.clone(), peers.clone()));
         tasks.spawn(gossip::receive(shared.clone(), peers));
         if let Some((reporter, settings)) = reporter {
--- a/crates/direct/src/exchange/membership.rs
+++ b/crates/direct/src/exchange/membership.rs
@@ -9,6 +9,7 @@
 };
 use crate::cluster::messages::Payload;
 use crate::cluster::tail::READING;
+use crate::exchange::quota;
 use crate::shared::Shared;
 use policy::Hash;
 use policy::membership::{Due, Node, PageRequest, Probe, Source, Update};
@@ -45,6 +46,9 @@
             () = stop.cancelled() => break,
         }
     }
+    if shared.quota.is_some() {
+        tokio::time::sleep(quota::HANDOVER).await;
+    }
     leave(&shared);
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
--- a/crates/direct/src/exchange/quota.rs
+++ b/crates/direct/src/exchange/quota.rs
@@ -5,28 +5,41 @@
 //! carries an id and the newest stamp of the recipient, by which the recipient recognizes them.
 
 use crate::cluster::messages::{Payload, QuotaResponse};
-use crate::cluster::quota::{Counts, Due, Quota};
+use crate::cluster::quota::{Counts, Due, Followup, Quota};
 use crate::shared::Shared;
 use policy::quota::{EntryKey, PARTITIONS};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio_util::sync::CancellationToken;
 
 /// How often the number of entries is observed while no customer has a limit.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long an entry that stops still counts as live, so that others take back what they lent to it
+/// while it answers: longer than the interval of renewals.
+pub const HANDOVER: Duration = Duration::from_millis(400);
+
 /// The shortest interval between two rounds of renewals.
 const MIN_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Renews this entry's leases for the lifetime of the process. Ends at once where no limits are in
 /// force.
-pub async fn run(shared: Arc<Shared>, address: SocketAddr) {
+pub async fn run(shared: Arc<Shared>, address: SocketAddr, stop: CancellationToken) {
     let Some(quota) = &shared.quota else { return };
     let has_seeds = shared.settings.seeds.iter().any(|seed| *seed != address);
     let mut table = shared.table.subscribe();
     let mut fractions = [0.0; PARTITIONS as usize];
-    let mut has_met_others = false;
+    let (mut has_met_others, mut departures) = (false, 0);
     loop {
+        if stop.is_cancelled() {
+            quota.with(|state, _| state.leave());
+        }
+        let departed = shared.peers.directory.departures();
+        let new = departed - std::mem::replace(&mut departures, departed);
+        if new > 0 {
+            quota.with(|state, now| state.lender.observe_departures(new, now));
+        }
         has_met_others |= !shared.peers.directory.is_alone();
         let count = if has_seeds && !has_met_others { 0 } else { shared.peers.directory.count() };
         observe_entries(&shared, quota, count);
@@ -47,6 +60,7 @@
             () = tokio::time::sleep(interval.saturating_sub(MIN_INTERVAL)) => {}
             () = quota.due.notified() => {}
             changed = table.changed() => if changed.is_err() { return },
+            () = stop.cancelled(), if !quota.with(|state, _| state.is_leaving()) => {}
         }
     }
 }
@@ -138,8 +152,10 @@
 }
 
 fn deliver(shared: &Shared, quota: &Quota, response: &QuotaResponse) {
-    if !quota.with(|state, now| state.deliver(response, now)) {
-        return;
+    match quota.with(|state, now| state.deliver(response, now)) {
+        Followup::Nothing => return,
+        Followup::NewHolder => return quota.due.notify_one(),
+        Followup::Repeat => {}
     }
     let (members, id) = (shared.peers.members(), shared.peer_socket.unique_id());
     let renewal = quota.with(|state, now| state.renewal_for(response.holder, &members, id, now));
--- a/crates/direct/src/request/quota.rs
+++ b/crates/direct/src/request/quota.rs
@@ -174,7 +174,7 @@
                 let left = wait_until.saturating_duration_since(Instant::now());
                 let received = timeout(answer_time.min(left), verdict).await;
                 let verdict = received.ok().and_then(std::result::Result::ok);
-                if verdict.is_none() {
+                if verdict.is_none() && left >= answer_time {
                     quota.with(|state, now| state.record_unanswered(holder, now));
                     log::info!(target: "quota", id = request.attempt_id(), holder;
                         "holder silent");
@@ -194,12 +194,16 @@
             Some(Verdict::Refused { retry_after, .. }) => {
                 return Err(Refused(Refusal::QuotaExceeded, retry_after));
             }
-            None if Instant::now() >= wait_until => {
-                let left = quota.with(|state, now| state.lease_left(demand.customer, now));
-                return Err(Refused(Refusal::QuotaUnavailable, left.max(MIN_WAIT)));
+            Some(Verdict::NotReady) => {
+                let until = wait_until.min(Instant::now() + POLL_INTERVAL);
+                tokio::time::sleep_until(until).await;
             }
             None => {}
         }
+        if Instant::now() >= wait_until {
+            let left = quota.with(|state, now| state.lease_left(demand.customer, now));
+            return Err(Refused(Refusal::QuotaUnavailable, left.max(MIN_WAIT)));
+        }
     }
 }
 
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -185,6 +185,7 @@
     /// Suspected and dead entries, with the time at which that ends.
     deadlines: HashMap<Hash, Time>,
     comparison: Comparison,
+    departures: usize,
 }
 
 impl Membership {
@@ -203,6 +204,7 @@
             next_sequence: 0,
             deadlines: HashMap::new(),
             comparison: Comparison::default(),
+            departures: 0,
         }
     }
 
@@ -226,6 +228,11 @@
         self.peers.count()
     }
 
+    /// Returns how many entries have left as planned so far.
+    pub fn departures(&self) -> usize {
+        self.departures
+    }
+
     /// Returns a number that changes with the set of entries.
     pub fn version(&self) -> u64 {
         self.peers.version()
@@ -298,6 +305,10 @@
             Some(timeout) => self.deadlines.insert(key, now + timeout),
             None => self.deadlines.remove(&key),
         };
+        let known = self.peers.get(key).map(|known| known.status);
+        if update.status == Status::Left && known != Some(Status::Left) {
+            self.departures += 1;
+        }
         self.peers.insert(update);
     }
 
