feat(policy): probes of silent holders, promises within the capacity; tests

A lender went back to a coordinator that was down after 1, 2 and 4 s, each time for a lease term, so in the model a killed coordinator kept its customers from all tokens for 8 s. It now stays away until a probe is answered, or for 8 s. Promises are placed by the levels that the bucket will have, without what doesn't fit into it.

--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -20,6 +20,9 @@
 /// Time over which the mean amount and the use of small requests are averaged.
 const MEAN: Duration = Duration::from_secs(10);
 
+/// Shortest time over which the use of small requests is averaged after the first one.
+const SHORTEST_MEAN: Duration = Duration::from_millis(2_500);
+
 /// How far above the mean a request is large. Amounts of requests of the same size differ less.
 const LARGE: f64 = 1.01;
 
@@ -77,6 +80,12 @@
     Never,
 }
 
+impl Availability {
+    fn at(due: Time, now: Time) -> Self {
+        if due <= now { Self::Now } else { Self::In(due - now) }
+    }
+}
+
 /// The bucket of one customer.
 #[derive(Debug)]
 pub(super) struct Bucket {
@@ -97,6 +106,8 @@
     amounts: f64,
     count: f64,
     small_amounts: f64,
+    /// The time over which `small_amounts` was used, decayed as they are.
+    small_seconds: f64,
     used_at: Time,
 }
 
@@ -119,6 +130,7 @@
             amounts: 0.0,
             count: 0.0,
             small_amounts: 0.0,
+            small_seconds: 0.0,
             used_at: now,
         }
     }
@@ -201,6 +213,7 @@
         self.count = self.count * decay + 1.0;
         let small = if self.is_large(amount) { 0.0 } else { amount };
         self.small_amounts = self.small_amounts * decay + small;
+        self.small_seconds = self.small_seconds * decay + MEAN.as_secs_f64() * (1.0 - decay);
     }
 
     fn is_large(&self, amount: f64) -> bool {
@@ -210,7 +223,8 @@
     /// Tokens per second that requests up to the mean amount use. Without larger ones, nothing is
     /// left for them.
     fn small_rate(&self) -> f64 {
-        (self.small_amounts / MEAN.as_secs_f64()).min(self.rate())
+        let seconds = self.small_seconds.max(SHORTEST_MEAN.as_secs_f64());
+        (self.small_amounts / seconds).min(self.rate())
     }
 
     /// Returns when an amount becomes available that nobody else was promised.
@@ -227,36 +241,53 @@
         } else {
             (self.rate(), 0.0)
         };
+        let capacity = self.capacity();
         // A full bucket is available however much is to be left in it.
-        let required = (required + left).min(self.capacity().max(required)) + debt;
-        let blocking = self.slacks(now).iter().rposition(|slack| *slack < amount - ROUNDING);
-        let mut due = blocking.map_or(now, |at| self.reservations[at].due.max(now));
-        let mut first = blocking.map_or(0, |at| at + 1);
-        let mut promised: f64 = self.reservations[..first].iter().map(|other| other.amount).sum();
-        loop {
-            let lacking = required + promised - self.level;
-            if lacking > ROUNDING {
-                due = due.max(now + span(lacking / rate));
-            }
-            match self.reservations.get(first).filter(|other| other.due <= due) {
-                Some(other) => promised += other.amount,
-                None => break,
+        let target = (required + left).min(capacity.max(required));
+        let left = target - required;
+        let needs = self.needed_levels(rate, now);
+        let (mut level, mut from) = (self.level, now);
+        let due = |level: f64, from: Time| {
+            let lacking = target - level + debt;
+            if lacking > ROUNDING { from + span(lacking / rate) } else { from }
+        };
+        for (next, needed) in self.reservations.iter().zip(needs) {
+            let (due, next_due) = (due(level, from), next.due.max(now));
+            let gained = rate * next_due.saturating_sub(due).as_secs_f64();
+            let rest = level.max(target) - amount - left;
+            if due <= next_due && rest + gained >= needed - ROUNDING {
+                return Availability::at(due, now);
             }
-            first += 1;
+            // What doesn't fit into the bucket is lost until then.
+            level += rate * (next_due - from).as_secs_f64();
+            level = level.min(capacity) - next.amount;
+            from = next_due;
         }
-        if due <= now { Availability::Now } else { Availability::In(due - now) }
+        Availability::at(due(level, from), now)
     }
 
-    /// What could be taken now without breaking each of the promises.
-    fn slacks(&self, now: Time) -> Vec<f64> {
-        let mut promised = 0.0;
-        let slack = |reservation: &Reservation| {
-            let gained = self.rate() * reservation.due.saturating_sub(now).as_secs_f64();
-            let slack = self.level + gained - promised - reservation.level;
-            promised += reservation.amount;
-            slack
-        };
-        self.reservations.iter().map(slack).collect()
+    /// Returns the level that is needed when each reservation is due, for it and all later ones, if
+    /// the bucket fills at this rate.
+    fn needed_levels(&self, rate: f64, now: Time) -> Vec<f64> {
+        let mut needed = vec![0.0; self.reservations.len()];
+        let mut after: Option<(f64, Time)> = None;
+        for (at, reservation) in self.reservations.iter().enumerate().rev() {
+            let due = reservation.due.max(now);
+            let later = after.map_or(0.0, |(needed, next_due): (f64, Time)| {
+                needed - rate * next_due.saturating_sub(due).as_secs_f64()
+            });
+            needed[at] = reservation.level.max(reservation.amount + later.max(0.0));
+            after = Some((needed[at], due));
+        }
+        needed
+    }
+
+    /// What can be taken now without breaking a promise.
+    fn unpromised(&self, now: Time) -> f64 {
+        let Some(first) = self.reservations.first() else { return self.level };
+        let gained = self.rate() * first.due.saturating_sub(now).as_secs_f64();
+        let needed = self.needed_levels(self.rate(), now)[0];
+        self.level - (needed - gained).max(0.0)
     }
 
     pub(super) fn take(&mut self, amount: f64) {
@@ -308,8 +339,7 @@
         let most = AHEAD * bounds.overage * window * self.fraction / entries;
         let lots = self.lots.iter().filter(|lot| lot.entry == entry);
         let outstanding: f64 = lots.map(|lot| lot.tokens).sum();
-        let unpromised = self.slacks(now).into_iter().fold(self.level, f64::min);
-        let spare = unpromised - self.capacity() / 2.0;
+        let spare = self.unpromised(now) - self.capacity() / 2.0;
         let tokens = wanted.min(most - outstanding).min(spare);
         if tokens < amount || tokens <= 0.0 {
             return 0.0;
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -19,12 +19,13 @@
 /// For how long entries that are no longer known count, since they may come back.
 const COUNT_RETENTION: Duration = Duration::from_secs(30);
 
-/// For how long a holder that doesn't answer gets no share at first. Doubled each time, so that
-/// neither a lost datagram nor a holder that is down costs its customers much.
-const SILENCE: Duration = Duration::from_secs(1);
+/// For how long a holder that doesn't answer gets no share, unless it answers a probe: longer than
+/// it takes to declare it dead. Each attempt to lend to a dead entry leaves the partition without a
+/// coordinator for a lease term.
+const SILENCE: Duration = Duration::from_secs(8);
 
-/// Longest time for which a silent holder gets no share: longer than it takes to suspect it.
-const LONGEST_SILENCE: Duration = Duration::from_secs(8);
+/// Number of renewals without an answer after which a holder is silent. One may be lost.
+const UNANSWERED_RENEWALS: u32 = 2;
 
 /// A return of a share that this entry requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,13 +45,6 @@
     ends: Time,
 }
 
-/// A holder that didn't answer.
-#[derive(Debug, Clone, Copy)]
-struct Silence {
-    until: Time,
-    duration: Duration,
-}
-
 /// How many entries were known at a time.
 #[derive(Debug, Clone, Copy)]
 struct Count {
@@ -76,7 +70,10 @@
     counts: VecDeque<Count>,
     departures: Vec<Departure>,
     leases: Vec<Option<Lease>>,
-    silences: HashMap<EntryKey, Silence>,
+    /// The holders that don't answer, and until when they get no share.
+    silent_until: HashMap<EntryKey, Time>,
+    /// When the first renewal was sent that a holder hasn't answered.
+    unanswered_since: HashMap<EntryKey, Time>,
 }
 
 impl Lender {
@@ -90,7 +87,8 @@
             counts: VecDeque::new(),
             departures: Vec::new(),
             leases: vec![None; usize::from(PARTITIONS)],
-            silences: HashMap::new(),
+            silent_until: HashMap::new(),
+            unanswered_since: HashMap::new(),
         }
     }
 
@@ -105,12 +103,15 @@
         };
         self.push(count, now);
         self.apply_departures(now);
-        self.silences.retain(|_, silence| now < silence.until + LONGEST_SILENCE);
+        self.silent_until.retain(|_, until| now < *until);
+        self.unanswered_since.retain(|_, since| now < *since + SILENCE);
     }
 
-    /// Records the number of entries that another entry counts, from its answers. An entry that
-    /// restarts within a partition learns from it of entries that it has never reached. Ignored some
-    /// time after the start, since counts that are passed on forever would never fall.
+    /// Records the number of entries by which another entry divides the limits ([`Self::entries`]),
+    /// from its answers, or one from the settings before anything else is observed. An entry that
+    /// starts within a partition learns by this of entries that it has never reached; entries that
+    /// start on different sides without any such number exceed the bound together. Ignored some time
+    /// after the start, since counts that are passed on forever would never fall.
     pub fn observe_peer_count(&mut self, count: usize, now: Time) {
         if self.started.is_none_or(|started| now.saturating_sub(started) < LONGEST_ALONE) {
             self.push(count, now);
@@ -181,15 +182,15 @@
 
     /// Returns the entry to lend to and to ask: the first of the candidates that is not silent, once
     /// no other entry holds the share; the own key for this entry itself; none if there is no holder
-    /// yet. Without candidates that answer, this entry coordinates its own share.
+    /// yet. Without candidates that answer, this entry coordinates its own share, so there should be
+    /// more than two: a coordinator and its standby may be down together.
     pub fn holder(
         &mut self,
         partition: Partition,
         candidates: &[EntryKey],
         now: Time,
     ) -> Option<EntryKey> {
-        let preferred = candidates.iter().find(|candidate| !self.is_silent(**candidate, now));
-        let preferred = preferred.copied().unwrap_or(self.own);
+        let preferred = self.preferred(candidates, now);
         let lease = self.leases.get_mut(usize::from(partition))?;
         if lease.is_some_and(|lease| lease.ends <= now) {
             *lease = None;
@@ -197,14 +198,32 @@
         lease.is_none_or(|lease| lease.holder == preferred).then_some(preferred)
     }
 
+    fn preferred(&self, candidates: &[EntryKey], now: Time) -> EntryKey {
+        let preferred = candidates.iter().find(|candidate| !self.is_silent(**candidate, now));
+        preferred.copied().unwrap_or(self.own)
+    }
+
     fn is_silent(&self, holder: EntryKey, now: Time) -> bool {
-        holder != self.own && self.silences.get(&holder).is_some_and(|silence| now < silence.until)
+        let patience = self.interval(now) * UNANSWERED_RENEWALS;
+        let is_overdue = |since: &Time| *since + patience <= now;
+        holder != self.own
+            && (self.silent_until.get(&holder).is_some_and(|until| now < *until)
+                || self.unanswered_since.get(&holder).is_some_and(is_overdue))
+    }
+
+    /// Returns the better candidate that is silent, to be sent a renewal with a share of 0 and without
+    /// [`Self::record_sent`] at each interval. Its answer ends its silence and brings a stamp.
+    pub fn probe(&self, candidates: &[EntryKey], now: Time) -> Option<EntryKey> {
+        candidates.first().copied().filter(|first| self.is_silent(*first, now))
     }
 
     /// Records that a renewal, or a request for tokens that renews, is sent to a holder. Must be
     /// called before it is sent, and only with what [`Self::holder`] has just returned.
     pub fn record_sent(&mut self, partition: Partition, holder: EntryKey, now: Time) {
         let ends = now + self.term(now);
+        if holder != self.own {
+            self.unanswered_since.entry(holder).or_insert(now);
+        }
         let Some(lease) = self.leases.get_mut(usize::from(partition)) else { return };
         // An earlier renewal may have had a longer term.
         let ends = lease.map_or(ends, |lease| ends.max(lease.ends));
@@ -220,8 +239,7 @@
         now: Time,
     ) -> Option<Return> {
         let lease = (*self.leases.get(usize::from(partition))?)?;
-        let preferred = candidates.iter().find(|candidate| !self.is_silent(**candidate, now));
-        let differs = lease.holder != preferred.copied().unwrap_or(self.own);
+        let differs = lease.holder != self.preferred(candidates, now);
         (differs && now < lease.ends).then_some(Return { holder: lease.holder, sent: lease.sent })
     }
 
@@ -235,22 +253,20 @@
         }
     }
 
-    /// Records that a holder doesn't answer. It gets no share for some time, and the next candidate
-    /// gets it once the lease has ended.
+    /// Records that a holder doesn't answer. It gets no share until it does or for some time, and the
+    /// next candidate gets it once the lease has ended. A holder that doesn't answer several renewals
+    /// is silent without this.
     pub fn silent(&mut self, partition: Partition, holder: EntryKey, now: Time) {
         let lent = self.leases.get(usize::from(partition)).copied().flatten();
-        // Several requests may have waited for one holder.
-        if lent.is_none_or(|lease| lease.holder != holder) || self.is_silent(holder, now) {
-            return;
+        if lent.is_some_and(|lease| lease.holder == holder) {
+            self.silent_until.insert(holder, now + SILENCE);
         }
-        let previous = self.silences.get(&holder).map(|silence| silence.duration * 2);
-        let duration = previous.unwrap_or(SILENCE).min(LONGEST_SILENCE);
-        self.silences.insert(holder, Silence { until: now + duration, duration });
     }
 
-    /// Records that a holder answered.
+    /// Records that a holder answered a renewal, a probe or a request for tokens.
     pub fn answered(&mut self, holder: EntryKey) {
-        self.silences.remove(&holder);
+        self.silent_until.remove(&holder);
+        self.unanswered_since.remove(&holder);
     }
 
     /// Returns when the present lease ends if it is not renewed; none if nothing is lent.
--- a/crates/policy/tests/quota/main.rs
+++ b/crates/policy/tests/quota/main.rs
@@ -1,20 +1,20 @@
 //! Limits of customers hold over all entries, whatever happens to entries and datagrams.
 
+mod faults;
 mod model;
 
+use faults::run;
 use model::{BOUNDS, Model, ms};
 use policy::Time;
 use policy::quota::{CustomerKey, Limit};
-use rand::seq::SliceRandom;
-use rand::{RngExt, SeedableRng};
-use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 const SMALL: CustomerKey = 0x51;
 const BIG: CustomerKey = 0xB16;
-const START: Time = Duration::from_secs(6);
-const END: Time = Duration::from_secs(45);
+
+/// When entries have a share, after a start.
+const START: Time = Duration::from_secs(4);
 
 fn limit(rate: f64, version: u64) -> Limit {
     Limit { rate, burst: rate, version }
@@ -24,140 +24,222 @@
     [(SMALL, limit(18_000.0, 1)), (BIG, limit(1_617_632.0, 1))].into()
 }
 
-/// Lets customers send several times their limits, in prompts of several sizes.
-fn flood(model: &mut Model, factor: f64, end: Time) {
-    for (customer, rate) in [(SMALL, 18_000.0), (BIG, 1_617_632.0)] {
-        let mut at = ms(500);
-        while at < end {
-            let amount = match model.random.random_range(0..10) {
-                0 => rate * 0.5,
-                1 => rate + model.random.random_range(0.0..45_000.0),
-                2..6 => rate * 0.1,
-                _ => rate * 0.01,
-            };
-            let entry = model.random.random_range(0..model.len());
-            model.arrive(entry, at, customer, amount);
-            at += Duration::from_secs_f64(
-                amount / rate / factor * model.random.random_range(0.2..1.8),
-            );
-        }
-    }
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
 }
 
-fn assert_bounds(model: &Model, seed: u64) {
+fn assert_bounds(model: &Model, context: &str) {
     for (customer, limit) in limits() {
         let most = model.largest_use(customer, &limit, (Time::ZERO, Time::MAX));
-        assert!(most <= 1.0, "seed {seed}: customer {customer:x} used {most} of the bound");
-    }
-}
-
-/// A fault that is drawn with the time of the next one.
-fn draw_fault(model: &mut Model, down: &mut Vec<(Time, usize)>) {
-    let count = model.len();
-    let mut all: Vec<usize> = (0..count).collect();
-    all.shuffle(&mut model.random);
-    let some = model.random.random_range(1..=count);
-    match model.random.random_range(0..9) {
-        0 => {
-            for at in &all[..some.div_ceil(4)] {
-                model.kill(*at);
-                down.push((model.now + ms(model.random.random_range(50..6_000)), *at));
-            }
-        }
-        1 => {
-            let customer = if model.random.random() { SMALL } else { BIG };
-            let at = model.coordinator(customer).unwrap();
-            model.kill(at);
-            down.push((model.now + ms(model.random.random_range(50..6_000)), at));
-        }
-        2 => {
-            let customer = if model.random.random() { SMALL } else { BIG };
-            let at = model.coordinator(customer).unwrap();
-            let span = ms(model.random.random_range(100..6_000));
-            model.freeze(at, span);
-        }
-        3 => {
-            let span = ms(model.random.random_range(100..5_000));
-            all[..some].iter().for_each(|at| model.freeze(*at, span));
-        }
-        4 | 5 => {
-            let sides = model.random.random_range(2..4);
-            for at in &all[..some] {
-                model.sides[*at] = model.random.random_range(0..sides);
-            }
-        }
-        6 => model.sides.fill(0),
-        7 => {
-            model.loss = model.random.random_range(0.0..0.4);
-            model.duplicates = model.random.random_range(0.0..0.4);
-            model.late = model.random.random_range(0.0..0.2);
-        }
-        _ => (model.loss, model.duplicates, model.late) = (0.0, 0.0, 0.0),
+        assert!(most <= 1.0, "{context}: customer {customer:#x} used {most} of the bound");
     }
 }
 
-/// Faults come in orders that nobody thought of. Each run draws one.
-fn run(seed: u64) -> Model {
-    let mut draw = ChaCha8Rng::seed_from_u64(seed ^ 0xD1CE);
-    let mut model = Model::new(draw.random_range(3..30), seed, limits());
-    model.not_run = [0.0, 0.2, 0.6][draw.random_range(0..3)];
-    flood(&mut model, draw.random_range(1.0..4.0), END);
-    let mut down: Vec<(Time, usize)> = Vec::new();
-    let mut next = ms(draw.random_range(0..8_000));
-    let longest_gap = [1_000, 5_000, 20_000][draw.random_range(0..3)];
-    while model.now < END {
-        let until = down.iter().map(|(at, _)| *at).chain([next, END]).min().unwrap();
-        model.run_until(until);
-        for (_, at) in down.extract_if(.., |(at, _)| *at <= until) {
-            model.start(at);
-        }
-        if until == next {
-            draw_fault(&mut model, &mut down);
-            next = model.now + ms(draw.random_range(10..longest_gap));
-        }
-    }
+/// Starts entries, and lets customers send three times their limits until the end.
+fn overloaded(entries: usize, seed: u64, end: Time) -> Model {
+    let mut model = Model::new(vec![0; entries], seed, limits());
+    faults::flood(&mut model, 3.0, end);
     model
 }
 
 /// Whatever is killed, frozen, partitioned, lost, late or duplicated, no window exceeds the bound.
+/// Faults come in orders that nobody thought of; each seed draws one.
 #[test]
 fn bound_holds_in_every_window_of_drawn_interleavings() {
-    let seeds: u64 = std::env::var("QUOTA_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(60);
-    let mut worst = Vec::new();
-    for seed in 0..seeds {
+    let drawn = std::env::var("QUOTA_SEEDS").ok();
+    let (mut first, mut last) = (0, 60);
+    if let Some((from, to)) = drawn.as_deref().and_then(|drawn| drawn.split_once("..")) {
+        (first, last) = (from.parse().unwrap(), to.parse().unwrap());
+    }
+    let mut failed = Vec::new();
+    let mut largest = [0.0_f64; 2];
+    for seed in first..last {
         let model = run(seed);
-        for (customer, limit) in limits() {
+        for (at, (customer, limit)) in limits().into_iter().enumerate() {
             let most = model.largest_use(customer, &limit, (Time::ZERO, Time::MAX));
-            let total = model.used(customer, Time::ZERO) / (limit.rate * END.as_secs_f64());
-            worst.push((most, seed, customer, total, model.len()));
+            largest[at] = largest[at].max(most);
+            if most > 1.0 {
+                failed.push((seed, customer, most));
+            }
         }
     }
-    worst.sort_by(|a, b| b.0.total_cmp(&a.0));
-    for w in &worst[..12] {
-        println!("{w:?}");
+    println!("largest use of {} runs by customer: {largest:?}", last - first);
+    assert!(failed.is_empty(), "seed, customer, part of the bound: {failed:?}");
+}
+
+/// The customers' coordinator is killed in the middle. Its successor knows nothing of what was
+/// granted, and two coordinators for a time must not grant twice; the customers are served again.
+#[test]
+fn killed_coordinator_is_replaced_within_the_bound() {
+    let mut model = overloaded(28, 1, secs(30));
+    for at in [10, 11, 16, 22] {
+        model.run_until(secs(at));
+        let coordinator = model.coordinator(SMALL).unwrap();
+        model.kill(coordinator);
+    }
+    model.run_until(secs(30));
+    assert_bounds(&model, "killed");
+    let used = model.used(BIG, secs(24)..secs(30)) / (1_617_632.0 * 6.0);
+    assert!(used > 0.7, "{used} of the limit is used with 4 of 28 entries dead");
+}
+
+/// A coordinator that is frozen for seconds resumes with leases, buckets and requests from before.
+/// If it counted them, it would grant what its successor grants as well.
+#[test]
+fn resumed_coordinator_grants_nothing_of_its_old_leases() {
+    let mut model = overloaded(28, 2, secs(30));
+    for at in [10, 18] {
+        model.run_until(secs(at));
+        let coordinator = model.coordinator(BIG).unwrap();
+        model.freeze(coordinator, secs(4));
+        model.run_until(secs(at + 4) - ms(1));
+        assert!(model.fraction_of(coordinator, BIG) < 1e-9, "its leases have ended");
+        assert_ne!(model.coordinator(BIG), Some(coordinator));
+    }
+    model.run_until(secs(30));
+    assert_bounds(&model, "frozen");
+}
+
+/// Entries that disagree about who coordinates share the rate; each granting the whole limit would
+/// double it.
+#[test]
+fn two_coordinators_share_the_limit() {
+    let mut model = overloaded(20, 3, secs(24));
+    model.run_until(secs(10));
+    // Every second entry takes the coordinator for dead.
+    let coordinator = model.coordinator(BIG).unwrap();
+    model.sides.iter_mut().skip(1).step_by(2).for_each(|side| *side = 1);
+    model.sides[coordinator] = 0;
+    model.run_until(secs(17));
+    let fractions = model.fractions(BIG);
+    let coordinators = fractions.iter().filter(|fraction| **fraction > 0.2).count();
+    assert!(coordinators >= 2, "{fractions:?}");
+    assert!(fractions.iter().sum::<f64>() <= 1.0 + 1e-9, "{fractions:?}");
+    model.run_until(secs(24));
+    assert_bounds(&model, "two coordinators");
+}
+
+/// A third of the entries is cut off for 12 s, and still reaches targets. Each side has its part of
+/// the limit, since neither can know what the other grants.
+#[test]
+fn sides_of_a_partition_share_the_limit() {
+    let mut model = overloaded(27, 4, secs(34));
+    model.run_until(secs(10));
+    model.sides[..9].fill(1);
+    model.run_until(secs(22));
+    let fractions = model.fractions(BIG);
+    let cut_off: f64 = fractions[..9].iter().sum();
+    assert!((cut_off - 1.0 / 3.0).abs() < 1e-6, "{cut_off}");
+    model.sides.fill(0);
+    model.run_until(secs(34));
+    assert_bounds(&model, "partitioned");
+}
+
+/// All entries lose power with full buckets. A bucket that starts full, or a share before leases of
+/// the previous processes have ended, would grant the burst twice.
+#[test]
+fn restarted_entries_start_with_empty_buckets() {
+    let mut model = Model::new(vec![0; 28], 5, limits());
+    model.run_until(secs(12));
+    // The whole burst at once, and as much right after the restart.
+    for at in [secs(12), secs(13) + ms(600), secs(14) + ms(500), secs(15) + ms(500)] {
+        (0..40).for_each(|n| model.arrive(n % 28, at + ms(n as u64), BIG, 160_000.0));
+    }
+    model.run_until(secs(12) + ms(300));
+    assert!(model.used(BIG, secs(12)..secs(13)) > 1_600_000.0);
+    (0..28).for_each(|at| model.kill(at));
+    (0..28).for_each(|at| model.start(at));
+    model.run_until(secs(20));
+    let again = model.used(BIG, secs(12) + ms(301)..secs(14));
+    assert!(again <= 0.8 * 1_617_632.0, "{again}: no more than what was filled since the restart");
+    assert_bounds(&model, "restarted");
+}
+
+/// Entries that start on different sides of a partition know only their side. With the number of
+/// entries from their settings, the sides share the limit; without it, each would have all of it.
+#[test]
+fn entries_that_start_apart_share_the_limit() {
+    let sides = (0..27).map(|at| at % 3).collect();
+    let mut model = Model::new(sides, 6, limits());
+    faults::flood(&mut model, 3.0, secs(24));
+    model.run_until(secs(10));
+    assert!(model.fractions(BIG).iter().sum::<f64>() <= 1.0 + 1e-9);
+    model.sides.fill(0);
+    model.run_until(secs(24));
+    assert_bounds(&model, "started apart");
+}
+
+/// A limit is lowered far below what is sent while the log is down: entries learn of it one by one.
+/// Requests with the old limit must neither raise it again nor spend what was granted ahead.
+#[test]
+fn lowered_limit_holds_one_window_after_it_is_known() {
+    let mut model = overloaded(28, 7, secs(40));
+    let lowered = limit(161_763.0, 2);
+    model.run_until(secs(12));
+    model.set_limit(BIG, lowered);
+    model.learn(0);
+    for at in 1..28 {
+        model.run_until(secs(12) + ms(100 * at as u64));
+        model.learn(at);
+    }
+    let known = model.now;
+    model.run_until(secs(40));
+    let most = model.largest_use(BIG, &lowered, (known + BOUNDS.window, Time::MAX));
+    assert!(most <= 1.0, "{most}");
+    assert!(most > 0.7, "{most}: the customer still gets what the lowered limit allows");
+    let before = model.largest_use(BIG, &limits()[&BIG], (Time::ZERO, Time::MAX));
+    assert!(before <= 1.0, "{before}");
+}
+
+/// Datagrams are lost, duplicated and seconds late: returns and refunds that count twice, or leases
+/// that late renewals revive, would raise the limit. A few lost ones cost customers little.
+#[test]
+fn lost_late_and_duplicated_datagrams_keep_the_bound() {
+    for seed in 0..6 {
+        let mut model = overloaded(28, 100 + seed, secs(30));
+        (model.loss, model.duplicates, model.late) = (0.1, 0.3, 0.1);
+        model.not_run = 0.5;
+        model.run_until(secs(30));
+        assert_bounds(&model, &format!("datagrams, seed {seed}"));
     }
-    assert!(worst[0].0 <= 1.0, "{worst:?}");
 }
 
 /// A customer that sends as much as its limit allows, in large prompts through all entries, loses at
 /// most a twentieth of it. With a share of the limit for each entry, it would lose nearly all.
 #[test]
 fn customer_within_its_limit_is_hardly_held() {
-    for (entries, span) in [(28, 120), (1_000, 30)] {
-        for prompt in [0.5, 0.1, 0.01] {
-            let mut model = Model::new(entries, 7, limits());
-            let (from, end) = (Duration::from_secs(12), Duration::from_secs(12 + span));
-            let rate = 18_000.0;
-            let (mut at, mut sent) = (from, 0.0);
+    for (entries, seconds) in [(28, 60), (1_000, 20)] {
+        for part in [0.5, 0.01] {
+            let mut model = Model::new(vec![0; entries], 8, limits());
+            let (start, end) = (secs(12), secs(12 + seconds));
+            let prompt = 18_000.0 * part;
+            let (mut at, mut sent) = (start, 0.0);
             while at < end {
-                let entry = model.random.random_range(0..entries);
-                model.arrive(entry, at, SMALL, rate * prompt);
-                sent += rate * prompt;
-                at += Duration::from_secs_f64(prompt * model.random.random_range(0.5..1.5));
+                let entry = model.any_entry();
+                model.arrive(entry, at, SMALL, prompt);
+                sent += prompt;
+                at += Duration::from_secs_f64(part * model.between(0.5, 1.5));
             }
-            model.run_until(end + Duration::from_secs(5));
-            let used = model.used(SMALL, from);
-            println!("{entries} {prompt}: used {} of sent {sent} rate {} refused {} dg {}", used / sent, sent / rate / span as f64, model.refused, model.datagrams);
+            model.run_until(end + secs(4));
+            let used = model.used(SMALL, start..Time::MAX);
+            assert!(used >= 0.95 * sent, "{entries} entries, {prompt}: {used} of {sent}");
         }
     }
 }
+
+/// What is beyond the limit must not cost the customer what is within it: refused and retried
+/// prompts that leave reserved tokens unused would.
+#[test]
+fn customer_beyond_its_limit_gets_its_limit() {
+    let mut model = Model::new(vec![0; 28], 9, limits());
+    let mut at = START;
+    while at < secs(44) {
+        let entry = model.any_entry();
+        model.arrive(entry, at, SMALL, 9_000.0);
+        at += Duration::from_secs_f64(model.between(0.05, 0.35));
+    }
+    model.run_until(secs(44));
+    let used = model.used(SMALL, secs(12)..secs(44)) / (18_000.0 * 32.0);
+    assert!(used >= 0.95, "{used}");
+    assert_bounds(&model, "beyond the limit");
+}
--- a/crates/policy/tests/quota/model.rs
+++ b/crates/policy/tests/quota/model.rs
@@ -97,6 +97,8 @@
     frozen_until: Vec<Time>,
     /// Entries of different sides can't reach each other.
     pub sides: Vec<u8>,
+    /// Whether the settings of an entry that starts tell how many there are.
+    pub size_is_known: bool,
     pub loss: f64,
     pub duplicates: f64,
     pub late: f64,
@@ -114,7 +116,18 @@
 }
 
 impl Model {
-    pub fn new(entries: usize, seed: u64, limits: BTreeMap<CustomerKey, Limit>) -> Self {
+    /// Starts all entries at once, on the given sides of a partition.
+    pub fn new(sides: Vec<u8>, seed: u64, limits: BTreeMap<CustomerKey, Limit>) -> Self {
+        Self::start_all(sides, seed, limits, true)
+    }
+
+    pub fn start_all(
+        sides: Vec<u8>,
+        seed: u64,
+        limits: BTreeMap<CustomerKey, Limit>,
+        size_is_known: bool,
+    ) -> Self {
+        let entries = sides.len();
         let mut model = Self {
             now: Time::ZERO,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -123,7 +136,8 @@
             datagrams: 0,
             nodes: (0..entries).map(|_| None).collect(),
             frozen_until: vec![Time::ZERO; entries],
-            sides: vec![0; entries],
+            sides,
+            size_is_known,
             loss: 0.0,
             duplicates: 0.0,
             late: 0.0,
@@ -148,12 +162,17 @@
         }
         let life: u64 = self.random.random();
         let (count, limits) = (self.len(), self.limits.clone());
+        let offset = ms(self.random.random_range(0..100_000));
+        let mut lender = Lender::new(key(at));
+        if self.size_is_known {
+            lender.observe_peer_count(count, self.now + offset);
+        }
         self.nodes[at] = Some(Node {
             life,
             key: key(at),
-            offset: ms(self.random.random_range(0..100_000)),
+            offset,
             coordinator: Coordinator::new(BOUNDS, life),
-            lender: Lender::new(key(at)),
+            lender,
             held: Held::default(),
             limits,
             heard: vec![None; count],
@@ -177,15 +196,30 @@
         self.frozen_until[at] = self.now + duration;
     }
 
-    /// The entry that most entries would lend this customer's partition to.
+    /// The fraction of a customer's limit that an entry may grant.
+    pub fn fraction_of(&self, at: usize, customer: CustomerKey) -> f64 {
+        self.nodes[at].as_ref().map_or(0.0, |node| {
+            node.coordinator.fraction(partition(customer), self.now + node.offset)
+        })
+    }
+
+    pub fn fractions(&self, customer: CustomerKey) -> Vec<f64> {
+        (0..self.len()).map(|at| self.fraction_of(at, customer)).collect()
+    }
+
+    /// The entry that may grant most of a customer's limit.
     pub fn coordinator(&self, customer: CustomerKey) -> Option<usize> {
-        let fraction = |at: &usize| {
-            let node = self.nodes[*at].as_ref();
-            node.map_or(0.0, |node| {
-                node.coordinator.fraction(partition(customer), self.now + node.offset)
-            })
-        };
-        (0..self.len()).max_by(|a, b| fraction(a).total_cmp(&fraction(b)))
+        let fractions = self.fractions(customer);
+        (0..self.len()).max_by(|a, b| fractions[*a].total_cmp(&fractions[*b]))
+    }
+
+    pub fn any_entry(&mut self) -> usize {
+        let count = self.len();
+        self.random.random_range(0..count)
+    }
+
+    pub fn between(&mut self, from: f64, to: f64) -> f64 {
+        self.random.random_range(from..to)
     }
 
     /// Changes a limit where new processes read it; entries learn of it by [`Self::learn`].
@@ -217,7 +251,7 @@
         {
             self.events.pop();
             self.now = self.now.max(at);
-            let event = self.queue.remove(&number).unwrap();
+            let event = self.queue.remove(&number).expect("an event");
             self.handle(event);
         }
         self.now = end;
@@ -261,7 +295,7 @@
     }
 
     fn send(&mut self, from: usize, to: EntryKey, message: Message) {
-        let to = (0..self.len()).find(|at| key(*at) == to).unwrap();
+        let to = (0..self.len()).find(|at| key(*at) == to).expect("an entry");
         self.datagrams += 1;
         if self.sides[from] != self.sides[to] || self.random.random_bool(self.loss) {
             return;
@@ -310,6 +344,15 @@
             let due = node.renewed.get(&partition).is_none_or(|last| now >= *last + interval);
             if due && let Some(holder) = node.lender.holder(partition, &candidates, now) {
                 node.renewed.insert(partition, now);
+                if let Some(silent) = node.lender.probe(&candidates, now) {
+                    let (echoed, term) = (None, node.lender.term(now));
+                    let share = 0.0;
+                    self.send(
+                        at,
+                        silent,
+                        Message::Lend { share, term, echoed, partition, ask: None },
+                    );
+                }
                 self.lend(node, at, partition, holder, None, now);
             }
         }
@@ -370,7 +413,7 @@
         if holder == node.key {
             self.lend(node, at, partition, holder, None, now);
             let answer = node.coordinator.ask(&ask, node.lender.entries(now), now);
-            let version = node.coordinator.version(customer).unwrap();
+            let version = node.coordinator.version(customer).expect("a customer");
             let stamp = node.coordinator.stamp(now);
             self.answer(node, at, stamp, (id, answer, version), now);
         } else {
@@ -443,10 +486,9 @@
                 let entries = node.lender.entries(now);
                 let decision = ask.map(|ask| {
                     let answer = node.coordinator.ask(&ask, entries, now);
-                    (ask.id, answer, node.coordinator.version(ask.customer).unwrap())
+                    (ask.id, answer, node.coordinator.version(ask.customer).expect("a customer"))
                 });
-                let within = |heard: &Option<Time>| heard.is_some_and(|at| now < at + FORGOTTEN);
-                let count = node.heard.iter().filter(|heard| within(heard)).count() + 1;
+                let count = entries;
                 self.send(at, lender, Message::Answer { stamp, count, decision });
             }
             Message::Answer { stamp, count, decision } => {
@@ -499,9 +541,9 @@
         largest
     }
 
-    pub fn used(&self, customer: CustomerKey, from: Time) -> f64 {
+    pub fn used(&self, customer: CustomerKey, span: std::ops::Range<Time>) -> f64 {
         let spends = self.spends.iter();
-        let spends = spends.filter(|spend| spend.customer == customer && spend.at >= from);
+        let spends = spends.filter(|spend| spend.customer == customer && span.contains(&spend.at));
         spends.map(|spend| spend.amount).sum()
     }
 }
@@ -513,10 +555,16 @@
     let entries = node.view.iter().enumerate().filter(|(_, is_live)| **is_live);
     let mut entries: Vec<Entry> =
         entries.map(|(at, _)| Entry { key: key(at), weight: 1.0 + (at % 3) as f64 }).collect();
-    let own = (0..node.heard.len()).find(|at| key(*at) == node.key).unwrap();
+    let own = (0..node.heard.len()).find(|at| key(*at) == node.key).expect("this entry");
     entries.push(Entry { key: node.key, weight: 1.0 + (own % 3) as f64 });
-    let best = coordinators(mix(partition.into(), 0xC0), &entries);
-    let candidates: Vec<EntryKey> = best.into_iter().map(|at| entries[at].key).collect();
+    let mut candidates = Vec::new();
+    // More than one standby: a coordinator and its standby may be down together.
+    while candidates.len() < 4 && !entries.is_empty() {
+        let best = coordinators(mix(partition.into(), 0xC0), &entries);
+        let best: Vec<EntryKey> = best.into_iter().map(|at| entries[at].key).collect();
+        entries.retain(|entry| !best.contains(&entry.key));
+        candidates.extend(best);
+    }
     node.candidates.insert(partition, candidates.clone());
     candidates
 }
