feat(direct): silent holders are probed; four candidates for each partition

A coordinator and its standby may be down together, and a holder that was silent gets its partitions back once it answers a message that lends nothing.

--- a/crates/direct/src/cluster/quota.rs
+++ b/crates/direct/src/cluster/quota.rs
@@ -27,9 +27,13 @@
 /// rankings put first.
 const SALT: Hash = 0x7175_6F74_6173_2121;
 
-/// The number of consecutive messages without an answer after which a holder counts as silent: one
+/// The number of consecutive requests without an answer after which a holder counts as silent: one
 /// datagram may be lost.
-const SILENT_MESSAGES: u32 = 2;
+const UNANSWERED_REQUESTS: u32 = 2;
+
+/// How many times as many entries as coordinate a group may coordinate a partition: a coordinator
+/// and its standby may be down together.
+const CANDIDATE_ROUNDS: usize = 2;
 
 /// The shortest interval between two log lines about refusals of one customer.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
@@ -187,6 +191,7 @@
             leaving: HashSet::new(),
             promised: Promised::default(),
             refusals: HashMap::new(),
+            probed_at: None,
             renewed: [None; PARTITIONS as usize],
         };
         Self { clock: settings.clock.clone(), state: Mutex::new(state), due: Notify::new() }
@@ -211,7 +216,7 @@
     candidates: Candidates,
     /// The newest stamps of other entries.
     stamps: HashMap<EntryKey, Stamp>,
-    /// Consecutive messages to other entries without an answer.
+    /// Consecutive requests to other entries without an answer.
     unanswered: HashMap<EntryKey, u32>,
     asked: HashMap<ReservationId, Asked>,
     /// Customers for which tokens are held.
@@ -229,6 +234,8 @@
     promised: Promised,
     /// When refusals of a customer were last logged, and how many were since.
     refusals: HashMap<CustomerKey, (Time, u64)>,
+    /// When silent entries were last probed.
+    probed_at: Option<Time>,
     /// When, and at which holder, [`State::renew`] last renewed the lease of each partition.
     renewed: [Option<(EntryKey, Time)>; PARTITIONS as usize],
 }
@@ -251,17 +258,24 @@
             let entry = |member: &Member| Entry { key: member.key, weight: member.link_rate };
             let staying = members.iter().filter(|member| !leaving.contains(&member.key));
             let entries: Vec<Entry> = staying.map(entry).collect();
-            let keys = (0..PARTITIONS).map(|partition| {
-                let ranked = groups::coordinators(mix(SALT, partition.into()), &entries);
-                ranked.into_iter().map(|at| entries[at].key).collect()
-            });
-            self.keys = keys.collect();
+            self.keys = (0..PARTITIONS).map(|partition| rank(partition, &entries)).collect();
             self.members = Some(members.clone());
         }
         self.keys.get(usize::from(partition)).map_or(&[], Vec::as_slice)
     }
 }
 
+/// Returns the entries that may coordinate a partition, in the order of preference.
+fn rank(partition: Partition, entries: &[Entry]) -> Vec<EntryKey> {
+    let (mut rest, mut ranked) = (entries.to_vec(), Vec::new());
+    for _ in 0..CANDIDATE_ROUNDS {
+        let best = groups::coordinators(mix(SALT, partition.into()), &rest);
+        ranked.extend(best.into_iter().map(|at| rest[at].key));
+        rest.retain(|entry| !ranked.contains(&entry.key));
+    }
+    ranked
+}
+
 impl State {
     /// Takes what a request costs from the tokens held here, if they cover it.
     pub fn spend(&mut self, demand: &Demand, now: Time) -> Option<Taken> {
@@ -423,17 +437,14 @@
 
     /// Records that a holder did not answer a request in time.
     pub fn record_unanswered(&mut self, holder: EntryKey, now: Time) {
-        *self.unanswered.entry(holder).or_default() += 1;
-        self.check_silent(holder, now);
-    }
-
-    /// Gives a holder no more shares once it has left several messages unanswered.
-    fn check_silent(&mut self, holder: EntryKey, now: Time) {
-        if self.unanswered.get(&holder).is_some_and(|count| *count >= SILENT_MESSAGES) {
-            self.unanswered.remove(&holder);
-            for partition in 0..PARTITIONS {
-                self.lender.silent(partition, holder, now);
-            }
+        let count = self.unanswered.entry(holder).or_default();
+        *count += 1;
+        if *count < UNANSWERED_REQUESTS {
+            return;
+        }
+        self.unanswered.remove(&holder);
+        for partition in 0..PARTITIONS {
+            self.lender.silent(partition, holder, now);
         }
     }
 
@@ -514,17 +525,39 @@
                 }
                 continue;
             }
-            if !partitions.is_empty() {
-                self.check_silent(holder, now);
-                // Until an answer arrives.
-                *self.unanswered.entry(holder).or_default() += 1;
-            }
             due.renewals.extend(renewals.into_iter().map(|renewal| (holder, renewal)));
         }
         due.returns = self.returns(members, now);
+        self.probe(&mut due, members, unique_id, now);
         due
     }
 
+    /// Adds messages to silent entries that would be preferred as holders. They lend nothing.
+    fn probe(
+        &mut self,
+        due: &mut Due,
+        members: &Arc<[Member]>,
+        unique_id: impl Fn() -> ReservationId,
+        now: Time,
+    ) {
+        let interval = self.lender.interval(now).mul_f64(FRESH_SHARE);
+        if self.probed_at.is_some_and(|at| now.saturating_sub(at) < interval) {
+            return;
+        }
+        self.probed_at = Some(now);
+        let mut probed = HashSet::new();
+        for partition in 0..PARTITIONS {
+            let candidates = self.candidates.of(partition, members, &self.leaving);
+            probed.extend(self.lender.probe(candidates, now));
+        }
+        for holder in probed {
+            let lease = ShareLease { share: 0.0, ..self.lease(holder, &[], now) };
+            let lease = Some(lease);
+            due.renewals
+                .push((holder, QuotaRenewal { id: unique_id(), lease, ..QuotaRenewal::default() }));
+        }
+    }
+
     /// Takes the tokens that would be void before the next renewal.
     fn take_unspent(
         &mut self,
--- a/crates/direct/src/exchange/quota.rs
+++ b/crates/direct/src/exchange/quota.rs
@@ -8,6 +8,7 @@
 use crate::cluster::quota::{Counts, Due, Followup, Quota};
 use crate::shared::Shared;
 use policy::quota::{EntryKey, PARTITIONS};
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,7 +28,11 @@
 /// force.
 pub async fn run(shared: Arc<Shared>, address: SocketAddr, stop: CancellationToken) {
     let Some(quota) = &shared.quota else { return };
-    let has_seeds = shared.settings.seeds.iter().any(|seed| *seed != address);
+    let others: HashSet<_> =
+        shared.settings.seeds.iter().filter(|seed| **seed != address).collect();
+    let has_seeds = !others.is_empty();
+    // Until more is known, there are at least the entries that the settings name.
+    quota.with(|state, now| state.lender.observe_peer_count(others.len() + 1, now));
     let mut table = shared.table.subscribe();
     let mut fractions = [0.0; PARTITIONS as usize];
     let (mut has_met_others, mut departures) = (false, 0);
