--- a/crates/policy/src/quota/shares.rs
+++ b/crates/policy/src/quota/shares.rs
@@ -19,11 +19,10 @@
 #[derive(Debug, Clone, Copy)]
 struct Lease {
     share: f64,
-    /// The stamp that the last renewal echoed, by this entry's clock.
+    /// The stamp that the last renewal echoed, by this entry's clock, or when the share was returned.
+    /// Renewals that echo an earlier one don't count.
     echoed: Time,
     ends: Time,
-    /// When the lender last took its share back. Renewals that echo an earlier stamp don't count.
-    returned: Option<Time>,
 }
 
 /// A change of the fraction.
@@ -119,14 +118,14 @@
             return;
         }
         let share = share.clamp(0.0, 1.0);
-        let lease = Lease { share, echoed, ends, returned: None };
+        let lease = Lease { share, echoed, ends };
         let known = self.leases.entry(lender).or_insert(lease);
         // Late renewals must neither undo a return nor raise a share that has been reduced.
-        if known.returned.is_some_and(|returned| echoed <= returned) || echoed < known.echoed {
+        if echoed < known.echoed {
             return;
         }
         let share = if echoed == known.echoed { known.share.min(share) } else { share };
-        *known = Lease { share, returned: known.returned, ..lease };
+        *known = Lease { share, ..lease };
         self.next_end = self.next_end.min(ends);
         self.set_fraction(self.at);
     }
@@ -134,9 +133,7 @@
     /// Ends a lease now, and all that its lender sent before.
     pub(super) fn give_back(&mut self, lender: EntryKey) {
         let now = self.at;
-        let none = Lease { share: 0.0, echoed: now, ends: now, returned: None };
-        let lease = self.leases.entry(lender).or_insert(none);
-        *lease = Lease { returned: Some(now), ..none };
+        self.leases.insert(lender, Lease { share: 0.0, echoed: now, ends: now });
         // Without this, the lender would be forgotten only with the next lease that ends.
         self.next_end = self.next_end.min(now + RETENTION);
         self.set_fraction(now);
--- a/crates/policy/tests/quota/model.rs
+++ b/crates/policy/tests/quota/model.rs
@@ -92,6 +92,9 @@
     pub random: ChaCha8Rng,
     pub spends: Vec<Spend>,
     pub refused: usize,
+    /// The largest sum of the fractions of one limit that entries might grant at a time.
+    pub largest_sum: f64,
+    sampled_at: Time,
     pub datagrams: usize,
     nodes: Vec<Option<Node>>,
     frozen_until: Vec<Time>,
@@ -133,6 +136,8 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             spends: Vec::new(),
             refused: 0,
+            largest_sum: 0.0,
+            sampled_at: Time::ZERO,
             datagrams: 0,
             nodes: (0..entries).map(|_| None).collect(),
             frozen_until: vec![Time::ZERO; entries],
@@ -251,6 +256,13 @@
         {
             self.events.pop();
             self.now = self.now.max(at);
+            if self.now >= self.sampled_at {
+                self.sampled_at = self.now + ms(20);
+                for customer in self.limits.keys().copied().collect::<Vec<_>>() {
+                    let sum = self.fractions(customer).iter().sum();
+                    self.largest_sum = self.largest_sum.max(sum);
+                }
+            }
             let event = self.queue.remove(&number).expect("an event");
             self.handle(event);
         }
