--- a/crates/policy/tests/quota_decisions.rs
+++ b/crates/policy/tests/quota_decisions.rs
@@ -121,6 +121,41 @@
     assert_eq!(coordinator.fraction(partition, ms(3_210)), 0.5, "lent again");
 }
 
+/// The clock of a machine is set while leases run. Set back, it must not extend them; set forward, it
+/// only ends them early.
+#[test]
+fn stepped_clock_never_extends_a_lease() {
+    let mut single = Single::new(0.0);
+    let partition = partition(CUSTOMER);
+    single.pass(2_000);
+    let later = Stamp { at: single.now + ms(5_000), ..single.coordinator.stamp(single.now) };
+    single.coordinator.lend(partition, 2, 0.5, TERM, Some(later), single.now);
+    single.coordinator.give_back_share(partition, 1, single.now);
+    assert_eq!(single.coordinator.fraction(partition, single.now), 0.0, "a stamp from the future");
+    single.pass(100);
+    assert_eq!(single.coordinator.fraction(partition, single.now - ms(2_000)), 1.0);
+    assert!(!single.takes(500.0), "no tokens for the time that the clock was set back by");
+    assert_eq!(single.coordinator.fraction(partition, single.now + ms(5_000)), 0.0);
+}
+
+/// Part of the shares ends while a customer sends nothing, and comes back. What its bucket contained
+/// for them may have been granted elsewhere in between.
+#[test]
+fn bucket_is_cut_when_shares_end_not_when_it_is_used() {
+    let mut single = Single::new(0.0);
+    single.pass(2_000);
+    assert!(single.takes(10.0));
+    single.pass(500);
+    single.coordinator.give_back_share(partition(CUSTOMER), 1, single.now);
+    single.now += ms(10);
+    single.pass(200);
+    assert_eq!(single.drain(), 200.0, "what was filled since the return");
+    single.pass(800);
+    single.now += TERM;
+    single.pass(200);
+    assert_eq!(single.drain(), 200.0, "what was filled since the lease had ended");
+}
+
 /// A refusal that states no truthful time, or keeps nothing for the caller, makes it retry in vain.
 #[test]
 fn retry_at_the_stated_time_finds_its_tokens() {
