fix(direct): callers that ignore Retry-After don't hold a customer's tokens

Tokens were reserved for each refused caller that had the time to retry. A customer whose callers never came back, in requests of different amounts, got 0 of 180 requests served at three times its limit. The coordinator now counts whether the callers of a customer come back, and reserves for one in 16 while they don't.

--- a/crates/direct/src/cluster/quota.rs
+++ b/crates/direct/src/cluster/quota.rs
@@ -669,8 +669,11 @@
             return None;
         }
         let (customer, amount) = (ask.customer, ask.amount);
-        let returns = self.promised.take_due(customer, fingerprint, amount, now);
-        let ask = Ask { returning: ask.returning || returns, ..ask };
+        let returns = self.promised.take_due(customer, fingerprint, amount, ask.returning, now);
+        let returning = ask.returning || returns;
+        let may_reserve = self.promised.may_reserve(customer);
+        let max_wait = if may_reserve { ask.max_wait } else { Duration::ZERO };
+        let ask = Ask { returning, max_wait, ..ask };
         let answer = self.decide(&ask, now);
         if let Answer::Refused { retry_after, reserved: true } = answer {
             self.promised.insert(customer, fingerprint, amount, now + retry_after);
@@ -793,6 +796,7 @@
         self.shares.retain(|_, ends| *ends > now);
         self.counts.expired += u64::try_from(before - self.shares.len()).unwrap_or(u64::MAX);
         let term = self.lender.term(now);
+        self.promised.sweep(now);
         self.asked.retain(|_, asked| now.saturating_sub(asked.sent_at) < term);
         std::mem::take(&mut self.counts)
     }
--- a/crates/direct/src/cluster/quota/pending.rs
+++ b/crates/direct/src/cluster/quota/pending.rs
@@ -60,6 +60,18 @@
 /// For how long after that time tokens stay reserved.
 const LATE: Duration = Duration::from_secs(1);
 
+/// For how long it is remembered whether the callers of a customer come back.
+const RETENTION: Duration = Duration::from_secs(10);
+
+/// Callers that did not come from which on it counts how many did.
+const MIN_MISSED: u32 = 4;
+
+/// Callers after which those before count half.
+const MAX_COUNT: u32 = 64;
+
+/// If callers of a customer don't come back, tokens are reserved for one in this many.
+const PROBE_INTERVAL: u32 = 16;
+
 /// A caller that was told to retry.
 #[derive(Debug, Clone, Copy)]
 struct Promise {
@@ -68,11 +80,49 @@
     due: Time,
 }
 
+/// Callers of one customer that were told to retry.
+#[derive(Debug, Default)]
+struct Promises {
+    /// In the order in which they are due.
+    waiting: VecDeque<Promise>,
+    /// How many came and how many did not, with half the weight for what is longer ago.
+    came: u32,
+    missed: u32,
+    refused: u32,
+    /// When the last of them was due.
+    last_due: Time,
+}
+
+impl Promises {
+    /// Forgets callers that did not come.
+    fn expire(&mut self, now: Time) {
+        while self.waiting.front().is_some_and(|promise| promise.due + LATE <= now) {
+            self.waiting.pop_front();
+            self.missed += 1;
+        }
+        if self.came + self.missed > MAX_COUNT {
+            (self.came, self.missed) = (self.came / 2, self.missed / 2);
+        }
+    }
+}
+
 /// Callers that were told to retry, by customer.
+///
+/// Callers may ignore `Retry-After`. If tokens were reserved for them all the same, none would be
+/// left for the requests that they send instead.
 #[derive(Debug, Default)]
-pub(super) struct Promised(HashMap<CustomerKey, VecDeque<Promise>>);
+pub(super) struct Promised(HashMap<CustomerKey, Promises>);
 
 impl Promised {
+    /// Returns whether tokens may be reserved for another caller of a customer: enough of them come
+    /// back, or this one is to show whether they do again.
+    pub(super) fn may_reserve(&mut self, customer: CustomerKey) -> bool {
+        let Some(promises) = self.0.get_mut(&customer) else { return true };
+        promises.refused = promises.refused.wrapping_add(1);
+        let come_back = promises.missed < MIN_MISSED || promises.came >= promises.missed;
+        come_back || promises.refused.is_multiple_of(PROBE_INTERVAL)
+    }
+
     /// Records that a caller was told to retry at a time.
     pub(super) fn insert(
         &mut self,
@@ -82,39 +132,45 @@
         due: Time,
     ) {
         let promises = self.0.entry(customer).or_default();
-        let at = promises.partition_point(|other| other.due <= due);
-        promises.insert(at, Promise { fingerprint, amount, due });
+        promises.last_due = promises.last_due.max(due);
+        let waiting = &mut promises.waiting;
+        let at = waiting.partition_point(|other| other.due <= due);
+        waiting.insert(at, Promise { fingerprint, amount, due });
     }
 
     /// Returns whether a request may use what is reserved for a caller: because it is the one that
-    /// was told to retry by now, or because that one has not come. Forgets that caller.
+    /// was told to retry by now, or because that one has not come. Forgets that caller. `returning`
+    /// tells whether the request is known to be a retry.
     pub(super) fn take_due(
         &mut self,
         customer: CustomerKey,
         fingerprint: Fingerprint,
         amount: f64,
+        returning: bool,
         now: Time,
     ) -> bool {
         let Some(promises) = self.0.get_mut(&customer) else { return false };
-        while promises.front().is_some_and(|promise| promise.due + LATE <= now) {
-            promises.pop_front();
-        }
-        let due = promises.iter().take_while(|promise| promise.due <= now + EARLY);
-        let mut gone = None;
-        let mut own = None;
+        promises.expire(now);
+        let due = promises.waiting.iter().take_while(|promise| promise.due <= now + EARLY);
+        let (mut own, mut free) = (None, None);
         for (at, promise) in due.enumerate() {
             if promise.fingerprint == fingerprint {
                 own = Some(at);
                 break;
             }
-            if gone.is_none() && promise.amount == amount && promise.due + GONE <= now {
-                gone = Some(at);
+            let is_free = returning || promise.due + GONE <= now;
+            if free.is_none() && promise.amount == amount && is_free {
+                free = Some(at);
             }
         }
-        let taken = own.or(gone).and_then(|at| promises.remove(at)).is_some();
-        if promises.is_empty() {
-            self.0.remove(&customer);
+        if own.is_some() || free.is_some() && returning {
+            promises.came += 1;
         }
-        taken
+        own.or(free).and_then(|at| promises.waiting.remove(at)).is_some()
+    }
+
+    /// Forgets customers to none of which a caller was told to retry lately.
+    pub(super) fn sweep(&mut self, now: Time) {
+        self.0.retain(|_, promises| now < promises.last_due + RETENTION);
     }
 }
