perf(direct): a round of renewals looks only at customers whose tokens end; departures count once

Each round looked at every customer with tokens held here, and at every one with refused callers. Tokens held are now found in the order in which they become void.

--- a/crates/direct/src/cluster/quota.rs
+++ b/crates/direct/src/cluster/quota.rs
@@ -18,7 +18,7 @@
 };
 use policy::reservations::ReservationId;
 use policy::{Hash, Time, mix};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -184,6 +184,7 @@
             unanswered: HashMap::new(),
             asked: HashMap::new(),
             ahead: HashMap::new(),
+            ahead_until: VecDeque::new(),
             refunds: Vec::new(),
             shares: HashMap::new(),
             counts: Counts::default(),
@@ -221,6 +222,8 @@
     asked: HashMap<ReservationId, Asked>,
     /// Customers for which tokens are held.
     ahead: HashMap<CustomerKey, Advance>,
+    /// When their tokens become void, in the order of the grants.
+    ahead_until: VecDeque<(Time, CustomerKey)>,
     /// Refunds that were not sent yet.
     refunds: Vec<Unsent>,
     /// When the leases to this entry end.
@@ -360,6 +363,7 @@
                     let limit = Limit { version, ..limit };
                     self.held.add(customer, &limit, ahead, until, now);
                     self.ahead.insert(customer, Advance { holder: *holder, until, limit });
+                    self.ahead_until.push_back((until, customer));
                 }
                 self.counts.used += amount;
                 let (holder, ahead) = (*holder, false);
@@ -565,8 +569,17 @@
         now: Time,
     ) -> HashMap<EntryKey, Vec<UnspentTokens>> {
         let horizon = now + self.lender.interval(now).mul_f64(1.5);
-        let ending = self.ahead.extract_if(|_, ahead| ahead.until <= horizon);
-        let ending: Vec<_> = ending.collect();
+        let mut ending = Vec::new();
+        while let Some((until, customer)) = self.ahead_until.front().copied() {
+            if until > horizon {
+                break;
+            }
+            self.ahead_until.pop_front();
+            // More tokens may have been granted since.
+            if self.ahead.get(&customer).is_some_and(|ahead| ahead.until <= horizon) {
+                ending.extend(self.ahead.remove(&customer).map(|ahead| (customer, ahead)));
+            }
+        }
         let mut unspent: HashMap<EntryKey, Vec<UnspentTokens>> = HashMap::new();
         for (customer, Advance { holder, limit, .. }) in ending {
             let amount = self.held.take_unspent(customer, now);
--- a/crates/direct/src/cluster/quota/pending.rs
+++ b/crates/direct/src/cluster/quota/pending.rs
@@ -111,13 +111,16 @@
 /// Callers may ignore `Retry-After`. If tokens were reserved for them all the same, none would be
 /// left for the requests that they send instead.
 #[derive(Debug, Default)]
-pub(super) struct Promised(HashMap<CustomerKey, Promises>);
+pub(super) struct Promised {
+    customers: HashMap<CustomerKey, Promises>,
+    swept_at: Time,
+}
 
 impl Promised {
     /// Returns whether tokens may be reserved for another caller of a customer: enough of them come
     /// back, or this one is to show whether they do again.
     pub(super) fn may_reserve(&mut self, customer: CustomerKey) -> bool {
-        let Some(promises) = self.0.get_mut(&customer) else { return true };
+        let Some(promises) = self.customers.get_mut(&customer) else { return true };
         promises.refused = promises.refused.wrapping_add(1);
         let come_back = promises.missed < MIN_MISSED || promises.came >= promises.missed;
         come_back || promises.refused.is_multiple_of(PROBE_INTERVAL)
@@ -131,7 +134,7 @@
         amount: f64,
         due: Time,
     ) {
-        let promises = self.0.entry(customer).or_default();
+        let promises = self.customers.entry(customer).or_default();
         promises.last_due = promises.last_due.max(due);
         let waiting = &mut promises.waiting;
         let at = waiting.partition_point(|other| other.due <= due);
@@ -149,7 +152,7 @@
         returning: bool,
         now: Time,
     ) -> bool {
-        let Some(promises) = self.0.get_mut(&customer) else { return false };
+        let Some(promises) = self.customers.get_mut(&customer) else { return false };
         promises.expire(now);
         let due = promises.waiting.iter().take_while(|promise| promise.due <= now + EARLY);
         let (mut own, mut free) = (None, None);
@@ -169,8 +172,11 @@
         own.or(free).and_then(|at| promises.waiting.remove(at)).is_some()
     }
 
-    /// Forgets customers to none of which a caller was told to retry lately.
+    /// Forgets customers none of whose callers was told to retry lately.
     pub(super) fn sweep(&mut self, now: Time) {
-        self.0.retain(|_, promises| now < promises.last_due + RETENTION);
+        if now.saturating_sub(self.swept_at) >= RETENTION {
+            self.swept_at = now;
+            self.customers.retain(|_, promises| now < promises.last_due + RETENTION);
+        }
     }
 }
--- a/crates/direct/src/exchange/quota.rs
+++ b/crates/direct/src/exchange/quota.rs
@@ -35,7 +35,7 @@
     quota.with(|state, now| state.lender.observe_peer_count(others.len() + 1, now));
     let mut table = shared.table.subscribe();
     let mut fractions = [0.0; PARTITIONS as usize];
-    let (mut has_met_others, mut departures) = (false, 0);
+    let (mut has_met_others, mut departures, mut known_version) = (false, 0, 0);
     loop {
         if stop.is_cancelled() {
             quota.with(|state, _| state.leave());
@@ -53,7 +53,9 @@
             None => (false, 0),
         };
         let interval = if any_limit {
-            quota.with(|state, _| state.observe_version(version));
+            if std::mem::replace(&mut known_version, version) != version {
+                quota.with(|state, _| state.observe_version(version));
+            }
             renew(&shared, quota);
             quota.with(|state, now| state.lender.interval(now))
         } else {
--- a/crates/policy/tests/membership.rs
+++ b/crates/policy/tests/membership.rs
@@ -362,3 +362,22 @@
     let own = known.iter().find(|update| update.node.key == node(5).key);
     assert!(own.is_none_or(|update| update.status == Status::Left));
 }
+
+/// An entry that leaves is told of several times, and may have been declared dead before. Counted
+/// more than once, it would reduce the number by which limits of customers are divided too far.
+#[test]
+fn each_departure_counts_once() {
+    let mut membership = Membership::new(Settings::default(), node(0), 1);
+    let tell = |membership: &mut Membership, incarnation, status| {
+        let update = Update { node: node(1), incarnation, status };
+        membership.apply(update, Source::News, Duration::ZERO);
+        membership.departures()
+    };
+    assert_eq!(tell(&mut membership, 1, Status::Left), 0, "an unknown entry");
+    assert_eq!(tell(&mut membership, 1, Status::Alive), 0);
+    assert_eq!(tell(&mut membership, 1, Status::Dead), 0);
+    assert_eq!(tell(&mut membership, 1, Status::Left), 1);
+    assert_eq!(tell(&mut membership, 1, Status::Left), 1);
+    assert_eq!(tell(&mut membership, 2, Status::Alive), 1);
+    assert_eq!(tell(&mut membership, 2, Status::Left), 2);
+}
