--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -6,14 +6,16 @@
 use crate::codec::{AttemptHead, RequestHead};
 use crate::config::customers::Caller;
 use crate::config::route::{RetryPolicy, Route, Service, Table};
+use crate::request::quota::Charge;
 use crate::request::response::{self, Body, Failure, Refusal};
 use crate::request::trace::Trace;
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::CompactString;
 use http::Response;
-use std::sync::Arc;
+use policy::retry_detection::Attempt;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -35,8 +37,11 @@
     pub deadline: Instant,
     /// Identifies equal requests over all attempts.
     pub fingerprint: Fingerprint,
+    /// What it takes from its customer's limit, if it has one.
+    pub charge: Option<Charge>,
     /// Whether it has been counted in its customer's usage.
     usage_counted: AtomicBool,
+    attempt: OnceLock<Attempt>,
 }
 
 /// A target with work counts as unresponsive after this many times the objective without a
@@ -76,7 +81,9 @@
             service,
             deadline,
             fingerprint,
+            charge: None,
             usage_counted,
+            attempt: OnceLock::new(),
         })
     }
 
@@ -128,6 +135,16 @@
         self.service.engine.as_ref().and_then(|engine| engine.piece_tokens)
     }
 
+    /// Which attempt of its caller this is, see [`Shared::detect_retry`].
+    pub fn attempt(&self) -> Attempt {
+        *self.attempt.get_or_init(|| self.shared.detect_retry(&self.route, self.head.deadline))
+    }
+
+    /// Whether its caller retries after its objective has passed.
+    pub fn is_retry(&self) -> bool {
+        self.attempt().is_late
+    }
+
     /// The requester to name to coordinators.
     pub fn requester(&self) -> Requester {
         Requester { entry: self.shared.key(), priority: self.priority().into() }
@@ -195,6 +212,9 @@
         refusal: Refusal,
         retry_after: Duration,
     ) -> Response<Body> {
+        if let Some(charge) = &self.charge {
+            charge.refund();
+        }
         trace.end(refusal.name());
         response::refuse(refusal, retry_after)
     }
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -113,7 +113,7 @@
     trace: &mut Trace,
     began: Instant,
 ) -> PrefillResult {
-    let attempt = request.shared.detect_retry(&request.route, request.head.deadline);
+    let attempt = request.attempt();
     trace.since_first = attempt.since_first;
     let waited = began.elapsed();
     let requirements = requirements(request, prompt, attempt, waited);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod promise;
 pub mod quarantine;
 pub mod queue;
+pub mod quota;
 pub mod reachability;
 pub mod region_order;
 pub mod reservations;
