feat(policy): limits hold what the bounds allow, and promise a quarter of the rate to retries

A bucket of the burst alone refused 40% of a phase of three seconds that stays within the bound of a window. Change: a quarter of the rate is promised at most; the bucket holds half of the overage and a quarter of the allowance besides the burst; small requests don't wait for promises to larger ones.

--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -14,6 +14,15 @@
 /// Part of the allowance by which requests larger than the bucket may overdraw it.
 const OVERDRAFT: f64 = 0.5;
 
+/// Parts of the overage and of the allowance that the bucket holds besides the burst, so that a
+/// customer whose requests come in bursts gets what the bound allows in a window.
+const OVERAGE_HELD: f64 = 0.5;
+const ALLOWANCE_HELD: f64 = 0.25;
+
+/// Part of the rate that is promised to callers who retry. The rest is left for first attempts,
+/// which can still be in time: if a burst promised all of it, every request would be late.
+const PROMISED: f64 = 0.25;
+
 /// Time for which smaller requests find tokens that larger ones leave.
 const LEFT_FOR_SMALL: Duration = Duration::from_millis(500);
 
@@ -54,6 +63,9 @@
     /// The level that the amount requires.
     level: f64,
     due: Time,
+    /// Whether it is above the customer's mean amount. Smaller requests don't wait for it: the time
+    /// at which it is due leaves them what they use.
+    large: bool,
 }
 
 /// Tokens that were granted ahead to an entry, which may not have been used yet.
@@ -86,9 +98,33 @@
     }
 }
 
+/// Adds to the burst of a limit what the bounds allow besides.
+fn with_bounds(limit: Limit, bounds: &Bounds) -> Limit {
+    let window = limit.rate * bounds.window.as_secs_f64() + limit.burst;
+    let held = OVERAGE_HELD * bounds.overage * window + ALLOWANCE_HELD * bounds.allowance;
+    Limit { burst: limit.burst + held, ..limit }
+}
+
+/// Returns the level that is needed when each reservation is due, for it and all later ones, if the
+/// bucket fills at this rate.
+fn needed_levels(reservations: &[Reservation], rate: f64, now: Time) -> Vec<f64> {
+    let mut needed = vec![0.0; reservations.len()];
+    let mut after: Option<(f64, Time)> = None;
+    for (at, reservation) in reservations.iter().enumerate().rev() {
+        let due = reservation.due.max(now);
+        let later = after.map_or(0.0, |(needed, next_due): (f64, Time)| {
+            needed - rate * next_due.saturating_sub(due).as_secs_f64()
+        });
+        needed[at] = reservation.level.max(reservation.amount + later.max(0.0));
+        after = Some((needed[at], due));
+    }
+    needed
+}
+
 /// The bucket of one customer.
 #[derive(Debug)]
 pub(super) struct Bucket {
+    /// The limit, whose burst includes what the bounds add to it.
     limit: Limit,
     level: f64,
     /// What a previous coordinator may have overdrawn. As a new bucket doesn't contain this debt, it
@@ -114,6 +150,7 @@
 impl Bucket {
     pub(super) fn new(bounds: &Bounds, limit: Limit, shares: &Shares, now: Time) -> Self {
         let overdraft = bounds.allowance * OVERDRAFT;
+        let limit = with_bounds(limit, bounds);
         let idle = (shares.filled() - shares.gained_at()).as_secs_f64() * limit.rate;
         let repaid = (idle - limit.burst * shares.fraction()).max(0.0);
         Self {
@@ -181,7 +218,7 @@
     }
 
     /// Applies a limit that an entry knows, if it is newer.
-    pub(super) fn update(&mut self, limit: &Limit) {
+    pub(super) fn update(&mut self, limit: &Limit, bounds: &Bounds) {
         if limit.version <= self.limit.version {
             return;
         }
@@ -189,7 +226,7 @@
             // What was promised at the higher rate doesn't become available in time.
             self.reservations.clear();
         }
-        self.limit = *limit;
+        self.limit = with_bounds(*limit, bounds);
         self.level = self.level.min(self.capacity());
         self.lots.clear();
     }
@@ -245,13 +282,14 @@
         // A full bucket is available however much is to be left in it.
         let target = (required + left).min(capacity.max(required));
         let left = target - required;
-        let needs = self.needed_levels(rate, now);
+        let reservations = self.reservations_before(self.is_large(amount));
+        let needs = needed_levels(&reservations, rate, now);
         let (mut level, mut from) = (self.level, now);
         let due = |level: f64, from: Time| {
             let lacking = target - level + debt;
             if lacking > ROUNDING { from + span(lacking / rate) } else { from }
         };
-        for (next, needed) in self.reservations.iter().zip(needs) {
+        for (next, needed) in reservations.iter().zip(needs) {
             let (due, next_due) = (due(level, from), next.due.max(now));
             let gained = rate * next_due.saturating_sub(due).as_secs_f64();
             let rest = level.max(target) - amount - left;
@@ -266,27 +304,16 @@
         Availability::at(due(level, from), now)
     }
 
-    /// Returns the level that is needed when each reservation is due, for it and all later ones, if
-    /// the bucket fills at this rate.
-    fn needed_levels(&self, rate: f64, now: Time) -> Vec<f64> {
-        let mut needed = vec![0.0; self.reservations.len()];
-        let mut after: Option<(f64, Time)> = None;
-        for (at, reservation) in self.reservations.iter().enumerate().rev() {
-            let due = reservation.due.max(now);
-            let later = after.map_or(0.0, |(needed, next_due): (f64, Time)| {
-                needed - rate * next_due.saturating_sub(due).as_secs_f64()
-            });
-            needed[at] = reservation.level.max(reservation.amount + later.max(0.0));
-            after = Some((needed[at], due));
-        }
-        needed
+    /// Returns the reservations that go before a request.
+    fn reservations_before(&self, large: bool) -> Vec<Reservation> {
+        self.reservations.iter().filter(|other| large || !other.large).copied().collect()
     }
 
     /// What can be taken now without breaking a promise.
     fn unpromised(&self, now: Time) -> f64 {
         let Some(first) = self.reservations.first() else { return self.level };
         let gained = self.rate() * first.due.saturating_sub(now).as_secs_f64();
-        let needed = self.needed_levels(self.rate(), now)[0];
+        let needed = needed_levels(&self.reservations, self.rate(), now)[0];
         self.level - (needed - gained).max(0.0)
     }
 
@@ -294,15 +321,20 @@
         self.level -= amount;
     }
 
-    /// Promises an amount at a time. Returns whether there was room for the reservation.
-    pub(super) fn reserve(&mut self, amount: f64, due: Time) -> bool {
-        let Some(level) = self.required_level(amount) else { return false };
-        if self.reservations.len() >= MAX_RESERVATIONS {
-            return false;
+    /// Promises an amount at the earliest time from `due` on. Returns that time, or none if it is
+    /// after `latest` or there is no room for the reservation.
+    pub(super) fn reserve(&mut self, amount: f64, due: Time, latest: Time) -> Option<Time> {
+        let level = self.required_level(amount)?;
+        let spacing = span(amount / (self.rate() * PROMISED));
+        let large = self.is_large(amount);
+        let last = self.reservations.iter().rfind(|other| large || !other.large);
+        let due = last.map_or(due, |last| due.max(last.due + spacing));
+        if due > latest || self.reservations.len() >= MAX_RESERVATIONS {
+            return None;
         }
         let at = self.reservations.partition_point(|other| other.due <= due);
-        self.reservations.insert(at, Reservation { amount, level, due });
-        true
+        self.reservations.insert(at, Reservation { amount, level, due, large });
+        Some(due)
     }
 
     /// Grants what was reserved for a caller that retries. Returns how long it has to wait, if it
--- a/crates/policy/src/quota/coordinator.rs
+++ b/crates/policy/src/quota/coordinator.rs
@@ -193,7 +193,7 @@
             .or_insert_with(|| Bucket::new(&self.bounds, ask.limit, shares, now));
         bucket.advance(shares);
         bucket.expire(now);
-        bucket.update(&ask.limit);
+        bucket.update(&ask.limit, &self.bounds);
         if is_recent && ask.limit.version == bucket.limit().version {
             bucket.give_back(ask.entry, ask.returned.max(0.0));
         }
@@ -220,9 +220,10 @@
                 Answer::Granted { ahead }
             }
             Availability::In(retry_after) => {
-                let reserved =
-                    retry_after <= ask.max_wait && bucket.reserve(ask.amount, now + retry_after);
-                Answer::Refused { retry_after, reserved }
+                let latest = now + ask.max_wait;
+                let reserved = bucket.reserve(ask.amount, now + retry_after, latest);
+                let retry_after = reserved.map_or(retry_after, |due| due - now);
+                Answer::Refused { retry_after, reserved: reserved.is_some() }
             }
             // The shares may change within a term.
             Availability::Never => Answer::Refused { retry_after: term, reserved: false },
