fix(direct): groups asked later are told the time that is left, and other regions are tried

Cause: a prompt that several groups of its region refused in turn was promised the whole objective by the last one, including the time that the requests took. Far groups got a short objective, which the coordinator also used to tell unresponsive engines, and the wait for their answers was cut to a share of it. If both coordinators of a group were silent and this entry found no room in its region, other regions were not tried. Change: all requests after the first deduct the elapsed time; the full objective is sent as well if something was deducted, and bounds waits and unresponsive engines. After a local refusal the groups of other regions are asked.

--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -165,7 +165,7 @@
     /// The length of the whole prompt in tokens.
     #[prost(uint32, tag = "5")]
     pub tokens: u32,
-    /// The objective for the time to the first token, in milliseconds.
+    /// What is left of the objective for the time to the first token, in milliseconds.
     #[prost(uint32, tag = "6")]
     pub objective_ms: u32,
     /// Whether the objective has been missed already.
@@ -189,6 +189,10 @@
     /// The maximum number of output tokens; 0 if unknown.
     #[prost(uint32, tag = "13")]
     pub output_tokens: u32,
+    /// The objective before earlier requests and the network delay were deducted, in milliseconds; 0
+    /// if nothing was.
+    #[prost(uint32, tag = "14")]
+    pub full_objective_ms: u32,
 }
 
 /// A request for an engine of one group that decodes a stream.
--- a/crates/direct/src/exchange/coordination/prefill.rs
+++ b/crates/direct/src/exchange/coordination/prefill.rs
@@ -156,8 +156,11 @@
     }
 
     fn candidates(&self) -> Candidates {
+        let PrefillRequest { objective_ms, full_objective_ms, .. } = self.request;
+        let full_objective_ms =
+            if *full_objective_ms == 0 { *objective_ms } else { *full_objective_ms };
         let unresponsive_after =
-            Duration::from_millis(self.request.objective_ms.into()) * UNRESPONSIVE_FACTOR;
+            Duration::from_millis(full_objective_ms.into()) * UNRESPONSIVE_FACTOR;
         let allowed = |engine: &&Arc<Target>| !self.request.avoid.contains(&short_hash(engine.key));
         let engines = self.group.engines.iter().filter(allowed);
         let engines = engines.filter(|engine| !engine.is_changing_stage(self.now));
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -8,7 +8,7 @@
 use crate::request::context::{RequestContext, TARGET_RETRY_AFTER};
 use crate::request::dispatch;
 use crate::request::permits::Permit;
-use crate::request::prefill_placement;
+use crate::request::prefill_placement::{self, ReservedEngine, SearchResult};
 use crate::request::reservation::Reservation;
 use crate::request::response::Refusal;
 use crate::request::trace::Trace;
@@ -74,6 +74,15 @@
     pub(super) reservation: Option<Reservation>,
 }
 
+impl From<ReservedEngine> for PrefillPlacement {
+    fn from(reserved: ReservedEngine) -> Self {
+        let ReservedEngine { engine, fetch_from, tokens, queued_tokens, permit, reservation } =
+            reserved;
+        let reservation = Some(reservation);
+        Self { engine, fetch_from, tokens, queued_tokens, permit, reservation }
+    }
+}
+
 /// Prefills the prompt, or finds out which engine can.
 pub(super) async fn run(
     request: &Arc<RequestContext>,
@@ -208,30 +217,18 @@
     tried: &[Arc<Target>],
 ) -> Choice {
     match prefill_placement::find(request, prompt, requirements, tried).await {
-        prefill_placement::SearchResult::Reserved(reserved) => {
-            let prefill_placement::ReservedEngine {
-                engine,
-                fetch_from,
-                tokens,
-                queued_tokens,
-                permit,
-                reservation,
-            } = reserved;
-            let reservation = Some(reservation);
-            Choice::Engine(PrefillPlacement {
-                engine,
-                fetch_from,
-                tokens,
-                queued_tokens,
-                permit,
-                reservation,
-            })
-        }
-        prefill_placement::SearchResult::Full { retry_after, cached_tokens } => {
+        SearchResult::Reserved(reserved) => Choice::Engine(reserved.into()),
+        SearchResult::Full { retry_after, cached_tokens } => {
             Choice::Full { retry_after, cached_tokens }
         }
-        prefill_placement::SearchResult::Unanswered(engines) => {
-            choose_locally(request, prompt, requirements, &engines, tried)
+        SearchResult::Unanswered(unanswered) => {
+            match choose_locally(request, prompt, requirements, &unanswered.engines, tried) {
+                full @ Choice::Full { .. } => match unanswered.ask_other_regions().await {
+                    Some(reserved) => Choice::Engine(reserved.into()),
+                    None => full,
+                },
+                placed => placed,
+            }
         }
     }
 }
--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -2,11 +2,13 @@
 //! the order that all prompts with its prefix hash use. If no coordinator of a group responds, this
 //! entry decides by the load that the other entries reported, as it would without coordinators.
 //!
-//! Groups of other regions are asked if enough time is left. One whose coordinators don't respond is
-//! left out with its region, since more likely the links between the regions are cut.
+//! Groups of other regions are asked if enough time is left, also if coordinators of the own region
+//! don't respond and this entry finds no room there by itself. A group of another region whose
+//! coordinators don't respond is left out with its region, since more likely the links between the
+//! regions are cut. Each group is told what earlier requests left of the objective.
 
 use crate::cluster::entry_state::short_hash;
-use crate::cluster::groups::{Group, Member};
+use crate::cluster::groups::{Group, Groups, Member};
 use crate::cluster::messages::{
     CachedPrefix, Decision, Granted, Parts, Payload, PrefillRequest, Refused, Response,
 };
@@ -25,7 +27,7 @@
 use tokio::time::Instant;
 
 /// Where a prompt can be prefilled.
-pub enum SearchResult {
+pub enum SearchResult<'a> {
     /// It is reserved at this engine.
     Reserved(ReservedEngine),
     /// No group that was asked has room.
@@ -35,8 +37,27 @@
         /// Tokens of the prompt that some engine has cached.
         cached_tokens: u64,
     },
-    /// No coordinator of these engines responded, and the groups that responded have no room.
-    Unanswered(Vec<Arc<Target>>),
+    /// No coordinator of some engines responded, and the groups that responded have no room.
+    Unanswered(Box<Unanswered<'a>>),
+}
+
+/// A search that ended because no coordinator of a group in the own region responded.
+pub struct Unanswered<'a> {
+    /// Engines of this group and of those that would have been asked after it in the own region.
+    pub engines: Vec<Arc<Target>>,
+    /// Groups of other regions that were not asked.
+    not_asked: Vec<PromptStep>,
+    search: Search<'a>,
+}
+
+impl Unanswered<'_> {
+    /// Asks the groups of other regions, for a prompt that this entry finds no room for in its own.
+    pub async fn ask_other_regions(self) -> Option<ReservedEngine> {
+        match self.search.run(&self.not_asked).await {
+            SearchResult::Reserved(reserved) => Some(reserved),
+            SearchResult::Full { .. } | SearchResult::Unanswered(_) => None,
+        }
+    }
 }
 
 /// An engine at which a prompt is reserved.
@@ -57,66 +78,27 @@
 
 /// Finds an engine for the prefill of a prompt and reserves it there; `tried` are the engines that
 /// did not prefill it.
-pub async fn find(
-    request: &RequestContext,
-    prompt: &Prompt,
-    requirements: &prefill::Prompt,
-    tried: &[Arc<Target>],
-) -> SearchResult {
+pub async fn find<'a>(
+    request: &'a RequestContext,
+    prompt: &'a Prompt,
+    requirements: &'a prefill::Prompt,
+    tried: &'a [Arc<Target>],
+) -> SearchResult<'a> {
     let groups = request.shared.groups(&request.service.name);
-    let mut search = Search {
+    let steps = region_steps::for_prompt(request, &groups, prompt, requirements.prefix_hash);
+    let search = Search {
         request,
         prompt,
         requirements,
         tried,
+        groups,
         cached_prefix: None,
         retry_after: None,
-        unanswered: Vec::new(),
         began: Instant::now(),
+        has_asked: false,
         silent_regions: Vec::new(),
     };
-    let mut decode_group = None;
-    let steps = region_steps::for_prompt(request, &groups, prompt, requirements.prefix_hash);
-    for (asked, step) in steps.iter().enumerate() {
-        let group = &groups[step.group];
-        // A decode engine of the own region costs less than the way to another one.
-        if step.far.is_some()
-            && let Some((at, objective)) = decode_group.take()
-            && let GroupResponse::Reserved(reserved) =
-                search.ask_group(&groups[at], None, objective).await
-        {
-            return SearchResult::Reserved(reserved);
-        }
-        let Some(objective) = search.objective_at(group, step) else { continue };
-        match search.ask_group(group, Some(step), objective).await {
-            GroupResponse::Reserved(reserved) => return SearchResult::Reserved(reserved),
-            GroupResponse::Full { decode_engine } => {
-                if decode_engine {
-                    decode_group.get_or_insert((step.group, objective));
-                }
-            }
-            GroupResponse::NoResponse if step.far.is_some() => {
-                search.silent_regions.push(search.region(group));
-            }
-            // Neither of two coordinators responded: more likely this entry's own link is full or
-            // cut than theirs. Waiting for those of each other group as well would cost the caller
-            // half of the objective.
-            GroupResponse::NoResponse => {
-                let rest = steps[asked..].iter().filter(|step| step.far.is_none());
-                let rest = rest.flat_map(|step| &groups[step.group].engines);
-                search.unanswered.extend(rest.cloned());
-                break;
-            }
-        }
-    }
-    // Decode engines are asked only where no prefill engine has room.
-    if let Some((at, objective)) = decode_group
-        && let GroupResponse::Reserved(reserved) =
-            search.ask_group(&groups[at], None, objective).await
-    {
-        return SearchResult::Reserved(reserved);
-    }
-    search.finish()
+    search.run(&steps).await
 }
 
 /// A search for an engine, over the groups asked so far.
@@ -125,14 +107,15 @@
     prompt: &'a Prompt,
     requirements: &'a prefill::Prompt,
     tried: &'a [Arc<Target>],
+    groups: Groups,
     /// The engine that has cached most of the prompt's prefix.
     cached_prefix: Option<CachedPrefix>,
     /// When some group will have room.
     retry_after: Option<Duration>,
-    /// Engines of groups of which no coordinator responded.
-    unanswered: Vec<Arc<Target>>,
     /// When the search began.
     began: Instant,
+    /// Whether a group was asked.
+    has_asked: bool,
     /// Other regions of which no coordinator responded.
     silent_regions: Vec<Hash>,
 }
@@ -145,21 +128,81 @@
         decode_engine: bool,
     },
     NoResponse,
+    /// It was not asked: the prompt would be late there, or nobody responds in its region.
+    NotAsked,
 }
 
-impl Search<'_> {
+impl<'a> Search<'a> {
+    /// Asks the groups of these steps in turn.
+    async fn run(mut self, steps: &[PromptStep]) -> SearchResult<'a> {
+        let mut decode_step = None;
+        for (at, step) in steps.iter().enumerate() {
+            // A decode engine of the own region costs less than the way to another one.
+            if step.far.is_some()
+                && let Some(near) = decode_step.take()
+                && let GroupResponse::Reserved(reserved) = self.ask_group(&near, true).await
+            {
+                return SearchResult::Reserved(reserved);
+            }
+            match self.ask_group(step, false).await {
+                GroupResponse::Reserved(reserved) => return SearchResult::Reserved(reserved),
+                GroupResponse::Full { decode_engine: true } => {
+                    decode_step.get_or_insert(*step);
+                }
+                GroupResponse::Full { decode_engine: false } | GroupResponse::NotAsked => {}
+                GroupResponse::NoResponse if step.far.is_some() => {
+                    self.silent_regions.push(self.region(&self.groups[step.group]));
+                }
+                // Neither of two coordinators responded: more likely this entry's own link is full
+                // or cut than theirs. Waiting for those of each other group as well would cost the
+                // caller half of the objective.
+                GroupResponse::NoResponse => {
+                    return self.end_unanswered(decode_step, &steps[at..]).await;
+                }
+            }
+        }
+        // Decode engines are asked only where no prefill engine has room.
+        if let Some(step) = decode_step
+            && let GroupResponse::Reserved(reserved) = self.ask_group(&step, true).await
+        {
+            return SearchResult::Reserved(reserved);
+        }
+        self.finish()
+    }
+
+    /// Ends the search without the groups of the remaining steps; `decode_step` is that of a group
+    /// that has room at a decode engine.
+    async fn end_unanswered(
+        mut self,
+        decode_step: Option<PromptStep>,
+        rest: &[PromptStep],
+    ) -> SearchResult<'a> {
+        if let Some(step) = decode_step
+            && let GroupResponse::Reserved(reserved) = self.ask_group(&step, true).await
+        {
+            return SearchResult::Reserved(reserved);
+        }
+        let (far, near): (Vec<PromptStep>, Vec<PromptStep>) =
+            rest.iter().partition(|step| step.far.is_some());
+        let engines = near.iter().flat_map(|step| self.groups[step.group].engines.iter().cloned());
+        let engines = engines.collect();
+        SearchResult::Unanswered(Box::new(Unanswered { engines, not_asked: far, search: self }))
+    }
+
     /// Returns within which time the first piece is due, as seen by the group of a step; `None` if
     /// the prompt would be late there or nobody responds in its region.
     fn objective_at(&self, group: &Group, step: &PromptStep) -> Option<Duration> {
-        let Some(network_delay) = step.far else { return Some(self.requirements.objective) };
+        let (requirements, elapsed) = (self.requirements, self.began.elapsed());
+        let Some(network_delay) = step.far else {
+            let elapsed = if self.has_asked { elapsed } else { Duration::ZERO };
+            return Some(requirements.objective.saturating_sub(elapsed));
+        };
         if self.silent_regions.contains(&self.region(group)) {
             return None;
         }
-        let (prompt, elapsed) = (self.prompt, self.began.elapsed());
-        let requirements = self.requirements;
         region_steps::objective_in_region(
             self.request,
-            prompt,
+            self.prompt,
             requirements,
             elapsed,
             network_delay,
@@ -170,22 +213,27 @@
         self.request.shared.settings.topology.region(group.domain)
     }
 
-    /// Asks a group for an engine that prefills, or for a decode engine without a step.
-    async fn ask_group(
-        &mut self,
-        group: &Group,
-        step: Option<&PromptStep>,
-        objective: Duration,
-    ) -> GroupResponse {
+    /// Asks the group of a step for an engine that prefills, or for a decode engine.
+    async fn ask_group(&mut self, step: &PromptStep, use_decode_engines: bool) -> GroupResponse {
+        let groups = self.groups.clone();
+        let group = &groups[step.group];
+        let Some(objective) = self.objective_at(group, step) else {
+            return GroupResponse::NotAsked;
+        };
+        self.has_asked = true;
         let make_payload = |id| {
-            Payload::PrefillRequest(self.prefill_request(group, step.is_none(), objective, id))
+            Payload::PrefillRequest(self.prefill_request(group, use_decode_engines, objective, id))
         };
+        // With a wait that follows what is left of the objective, answers from other regions would
+        // come after it.
+        let full_objective = self.requirements.objective;
         let Some((response, coordinator)) =
-            coordinator_client::call(self.request, group, objective, make_payload).await
+            coordinator_client::call(self.request, group, full_objective, make_payload).await
         else {
             return GroupResponse::NoResponse;
         };
-        if let Some(step) = step.filter(|step| step.is_home)
+        if step.is_home
+            && !use_decode_engines
             && let Some(cached) = self.cached_tokens(&response)
         {
             region_steps::record_hit(self.request, self.prompt, step.far.is_some(), cached);
@@ -229,13 +277,16 @@
         // The coordinator may still list them.
         let leaving = self.request.shared.workload.availability.leaving(now);
         let avoid = tried.map(|engine| engine.key).chain(leaving);
+        let ms = |span: Duration| u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let full_objective = self.requirements.objective;
         PrefillRequest {
             reservation: id,
             group: group.key,
             service: short_hash(policy::hash(&self.request.service.name)),
             prefix_hash: self.requirements.prefix_hash,
             tokens: self.prompt.input_tokens,
-            objective_ms: u32::try_from(objective.as_millis()).unwrap_or(u32::MAX),
+            objective_ms: ms(objective),
+            full_objective_ms: if objective == full_objective { 0 } else { ms(full_objective) },
             late: self.requirements.late,
             parts: Some(Parts::new(&self.prompt.parts)),
             avoid: avoid.map(short_hash).collect(),
@@ -276,13 +327,16 @@
         GroupResponse::Full { decode_engine: refused.decode_engine }
     }
 
-    fn finish(self) -> SearchResult {
-        match self.retry_after {
-            Some(retry_after) if self.unanswered.is_empty() => {
-                let cached_tokens = self.cached_prefix.map_or(0, |prefix| prefix.tokens.into());
-                SearchResult::Full { retry_after, cached_tokens }
-            }
-            _ => SearchResult::Unanswered(self.unanswered),
-        }
+    fn finish(self) -> SearchResult<'a> {
+        let Some(retry_after) = self.retry_after else {
+            let (engines, not_asked) = (Vec::new(), Vec::new());
+            return SearchResult::Unanswered(Box::new(Unanswered {
+                engines,
+                not_asked,
+                search: self,
+            }));
+        };
+        let cached_tokens = self.cached_prefix.map_or(0, |prefix| prefix.tokens.into());
+        SearchResult::Full { retry_after, cached_tokens }
     }
 }
