fix(direct): grants that no request takes are released

Cause: a grant that was delivered after the last poll of its request, when the wait ended or the caller hung up, stayed reserved until it expired. So did one of an engine that is not listed here. Change: a request that is dropped closes its channel and releases what was delivered; an unusable grant is released at its sender.

--- a/crates/direct/src/cluster/peer_socket.rs
+++ b/crates/direct/src/cluster/peer_socket.rs
@@ -1,6 +1,6 @@
 //! The socket for datagrams between entries, and the requests that wait for a response on it.
 
-use crate::cluster::messages::{Envelope, Payload, Response};
+use crate::cluster::messages::{Decision, Envelope, Granted, Payload, Report, Response};
 use crate::costs;
 use policy::Hash;
 use policy::distance::Distance;
@@ -80,6 +80,7 @@
 pub struct PendingRequest<'a> {
     socket: &'a PeerSocket,
     id: ReservationId,
+    address: SocketAddr,
     /// Resolves to the response.
     pub response: oneshot::Receiver<Response>,
 }
@@ -106,12 +107,17 @@
         self.next_id.fetch_add(1, Ordering::Relaxed).max(1)
     }
 
-    /// Registers a request that is sent to `peer` now and whose response will be awaited.
-    pub fn expect_response(&self, id: ReservationId, peer: Peer) -> PendingRequest<'_> {
+    /// Registers a request that is sent to `peer` at `address` now and whose response will be awaited.
+    pub fn expect_response(
+        &self,
+        id: ReservationId,
+        peer: Peer,
+        address: SocketAddr,
+    ) -> PendingRequest<'_> {
         let (sender, response) = oneshot::channel();
         let request = SentRequest { peer, sent_at: Instant::now(), sender: Some(sender) };
         self.pending().requests.insert(id, request);
-        PendingRequest { socket: self, id, response }
+        PendingRequest { socket: self, id, address, response }
     }
 
     /// Delivers a response to its pending request; returns it if there is none any more.
@@ -187,6 +193,13 @@
         }
     }
 
+    /// Releases what a response grants, at the entry that sent it.
+    pub fn release(&self, response: &Response, to: SocketAddr) {
+        let Some(Decision::Granted(Granted { engine, .. })) = response.decision else { return };
+        let report = Report { reservation: response.reservation, engine, ..Report::default() };
+        self.send(Payload::Report(report), to);
+    }
+
     /// Counts datagrams that are sent to other entries.
     pub fn count_sent(&self, kind: &'static str, bytes: usize, copies: usize) {
         let number = |count: usize| u64::try_from(count).unwrap_or(u64::MAX);
@@ -212,5 +225,11 @@
 impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         self.socket.pending().abandon(self.id, Instant::now());
+        // A response may have been delivered since the last poll; a later one is not accepted any
+        // more.
+        self.response.close();
+        if let Ok(response) = self.response.try_recv() {
+            self.socket.release(&response, self.address);
+        }
     }
 }
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -16,9 +16,7 @@
     EntryState, Paces, StreamRead, TOKENS_PER_UNIT, UnavailableTarget, Work, short_hash,
 };
 use crate::cluster::member_updates::MemberUpdate;
-use crate::cluster::messages::{
-    ConfigRequest, Decision, Envelope, Granted, Payload, RecordsRequest, Report, Response,
-};
+use crate::cluster::messages::{ConfigRequest, Envelope, Payload, RecordsRequest};
 use crate::cluster::peers::Recipients;
 use crate::cluster::tail::Topic;
 use crate::exchange::{catch_up, coordination, dissemination, membership};
@@ -229,8 +227,9 @@
             }
         }
         Payload::Response(response) => {
+            // No request waits for it any more.
             if let Err(response) = shared.peer_socket.deliver(response) {
-                release_unused(shared, &response, from);
+                shared.peer_socket.release(&response, from);
             }
         }
         Payload::Report(report) => coordination::apply_report(shared, &report),
@@ -249,11 +248,3 @@
         }
     }
 }
-
-/// Releases a reservation whose grant arrived after its requester had stopped waiting.
-fn release_unused(shared: &Shared, response: &Response, from: SocketAddr) {
-    let Some(Decision::Granted(granted)) = response.decision else { return };
-    let Granted { engine, .. } = granted;
-    let report = Report { reservation: response.reservation, engine, ..Report::default() };
-    shared.peer_socket.send(Payload::Report(report), from);
-}
--- a/crates/direct/src/request/coordinator_client.rs
+++ b/crates/direct/src/request/coordinator_client.rs
@@ -45,6 +45,9 @@
             if is_usable(&request.shared, &response) {
                 return Some((response, *coordinator));
             }
+            if let Some(address) = coordinator.address {
+                socket.release(&response, address);
+            }
             continue;
         }
         log::info!(target: "peers", id = request.attempt_id(), coordinator = coordinator.key,
@@ -64,7 +67,7 @@
     let Some(address) = coordinator.address else {
         return coordination::respond(shared, &payload);
     };
-    let mut pending = shared.peer_socket.expect_response(id, peer);
+    let mut pending = shared.peer_socket.expect_response(id, peer, address);
     shared.peer_socket.send(payload, address);
     timeout(wait, &mut pending.response).await.ok()?.ok()
 }
--- a/crates/direct/tests/peer_socket.rs
+++ b/crates/direct/tests/peer_socket.rs
@@ -1,12 +1,17 @@
 //! Waits for the answers of other entries.
 
-use direct::cluster::messages::Response;
+use direct::cluster::messages::{Decision, Envelope, Granted, Payload, Report, Response};
 use direct::cluster::peer_socket::{Peer, PeerSocket};
 use policy::distance::Distance;
+use prost::Message;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::UdpSocket;
 use tokio::time::{Instant, advance};
 
 const PEER: Peer = Peer { key: 7, distance: Distance::OtherRegion };
+const ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9));
 const OBJECTIVE: Duration = Duration::from_millis(250);
 const SKIPPED_FOR: Duration = Duration::from_millis(500);
 
@@ -17,7 +22,7 @@
 /// An answer after `took` to a request that waited for `wait`.
 async fn exchange(socket: &PeerSocket, wait: Duration, took: Duration) {
     let id = socket.unique_id();
-    let pending = socket.expect_response(id, PEER);
+    let pending = socket.expect_response(id, PEER, ADDRESS);
     let response = Response { reservation: id, decision: None };
     if took <= wait {
         advance(took).await;
@@ -71,3 +76,32 @@
     advance(SKIPPED_FOR).await;
     assert!(!silent(), "it is asked again");
 }
+
+/// A caller hangs up, or the wait ends, just after the grant was delivered. If the reservation were
+/// kept, the engine would look busier than it is.
+#[tokio::test]
+async fn delivered_grant_that_nobody_takes_is_released() {
+    let socket = PeerSocket::new(1);
+    let own = UdpSocket::bind(("127.0.0.1", 0)).await.unwrap();
+    socket.open(Arc::new(own));
+    let peer = UdpSocket::bind(("127.0.0.1", 0)).await.unwrap();
+    let grant = |reservation| {
+        let granted = Granted { engine: 5, ..Granted::default() };
+        Response { reservation, decision: Some(Decision::Granted(granted)) }
+    };
+    let expect = |id| socket.expect_response(id, PEER, peer.local_addr().unwrap());
+    let (used, unused) = (socket.unique_id(), socket.unique_id());
+    let mut awaited = expect(used);
+    socket.deliver(grant(used)).unwrap();
+    assert_eq!((&mut awaited.response).await, Ok(grant(used)));
+    drop(awaited);
+    let dropped = expect(unused);
+    socket.deliver(grant(unused)).unwrap();
+    drop(dropped);
+    let mut buffer = [0; 1_500];
+    let received = tokio::time::timeout(ms(1_000), peer.recv(&mut buffer)).await;
+    let length = received.expect("a report arrives").unwrap();
+    let report = Report { reservation: unused, engine: 5, ..Report::default() };
+    let payload = Envelope::decode(&buffer[..length]).unwrap().payload;
+    assert_eq!(payload, Some(Payload::Report(report)));
+}
