perf(policy): far groups are found in one pass

Cause: for each group of a prompt's order the list of groups was searched for a near one, and each datagram of state looked up all known peers of other regions. Change: far groups are found once per prompt; forgotten peers are removed only if there are any.

--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -185,7 +185,9 @@
         round.retain(|address| {
             !addresses.other_regions.contains(address) || self.is_due(*address, now)
         });
-        self.remote_turns.retain(|address, _| addresses.other_regions.contains(address));
+        if self.remote_turns.len() > addresses.other_regions.len() {
+            self.remote_turns.retain(|address, _| addresses.other_regions.contains(address));
+        }
         Recipients { addresses: round, turns }
     }
 
--- a/crates/direct/src/request/region_steps.rs
+++ b/crates/direct/src/request/region_steps.rs
@@ -48,10 +48,10 @@
     let shape = region_order::Prompt { prefix_hash, shared_tokens };
     let order = region_order::for_prompt(&candidates, &shape, &hits, rate);
     let home = group_order(groups, prefix_hash).first().copied();
-    let is_far = |at: usize| region_order::is_far(&candidates, at);
-    let first_near = order.iter().copied().find(|&at| !is_far(at));
+    let is_far = region_order::far_groups(&candidates);
+    let first_near = order.iter().copied().find(|&at| !is_far[at]);
     let step = |group: usize| {
-        let far = is_far(group).then(|| candidates[group].network_delay());
+        let far = is_far[group].then(|| candidates[group].network_delay());
         let is_home = if far.is_some() { home } else { first_near } == Some(group);
         PromptStep { group, far, is_home }
     };
--- a/crates/policy/src/region_order.rs
+++ b/crates/policy/src/region_order.rs
@@ -47,10 +47,11 @@
     }
 }
 
-/// Whether a group is in another region, while the own region has groups as well.
-pub fn is_far(candidates: &[Candidate], at: usize) -> bool {
+/// Returns for each group whether it is in another region, while the own region has groups as well.
+pub fn far_groups(candidates: &[Candidate]) -> Vec<bool> {
     let is_near = |candidate: &Candidate| candidate.distance < Distance::OtherRegion;
-    !is_near(&candidates[at]) && candidates.iter().any(is_near)
+    let has_near = candidates.iter().any(is_near);
+    candidates.iter().map(|candidate| has_near && !is_near(candidate)).collect()
 }
 
 /// Which share of a prompt's last shared part was found cached at the group asked first, by whether
@@ -120,16 +121,16 @@
     let keys: Vec<Hash> = candidates.iter().map(|candidate| candidate.key).collect();
     let all = groups::order(&keys, prompt.prefix_hash);
     let home = all.first().copied();
-    let (far, mut near): (Vec<usize>, Vec<usize>) =
-        all.into_iter().partition(|&at| is_far(candidates, at));
+    let is_far = far_groups(candidates);
+    let (far, mut near): (Vec<usize>, Vec<usize>) = all.into_iter().partition(|&at| is_far[at]);
     near.truncate(max);
     let expected = |at: usize| {
-        let missing = float(prompt.shared_tokens) * (1.0 - hits.expected(is_far(candidates, at)));
+        let missing = float(prompt.shared_tokens) * (1.0 - hits.expected(is_far[at]));
         let candidate = &candidates[at];
         candidate.network_delay() + candidate.transfer + span(missing / prefill_rate)
     };
     let leaves_region = |&home: &usize| {
-        is_far(candidates, home) && near.first().is_some_and(|&own| expected(home) < expected(own))
+        is_far[home] && near.first().is_some_and(|&own| expected(home) < expected(own))
     };
     let first = home.filter(leaves_region);
     let max_far = max.saturating_sub(near.len()).max(MIN_FAR_GROUPS);
--- a/crates/policy/tests/region_order.rs
+++ b/crates/policy/tests/region_order.rs
@@ -2,7 +2,7 @@
 
 use policy::distance::Distance::{self, OtherRegion, SameDomain, SameRegion};
 use policy::region_order::{
-    Candidate, HitShares, Prompt, for_decode, for_prompt, hit_share, is_far, missing_tokens,
+    Candidate, HitShares, Prompt, far_groups, for_decode, for_prompt, hit_share, missing_tokens,
     objective_in_region,
 };
 use policy::{groups, hash, prefill};
@@ -32,6 +32,10 @@
     Prompt { prefix_hash, shared_tokens: 4_000 }
 }
 
+fn is_far(candidates: &[Candidate], at: usize) -> bool {
+    far_groups(candidates)[at]
+}
+
 fn in_prefix_order(candidates: &[Candidate], prefix_hash: u64) -> Vec<usize> {
     let keys: Vec<_> = candidates.iter().map(|candidate| candidate.key).collect();
     groups::order(&keys, prefix_hash)
