--- a/crates/direct/src/request/decode_placement.rs
+++ b/crates/direct/src/request/decode_placement.rs
@@ -53,11 +53,15 @@
     domain: &str,
 ) -> Option<DecodePlacement> {
     let groups = request.shared.groups(&request.service.name);
-    let distance = |group: &Group| {
-        request.shared.settings.topology.distance(group.domain, policy::hash(domain))
-    };
+    let topology = &request.shared.settings.topology;
+    let distance = |group: &Group| topology.distance(group.domain, policy::hash(domain));
+    let mut silent_regions = Vec::new();
     for DecodeStep { group, max_fill_percent } in steps(request, &groups, distance) {
         let group = &groups[group];
+        let region = topology.region(group.domain);
+        if silent_regions.contains(&region) {
+            continue;
+        }
         let make_payload = |id| {
             Payload::DecodeRequest(decode_request(request, group, tried, id, max_fill_percent))
         };
@@ -66,6 +70,7 @@
         let Some((response, coordinator)) = answer else {
             // The links between regions may be cut while the near coordinators respond.
             if distance(group) == Distance::OtherRegion {
+                silent_regions.push(region);
                 continue;
             }
             return None;
--- a/crates/direct/tests/peer_socket.rs
+++ b/crates/direct/tests/peer_socket.rs
@@ -77,6 +77,26 @@
     assert!(!silent(), "it is asked again");
 }
 
+/// A coordinator dies while many requests wait for it. Those of the next half second must not wait as
+/// well, and after that, one silence is enough to skip it again.
+#[tokio::test(start_paused = true)]
+async fn dead_entry_costs_the_requests_of_one_wait_only() {
+    let socket = PeerSocket::new(1);
+    let silent = || socket.is_unresponsive(PEER.key, Instant::now());
+    let in_flight: Vec<_> =
+        (0..50).map(|_| socket.expect_response(socket.unique_id(), PEER, ADDRESS)).collect();
+    advance(ms(25)).await;
+    for pending in in_flight {
+        drop(pending);
+        socket.record_timeout(PEER, ms(25), OBJECTIVE, SKIPPED_FOR);
+    }
+    assert!(silent());
+    advance(SKIPPED_FOR).await;
+    assert!(!silent());
+    exchange(&socket, ms(25), ms(100)).await;
+    assert!(silent());
+}
+
 /// A caller hangs up, or the wait ends, just after the grant was delivered. If the reservation were
 /// kept, the engine would look busier than it is.
 #[tokio::test]
