fix(policy): refunds, returned tokens and figures that are no amounts

Cause: a refund counted the levels since its grant, but not that the bucket was cut or had been smaller in between, so a bucket whose shares went elsewhere and came back contained 1,000 tokens where 100 had been filled. Returned tokens were not compared with what was granted ahead: 700 came back for 100. NaN amounts and limits were granted, and a term of the wire could overflow the time. A lowered burst kept promises that the bucket never reaches.

Change: the bucket remembers the room that it had, in spans of 20 ms, so that its memory doesn't grow with the rate of the requests. Tokens granted ahead are kept by entry, and a renewal that changes no share doesn't sum up all shares, so that the cost of a request doesn't grow with the number of entries. Requests with NaN, infinite or negative figures are refused. Terms are at most 30 s.

--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -4,7 +4,7 @@
 use super::{Bounds, EntryKey, Limit};
 use crate::Time;
 use crate::number::span;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Part of the overage that is granted ahead of use. The rest covers what entries spend later than
@@ -35,11 +35,15 @@
 /// Number of reservations per customer: a decision walks over them.
 const MAX_RESERVATIONS: usize = 256;
 
-/// Age from which a refund doesn't count. Until then, the level since its grant is known.
+/// Age from which a refund doesn't count. Until then, the room since its grant is known.
 pub(super) const REFUND_AGE: Duration = Duration::from_secs(4);
 
-/// Time for which levels are remembered: tokens granted ahead are refunded a term later.
-const PEAKS: Duration = Duration::from_secs(8);
+/// Time for which the room is remembered: tokens granted ahead are refunded a term later.
+const ROOMS: Duration = Duration::from_secs(8);
+
+/// Span of which only the least room is remembered, so that memory and time don't grow with the
+/// rate of the requests.
+const ROOM_SPAN: Duration = Duration::from_millis(20);
 
 /// Time without requests after which a customer with a full bucket is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
@@ -59,16 +63,16 @@
 /// Tokens that were granted ahead to an entry, which may not have been used yet.
 #[derive(Debug, Clone, Copy)]
 struct Lot {
-    entry: EntryKey,
     tokens: f64,
     until: Time,
 }
 
-/// A level before a request was decided.
+/// What the bucket could still take in up to a time: after it was filled and cut, before a request.
 #[derive(Debug, Clone, Copy)]
-struct Peak {
-    level: f64,
-    at: Time,
+struct Room {
+    tokens: f64,
+    since: Time,
+    until: Time,
 }
 
 /// When a request can be granted.
@@ -98,11 +102,12 @@
     fraction: f64,
     filled: Duration,
     gained: f64,
-    /// In the order of time, each lower than all earlier ones.
-    peaks: VecDeque<Peak>,
+    /// In the order of time, each larger than all earlier ones.
+    rooms: VecDeque<Room>,
     /// In the order in which they are due.
     reservations: Vec<Reservation>,
-    lots: Vec<Lot>,
+    /// By entry, so that a request doesn't walk over those of other entries.
+    lots: HashMap<EntryKey, Vec<Lot>>,
     amounts: f64,
     count: f64,
     small_amounts: f64,
@@ -124,9 +129,9 @@
             fraction: shares.fraction(),
             filled: shares.filled(),
             gained: shares.gained(),
-            peaks: VecDeque::new(),
+            rooms: VecDeque::new(),
             reservations: Vec::new(),
-            lots: Vec::new(),
+            lots: HashMap::new(),
             amounts: 0.0,
             count: 0.0,
             small_amounts: 0.0,
@@ -148,35 +153,47 @@
     }
 
     /// Fills the bucket up to an integral of the fraction, which is still the same or has fallen.
-    pub(super) fn fill(&mut self, filled: Duration, fraction: f64) {
+    pub(super) fn fill(&mut self, filled: Duration, fraction: f64, now: Time) {
         self.fraction = fraction;
         let level = self.level + self.limit.rate * (filled - self.filled).as_secs_f64();
         self.filled = filled;
         self.level = level.min(self.capacity());
         self.debt = (self.debt - (level - self.level)).max(0.0);
+        self.record_room(now);
     }
 
     /// Brings the bucket up to date with the shares, whose fraction may have changed just now.
     pub(super) fn advance(&mut self, shares: &Shares) {
         self.debt += (shares.gained() - self.gained) * self.overdraft;
         self.gained = shares.gained();
-        self.fill(shares.filled(), shares.fraction());
+        self.fill(shares.filled(), shares.fraction(), shares.at());
     }
 
     /// Ends what has expired.
     pub(super) fn expire(&mut self, now: Time) {
         self.reservations.retain(|reservation| now < reservation.due + KEPT);
-        self.lots.retain(|lot| now < lot.until);
-        self.record_peak(now);
     }
 
-    fn record_peak(&mut self, now: Time) {
-        while self.peaks.back().is_some_and(|peak| peak.level <= self.level) {
-            self.peaks.pop_back();
+    /// Ends the lots of all entries, also of those that request nothing more.
+    pub(super) fn expire_lots(&mut self, now: Time) {
+        self.lots.retain(|_, lots| {
+            lots.retain(|lot| now < lot.until);
+            !lots.is_empty()
+        });
+    }
+
+    fn record_room(&mut self, now: Time) {
+        let tokens = self.capacity() - self.level;
+        while self.rooms.back().is_some_and(|room| tokens <= room.tokens) {
+            self.rooms.pop_back();
+        }
+        match self.rooms.back_mut() {
+            // The least room of the span counts until its end, which refunds less and never more.
+            Some(room) if now < room.since + ROOM_SPAN => room.until = now,
+            _ => self.rooms.push_back(Room { tokens, since: now, until: now }),
         }
-        self.peaks.push_back(Peak { level: self.level, at: now });
-        while self.peaks.front().is_some_and(|peak| peak.at + PEAKS < now) {
-            self.peaks.pop_front();
+        while self.rooms.front().is_some_and(|room| room.until + ROOMS < now) {
+            self.rooms.pop_front();
         }
     }
 
@@ -185,8 +202,8 @@
         if limit.version <= self.limit.version {
             return;
         }
-        if limit.rate < self.limit.rate {
-            // What was promised at the higher rate doesn't become available in time.
+        if limit.rate < self.limit.rate || limit.burst < self.limit.burst {
+            // What was promised by the higher limit doesn't become available in time.
             self.reservations.clear();
         }
         self.limit = *limit;
@@ -337,35 +354,39 @@
     ) -> f64 {
         let window = self.limit.rate * bounds.window.as_secs_f64() + self.limit.burst;
         let most = AHEAD * bounds.overage * window * self.fraction / entries;
-        let lots = self.lots.iter().filter(|lot| lot.entry == entry);
-        let outstanding: f64 = lots.map(|lot| lot.tokens).sum();
+        let lots = self.lots.entry(entry).or_default();
+        lots.retain(|lot| now < lot.until);
+        let outstanding: f64 = lots.iter().map(|lot| lot.tokens).sum();
         let spare = self.unpromised(now) - self.capacity() / 2.0;
         let tokens = wanted.min(most - outstanding).min(spare);
         if tokens < amount || tokens <= 0.0 {
             return 0.0;
         }
         self.take(tokens);
-        self.lots.push(Lot { entry, tokens, until });
+        self.lots.entry(entry).or_default().push(Lot { tokens, until });
         tokens
     }
 
-    /// Takes back tokens that were granted ahead.
-    pub(super) fn give_back(&mut self, entry: EntryKey, tokens: f64) {
-        self.level = (self.level + tokens).min(self.capacity());
+    /// Takes back tokens that were granted ahead, no more than the entry still has.
+    pub(super) fn give_back(&mut self, entry: EntryKey, tokens: f64, now: Time) {
+        let Some(lots) = self.lots.get_mut(&entry) else { return };
         let mut rest = tokens;
-        for lot in self.lots.iter_mut().filter(|lot| lot.entry == entry) {
+        for lot in lots.iter_mut().filter(|lot| now < lot.until) {
             let taken = lot.tokens.min(rest);
             lot.tokens -= taken;
             rest -= taken;
         }
+        lots.retain(|lot| lot.tokens > 0.0);
+        self.level = (self.level + tokens - rest).min(self.capacity());
     }
 
     /// Takes back tokens granted at a time, as far as the bucket would contain them now if they had
     /// not been granted: it might have been full since.
     pub(super) fn refund(&mut self, amount: f64, granted: Time) {
-        let highest = self.peaks.iter().find(|peak| granted < peak.at);
-        let highest = highest.map_or(self.level, |peak| peak.level.max(self.level));
-        self.level += amount.min(self.capacity() - highest).max(0.0);
+        let at = self.rooms.partition_point(|room| room.until <= granted);
+        let room = self.capacity() - self.level;
+        let least = self.rooms.get(at).map_or(room, |least| least.tokens.min(room));
+        self.level += amount.min(least).max(0.0);
     }
 
     /// Whether a new bucket would contain as much.
--- a/crates/policy/src/quota/coordinator.rs
+++ b/crates/policy/src/quota/coordinator.rs
@@ -1,7 +1,7 @@
 //! The shares that are lent to this entry, and the buckets of customers that they fill.
 
 use super::bucket::{Availability, Bucket, REFUND_AGE};
-use super::shares::Shares;
+use super::shares::{LONGEST_TERM, Shares};
 use super::{Bounds, CustomerKey, EntryKey, Life, Limit, Partition, RequestId, Stamp};
 use super::{ConfigVersion, PARTITIONS};
 use crate::Time;
@@ -79,6 +79,18 @@
     pub amount: f64,
 }
 
+impl Ask {
+    /// Comparisons with NaN are false, and would grant the request.
+    fn is_valid(&self) -> bool {
+        let Limit { rate, burst, .. } = self.limit;
+        [self.amount, self.ahead, self.returned, rate, burst].into_iter().all(is_amount)
+    }
+}
+
+fn is_amount(value: f64) -> bool {
+    value.is_finite() && value >= 0.0
+}
+
 /// The shares of one partition and the buckets that they fill.
 #[derive(Debug, Default)]
 struct Coordinated {
@@ -97,7 +109,7 @@
         change(&mut self.shares);
         if self.shares.fraction() != before {
             for bucket in self.buckets.values_mut() {
-                bucket.fill(filled, before);
+                bucket.fill(filled, before, now);
                 bucket.advance(&self.shares);
             }
         }
@@ -118,7 +130,11 @@
 
 impl Coordinator {
     /// Creates a coordinator without shares. `life` is random or otherwise unique per process.
+    /// Bounds that are not finite or negative count as 0.
     pub fn new(bounds: Bounds, life: Life) -> Self {
+        let [overage, allowance] = [bounds.overage, bounds.allowance]
+            .map(|bound| if is_amount(bound) { bound } else { 0.0 });
+        let bounds = Bounds { overage, allowance, ..bounds };
         Self {
             bounds,
             life,
@@ -150,9 +166,8 @@
         if let Some(echoed) = echoed
             && let Some(coordinated) = self.partitions.get_mut(usize::from(partition))
         {
-            coordinated.change(now, |shares| {
-                shares.renew(lender, share, echoed.at, echoed.at + term);
-            });
+            let ends = echoed.at + term.min(LONGEST_TERM);
+            coordinated.change(now, |shares| shares.renew(lender, share, echoed.at, ends));
         }
         self.stamp(now)
     }
@@ -175,17 +190,23 @@
         answer
     }
 
-    fn decide(&mut self, ask: &Ask, entries: usize, now: Time) -> Answer {
-        let term = super::term(entries);
-        let is_recent = ask.echoed.is_some_and(|stamp| {
+    /// Whether a request was sent less than a term ago.
+    fn is_recent(&self, ask: &Ask, term: Duration, now: Time) -> bool {
+        ask.echoed.is_some_and(|stamp| {
             let age = now.saturating_sub(stamp.at);
             stamp.life == self.life && stamp.at <= now && age <= term.min(REFUND_AGE)
-        });
-        let Some(coordinated) =
-            self.partitions.get_mut(usize::from(super::partition(ask.customer)))
-        else {
-            return Answer::Refused { retry_after: term, reserved: false };
-        };
+        })
+    }
+
+    fn decide(&mut self, ask: &Ask, entries: usize, now: Time) -> Answer {
+        let term = super::term(entries);
+        let refused = Answer::Refused { retry_after: term, reserved: false };
+        if !ask.is_valid() {
+            return refused;
+        }
+        let is_recent = self.is_recent(ask, term, now);
+        let partition = usize::from(super::partition(ask.customer));
+        let Some(coordinated) = self.partitions.get_mut(partition) else { return refused };
         let Coordinated { shares, buckets } = coordinated;
         shares.advance(now);
         let bucket = buckets
@@ -195,7 +216,7 @@
         bucket.expire(now);
         bucket.update(&ask.limit);
         if is_recent && ask.limit.version == bucket.limit().version {
-            bucket.give_back(ask.entry, ask.returned.max(0.0));
+            bucket.give_back(ask.entry, ask.returned, now);
         }
         if ask.amount <= 0.0 {
             return Answer::Granted { ahead: 0.0 };
@@ -210,23 +231,7 @@
                 Answer::Refused { retry_after, reserved: true }
             };
         }
-        match bucket.availability(ask.amount, now) {
-            Availability::Now => {
-                bucket.take(ask.amount);
-                let entries = float(u64::try_from(entries.max(1)).unwrap_or(u64::MAX));
-                let wanted = (ask.ahead, ask.amount);
-                let times = (now, now + term);
-                let ahead = bucket.grant_ahead(&self.bounds, ask.entry, wanted, entries, times);
-                Answer::Granted { ahead }
-            }
-            Availability::In(retry_after) => {
-                let reserved =
-                    retry_after <= ask.max_wait && bucket.reserve(ask.amount, now + retry_after);
-                Answer::Refused { retry_after, reserved }
-            }
-            // The shares may change within a term.
-            Availability::Never => Answer::Refused { retry_after: term, reserved: false },
-        }
+        decide_new(bucket, ask, &self.bounds, entries, now)
     }
 
     /// Returns the version of the limit by which requests of a customer are decided.
@@ -244,6 +249,9 @@
             return;
         }
         self.remember((refund.entry, refund.id), None, now);
+        if !is_amount(refund.amount) {
+            return;
+        }
         let partition = usize::from(super::partition(refund.customer));
         let Some(coordinated) = self.partitions.get_mut(partition) else { return };
         coordinated.shares.advance(now);
@@ -251,7 +259,7 @@
         bucket.advance(&coordinated.shares);
         bucket.expire(now);
         let granted = if refund.ahead { at.saturating_sub(super::term(entries)) } else { at };
-        bucket.refund(refund.amount.max(0.0), granted);
+        bucket.refund(refund.amount, granted);
     }
 
     /// Returns the fraction of all limits of a partition that this entry may grant, from 0 to 1.
@@ -287,8 +295,36 @@
             shares.advance(now);
             buckets.retain(|_, bucket| {
                 bucket.advance(shares);
+                bucket.expire_lots(now);
                 !bucket.is_idle(now)
             });
         }
     }
 }
+
+/// Decides on a request for which nothing is reserved, from a bucket that is up to date.
+fn decide_new(
+    bucket: &mut Bucket,
+    ask: &Ask,
+    bounds: &Bounds,
+    entries: usize,
+    now: Time,
+) -> Answer {
+    let term = super::term(entries);
+    match bucket.availability(ask.amount, now) {
+        Availability::Now => {
+            bucket.take(ask.amount);
+            let entries = float(u64::try_from(entries.max(1)).unwrap_or(u64::MAX));
+            let wanted = (ask.ahead, ask.amount);
+            let ahead = bucket.grant_ahead(bounds, ask.entry, wanted, entries, (now, now + term));
+            Answer::Granted { ahead }
+        }
+        Availability::In(retry_after) => {
+            let reserved =
+                retry_after <= ask.max_wait && bucket.reserve(ask.amount, now + retry_after);
+            Answer::Refused { retry_after, reserved }
+        }
+        // The shares may change within a term.
+        Availability::Never => Answer::Refused { retry_after: term, reserved: false },
+    }
+}
--- a/crates/policy/src/quota/held.rs
+++ b/crates/policy/src/quota/held.rs
@@ -64,6 +64,10 @@
     /// the amount counts as recent use.
     pub fn spend(&mut self, customer: CustomerKey, limit: &Limit, amount: f64, now: Time) -> bool {
         self.sweep(now);
+        // Comparisons with NaN are false, and would grant the request.
+        if !amount.is_finite() || amount < 0.0 {
+            return false;
+        }
         let customer = self.customers.entry(customer).or_default();
         customer.advance(now);
         customer.lots.retain(|lot| lot.version >= limit.version);
@@ -91,7 +95,7 @@
         until: Time,
         now: Time,
     ) {
-        if tokens <= 0.0 || until <= now {
+        if !tokens.is_finite() || tokens <= 0.0 || until <= now {
             return;
         }
         let customer = self.customers.entry(customer).or_default();
--- a/crates/policy/src/quota/shares.rs
+++ b/crates/policy/src/quota/shares.rs
@@ -8,9 +8,12 @@
 /// Fractions that differ by less are the same: sums of shares are rounded.
 const ROUNDING: f64 = 1e-9;
 
+/// Longest term of a lease, whatever its lender states.
+pub(super) const LONGEST_TERM: Duration = Duration::from_secs(30);
+
 /// Time after the end of a lease until which its lender is remembered. Renewals that were sent
-/// before a return are at most one term old when they count, and terms are shorter than this.
-const RETENTION: Duration = Duration::from_secs(60);
+/// before a return are at most one term old when they count.
+const RETENTION: Duration = LONGEST_TERM.saturating_mul(2);
 
 /// Number of remembered changes of the fraction. Beyond it, the oldest two count as one.
 const MAX_CHANGES: usize = 64;
@@ -77,6 +80,11 @@
         self.filled
     }
 
+    /// The time up to which the shares have been advanced.
+    pub(super) fn at(&self) -> Time {
+        self.at
+    }
+
     pub(super) fn gained(&self) -> f64 {
         self.gained
     }
@@ -116,16 +124,21 @@
             return;
         }
         let share = share.clamp(0.0, 1.0);
-        let lease = Lease { share, echoed, ends };
-        let known = self.leases.entry(lender).or_insert(lease);
+        let known = self.leases.get(&lender).copied();
         // Late renewals must neither undo a return nor raise a share that has been reduced.
-        if echoed < known.echoed {
+        if known.is_some_and(|known| echoed < known.echoed) {
             return;
         }
-        let share = if echoed == known.echoed { known.share.min(share) } else { share };
-        *known = Lease { share, ..lease };
+        let share = match known {
+            Some(known) if known.echoed == echoed => known.share.min(share),
+            _ => share,
+        };
+        self.leases.insert(lender, Lease { share, echoed, ends });
         self.next_end = self.next_end.min(ends);
-        self.set_fraction(self.at);
+        // Most renewals change nothing, and the sum takes longer with the number of lenders.
+        if known.is_none_or(|known| known.ends <= self.at || known.share != share) {
+            self.set_fraction(self.at);
+        }
     }
 
     /// Ends a lease now, and all that its lender sent before.
