fix(policy): the number of entries falls after two minutes, ten for a minority

Cause: after 30 s without contact, each side of a partition divided the limits by itself alone, and an entry that restarted alone took the whole limit after 16 s.

Change: the largest count of the last 120 s applies, and that of the last 600 s at an entry that knows at most half of it. The lender takes a least number of entries at construction, such as that of the seeds. Planned departures still lower the count after a term. After a loss for good, customers have only the shares that are left for this time.

number_of_entries_falls_late_or_by_planned_departures checks the longer retention in place of the shorter one.

--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -1,4 +1,8 @@
 //! To which entry this entry has lent its share of each partition.
+//!
+//! Entries that start in separate partitions, and whose settings name fewer entries than there are,
+//! exceed the limits together until they reach each other. So do the sides of a partition that lasts
+//! longer than the number of the entries is kept.
 
 use super::{EntryKey, PARTITIONS, Partition, RENEWALS_PER_TERM};
 use crate::Time;
@@ -16,8 +20,13 @@
 /// Time after the start from which an entry without any peer counts as the only one.
 const LONGEST_ALONE: Duration = Duration::from_secs(16);
 
-/// For how long entries that are no longer known count, since they may come back.
-const COUNT_RETENTION: Duration = Duration::from_secs(30);
+/// For how long entries that are no longer known count, since they may be cut off and spend their
+/// shares. For this time after a loss for good, customers have only the shares that are left.
+const COUNT_RETENTION: Duration = Duration::from_secs(120);
+
+/// The same for an entry that knows at most half of them, and so may be on the smaller side of a
+/// partition.
+const MINORITY_RETENTION: Duration = Duration::from_secs(600);
 
 /// For how long a holder that doesn't answer gets no share, unless it answers a probe: longer than
 /// it takes to declare it dead. Each attempt to lend to a dead entry leaves the partition without a
@@ -64,9 +73,10 @@
 #[derive(Debug)]
 pub struct Lender {
     own: EntryKey,
+    least: usize,
     started: Option<Time>,
     settled: bool,
-    /// The counts of the entries within the retention, each larger than all later ones.
+    /// The counts of the entries within the longer retention, each larger than all later ones.
     counts: VecDeque<Count>,
     departures: Vec<Departure>,
     leases: Vec<Option<Lease>>,
@@ -82,6 +92,7 @@
     pub fn new(own: EntryKey) -> Self {
         Self {
             own,
+            least: 1,
             started: None,
             settled: false,
             counts: VecDeque::new(),
@@ -92,6 +103,13 @@
         }
     }
 
+    /// Divides the limits by at least this number of entries, such as that of the seeds in the
+    /// settings, this one included. Entries that depart as planned don't lower it.
+    pub fn with_least_entries(mut self, least: usize) -> Self {
+        self.least = least.max(1);
+        self
+    }
+
     /// Records the number of entries that this one knows, itself and dead ones included, and for how
     /// long this view has been unchanged. `count` is 0 while an entry with seeds knows no other.
     pub fn observe_entries(&mut self, count: usize, unchanged: Duration, now: Time) {
@@ -108,10 +126,9 @@
     }
 
     /// Records the number of entries by which another entry divides the limits ([`Self::entries`]),
-    /// from its answers, or one from the settings before anything else is observed. An entry that
-    /// starts within a partition learns by this of entries that it has never reached; entries that
-    /// start on different sides without any such number exceed the bound together. Ignored some time
-    /// after the start, since counts that are passed on forever would never fall.
+    /// from its answers, or one from earlier than the start. An entry that starts within a partition
+    /// learns by this of entries that it has never reached. Ignored some time after the start, since
+    /// counts that are passed on forever would never fall.
     pub fn observe_peer_count(&mut self, count: usize, now: Time) {
         if self.started.is_none_or(|started| now.saturating_sub(started) < LONGEST_ALONE) {
             self.push(count, now);
@@ -130,7 +147,7 @@
         }
         self.counts.push_back(Count { entries, at: now });
         // The newest count stays, however old it is.
-        while self.counts.len() > 1 && self.counts[0].at + COUNT_RETENTION <= now {
+        while self.counts.len() > 1 && self.counts[0].at + MINORITY_RETENTION <= now {
             self.counts.pop_front();
         }
     }
@@ -156,8 +173,15 @@
 
     /// Returns the number of entries by which the limits are divided, at least 1.
     pub fn entries(&self, now: Time) -> usize {
-        let recent = self.counts.iter().find(|count| now < count.at + COUNT_RETENTION);
-        recent.or(self.counts.back()).map_or(1, |count| count.entries.max(1))
+        let largest = |retention: Duration| {
+            let recent = self.counts.iter().find(|count| now < count.at + retention);
+            recent.or(self.counts.back()).map_or(0, |count| count.entries)
+        };
+        let known = self.counts.back().map_or(0, |count| count.entries);
+        let largest_known = largest(MINORITY_RETENTION);
+        let is_minority = known.saturating_mul(2) <= largest_known;
+        let entries = if is_minority { largest_known } else { largest(COUNT_RETENTION) };
+        entries.max(self.least)
     }
 
     /// Returns the share of each limit that this entry may lend: 0 until its view of the entries has
--- a/crates/policy/tests/quota_decisions.rs
+++ b/crates/policy/tests/quota_decisions.rs
@@ -450,6 +450,10 @@
     assert_eq!(alone.share(ms(15_900)), 0.0);
     alone.observe_entries(0, ms(16_000), ms(16_000));
     assert_eq!(alone.share(ms(16_000)), 1.0);
+    let mut alone = Lender::new(1).with_least_entries(4);
+    alone.observe_entries(0, ms(16_000), ms(0));
+    alone.observe_entries(0, ms(16_000), ms(16_000));
+    assert_eq!(alone.share(ms(16_000)), 0.25, "its settings name four");
 }
 
 /// Entries that are no longer seen may be cut off and spend their shares; those that stopped as
@@ -458,15 +462,36 @@
 fn number_of_entries_falls_late_or_by_planned_departures() {
     let mut lender = settled(28);
     lender.observe_entries(20, ms(500), ms(5_000));
-    assert_eq!((lender.entries(ms(30_000)), lender.entries(ms(31_000))), (28, 20));
-    lender.observe_departures(5, ms(31_000));
-    lender.observe_entries(15, ms(500), ms(31_500));
-    assert_eq!(lender.entries(ms(31_500)), 20, "what they lent has not ended");
-    lender.observe_entries(15, ms(750), ms(31_750));
-    assert_eq!(lender.entries(ms(31_750)), 15);
+    assert_eq!((lender.entries(ms(120_000)), lender.entries(ms(121_000))), (28, 20));
+    lender.observe_departures(5, ms(121_000));
+    lender.observe_entries(15, ms(500), ms(121_500));
+    assert_eq!(lender.entries(ms(121_500)), 20, "what they lent has not ended");
+    lender.observe_entries(15, ms(750), ms(121_750));
+    assert_eq!(lender.entries(ms(121_750)), 15);
     assert_eq!((term(28), term(1_000), lender.interval(ms(0))), (TERM, TERM * 4, TERM / 3));
 }
 
+/// The smaller side of a partition that lasts for minutes would divide the limits by itself alone,
+/// while the larger side grants nearly all of them. A loss for good must not last for ever.
+#[test]
+fn entry_that_knows_at_most_half_keeps_the_number_for_longer() {
+    for (left, kept_ms) in [(15, 120_000), (14, 600_000), (0, 600_000)] {
+        let mut lender = settled(28);
+        for second in 1..700 {
+            lender.observe_entries(left, ms(500), ms(second * 1_000));
+        }
+        // A new observation per second, until 699 s.
+        assert_eq!(lender.entries(ms(699_000)), left.max(1));
+        let mut lender = settled(28);
+        lender.observe_entries(left, ms(500), ms(1_000));
+        assert_eq!(lender.entries(ms(kept_ms)), 28, "{left}");
+        assert_eq!(lender.entries(ms(kept_ms + 500)), left.max(1));
+        lender.observe_departures(28 - left, ms(2_000));
+        lender.observe_entries(left, ms(500), ms(2_750));
+        assert_eq!(lender.entries(ms(2_750)), left.max(1), "departed as planned");
+    }
+}
+
 /// A share that is lent twice counts twice.
 #[test]
 fn share_moves_only_once_its_lease_has_ended_or_was_returned() {
