test(policy): limits that are raised, lowered, removed and added in a run

The drawn interleavings now also change limits, which the entries learn one by one over up to 3 s. The bound of a window is that of the largest limit in force, where a lower limit binds one window after all entries know it. Handlers of the model are split.

--- a/crates/policy/tests/quota/faults.rs
+++ b/crates/policy/tests/quota/faults.rs
@@ -49,15 +49,19 @@
         down: Vec::new(),
         heal_at: LONGEST_PARTITION,
         part_from: Time::ZERO,
+        learning: Vec::new(),
+        change_at: ms(draw.random_range(4_000..20_000)),
     };
     run.model.not_run = [0.0, 0.2, 0.6][draw.random_range(0..3)];
     flood(&mut run.model, draw.random_range(1.0..8.0), END);
     let longest_gap = [1_000, 5_000, 20_000][draw.random_range(0..3)];
     let mut next = ms(draw.random_range(0..8_000));
     while run.model.now < END {
-        let starts = run.down.iter().map(|(at, _)| *at);
-        run.model.run_until(starts.chain([next, run.heal_at, END]).min().unwrap_or(END));
+        let starts = run.down.iter().chain(&run.learning).map(|(at, _)| *at);
+        let others = [next, run.heal_at, run.change_at, END];
+        run.model.run_until(starts.chain(others).min().unwrap_or(END));
         run.recover();
+        run.change_limits(&mut draw);
         if run.model.now == next {
             run.draw_fault();
             next = run.model.now + ms(draw.random_range(10..longest_gap));
@@ -73,6 +77,10 @@
     heal_at: Time,
     /// The time from which entries may be partitioned.
     part_from: Time,
+    /// When which entries learn of the changed limits.
+    learning: Vec<(Time, usize)>,
+    /// When a limit changes next.
+    change_at: Time,
 }
 
 impl Run {
@@ -91,6 +99,26 @@
         }
     }
 
+    /// Lowers or raises a limit, which the entries learn one by one over up to 3 s.
+    fn change_limits(&mut self, draw: &mut ChaCha8Rng) {
+        let now = self.model.now;
+        for (_, at) in self.learning.extract_if(.., |(at, _)| *at <= now) {
+            self.model.learn(at);
+        }
+        if now < self.change_at {
+            return;
+        }
+        self.change_at = now + ms(draw.random_range(3_100..20_000));
+        let customer = if draw.random() { SMALL } else { BIG };
+        let rate = limits()[&customer].rate * [0.02, 0.1, 0.5, 1.0, 2.0][draw.random_range(0..5)];
+        let span = draw.random_range(1..=3_000);
+        for at in 0..self.model.len() {
+            self.learning.push((now + ms(draw.random_range(0..=span)), at));
+        }
+        let known = self.learning.iter().map(|(at, _)| *at).max().unwrap_or(now);
+        self.model.change_limit(customer, rate, known);
+    }
+
     fn heal(&mut self) {
         self.model.sides.fill(0);
         self.heal_at = Time::MAX;
--- a/crates/policy/tests/quota/main.rs
+++ b/crates/policy/tests/quota/main.rs
@@ -42,7 +42,8 @@
     model
 }
 
-/// Whatever is killed, frozen, partitioned, lost, late or duplicated, no window exceeds the bound.
+/// Whatever is killed, frozen, partitioned, lost, late or duplicated, and however limits change
+/// meanwhile, no window exceeds the bound.
 /// Faults come in orders that nobody thought of; each seed draws one.
 #[test]
 fn bound_holds_in_every_window_of_drawn_interleavings() {
@@ -59,8 +60,8 @@
         if model.size_is_known && model.largest_sum > 1.0 + 1e-6 {
             failed.push((seed, 0, model.largest_sum));
         }
-        for (at, (customer, limit)) in limits().into_iter().enumerate() {
-            let most = model.largest_use(customer, &limit, (Time::ZERO, Time::MAX));
+        for (at, customer) in [SMALL, BIG].into_iter().enumerate() {
+            let most = model.largest_use_of(customer);
             largest[at] = largest[at].max(most);
             if most > 1.0 {
                 failed.push((seed, customer, most));
@@ -145,6 +146,18 @@
     assert_bounds(&model, "partitioned");
 }
 
+/// Entries that are apart for longer than their membership remembers dead ones must not divide the
+/// limits by the entries of their own side.
+#[test]
+fn sides_that_stay_apart_for_two_minutes_share_the_limit() {
+    let mut model = Model::new(vec![0; 27], 13, limits());
+    model.run_until(secs(10));
+    model.sides[..9].fill(1);
+    model.run_until(secs(130));
+    let fractions = model.fractions(BIG);
+    assert!(fractions.iter().sum::<f64>() <= 1.0 + 1e-9, "{fractions:?}");
+}
+
 /// All entries lose power with full buckets. A bucket that starts full, or a share before leases of
 /// the previous processes have ended, would grant the burst twice.
 #[test]
@@ -185,14 +198,7 @@
 fn lowered_limit_holds_one_window_after_it_is_known() {
     let mut model = overloaded(28, 7, secs(40));
     let lowered = limit(161_763.0, 2);
-    model.run_until(secs(12));
-    model.set_limit(BIG, lowered);
-    model.learn(0);
-    for at in 1..28 {
-        model.run_until(secs(12) + ms(100 * at as u64));
-        model.learn(at);
-    }
-    let known = model.now;
+    let known = change_one_by_one(&mut model, |model| model.set_limit(BIG, lowered));
     model.run_until(secs(40));
     let most = model.largest_use(BIG, &lowered, (known + BOUNDS.window, Time::MAX));
     assert!(most <= 1.0, "{most}");
@@ -201,6 +207,59 @@
     assert!(before <= 1.0, "{before}");
 }
 
+/// Changes the limit of the large customer at 12 s, known to one entry after the other.
+fn change_one_by_one(model: &mut Model, change: impl FnOnce(&mut Model)) -> Time {
+    model.run_until(secs(12));
+    change(model);
+    for at in 0..model.len() {
+        model.run_until(secs(12) + ms(100 * at as u64));
+        model.learn(at);
+    }
+    model.now
+}
+
+/// A raised limit that the coordinators ignore, or grants ahead that stay void, would hold the
+/// customer at the old one.
+#[test]
+fn raised_limit_is_served_once_it_is_known() {
+    let mut model = overloaded(28, 10, secs(36));
+    let raised = limit(2.0 * 1_617_632.0, 2);
+    let known = change_one_by_one(&mut model, |model| model.set_limit(BIG, raised));
+    model.run_until(secs(36));
+    let used = model.used(BIG, known..secs(36)) / (raised.rate * (secs(36) - known).as_secs_f64());
+    assert!(used > 0.6, "{used} of the raised limit");
+    let before = model.largest_use(BIG, &limits()[&BIG], (Time::ZERO, secs(12)));
+    let after = model.largest_use(BIG, &raised, (Time::ZERO, Time::MAX));
+    assert!(before <= 1.0 && after <= 1.0, "{before} {after}");
+}
+
+/// State that outlives a removed limit would hold the customer, and other customers with it.
+#[test]
+fn removed_limit_holds_nobody() {
+    let mut model = overloaded(28, 11, secs(30));
+    let known = change_one_by_one(&mut model, |model| model.remove_limit(BIG));
+    model.run_until(secs(30));
+    let used = model.used(BIG, known..secs(30));
+    let sent = 3.0 * 1_617_632.0 * (secs(30) - known).as_secs_f64();
+    assert!(used > 0.6 * sent, "{used} of about {sent}");
+    let other = model.largest_use(SMALL, &limits()[&SMALL], (Time::ZERO, Time::MAX));
+    assert!(other <= 1.0 && other > 0.5, "{other}");
+}
+
+/// A customer whose limit is added has sent without one: its bucket must not owe or own what was
+/// sent before.
+#[test]
+fn added_limit_binds_one_window_after_it_is_known() {
+    let small = limits().into_iter().filter(|(customer, _)| *customer == SMALL).collect();
+    let mut model = Model::new(vec![0; 28], 12, small);
+    faults::flood(&mut model, 3.0, secs(36));
+    let added = limit(1_617_632.0, 2);
+    let known = change_one_by_one(&mut model, |model| model.set_limit(BIG, added));
+    model.run_until(secs(36));
+    let most = model.largest_use(BIG, &added, (known + BOUNDS.window, Time::MAX));
+    assert!(most <= 1.0 && most > 0.7, "{most}");
+}
+
 /// Datagrams are lost, duplicated and seconds late: returns and refunds that count twice, or leases
 /// that late renewals revive, would raise the limit. A few lost ones cost customers little.
 #[test]
--- a/crates/policy/tests/quota/model.rs
+++ b/crates/policy/tests/quota/model.rs
@@ -87,6 +87,15 @@
     pub amount: f64,
 }
 
+/// A change of a limit.
+struct Change {
+    customer: CustomerKey,
+    before: Limit,
+    at: Time,
+    /// When all entries know it.
+    known: Time,
+}
+
 pub struct Model {
     pub now: Time,
     pub random: ChaCha8Rng,
@@ -108,6 +117,8 @@
     /// Part of the granted requests that no target runs.
     pub not_run: f64,
     limits: BTreeMap<CustomerKey, Limit>,
+    version: u64,
+    changes: Vec<Change>,
     events: BinaryHeap<Reverse<(Time, usize)>>,
     queue: HashMap<usize, Event>,
     next: usize,
@@ -148,6 +159,8 @@
             late: 0.0,
             not_run: 0.0,
             limits,
+            version: 1,
+            changes: Vec::new(),
             events: BinaryHeap::new(),
             queue: HashMap::new(),
             next: 0,
@@ -232,6 +245,19 @@
         self.limits.insert(customer, limit);
     }
 
+    /// Changes a limit, known to all entries at a time.
+    pub fn change_limit(&mut self, customer: CustomerKey, rate: f64, known: Time) {
+        self.version += 1;
+        let limit = Limit { rate, burst: rate, version: self.version };
+        let at = self.now;
+        let before = self.limits.insert(customer, limit);
+        self.changes.extend(before.map(|before| Change { customer, before, at, known }));
+    }
+
+    pub fn remove_limit(&mut self, customer: CustomerKey) {
+        self.limits.remove(&customer);
+    }
+
     pub fn learn(&mut self, at: usize) {
         if let Some(node) = &mut self.nodes[at] {
             node.limits = self.limits.clone();
@@ -342,31 +368,32 @@
         let partitions: Vec<u16> =
             self.limits.keys().map(|customer| partition(*customer)).collect();
         for partition in partitions {
-            let candidates = candidates(node, partition);
-            if let Some(back) = node.lender.pending_return(partition, &candidates, now) {
-                if back.holder == node.key {
-                    node.coordinator.give_back_share(partition, node.key, now);
-                    node.lender.returned(partition, back);
-                } else {
-                    let message = Message::Return { partition, back, confirmed: false };
-                    self.send(at, back.holder, message);
-                }
+            self.renew(node, at, partition, now);
+        }
+    }
+
+    /// Requests the return of a share that should move, and renews a lease that is due.
+    fn renew(&mut self, node: &mut Node, at: usize, partition: u16, now: Time) {
+        let candidates = candidates(node, partition);
+        if let Some(back) = node.lender.pending_return(partition, &candidates, now) {
+            if back.holder == node.key {
+                node.coordinator.give_back_share(partition, node.key, now);
+                node.lender.returned(partition, back);
+            } else {
+                let message = Message::Return { partition, back, confirmed: false };
+                self.send(at, back.holder, message);
             }
-            let interval = node.lender.interval(now);
-            let due = node.renewed.get(&partition).is_none_or(|last| now >= *last + interval);
-            if due && let Some(holder) = node.lender.holder(partition, &candidates, now) {
-                node.renewed.insert(partition, now);
-                if let Some(silent) = node.lender.probe(&candidates, now) {
-                    let (echoed, term) = (None, node.lender.term(now));
-                    let share = 0.0;
-                    self.send(
-                        at,
-                        silent,
-                        Message::Lend { share, term, echoed, partition, ask: None },
-                    );
-                }
-                self.lend(node, at, partition, holder, None, now);
+        }
+        let interval = node.lender.interval(now);
+        let due = node.renewed.get(&partition).is_none_or(|last| now >= *last + interval);
+        if due && let Some(holder) = node.lender.holder(partition, &candidates, now) {
+            node.renewed.insert(partition, now);
+            if let Some(silent) = node.lender.probe(&candidates, now) {
+                let (echoed, term) = (None, node.lender.term(now));
+                let share = 0.0;
+                self.send(at, silent, Message::Lend { share, term, echoed, partition, ask: None });
             }
+            self.lend(node, at, partition, holder, None, now);
         }
     }
 
@@ -394,7 +421,9 @@
 
     fn arrival(&mut self, node: &mut Node, at: usize, request: Request, now: Time) {
         let Request { customer, amount, returning } = request;
-        let limit = node.limits[&customer];
+        let Some(limit) = node.limits.get(&customer).copied() else {
+            return self.granted(node, at, request, None, false);
+        };
         let partition = partition(customer);
         let candidates = candidates(node, partition);
         let holder = node.lender.holder(partition, &candidates, now);
@@ -449,9 +478,11 @@
         let request = pending.request;
         match answer {
             Answer::Granted { ahead } => {
-                let limit = Limit { version, ..node.limits[&request.customer] };
-                let until = pending.sent + pending.term;
-                node.held.add(request.customer, &limit, ahead, until, now);
+                if let Some(limit) = node.limits.get(&request.customer) {
+                    let limit = Limit { version, ..*limit };
+                    let until = pending.sent + pending.term;
+                    node.held.add(request.customer, &limit, ahead, until, now);
+                }
                 self.granted(node, at, request, Some((pending.holder, stamp)), false);
             }
             Answer::Refused { retry_after, .. }
@@ -504,21 +535,7 @@
                 self.send(at, lender, Message::Answer { stamp, count, decision });
             }
             Message::Answer { stamp, count, decision } => {
-                let holder = key(from);
-                let is_newer = |known: &Stamp| known.life != stamp.life || known.at < stamp.at;
-                let is_first = !node.stamps.contains_key(&holder);
-                if node.stamps.get(&holder).is_none_or(is_newer) {
-                    node.stamps.insert(holder, stamp);
-                }
-                if is_first {
-                    // A first renewal is repeated with the stamp.
-                    node.renewed.clear();
-                }
-                node.lender.answered(holder);
-                node.lender.observe_peer_count(count, now);
-                if let Some(decision) = decision {
-                    self.answer(node, at, stamp, decision, now);
-                }
+                self.record_answer(node, (key(from), at), (stamp, count), decision, now);
             }
             Message::Return { partition, back, confirmed: false } => {
                 node.coordinator.give_back_share(partition, key(from), now);
@@ -533,6 +550,53 @@
         }
     }
 
+    fn record_answer(
+        &mut self,
+        node: &mut Node,
+        (holder, at): (EntryKey, usize),
+        (stamp, count): (Stamp, usize),
+        decision: Option<(u64, Answer, u64)>,
+        now: Time,
+    ) {
+        let is_newer = |known: &Stamp| known.life != stamp.life || known.at < stamp.at;
+        let is_first = !node.stamps.contains_key(&holder);
+        if node.stamps.get(&holder).is_none_or(is_newer) {
+            node.stamps.insert(holder, stamp);
+        }
+        if is_first {
+            // A first renewal is repeated with the stamp.
+            node.renewed.clear();
+        }
+        node.lender.answered(holder);
+        node.lender.observe_peer_count(count, now);
+        if let Some(decision) = decision {
+            self.answer(node, at, stamp, decision, now);
+        }
+    }
+
+    /// The largest use in a window, as a part of the bound of the largest limit in force at its end:
+    /// an earlier one is, until one window after all entries know the change.
+    pub fn largest_use_of(&self, customer: CustomerKey) -> f64 {
+        let ours = self.changes.iter().filter(|change| change.customer == customer);
+        let mut from = Time::ZERO;
+        let mut limits = Vec::new();
+        for Change { before, at, known, .. } in ours {
+            limits.push((*before, from, *known + BOUNDS.window));
+            from = *at;
+        }
+        limits.push((self.limits[&customer], from, Time::MAX));
+        let mut times: Vec<Time> =
+            limits.iter().flat_map(|(_, from, until)| [*from, *until]).collect();
+        times.sort();
+        let spans = times.windows(2).map(|span| {
+            let in_force =
+                limits.iter().filter(|(_, from, until)| *from <= span[0] && span[0] < *until);
+            let most = in_force.map(|(limit, ..)| limit).max_by(|a, b| a.rate.total_cmp(&b.rate));
+            self.largest_use(customer, most.expect("a limit"), (span[0], span[1]))
+        });
+        spans.fold(0.0, f64::max)
+    }
+
     /// The largest use of a customer in a window that ends in the span, as a part of the bound.
     pub fn largest_use(&self, customer: CustomerKey, limit: &Limit, span: (Time, Time)) -> f64 {
         let spends: Vec<&Spend> =
