fix(policy): refunds of a burst that no target ran

Cause: rooms that were remembered in spans of time lost the refunds of requests that used up a full bucket within one span.

Change: rooms are remembered in 256 steps of the bucket's size instead, so that a refund is too small by one step at most. The remaining cases in which entries exceed limits are in the module's head.

--- a/crates/policy/src/quota.rs
+++ b/crates/policy/src/quota.rs
@@ -14,6 +14,10 @@
 //! clock, the next renewal echoes it, and the lease ends one term after that stamp. The lender counts
 //! the term from when it sent the renewal, which is later than the stamp, so the coordinator always
 //! stops first. All times are by clocks that include suspended time.
+//!
+//! Entries that start in separate partitions, and whose settings name fewer entries than there are,
+//! exceed the limits together until they reach each other. So do the sides of a partition that lasts
+//! longer than the number of the entries is kept.
 
 mod bucket;
 mod coordinator;
@@ -84,11 +88,11 @@
 
 /// Number of entries from which the term grows with them. Up to here, a coordinator receives at
 /// most 1,000 renewals per second and partition.
-const ENTRIES_PER_TERM: usize = 250;
+const ENTRIES_PER_TERM: u32 = 250;
 
 /// Returns the term of a lease among so many entries. Coordinators and lenders whose counts of the
 /// entries differ may use different terms.
 pub fn term(entries: usize) -> Duration {
-    let entries = u32::try_from(entries.max(ENTRIES_PER_TERM)).unwrap_or(u32::MAX);
-    TERM.mul_f64(f64::from(entries) / 250.0)
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX).max(ENTRIES_PER_TERM);
+    TERM.mul_f64(f64::from(entries) / f64::from(ENTRIES_PER_TERM))
 }
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -41,9 +41,9 @@
 /// Time for which the room is remembered: tokens granted ahead are refunded a term later.
 const ROOMS: Duration = Duration::from_secs(8);
 
-/// Span of which only the least room is remembered, so that memory and time don't grow with the
-/// rate of the requests.
-const ROOM_SPAN: Duration = Duration::from_millis(20);
+/// Number of steps in which the room is remembered, so that memory doesn't grow with the rate of the
+/// requests. A refund is too small by one step at most.
+const ROOM_STEPS: f64 = 256.0;
 
 /// Time without requests after which a customer with a full bucket is forgotten.
 const IDLE: Duration = Duration::from_secs(60);
@@ -67,12 +67,11 @@
     until: Time,
 }
 
-/// What the bucket could still take in up to a time: after it was filled and cut, before a request.
+/// What the bucket could still take in at a time: after it was filled and cut, before a request.
 #[derive(Debug, Clone, Copy)]
 struct Room {
     tokens: f64,
-    since: Time,
-    until: Time,
+    at: Time,
 }
 
 /// When a request can be granted.
@@ -187,12 +186,13 @@
         while self.rooms.back().is_some_and(|room| tokens <= room.tokens) {
             self.rooms.pop_back();
         }
+        let step = (self.capacity() + self.overdraft) / ROOM_STEPS;
         match self.rooms.back_mut() {
-            // The least room of the span counts until its end, which refunds less and never more.
-            Some(room) if now < room.since + ROOM_SPAN => room.until = now,
-            _ => self.rooms.push_back(Room { tokens, since: now, until: now }),
+            // The lesser room counts for longer, which refunds less and never more.
+            Some(room) if tokens - room.tokens < step => room.at = now,
+            _ => self.rooms.push_back(Room { tokens, at: now }),
         }
-        while self.rooms.front().is_some_and(|room| room.until + ROOMS < now) {
+        while self.rooms.front().is_some_and(|room| room.at + ROOMS < now) {
             self.rooms.pop_front();
         }
     }
@@ -383,7 +383,7 @@
     /// Takes back tokens granted at a time, as far as the bucket would contain them now if they had
     /// not been granted: it might have been full since.
     pub(super) fn refund(&mut self, amount: f64, granted: Time) {
-        let at = self.rooms.partition_point(|room| room.until <= granted);
+        let at = self.rooms.partition_point(|room| room.at <= granted);
         let room = self.capacity() - self.level;
         let least = self.rooms.get(at).map_or(room, |least| least.tokens.min(room));
         self.level += amount.min(least).max(0.0);
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -1,8 +1,4 @@
 //! To which entry this entry has lent its share of each partition.
-//!
-//! Entries that start in separate partitions, and whose settings name fewer entries than there are,
-//! exceed the limits together until they reach each other. So do the sides of a partition that lasts
-//! longer than the number of the entries is kept.
 
 use super::{EntryKey, PARTITIONS, Partition, RENEWALS_PER_TERM};
 use crate::Time;
--- a/crates/policy/tests/quota_decisions.rs
+++ b/crates/policy/tests/quota_decisions.rs
@@ -282,6 +282,26 @@
     assert_eq!(single.drain(), 500.0, "400 are left, and 100 refunded");
 }
 
+/// A full bucket is used up within milliseconds, and no target runs the requests. Rooms that count
+/// together would lose the refunds.
+#[test]
+fn burst_that_no_target_ran_is_refunded() {
+    let mut single = Single::new(0.0);
+    single.pass(2_000);
+    let mut granted = Vec::new();
+    for _ in 0..20 {
+        assert!(single.takes(50.0));
+        granted.push(single.coordinator.stamp(single.now));
+        single.now += Duration::from_micros(200);
+    }
+    for (id, granted) in (9_000..).zip(granted) {
+        let refund =
+            Refund { entry: 1, id, granted, ahead: false, customer: CUSTOMER, amount: 50.0 };
+        single.coordinator.refund(&refund, 1, single.now);
+    }
+    assert!(single.drain() >= 990.0);
+}
+
 /// Shares go elsewhere and come back before a refund arrives. The bucket was cut in between, so
 /// the refunded tokens would come on top of what was granted elsewhere.
 #[test]
