fix(platform): a customer's rate without a burst is a limit

A customer with `rate-per-s` and no `burst` had no limit at all, so that a forgotten field removed it silently. Such a customer may now use what its rate gives in one second at once, and each configuration with one is logged once.

--- a/crates/direct/benches/customers.rs
+++ b/crates/direct/benches/customers.rs
@@ -9,7 +9,7 @@
     let mut customers = Customers::default();
     for number in 0..count {
         let unit = Unit::Tokens { plain: 200.0 };
-        let limit = Some(Limit { rate: 18_000.0, burst: 18_000.0, unit });
+        let limit = Some(Limit { rate: 18_000.0, burst: 18_000.0, burst_is_default: false, unit });
         let name = format!("customer-{number}").into();
         let key = KeyDigest::of(&number.to_le_bytes());
         customers.add(Customer { name, priority: None, limit }, [key]);
--- a/crates/direct/src/config/customers.rs
+++ b/crates/direct/src/config/customers.rs
@@ -73,6 +73,8 @@
     pub rate: f64,
     /// Units that may be used at once; positive.
     pub burst: f64,
+    /// Whether the burst follows from the rate, since operators set none.
+    pub burst_is_default: bool,
     /// The unit.
     pub unit: Unit,
 }
@@ -122,12 +124,16 @@
 pub struct Customers {
     by_key: HashMap<KeyDigest, Arc<Customer>>,
     any_limit: bool,
+    without_burst: Vec<CustomerName>,
 }
 
 impl Customers {
     /// Adds a customer with its keys.
     pub fn add(&mut self, customer: Customer, keys: impl IntoIterator<Item = KeyDigest>) {
         self.any_limit |= customer.limit.is_some();
+        if customer.limit.is_some_and(|limit| limit.burst_is_default) {
+            self.without_burst.push(customer.name.clone());
+        }
         let customer = Arc::new(customer);
         for key in keys {
             match self.by_key.entry(key) {
@@ -149,6 +155,11 @@
         self.by_key.len()
     }
 
+    /// Those with a limit for which operators set a rate and no burst.
+    pub fn without_burst(&self) -> &[CustomerName] {
+        &self.without_burst
+    }
+
     /// Whether any of them has a limit.
     pub fn any_limit(&self) -> bool {
         self.any_limit
--- a/crates/direct/src/config/route.rs
+++ b/crates/direct/src/config/route.rs
@@ -1,6 +1,6 @@
 //! Routes, services and limits as operators configured them: one immutable table for each version.
 
-use crate::config::customers::{self, Caller, Credential, Customers};
+use crate::config::customers::{self, Caller, Credential, CustomerName, Customers};
 use compact_str::CompactString;
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -165,6 +165,11 @@
         self.customers.as_ref().map(Customers::key_count)
     }
 
+    /// The customers with a limit for which operators set a rate and no burst.
+    pub fn without_burst(&self) -> &[CustomerName] {
+        self.customers.as_ref().map_or(&[], Customers::without_burst)
+    }
+
     /// Whether any customer has a limit.
     pub fn any_limit(&self) -> bool {
         self.customers.as_ref().is_some_and(Customers::any_limit)
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -324,6 +324,11 @@
     }
     log::info!(target: "config", version = table.version, offset, routes = table.route_count(),
         before:? = old; "configuration in force");
+    if let Some(customer) = table.without_burst().first() {
+        let customers = table.without_burst().len();
+        log::warn!(target: "config", version = table.version, customer = customer.as_str(), customers;
+            "rate without a burst, one second of the rate is used");
+    }
     shared.metrics.version.set(i64::try_from(table.version).unwrap_or(i64::MAX));
     shared.table.send_replace(Some(Arc::new(table)));
     true
