fix(direct): refunds, repeats and refusals of customer limits

- A refusal gave back the tokens of a request whose prompt an engine had prefilled.
What may have run in part is no longer refunded.
- A request for tokens that was not answered was repeated under a new id, so that the holder took the tokens twice if only its answer was lost.
The same message is sent again, and keeps the time from which its grant ahead counts.
- An entry that stopped as planned was never again a holder for the entries that had seen it stop, even after it had started again: they would have lent their shares to different holders for good.
Entries that are gone are forgotten, with their stamps and counts, which were kept for every entry ever seen.
- An entry that has just started told refused callers to return after a lease term, before it had a share.
It sends them to other entries after 10 ms if another entry is known to have a share, and otherwise names the time at which it will have its own.
- With 1,024 customers or more refused within a second, every refusal walked over all of them, and the counts for the next log lines were lost.

--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -640,6 +640,9 @@
     /// Whether the sender stops, so that its leases are to be taken back.
     #[prost(bool, tag = "9")]
     pub leaving: bool,
+    /// Whether the sender has a share of the limits to lend.
+    #[prost(bool, tag = "10")]
+    pub ready: bool,
 }
 
 /// The decision on a request for tokens.
--- a/crates/direct/src/cluster/quota.rs
+++ b/crates/direct/src/cluster/quota.rs
@@ -32,9 +32,19 @@
 /// The shortest interval between two log lines about refusals of one customer.
 const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// For how long refusals are remembered that the next log line of the customer is to count.
+const MAX_REFUSAL_AGE: Duration = Duration::from_secs(10);
+
 /// Customers with refusals from which on those without recent ones are dropped.
 const MAX_LOGGED_CUSTOMERS: usize = 1_024;
 
+/// `Retry-After` when another entry can decide on the request.
+const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(10);
+
+/// For how long, besides a lease term, an entry that has started waits for its view of the entries
+/// to settle before it has a share.
+const SETTLING: Duration = Duration::from_millis(500);
+
 /// The share of the renewal interval within which a lease is not renewed again.
 const FRESH_SHARE: f64 = 0.5;
 
@@ -171,6 +181,8 @@
             own,
             life,
             coordinator: Coordinator::new(settings.bounds, life),
+            started: settings.clock.now(),
+            others_are_ready: false,
             lender: Lender::new(own),
             held: Held::default(),
             candidates: Candidates::default(),
@@ -186,6 +198,7 @@
             leaving: HashSet::new(),
             promised: Promised::default(),
             refusals: HashMap::new(),
+            refusals_swept: Time::ZERO,
             probed_at: None,
             renewed: [None; PARTITIONS as usize],
         };
@@ -205,6 +218,9 @@
     own: EntryKey,
     life: Life,
     coordinator: Coordinator,
+    started: Time,
+    /// Whether another entry has had a share since this one started.
+    others_are_ready: bool,
     /// This entry's share.
     pub lender: Lender,
     held: Held,
@@ -231,6 +247,7 @@
     promised: Promised,
     /// When refusals of a customer were last logged, and how many were since.
     refusals: HashMap<CustomerKey, (Time, u64)>,
+    refusals_swept: Time,
     /// When silent entries were last probed.
     probed_at: Option<Time>,
     /// When, and at which holder, [`State::renew`] last renewed the lease of each partition.
@@ -250,12 +267,14 @@
         Some(Taken { customer, amount, holder, granted, ahead: true })
     }
 
-    /// Takes the next step for a request that the held tokens don't cover.
+    /// Takes the next step for a request that the held tokens don't cover. `last` is the id of its
+    /// last message, `id` one for a new message. A holder that hasn't answered gets the same message
+    /// again: if only its answer was lost, it takes nothing twice.
     pub fn next_step(
         &mut self,
         demand: &Demand,
         members: &Arc<[Member]>,
-        id: ReservationId,
+        (last, id): (Option<ReservationId>, ReservationId),
         now: Time,
     ) -> Step {
         let partition = partition(demand.customer);
@@ -264,8 +283,8 @@
             return Step::NoHolder(lease_end.saturating_sub(now));
         };
         let lease = self.lease(holder, &[partition], now);
-        let ask = self.ask(demand, holder, id, now);
         if holder == self.own {
+            let ask = self.ask(demand, holder, id, now);
             self.lend(&lease, now);
             let Some(answer) = self.decide_request(ask, demand.fingerprint, now) else {
                 return Step::Decided(Verdict::NotReady);
@@ -274,8 +293,27 @@
             let asked = Asked::new(demand, holder, now).0;
             return Step::Decided(self.apply(&asked, answer, version, self.own_stamp(now), now));
         }
-        let (asked, verdict) = Asked::new(demand, holder, now);
-        self.asked.insert(id, asked);
+        let term = self.lender.term(now);
+        let unanswered = last
+            .and_then(|last| self.asked.get_mut(&last))
+            .filter(|asked| asked.holder == holder && now.saturating_sub(asked.sent_at) < term);
+        if let Some((message, verdict)) = unanswered.and_then(|asked| asked.repeat(lease.clone())) {
+            return Step::Ask { holder, message, verdict };
+        }
+        self.request(demand, lease, id, now)
+    }
+
+    /// Returns a new message that requests tokens.
+    fn request(
+        &mut self,
+        demand: &Demand,
+        lease: ShareLease,
+        id: ReservationId,
+        now: Time,
+    ) -> Step {
+        let holder = lease.holder;
+        let ask = self.ask(demand, holder, id, now);
+        let (mut asked, verdict) = Asked::new(demand, holder, now);
         let message = QuotaRequest {
             id,
             lease: Some(lease),
@@ -287,6 +325,8 @@
             returning: ask.returning,
             fingerprint: demand.fingerprint,
         };
+        asked.message = Some(message.clone());
+        self.asked.insert(id, asked);
         Step::Ask { holder, message, verdict }
     }
 
@@ -366,6 +406,7 @@
             *known = stamp;
         }
         self.unanswered.remove(&holder);
+        self.others_are_ready |= response.ready;
         self.lender.answered(holder);
         self.lender.observe_peer_count(usize::try_from(response.entries).unwrap_or(0), now);
         if let Some(mut asked) = self.asked.remove(&response.id)
@@ -410,10 +451,31 @@
         }
     }
 
-    /// Returns for how long the lease of a customer's partition still runs.
-    pub fn lease_left(&self, customer: CustomerKey, now: Time) -> Duration {
-        let end = self.lender.lease_end(partition(customer));
-        end.unwrap_or(now + self.lender.term(now)).saturating_sub(now)
+    /// Returns when to retry a request that no holder has decided on. `not_ready` tells that the
+    /// holder has answered that it has no shares.
+    pub fn retry_after(&self, customer: CustomerKey, not_ready: bool, now: Time) -> Duration {
+        let term = self.lender.term(now);
+        let end = if !not_ready || self.lender.share(now) > 0.0 {
+            self.lender.lease_end(partition(customer)).unwrap_or(now + term)
+        } else if self.others_are_ready {
+            return OTHER_ENTRY_RETRY_AFTER;
+        } else {
+            // All entries have just started.
+            (self.started + term + SETTLING).max(now + self.lender.interval(now))
+        };
+        end.saturating_sub(now)
+    }
+
+    /// Forgets entries that are gone. One that stopped may start again under its name, and may then
+    /// be a holder again.
+    fn forget_gone(&mut self, members: &Arc<[Member]>) {
+        if self.candidates.are_of(members) {
+            return;
+        }
+        let live: HashSet<_> = members.iter().map(|member| member.key).collect();
+        self.leaving.retain(|entry| *entry == self.own || live.contains(entry));
+        self.stamps.retain(|entry, _| live.contains(entry));
+        self.unanswered.retain(|entry, _| live.contains(entry));
     }
 
     fn holder(
@@ -422,6 +484,7 @@
         members: &Arc<[Member]>,
         now: Time,
     ) -> Option<EntryKey> {
+        self.forget_gone(members);
         let candidates = self.candidates.of(partition, members, &self.leaving);
         self.lender.holder(partition, candidates, now)
     }
@@ -455,18 +518,7 @@
         now: Time,
     ) -> Due {
         let mut due = Due::default();
-        let mut holders: HashMap<EntryKey, Vec<Partition>> = HashMap::new();
-        let fresh = self.lender.interval(now).mul_f64(FRESH_SHARE);
-        for partition in 0..PARTITIONS {
-            let Some(holder) = self.holder(partition, members, now) else { continue };
-            let renewed = &mut self.renewed[usize::from(partition)];
-            // This round may be early, for partitions that have a new holder.
-            let is_fresh = |(at, time)| at == holder && now.saturating_sub(time) < fresh;
-            if !renewed.is_some_and(is_fresh) {
-                *renewed = Some((holder, now));
-                holders.entry(holder).or_default().push(partition);
-            }
-        }
+        let mut holders = self.take_stale(members, now);
         let mut unspent = self.take_unspent(&unique_id, now);
         let mut refunds = self.take_refunds(&unique_id, now);
         let others = unspent.keys().chain(refunds.keys()).copied().collect::<HashSet<_>>();
@@ -494,6 +546,27 @@
         due
     }
 
+    /// Returns the partitions whose leases are to be renewed, by holder, and records that they are.
+    fn take_stale(
+        &mut self,
+        members: &Arc<[Member]>,
+        now: Time,
+    ) -> HashMap<EntryKey, Vec<Partition>> {
+        let mut holders: HashMap<EntryKey, Vec<Partition>> = HashMap::new();
+        let fresh = self.lender.interval(now).mul_f64(FRESH_SHARE);
+        for partition in 0..PARTITIONS {
+            let Some(holder) = self.holder(partition, members, now) else { continue };
+            let renewed = &mut self.renewed[usize::from(partition)];
+            // This round may be early, for partitions that have a new holder.
+            let is_fresh = |(at, time)| at == holder && now.saturating_sub(time) < fresh;
+            if !renewed.is_some_and(is_fresh) {
+                *renewed = Some((holder, now));
+                holders.entry(holder).or_default().push(partition);
+            }
+        }
+        holders
+    }
+
     /// Adds messages to silent entries that would be preferred as holders. They lend nothing.
     fn probe(
         &mut self,
@@ -628,8 +701,13 @@
 
     /// Counts a refusal; returns the number to log, at most once a second.
     pub fn count_refusal(&mut self, customer: CustomerKey, now: Time) -> Option<u64> {
-        if self.refusals.len() >= MAX_LOGGED_CUSTOMERS {
-            self.refusals.retain(|_, (at, _)| now.saturating_sub(*at) < REFUSAL_LOG_INTERVAL);
+        let sweep_due = now.saturating_sub(self.refusals_swept) >= REFUSAL_LOG_INTERVAL;
+        if self.refusals.len() >= MAX_LOGGED_CUSTOMERS && sweep_due {
+            self.refusals_swept = now;
+            self.refusals.retain(|_, (at, count)| {
+                let kept = if *count > 0 { MAX_REFUSAL_AGE } else { REFUSAL_LOG_INTERVAL };
+                now.saturating_sub(*at) < kept
+            });
         }
         let known = self.refusals.get_mut(&customer);
         if let Some((at, count)) = known
--- a/crates/direct/src/cluster/quota/candidates.rs
+++ b/crates/direct/src/cluster/quota/candidates.rs
@@ -23,13 +23,18 @@
 }
 
 impl Candidates {
+    /// Whether they were computed for these entries.
+    pub(super) fn are_of(&self, members: &Arc<[Member]>) -> bool {
+        self.members.as_ref().is_some_and(|known| Arc::ptr_eq(known, members))
+    }
+
     pub(super) fn of(
         &mut self,
         partition: Partition,
         members: &Arc<[Member]>,
         leaving: &HashSet<EntryKey>,
     ) -> &[EntryKey] {
-        if !self.members.as_ref().is_some_and(|known| Arc::ptr_eq(known, members)) {
+        if !self.are_of(members) {
             let entry = |member: &Member| Entry { key: member.key, weight: member.link_rate };
             let staying = members.iter().filter(|member| !leaving.contains(&member.key));
             let entries: Vec<Entry> = staying.map(entry).collect();
--- a/crates/direct/src/cluster/quota/grants.rs
+++ b/crates/direct/src/cluster/quota/grants.rs
@@ -120,6 +120,7 @@
             stamp: Some(WireStamp::new(self.own_stamp(now))),
             not_lent,
             leaving: self.is_leaving,
+            ready: self.lender.share(now) > 0.0,
             entries: u32::try_from(self.lender.entries(now)).unwrap_or(u32::MAX),
             ..QuotaResponse::default()
         }
@@ -136,6 +137,7 @@
         if !(lease.share.is_finite() && (0.0..=1.0).contains(&lease.share)) {
             return ends.is_some();
         }
+        self.others_are_ready |= lease.lender != self.own && lease.share > 0.0;
         for partition in lease.partitions.iter().filter_map(|at| Partition::try_from(*at).ok()) {
             if partition >= PARTITIONS {
                 continue;
--- a/crates/direct/src/cluster/quota/pending.rs
+++ b/crates/direct/src/cluster/quota/pending.rs
@@ -2,6 +2,7 @@
 //! the time at which to retry.
 
 use super::{Demand, Taken, Verdict};
+use crate::cluster::messages::{QuotaRequest, ShareLease};
 use crate::cluster::suspects::Fingerprint;
 use policy::Time;
 use policy::quota::{CustomerKey, EntryKey, Limit};
@@ -16,6 +17,8 @@
     pub(super) holder: EntryKey,
     pub(super) sent_at: Time,
     pub(super) sender: Option<oneshot::Sender<Verdict>>,
+    /// The message, which is repeated if it isn't answered; none if this entry itself decides.
+    pub(super) message: Option<QuotaRequest>,
 }
 
 impl Asked {
@@ -26,7 +29,20 @@
         sent_at: Time,
     ) -> (Self, oneshot::Receiver<Verdict>) {
         let (sender, verdict) = oneshot::channel();
-        (Self { demand: *demand, holder, sent_at, sender: Some(sender) }, verdict)
+        let (sender, message) = (Some(sender), None);
+        (Self { demand: *demand, holder, sent_at, sender, message }, verdict)
+    }
+
+    /// Returns the message again, with the present lease, and a new receiver of the verdict. The time
+    /// at which it was first sent stays: the tokens may have been granted then.
+    pub(super) fn repeat(
+        &mut self,
+        lease: ShareLease,
+    ) -> Option<(QuotaRequest, oneshot::Receiver<Verdict>)> {
+        let message = QuotaRequest { lease: Some(lease), ..self.message.clone()? };
+        let (sender, verdict) = oneshot::channel();
+        self.sender = Some(sender);
+        Some((message, verdict))
     }
 }
 
--- a/crates/direct/src/exchange/quota.rs
+++ b/crates/direct/src/exchange/quota.rs
@@ -40,11 +40,7 @@
         if stop.is_cancelled() {
             quota.with(|state, _| state.leave());
         }
-        let departed = shared.peers.directory.departures();
-        let new = departed - std::mem::replace(&mut departures, departed);
-        if new > 0 {
-            quota.with(|state, now| state.lender.observe_departures(new, now));
-        }
+        observe_departures(&shared, quota, &mut departures);
         has_met_others |= !shared.peers.directory.is_alone();
         let count = if has_seeds && !has_met_others { 0 } else { shared.peers.directory.count() };
         observe_entries(&shared, quota, count);
@@ -72,6 +68,14 @@
     }
 }
 
+fn observe_departures(shared: &Shared, quota: &Quota, known: &mut usize) {
+    let departed = shared.peers.directory.departures();
+    let new = departed.saturating_sub(std::mem::replace(known, departed));
+    if new > 0 {
+        quota.with(|state, now| state.lender.observe_departures(new, now));
+    }
+}
+
 fn observe_entries(shared: &Shared, quota: &Quota, count: u32) {
     let count = usize::try_from(count).unwrap_or(usize::MAX);
     let unchanged = shared.peers.directory.unchanged(shared.time());
--- a/crates/direct/src/request/quota.rs
+++ b/crates/direct/src/request/quota.rs
@@ -15,10 +15,11 @@
 use crate::request::trace::Trace;
 use crate::shared::Shared;
 use http::Response;
-use policy::quota;
+use policy::quota::{self, EntryKey};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
 /// The share of the objective that a request waits for its tokens at most.
@@ -37,6 +38,10 @@
 /// The shortest wait while there is no holder.
 const MIN_WAIT: Duration = Duration::from_millis(10);
 
+/// How often a request that waits for a holder looks for one: the previous holder may return the
+/// lease before it ends.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// `Retry-After` is sent in milliseconds. One more keeps a caller from returning too early.
 const ROUNDING: Duration = Duration::from_millis(1);
 
@@ -50,7 +55,7 @@
 /// Nothing was sent to a target, or all that was sent was refused.
 const NOT_RUN: u8 = 0;
 
-/// An attempt is in progress.
+/// An attempt is in progress, or was cancelled.
 const ATTEMPTED: u8 = 1;
 
 /// A target may have run the request.
@@ -78,9 +83,11 @@
         self.exchange(ATTEMPTED, if may_have_run { MAY_HAVE_RUN } else { NOT_RUN });
     }
 
-    /// Gives the tokens back: the request has not run and never will.
+    /// Gives the tokens back once, unless a target may have run a part of the request: an engine may
+    /// have prefilled a prompt whose output no other one decodes.
     pub fn refund(&self) {
-        if self.state.swap(REFUNDED, Ordering::Relaxed) == REFUNDED {
+        let (from, to, order) = (NOT_RUN, REFUNDED, Ordering::Relaxed);
+        if self.state.compare_exchange(from, to, order, order).is_err() {
             return;
         }
         if let Some(quota) = &self.shared.quota {
@@ -96,9 +103,7 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        if self.state.load(Ordering::Relaxed) == NOT_RUN {
-            self.refund();
-        }
+        self.refund();
     }
 }
 
@@ -161,55 +166,68 @@
         return Ok(taken);
     }
     let shared = &request.shared;
-    let objective = request.route.objective;
-    let wait_until = Instant::now() + objective.mul_f64(MAX_WAIT_SHARE);
-    let answer_time = objective.mul_f64(ANSWER_SHARE).max(MIN_ANSWER_TIME);
+    let wait_until = Instant::now() + request.route.objective.mul_f64(MAX_WAIT_SHARE);
+    let (mut last, mut not_ready) = (None, false);
     loop {
         let (members, id) = (shared.peers.members(), shared.peer_socket.unique_id());
-        let step = quota.with(|state, now| state.next_step(demand, &members, id, now));
+        let step = quota.with(|state, now| state.next_step(demand, &members, (last, id), now));
         let verdict = match step {
             Step::Decided(verdict) => Some(verdict),
             Step::Ask { holder, message, verdict } => {
+                last = Some(message.id);
                 send(shared, holder, Payload::QuotaRequest(message));
-                let left = wait_until.saturating_duration_since(Instant::now());
-                let received = timeout(answer_time.min(left), verdict).await;
-                let verdict = received.ok().and_then(std::result::Result::ok);
-                if verdict.is_none() && left >= answer_time {
-                    quota.with(|state, now| state.record_unanswered(holder, now));
-                    log::info!(target: "quota", id = request.attempt_id(), holder;
-                        "holder silent");
-                }
-                verdict
+                wait_for_answer(request, quota, holder, verdict, wait_until).await
             }
             Step::NoHolder(left) => {
                 quota.due.notify_one();
-                let left = left.max(MIN_WAIT);
-                let until = wait_until.min(Instant::now() + left.min(POLL_INTERVAL));
-                tokio::time::sleep_until(until).await;
+                pause(left.clamp(MIN_WAIT, POLL_INTERVAL), wait_until).await;
                 None
             }
         };
-        match verdict {
+        not_ready = match verdict {
             Some(Verdict::Taken(taken)) => return Ok(taken),
             Some(Verdict::Refused { retry_after, .. }) => {
                 return Err(Refused(Refusal::QuotaExceeded, retry_after));
             }
             Some(Verdict::NotReady) => {
-                let until = wait_until.min(Instant::now() + POLL_INTERVAL);
-                tokio::time::sleep_until(until).await;
+                pause(POLL_INTERVAL, wait_until).await;
+                true
             }
-            None => {}
-        }
+            None => not_ready,
+        };
         if Instant::now() >= wait_until {
-            let left = quota.with(|state, now| state.lease_left(demand.customer, now));
+            let customer = demand.customer;
+            let left = quota.with(|state, now| state.retry_after(customer, not_ready, now));
             return Err(Refused(Refusal::QuotaUnavailable, left.max(MIN_WAIT)));
         }
     }
 }
 
-/// How often a request that waits for a holder looks for one: the previous holder may return the
-/// lease before it ends.
-const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Returns the verdict of a holder; `None` if it does not answer in time.
+async fn wait_for_answer(
+    request: &RequestContext,
+    quota: &Quota,
+    holder: EntryKey,
+    verdict: oneshot::Receiver<Verdict>,
+    wait_until: Instant,
+) -> Option<Verdict> {
+    let answer_time = request.route.objective.mul_f64(ANSWER_SHARE).max(MIN_ANSWER_TIME);
+    let left = wait_until.saturating_duration_since(Instant::now());
+    let received = timeout(answer_time.min(left), verdict).await;
+    let verdict = received.ok().and_then(std::result::Result::ok);
+    if verdict.is_none() && left >= answer_time {
+        quota.with(|state, now| state.record_unanswered(holder, now));
+        let address = request.shared.peers.directory.address(holder);
+        log::info!(target: "quota", id = request.attempt_id(), holder, address:? = address;
+            "holder silent");
+    }
+    verdict
+}
+
+/// Sleeps for a span, but not beyond the time until which a request waits.
+async fn pause(span: Duration, wait_until: Instant) {
+    tokio::time::sleep_until(wait_until.min(Instant::now() + span)).await;
+}
 
 /// Logs a refusal, at most once a second for each customer.
 fn log_refusal(request: &RequestContext, refusal: Refusal) {
