fix(direct): tokens reserved for one caller are not promised to another

A caller whose request counts as a retry for another reason, of the same cost, was told the time of a reservation that belonged to a caller still to come, so that two callers were to find the tokens of one. It now gets a time of its own. `reserved_tokens_are_promised_to_one_caller_only` failed before (both were told 100 ms) and passes.

--- a/crates/direct/src/cluster/quota/grants.rs
+++ b/crates/direct/src/cluster/quota/grants.rs
@@ -55,8 +55,8 @@
             return None;
         }
         let (customer, amount) = (ask.customer, ask.amount);
-        let returns = self.promised.take_due(customer, fingerprint, amount, ask.returning, now);
-        let returning = ask.returning || returns;
+        // A retry for another reason may not use what is reserved for a caller that is still to come.
+        let returning = self.promised.take_due(customer, fingerprint, amount, ask.returning, now);
         let may_reserve = self.promised.may_reserve(customer);
         let max_wait = if may_reserve { ask.max_wait } else { Duration::ZERO };
         let ask = Ask { returning, max_wait, ..ask };
--- a/crates/direct/tests/quota.rs
+++ b/crates/direct/tests/quota.rs
@@ -3,7 +3,7 @@
 use direct::cluster::clock::SuspendClock;
 use direct::cluster::groups::Member;
 use direct::cluster::messages::{QuotaRequest, QuotaResponse, ShareLease, Stamp, micros};
-use direct::cluster::quota::{Demand, Quota, Settings, Step};
+use direct::cluster::quota::{Demand, Quota, Settings, State, Step, Verdict};
 use policy::quota::{Bounds, Limit, partition};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -135,6 +135,37 @@
     assert_eq!(retry_after, Duration::from_millis(10));
 }
 
+/// A caller that retries for another reason comes while tokens are reserved for an equal request. If it
+/// were told the same time, one of the two would be refused again at that time.
+#[test]
+fn reserved_tokens_are_promised_to_one_caller_only() {
+    let (quota, clock) = entry();
+    quota.with(|state, now| state.lender.observe_entries(1, SECOND, now));
+    clock.advance(SECOND);
+    quota.with(|state, now| state.lender.observe_entries(1, SECOND, now));
+    let members = members(&[OWN]);
+    let next = AtomicU64::default();
+    let fresh_id = || next.fetch_add(1, Ordering::Relaxed);
+    let refused = |fingerprint, returning| {
+        let demand = Demand { fingerprint, returning, ..demand() };
+        let step =
+            |state: &mut State, now| state.next_step(&demand, &members, (None, fresh_id()), now);
+        match quota.with(step) {
+            Step::Decided(Verdict::Refused { retry_after, reserved }) => {
+                assert!(reserved, "{retry_after:?}");
+                Some(retry_after)
+            }
+            Step::Decided(Verdict::Taken(_)) => None,
+            other => panic!("{other:?}"),
+        }
+    };
+    let first = |caller| refused(caller, false).map(|retry_after| (caller, retry_after));
+    let (caller, retry_after) = (100..200).find_map(first).unwrap();
+    assert!(refused(300, true).unwrap() > retry_after, "both were told {retry_after:?}");
+    clock.advance(retry_after);
+    assert_eq!(refused(caller, true), None);
+}
+
 /// More customers than are remembered are refused within a second. Each must still get one log line.
 #[test]
 fn refusals_are_logged_once_a_second_for_each_of_many_customers() {
