--- a/crates/direct/src/request/decode_placement.rs
+++ b/crates/direct/src/request/decode_placement.rs
@@ -7,8 +7,8 @@
 //! others are free. **Approach.** As for prompts, see [`crate::request::prefill_placement`]. The
 //! group of the engine that prefilled the prompt is asked first, since a transfer takes half as
 //! long within a failure domain; the others are asked if its engines are half full or, for a short
-//! output, have no free slot. If no
-//! coordinator responds, the entry decides by its own view of the engines.
+//! output, have no free slot. If no coordinator responds, the entry decides by its own view of the
+//! engines.
 
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::Group;
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -310,8 +310,9 @@
 
 /// Returns the order in which candidates are tried: by rendezvous hashing, but decode engines that
 /// are preferred to prefill engines first, see [`prefers_decode`], and the other ones last. All
-/// entries use the same order for prompts with the same prefix and other orders for other prompts. If each entry chose the engine with the shortest queue, all would choose the
-/// same one until they learn of each other's prompts.
+/// entries use the same order for prompts with the same prefix and other orders for other prompts.
+/// If each entry chose the engine with the shortest queue, all would choose the same one until they
+/// learn of each other's prompts.
 fn order(settings: &Settings, prompt: &Prompt, candidates: &[PrefillCandidate]) -> Vec<usize> {
     let slots_short = only_decode_is_busy(candidates);
     let rank = |engine: &PrefillCandidate| match engine.decodes {
