--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -42,6 +42,9 @@
     /// Share of the allowed time for a prompt whose objective has passed because its caller was
     /// refused and retried. Under overload each of these displaces one that can still be in time.
     pub late_fraction: f64,
+    /// The same while first attempts are refused, see [`crate::surge`]: enough for an engine that is
+    /// nearly idle. With zero, idle engines would refuse late prompts as well.
+    pub surge_late_fraction: f64,
     /// Latest time at which refused callers are asked to retry, as a share of the time that they
     /// still wait.
     pub max_retry_share: f64,
@@ -83,6 +86,7 @@
             learned_reserve: None,
             min_share: 0.3,
             late_fraction: 0.6,
+            surge_late_fraction: 0.2,
             max_retry_share: 1.0 / 3.0,
             short_tokens: 1_000,
             decode_rate_share: 0.5,
@@ -311,8 +315,9 @@
 
 /// Returns the order in which candidates are tried: by rendezvous hashing, but decode engines that
 /// are preferred to prefill engines first, see [`prefers_decode`], and the other ones last. All
-/// entries use the same order for prompts with the same prefix and other orders for other prompts. If each entry chose the engine with the shortest queue, all would choose the
-/// same one until they learn of each other's prompts.
+/// entries use the same order for prompts with the same prefix and other orders for other prompts.
+/// If each entry chose the engine with the shortest queue, all would choose the same one until they
+/// learn of each other's prompts.
 fn order(settings: &Settings, prompt: &Prompt, candidates: &[PrefillCandidate]) -> Vec<usize> {
     let slots_short = only_decode_is_busy(candidates);
     let rank = |engine: &PrefillCandidate| match engine.decodes {
