--- a/crates/direct/src/cluster/coordinator.rs
+++ b/crates/direct/src/cluster/coordinator.rs
@@ -3,10 +3,9 @@
 
 mod permits;
 
-use policy::prefill::{Prompt, Settings};
+use policy::Hash;
 use policy::reservations::Reservations;
 use policy::throughput::Throughput;
-use policy::{Hash, surge};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -33,8 +32,6 @@
     recent: HashMap<Hash, Reservations>,
     /// Tokens to prefill that were granted per second, by group.
     granted: HashMap<Hash, Throughput>,
-    /// Whether first attempts are refused, by group.
-    surges: HashMap<Hash, surge::Detector>,
     /// When the first request for each group arrived.
     first_requests: HashMap<Hash, Instant>,
 }
@@ -118,24 +115,6 @@
         self.lock().granted.get(&group).map_or(0.0, |granted| granted.get(time))
     }
 
-    /// Records whether a group placed a prompt or refused it for lack of room.
-    pub fn record_placement(&self, group: Hash, prompt: &Prompt, placed: bool, now: Instant) {
-        let time = self.time(now);
-        let mut inner = self.lock();
-        if inner.surges.len() >= MAX_TRACKED {
-            inner.surges.clear();
-        }
-        inner.surges.entry(group).or_default().record(prompt, placed, time);
-    }
-
-    /// Returns the share of the allowed time that late prompts get in a group now.
-    pub fn late_fraction(&self, group: Hash, settings: &Settings, now: Instant) -> f64 {
-        let time = self.time(now);
-        let inner = self.lock();
-        let surge = inner.surges.get(&group);
-        surge.map_or(settings.late_fraction, |surge| surge.late_fraction(settings, time))
-    }
-
     /// Returns the streams that this entry granted at an engine.
     pub fn streams(&self, engine: Hash, now: Instant) -> u32 {
         let time = self.time(now);
--- a/crates/direct/src/exchange/coordination/prefill.rs
+++ b/crates/direct/src/exchange/coordination/prefill.rs
@@ -29,7 +29,6 @@
     // earlier build, is assumed to be like this entry.
     let learned = request.excess_us.map(Duration::from_micros);
     settings.learned_reserve = learned.or(settings.learned_reserve);
-    settings.late_fraction = shared.coordinator.late_fraction(group.key, &settings, now);
     let placement =
         PrefillPlacement { shared, service: &service, settings, group, request, parts, now };
     Some(Response { reservation: request.reservation, decision: Some(placement.decide()) })
@@ -64,13 +63,6 @@
     fn decide(&self) -> Decision {
         let Candidates { prefill, decode, permit_delay } = self.candidates();
         let (placement, engines) = self.place(&self.eligible(&prefill, &decode));
-        // Decode engines are asked when prefill engines have refused the prompt, and a group without
-        // available engines is not short of room.
-        if !self.request.decode_engines && !prefill.is_empty() {
-            let placed = matches!(placement, Placement::Prefill { .. });
-            let (coordinator, group) = (&self.shared.coordinator, self.group.key);
-            coordinator.record_placement(group, &self.prompt(), placed, self.now);
-        }
         match placement {
             Placement::Prefill { engine: at, copy_from, tokens } => {
                 let engine = &engines[at];
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,7 +45,6 @@
 pub mod split;
 pub mod subset;
 pub mod succession;
-pub mod surge;
 pub mod throughput;
 pub mod transfer;
 pub mod usage;
--- a/crates/policy/src/prefill.rs
+++ b/crates/policy/src/prefill.rs
@@ -42,9 +42,6 @@
     /// Share of the allowed time for a prompt whose objective has passed because its caller was
     /// refused and retried. Under overload each of these displaces one that can still be in time.
     pub late_fraction: f64,
-    /// The same while first attempts are refused, see [`crate::surge`]: enough for an engine that is
-    /// nearly idle. With zero, idle engines would refuse late prompts as well.
-    pub surge_late_fraction: f64,
     /// Latest time at which refused callers are asked to retry, as a share of the time that they
     /// still wait.
     pub max_retry_share: f64,
@@ -86,7 +83,6 @@
             learned_reserve: None,
             min_share: 0.3,
             late_fraction: 0.6,
-            surge_late_fraction: 0.2,
             max_retry_share: 1.0 / 3.0,
             short_tokens: 1_000,
             decode_rate_share: 0.5,
--- a/crates/policy/src/simulation/disaggregated/fleet.rs
+++ b/crates/policy/src/simulation/disaggregated/fleet.rs
@@ -11,7 +11,7 @@
 use crate::retry_detection::{Attempt, RetryDetector};
 use crate::simulation::Random;
 use crate::transfer::TransferTime;
-use crate::{Hash, Time, surge};
+use crate::{Hash, Time};
 use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
@@ -22,8 +22,6 @@
     pub prefill: prefill::Settings,
     /// Whether entries learn what to reserve of the objective, see [`crate::promise`].
     pub learn_reserve: bool,
-    /// Whether late retries give way while first attempts are refused, see [`crate::surge`].
-    pub defer_late: bool,
     /// The priority of short prompts; that of long ones is 0.
     pub short_priority: u8,
     /// Share of the engines that only prefill.
@@ -50,7 +48,6 @@
         Self {
             prefill: prefill::Settings::default(),
             learn_reserve: false,
-            defer_late: false,
             short_priority: 1,
             prefill_share: 0.71,
             engines: 14,
@@ -153,7 +150,6 @@
     retry_detector: RetryDetector,
     /// What entries have learned.
     reserves: Vec<promise::Estimator>,
-    surge: surge::Detector,
     /// Shared parts that have been prefilled at some engine.
     prefilled_parts: HashSet<u32>,
     /// Events by time, as the bits of the float, and sequence number.
@@ -183,7 +179,6 @@
             incoming: vec![TransferTime::default(); options.engines],
             retry_detector: RetryDetector::default(),
             reserves: vec![promise::Estimator::default(); options.entries],
-            surge: surge::Detector::default(),
             prefilled_parts: HashSet::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -288,17 +283,11 @@
         if self.options.learn_reserve {
             settings.learned_reserve = self.reserves[entry].get(self.time());
         }
-        if self.options.defer_late {
-            settings.late_fraction = self.surge.late_fraction(&settings, self.time());
-        }
         let mut prompt = request.prompt(attempt.is_late);
         if !attempt.is_late {
             prompt.objective = objective.saturating_sub(attempt.since_first);
         }
-        let placement = prefill::place(&settings, &prompt, &candidates, 1);
-        let placed = matches!(placement, Placement::Prefill { .. });
-        self.surge.record(&prompt, placed, self.time());
-        match placement {
+        match prefill::place(&settings, &prompt, &candidates, 1) {
             Placement::Full(soonest) => self.refuse(request, soonest, left),
             Placement::Prefill { engine: at, copy_from, tokens } => {
                 let promise = prefill::promise(&settings, &prompt, &candidates[at], tokens);
