--- a/crates/direct/src/request/quota.rs
+++ b/crates/direct/src/request/quota.rs
@@ -22,9 +22,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, timeout};
 
-/// The share of the objective that a request may wait for its tokens in any case. It may also wait
-/// for as long as its caller would before a retry: after a start or the loss of a holder, shares come
-/// back within a term, and a caller that is sent away meanwhile loses its only retry.
+/// The share of the objective that a request waits for its tokens at most.
 const MAX_WAIT_SHARE: f64 = 0.5;
 
 /// The share of the objective that a holder may take to answer.
@@ -168,8 +166,7 @@
         return Ok(taken);
     }
     let shared = &request.shared;
-    let longest = request.route.objective.mul_f64(MAX_WAIT_SHARE).max(demand.max_wait);
-    let wait_until = Instant::now() + longest;
+    let wait_until = Instant::now() + request.route.objective.mul_f64(MAX_WAIT_SHARE);
     let (mut last, mut not_ready) = (None, false);
     loop {
         let (members, id) = (shared.peers.members(), shared.peer_socket.unique_id());
--- a/crates/policy/src/quota/bucket.rs
+++ b/crates/policy/src/quota/bucket.rs
@@ -355,20 +355,21 @@
         self.level -= amount;
     }
 
-    /// Promises an amount at the earliest time from `due` on. Returns that time, or none if it is
-    /// after `latest` or there is no room for the reservation.
-    pub(super) fn reserve(&mut self, amount: f64, due: Time, latest: Time) -> Option<Time> {
-        let level = self.required_level(amount)?;
+    /// Promises an amount at the earliest time from `due` on that is left, and returns that time. If
+    /// it is after `latest`, or there is no room for the reservation, the error is when there might
+    /// be: a caller that is told an earlier time would be refused again.
+    pub(super) fn reserve(&mut self, amount: f64, due: Time, latest: Time) -> Result<Time, Time> {
+        let Some(level) = self.required_level(amount) else { return Err(due) };
         let spacing = span(amount / (self.rate() * PROMISED));
         let large = self.is_large(amount);
         let last = self.reservations.iter().rfind(|other| large || !other.large);
         let due = last.map_or(due, |last| due.max(last.due + spacing));
         if due > latest || self.reservations.len() >= MAX_RESERVATIONS {
-            return None;
+            return Err(due);
         }
         let at = self.reservations.partition_point(|other| other.due <= due);
         self.reservations.insert(at, Reservation { amount, level, due, large });
-        Some(due)
+        Ok(due)
     }
 
     /// Grants what was reserved for a caller that retries. Returns how long it has to wait, if it
--- a/crates/policy/src/quota/coordinator.rs
+++ b/crates/policy/src/quota/coordinator.rs
@@ -322,8 +322,8 @@
         Availability::In(retry_after) => {
             let latest = now + ask.max_wait;
             let reserved = bucket.reserve(ask.amount, now + retry_after, latest);
-            let retry_after = reserved.map_or(retry_after, |due| due - now);
-            Answer::Refused { retry_after, reserved: reserved.is_some() }
+            let (Ok(due) | Err(due)) = reserved;
+            Answer::Refused { retry_after: due - now, reserved: reserved.is_ok() }
         }
         // The shares may change within a term.
         Availability::Never => Answer::Refused { retry_after: term, reserved: false },
