--- a/crates/direct/src/exchange/quota.rs
+++ b/crates/direct/src/exchange/quota.rs
@@ -31,8 +31,7 @@
     let others: HashSet<_> =
         shared.settings.seeds.iter().filter(|seed| **seed != address).collect();
     let has_seeds = !others.is_empty();
-    // Until more is known, there are at least the entries that the settings name.
-    quota.with(|state, now| state.lender.observe_peer_count(others.len() + 1, now));
+    quota.with(|state, _| state.lender.set_least_entries(others.len() + 1));
     let mut table = shared.table.subscribe();
     let mut fractions = [0.0; PARTITIONS as usize];
     let (mut has_met_others, mut departures, mut known_version) = (false, 0, 0);
--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -101,9 +101,8 @@
 
     /// Divides the limits by at least this number of entries, such as that of the seeds in the
     /// settings, this one included. Entries that depart as planned don't lower it.
-    pub fn with_least_entries(mut self, least: usize) -> Self {
+    pub fn set_least_entries(&mut self, least: usize) {
         self.least = least.max(1);
-        self
     }
 
     /// Records the number of entries that this one knows, itself and dead ones included, and for how
--- a/crates/policy/tests/quota_decisions.rs
+++ b/crates/policy/tests/quota_decisions.rs
@@ -481,7 +481,8 @@
     assert_eq!(alone.share(ms(15_900)), 0.0);
     alone.observe_entries(0, ms(16_000), ms(16_000));
     assert_eq!(alone.share(ms(16_000)), 1.0);
-    let mut alone = Lender::new(1).with_least_entries(4);
+    let mut alone = Lender::new(1);
+    alone.set_least_entries(4);
     alone.observe_entries(0, ms(16_000), ms(0));
     alone.observe_entries(0, ms(16_000), ms(16_000));
     assert_eq!(alone.share(ms(16_000)), 0.25, "its settings name four");
