feat(direct): a request's line and a metric show how its response was framed and ended

The line of a request now names what marked the end of the body, whether its last event was whole, and what was held back; answer_bodies counts the same.

Nothing is decided by the new values yet.

--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -111,6 +111,7 @@
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<RequestLabels, Counter>,
+    bodies: Family<CallLabels, Counter>,
     first_piece: Family<RouteLabel, Histogram>,
     request_seconds: Family<RouteLabel, Histogram>,
     gaps: Family<RouteLabel, Histogram>,
@@ -169,6 +170,7 @@
         let metrics = Self {
             registry: Mutex::default(),
             requests: Family::default(),
+            bodies: Family::default(),
             first_piece: Family::new_with_constructor(latencies),
             request_seconds: Family::new_with_constructor(latencies),
             gaps: Family::new_with_constructor(latencies),
@@ -214,6 +216,8 @@
 impl Metrics {
     fn register_requests(&self, to: &mut Registry) {
         to.register("requests", "Requests by outcome", self.requests.clone());
+        let bodies = "Bodies of targets' answers by what marks their end and how they ended";
+        to.register("answer_bodies", bodies, self.bodies.clone());
         to.register("first_piece_seconds", "Time to the first piece", self.first_piece.clone());
         to.register("gap_seconds", "Time between pieces of a stream", self.gaps.clone());
         to.register("request_seconds", "Time of whole requests", self.request_seconds.clone());
@@ -313,6 +317,11 @@
         self.requests.get_or_create(&RequestLabels { route, outcome }).inc();
     }
 
+    /// Counts a body of a target's response by its framing and how it ended.
+    pub fn body_ended(&self, framing: &'static str, end: &'static str) {
+        self.bodies.get_or_create(&CallLabels { call: framing.into(), kind: end.into() }).inc();
+    }
+
     /// Records the time to the first piece of a stream.
     pub fn first_piece(&self, route: &str, duration: Duration) {
         self.first_piece
--- a/crates/direct/src/request/events.rs
+++ b/crates/direct/src/request/events.rs
@@ -42,6 +42,11 @@
         self.partial.split().freeze()
     }
 
+    /// The number of bytes that are held back.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the partial event of a stream that broke off.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -3,11 +3,12 @@
 
 use crate::request::events::EventBuffer;
 use crate::request::reservation::Reservation;
-use crate::request::trace::{COMPLETE, Trace};
+use crate::request::trace::{BodyEnd, COMPLETE, Trace};
 use crate::targets::attempt::Responded;
 use crate::targets::engine::{PrefillGuard, StreamGuard};
 use crate::targets::pool::Connection;
 use crate::targets::target::{Health, InFlightRequest, Target};
+use body::{EventScanner, Framing, framing};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -83,6 +84,9 @@
 
 struct ActiveResponse {
     body: Incoming,
+    framing: Framing,
+    /// Where its events end, if it is a stream of events.
+    scanner: Option<EventScanner>,
     connection: Connection,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
@@ -183,6 +187,9 @@
             active.attempt.prefill = None;
             active.attempt.target.record_activity(Instant::now());
             active.record_piece(&bytes, Instant::now());
+            if let Some(scanner) = &mut active.scanner {
+                scanner.scan(&bytes);
+            }
         }
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
@@ -200,6 +207,7 @@
     }
 
     fn finish(&mut self) {
+        self.record_body_end(false);
         if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) {
             active.connection.keep(active.keep_alive, Instant::now());
         }
@@ -215,6 +223,7 @@
     /// Records that the target broke the response off and starts to look for another one; `false`
     /// if the response can't be resumed.
     fn start_resume(&mut self, detail: &str) -> bool {
+        self.record_body_end(true);
         let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) else {
             return false;
         };
@@ -227,6 +236,18 @@
         true
     }
 
+    fn record_body_end(&mut self, failed: bool) {
+        let State::Streaming(active) = &self.state else { return };
+        let held_bytes = self.events.as_ref().map_or(0, EventBuffer::partial_bytes);
+        let position = active.scanner.as_ref().map(EventScanner::position);
+        self.trace.record_body_end(BodyEnd {
+            framing: active.framing,
+            failed,
+            position,
+            held_bytes,
+        });
+    }
+
     /// Aborts the response, at the next poll: the server does not flush the head and the pieces
     /// that it has taken until the body has nothing more to offer, and otherwise the caller would
     /// receive nothing at all.
@@ -246,8 +267,18 @@
     fn new(source: Source) -> Self {
         let Source { responded, attempt } = source;
         let Responded { response, head, connection } = *responded;
+        let scanner = framing::is_event_stream(response.headers()).then(EventScanner::default);
+        let framing = Framing::of(response.body(), response.headers());
         let body = response.into_body();
-        Self { body, connection, keep_alive: head.keep_alive, attempt, last_piece: None }
+        Self {
+            body,
+            framing,
+            scanner,
+            connection,
+            keep_alive: head.keep_alive,
+            attempt,
+            last_piece: None,
+        }
     }
 
     /// Records the time since the last piece, if this is a stream.
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -4,6 +4,7 @@
 use crate::metrics::Outcome;
 use crate::shared::Shared;
 use crate::targets::target::Target;
+use body::{Framing, Position};
 use compact_str::{CompactString, ToCompactString};
 use policy::promise::{Parts, Promise};
 use prometheus_client::metrics::histogram::Histogram;
@@ -60,10 +61,37 @@
     learned_from: Option<Instant>,
     /// The pieces forwarded so far; none before the first one.
     pieces: Option<Pieces>,
+    /// How the body of the last response ended.
+    body_end: Option<BodyEnd>,
     ended: bool,
     shared: Arc<Shared>,
 }
 
+/// How the body of a target's response ended.
+#[derive(Debug, Clone, Copy)]
+pub struct BodyEnd {
+    /// What marks its end.
+    pub framing: Framing,
+    /// Whether reading it failed.
+    pub failed: bool,
+    /// Where it ended, if it is a stream of events.
+    pub position: Option<Position>,
+    /// Bytes of an event that were received and not forwarded.
+    pub held_bytes: usize,
+}
+
+impl BodyEnd {
+    /// Returns how it ended, for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match (self.failed, self.position) {
+            (true, _) => "error",
+            (false, Some(Position::WithinEvent)) => "within-event",
+            (false, Some(Position::Boundary)) => "event-boundary",
+            (false, None) => "regular",
+        }
+    }
+}
+
 /// The pieces of one response that were forwarded so far.
 struct Pieces {
     count: u64,
@@ -122,6 +150,7 @@
             promise: None,
             learned_from: None,
             pieces: None,
+            body_end: None,
             ended: false,
             shared,
         }
@@ -195,6 +224,12 @@
         self.pieces.as_ref()?.longest_gap.as_ref()
     }
 
+    /// Records how the body of a target's response ended.
+    pub fn record_body_end(&mut self, end: BodyEnd) {
+        self.shared.metrics.body_ended(end.framing.name(), end.name());
+        self.body_end = Some(end);
+    }
+
     /// Logs that a target broke its response off.
     pub fn record_broken_response(&mut self, target: &str, detail: &str) {
         log::warn!(target: "request", id = self.attempt_id.as_str(), target_id = target, detail;
@@ -256,6 +291,9 @@
         let gap_ms = millis(gap.map(|gap| gap.duration));
         let gap_target = gap.map_or("", |gap| gap.target.id.as_str());
         let (gap_streams, gap_prompts) = gap.map_or((0, 0), |gap| (gap.streams, gap.prompts));
+        let framing = self.body_end.map_or("", |end| end.framing.name());
+        let body_end = self.body_end.as_ref().map_or("", BodyEnd::name);
+        let held_bytes = self.body_end.map_or(0, |end| end.held_bytes);
         let (objective_ms, max_gap_ms) =
             (millis(Some(self.route.objective)), millis(self.route.max_gap));
         // Two different events, so that in a burst the lines of requests that were not served are
@@ -266,7 +304,8 @@
                 sendings = self.attempts, targets = self.targets.as_str(),
                 first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
                 transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
-                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
+                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?, framing, body_end,
+                held_bytes;
                 "request served");
         } else {
             log::warn!(target: "request", id = self.attempt_id.as_str(),
@@ -274,7 +313,8 @@
                 sendings = self.attempts, targets = self.targets.as_str(),
                 first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
                 transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
-                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?;
+                gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?, framing, body_end,
+                held_bytes;
                 "request not served");
         }
     }
