fix(direct): a response is complete only if its framing and its last event say so

Cause: request::relay took every end of a body that was no error for the end of the response. A body with neither a length nor chunks ends with its connection, and a crashed engine's connection is closed like a finished one's. The part of an event that was held back was then forwarded, too. Only resumable streams were looked at at all.

Change: body::End judges by framing, how reading ended and, for event streams of any route, whether the last event is whole: complete, broken off, or unmarked. The relay resumes or aborts what was broken off, whatever the framing; the health of the target and the line of the request see the same end. Line ends in all forms of the standard are known, and at most a megabyte of an event is held back. Events without ids are never resumed from the start. A connection whose end was the end of a body is not kept; handles, reports, lists and refusals are read through the same judgement.

A body with a declared length that arrived is complete whatever its bytes are; so is a plain body that ended with its connection, unless that was reset: nothing else marks its end.

--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -14,8 +14,8 @@
 use crate::request::trace::Trace;
 use crate::targets::attempt::{self, Outcome};
 use crate::targets::target::{Target, TransferDirection};
+use body::End;
 use compact_str::CompactString;
-use http_body_util::BodyExt;
 use policy::prefill::{self, PrefillCandidate};
 use policy::promise::Promise;
 use policy::retry_detection::Attempt;
@@ -417,10 +417,9 @@
     responded: attempt::Responded,
 ) -> Option<CompactString> {
     let attempt::Responded { response, head, connection } = responded;
-    let body =
-        tokio::time::timeout_at(request.response_deadline(), response.into_body().collect()).await;
+    let body = tokio::time::timeout_at(request.response_deadline(), body::collect(response)).await;
     let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             log::info!(target: "request", id = request.attempt_id(), error:% = error;
                 "handle cut off");
@@ -428,8 +427,10 @@
         }
         Err(_) => return None,
     };
-    connection.keep(head.keep_alive, Instant::now());
-    match request.shared.codec.decode_handle(&body) {
+    if body.end == End::Complete {
+        connection.keep(head.keep_alive, Instant::now());
+    }
+    match request.shared.codec.decode_handle(&body.bytes) {
         Ok(handle) => Some(handle),
         Err(error) => {
             log::warn!(target: "request", id = request.attempt_id(), error:% = error;
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -8,7 +8,7 @@
 use crate::targets::engine::{PrefillGuard, StreamGuard};
 use crate::targets::pool::Connection;
 use crate::targets::target::{Health, InFlightRequest, Target};
-use body::{EventScanner, Framing, framing};
+use body::{End, Framing, Outcome, framing};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -85,8 +85,7 @@
 struct ActiveResponse {
     body: Incoming,
     framing: Framing,
-    /// Where its events end, if it is a stream of events.
-    scanner: Option<EventScanner>,
+    is_event_stream: bool,
     connection: Connection,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
@@ -106,10 +105,16 @@
         resume: Option<Box<dyn Resume>>,
         trace: Trace,
     ) -> Self {
-        let events = resume.is_some().then(EventBuffer::default);
         let active = ActiveResponse::new(source);
-        let size_hint =
-            if events.is_some() { SizeHint::default() } else { active.body.size_hint() };
+        let events = match (&resume, active.is_event_stream) {
+            (Some(_), _) => Some(EventBuffer::holding()),
+            (None, true) => Some(EventBuffer::passing()),
+            (None, false) => None,
+        };
+        let size_hint = match resume {
+            Some(_) => SizeHint::default(),
+            None => active.body.size_hint(),
+        };
         let deadline = Box::pin(tokio::time::sleep_until(deadline + RESPONSE_GRACE));
         Self {
             state: State::Streaming(Box::new(active)),
@@ -163,12 +168,22 @@
                     // The server polls for no further piece once the known length is reached. The
                     // end has to be noticed here, or the connection would be lost.
                     if self.is_end_of_response() {
+                        self.judge_end(Outcome::Ended);
                         self.finish();
                     }
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
-                None => return self.complete(),
+                None => {
+                    let end = self.judge_end(Outcome::Ended);
+                    if !end.is_broken_off() {
+                        return self.complete();
+                    }
+                    if !self.start_resume("ended within an event") {
+                        return self.abort("broken-off", context);
+                    }
+                }
                 Some(Err(error)) => {
+                    self.judge_end(Outcome::Failed);
                     if !self.start_resume(&error.to_compact_string()) {
                         return self.abort("broken-off", context);
                     }
@@ -187,9 +202,6 @@
             active.attempt.prefill = None;
             active.attempt.target.record_activity(Instant::now());
             active.record_piece(&bytes, Instant::now());
-            if let Some(scanner) = &mut active.scanner {
-                scanner.scan(&bytes);
-            }
         }
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
@@ -198,17 +210,19 @@
         (!bytes.is_empty()).then_some(bytes)
     }
 
-    /// Whether the target has sent everything and nothing of it is held back here.
+    /// Whether the target has sent a body of known length to its end, and that length was announced
+    /// to the caller.
     fn is_end_of_response(&self) -> bool {
         match &self.state {
-            State::Streaming(active) => self.events.is_none() && active.body.is_end_stream(),
+            State::Streaming(active) => self.resume.is_none() && active.body.is_end_stream(),
             State::Resuming(_) | State::Aborting(_) | State::Done => false,
         }
     }
 
     fn finish(&mut self) {
-        self.record_body_end(false);
-        if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) {
+        if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done)
+            && active.framing != Framing::Connection
+        {
             active.connection.keep(active.keep_alive, Instant::now());
         }
         self.trace.end(COMPLETE);
@@ -223,7 +237,6 @@
     /// Records that the target broke the response off and starts to look for another one; `false`
     /// if the response can't be resumed.
     fn start_resume(&mut self, detail: &str) -> bool {
-        self.record_body_end(true);
         let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) else {
             return false;
         };
@@ -231,21 +244,22 @@
         target.record_health(Health::Failing, Instant::now());
         self.trace.record_broken_response(&target.id, detail);
         let (Some(resume), Some(events)) = (&self.resume, &mut self.events) else { return false };
+        if !events.can_resume() {
+            return false;
+        }
         events.discard_partial();
         self.state = State::Resuming(resume.resume(events.last_id(), &target));
         true
     }
 
-    fn record_body_end(&mut self, failed: bool) {
-        let State::Streaming(active) = &self.state else { return };
-        let held_bytes = self.events.as_ref().map_or(0, EventBuffer::partial_bytes);
-        let position = active.scanner.as_ref().map(EventScanner::position);
-        self.trace.record_body_end(BodyEnd {
-            framing: active.framing,
-            failed,
-            position,
-            held_bytes,
-        });
+    /// Judges whether all of the current target's body has arrived, and records it.
+    fn judge_end(&mut self, outcome: Outcome) -> End {
+        let State::Streaming(active) = &self.state else { return End::BrokenOff };
+        let (framing, events) = (active.framing, self.events.as_ref());
+        let position = events.filter(|_| active.is_event_stream).map(EventBuffer::position);
+        let held_bytes = events.map_or(0, EventBuffer::partial_bytes);
+        self.trace.record_body_end(BodyEnd { framing, outcome, position, held_bytes });
+        End::judge(framing, outcome, position)
     }
 
     /// Aborts the response, at the next poll: the server does not flush the head and the pieces
@@ -267,13 +281,14 @@
     fn new(source: Source) -> Self {
         let Source { responded, attempt } = source;
         let Responded { response, head, connection } = *responded;
-        let scanner = framing::is_event_stream(response.headers()).then(EventScanner::default);
+        let is_event_stream =
+            response.status().is_success() && framing::is_event_stream(response.headers());
         let framing = Framing::of(response.body(), response.headers());
         let body = response.into_body();
         Self {
             body,
             framing,
-            scanner,
+            is_event_stream,
             connection,
             keep_alive: head.keep_alive,
             attempt,
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -4,7 +4,7 @@
 use crate::metrics::Outcome;
 use crate::shared::Shared;
 use crate::targets::target::Target;
-use body::{Framing, Position};
+use body::{Framing, Outcome as BodyOutcome, Position};
 use compact_str::{CompactString, ToCompactString};
 use policy::promise::{Parts, Promise};
 use prometheus_client::metrics::histogram::Histogram;
@@ -72,8 +72,8 @@
 pub struct BodyEnd {
     /// What marks its end.
     pub framing: Framing,
-    /// Whether reading it failed.
-    pub failed: bool,
+    /// How reading it ended.
+    pub outcome: BodyOutcome,
     /// Where it ended, if it is a stream of events.
     pub position: Option<Position>,
     /// Bytes of an event that were received and not forwarded.
@@ -83,11 +83,11 @@
 impl BodyEnd {
     /// Returns how it ended, for logs and metrics.
     pub fn name(&self) -> &'static str {
-        match (self.failed, self.position) {
-            (true, _) => "error",
-            (false, Some(Position::WithinEvent)) => "within-event",
-            (false, Some(Position::Boundary)) => "event-boundary",
-            (false, None) => "regular",
+        match (self.outcome, self.position) {
+            (BodyOutcome::Failed, _) => "error",
+            (BodyOutcome::Ended, Some(Position::WithinEvent)) => "within-event",
+            (BodyOutcome::Ended, Some(Position::Boundary)) => "event-boundary",
+            (BodyOutcome::Ended, None) => "regular",
         }
     }
 }
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -5,6 +5,7 @@
 use crate::costs;
 use crate::targets::pool::{self, Connection};
 use crate::targets::target::{Health, Target};
+use body::{Collected, End};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -155,7 +156,6 @@
     body: Vec<u8>,
     timeout: Duration,
 ) -> Result<(StatusCode, HeaderMap, Bytes), CompactString> {
-    use http_body_util::BodyExt;
     let exchange = async {
         let connection = target.pool.take(u32::MAX, pool::CONNECT_TIMEOUT, Instant::now()).await;
         let mut connection = connection.map_err(|error| error.to_compact_string())?;
@@ -177,14 +177,17 @@
         }
         let sent = Instant::now();
         let response = connection.sender.send_request(request).await;
-        let (head, body) = response.map_err(|error| error.to_compact_string())?.into_parts();
-        if head.status != StatusCode::MISDIRECTED_REQUEST {
-            let response_head = codec.decode_response(head.status, &head.headers);
+        let response = response.map_err(|error| error.to_compact_string())?;
+        let (status, headers) = (response.status(), response.headers().clone());
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            let response_head = codec.decode_response(status, &headers);
             target.observe_signals(&response_head.signals, sent, Instant::now());
         }
-        let body = body.collect().await.map_err(|error| error.to_compact_string())?;
-        connection.keep(None, Instant::now());
-        Ok((head.status, head.headers, body.to_bytes()))
+        let body = body::collect(response).await.map_err(|error| error.to_compact_string())?;
+        if body.end == End::Complete {
+            connection.keep(None, Instant::now());
+        }
+        Ok((status, headers, body.bytes))
     };
     let ended = tokio::time::timeout(timeout, exchange).await;
     ended.unwrap_or_else(|_| Err("no response in time".into()))
@@ -268,7 +271,6 @@
 
 /// Reads the rest of a refusal in the background, so that its connection can be reused.
 fn drain(response: Response<Incoming>, connection: Connection, response_head: ResponseHead) {
-    use http_body_util::BodyExt;
     use hyper::body::Body;
     if response.body().size_hint().upper().is_none_or(|size| size > MAX_REFUSAL_BYTES) {
         return;
@@ -278,8 +280,8 @@
         return;
     }
     tokio::spawn(async move {
-        let read = tokio::time::timeout(REFUSAL_TIMEOUT, response.into_body().collect()).await;
-        if let Ok(Ok(_)) = read {
+        let read = tokio::time::timeout(REFUSAL_TIMEOUT, body::collect(response)).await;
+        if let Ok(Ok(Collected { end: End::Complete, .. })) = read {
             connection.keep(response_head.keep_alive, Instant::now());
         }
     });
--- a/crates/direct/tests/events.rs
+++ b/crates/direct/tests/events.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn a_partial_event_is_held_back_and_the_last_complete_id_is_known() {
-    let mut events = EventBuffer::default();
+    let mut events = EventBuffer::holding();
     assert_eq!(events.push(&Bytes::from_static(b"id: 1\nda")), "");
     assert_eq!(events.last_id(), None);
     assert_eq!(events.push(&Bytes::from_static(b"ta: a\n\nid: 2")), "id: 1\ndata: a\n\n");
@@ -19,7 +19,7 @@
 #[test]
 fn the_output_is_the_same_however_the_stream_is_cut() {
     bolero::check!().with_type::<Vec<u8>>().for_each(|cuts| {
-        let mut events = EventBuffer::default();
+        let mut events = EventBuffer::holding();
         let mut forwarded = String::new();
         let mut rest = STREAM;
         for cut in cuts {
@@ -35,3 +35,27 @@
         assert_eq!(events.last_id(), Some(2));
     });
 }
+
+/// An event too large to be held back is forwarded as it arrives, and its stream can't be resumed:
+/// the caller already has a part of it.
+#[test]
+fn an_oversized_event_is_forwarded_and_ends_resumption() {
+    let mut events = EventBuffer::holding();
+    assert_eq!(events.push(&Bytes::from_static(b"id: 1\ndata: a\n\n")).len(), 15);
+    assert!(events.can_resume());
+    let piece = Bytes::from(vec![b'x'; 300_000]);
+    let forwarded: Vec<usize> = (0..5).map(|_| events.push(&piece).len()).collect();
+    assert_eq!(forwarded, [0, 0, 0, 1_200_000, 300_000]);
+    assert_eq!(events.partial_bytes(), 0);
+    assert!(!events.can_resume());
+}
+
+/// A stream whose events have no ids would be sent again from its start.
+#[test]
+fn events_without_ids_can_not_be_resumed() {
+    let mut events = EventBuffer::holding();
+    assert_eq!(events.push(&Bytes::from_static(b"da")), "");
+    assert!(events.can_resume());
+    events.push(&Bytes::from_static(b"ta: a\r\n\r\n"));
+    assert!(!events.can_resume());
+}
