--- a/crates/target/src/http/engine.rs
+++ b/crates/target/src/http/engine.rs
@@ -48,8 +48,8 @@
         let response = sent.await?;
         let status = response.status();
         if status != StatusCode::OK {
-            let reason = self.exchange.collect(STEP, response.into_body()).await?;
-            return Err(self.exchange.refused(STEP, status, &reason));
+            let reason = self.exchange.collect(STEP, response).await?;
+            return Err(self.exchange.refused(STEP, status, &reason.bytes));
         }
         Ok(outputs(self.exchange.clone(), response.into_body()))
     }
@@ -68,7 +68,7 @@
         let sent = self.exchange.send(STEP, "POST", "/orders", headers, body.into());
         let response = sent.await?;
         let status = response.status();
-        let body = self.exchange.collect(STEP, response.into_body()).await?;
+        let body = self.exchange.collect(STEP, response).await?.bytes;
         match status {
             StatusCode::CONFLICT => {
                 let newest = self.parse::<FencedBody>(STEP, &body)?.newest;
@@ -82,11 +82,13 @@
     async fn status(&self) -> Result<Status> {
         const STEP: &str = "status";
         let body = self.exchange.json(STEP, "GET", "/status", Bytes::new()).await?;
-        self.parse(STEP, &body)
+        self.parse(STEP, &body.bytes)
     }
 
     async fn export_kv(&self, id: &str) -> Result<Bytes> {
-        self.exchange.json("export KV", "GET", &format!("/kv/{id}"), Bytes::new()).await
+        const STEP: &str = "export KV";
+        let cache = self.exchange.json(STEP, "GET", &format!("/kv/{id}"), Bytes::new()).await?;
+        self.exchange.complete(STEP, cache)
     }
 
     async fn import_kv(&self, id: &str, cache: Bytes) -> Result<()> {
--- a/crates/target/src/http/exchange.rs
+++ b/crates/target/src/http/exchange.rs
@@ -1,9 +1,10 @@
 //! HTTP exchanges with a target, with errors that distinguish whether it was reached.
 
 use crate::{Error, Result};
+use body::{Collected, End};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
@@ -59,9 +60,12 @@
     }
 
     /// Reads a whole body.
-    pub(super) async fn collect(&self, step: &'static str, body: Incoming) -> Result<Bytes> {
-        let body = body.collect().await.map_err(|error| self.broken(step, &error))?;
-        Ok(body.to_bytes())
+    pub(super) async fn collect(
+        &self,
+        step: &'static str,
+        response: Response<Incoming>,
+    ) -> Result<Collected> {
+        body::collect(response).await.map_err(|error| self.broken(step, &error))
     }
 
     /// Sends a request with a JSON body and returns the body of the response; a status other than
@@ -72,12 +76,25 @@
         method: &str,
         path: &str,
         body: Bytes,
-    ) -> Result<Bytes> {
+    ) -> Result<Collected> {
         let content_type = (CompactString::const_new("content-type"), Bytes::from_static(JSON));
         let response = self.send(step, method, path, std::iter::once(content_type), body).await?;
         let status = response.status();
-        let body = self.collect(step, response.into_body()).await?;
-        if status.is_success() { Ok(body) } else { Err(self.refused(step, status, &body)) }
+        let body = self.collect(step, response).await?;
+        if !status.is_success() {
+            return Err(self.refused(step, status, &body.bytes));
+        }
+        Ok(body)
+    }
+
+    /// Returns the bytes of a body that can be checked by its framing alone.
+    pub(super) fn complete(&self, step: &'static str, body: Collected) -> Result<Bytes> {
+        match body.end {
+            End::Complete => Ok(body.bytes),
+            End::Unmarked | End::BrokenOff => {
+                Err(self.broken(step, &"nothing marks the end of the body"))
+            }
+        }
     }
 
     pub(super) fn not_reached(&self, step: &'static str, detail: &dyn std::fmt::Display) -> Error {
