fix(direct): a broken response resets the connection of a caller without chunks

A caller of HTTP/1.0 knows the end of a response of unknown length by the end of its connection alone. When the entry aborted such a response it closed the connection regularly, so the caller took what it had for all of it: the entry's own answers had the fault for which targets' answers were mended. The connection is now reset. Callers with chunks or a length are told as before.

broken_response_resets_the_connection_of_a_caller_without_chunks failed before the change.

--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -6,15 +6,15 @@
 use crate::request::response::{self, Body};
 use crate::request::serve;
 use crate::shared::Shared;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -93,34 +93,53 @@
         }
         let limits = limits(&shared);
         let close_after_response = self.close_after_response.clone();
+        let is_unframed = Arc::new(AtomicBool::new(false));
+        let unframed = is_unframed.clone();
         let service = service_fn(move |request| {
             let (shared, close) = (shared.clone(), close_after_response.clone());
-            async move { Ok::<_, Infallible>(respond(shared, request, &close).await) }
+            let unframed = unframed.clone();
+            async move {
+                let has_chunks = request.version() >= Version::HTTP_11;
+                let response = respond(shared, request, &close).await;
+                let has_length = response.body().size_hint().exact().is_some();
+                unframed.store(!has_chunks && !has_length, Ordering::Relaxed);
+                Ok::<_, Infallible>(response)
+            }
         });
         let mut builder = http1::Builder::new();
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
             .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
+        let mut connection = builder.serve_connection(TokioIo::new(stream), service);
         // A connection accepted after idle ones have been closed is new: its caller has a request
         // to send, and the response is its last. Closed before that, it would look like a failure
         // to its caller.
         let accepted_while_closing = self.close_idle.is_cancelled();
         let result = tokio::select! {
-            result = connection.as_mut() => result,
+            result = &mut connection => result,
             () = self.close_idle.cancelled(), if !accepted_while_closing => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
         };
         if let Err(error) = result {
             log::debug!(target: "intake", error:% = error; "connection failed");
+            if is_unframed.load(Ordering::Relaxed) {
+                reset_on_close(&connection.into_parts().io.into_inner());
+            }
         }
     }
 }
 
+/// Has the connection reset once it is closed: its caller would take a regular end for the end of a
+/// response that was broken off.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(target: "intake", error:% = error; "connection not reset");
+    }
+}
+
 fn limits(shared: &Shared) -> Limits {
     shared.table.borrow().as_ref().map_or(UNCONFIGURED_LIMITS, |table| table.limits)
 }
