feat(direct): targets' software versions and streams that callers take up are decoded and logged

A target's record now yields the version of its software, and a new version under the same id is a new life of the target; the request's head yields the stream that it takes up. 'target seen', 'stream resumed' and the line of a request show them. Nothing is decided by them yet.

--- a/crates/direct/src/codec.rs
+++ b/crates/direct/src/codec.rs
@@ -23,6 +23,9 @@
 /// with the local time.
 pub type Incarnation = u64;
 
+/// The version of a target's software, as the target names it. Versions have no order.
+pub type SoftwareVersion = CompactString;
+
 /// The id of one part of a prompt.
 pub type PartId = u64;
 
@@ -48,6 +51,13 @@
     pub parts: Vec<Part>,
 }
 
+/// A caller's request for the rest of a stream, after the events that it has.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct TakeUp {
+    /// The attempt that brought the stream's first event, if the caller names it.
+    pub first_attempt: Option<AttemptId>,
+}
+
 /// The decoded head of a caller's request.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct RequestHead {
@@ -57,6 +67,8 @@
     pub deadline: Option<Duration>,
     /// The prompt, if this is a generation.
     pub prompt: Option<Prompt>,
+    /// The stream that it takes up, if it does.
+    pub take_up: Option<TakeUp>,
     /// The credential that identifies the caller.
     pub credential: Credential,
 }
--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -48,7 +48,7 @@
             while tried.len() <= MAX_ENGINES {
                 let engine = choose_decode_engine(&request, &tried, &failed.domain)?;
                 let attempt = dispatch::begin(&engine, Some(engine.engine.begin_stream()));
-                let outcome = resume(&request, &engine, last_event_id).await;
+                let outcome = resume(&request, &engine, last_event_id, &failed).await;
                 match outcome {
                     Outcome::Responded(responded) if responded.response.status().is_success() => {
                         return Some(Source { responded, attempt });
@@ -67,6 +67,7 @@
     request: &RequestContext,
     engine: &Arc<Target>,
     last_event_id: Option<u64>,
+    failed: &Target,
 ) -> Outcome {
     let mut head = AttemptHead { last_event_id, ..request.attempt_head(engine) };
     head.priority = head.priority.map(|_| request.decode_priority(false));
@@ -75,6 +76,8 @@
     let outcome_name = outcome.name();
     request.shared.metrics.attempt("resume", &engine.id, outcome_name, began.elapsed());
     log::info!(target: "request", id = request.attempt_id(), target_id = engine.id.as_str(),
-        after:? = last_event_id, went = outcome_name; "stream resumed");
+        after:? = last_event_id, went = outcome_name,
+        software = engine.software.as_deref().unwrap_or_default(),
+        software_before = failed.software.as_deref().unwrap_or_default(); "stream resumed");
     outcome
 }
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -19,6 +19,9 @@
 /// `Retry-After` when another entry can serve the request.
 const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// Logged for a request that takes a stream up without naming the attempt that began it.
+const UNNAMED_ATTEMPT: &str = "unnamed";
+
 /// Outcome of a request without a valid customer key.
 const UNAUTHORIZED: &str = "unauthorized";
 
@@ -41,6 +44,10 @@
     let attempt_id = head.attempt_id.clone().unwrap_or_default();
     let version = table.version;
     let mut trace = Trace::new(attempt_id, route.clone(), version, arrived, shared.clone());
+    trace.takes_up = head
+        .take_up
+        .as_ref()
+        .map(|stream| stream.first_attempt.clone().unwrap_or_else(|| UNNAMED_ATTEMPT.into()));
     let Ok(caller) = table.caller(&route, head.credential) else {
         trace.end(UNAUTHORIZED);
         return response::unauthorized();
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -61,6 +61,8 @@
     learned_from: Option<Instant>,
     /// The pieces forwarded so far; none before the first one.
     pieces: Option<Pieces>,
+    /// The attempt that brought the first event of the stream that this request takes up.
+    pub takes_up: Option<CompactString>,
     /// How the body of the last response ended.
     body_end: Option<BodyEnd>,
     ended: bool,
@@ -150,6 +152,7 @@
             promise: None,
             learned_from: None,
             pieces: None,
+            takes_up: None,
             body_end: None,
             ended: false,
             shared,
@@ -291,6 +294,7 @@
         let gap_ms = millis(gap.map(|gap| gap.duration));
         let gap_target = gap.map_or("", |gap| gap.target.id.as_str());
         let (gap_streams, gap_prompts) = gap.map_or((0, 0), |gap| (gap.streams, gap.prompts));
+        let takes_up = self.takes_up.as_deref().unwrap_or_default();
         let framing = self.body_end.map_or("", |end| end.framing.name());
         let body_end = self.body_end.as_ref().map_or("", BodyEnd::name);
         let held_bytes = self.body_end.map_or(0, |end| end.held_bytes);
@@ -305,7 +309,7 @@
                 first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
                 transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
                 gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?, framing, body_end,
-                held_bytes;
+                held_bytes, takes_up;
                 "request served");
         } else {
             log::warn!(target: "request", id = self.attempt_id.as_str(),
@@ -314,7 +318,7 @@
                 first_ms:?, ms:? = millis(Some(duration)), slot_ms:?, network_ms:?,
                 transfer_ms:?, promised_ms:?, reserve_ms:?, pieces, gap_ms:?, gap_target, gap_streams,
                 gap_prompts, priority = self.priority, objective_ms:?, max_gap_ms:?, framing, body_end,
-                held_bytes;
+                held_bytes, takes_up;
                 "request not served");
         }
     }
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -6,7 +6,7 @@
 //! all that was known about it (stage, cached parts, connections, pauses, announced changes), and a
 //! previous incarnation never returns.
 
-use crate::codec::{Incarnation, TargetId};
+use crate::codec::{Incarnation, SoftwareVersion, TargetId};
 use crate::config::route::{ServiceName, Stage};
 use crate::targets::target::{self, Target};
 use crate::targets::workload::Workload;
@@ -40,6 +40,8 @@
     /// The incarnation, if the target reports it: the start time in milliseconds since 1970 by its
     /// own clock. A target that restarts under its id has lost its earlier state.
     pub incarnation: Option<Incarnation>,
+    /// The version of its software, if the target reports it.
+    pub software: Option<SoftwareVersion>,
     /// Counts the records of one incarnation; a lower one is older.
     pub sequence: u64,
 }
@@ -371,6 +373,13 @@
         if record.sequence < member.sequence {
             return;
         }
+        if record.software != member.target.software {
+            log::info!(target: "fleet", target_id = id.as_str(), offset,
+                software = record.software.as_deref().unwrap_or_default();
+                "target started again with other software");
+            self.add(id, record, offset);
+            return;
+        }
         if member.update(&id, &record, offset) {
             self.record_change(offset);
         }
@@ -378,14 +387,25 @@
 
     /// Adds a target, or a new incarnation of one.
     fn add(&mut self, id: TargetId, record: TargetRecord, offset: Offset) {
-        let TargetRecord { service, address, domain, slots, leaving, stage, incarnation, sequence } =
-            record;
+        let TargetRecord {
+            service,
+            address,
+            domain,
+            slots,
+            leaving,
+            stage,
+            incarnation,
+            software,
+            sequence,
+        } = record;
         self.record_change(offset);
         log::info!(target: "fleet", target_id = id.as_str(), service = service.as_str(),
-            address:% = address, leaving, stage:? = stage, born:? = incarnation, offset;
+            address:% = address, leaving, stage:? = stage, born:? = incarnation,
+            software = software.as_deref().unwrap_or_default(), offset;
             "target seen");
         let identity = target::Identity { id: id.clone(), incarnation };
         let target = Target::new(identity, service, address, domain, slots, self.workload.clone());
+        let target = target.with_software(software);
         target.set_stage(stage);
         if let Some((stage, until)) = self.expected.remove(&id) {
             target.expect_stage_change(stage, Instant::now(), until);
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -4,7 +4,7 @@
 mod intake;
 mod role;
 
-use crate::codec::{Incarnation, ReportedLoad, TargetId};
+use crate::codec::{Incarnation, ReportedLoad, SoftwareVersion, TargetId};
 use crate::config::route::{ServiceName, Stage};
 use crate::targets::engine::Engine;
 use crate::targets::pace::DecodePace;
@@ -34,6 +34,10 @@
     pub key: policy::Hash,
     /// The incarnation, if the target reports it.
     pub incarnation: Option<Incarnation>,
+    /// The version of its software, if the target reports it.
+    pub software: Option<SoftwareVersion>,
+    /// Hash of that version; targets that report none have the same.
+    pub software_key: policy::Hash,
     /// The service it belongs to.
     pub service: ServiceName,
     /// The address at which it listens.
@@ -133,6 +137,8 @@
             id,
             key,
             incarnation,
+            software: None,
+            software_key: software_key(None),
             service,
             address,
             domain,
@@ -147,6 +153,11 @@
         }
     }
 
+    /// Sets the version of its software.
+    pub fn with_software(self, software: Option<SoftwareVersion>) -> Self {
+        Self { software_key: software_key(software.as_deref()), software, ..self }
+    }
+
     /// The stage, if this is an engine that has one.
     pub fn stage(&self) -> Option<Stage> {
         self.state().role.stage()
@@ -464,6 +475,10 @@
     }
 }
 
+fn software_key(software: Option<&str>) -> policy::Hash {
+    policy::hash(software.unwrap_or_default())
+}
+
 /// Counts a request as in flight at a target until it is dropped.
 #[derive(Debug)]
 pub struct InFlightRequest(Arc<Target>);
--- a/crates/direct/tests/fleet.rs
+++ b/crates/direct/tests/fleet.rs
@@ -22,6 +22,7 @@
     stage: Option<Stage>,
 ) -> FleetUpdate {
     let record = TargetRecord {
+        software: None,
         service: "s".into(),
         address: "10.0.0.1:80".parse().expect("a valid address"),
         domain: "a".into(),
