fix(direct): a stream goes on only at the software version that began it

Cause: a target's record has the version of its software, and no decoder read it, so no choice of a target could heed it. A caller's Resumes was read by nobody either: an entry that a stream was taken up at knew nothing of it.

Change: in one answer, a stream that has brought an event is resumed at targets of that version only, and ends at once if there is none; no attempt is spent then. Over a caller's attempts, the entry finds the version of the attempt that Resumes names: in its own table, by the fact that all targets have had one version for as long as the stream may have lasted, or from the holders of the stream, which are chosen by consistent hashing (policy::holders) and told with the first event. If nobody knows, or no target of the version can decode, the request is refused unrun with a Retry-After. Coordinators give decode slots by version. Nothing is sent while one version serves; when a second one comes, each entry tells where its streams began. Ids that two versions have used count as unknown; the tables are bounded in number and time.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -9,6 +9,7 @@
 pub mod member_updates;
 pub mod members;
 pub mod messages;
+pub mod origins;
 pub mod peer_socket;
 pub mod peers;
 pub mod quota;
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -6,8 +6,10 @@
 //! tags: each decoder ignores the fields of the other type. Engines, targets and services are
 //! identified by the lower half of their hashes; 0 identifies none.
 
+mod origins;
 mod quota;
 
+pub use origins::{OriginAnswer, OriginRequest, StreamOrigins};
 pub use quota::{
     CustomerLimit, QuotaDecision, QuotaGranted, QuotaRefused, QuotaRenewal, QuotaRequest,
     QuotaResponse, QuotaReturn, RefundedTokens, ShareLease, Stamp, UnspentTokens, micros,
@@ -29,7 +31,7 @@
     /// The message; none if the datagram is of another type or from a newer version.
     #[prost(
         oneof = "Payload",
-        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31"
+        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33"
     )]
     pub payload: Option<Payload>,
 }
@@ -86,6 +88,12 @@
     /// Requests or confirms the return of leases.
     #[prost(message, tag = "31")]
     QuotaReturn(QuotaReturn),
+    /// Tells at which versions streams began, see [`crate::exchange::origins`].
+    #[prost(message, tag = "32")]
+    StreamOrigins(StreamOrigins),
+    /// Requests the version at which a stream began.
+    #[prost(message, tag = "33")]
+    OriginRequest(OriginRequest),
 }
 
 impl Payload {
@@ -108,6 +116,8 @@
             Self::QuotaResponse(_) => "quota-response",
             Self::QuotaRenewal(_) => "quota-renewal",
             Self::QuotaReturn(_) => "quota-return",
+            Self::StreamOrigins(_) => "origins",
+            Self::OriginRequest(_) => "origin-request",
         }
     }
 }
@@ -258,6 +268,9 @@
     /// The longest gap between pieces that the route allows, in milliseconds; 0 if any.
     #[prost(uint32, tag = "9")]
     pub max_gap_ms: u32,
+    /// The only software version that the engine may have; none if any.
+    #[prost(fixed64, optional, tag = "10")]
+    pub software: Option<u64>,
 }
 
 /// A request for a permit to send one request to a target.
@@ -348,7 +361,7 @@
     #[prost(fixed64, tag = "1")]
     pub reservation: ReservationId,
     /// The coordinator's decision.
-    #[prost(oneof = "Decision", tags = "2, 3, 4")]
+    #[prost(oneof = "Decision", tags = "2, 3, 4, 5")]
     pub decision: Option<Decision>,
 }
 
@@ -364,6 +377,9 @@
     /// A permit was given.
     #[prost(message, tag = "4")]
     Permitted(Permitted),
+    /// What is known of the origin of a stream.
+    #[prost(message, tag = "5")]
+    Origin(OriginAnswer),
 }
 
 /// A permit for one request.
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -10,4 +10,5 @@
 pub mod gossip;
 pub mod membership;
 pub mod notice;
+pub mod origins;
 pub mod quota;
--- a/crates/direct/src/exchange/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -45,11 +45,14 @@
         | Payload::QuotaRequest(_)
         | Payload::QuotaResponse(_)
         | Payload::QuotaRenewal(_)
-        | Payload::QuotaReturn(_) => None,
+        | Payload::QuotaReturn(_)
+        | Payload::StreamOrigins(_)
+        | Payload::OriginRequest(_) => None,
     }
 }
 
-fn service(shared: &Shared, key: u32) -> Option<Arc<Service>> {
+/// Returns the service with this short hash.
+pub(super) fn service(shared: &Shared, key: u32) -> Option<Arc<Service>> {
     let table = shared.table.borrow().clone()?;
     let mut services = table.services();
     services.find(|service| short_hash(policy::hash(&service.name)) == key).cloned()
--- a/crates/direct/src/exchange/coordination/decode.rs
+++ b/crates/direct/src/exchange/coordination/decode.rs
@@ -56,7 +56,11 @@
         let allowed = !request.avoid.contains(&short_hash(engine.key));
         let able = engine.stage() != Some(Stage::Prefill) && !engine.is_changing_stage(now);
         let permits = &shared.coordinator.permits;
-        allowed && able && permits.check(engine.key, || share(shared, group), priority, now).is_ok()
+        let fits = request.software.is_none_or(|software| software == engine.software_key);
+        allowed
+            && able
+            && fits
+            && permits.check(engine.key, || share(shared, group), priority, now).is_ok()
     });
     let offers = able.map(|engine| {
         let mut candidate = candidate(shared, engine, request, warming_up, now);
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -7,7 +7,7 @@
 use crate::cluster::tail::{FollowStep, ReadReason, RecordSpan, Retry, Topic};
 use crate::codec::TargetId;
 use crate::config::route::Table;
-use crate::exchange::{catch_up, dissemination};
+use crate::exchange::{catch_up, dissemination, origins};
 use crate::shared::Shared;
 use crate::targets::fleet::{FleetUpdate, LogState, TargetRecord};
 use compact_str::CompactString;
@@ -350,6 +350,7 @@
             fleet.len()
         };
         record_span(&shared, span, stream.next.filter(|_| own));
+        origins::publish_mixed(&shared);
         shared.metrics.targets.set(i64::try_from(count).unwrap_or(i64::MAX));
         if own {
             tokio::time::sleep(timing.targets_read_interval()).await;
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -19,7 +19,7 @@
 use crate::cluster::messages::{ConfigRequest, Envelope, Payload, RecordsRequest};
 use crate::cluster::peers::Recipients;
 use crate::cluster::tail::Topic;
-use crate::exchange::{catch_up, coordination, dissemination, membership, quota};
+use crate::exchange::{catch_up, coordination, dissemination, membership, origins, quota};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
 use crate::targets::availability::{Reason, Unavailable};
 use bytes::Bytes;
@@ -246,6 +246,8 @@
         Payload::BillingProgress(progress) => {
             shared.usage.observe_billing(progress, clock::since_boot())
         }
+        Payload::StreamOrigins(message) => shared.origins.observe(&message, Instant::now()),
+        Payload::OriginRequest(request) => origins::respond(shared, &request, from),
         Payload::QuotaRequest(_)
         | Payload::QuotaResponse(_)
         | Payload::QuotaRenewal(_)
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -19,4 +19,5 @@
 pub mod response;
 pub mod serve;
 pub mod server;
+pub mod take_up;
 pub mod trace;
--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -8,6 +8,7 @@
 use crate::config::route::{RetryPolicy, Route, Service, Table};
 use crate::request::quota::Charge;
 use crate::request::response::{self, Body, Failure, Refusal};
+use crate::request::take_up::Required;
 use crate::request::trace::Trace;
 use crate::shared::Shared;
 use crate::targets::target::Target;
@@ -37,6 +38,8 @@
     pub deadline: Instant,
     /// Identifies equal requests over all attempts.
     pub fingerprint: Fingerprint,
+    /// The software version at which it has to run.
+    pub required: Required,
     /// What it takes from its customer's limit, if it has one.
     pub charge: Option<Charge>,
     /// Whether it has been counted in its customer's usage.
@@ -81,6 +84,7 @@
             service,
             deadline,
             fingerprint,
+            required: Required::Any,
             charge: None,
             usage_counted,
             attempt: OnceLock::new(),
--- a/crates/direct/src/request/decode_placement.rs
+++ b/crates/direct/src/request/decode_placement.rs
@@ -84,6 +84,10 @@
                 .clone();
             let reservation =
                 Reservation::new(&request.shared, &engine, response.reservation, coordinator, None);
+            // A coordinator of an earlier build knows no versions.
+            if !request.required.allows(&engine) {
+                continue;
+            }
             let permit = Permit::from_grant(granted.permit);
             return Some(DecodePlacement { engine, permit, reservation });
         }
@@ -101,6 +105,7 @@
         group
             .engines
             .iter()
+            .filter(|engine| request.required.allows(engine))
             .any(|engine| engine.stage() == Some(crate::config::route::Stage::Decode))
     };
     let eligible: Vec<usize> =
@@ -142,5 +147,6 @@
         max_fill_percent: max_fill,
         requester: Some(request.requester()),
         max_gap_ms: ms(request.route.max_gap.unwrap_or_default()),
+        software: request.required.version(),
     }
 }
--- a/crates/direct/src/request/generate.rs
+++ b/crates/direct/src/request/generate.rs
@@ -10,15 +10,16 @@
 use crate::request::context::RequestContext;
 use crate::request::reservation;
 use crate::request::response::{Body, Refusal};
+use crate::request::take_up::Required;
 use crate::request::trace::Trace;
-use crate::request::{permits, plain};
+use crate::request::{permits, plain, take_up};
 use crate::targets::target::{Target, TransferDirection};
 use http::Response;
 use policy::Hash;
 use policy::decode::{self, DecodeCandidate, Offer};
 use policy::prefill::pauses_streams;
 use policy::signals;
-use prefill_step::PrefillResult;
+use prefill_step::{PrefillResult, PromptState};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -31,6 +32,9 @@
         return plain::run(request, trace).await;
     };
     let piece_tokens = request.service.engine.as_ref().and_then(|engine| engine.piece_tokens);
+    if request.required != Required::Any {
+        return take_up(request, prompt, trace).await;
+    }
     trace.generation = piece_tokens.map(|tokens| (request.service.name.clone(), tokens));
     if let Some(retry_after) = time_until_decode(&request, &engines) {
         return request.refuse(&mut trace, Refusal::NoDecodeEngine, retry_after);
@@ -52,6 +56,17 @@
     }
 }
 
+/// Goes on with a stream at an engine of the version that began it, which also prefills the prompt:
+/// KV cache of another version might not fit to it either.
+async fn take_up(request: Arc<RequestContext>, prompt: Prompt, mut trace: Trace) -> Response<Body> {
+    let decodes = |engine: &Target| engine.stage() != Some(Stage::Prefill);
+    if let Some(retry_after) = take_up::time_until_possible(&request, decodes) {
+        return request.refuse(&mut trace, Refusal::VersionGone, retry_after);
+    }
+    request.shared.record_bytes_sent(request.buffered.body.len());
+    decode_step::run(request, prompt, PromptState::AnyEngine, trace).await
+}
+
 /// How long it takes until an engine decodes again, if none can now.
 ///
 /// All engines that decode can be lost while others go on prefilling: that prefill is wasted, and
@@ -113,16 +128,19 @@
     shared.iter().fold(policy::hash(&prompt.model), |hash, part| policy::mix(hash, part.id))
 }
 
-/// The best engine for decode among those not tried, for KV cache in failure domain `domain`.
+/// The best engine for decode among those not tried that have the required version, for KV cache in
+/// failure domain `domain`.
 fn choose_decode_engine(
     request: &RequestContext,
     tried: &[Arc<Target>],
     domain: &str,
+    required: Required,
 ) -> Option<Arc<Target>> {
     let now = Instant::now();
     let engines = request.shared.usable(&request.service.name);
     let eligible = engines.iter().filter(|engine| engine.stage() != Some(Stage::Prefill));
     let untried = eligible.filter(|engine| tried.iter().all(|other| other.id != engine.id));
+    let untried = untried.filter(|engine| required.allows(engine));
     let untried = untried.filter(|engine| engine.closed_for(now).is_none());
     let max_gap = request.route.max_gap.unwrap_or_default();
     let prefill = request.shared.prefill_settings(&request.service.name);
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -86,7 +86,10 @@
                     permit = placement.permit;
                     Some(placement.engine.clone())
                 }
-                _ => choose_decode_engine(request, tried, prompt_state.preferred_domain(request)),
+                _ => {
+                    let domain = prompt_state.preferred_domain(request);
+                    choose_decode_engine(request, tried, domain, request.required)
+                }
             })
         })?;
         Some(ChosenEngine {
--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -6,8 +6,10 @@
 use crate::request::dispatch;
 use crate::request::permits::Permit;
 use crate::request::relay::{Resume, Source};
+use crate::request::take_up::{self, Required};
 use crate::targets::attempt::Outcome;
 use crate::targets::target::Target;
+use policy::versions::Version;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -32,21 +34,32 @@
 }
 
 impl Resume for StreamResumer {
+    fn record_origin(&self, target: &Target) {
+        take_up::record_origin(&self.request, target);
+    }
+
     fn resume(
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
+        origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>> {
         let (request, failed) = (self.request.clone(), failed.clone());
         let allowed = self.attempts < request.route.max_attempts;
+        let required = origin.map_or(request.required, Required::Version);
         Box::pin(async move {
             request.suspect_if_crashed(&failed);
-            if !allowed || !request.shared.try_spend_extra(&request.service.name) {
+            if !allowed {
                 return None;
             }
             let mut tried = vec![failed.clone()];
+            let mut is_paid = false;
             while tried.len() <= MAX_ENGINES {
-                let engine = choose_decode_engine(&request, &tried, &failed.domain)?;
+                let engine = choose_decode_engine(&request, &tried, &failed.domain, required)?;
+                is_paid = is_paid || request.shared.try_spend_extra(&request.service.name);
+                if !is_paid {
+                    return None;
+                }
                 let attempt = dispatch::begin(&engine, Some(engine.engine.begin_stream()));
                 let outcome = resume(&request, &engine, last_event_id, &failed).await;
                 match outcome {
--- a/crates/direct/src/request/permits.rs
+++ b/crates/direct/src/request/permits.rs
@@ -82,7 +82,9 @@
         Some(Decision::Refused(refused)) => {
             ("refused", Some(Duration::from_micros(refused.retry_after_us)))
         }
-        Some(Decision::Granted(_)) | None => ("unanswered", Some(UNANSWERED_BACKOFF)),
+        Some(Decision::Granted(_) | Decision::Origin(_)) | None => {
+            ("unanswered", Some(UNANSWERED_BACKOFF))
+        }
     };
     shared.metrics.permit(kind);
     let Some(retry_after) = retry_after else { return Ok(()) };
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -1,12 +1,13 @@
 //! Requests to plain services, and to engines that do all of a request by themselves.
 
+use crate::config::route::RetryPolicy;
 use crate::request::attempts::Attempts;
 use crate::request::context::RequestContext;
-use crate::request::dispatch;
 use crate::request::permits::Permit;
 use crate::request::relay::Source;
-use crate::request::response::Body;
+use crate::request::response::{Body, Refusal};
 use crate::request::trace::Trace;
+use crate::request::{dispatch, take_up};
 use crate::targets::attempt::Outcome;
 use crate::targets::target::Target;
 use http::Response;
@@ -16,6 +17,9 @@
 
 /// Sends the request to a target, and retries at others where that is safe and may help.
 pub async fn run(request: Arc<RequestContext>, mut trace: Trace) -> Response<Body> {
+    if let Some(retry_after) = take_up::time_until_possible(&request, |_| true) {
+        return request.refuse(&mut trace, Refusal::VersionGone, retry_after);
+    }
     let mut attempts = Attempts::default();
     let mut last = None;
     while let Some(target) = attempts.next_target(&request, |tried| choose_target(&request, tried))
@@ -40,6 +44,10 @@
     match last {
         Some(source) => {
             trace.attempts += attempts.sent;
+            let resumable = request.route.retry_policy == RetryPolicy::Resumable;
+            if resumable && source.responded.response.status().is_success() {
+                take_up::record_origin(&request, &source.attempt.target);
+            }
             dispatch::forward(&request, source, None, trace)
         }
         None => attempts.give_up(&request, &mut trace),
@@ -51,6 +59,7 @@
     let now = Instant::now();
     let targets = request.shared.usable(&request.service.name);
     let untried = targets.iter().filter(|target| tried.iter().all(|other| other.id != target.id));
+    let untried = untried.filter(|target| request.required.allows(target));
     let untried: Vec<_> = untried.filter(|target| target.closed_for(now).is_none()).collect();
     let connected = untried.iter().filter(|target| target.pool.has_idle(now)).count();
     let ranked = untried.into_iter().map(|target| {
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use policy::versions::Version;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
@@ -55,12 +56,17 @@
 
 /// Finds another target for the rest of a stream.
 pub trait Resume: Send {
+    /// Records that the first event of the stream came from a target.
+    fn record_origin(&self, target: &Target);
+
     /// Resumes the stream at another target after the event with this id; `None` if that is not
-    /// possible.
+    /// possible. If events were forwarded, the target needs the software version of the one that
+    /// they came from.
     fn resume(
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
+        origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>>;
 }
 
@@ -70,6 +76,8 @@
     deadline: Pin<Box<Sleep>>,
     resume: Option<Box<dyn Resume>>,
     events: Option<EventBuffer>,
+    /// The software version of the target that the first event came from.
+    origin: Option<Version>,
     trace: Trace,
     size_hint: SizeHint,
 }
@@ -121,6 +129,7 @@
             deadline,
             resume,
             events,
+            origin: None,
             trace,
             size_hint,
         }
@@ -165,6 +174,7 @@
                     if let State::Streaming(active) = &self.state {
                         self.trace.record_piece(&active.attempt.target);
                     }
+                    self.record_origin();
                     // The server polls for no further piece once the known length is reached. The
                     // end has to be noticed here, or the connection would be lost.
                     if self.is_end_of_response() {
@@ -210,6 +220,16 @@
         (!bytes.is_empty()).then_some(bytes)
     }
 
+    /// Records where the stream began, once its first event is forwarded.
+    fn record_origin(&mut self) {
+        if let (None, Some(resume), State::Streaming(active)) =
+            (self.origin, &self.resume, &self.state)
+        {
+            self.origin = Some(active.attempt.target.software_key);
+            resume.record_origin(&active.attempt.target);
+        }
+    }
+
     /// Whether the target has sent a body of known length to its end, and that length was announced
     /// to the caller.
     fn is_end_of_response(&self) -> bool {
@@ -248,7 +268,7 @@
             return false;
         }
         events.discard_partial();
-        self.state = State::Resuming(resume.resume(events.last_id(), &target));
+        self.state = State::Resuming(resume.resume(events.last_id(), &target, self.origin));
         true
     }
 
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -34,6 +34,10 @@
     QuotaUnavailable,
     /// No target could be reached.
     Unreachable,
+    /// Nobody knows at which software version the stream began that the request takes up.
+    OriginUnknown,
+    /// No target of the version that began the stream can go on with it.
+    VersionGone,
     /// The request crashed several targets.
     Quarantined,
     /// This process stops before the request could end.
@@ -64,6 +68,8 @@
             Self::QuotaExceeded => "quota-exceeded",
             Self::QuotaUnavailable => "quota-unavailable",
             Self::Unreachable => "unreachable",
+            Self::OriginUnknown => "origin-unknown",
+            Self::VersionGone => "version-gone",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
         }
@@ -83,6 +89,8 @@
             | Self::RateLimited
             | Self::QuotaUnavailable
             | Self::Unreachable
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::Quarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -5,7 +5,7 @@
 use crate::request::context::RequestContext;
 use crate::request::response::{self, Body, Refusal};
 use crate::request::trace::Trace;
-use crate::request::{generate, plain, quota};
+use crate::request::{generate, plain, quota, take_up};
 use crate::shared::Shared;
 use http::{Response, StatusCode};
 use std::sync::Arc;
@@ -22,6 +22,9 @@
 /// Logged for a request that takes a stream up without naming the attempt that began it.
 const UNNAMED_ATTEMPT: &str = "unnamed";
 
+/// `Retry-After` when nobody knows where a stream began: entries that were silent may answer by then.
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Outcome of a request without a valid customer key.
 const UNAUTHORIZED: &str = "unauthorized";
 
@@ -56,8 +59,8 @@
         trace.end(Refusal::KeysStale.name());
         return response::refuse(Refusal::KeysStale, OTHER_ENTRY_RETRY_AFTER);
     }
-    let Some(request) = RequestContext::new(shared, buffered, head, caller, route, &table, arrived)
-    else {
+    let context = RequestContext::new(shared, buffered, head, caller, route, &table, arrived);
+    let Some(mut request) = context else {
         trace.end(Refusal::NoTarget.name());
         return response::refuse(Refusal::NoTarget, NOT_READY_RETRY_AFTER);
     };
@@ -71,6 +74,12 @@
         trace.end(Refusal::Quarantined.name());
         return response::refuse(Refusal::Quarantined, request.route.timeout);
     }
+    match take_up::required(&request).await {
+        Ok(required) => request.required = required,
+        Err(take_up::UnknownOrigin) => {
+            return request.refuse(&mut trace, Refusal::OriginUnknown, ORIGIN_RETRY_AFTER);
+        }
+    }
     let request = match quota::charge(request, table.version, &mut trace).await {
         Ok(request) => Arc::new(request),
         Err(refused) => return refused,
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::cluster::coordinator::Coordinator;
 use crate::cluster::groups::{self, Groups};
 use crate::cluster::loads::Loads;
+use crate::cluster::origins::Origins;
 use crate::cluster::peer_socket::PeerSocket;
 use crate::cluster::peers::Peers;
 use crate::cluster::quota::{self, Quota};
@@ -118,6 +119,8 @@
     pub coordinator: Coordinator,
     /// What customers have used.
     pub usage: Usage,
+    /// At which software versions streams began.
+    pub origins: Origins,
     /// The limits of customers; `None` if none are in force.
     pub quota: Option<Quota>,
     /// The socket for messages to the other entries.
@@ -171,6 +174,8 @@
         let peers = Peers::new(settings.topology.clone());
         let quota = settings.quota.as_ref();
         let quota = quota.map(|quota| Quota::new(quota, policy::hash(&settings.name), first_id));
+        let mut fleet = Fleet::new(workload.clone());
+        fleet.begin_history(settings.first_start, Instant::now());
         Self {
             settings,
             codec,
@@ -181,13 +186,14 @@
             peers,
             coordinator: Coordinator::default(),
             usage: Usage::default(),
+            origins: Origins::default(),
             quota,
             peer_socket: PeerSocket::new(first_id),
             loads: Loads::default(),
             tail,
             entry_stream_changed: Notify::new(),
-            workload: workload.clone(),
-            fleet: Mutex::new(Fleet::new(workload)),
+            workload,
+            fleet: Mutex::new(fleet),
             groups,
             link,
             connect_timeouts: Mutex::default(),
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -13,6 +13,7 @@
 use compact_str::CompactString;
 use plat::epoch;
 use policy::Hash;
+use policy::versions::{History, Version};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -158,10 +159,22 @@
     workload: Arc<Workload>,
     /// When the first member whose record expired is removed.
     next_expiry: Option<Instant>,
+    /// The software versions of each service's targets.
+    histories: HashMap<ServiceName, History>,
+    /// The services of which targets of a second version have come and that were not yet taken.
+    mixed: Vec<ServiceName>,
+    /// When this process began to know the versions; zero if there were none before.
+    known_since: policy::Time,
+    /// The start of the times in the histories.
+    started: Option<Instant>,
     /// Announced stage changes of engines that are not listed yet, each with its deadline.
     expected: HashMap<TargetId, (Stage, Instant)>,
 }
 
+/// The time at which the history of software versions of a process starts that was not the first:
+/// zero stands for a history without a past.
+const STARTUP: policy::Time = Duration::from_millis(1);
+
 /// Upper bound on the announced stage changes that are kept for engines that are not listed.
 const MAX_EXPECTED: usize = 4_096;
 
@@ -174,6 +187,34 @@
         Self { workload, ..Self::default() }
     }
 
+    /// Starts the history of software versions now. `is_first` is set if no target was used before.
+    pub fn begin_history(&mut self, is_first: bool, now: Instant) {
+        self.started = Some(now);
+        self.known_since = if is_first { policy::Time::ZERO } else { STARTUP };
+    }
+
+    /// Returns whether targets of a service had several software versions in the last `span`.
+    pub fn has_several_versions(&self, service: &str, span: Duration, now: Instant) -> bool {
+        let history = self.histories.get(service);
+        history.is_some_and(|history| history.is_mixed(span, self.time(now)))
+    }
+
+    /// Returns the only software version that targets of a service had in the last `span`, if that
+    /// is known.
+    pub fn sole_version(&self, service: &str, span: Duration, now: Instant) -> Option<Version> {
+        self.histories.get(service)?.sole(span, self.time(now))
+    }
+
+    /// Takes the services of which targets of a second software version have come since the last
+    /// call.
+    pub fn take_mixed(&mut self) -> Vec<ServiceName> {
+        std::mem::take(&mut self.mixed)
+    }
+
+    fn time(&self, now: Instant) -> policy::Time {
+        self.started.map_or(STARTUP, |started| now.saturating_duration_since(started) + STARTUP)
+    }
+
     /// Applies the result of one read of the list, in the log's order.
     pub fn apply(
         &mut self,
@@ -413,14 +454,28 @@
         let target = Arc::new(target);
         let leaving = leaving || target.is_leaving();
         self.drop_member(&id);
+        self.record_version(&target);
         self.ids.insert(target.key, id.clone());
         self.members
             .insert(id, Member { target, incarnation, sequence, offset, leaving, expires: None });
     }
 
+    fn record_version(&mut self, target: &Target) {
+        let (now, since) = (self.time(Instant::now()), self.known_since);
+        let history =
+            self.histories.entry(target.service.clone()).or_insert_with(|| History::new(since));
+        if history.add(target.software_key, now) {
+            self.mixed.push(target.service.clone());
+        }
+    }
+
     fn drop_member(&mut self, id: &TargetId) {
         if let Some(member) = self.members.remove(id) {
             self.ids.remove(&member.target.key);
+            let now = self.time(Instant::now());
+            if let Some(history) = self.histories.get_mut(&member.target.service) {
+                history.remove(member.target.software_key, now);
+            }
         }
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod estimate;
 pub mod extra_budget;
 pub mod groups;
+pub mod holders;
 pub mod lease;
 pub mod limits;
 pub mod link;
@@ -48,6 +49,7 @@
 pub mod throughput;
 pub mod transfer;
 pub mod usage;
+pub mod versions;
 
 mod number;
 
--- /dev/null
+++ b/crates/policy/src/versions.rs
@@ -0,0 +1,76 @@
+//! Which software versions the targets of a service had lately.
+//!
+//! What targets of two versions write doesn't fit together, so a stream may only go on at the
+//! version that began it. Where all targets of a service have had one version for longer than a
+//! stream can be taken up, that version began it, and nobody has to be asked.
+
+use crate::{Hash, Time};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The hash of a version, which is opaque and has no order.
+pub type Version = Hash;
+
+/// The versions of one service's targets.
+#[derive(Debug, Clone)]
+pub struct History {
+    /// From when on all versions are known.
+    since: Time,
+    versions: HashMap<Version, Presence>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Presence {
+    /// Targets of the version that are listed.
+    targets: u32,
+    /// When the last one was removed.
+    removed_at: Time,
+}
+
+/// For how long a version is remembered after its last target was removed: longer than a stream
+/// lasts.
+pub const MEMORY: Duration = Duration::from_secs(60);
+
+impl History {
+    /// Creates a history in which no version was present before `since`, as far as known.
+    pub fn new(since: Time) -> Self {
+        Self { since, versions: HashMap::new() }
+    }
+
+    /// Records that a target of a version is listed. Returns whether that is the first target of
+    /// another version than all others.
+    pub fn add(&mut self, version: Version, now: Time) -> bool {
+        self.versions.retain(|_, seen| seen.targets > 0 || now < seen.removed_at + MEMORY);
+        let is_new = !self.versions.contains_key(&version);
+        self.versions.entry(version).or_default().targets += 1;
+        is_new && self.versions.len() > 1
+    }
+
+    /// Records that a target of a version is no longer listed.
+    pub fn remove(&mut self, version: Version, now: Time) {
+        if let Some(seen) = self.versions.get_mut(&version) {
+            seen.targets = seen.targets.saturating_sub(1);
+            seen.removed_at = now;
+        }
+    }
+
+    /// Returns whether targets of several versions were listed at some time in the last `span`.
+    pub fn is_mixed(&self, span: Duration, now: Time) -> bool {
+        self.present(span, now).nth(1).is_some()
+    }
+
+    /// Returns the only version that any target had in the last `span`, if it is known that there
+    /// was no other.
+    pub fn sole(&self, span: Duration, now: Time) -> Option<Version> {
+        let is_known = span <= MEMORY && (self.since.is_zero() || self.since + span <= now);
+        let mut present = self.present(span, now);
+        let first = present.next().filter(|_| is_known)?;
+        present.next().is_none().then_some(first)
+    }
+
+    fn present(&self, span: Duration, now: Time) -> impl Iterator<Item = Version> + '_ {
+        let is_present =
+            move |seen: &Presence| seen.targets > 0 || now < seen.removed_at.saturating_add(span);
+        self.versions.iter().filter(move |(_, seen)| is_present(seen)).map(|(version, _)| *version)
+    }
+}
