fix(policy): two decode engines of each software version are the last to prefill

A stream only goes on at an engine of the version that began it, and a change of stage takes seconds. The planner could move the last decode engines of a version to prefill while its streams ran. While decode engines have several versions, the two with the most work of each are now chosen last; with one version nothing changes (two_engines_of_each_version_are_the_last_to_stop_decoding failed before in its first two cases).

--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -315,6 +315,7 @@
             work: target.in_flight().max(target.engine.streams() + others.streams),
             domain: target.domain_key,
             unfit: false,
+            software: target.software_key,
             available: !target.is_unavailable(unresponsive_after(stage), now)
                 && !target.is_limit_exhausted(now)
                 && (stage == Stage::Prefill || !target.has_transfer_backlog(now)),
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -14,8 +14,9 @@
 //! loses the same.
 
 use crate::number::float;
+use crate::versions::Version;
 use crate::{Hash, prefill};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::time::Duration;
 
 /// Which stage of a generation an engine serves. The names of the variants appear in logs.
@@ -260,6 +261,8 @@
     pub available: bool,
     /// Whether streams would pause for too long there.
     pub unfit: bool,
+    /// The version of its software.
+    pub software: Version,
 }
 
 /// Clamps a number of prefill engines to what a pool of `engines` engines allows; `None` if it has
@@ -299,7 +302,8 @@
 /// whose engines are all in one domain is lost with it: the domain with the most decode engines
 /// gives one up, and the one with the fewest gets one. Among equals, the engine with the least work
 /// changes. Engines at which streams would pause for too long are the first to prefill and the last
-/// to decode, in whatever domain they are.
+/// to decode, in whatever domain they are. While decode engines have several software versions, two
+/// of each are the last to prefill: a stream only goes on at the version that began it.
 pub fn engines_to_change(engines: &[Engine], desired: usize) -> Vec<usize> {
     let prefill = count_prefill(engines);
     let (from, missing) = if prefill < desired {
@@ -317,7 +321,7 @@
                 EngineRole::Prefill => domain.decode,
             };
             let candidate = domain.candidates.last().copied();
-            (candidate.map(|(unsuitable, ..)| unsuitable), order, candidate)
+            (candidate.map(|(reluctance, ..)| reluctance), order, candidate)
         });
         let Some(domain) = best else { break };
         chosen.extend(domain.candidates.pop().map(|(_, _, at)| at));
@@ -334,9 +338,39 @@
 struct Domain {
     /// Decode engines in the domain.
     decode: usize,
-    /// Engines that can change, each with whether it is less suitable for its new role than for
-    /// the present one, its work and its index; the last one changes first.
-    candidates: Vec<(bool, u32, usize)>,
+    /// Engines that can change, each with what speaks against it, its work and its index; the last
+    /// one changes first.
+    candidates: Vec<(Reluctance, u32, usize)>,
+}
+
+/// What speaks against changing an engine; the more, the later it changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Reluctance {
+    /// It is one of few decode engines of its version.
+    retained: bool,
+    /// It is less suitable for its new role than for the present one.
+    unsuitable: bool,
+}
+
+/// The decode engines of each version that are the last to prefill: the loss of one is tolerated.
+const RETAINED: usize = 2;
+
+/// Returns the indexes of the decode engines that keep streams of their version going: those with
+/// the most work; none if all have one version.
+fn retained(engines: &[Engine]) -> HashSet<usize> {
+    let mut versions: BTreeMap<Version, Vec<(u32, usize)>> = BTreeMap::new();
+    let decode = engines.iter().enumerate();
+    for (at, engine) in decode.filter(|(_, engine)| engine.role == EngineRole::Decode) {
+        versions.entry(engine.software).or_default().push((engine.work, at));
+    }
+    if versions.len() <= 1 {
+        return HashSet::new();
+    }
+    let most_work = versions.into_values().flat_map(|mut engines| {
+        engines.sort_unstable_by(|a, b| b.cmp(a));
+        engines.into_iter().take(RETAINED).map(|(_, at)| at)
+    });
+    most_work.collect()
 }
 
 /// Groups the engines that have the role `from` by failure domain.
@@ -345,12 +379,17 @@
 /// quarter of a second.
 fn domains(engines: &[Engine], from: EngineRole) -> Vec<Domain> {
     let mut domains: BTreeMap<Hash, Domain> = BTreeMap::new();
+    let retained = match from {
+        EngineRole::Decode => retained(engines),
+        EngineRole::Prefill => HashSet::new(),
+    };
     for (at, engine) in engines.iter().enumerate() {
         let domain = domains.entry(engine.domain).or_default();
         domain.decode += usize::from(engine.role == EngineRole::Decode);
         if engine.role == from && engine.available {
             let unsuitable = engine.unfit == (from == EngineRole::Prefill);
-            domain.candidates.push((unsuitable, engine.work, at));
+            let reluctance = Reluctance { retained: retained.contains(&at), unsuitable };
+            domain.candidates.push((reluctance, engine.work, at));
         }
     }
     let mut domains: Vec<Domain> = domains.into_values().collect();
--- a/crates/policy/tests/split.rs
+++ b/crates/policy/tests/split.rs
@@ -9,8 +9,14 @@
 };
 use std::time::Duration;
 
-const PREFILL: Engine =
-    Engine { role: EngineRole::Prefill, work: 0, domain: 0, available: true, unfit: false };
+const PREFILL: Engine = Engine {
+    role: EngineRole::Prefill,
+    work: 0,
+    domain: 0,
+    available: true,
+    unfit: false,
+    software: 0,
+};
 const DECODE: Engine = Engine { role: EngineRole::Decode, ..PREFILL };
 
 const CHANGE_TIME: ChangeTime =
@@ -270,6 +276,26 @@
     TICK * decided.expect("the split is changed")
 }
 
+/// In a rollout two engines of the first version are left that decode: if they prefilled, no stream
+/// that began there could go on.
+#[test]
+fn two_engines_of_each_version_are_the_last_to_stop_decoding() {
+    let engine = |software, work| Engine { software, work, ..DECODE };
+    let engines = [
+        engine(1, 0),
+        engine(1, 1),
+        engine(1, 2),
+        engine(2, 5),
+        engine(2, 6),
+        engine(2, 7),
+        engine(2, 8),
+    ];
+    assert_eq!(engines_to_change(&engines, 3), [0, 3, 4]);
+    assert_eq!(engines_to_change(&engines, 5), [0, 3, 4, 1, 2]);
+    let one_version = engines.map(|engine| Engine { software: 1, ..engine });
+    assert_eq!(engines_to_change(&one_version, 3), [0, 1, 2]);
+}
+
 /// The limit for [`time_to_decide`].
 const MAX_TIME_TO_DECIDE: Duration = Duration::from_millis(500);
 
