refactor(policy): a history of versions says from when on it is known; all holders are asked twice

An entry that had one answer of three didn't ask again, though the datagrams to the others may have been lost. The start of a history was a time of one millisecond where zero meant that nothing came before it; it is an option now. versions::*, entry/versions and the interleavings pass.

--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -89,20 +89,19 @@
     }
     let asked =
         shared.origins.asked(stream.unwrap_or_else(|| shared.peer_socket.unique_id()), &members);
+    let mut answers = Vec::new();
     for _ in 0..ROUNDS {
-        let answers = ask(shared, service, stream, max_age, objective, &asked).await;
-        if answers.is_empty() {
-            continue;
-        }
+        answers = ask(shared, service, stream, max_age, objective, &asked).await;
         if let Some(version) = answers.iter().find_map(OriginAnswer::settled) {
             return Some(version);
         }
-        // While the log is away, no entry sees a new version, so that all agree.
-        let sole = own.sole_version?;
-        let agree = answers.iter().all(|answer| answer.sole_version == Some(sole));
-        return agree.then_some(sole);
+        if answers.len() == asked.len() {
+            break;
+        }
     }
-    None
+    // While the log can't be read, no entry sees a new version, so that all agree.
+    let sole = own.sole_version.filter(|_| !answers.is_empty())?;
+    answers.iter().all(|answer| answer.sole_version == Some(sole)).then_some(sole)
 }
 
 /// Asks some entries at once. Returns their answers, up to the first that settles it.
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -163,18 +163,14 @@
     histories: HashMap<ServiceName, History>,
     /// The services of which targets of a second version have come and that were not yet taken.
     mixed: Vec<ServiceName>,
-    /// When this process began to know the versions; zero if there were none before.
-    known_since: policy::Time,
+    /// From when on the histories know all versions; none if there were no targets before.
+    known_from: Option<policy::Time>,
     /// The start of the times in the histories.
     started: Option<Instant>,
     /// Announced stage changes of engines that are not listed yet, each with its deadline.
     expected: HashMap<TargetId, (Stage, Instant)>,
 }
 
-/// The time at which the history of software versions of a process starts that was not the first:
-/// zero stands for a history without a past.
-const STARTUP: policy::Time = Duration::from_millis(1);
-
 /// Upper bound on the announced stage changes that are kept for engines that are not listed.
 const MAX_EXPECTED: usize = 4_096;
 
@@ -190,7 +186,7 @@
     /// Starts the history of software versions now. `is_first` is set if no target was used before.
     pub fn begin_history(&mut self, is_first: bool, now: Instant) {
         self.started = Some(now);
-        self.known_since = if is_first { policy::Time::ZERO } else { STARTUP };
+        self.known_from = (!is_first).then_some(policy::Time::ZERO);
     }
 
     /// Returns whether targets of a service had several software versions in the last `span`.
@@ -212,7 +208,7 @@
     }
 
     fn time(&self, now: Instant) -> policy::Time {
-        self.started.map_or(STARTUP, |started| now.saturating_duration_since(started) + STARTUP)
+        self.started.map_or(policy::Time::ZERO, |started| now.saturating_duration_since(started))
     }
 
     /// Applies the result of one read of the list, in the log's order.
@@ -461,9 +457,9 @@
     }
 
     fn record_version(&mut self, target: &Target) {
-        let (now, since) = (self.time(Instant::now()), self.known_since);
-        let history =
-            self.histories.entry(target.service.clone()).or_insert_with(|| History::new(since));
+        let (now, known_from) = (self.time(Instant::now()), self.known_from);
+        let history = self.histories.entry(target.service.clone());
+        let history = history.or_insert_with(|| History::new(known_from));
         if history.add(target.software_key, now) {
             self.mixed.push(target.service.clone());
         }
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -14,8 +14,8 @@
 /// The versions of one service's targets.
 #[derive(Debug, Clone)]
 pub struct History {
-    /// From when on all versions are known.
-    since: Time,
+    /// From when on all versions are known; none if there were no targets before.
+    known_from: Option<Time>,
     versions: HashMap<Version, Presence>,
 }
 
@@ -32,9 +32,10 @@
 pub const MEMORY: Duration = Duration::from_secs(60);
 
 impl History {
-    /// Creates a history in which no version was present before `since`, as far as known.
-    pub fn new(since: Time) -> Self {
-        Self { since, versions: HashMap::new() }
+    /// Creates a history that knows nothing of the time before `known_from`, or everything if that is
+    /// none.
+    pub fn new(known_from: Option<Time>) -> Self {
+        Self { known_from, versions: HashMap::new() }
     }
 
     /// Records that a target of a version is listed. Returns whether that is the first target of
@@ -62,7 +63,7 @@
     /// Returns the only version that any target had in the last `span`, if it is known that there
     /// was no other.
     pub fn sole(&self, span: Duration, now: Time) -> Option<Version> {
-        let is_known = span <= MEMORY && (self.since.is_zero() || self.since + span <= now);
+        let is_known = span <= MEMORY && self.known_from.is_none_or(|from| from + span <= now);
         let mut present = self.present(span, now);
         let first = present.next().filter(|_| is_known)?;
         present.next().is_none().then_some(first)
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -13,11 +13,11 @@
 /// A process that has just been started can't know which versions were there before it.
 #[test]
 fn a_sole_version_is_known_once_the_history_is_long_enough() {
-    let mut history = History::new(seconds(1));
+    let mut history = History::new(Some(seconds(1)));
     history.add(7, seconds(1));
     assert_eq!(history.sole(SPAN, seconds(6)), None);
     assert_eq!(history.sole(SPAN, seconds(7)), Some(7));
-    let mut first = History::new(Time::ZERO);
+    let mut first = History::new(None);
     first.add(7, seconds(1));
     assert_eq!(first.sole(SPAN, seconds(1)), Some(7));
 }
@@ -25,7 +25,7 @@
 /// The last target of a version is gone, and streams that it began may still be taken up.
 #[test]
 fn a_version_counts_until_its_streams_have_ended() {
-    let mut history = History::new(Time::ZERO);
+    let mut history = History::new(None);
     assert!(!history.add(1, seconds(0)));
     assert!(!history.add(1, seconds(0)));
     assert!(history.add(2, seconds(10)));
@@ -43,7 +43,7 @@
 /// A version that came back after it had been forgotten is new again.
 #[test]
 fn forgotten_versions_are_new_again() {
-    let mut history = History::new(Time::ZERO);
+    let mut history = History::new(None);
     history.add(1, seconds(0));
     assert!(history.add(2, seconds(1)));
     history.remove(2, seconds(2));
@@ -54,7 +54,7 @@
 
 #[test]
 fn no_version_is_known_without_targets() {
-    let history = History::new(Time::ZERO);
+    let history = History::new(None);
     assert_eq!(history.sole(SPAN, seconds(100)), None);
     assert!(!history.is_mixed(SPAN, seconds(100)));
 }
@@ -62,7 +62,7 @@
 /// Nothing is known of a time that is no longer remembered.
 #[test]
 fn spans_beyond_the_memory_have_no_sole_version() {
-    let mut history = History::new(Time::ZERO);
+    let mut history = History::new(None);
     history.add(1, seconds(0));
     assert_eq!(history.sole(MEMORY, seconds(500)), Some(1));
     assert_eq!(history.sole(MEMORY + SPAN, seconds(500)), None);
