fix(body): a last chunk tells that all of a stream was sent, as a length does

Only a stream without framing is judged by its last event now.

A stream cut before its last chunk stays a break (truncated_response_does_not_look_complete, broken_stream_*). Tests of framing, shutdown, faults and the interleavings pass.

--- a/crates/body/src/end.rs
+++ b/crates/body/src/end.rs
@@ -26,15 +26,13 @@
 impl End {
     /// Judges a body by its framing, how reading it ended and, for a stream of events, where.
     ///
-    /// A server may end a chunked body regularly although its sender has stopped within an event,
-    /// but it can't make up for the bytes of a declared length.
+    /// A length and a last chunk tell that all was sent, also if the last event lacks its empty line.
     pub fn judge(framing: Framing, outcome: Outcome, position: Option<Position>) -> Self {
         match (outcome, framing, position) {
             (Outcome::Failed, _, _) => Self::BrokenOff,
-            (Outcome::Ended, Framing::Length, _) => Self::Complete,
-            (Outcome::Ended, _, Some(Position::WithinEvent)) => Self::BrokenOff,
-            (Outcome::Ended, Framing::Chunks, _) => Self::Complete,
+            (Outcome::Ended, Framing::Length | Framing::Chunks, _) => Self::Complete,
             (Outcome::Ended, Framing::Connection, Some(Position::Boundary)) => Self::Complete,
+            (Outcome::Ended, Framing::Connection, Some(Position::WithinEvent)) => Self::BrokenOff,
             (Outcome::Ended, Framing::Connection, None) => Self::Unmarked,
         }
     }
