fix(direct): a crash counts however the response was to end

Cause: only the resumer, the prefill step and attempts without any response recorded that their target had crashed. A relay without a resumer aborted the response and told nobody; a handle that was cut off neither.

Change: one place, request::subject, learns of every break and finds out whether the target still listens; requests that break together share one check. Retries and resumptions wait for it, so that the next attempt knows. Each break leaves a line with its evidence.

Ruled out: a different fingerprint of repeats; the same requests count where the stream can be resumed.

--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -19,5 +19,6 @@
 pub mod response;
 pub mod serve;
 pub mod server;
+pub mod subject;
 pub mod take_up;
 pub mod trace;
--- a/crates/direct/src/request/attempts.rs
+++ b/crates/direct/src/request/attempts.rs
@@ -51,12 +51,13 @@
         Some(target)
     }
 
-    /// Records the outcome of an attempt and returns whether another one respects the route's retry
-    /// policy and what the caller was promised.
-    pub fn record(
+    /// Records the outcome of an attempt that began at `began`, and returns whether another one
+    /// respects the route's retry policy and what the caller was promised.
+    pub async fn record(
         &mut self,
         request: &RequestContext,
         target: &Arc<Target>,
+        began: Instant,
         outcome: &Outcome,
     ) -> bool {
         if let Outcome::NotSent(detail) = outcome {
@@ -78,7 +79,7 @@
             }
             Outcome::Unknown(_) => {
                 self.may_have_run = true;
-                request.suspect_if_crashed(target);
+                request.subject.record_break(target, began).await;
                 request.may_retry()
             }
             Outcome::TimedOut => {
--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -8,11 +8,11 @@
 use crate::config::route::{RetryPolicy, Route, Service, Table};
 use crate::request::quota::Charge;
 use crate::request::response::{self, Body, Failure, Refusal};
+use crate::request::subject::Subject;
 use crate::request::take_up::Required;
 use crate::request::trace::Trace;
 use crate::shared::Shared;
 use crate::targets::target::Target;
-use compact_str::CompactString;
 use http::Response;
 use policy::retry_detection::Attempt;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -38,6 +38,8 @@
     pub deadline: Instant,
     /// Identifies equal requests over all attempts.
     pub fingerprint: Fingerprint,
+    /// The request as it is recognized when targets crash.
+    pub subject: Subject,
     /// The software version at which it has to run.
     pub required: Required,
     /// What it takes from its customer's limit, if it has one.
@@ -75,6 +77,8 @@
         let fingerprint = fingerprint(&buffered, caller.customer());
         let deadline = arrived + timeout;
         let usage_counted = AtomicBool::new(false);
+        let attempt_id = head.attempt_id.as_deref().unwrap_or_default().into();
+        let subject = Subject::new(shared.clone(), attempt_id, fingerprint);
         Some(Self {
             shared,
             buffered,
@@ -84,6 +88,7 @@
             service,
             deadline,
             fingerprint,
+            subject,
             required: Required::Any,
             charge: None,
             usage_counted,
@@ -189,21 +194,6 @@
         }
     }
 
-    /// Checks in the background whether a target that broke the connection has crashed; if so,
-    /// records the request as a suspect.
-    pub fn suspect_if_crashed(&self, target: &Arc<Target>) {
-        let (shared, target) = (self.shared.clone(), target.clone());
-        let (fingerprint, id) = (self.fingerprint, CompactString::from(self.attempt_id()));
-        tokio::spawn(async move {
-            if target.check_listening().await {
-                return;
-            }
-            let crashes = shared.suspects.record_crash(fingerprint);
-            log::info!(target: "request", id = id.as_str(), target_id = target.id.as_str(),
-                crashes; "request suspected");
-        });
-    }
-
     /// The caller's id of this attempt.
     pub fn attempt_id(&self) -> &str {
         self.head.attempt_id.as_deref().unwrap_or_default()
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -65,12 +65,13 @@
     *response.status_mut() = source.responded.response.status();
     *response.headers_mut() = source.responded.response.headers().clone();
     request.shared.codec.strip_connection_headers(response.headers_mut());
-    let relay = Relay::new(source, request.deadline, resume, trace);
+    let relay = Relay::new(source, request.deadline, request.subject.clone(), resume, trace);
     response.map(|()| Body::Relay(Box::new(relay)))
 }
 
 /// Counts an attempt at a target until the returned value is dropped.
 pub fn begin(target: &Arc<Target>, stream: Option<StreamGuard>) -> ActiveAttempt {
     let in_flight = target.begin_request();
-    ActiveAttempt { target: target.clone(), in_flight, prefill: None, stream, reservation: None }
+    let (target, began) = (target.clone(), Instant::now());
+    ActiveAttempt { target, began, in_flight, prefill: None, stream, reservation: None }
 }
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -38,7 +38,7 @@
         step.trace.record_attempt("write", &engine.id, outcome.name(), began.elapsed());
         step.trace.record_expected_transfer(step.expected_transfer(&engine));
         step.record_transfer_time(&engine, &outcome, began.elapsed());
-        let retry = step.attempts.record(&step.request, &engine, &outcome);
+        let retry = step.attempts.record(&step.request, &engine, began, &outcome).await;
         match outcome {
             Outcome::Responded(responded) => return step.forward(responded, attempt),
             // The engine may have taken the KV cache.
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -371,7 +371,12 @@
     match outcome {
         Outcome::Responded(responded) => {
             let success = responded.response.status().is_success();
-            let id = read_handle(request, *responded).await.filter(|_| success)?;
+            let Some(id) = read_handle(request, *responded).await.filter(|_| success) else {
+                if success {
+                    request.subject.record_break(engine, began).await;
+                }
+                return None;
+            };
             request.shared.record_prefill_time(
                 &request.service.name,
                 queued_tokens + tokens,
@@ -386,7 +391,7 @@
         Outcome::TimedOut | Outcome::Closed(_) => {}
         Outcome::NotSent(_) => fail_reservation(reservation),
         Outcome::Unknown(_) => {
-            request.suspect_if_crashed(engine);
+            request.subject.record_break(engine, began).await;
             fail_reservation(reservation);
         }
     }
--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -42,13 +42,14 @@
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
+        began: Instant,
         origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>> {
         let (request, failed) = (self.request.clone(), failed.clone());
         let allowed = self.attempts < request.route.max_attempts;
         let required = origin.map_or(request.required, Required::Version);
         Box::pin(async move {
-            request.suspect_if_crashed(&failed);
+            request.subject.record_break(&failed, began).await;
             if !allowed {
                 return None;
             }
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -30,7 +30,7 @@
             dispatch::send(&request, &target, &request.attempt_head(&target), Permit::Required)
                 .await;
         trace.record_attempt("whole", &target.id, outcome.name(), began.elapsed());
-        let retry = attempts.record(&request, &target, &outcome);
+        let retry = attempts.record(&request, &target, began, &outcome).await;
         if outcome.may_have_run() {
             request.count_usage(began);
         }
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -3,6 +3,7 @@
 
 use crate::request::events::EventBuffer;
 use crate::request::reservation::Reservation;
+use crate::request::subject::Subject;
 use crate::request::trace::{BodyEnd, COMPLETE, Trace};
 use crate::targets::attempt::Responded;
 use crate::targets::engine::{PrefillGuard, StreamGuard};
@@ -35,6 +36,8 @@
 pub struct ActiveAttempt {
     /// The target.
     pub target: Arc<Target>,
+    /// When it began.
+    pub began: Instant,
     /// The request in flight there.
     pub in_flight: InFlightRequest,
     /// The prefill of its prompt, until the first event.
@@ -60,12 +63,13 @@
     fn record_origin(&self, target: &Target);
 
     /// Resumes the stream at another target after the event with this id; `None` if that is not
-    /// possible. If events were forwarded, the target needs the software version of the one that
-    /// they came from.
+    /// possible. The attempt at the one that failed began at `began`. If events were forwarded, the
+    /// target needs the software version of the one that they came from.
     fn resume(
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
+        began: Instant,
         origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>>;
 }
@@ -74,6 +78,7 @@
 pub struct Relay {
     state: State,
     deadline: Pin<Box<Sleep>>,
+    subject: Subject,
     resume: Option<Box<dyn Resume>>,
     events: Option<EventBuffer>,
     /// The software version of the target that the first event came from.
@@ -110,6 +115,7 @@
     pub fn new(
         source: Source,
         deadline: Instant,
+        subject: Subject,
         resume: Option<Box<dyn Resume>>,
         trace: Trace,
     ) -> Self {
@@ -127,6 +133,7 @@
         Self {
             state: State::Streaming(Box::new(active)),
             deadline,
+            subject,
             resume,
             events,
             origin: None,
@@ -263,12 +270,15 @@
         let target = active.attempt.target.clone();
         target.record_health(Health::Failing, Instant::now());
         self.trace.record_broken_response(&target.id, detail);
-        let (Some(resume), Some(events)) = (&self.resume, &mut self.events) else { return false };
-        if !events.can_resume() {
+        let began = active.attempt.began;
+        let events = self.events.as_mut().filter(|events| events.can_resume());
+        let (Some(resume), Some(events)) = (&self.resume, events) else {
+            self.subject.spawn_record_break(&target, began);
             return false;
-        }
+        };
         events.discard_partial();
-        self.state = State::Resuming(resume.resume(events.last_id(), &target, self.origin));
+        let resumed = resume.resume(events.last_id(), &target, began, self.origin);
+        self.state = State::Resuming(resumed);
         true
     }
 
--- /dev/null
+++ b/crates/direct/src/request/subject.rs
@@ -0,0 +1,47 @@
+//! A request as it is recognized when targets crash under it.
+
+use crate::cluster::suspects::Fingerprint;
+use crate::shared::Shared;
+use crate::targets::target::Target;
+use compact_str::CompactString;
+use std::fmt;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// What of a request is known to the entries when a target crashes under it.
+#[derive(Clone)]
+pub struct Subject {
+    shared: Arc<Shared>,
+    /// The caller's id of this attempt.
+    attempt_id: CompactString,
+    fingerprint: Fingerprint,
+}
+
+impl Subject {
+    /// A request with this fingerprint.
+    pub fn new(shared: Arc<Shared>, attempt_id: CompactString, fingerprint: Fingerprint) -> Self {
+        Self { shared, attempt_id, fingerprint }
+    }
+
+    /// Finds out whether a target crashed that broke off under the request. Whoever sends the
+    /// request again waits for this.
+    pub async fn record_break(&self, target: &Arc<Target>, _began: Instant) {
+        let crashed = target.has_crashed(Instant::now()).await;
+        let crashes = crashed.then(|| self.shared.suspects.record_crash(self.fingerprint));
+        log::info!(target: "request", id = self.attempt_id.as_str(), target_id = target.id.as_str(),
+            key = self.fingerprint, crashed, crashes = crashes.unwrap_or_default();
+            "target broke off under a request");
+    }
+
+    /// As [`Self::record_break`], without waiting.
+    pub fn spawn_record_break(&self, target: &Arc<Target>, began: Instant) {
+        let (subject, target) = (self.clone(), target.clone());
+        tokio::spawn(async move { subject.record_break(&target, began).await });
+    }
+}
+
+impl fmt::Debug for Subject {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Subject").field("fingerprint", &self.fingerprint).finish()
+    }
+}
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -56,6 +56,8 @@
     workload: Arc<Workload>,
     /// Whether a task is probing it.
     probed: AtomicBool,
+    /// The last check whether it had crashed, and its result.
+    crash_check: tokio::sync::Mutex<Option<(Instant, bool)>>,
     /// When this process first observed it. The times passed to `policy` count from then.
     first_seen: Instant,
 }
@@ -149,6 +151,7 @@
             state,
             workload,
             probed: AtomicBool::new(false),
+            crash_check: tokio::sync::Mutex::default(),
             first_seen,
         }
     }
@@ -400,6 +403,19 @@
         false
     }
 
+    /// Whether the target had crashed when a connection to it broke at `broke_at`. All requests
+    /// that were running there ask this at the same time, and share one check.
+    pub async fn has_crashed(self: &Arc<Self>, broke_at: Instant) -> bool {
+        let mut check = self.crash_check.lock().await;
+        if let Some((_, crashed)) = check.filter(|(at, _)| *at >= broke_at) {
+            return crashed;
+        }
+        let at = Instant::now();
+        let crashed = !self.check_listening().await;
+        *check = Some((at, crashed));
+        crashed
+    }
+
     /// Records that whatever responds at its address reported that it is not this target, or not of
     /// this stage.
     ///
