fix(direct): whether a request is refused is asked right before it is written

A request that had crashed three targets was resumed, retried or went on from prefill to decode and crashed a fourth.

Cause: it was asked once, when the request arrived.

Change: attempt::send asks directly before it writes, as it does for pauses and leaving; Outcome::Blocked ends the attempts. The refusal is made only if no attempt may have run.

--- a/crates/direct/src/request/attempts.rs
+++ b/crates/direct/src/request/attempts.rs
@@ -27,6 +27,7 @@
     pub sent: u32,
     unreachable: u32,
     closed: u32,
+    blocked: bool,
     may_have_run: bool,
 }
 
@@ -70,9 +71,14 @@
             self.closed += 1;
             return true;
         }
+        if let Outcome::Blocked = outcome {
+            self.blocked = true;
+            return false;
+        }
         self.sent += 1;
         match outcome {
             Outcome::NotSent(_) | Outcome::NotRun(_) | Outcome::Closed(_) => true,
+            Outcome::Blocked => false,
             Outcome::Responded(responded) => {
                 self.may_have_run = true;
                 responded.response.status().is_server_error() && request.may_retry()
@@ -96,6 +102,9 @@
             let timed_out = Instant::now() >= request.deadline;
             return request.fail(trace, if timed_out { Failure::TimedOut } else { Failure::Lost });
         }
+        if self.blocked {
+            return request.refuse(trace, Refusal::Quarantined, request.route.timeout);
+        }
         let reopening = permits::reopening(request);
         if let Some(soonest) = reopening.soonest.filter(|_| self.sent == 0 || reopening.all_closed)
         {
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -38,8 +38,8 @@
     if let Some(charge) = &request.charge {
         charge.begin_attempt();
     }
-    let outcome =
-        attempt::send(&*request.shared.codec, target, &request.buffered, head, &bounds).await;
+    let (codec, may_send) = (&*request.shared.codec, || request.subject.may_send());
+    let outcome = attempt::send(codec, target, &request.buffered, head, &bounds, &may_send).await;
     if let Some(charge) = &request.charge {
         charge.end_attempt(outcome.may_have_run());
     }
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -43,7 +43,11 @@
             Outcome::Responded(responded) => return step.forward(responded, attempt),
             // The engine may have taken the KV cache.
             Outcome::Unknown(_) => step.prompt_state = PromptState::AnyEngine,
-            Outcome::NotRun(_) | Outcome::NotSent(_) | Outcome::TimedOut | Outcome::Closed(_) => {}
+            Outcome::NotRun(_)
+            | Outcome::NotSent(_)
+            | Outcome::TimedOut
+            | Outcome::Closed(_)
+            | Outcome::Blocked => {}
         }
         if !retry {
             break;
@@ -163,9 +167,11 @@
         let duration = match outcome {
             Outcome::Responded(_) => duration,
             Outcome::NotRun(_) => self.request.unresponsive_after(),
-            Outcome::NotSent(_) | Outcome::Unknown(_) | Outcome::TimedOut | Outcome::Closed(_) => {
-                return;
-            }
+            Outcome::NotSent(_)
+            | Outcome::Unknown(_)
+            | Outcome::TimedOut
+            | Outcome::Closed(_)
+            | Outcome::Blocked => return,
         };
         let now = Instant::now();
         destination.record_transfer(TransferDirection::In, duration, now);
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -177,6 +177,9 @@
         if let Some(cache) = attempt_prefill(request, prompt, placement, trace).await {
             return PrefillResult::Ready(PromptState::Cached(cache));
         }
+        if request.subject.is_refused() {
+            return PrefillResult::Refused(Refusal::Quarantined, request.route.timeout);
+        }
         if Instant::now() >= request.deadline {
             break;
         }
@@ -367,7 +370,8 @@
     let name = outcome.name();
     let duration = began.elapsed();
     trace.record_attempt("read", &engine.id, name, duration);
-    trace.attempts += u32::from(!matches!(outcome, Outcome::NotSent(_) | Outcome::Closed(_)));
+    let is_sent = !matches!(outcome, Outcome::NotSent(_) | Outcome::Closed(_) | Outcome::Blocked);
+    trace.attempts += u32::from(is_sent);
     match outcome {
         Outcome::Responded(responded) => {
             let success = responded.response.status().is_success();
@@ -389,7 +393,7 @@
         }
         Outcome::NotRun(_) => request.shared.record_extra(&request.service.name),
         Outcome::TimedOut | Outcome::Closed(_) => {}
-        Outcome::NotSent(_) => fail_reservation(reservation),
+        Outcome::NotSent(_) | Outcome::Blocked => fail_reservation(reservation),
         Outcome::Unknown(_) => {
             request.subject.record_break(engine, began).await;
             fail_reservation(reservation);
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -70,7 +70,7 @@
         return response::refuse(Refusal::Stopping, OTHER_ENTRY_RETRY_AFTER);
     }
     request.shared.record_request(&request.service.name);
-    if request.shared.suspects.is_blocked(request.fingerprint) {
+    if request.subject.is_refused() {
         trace.end(Refusal::Quarantined.name());
         return response::refuse(Refusal::Quarantined, request.route.timeout);
     }
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -23,6 +23,17 @@
         Self { shared, attempt_id, fingerprint }
     }
 
+    /// Whether the request is to be refused.
+    pub fn is_refused(&self) -> bool {
+        self.shared.suspects.is_blocked(self.fingerprint)
+    }
+
+    /// Whether the request may be sent to a target. To be asked directly before it is written: it
+    /// may have crashed others while it waited.
+    pub fn may_send(&self) -> bool {
+        !self.is_refused()
+    }
+
     /// Finds out whether a target crashed that broke off under the request. Whoever sends the
     /// request again waits for this.
     pub async fn record_break(&self, target: &Arc<Target>, _began: Instant) {
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -31,6 +31,8 @@
     TimedOut,
     /// Nothing was sent: the target accepts no requests now.
     Closed(Closed),
+    /// Nothing was sent: the request is refused at all targets by now.
+    Blocked,
 }
 
 impl Outcome {
@@ -46,6 +48,7 @@
             Self::Closed(Closed::Limited) => "limited",
             Self::Closed(Closed::Leaving) => "leaving",
             Self::Closed(Closed::Paused) => "paused",
+            Self::Blocked => "blocked",
         }
     }
 
@@ -53,7 +56,7 @@
     pub fn may_have_run(&self) -> bool {
         match self {
             Self::Responded(_) | Self::Unknown(_) | Self::TimedOut => true,
-            Self::NotRun(_) | Self::NotSent(_) | Self::Closed(_) => false,
+            Self::NotRun(_) | Self::NotSent(_) | Self::Closed(_) | Self::Blocked => false,
         }
     }
 }
@@ -80,13 +83,15 @@
     pub deadline: Instant,
 }
 
-/// Sends `buffered` to `target` and waits for the head of the response.
+/// Sends `buffered` to `target` and waits for the head of the response. `may_send` is asked directly
+/// before the request is written.
 pub async fn send(
     codec: &dyn Codec,
     target: &Arc<Target>,
     buffered: &BufferedRequest,
     head: &AttemptHead,
     bounds: &Bounds,
+    may_send: &(dyn Fn() -> bool + Sync),
 ) -> Outcome {
     let mut counted = false;
     // An idle connection may turn out to be closed before anything was sent on it. The next one is
@@ -107,6 +112,10 @@
             costs::connection(&target.service, head.step.name());
         }
         let now = Instant::now();
+        if !may_send() {
+            connection.keep(None, now);
+            return Outcome::Blocked;
+        }
         let admitted = if counted { target.recheck(now) } else { target.acquire(now) };
         if let Err(closed) = admitted {
             connection.keep(None, now);
