fix(policy): a request that runs to its end is sound, and a crash counts once

Callers of plain services whose requests are all alike were refused for good after three crashes of their targets, whatever had caused these.

Cause: crashes were merely counted by fingerprint. Two copies on one target, or two entries, made two crashes of one; nothing but 60 s without a crash cleared a request; what ran beside a culprit was counted as well.

Change: policy::poison, a pure ledger. A crash is identified by target and time; crashes count one after the other, so that a rack that is lost counts once; a run to its end clears; crashes of a known culprit count against nothing else. What is refused is a verdict with a version, a single trial ever more rarely, and an end. A break of a target that still accepts connections counts once another target is found in its place.

--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -1,67 +1,94 @@
-//! Requests that are suspected of crashing targets, because they were running when a target
-//! crashed.
+//! Requests that are suspected of crashing targets, see [`policy::poison`]: the crashes that this
+//! entry knows of, what ran to its end here, and the verdicts of all entries.
 
 use crate::buffered_request::BufferedRequest;
 use crate::config::customers::Customer;
-use std::collections::HashMap;
+use policy::poison::completions::Completions;
+use policy::poison::verdicts::{Verdict, Verdicts};
+use policy::poison::{Crash, Culprit, Key, Knowledge, Ledger, Run};
+use policy::{Hash, Time};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Identifies a request by its content, so that retries of it are recognized.
-pub type Fingerprint = u64;
+pub type Fingerprint = Key;
 
-/// The number of crashes from which on a request is blocked. A request that merely ran beside the
-/// one that crashes targets reaches it only if both meet on three targets.
-const BLOCKING_CRASHES: u32 = 3;
-
-/// After this time without another crash a request is no longer suspected. Requests of plain
-/// services often have the same content, and a blocked one never runs, so it could not be cleared
-/// otherwise.
-const SUSPICION_TTL: Duration = Duration::from_secs(60);
-
-/// The number of tracked requests from which on expired ones are removed.
-const MAX_SUSPECTS: usize = 4_096;
-
-/// The suspected requests with their crashes.
+/// What this entry knows of crashes.
 #[derive(Debug, Default)]
-pub struct Suspects(Mutex<State>);
+pub struct Suspects {
+    state: Mutex<State>,
+    /// Whether any request is refused. While none is, no request needs the lock.
+    any_blocked: AtomicBool,
+}
 
 #[derive(Debug, Default)]
 struct State {
-    crashes: HashMap<Fingerprint, Crashes>,
-    /// Crashes seen by this entry that have not been published yet.
+    ledger: Ledger,
+    known: Known,
+    /// The number of crashes without a known target, to tell them apart.
+    anonymous_crashes: u64,
+    /// Requests that are yet to be published, one for each crash.
     unpublished: Vec<Fingerprint>,
+    /// Requests whose target broke off and still accepts connections.
+    unconfirmed: VecDeque<(Crash, Run)>,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    verdicts: Verdicts,
+    completions: Completions,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Crashes {
-    count: u32,
-    last_at: Instant,
+impl Knowledge for Known {
+    fn is_blocked(&self, key: Key) -> bool {
+        self.verdicts.is_blocked(key)
+    }
+
+    fn completed_at(&self, key: Key) -> Option<Time> {
+        self.completions.last(key)
+    }
+}
+
+/// What follows from a run that came to its end.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Refutation {
+    /// Keys that other entries may suspect.
+    pub suspected: Vec<Key>,
+    /// New verdicts on keys that were refused.
+    pub cleared: Vec<Verdict>,
 }
 
 impl Suspects {
-    /// Records that a target crashed while it ran the request; returns the number of crashes so
-    /// far.
-    pub fn record_crash(&self, request: Fingerprint) -> u32 {
+    /// Records requests that were running when a target crashed. Returns what is refused from now
+    /// on.
+    pub fn observe_crash(&self, crash: Crash, runs: &[Run], now: Time) -> Vec<Verdict> {
         let mut state = self.lock();
-        state.unpublished.push(request);
-        state.count(request)
+        let State { ledger, known, .. } = &mut *state;
+        let culprits = ledger.observe(crash, runs, known, now);
+        let verdicts = culprits.into_iter().filter_map(|culprit| known.block(culprit, now));
+        let verdicts = verdicts.collect();
+        self.update(&state);
+        verdicts
     }
 
-    /// Records crashes that another entry has seen.
-    pub fn observe_crashes(&self, requests: &[Fingerprint]) {
-        let mut state = self.lock();
-        for request in requests {
-            state.count(*request);
-        }
+    /// Records a crash of a target that the entry which saw it didn't name.
+    pub fn observe_anonymous_crash(&self, requests: &[Fingerprint], now: Time) -> Vec<Verdict> {
+        let target = {
+            let mut state = self.lock();
+            state.anonymous_crashes += 1;
+            policy::mix(ANONYMOUS, state.anonymous_crashes)
+        };
+        let run = |request: &Fingerprint| Run { request: *request, began: now };
+        let runs: Vec<_> = requests.iter().map(run).collect();
+        self.observe_crash(Crash { target, at: now }, &runs, now)
     }
 
-    /// Returns whether the request is refused.
-    pub fn is_blocked(&self, request: Fingerprint) -> bool {
-        let state = self.lock();
-        let crashes = state.crashes.get(&request);
-        crashes.is_some_and(|c| c.count >= BLOCKING_CRASHES && c.last_at.elapsed() < SUSPICION_TTL)
+    /// Records a crash that this entry saw.
+    pub fn record_crash(&self, crash: Crash, run: &Run, now: Time) {
+        self.observe_crash(crash, std::slice::from_ref(run), now);
+        self.lock().unpublished.push(run.request);
     }
 
     /// Takes the crashes that have not been published yet, but only the newest `max`.
@@ -72,24 +99,149 @@
         unpublished
     }
 
+    /// Records that a target broke off under a request and still accepts connections. Another one
+    /// may have started in its place.
+    pub fn record_unconfirmed(&self, crash: Crash, run: Run) {
+        let mut state = self.lock();
+        state.unconfirmed.push_back((crash, run));
+        if state.unconfirmed.len() > MAX_UNCONFIRMED {
+            state.unconfirmed.pop_front();
+        }
+    }
+
+    /// Returns what a target broke off lately, now that another one was found in its place.
+    pub fn confirm(&self, target: Hash, now: Time) -> Vec<(Crash, Run)> {
+        let mut state = self.lock();
+        if state.unconfirmed.is_empty() {
+            return Vec::new();
+        }
+        let unconfirmed = std::mem::take(&mut state.unconfirmed);
+        let recent = unconfirmed
+            .into_iter()
+            .filter(|(crash, _)| now.saturating_sub(crash.at) <= UNCONFIRMED_TTL);
+        let (confirmed, rest) = recent.partition(|(crash, _)| crash.target == target);
+        state.unconfirmed = rest;
+        Vec::from(confirmed)
+    }
+
+    /// Records that keys ran to their end at this entry.
+    pub fn record_completion(&self, keys: &[Key], now: Time) -> Refutation {
+        let mut state = self.lock();
+        for key in keys {
+            state.known.completions.record(*key, now);
+        }
+        let refutation = state.refute(keys, now);
+        self.update(&state);
+        refutation
+    }
+
+    /// Records that keys ran to their end at another entry. Returns new verdicts on keys that were
+    /// refused.
+    pub fn observe_completions(&self, keys: &[(Key, Time)], now: Time) -> Vec<Verdict> {
+        let mut state = self.lock();
+        let mut cleared = Vec::new();
+        for (key, at) in keys {
+            state.known.completions.record(*key, *at);
+            state.ledger.clear(*key, *at);
+            let verdicts = &mut state.known.verdicts;
+            if verdicts.get(*key).is_some_and(|verdict| *at > verdict.since) {
+                cleared.extend(verdicts.clear(*key, now));
+            }
+        }
+        self.update(&state);
+        cleared
+    }
+
+    /// Applies verdicts of other entries. Returns the keys that ran to their end here after the
+    /// first crash that counted against them, with the time; their verdicts are refuted.
+    pub fn merge(&self, verdicts: &[Verdict], now: Time) -> Vec<(Key, Time)> {
+        let mut state = self.lock();
+        let mut refuted = Vec::new();
+        for verdict in verdicts {
+            if !state.known.verdicts.merge(*verdict, now) {
+                continue;
+            }
+            if !verdict.blocked {
+                state.ledger.clear(verdict.key, verdict.decided_at);
+            } else if let Some(at) = state.known.completions.last(verdict.key)
+                && at > verdict.since
+            {
+                state.known.verdicts.clear(verdict.key, now);
+                refuted.push((verdict.key, at));
+            }
+        }
+        self.update(&state);
+        refuted
+    }
+
+    /// Returns whether requests with this key are refused.
+    pub fn is_blocked(&self, key: Key) -> bool {
+        self.any_blocked.load(Ordering::Relaxed) && self.lock().known.verdicts.is_blocked(key)
+    }
+
+    /// Whether a trial of a refused key is due.
+    pub fn is_trial_due(&self, key: Key, now: Time) -> bool {
+        self.lock().known.verdicts.is_trial_due(key, now)
+    }
+
+    /// Allows one trial of a refused key if it is due.
+    pub fn begin_trial(&self, key: Key, now: Time) -> Option<Verdict> {
+        self.lock().known.verdicts.begin_trial(key, now)
+    }
+
+    /// Returns the next `count` verdicts in turn, to be told to other entries.
+    pub fn take_turn(&self, count: usize, now: Time) -> Vec<Verdict> {
+        let mut state = self.lock();
+        let turn = state.known.verdicts.take_turn(count, now);
+        self.update(&state);
+        turn
+    }
+
+    /// Returns the verdicts by which requests are refused.
+    pub fn blocked(&self) -> Vec<Verdict> {
+        if !self.any_blocked.load(Ordering::Relaxed) {
+            return Vec::new();
+        }
+        self.lock().known.verdicts.blocked()
+    }
+
+    fn update(&self, state: &State) {
+        self.any_blocked.store(state.known.verdicts.blocked_count() > 0, Ordering::Relaxed);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+/// The maximum number of breaks of targets that still accept connections.
+const MAX_UNCONFIRMED: usize = 256;
+
+/// For how long such a break may turn out as a crash.
+const UNCONFIRMED_TTL: Duration = Duration::from_secs(3);
+
+/// Stands for the targets of crashes without a known one.
+const ANONYMOUS: u64 = 0x616E_6F6E;
+
 impl State {
-    fn count(&mut self, request: Fingerprint) -> u32 {
-        let now = Instant::now();
-        if self.crashes.len() >= MAX_SUSPECTS {
-            self.crashes.retain(|_, crashes| now.duration_since(crashes.last_at) < SUSPICION_TTL);
-        }
-        let crashes = self.crashes.entry(request).or_insert(Crashes { count: 0, last_at: now });
-        if now.duration_since(crashes.last_at) >= SUSPICION_TTL {
-            crashes.count = 0;
+    fn refute(&mut self, keys: &[Key], now: Time) -> Refutation {
+        let mut refutation = Refutation::default();
+        for key in keys {
+            let was_suspect = self.ledger.clear(*key, now);
+            let cleared = self.known.verdicts.clear(*key, now);
+            if was_suspect || cleared.is_some() {
+                refutation.suspected.push(*key);
+            }
+            refutation.cleared.extend(cleared);
         }
-        crashes.count += 1;
-        crashes.last_at = now;
-        crashes.count
+        refutation
+    }
+}
+
+impl Known {
+    /// Refuses a culprit, unless it has run to its end since.
+    fn block(&mut self, culprit: Culprit, now: Time) -> Option<Verdict> {
+        self.verdicts.block(culprit.key, culprit.since, now)
     }
 }
 
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -277,7 +277,7 @@
         }
         Some(Kind::SuspectedRequests(SuspectedRequests { entry, requests })) => {
             if entry != shared.settings.name {
-                shared.suspects.observe_crashes(&requests);
+                shared.suspects.observe_anonymous_crash(&requests, shared.time());
             }
             Effect::Change
         }
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::targets::attempt::{self, Outcome};
 use crate::targets::engine::StreamGuard;
 use crate::targets::target::Target;
-use http::Response;
+use http::{Response, StatusCode};
 use policy::signals::Closed;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -40,6 +40,9 @@
     }
     let (codec, may_send) = (&*request.shared.codec, || request.subject.may_send());
     let outcome = attempt::send(codec, target, &request.buffered, head, &bounds, &may_send).await;
+    if let Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) = outcome {
+        request.subject.confirm_crash(target);
+    }
     if let Some(charge) = &request.charge {
         charge.end_attempt(outcome.may_have_run());
     }
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -99,6 +99,7 @@
     body: Incoming,
     framing: Framing,
     is_event_stream: bool,
+    is_success: bool,
     connection: Connection,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
@@ -247,10 +248,13 @@
     }
 
     fn finish(&mut self) {
-        if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done)
-            && active.framing != Framing::Connection
-        {
-            active.connection.keep(active.keep_alive, Instant::now());
+        if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) {
+            if active.is_success {
+                self.subject.record_completion();
+            }
+            if active.framing != Framing::Connection {
+                active.connection.keep(active.keep_alive, Instant::now());
+            }
         }
         self.trace.end(COMPLETE);
     }
@@ -311,14 +315,15 @@
     fn new(source: Source) -> Self {
         let Source { responded, attempt } = source;
         let Responded { response, head, connection } = *responded;
-        let is_event_stream =
-            response.status().is_success() && framing::is_event_stream(response.headers());
+        let is_success = response.status().is_success();
+        let is_event_stream = is_success && framing::is_event_stream(response.headers());
         let framing = Framing::of(response.body(), response.headers());
         let body = response.into_body();
         Self {
             body,
             framing,
             is_event_stream,
+            is_success,
             connection,
             keep_alive: head.keep_alive,
             attempt,
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -4,6 +4,7 @@
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::CompactString;
+use policy::poison::{Crash, Run};
 use std::fmt;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -36,12 +37,32 @@
 
     /// Finds out whether a target crashed that broke off under the request. Whoever sends the
     /// request again waits for this.
-    pub async fn record_break(&self, target: &Arc<Target>, _began: Instant) {
-        let crashed = target.has_crashed(Instant::now()).await;
-        let crashes = crashed.then(|| self.shared.suspects.record_crash(self.fingerprint));
+    pub async fn record_break(&self, target: &Arc<Target>, began: Instant) {
+        let (broke_at, began) = (Instant::now(), self.shared.time_at(began));
+        let crash = Crash { target: target.key, at: self.shared.time_at(broke_at) };
+        let run = Run { request: self.fingerprint, began };
+        let crashed = target.has_crashed(broke_at).await;
         log::info!(target: "request", id = self.attempt_id.as_str(), target_id = target.id.as_str(),
-            key = self.fingerprint, crashed, crashes = crashes.unwrap_or_default();
-            "target broke off under a request");
+            key = self.fingerprint, crashed; "target broke off under a request");
+        if crashed {
+            self.shared.suspects.record_crash(crash, &run, self.shared.time());
+        } else {
+            self.shared.suspects.record_unconfirmed(crash, run);
+        }
+    }
+
+    /// Records that another target was found in the place of one, which has crashed if it broke off
+    /// lately.
+    pub fn confirm_crash(&self, target: &Target) {
+        let now = self.shared.time();
+        for (crash, run) in self.shared.suspects.confirm(target.key, now) {
+            self.shared.suspects.record_crash(crash, &run, now);
+        }
+    }
+
+    /// Records that the request ran to its end.
+    pub fn record_completion(&self) {
+        self.shared.suspects.record_completion(&[self.fingerprint], self.shared.time());
     }
 
     /// As [`Self::record_break`], without waiting.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -313,6 +313,11 @@
         self.started.elapsed()
     }
 
+    /// A point in time, for decisions in [`policy`].
+    pub fn time_at(&self, at: Instant) -> policy::Time {
+        at.saturating_duration_since(self.started)
+    }
+
     /// The number of entries that share the work, as far as known.
     pub fn entries(&self) -> u32 {
         self.entries.load(Ordering::Relaxed).max(1)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pace;
 pub mod pacing;
 pub mod pause;
+pub mod poison;
 pub mod prefill;
 pub mod promise;
 pub mod quarantine;
--- /dev/null
+++ b/crates/policy/tests/poison.rs
@@ -0,0 +1,179 @@
+//! What is found to crash targets, and what is not.
+
+use policy::Time;
+use policy::poison::completions::Completions;
+use policy::poison::verdicts::{Verdict, Verdicts};
+use policy::poison::{Crash, Culprit, Key, Knowledge, Ledger, Run, Settings};
+use std::time::Duration;
+
+const POISON: Key = 7;
+
+#[derive(Default)]
+struct Known {
+    blocked: Vec<Key>,
+    completions: Completions,
+}
+
+impl Knowledge for Known {
+    fn is_blocked(&self, key: Key) -> bool {
+        self.blocked.contains(&key)
+    }
+
+    fn completed_at(&self, key: Key) -> Option<Time> {
+        self.completions.last(key)
+    }
+}
+
+fn ms(millis: u64) -> Time {
+    Duration::from_millis(millis)
+}
+
+/// Requests that began 20 ms before the crash of a target.
+fn observe(ledger: &mut Ledger, known: &Known, target: u64, at: u64, keys: &[Key]) -> Vec<Culprit> {
+    let run = |key: &Key| Run { request: *key, began: ms(at - 20) };
+    let runs: Vec<_> = keys.iter().map(run).collect();
+    ledger.observe(Crash { target, at: ms(at) }, &runs, known, ms(at))
+}
+
+#[test]
+fn third_crash_one_after_the_other_makes_a_culprit() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    assert_eq!(observe(&mut ledger, &known, 1, 1_000, &[POISON, 1]), []);
+    assert_eq!(observe(&mut ledger, &known, 2, 2_000, &[POISON, 2]), []);
+    let culprit = Culprit { key: POISON, since: ms(1_000), crashes: 3 };
+    assert_eq!(observe(&mut ledger, &known, 3, 3_000, &[POISON, 1]), [culprit]);
+}
+
+/// Two entries and ten copies see the same crash.
+#[test]
+fn one_crash_counts_once_for_all_who_saw_it() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    for delay in 0..10 {
+        assert_eq!(observe(&mut ledger, &known, 1, 1_000 + delay, &[POISON]), []);
+    }
+    assert_eq!(observe(&mut ledger, &known, 2, 2_000, &[POISON]), []);
+}
+
+/// A rack is lost while all its targets run requests that are alike.
+#[test]
+fn targets_that_crash_together_count_once() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    for target in 0..20 {
+        assert_eq!(observe(&mut ledger, &known, target, 1_000 + target, &[POISON]), []);
+    }
+}
+
+/// A request that runs to its end anywhere crashes nothing.
+#[test]
+fn crashes_before_a_completion_do_not_count() {
+    let (mut ledger, mut known) = (Ledger::new(Settings::default()), Known::default());
+    observe(&mut ledger, &known, 1, 1_000, &[POISON]);
+    observe(&mut ledger, &known, 2, 2_000, &[POISON]);
+    known.completions.record(POISON, ms(2_500));
+    assert!(ledger.clear(POISON, ms(2_500)));
+    assert_eq!(observe(&mut ledger, &known, 3, 3_000, &[POISON]), []);
+    // A report of an earlier crash that arrives late.
+    assert_eq!(observe(&mut ledger, &known, 4, 2_100, &[POISON]), []);
+    assert_eq!(observe(&mut ledger, &known, 5, 4_000, &[POISON]), []);
+    assert_eq!(observe(&mut ledger, &known, 6, 5_000, &[POISON]).len(), 1);
+}
+
+/// A sound request that its caller repeats is there at two crashes of the culprit and at one more.
+#[test]
+fn crashes_of_a_culprit_do_not_count_against_others() {
+    let (mut ledger, mut known) = (Ledger::new(Settings::default()), Known::default());
+    observe(&mut ledger, &known, 1, 1_000, &[POISON, 1]);
+    observe(&mut ledger, &known, 2, 2_000, &[POISON, 1]);
+    assert_eq!(observe(&mut ledger, &known, 3, 3_000, &[POISON])[0].key, POISON);
+    known.blocked.push(POISON);
+    assert_eq!(observe(&mut ledger, &known, 4, 4_000, &[1]), []);
+    assert_eq!(observe(&mut ledger, &known, 5, 5_000, &[1]), []);
+    // Under the trial of a culprit, too.
+    assert_eq!(observe(&mut ledger, &known, 6, 6_000, &[POISON, 1]), []);
+    assert_eq!(observe(&mut ledger, &known, 7, 7_000, &[1]).len(), 1);
+}
+
+#[test]
+fn crashes_that_are_too_old_do_not_count() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    observe(&mut ledger, &known, 1, 1_000, &[POISON]);
+    observe(&mut ledger, &known, 2, 2_000, &[POISON]);
+    assert_eq!(observe(&mut ledger, &known, 3, 62_000, &[POISON]), []);
+}
+
+/// Callers send ever new requests to targets that keep crashing.
+#[test]
+fn memory_is_bounded() {
+    let settings = Settings { max_keys: 1_000, ..Settings::default() };
+    let (mut ledger, known) = (Ledger::new(settings), Known::default());
+    for number in 0..2_000 {
+        let keys: Vec<Key> = (0..10).map(|key| 1_000 + number * 10 + key).collect();
+        observe(&mut ledger, &known, number, 1_000 + number, &keys);
+        assert!(ledger.len() <= 1_000);
+    }
+    let latest = 1_000 + 1_999 * 10;
+    assert!(ledger.is_suspect(latest), "the latest crashes are kept");
+}
+
+fn blocked(key: Key) -> (Verdicts, Verdict) {
+    let mut verdicts = Verdicts::default();
+    let verdict = verdicts.block(key, ms(900), ms(1_000)).expect("the key is not refused");
+    (verdicts, verdict)
+}
+
+/// Verdicts reach entries late, twice, and in any order.
+#[test]
+fn newer_version_of_a_verdict_replaces_an_older_one_in_any_order() {
+    let (mut one, block) = blocked(POISON);
+    let clear = one.clear(POISON, ms(2_000)).expect("the key is refused");
+    for order in [[block, clear, block], [clear, block, clear]] {
+        let mut other = Verdicts::default();
+        for verdict in order {
+            other.merge(verdict, ms(2_100));
+        }
+        assert!(!other.is_blocked(POISON));
+        assert!(other.block(POISON, ms(3_000), ms(3_000)).is_some_and(|v| v.version == 3));
+    }
+}
+
+#[test]
+fn verdict_that_is_known_is_no_news() {
+    let (_, block) = blocked(POISON);
+    let mut other = Verdicts::default();
+    assert!(other.merge(block, ms(1_100)));
+    assert!(!other.merge(block, ms(1_200)));
+}
+
+#[test]
+fn trials_come_ever_more_rarely() {
+    let (mut verdicts, _) = blocked(POISON);
+    let seconds = (1..=240).map(Duration::from_secs);
+    let trials = seconds.filter(|now| verdicts.begin_trial(POISON, *now).is_some());
+    let trials: Vec<u64> = trials.map(|at| at.as_secs()).collect();
+    assert_eq!(trials, [11, 51, 211]);
+    assert!(verdicts.is_blocked(POISON));
+}
+
+#[test]
+fn verdicts_are_told_in_turn_and_forgotten_in_the_end() {
+    let mut verdicts = Verdicts::default();
+    for key in 0..5 {
+        verdicts.block(key, ms(1), ms(2));
+    }
+    let mut told: Vec<Key> = Vec::new();
+    for _ in 0..3 {
+        told.extend(verdicts.take_turn(2, ms(3)).iter().map(|verdict| verdict.key));
+    }
+    assert_eq!(told, [0, 1, 2, 3, 4, 0]);
+    assert_eq!(verdicts.take_turn(2, Duration::from_secs(601)), []);
+}
+
+#[test]
+fn verdicts_are_bounded_and_the_latest_are_kept() {
+    let mut verdicts = Verdicts::default();
+    for key in 0..2_000 {
+        verdicts.block(key, ms(key), ms(key));
+    }
+    assert_eq!(verdicts.blocked_count(), 1_024);
+    assert!(verdicts.is_blocked(1_999) && !verdicts.is_blocked(0));
+}
