fix(direct): entries tell each other of crashes themselves

Each entry counted for itself while the store was away, an append that failed was dropped for good, and an entry that had started later knew nothing.

Cause: crashes were told through the store's log alone, once.

Change: exchange::crashes. What ran at a crash goes to two holders by consistent hashing, one datagram for each entry that saw it; a verdict goes to all along the tree of entries, and the state that entries send each other anyway repeats it. A verdict that is refuted by a run to the end here is cleared at once. Entries that all start at once read verdicts in the store; notices of earlier builds still count.

Costs: nothing while nothing crashes; a crash costs its requests' rows (about 20 bytes each) to two holders, a verdict one datagram an entry.

--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -1,6 +1,7 @@
 //! The state that each entry sends to the others by datagram, see [`crate::cluster::peers`].
 
 use crate::cluster::member_updates::MemberUpdate;
+use crate::cluster::messages::VerdictRow;
 use crate::cluster::tail::{ReadId, ReadStatus, TOPICS};
 use crate::targets::pace::PaceRow;
 use policy::pace::Report;
@@ -46,6 +47,9 @@
     /// The time that engines take per piece, as the entry measured it.
     #[prost(message, optional, tag = "11")]
     pub paces: Option<Paces>,
+    /// Some of the verdicts on requests that crash targets.
+    #[prost(message, repeated, tag = "12")]
+    pub verdicts: Vec<VerdictRow>,
 }
 
 /// The time that engines take per piece, as columns of equal length: about 14 bytes per engine.
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -6,9 +6,11 @@
 //! tags: each decoder ignores the fields of the other type. Engines, targets and services are
 //! identified by the lower half of their hashes; 0 identifies none.
 
+mod crashes;
 mod origins;
 mod quota;
 
+pub use crashes::{CompletionRow, CrashEvidence, RunRow, VerdictRow, Verdicts};
 pub use origins::{OriginAnswer, OriginRequest, StreamOrigins};
 pub use quota::{
     CustomerLimit, QuotaDecision, QuotaGranted, QuotaRefused, QuotaRenewal, QuotaRequest,
@@ -31,7 +33,7 @@
     /// The message; none if the datagram is of another type or from a newer version.
     #[prost(
         oneof = "Payload",
-        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33"
+        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35"
     )]
     pub payload: Option<Payload>,
 }
@@ -94,6 +96,12 @@
     /// Requests the version at which a stream began.
     #[prost(message, tag = "33")]
     OriginRequest(OriginRequest),
+    /// Tells what was running when a target crashed, see [`crate::exchange::crashes`].
+    #[prost(message, tag = "34")]
+    CrashEvidence(CrashEvidence),
+    /// Tells which requests are refused because they crash targets.
+    #[prost(message, tag = "35")]
+    Verdicts(Verdicts),
 }
 
 impl Payload {
@@ -118,6 +126,8 @@
             Self::QuotaReturn(_) => "quota-return",
             Self::StreamOrigins(_) => "origins",
             Self::OriginRequest(_) => "origin-request",
+            Self::CrashEvidence(_) => "crash-evidence",
+            Self::Verdicts(_) => "verdicts",
         }
     }
 }
--- a/crates/direct/src/cluster/origins.rs
+++ b/crates/direct/src/cluster/origins.rs
@@ -122,6 +122,14 @@
         datagrams.collect()
     }
 
+    /// Returns the entries that hold what is known of a key, this one included if it does.
+    pub fn holders(&self, key: Hash, members: &Arc<[Member]>) -> Vec<Member> {
+        let mut inner = self.lock();
+        inner.renew_ring(members);
+        let holders = inner.ring.holders(key, None, HOLDERS);
+        holders.into_iter().map(|at| inner.members[at]).collect()
+    }
+
     /// Returns the entries to ask where a stream began.
     pub fn asked(&self, stream: StreamKey, members: &Arc<[Member]>) -> Vec<Member> {
         let mut inner = self.lock();
--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -29,8 +29,8 @@
     known: Known,
     /// The number of crashes without a known target, to tell them apart.
     anonymous_crashes: u64,
-    /// Requests that are yet to be published, one for each crash.
-    unpublished: Vec<Fingerprint>,
+    /// What other entries are yet to be told.
+    unsent: Vec<(Crash, Run)>,
     /// Requests whose target broke off and still accepts connections.
     unconfirmed: VecDeque<(Crash, Run)>,
 }
@@ -85,18 +85,16 @@
         self.observe_crash(Crash { target, at: now }, &runs, now)
     }
 
-    /// Records a crash that this entry saw.
-    pub fn record_crash(&self, crash: Crash, run: &Run, now: Time) {
-        self.observe_crash(crash, std::slice::from_ref(run), now);
-        self.lock().unpublished.push(run.request);
+    /// Queues a run for other entries. Returns whether the queue was empty.
+    pub fn queue(&self, crash: Crash, run: Run) -> bool {
+        let mut state = self.lock();
+        state.unsent.push((crash, run));
+        state.unsent.len() == 1
     }
 
-    /// Takes the crashes that have not been published yet, but only the newest `max`.
-    pub fn take_unpublished(&self, max: usize) -> Vec<Fingerprint> {
-        let mut unpublished = std::mem::take(&mut self.lock().unpublished);
-        let excess = unpublished.len().saturating_sub(max);
-        unpublished.drain(..excess);
-        unpublished
+    /// Takes the queued runs.
+    pub fn take_queue(&self) -> Vec<(Crash, Run)> {
+        std::mem::take(&mut self.lock().unsent)
     }
 
     /// Records that a target broke off under a request and still accepts connections. Another one
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -137,7 +137,7 @@
             addresses.peers,
             stop.clone(),
         ));
-        tasks.spawn(entry_stream::publish_suspects(shared.clone(), log.clone()));
+        tasks.spawn(entry_stream::publish_verdicts(shared.clone(), log.clone()));
         tasks.spawn(entry_stream::follow(shared.clone(), log.clone(), updates));
         tasks.spawn(membership::run(shared.clone(), addresses.peers, stop.clone()));
         tasks.spawn(quota::run(shared.clone(), addresses.peers, stop.clone()));
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -4,6 +4,7 @@
 pub mod catch_up;
 pub mod compression;
 pub mod coordination;
+pub mod crashes;
 pub mod dissemination;
 pub mod entry_stream;
 pub mod follow;
--- a/crates/direct/src/exchange/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -47,7 +47,9 @@
         | Payload::QuotaRenewal(_)
         | Payload::QuotaReturn(_)
         | Payload::StreamOrigins(_)
-        | Payload::OriginRequest(_) => None,
+        | Payload::OriginRequest(_)
+        | Payload::CrashEvidence(_)
+        | Payload::Verdicts(_) => None,
     }
 }
 
--- /dev/null
+++ b/crates/direct/src/exchange/crashes.rs
@@ -0,0 +1,174 @@
+//! Tells other entries which requests were running when targets crashed, and which are refused from
+//! then on, see [`policy::poison`].
+//!
+//! **Load pattern.** A target crashes with the requests of many entries, and each of them sees its
+//! own; the request that did it comes back at any entry, within milliseconds. **Without this**, each
+//! entry counts for itself. **Approach.** Each entry tells two holders what ran there, and these two
+//! count. Who finds a culprit sends the verdict to all along a tree; the state that entries send
+//! each other anyway repeats it, for those that missed it. Nothing is sent while nothing crashes, and
+//! the store isn't needed. It gets a copy, for the case that all entries are started at once.
+
+use crate::cluster::groups::Member;
+use crate::cluster::messages::{CrashEvidence, KeyRange, Payload, VerdictRow, Verdicts};
+use crate::exchange::dissemination;
+use crate::shared::Shared;
+use policy::dissemination::{FAN_OUT, Range};
+use policy::poison::verdicts::Verdict;
+use policy::poison::{Crash, Key, Run};
+use policy::{Hash, Time};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The place on the ring of entries whose holders count crashes.
+const LEDGER: Hash = 0x63_7261_7368_6573;
+
+/// How long runs are collected before they are sent: the connections to a crashed target break
+/// within a few milliseconds.
+const COLLECT: Duration = Duration::from_millis(3);
+
+/// The maximum number of runs or completions in one datagram.
+const MAX_ROWS: usize = 48;
+
+/// The maximum number of verdicts in the state that an entry sends.
+const MAX_VERDICTS: usize = 8;
+
+/// Records that a request was running when a target crashed, and tells the holders.
+pub fn report(shared: &Arc<Shared>, crash: Crash, run: Run) {
+    shared.metrics.suspects("crash");
+    publish(
+        shared,
+        &shared.suspects.observe_crash(crash, std::slice::from_ref(&run), shared.time()),
+    );
+    if !shared.suspects.queue(crash, run) {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(COLLECT).await;
+        send_queue(&shared);
+    });
+}
+
+/// Reports what a target broke off lately: another one was found in its place.
+pub fn confirm(shared: &Arc<Shared>, target: Hash) {
+    for (crash, run) in shared.suspects.confirm(target, shared.time()) {
+        report(shared, crash, run);
+    }
+}
+
+fn send_queue(shared: &Shared) {
+    let (mut queue, now) = (shared.suspects.take_queue(), shared.time());
+    queue.sort_by_key(|(crash, _)| crash.target);
+    for chunk in queue.chunk_by(|(one, _), (other, _)| one.target == other.target) {
+        let Some((crash, _)) = chunk.first() else { continue };
+        let runs: Vec<Run> = chunk.iter().map(|(_, run)| run.clone()).collect();
+        for runs in runs.chunks(MAX_ROWS) {
+            send_to_holders(shared, &CrashEvidence::new(*crash, runs, now));
+        }
+    }
+}
+
+fn send_to_holders(shared: &Shared, evidence: &CrashEvidence) {
+    for address in holders(shared).iter().filter_map(|holder| holder.address) {
+        shared.peer_socket.send(Payload::CrashEvidence(evidence.clone()), address);
+    }
+}
+
+fn holders(shared: &Shared) -> Vec<Member> {
+    shared.origins.holders(LEDGER, &shared.peers.members())
+}
+
+/// Whether this entry is the one that allows trials.
+pub fn allows_trials(shared: &Shared) -> bool {
+    holders(shared).first().is_none_or(|holder| holder.address.is_none())
+}
+
+/// Records that keys ran to their end here, and tells the others if they were suspected.
+pub fn record_completion(shared: &Shared, keys: &[Key]) {
+    let now = shared.time();
+    let refutation = shared.suspects.record_completion(keys, now);
+    publish(shared, &refutation.cleared);
+    if !refutation.suspected.is_empty() {
+        let completions: Vec<_> = refutation.suspected.iter().map(|key| (*key, now)).collect();
+        tell_completions(shared, &completions);
+    }
+}
+
+fn tell_completions(shared: &Shared, completions: &[(Key, Time)]) {
+    for completions in completions.chunks(MAX_ROWS) {
+        let evidence = CrashEvidence::of_completions(completions, shared.time());
+        send_to_holders(shared, &evidence);
+    }
+}
+
+/// Applies what another entry saw.
+pub fn receive_evidence(shared: &Shared, evidence: &CrashEvidence) {
+    let now = shared.time();
+    publish(shared, &shared.suspects.observe_completions(&evidence.completions(now), now));
+    if !evidence.runs.is_empty() {
+        let (crash, runs) = (evidence.crash(now), evidence.runs(now));
+        publish(shared, &shared.suspects.observe_crash(crash, &runs, now));
+    }
+}
+
+/// Tells all other entries new verdicts.
+pub fn publish(shared: &Shared, verdicts: &[Verdict]) {
+    if verdicts.is_empty() {
+        return;
+    }
+    for verdict in verdicts {
+        log_verdict(shared, verdict);
+    }
+    let now = shared.time();
+    let rows: Vec<_> = verdicts.iter().map(|verdict| VerdictRow::new(verdict, now)).collect();
+    for rows in rows.chunks(MAX_ROWS) {
+        dissemination::broadcast(shared, |range| {
+            Payload::Verdicts(Verdicts { rows: rows.to_vec(), range })
+        });
+    }
+}
+
+fn log_verdict(shared: &Shared, verdict: &Verdict) {
+    let event = match (verdict.blocked, verdict.trials) {
+        (false, _) => "cleared",
+        (true, 0) => "blocked",
+        (true, _) => "trial",
+    };
+    shared.metrics.suspects(event);
+    let since_ms = shared.time().saturating_sub(verdict.since).as_millis();
+    log::warn!(target: "request", key = verdict.key, version = verdict.version, event, since_ms,
+        trials = verdict.trials; "verdict on a suspect");
+}
+
+/// Applies verdicts, after passing them on.
+pub fn receive_verdicts(shared: &Shared, message: Verdicts) {
+    let Verdicts { rows, range } = message;
+    if let Some(KeyRange { first, last }) = range {
+        dissemination::pass_on(shared, Range { first, last }, FAN_OUT, |range| {
+            Payload::Verdicts(Verdicts { rows: rows.clone(), range })
+        });
+    }
+    merge(shared, &rows);
+}
+
+/// Applies verdicts, and tells the holders which of them are refuted by what ran to its end here.
+pub fn merge(shared: &Shared, rows: &[VerdictRow]) {
+    if rows.is_empty() {
+        return;
+    }
+    let now = shared.time();
+    let verdicts: Vec<_> = rows.iter().map(|row| row.verdict(now)).collect();
+    let refuted = shared.suspects.merge(&verdicts, now);
+    if refuted.is_empty() {
+        return;
+    }
+    shared.metrics.suspects("refuted");
+    tell_completions(shared, &refuted);
+}
+
+/// Returns the verdicts that go with the next state of this entry.
+pub fn rows(shared: &Shared) -> Vec<VerdictRow> {
+    let now = shared.time();
+    let verdicts = shared.suspects.take_turn(MAX_VERDICTS, now);
+    verdicts.iter().map(|verdict| VerdictRow::new(verdict, now)).collect()
+}
--- a/crates/direct/src/exchange/dissemination.rs
+++ b/crates/direct/src/exchange/dissemination.rs
@@ -84,15 +84,32 @@
     position(policy::hash(&shared.settings.domain), shared.key())
 }
 
-/// Passes a message on to the entries in a range.
+/// Passes records on to the entries in a range.
 fn relay(shared: &Shared, message: &LogRecords, range: Range) {
-    let ring = shared.peers.directory.ring();
-    let fan_out = usize::try_from(message.fan_out).unwrap_or(usize::MAX).clamp(2, FAN_OUT);
+    let fan_out = usize::try_from(message.fan_out).unwrap_or(usize::MAX);
+    pass_on(shared, range, fan_out, |range| {
+        Payload::LogRecords(LogRecords { range, ..message.clone() })
+    });
+}
+
+/// Sends a message to all other entries along a tree.
+pub fn broadcast(shared: &Shared, message: impl Fn(Option<KeyRange>) -> Payload) {
+    pass_on(shared, Range::all_but(own_position(shared)), FAN_OUT, message);
+}
+
+/// Passes a message on to the entries in a range. Each recipient is told in which part of the range
+/// it passes the message on itself, if any.
+pub fn pass_on(
+    shared: &Shared,
+    range: Range,
+    fan_out: usize,
+    message: impl Fn(Option<KeyRange>) -> Payload,
+) {
+    let (ring, fan_out) = (shared.peers.directory.ring(), fan_out.clamp(2, FAN_OUT));
     for delegate in delegates(&ring.recipients, own_position(shared), range, fan_out) {
         let Some(address) = ring.addresses[delegate.index] else { continue };
         let range = delegate.range.map(|Range { first, last }| KeyRange { first, last });
-        let message = LogRecords { range, ..message.clone() };
-        shared.peer_socket.send(Payload::LogRecords(message), address);
+        shared.peer_socket.send(message(range), address);
     }
 }
 
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -7,8 +7,10 @@
 
 mod reader;
 
+use crate::cluster::messages::VerdictRow;
 use crate::codec::TargetId;
-use crate::exchange::notice::{self, Heartbeat, Kind, Plan, SuspectedRequests};
+use crate::exchange::crashes;
+use crate::exchange::notice::{self, Heartbeat, Kind, Plan, WrittenVerdicts};
 use crate::shared::Shared;
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset};
@@ -40,13 +42,15 @@
 /// The maximum number of records per read.
 const MAX_RECORDS: usize = 512;
 
-/// The interval at which suspected requests are published: shorter than the seconds after which a
-/// request is retried.
-const SUSPECTS_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval at which it is checked whether verdicts are to be written.
+const VERDICTS_INTERVAL: Duration = Duration::from_millis(500);
 
-/// The maximum number of suspected requests per record: those that ran on one engine when it
-/// crashed.
-const MAX_SUSPECTS: usize = 64;
+/// The interval at which verdicts are written again while they last: the log keeps records for as
+/// little as 20 seconds.
+const VERDICTS_REWRITE: Duration = Duration::from_secs(8);
+
+/// The maximum number of verdicts per record.
+const MAX_VERDICTS: usize = 128;
 
 /// The state of the cluster as far as the stream was read.
 #[derive(Debug, Clone, Default)]
@@ -112,15 +116,25 @@
     }
 }
 
-/// Publishes requests that were running when a target crashed.
-pub async fn publish_suspects(shared: Arc<Shared>, log: Arc<dyn KeyedLog>) {
+/// Writes which requests are refused, while this entry is the one that does: entries that are all
+/// started at once have nobody to tell them.
+pub async fn publish_verdicts(shared: Arc<Shared>, log: Arc<dyn KeyedLog>) {
+    let (mut written, mut written_at) = (0, Instant::now());
     loop {
-        tokio::time::sleep(SUSPECTS_INTERVAL).await;
-        let requests = shared.suspects.take_unpublished(MAX_SUSPECTS);
-        if !requests.is_empty() {
-            let entry = shared.settings.name.to_string();
-            write(&*log, Kind::SuspectedRequests(SuspectedRequests { entry, requests })).await;
+        tokio::time::sleep(VERDICTS_INTERVAL).await;
+        let mut verdicts = shared.suspects.blocked();
+        if verdicts.is_empty() || !crashes::allows_trials(&shared) {
+            written = 0;
+            continue;
+        }
+        if verdicts.len() == written && written_at.elapsed() < VERDICTS_REWRITE {
+            continue;
         }
+        (written, written_at) = (verdicts.len(), Instant::now());
+        verdicts.sort_unstable_by_key(|verdict| verdict.decided_at);
+        let (now, latest) = (shared.time(), verdicts.iter().rev().take(MAX_VERDICTS));
+        let rows = latest.map(|verdict| VerdictRow::new(verdict, now)).collect();
+        write(&*log, Kind::Verdicts(WrittenVerdicts { rows })).await;
     }
 }
 
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -4,8 +4,8 @@
     MAX_RECORDS, PLAN_RETENTION, READ_INTERVAL, READ_WAIT, STREAM, StreamView, expect_changes,
 };
 use crate::cluster::tail::{self, FollowStep, Retry, Topic};
-use crate::exchange::notice::{Heartbeat, Kind, Notice, Plan, SuspectedRequests};
-use crate::exchange::{catch_up, dissemination, membership};
+use crate::exchange::notice::{Heartbeat, Kind, Notice, Plan, SuspectedRequests, WrittenVerdicts};
+use crate::exchange::{catch_up, crashes, dissemination, membership};
 use crate::shared::Shared;
 use crate::targets::target::STAGE_CHANGE_TIMEOUT;
 use compact_str::CompactString;
@@ -277,10 +277,16 @@
         }
         Some(Kind::SuspectedRequests(SuspectedRequests { entry, requests })) => {
             if entry != shared.settings.name {
-                shared.suspects.observe_anonymous_crash(&requests, shared.time());
+                let now = shared.time();
+                crashes::publish(shared, &shared.suspects.observe_anonymous_crash(&requests, now));
             }
             Effect::Change
         }
+        // Entries tell each other verdicts by datagram; those that start read them here.
+        Some(Kind::Verdicts(WrittenVerdicts { rows })) => {
+            crashes::merge(shared, &rows);
+            Effect::Nothing
+        }
         // A kind of a newer version.
         None => Effect::Nothing,
     }
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -19,7 +19,7 @@
 use crate::cluster::messages::{ConfigRequest, Envelope, Payload, RecordsRequest};
 use crate::cluster::peers::Recipients;
 use crate::cluster::tail::Topic;
-use crate::exchange::{catch_up, coordination, dissemination, membership, origins, quota};
+use crate::exchange::{catch_up, coordination, crashes, dissemination, membership, origins, quota};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
 use crate::targets::availability::{Reason, Unavailable};
 use bytes::Bytes;
@@ -69,6 +69,7 @@
         let members = member_updates(&shared, addresses.len());
         let paces = shared.workload.paces.snapshot(Instant::now());
         let paces = (!paces.is_empty()).then(|| Paces::new(&paces));
+        let verdicts = crashes::rows(&shared);
         let state = EntryState {
             entry,
             incarnation,
@@ -80,6 +81,7 @@
             unavailable,
             members,
             paces,
+            verdicts,
         };
         let datagram = Bytes::from(state.encode_to_vec());
         shared.peer_socket.count_sent("state", datagram.len(), addresses.len());
@@ -183,12 +185,15 @@
     let (entry, reads, now) = (state.entry, std::mem::take(&mut state.reads), Instant::now());
     let unavailable = std::mem::take(&mut state.unavailable);
     let paces = state.paces.take().unwrap_or_default();
+    let verdicts = std::mem::take(&mut state.verdicts);
     shared.usage.clock.observe(entry, state.clock);
     if shared.peers.observe(state, &shared.loads, now) {
         apply_reads(shared, entry, &reads, now);
         apply_unavailable(shared, &unavailable, now);
         shared.workload.paces.merge(&paces.rows(), now);
     }
+    // A verdict has a version of its own.
+    crashes::merge(shared, &verdicts);
 }
 
 fn encode_unavailable(Unavailable { target, reason }: Unavailable) -> UnavailableTarget {
@@ -248,6 +253,8 @@
         }
         Payload::StreamOrigins(message) => shared.origins.observe(&message, Instant::now()),
         Payload::OriginRequest(request) => origins::respond(shared, &request, from),
+        Payload::CrashEvidence(evidence) => crashes::receive_evidence(shared, &evidence),
+        Payload::Verdicts(verdicts) => crashes::receive_verdicts(shared, verdicts),
         Payload::QuotaRequest(_)
         | Payload::QuotaResponse(_)
         | Payload::QuotaRenewal(_)
--- a/crates/direct/src/exchange/notice.rs
+++ b/crates/direct/src/exchange/notice.rs
@@ -1,5 +1,6 @@
 //! The records of the entries' stream, see [`crate::exchange::entry_stream`].
 
+use crate::cluster::messages::VerdictRow;
 use crate::codec::TargetId;
 use crate::config::route::Stage;
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Notice {
     /// The content; none if it is of a newer version.
-    #[prost(oneof = "Kind", tags = "1, 2, 3")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
     pub kind: Option<Kind>,
 }
 
@@ -24,9 +25,12 @@
     /// orders.
     #[prost(message, tag = "2")]
     Plan(Plan),
-    /// Requests were running when a target crashed.
+    /// Requests were running when a target crashed; earlier builds write it.
     #[prost(message, tag = "3")]
     SuspectedRequests(SuspectedRequests),
+    /// Requests are refused because they crash targets.
+    #[prost(message, tag = "4")]
+    Verdicts(WrittenVerdicts),
 }
 
 /// The heartbeat of an entry.
@@ -79,6 +83,14 @@
     pub requests: Vec<u64>,
 }
 
+/// Verdicts on requests that crash targets.
+#[derive(Clone, PartialEq, Message)]
+pub struct WrittenVerdicts {
+    /// The verdicts, as of the time of the record.
+    #[prost(message, repeated, tag = "1")]
+    pub rows: Vec<VerdictRow>,
+}
+
 impl Plan {
     /// Returns the age of the plan at this time of day of the cluster, if known.
     pub fn age(&self, now: Duration) -> Option<Duration> {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -129,6 +129,7 @@
     prompt_tokens: Family<KindLabel, Counter>,
     orders: Family<KindLabel, Counter>,
     permits: Family<KindLabel, Counter>,
+    suspects: Family<KindLabel, Counter>,
     limits: Family<TargetLabel, Gauge<f64, AtomicU64>>,
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     ages: Family<KindLabel, Gauge<f64, AtomicU64>>,
@@ -187,6 +188,7 @@
             prompt_tokens: Family::default(),
             orders: Family::default(),
             permits: Family::default(),
+            suspects: Family::default(),
             limits: Family::default(),
             piece_times: Family::default(),
             ages: Family::default(),
@@ -242,6 +244,9 @@
         to.register("prompt_tokens", tokens, self.prompt_tokens.clone());
         let permits = "Questions for permits to send to targets that named a limit";
         to.register("permits", permits, self.permits.clone());
+        let suspects =
+            "Crashes of targets under requests, and verdicts on requests that crash them";
+        to.register("suspects", suspects, self.suspects.clone());
         let limits = "Requests a second that targets said to take in";
         to.register("target_limit", limits, self.limits.clone());
         let piece_times = "Time per piece that engines take, usually and in bad moments";
@@ -428,6 +433,11 @@
         self.permits.get_or_create(&KindLabel { kind: kind.into() }).inc();
     }
 
+    /// Counts crashes under requests and what follows from them, by event.
+    pub fn suspects(&self, event: &'static str) {
+        self.suspects.get_or_create(&KindLabel { kind: event.into() }).inc();
+    }
+
     /// Sets the rate limit that a target reports, or removes it.
     pub fn limit(&self, target: &str, rate: Option<f64>) {
         let target = TargetLabel { target: target.into() };
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -2,6 +2,7 @@
 //! the response.
 
 use crate::codec::AttemptHead;
+use crate::exchange::crashes;
 use crate::request::context::RequestContext;
 use crate::request::permits::{self, Permit};
 use crate::request::relay::{ActiveAttempt, Relay, Resume, Source};
@@ -41,7 +42,7 @@
     let (codec, may_send) = (&*request.shared.codec, || request.subject.may_send());
     let outcome = attempt::send(codec, target, &request.buffered, head, &bounds, &may_send).await;
     if let Outcome::NotRun(StatusCode::MISDIRECTED_REQUEST) = outcome {
-        request.subject.confirm_crash(target);
+        crashes::confirm(&request.shared, target.key);
     }
     if let Some(charge) = &request.charge {
         charge.end_attempt(outcome.may_have_run());
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -1,12 +1,14 @@
-//! A request as it is recognized when targets crash under it.
+//! A request as it is recognized when targets crash under it, see [`policy::poison`].
 
 use crate::cluster::suspects::Fingerprint;
+use crate::exchange::crashes;
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::CompactString;
 use policy::poison::{Crash, Run};
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::time::Instant;
 
 /// What of a request is known to the entries when a target crashes under it.
@@ -16,28 +18,49 @@
     /// The caller's id of this attempt.
     attempt_id: CompactString,
     fingerprint: Fingerprint,
+    /// Whether this attempt is the trial of a request that is refused otherwise.
+    in_trial: Arc<AtomicBool>,
 }
 
 impl Subject {
     /// A request with this fingerprint.
     pub fn new(shared: Arc<Shared>, attempt_id: CompactString, fingerprint: Fingerprint) -> Self {
-        Self { shared, attempt_id, fingerprint }
+        Self { shared, attempt_id, fingerprint, in_trial: Arc::default() }
     }
 
     /// Whether the request is to be refused.
     pub fn is_refused(&self) -> bool {
-        self.shared.suspects.is_blocked(self.fingerprint)
+        self.is_blocked() && !self.is_trial_due()
     }
 
     /// Whether the request may be sent to a target. To be asked directly before it is written: it
-    /// may have crashed others while it waited.
+    /// may have crashed others while it waited. A trial begins here.
     pub fn may_send(&self) -> bool {
-        !self.is_refused()
+        if !self.is_blocked() {
+            return true;
+        }
+        let allowed = self
+            .is_trial_due()
+            .then(|| self.shared.suspects.begin_trial(self.fingerprint, self.shared.time()));
+        let Some(verdict) = allowed.flatten() else { return false };
+        self.in_trial.store(true, Ordering::Relaxed);
+        crashes::publish(&self.shared, &[verdict]);
+        true
+    }
+
+    fn is_blocked(&self) -> bool {
+        self.shared.suspects.is_blocked(self.fingerprint) && !self.in_trial.load(Ordering::Relaxed)
+    }
+
+    fn is_trial_due(&self) -> bool {
+        crashes::allows_trials(&self.shared)
+            && self.shared.suspects.is_trial_due(self.fingerprint, self.shared.time())
     }
 
-    /// Finds out whether a target crashed that broke off under the request. Whoever sends the
-    /// request again waits for this.
+    /// Finds out whether a target crashed that broke off under the request, which was sent to it at
+    /// `began`, and tells the others. Whoever sends the request again waits for this.
     pub async fn record_break(&self, target: &Arc<Target>, began: Instant) {
+        self.in_trial.store(false, Ordering::Relaxed);
         let (broke_at, began) = (Instant::now(), self.shared.time_at(began));
         let crash = Crash { target: target.key, at: self.shared.time_at(broke_at) };
         let run = Run { request: self.fingerprint, began };
@@ -45,31 +68,22 @@
         log::info!(target: "request", id = self.attempt_id.as_str(), target_id = target.id.as_str(),
             key = self.fingerprint, crashed; "target broke off under a request");
         if crashed {
-            self.shared.suspects.record_crash(crash, &run, self.shared.time());
+            crashes::report(&self.shared, crash, run);
         } else {
             self.shared.suspects.record_unconfirmed(crash, run);
         }
     }
 
-    /// Records that another target was found in the place of one, which has crashed if it broke off
-    /// lately.
-    pub fn confirm_crash(&self, target: &Target) {
-        let now = self.shared.time();
-        for (crash, run) in self.shared.suspects.confirm(target.key, now) {
-            self.shared.suspects.record_crash(crash, &run, now);
-        }
-    }
-
-    /// Records that the request ran to its end.
-    pub fn record_completion(&self) {
-        self.shared.suspects.record_completion(&[self.fingerprint], self.shared.time());
-    }
-
     /// As [`Self::record_break`], without waiting.
     pub fn spawn_record_break(&self, target: &Arc<Target>, began: Instant) {
         let (subject, target) = (self.clone(), target.clone());
         tokio::spawn(async move { subject.record_break(&target, began).await });
     }
+
+    /// Records that the request ran to its end.
+    pub fn record_completion(&self) {
+        crashes::record_completion(&self.shared, &[self.fingerprint]);
+    }
 }
 
 impl fmt::Debug for Subject {
