feat(direct): a break of a target tells the parts of the prompt and how far the request was

No line named the parts of a prompt, so requests that share one could not be told from requests that share nothing, nor a run that had just begun from one that had been answering for seconds.

--- a/crates/direct/src/request/attempts.rs
+++ b/crates/direct/src/request/attempts.rs
@@ -4,6 +4,7 @@
 use crate::request::context::{RequestContext, TARGET_RETRY_AFTER};
 use crate::request::permits;
 use crate::request::response::{Body, Failure, Refusal};
+use crate::request::subject::Progress;
 use crate::request::trace::Trace;
 use crate::targets::attempt::Outcome;
 use crate::targets::target::Target;
@@ -85,7 +86,7 @@
             }
             Outcome::Unknown(_) => {
                 self.may_have_run = true;
-                request.subject.record_break(target, began).await;
+                request.subject.record_break(target, began, Progress::Sent).await;
                 request.may_retry()
             }
             Outcome::TimedOut => {
--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -78,7 +78,7 @@
         let deadline = arrived + timeout;
         let usage_counted = AtomicBool::new(false);
         let attempt_id = head.attempt_id.as_deref().unwrap_or_default().into();
-        let subject = Subject::new(shared.clone(), attempt_id, fingerprint);
+        let subject = Subject::new(shared.clone(), attempt_id, fingerprint, head.prompt.as_ref());
         Some(Self {
             shared,
             buffered,
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -11,6 +11,7 @@
 use crate::request::prefill_placement::{self, ReservedEngine, SearchResult};
 use crate::request::reservation::Reservation;
 use crate::request::response::Refusal;
+use crate::request::subject::Progress;
 use crate::request::trace::Trace;
 use crate::targets::attempt::{self, Outcome};
 use crate::targets::target::{Target, TransferDirection};
@@ -377,7 +378,7 @@
             let success = responded.response.status().is_success();
             let Some(id) = read_handle(request, *responded).await.filter(|_| success) else {
                 if success {
-                    request.subject.record_break(engine, began).await;
+                    request.subject.record_break(engine, began, Progress::Prefill).await;
                 }
                 return None;
             };
@@ -395,7 +396,7 @@
         Outcome::TimedOut | Outcome::Closed(_) => {}
         Outcome::NotSent(_) | Outcome::Blocked => fail_reservation(reservation),
         Outcome::Unknown(_) => {
-            request.subject.record_break(engine, began).await;
+            request.subject.record_break(engine, began, Progress::Prefill).await;
             fail_reservation(reservation);
         }
     }
--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -5,7 +5,7 @@
 use crate::request::context::RequestContext;
 use crate::request::dispatch;
 use crate::request::permits::Permit;
-use crate::request::relay::{Resume, Source};
+use crate::request::relay::{Break, Resume, Source};
 use crate::request::take_up::{self, Required};
 use crate::targets::attempt::Outcome;
 use crate::targets::target::Target;
@@ -42,14 +42,14 @@
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
-        began: Instant,
+        broken: Break,
         origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>> {
         let (request, failed) = (self.request.clone(), failed.clone());
         let allowed = self.attempts < request.route.max_attempts;
         let required = origin.map_or(request.required, Required::Version);
         Box::pin(async move {
-            request.subject.record_break(&failed, began).await;
+            request.subject.record_break(&failed, broken.began, broken.progress).await;
             if !allowed {
                 return None;
             }
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::request::events::EventBuffer;
 use crate::request::reservation::Reservation;
-use crate::request::subject::Subject;
+use crate::request::subject::{Progress, Subject};
 use crate::request::trace::{BodyEnd, COMPLETE, Trace};
 use crate::targets::attempt::Responded;
 use crate::targets::engine::{PrefillGuard, StreamGuard};
@@ -57,19 +57,28 @@
     pub attempt: ActiveAttempt,
 }
 
+/// How an attempt broke off.
+#[derive(Debug, Clone, Copy)]
+pub struct Break {
+    /// When the attempt began.
+    pub began: Instant,
+    /// How far it had come.
+    pub progress: Progress,
+}
+
 /// Finds another target for the rest of a stream.
 pub trait Resume: Send {
     /// Records that the first event of the stream came from a target.
     fn record_origin(&self, target: &Target);
 
     /// Resumes the stream at another target after the event with this id; `None` if that is not
-    /// possible. The attempt at the one that failed began at `began`. If events were forwarded, the
-    /// target needs the software version of the one that they came from.
+    /// possible. If events were forwarded, the target needs the software version of the one that they
+    /// came from.
     fn resume(
         &self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
-        began: Instant,
+        broken: Break,
         origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>>;
 }
@@ -100,6 +109,8 @@
     framing: Framing,
     is_event_stream: bool,
     is_success: bool,
+    /// When the head arrived.
+    answered_at: Instant,
     connection: Connection,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
@@ -274,14 +285,15 @@
         let target = active.attempt.target.clone();
         target.record_health(Health::Failing, Instant::now());
         self.trace.record_broken_response(&target.id, detail);
-        let began = active.attempt.began;
+        let progress = Progress::Answered(active.answered_at.elapsed());
+        let broken = Break { began: active.attempt.began, progress };
         let events = self.events.as_mut().filter(|events| events.can_resume());
         let (Some(resume), Some(events)) = (&self.resume, events) else {
-            self.subject.spawn_record_break(&target, began);
+            self.subject.spawn_record_break(&target, broken.began, progress);
             return false;
         };
         events.discard_partial();
-        let resumed = resume.resume(events.last_id(), &target, began, self.origin);
+        let resumed = resume.resume(events.last_id(), &target, broken, self.origin);
         self.state = State::Resuming(resumed);
         true
     }
@@ -324,6 +336,7 @@
             framing,
             is_event_stream,
             is_success,
+            answered_at: Instant::now(),
             connection,
             keep_alive: head.keep_alive,
             attempt,
