fix(direct): attempts without any event count against the route's attempts

One attempt of a caller at a route with two attempts crashed every decode engine there was, one after the other.

Cause: the resumer compared the attempts before the first response, which never grow, so a stream that broke off before its first event was resumed without end.

Change: engines that a stream was sent to count until an event arrives.

--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -22,14 +22,19 @@
 /// Resumes a broken stream at another engine.
 pub(super) struct StreamResumer {
     request: Arc<RequestContext>,
-    /// Engines that the request was sent to so far.
+    /// Engines that the request was sent to before the first response.
+    first_attempts: u32,
+    /// Engines that it was sent to since the last event.
     attempts: u32,
+    /// The last event when it was last resumed.
+    resumed_after: Option<u64>,
 }
 
 impl StreamResumer {
     /// For a request that was sent to this many engines.
     pub(super) fn boxed(request: &Arc<RequestContext>, attempts: u32) -> Box<dyn Resume> {
-        Box::new(Self { request: request.clone(), attempts })
+        let first_attempts = attempts;
+        Box::new(Self { request: request.clone(), first_attempts, attempts, resumed_after: None })
     }
 }
 
@@ -39,14 +44,19 @@
     }
 
     fn resume(
-        &self,
+        &mut self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
         broken: Break,
         origin: Option<Version>,
     ) -> Pin<Box<dyn Future<Output = Option<Source>> + Send>> {
         let (request, failed) = (self.request.clone(), failed.clone());
+        if last_event_id != self.resumed_after {
+            self.attempts = self.first_attempts;
+        }
         let allowed = self.attempts < request.route.max_attempts;
+        self.attempts += 1;
+        self.resumed_after = last_event_id;
         let required = origin.map_or(request.required, Required::Version);
         Box::pin(async move {
             request.subject.record_break(&failed, broken.began, broken.progress).await;
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -75,7 +75,7 @@
     /// possible. If events were forwarded, the target needs the software version of the one that they
     /// came from.
     fn resume(
-        &self,
+        &mut self,
         last_event_id: Option<u64>,
         failed: &Arc<Target>,
         broken: Break,
@@ -288,7 +288,7 @@
         let progress = Progress::Answered(active.answered_at.elapsed());
         let broken = Break { began: active.attempt.began, progress };
         let events = self.events.as_mut().filter(|events| events.can_resume());
-        let (Some(resume), Some(events)) = (&self.resume, events) else {
+        let (Some(resume), Some(events)) = (&mut self.resume, events) else {
             self.subject.spawn_record_break(&target, broken.began, progress);
             return false;
         };
