fix(policy): a part of prompts that crashes engines is refused

Cause: the identity was too narrow. Only whole requests were recognized, so each request that held the part started from nothing.

Change: the ledger's keys are requests and the parts of their prompts but the last. A part is charged only while an answer is about to begin on it, and refuted by any answer that ran to its end or went on for half a second. It needs two different requests; a part that others build on twice as many crashes, and its crashes no longer count once a later part explains them. The same path tells it to all entries, asks before each send and allows trials.

--- a/crates/direct/src/cluster/messages/crashes.rs
+++ b/crates/direct/src/cluster/messages/crashes.rs
@@ -34,6 +34,9 @@
     /// How long ago it was sent.
     #[prost(uint64, tag = "2")]
     pub age: u64,
+    /// The parts of its prompt on which an answer was about to begin.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub parts: Vec<u64>,
 }
 
 /// A key that ran to its end.
@@ -84,7 +87,11 @@
 impl CrashEvidence {
     /// Encodes what ran at a crash.
     pub fn new(crash: Crash, runs: &[Run], now: Time) -> Self {
-        let row = |run: &Run| RunRow { request: run.request, age: age(run.began, now) };
+        let row = |run: &Run| RunRow {
+            request: run.request,
+            age: age(run.began, now),
+            parts: run.parts.clone(),
+        };
         let runs = runs.iter().map(row).collect();
         let (target, age) = (crash.target, age(crash.at, now));
         Self { target, age, runs, completions: Vec::new() }
@@ -103,7 +110,11 @@
 
     /// Decodes what ran there.
     pub fn runs(&self, now: Time) -> Vec<Run> {
-        let run = |row: &RunRow| Run { request: row.request, began: time(row.age, now) };
+        let run = |row: &RunRow| Run {
+            request: row.request,
+            parts: row.parts.clone(),
+            began: time(row.age, now),
+        };
         self.runs.iter().map(run).collect()
     }
 
--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -1,5 +1,5 @@
-//! Requests that are suspected of crashing targets, see [`policy::poison`]: the crashes that this
-//! entry knows of, what ran to its end here, and the verdicts of all entries.
+//! Requests, and parts of prompts, that are suspected of crashing targets, see [`policy::poison`]: the
+//! crashes that this entry knows of, what ran to its end here, and the verdicts of all entries.
 
 use crate::buffered_request::BufferedRequest;
 use crate::config::customers::Customer;
@@ -80,7 +80,7 @@
             state.anonymous_crashes += 1;
             policy::mix(ANONYMOUS, state.anonymous_crashes)
         };
-        let run = |request: &Fingerprint| Run { request: *request, began: now };
+        let run = |request: &Fingerprint| Run { request: *request, parts: Vec::new(), began: now };
         let runs: Vec<_> = requests.iter().map(run).collect();
         self.observe_crash(Crash { target, at: now }, &runs, now)
     }
@@ -174,17 +174,32 @@
 
     /// Returns whether requests with this key are refused.
     pub fn is_blocked(&self, key: Key) -> bool {
-        self.any_blocked.load(Ordering::Relaxed) && self.lock().known.verdicts.is_blocked(key)
+        self.is_any_blocked(&[key])
     }
 
-    /// Whether a trial of a refused key is due.
-    pub fn is_trial_due(&self, key: Key, now: Time) -> bool {
-        self.lock().known.verdicts.is_trial_due(key, now)
+    /// Returns whether requests with any of these keys are refused.
+    pub fn is_any_blocked(&self, keys: &[Key]) -> bool {
+        self.any_blocked.load(Ordering::Relaxed) && {
+            let state = self.lock();
+            keys.iter().any(|key| state.known.verdicts.is_blocked(*key))
+        }
+    }
+
+    /// Whether a trial is due of all of these keys that are refused.
+    pub fn is_trial_due(&self, keys: &[Key], now: Time) -> bool {
+        let state = self.lock();
+        let verdicts = &state.known.verdicts;
+        let mut blocked = keys.iter().filter(|key| verdicts.is_blocked(**key));
+        blocked.all(|key| verdicts.is_trial_due(*key, now))
     }
 
-    /// Allows one trial of a refused key if it is due.
-    pub fn begin_trial(&self, key: Key, now: Time) -> Option<Verdict> {
-        self.lock().known.verdicts.begin_trial(key, now)
+    /// Allows one trial of the keys that are refused, if it is due of all of them.
+    pub fn begin_trial(&self, keys: &[Key], now: Time) -> Vec<Verdict> {
+        if !self.is_trial_due(keys, now) {
+            return Vec::new();
+        }
+        let mut state = self.lock();
+        keys.iter().filter_map(|key| state.known.verdicts.begin_trial(*key, now)).collect()
     }
 
     /// Returns the next `count` verdicts in turn, to be told to other entries.
--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -1,4 +1,4 @@
-//! Tells other entries which requests were running when targets crashed, and which are refused from
+//! Tells other entries which requests were running when targets crashed, and what is refused from
 //! then on, see [`policy::poison`].
 //!
 //! **Load pattern.** A target crashes with the requests of many entries, and each of them sees its
@@ -12,6 +12,7 @@
 use crate::cluster::messages::{CrashEvidence, KeyRange, Payload, VerdictRow, Verdicts};
 use crate::exchange::dissemination;
 use crate::shared::Shared;
+use compact_str::format_compact;
 use policy::dissemination::{FAN_OUT, Range};
 use policy::poison::verdicts::Verdict;
 use policy::poison::{Crash, Key, Run};
@@ -26,9 +27,12 @@
 /// within a few milliseconds.
 const COLLECT: Duration = Duration::from_millis(3);
 
-/// The maximum number of runs or completions in one datagram.
+/// The maximum number of rows in one datagram.
 const MAX_ROWS: usize = 48;
 
+/// The maximum number of keys in the rows of one datagram.
+const MAX_KEYS: usize = 128;
+
 /// The maximum number of verdicts in the state that an entry sends.
 const MAX_VERDICTS: usize = 8;
 
@@ -61,10 +65,18 @@
     queue.sort_by_key(|(crash, _)| crash.target);
     for chunk in queue.chunk_by(|(one, _), (other, _)| one.target == other.target) {
         let Some((crash, _)) = chunk.first() else { continue };
-        let runs: Vec<Run> = chunk.iter().map(|(_, run)| run.clone()).collect();
-        for runs in runs.chunks(MAX_ROWS) {
-            send_to_holders(shared, &CrashEvidence::new(*crash, runs, now));
+        let mut runs: Vec<Run> = Vec::new();
+        let mut keys = 0;
+        for (_, run) in chunk {
+            let more = run.parts.len() + 1;
+            if !runs.is_empty() && (keys + more > MAX_KEYS || runs.len() == MAX_ROWS) {
+                send_to_holders(shared, &CrashEvidence::new(*crash, &runs, now));
+                (runs, keys) = (Vec::new(), 0);
+            }
+            runs.push(run.clone());
+            keys += more;
         }
+        send_to_holders(shared, &CrashEvidence::new(*crash, &runs, now));
     }
 }
 
@@ -136,7 +148,7 @@
     };
     shared.metrics.suspects(event);
     let since_ms = shared.time().saturating_sub(verdict.since).as_millis();
-    log::warn!(target: "request", key = verdict.key, version = verdict.version, event, since_ms,
+    log::warn!(target: "request", key = format_compact!("{:x}", verdict.key).as_str(), version = verdict.version, event, since_ms,
         trials = verdict.trials; "verdict on a suspect");
 }
 
--- a/crates/direct/src/request/context.rs
+++ b/crates/direct/src/request/context.rs
@@ -78,7 +78,8 @@
         let deadline = arrived + timeout;
         let usage_counted = AtomicBool::new(false);
         let attempt_id = head.attempt_id.as_deref().unwrap_or_default().into();
-        let subject = Subject::new(shared.clone(), attempt_id, fingerprint, head.prompt.as_ref());
+        let (service_name, prompt) = (&service.name, head.prompt.as_ref());
+        let subject = Subject::new(shared.clone(), attempt_id, fingerprint, service_name, prompt);
         Some(Self {
             shared,
             buffered,
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -3,7 +3,7 @@
 
 use crate::request::events::EventBuffer;
 use crate::request::reservation::Reservation;
-use crate::request::subject::{Progress, Subject};
+use crate::request::subject::{BEGINNING, Progress, Subject};
 use crate::request::trace::{BodyEnd, COMPLETE, Trace};
 use crate::targets::attempt::Responded;
 use crate::targets::engine::{PrefillGuard, StreamGuard};
@@ -111,6 +111,8 @@
     is_success: bool,
     /// When the head arrived.
     answered_at: Instant,
+    /// Whether it is known to have gone on beyond its beginning.
+    is_begun: bool,
     connection: Connection,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
@@ -231,6 +233,10 @@
             active.attempt.prefill = None;
             active.attempt.target.record_activity(Instant::now());
             active.record_piece(&bytes, Instant::now());
+            if active.is_success && !active.is_begun && active.answered_at.elapsed() >= BEGINNING {
+                active.is_begun = true;
+                self.subject.record_begun();
+            }
         }
         let bytes = match &mut self.events {
             Some(events) => events.push(&bytes),
@@ -337,6 +343,7 @@
             is_event_stream,
             is_success,
             answered_at: Instant::now(),
+            is_begun: false,
             connection,
             keep_alive: head.keep_alive,
             attempt,
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -1,12 +1,13 @@
 //! A request as it is recognized when targets crash under it, see [`policy::poison`].
 
 use crate::cluster::suspects::Fingerprint;
-use crate::codec::{Part, Prompt};
+use crate::codec::{PartId, Prompt};
+use crate::config::route::ServiceName;
 use crate::exchange::crashes;
 use crate::shared::Shared;
 use crate::targets::target::Target;
 use compact_str::{CompactString, format_compact};
-use policy::poison::{Crash, Run};
+use policy::poison::{Crash, Key, Run};
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,9 +20,11 @@
     shared: Arc<Shared>,
     /// The caller's id of this attempt.
     attempt_id: CompactString,
-    fingerprint: Fingerprint,
-    /// The parts of its prompt that others may share: all but the last one.
-    parts: Arc<[Part]>,
+    /// What may be harmful: the request, and then the parts of its prompt that others may share, in
+    /// their order.
+    keys: Arc<[Key]>,
+    /// The ids of these parts.
+    parts: Arc<[PartId]>,
     /// Whether this attempt is the trial of a request that is refused otherwise.
     in_trial: Arc<AtomicBool>,
 }
@@ -37,7 +40,23 @@
     Answered(Duration),
 }
 
+/// A request whose answer has gone on for this long doesn't crash its target by a part of its prompt:
+/// such a part does so as the answer begins.
+pub const BEGINNING: Duration = Duration::from_millis(500);
+
+/// The maximum number of parts of one prompt that are considered.
+const MAX_PARTS: usize = 32;
+
 impl Progress {
+    /// Whether a part of the prompt may have crashed the target.
+    fn is_beginning(self) -> bool {
+        match self {
+            Self::Prefill => false,
+            Self::Sent => true,
+            Self::Answered(since_head) => since_head < BEGINNING,
+        }
+    }
+
     fn name(self) -> &'static str {
         match self {
             Self::Prefill => "prefill",
@@ -55,16 +74,21 @@
 }
 
 impl Subject {
-    /// A request with this fingerprint and prompt.
+    /// A request to a service with this fingerprint and prompt.
     pub fn new(
         shared: Arc<Shared>,
         attempt_id: CompactString,
         fingerprint: Fingerprint,
+        service: &ServiceName,
         prompt: Option<&Prompt>,
     ) -> Self {
         let parts = prompt.and_then(|prompt| prompt.parts.split_last());
-        let parts = parts.map_or(&[][..], |(_, shared)| shared).into();
-        Self { shared, attempt_id, fingerprint, parts, in_trial: Arc::default() }
+        let parts = parts.map_or(&[][..], |(_, shared)| shared).iter().take(MAX_PARTS);
+        let parts: Arc<[PartId]> = parts.map(|part| part.id).collect();
+        let service = policy::hash(service);
+        let part_keys = parts.iter().map(|id| policy::mix(service, *id));
+        let keys = std::iter::once(fingerprint).chain(part_keys).collect();
+        Self { shared, attempt_id, keys, parts, in_trial: Arc::default() }
     }
 
     /// Whether the request is to be refused.
@@ -78,22 +102,22 @@
         if !self.is_blocked() {
             return true;
         }
-        let allowed = self
-            .is_trial_due()
-            .then(|| self.shared.suspects.begin_trial(self.fingerprint, self.shared.time()));
-        let Some(verdict) = allowed.flatten() else { return false };
-        self.in_trial.store(true, Ordering::Relaxed);
-        crashes::publish(&self.shared, &[verdict]);
-        true
+        if !crashes::allows_trials(&self.shared) {
+            return false;
+        }
+        let trials = self.shared.suspects.begin_trial(&self.keys, self.shared.time());
+        crashes::publish(&self.shared, &trials);
+        self.in_trial.store(!trials.is_empty(), Ordering::Relaxed);
+        !trials.is_empty()
     }
 
     fn is_blocked(&self) -> bool {
-        self.shared.suspects.is_blocked(self.fingerprint) && !self.in_trial.load(Ordering::Relaxed)
+        self.shared.suspects.is_any_blocked(&self.keys) && !self.in_trial.load(Ordering::Relaxed)
     }
 
     fn is_trial_due(&self) -> bool {
         crashes::allows_trials(&self.shared)
-            && self.shared.suspects.is_trial_due(self.fingerprint, self.shared.time())
+            && self.shared.suspects.is_trial_due(&self.keys, self.shared.time())
     }
 
     /// Finds out whether a target crashed that broke off under the request, which was sent to it at
@@ -102,11 +126,12 @@
         self.in_trial.store(false, Ordering::Relaxed);
         let (broke_at, began) = (Instant::now(), self.shared.time_at(began));
         let crash = Crash { target: target.key, at: self.shared.time_at(broke_at) };
-        let run = Run { request: self.fingerprint, began };
+        let parts = if progress.is_beginning() { self.keys[1..].to_vec() } else { Vec::new() };
+        let run = Run { request: self.keys[0], parts, began };
         let crashed = target.has_crashed(broke_at).await;
         log::info!(target: "request", id = self.attempt_id.as_str(), target_id = target.id.as_str(),
-            key = self.fingerprint, crashed, progress = progress.name(),
-            head_ms = progress.since_head().as_millis(), parts = self.part_ids().as_str();
+            keys = list(&self.keys).as_str(), crashed, progress = progress.name(),
+            head_ms = progress.since_head().as_millis(), parts = list(&self.parts).as_str();
             "target broke off under a request");
         if crashed {
             crashes::report(&self.shared, crash, run);
@@ -121,24 +146,29 @@
         tokio::spawn(async move { subject.record_break(&target, began, progress).await });
     }
 
-    /// The ids of its parts, for logs.
-    fn part_ids(&self) -> CompactString {
-        let mut ids = CompactString::default();
-        for part in self.parts.iter() {
-            let separator = if ids.is_empty() { "" } else { "," };
-            ids.push_str(&format_compact!("{separator}{:x}", part.id));
-        }
-        ids
-    }
-
     /// Records that the request ran to its end.
     pub fn record_completion(&self) {
-        crashes::record_completion(&self.shared, &[self.fingerprint]);
+        crashes::record_completion(&self.shared, &self.keys);
+    }
+
+    /// Records that the answer has gone on for longer than [`BEGINNING`].
+    pub fn record_begun(&self) {
+        crashes::record_completion(&self.shared, &self.keys[1..]);
+    }
+}
+
+/// Hashes or ids as logs name them.
+fn list(ids: &[u64]) -> CompactString {
+    let mut text = CompactString::default();
+    for id in ids {
+        let separator = if text.is_empty() { "" } else { "," };
+        text.push_str(&format_compact!("{separator}{id:x}"));
     }
+    text
 }
 
 impl fmt::Debug for Subject {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.debug_struct("Subject").field("fingerprint", &self.fingerprint).finish()
+        formatter.debug_struct("Subject").field("keys", &self.keys).finish()
     }
 }
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -30,7 +30,7 @@
 
 /// Requests that began 20 ms before the crash of a target.
 fn observe(ledger: &mut Ledger, known: &Known, target: u64, at: u64, keys: &[Key]) -> Vec<Culprit> {
-    let run = |key: &Key| Run { request: *key, began: ms(at - 20) };
+    let run = |key: &Key| Run { request: *key, parts: Vec::new(), began: ms(at - 20) };
     let runs: Vec<_> = keys.iter().map(run).collect();
     ledger.observe(Crash { target, at: ms(at) }, &runs, known, ms(at))
 }
@@ -63,6 +63,17 @@
     }
 }
 
+/// Requests wait at several targets at the same time, each of which crashes when their turn comes.
+#[test]
+fn crashes_at_different_moments_count_though_the_runs_overlap() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    let run = [Run { request: POISON, parts: Vec::new(), began: ms(900) }];
+    let mut observe =
+        |target, at| ledger.observe(Crash { target, at: ms(at) }, &run, &known, ms(at)).len();
+    assert_eq!([observe(1, 1_000), observe(2, 1_150), observe(3, 1_200)], [0, 0, 0]);
+    assert_eq!(observe(4, 1_300), 1);
+}
+
 /// A request that runs to its end anywhere crashes nothing.
 #[test]
 fn crashes_before_a_completion_do_not_count() {
@@ -177,3 +188,104 @@
     assert_eq!(verdicts.blocked_count(), 1_024);
     assert!(verdicts.is_blocked(1_999) && !verdicts.is_blocked(0));
 }
+
+/// No culprit.
+const NONE: [Key; 0] = [];
+
+/// Requests with these parts that began 20 ms before the crash of a target.
+fn observe_parts(
+    ledger: &mut Ledger,
+    known: &Known,
+    (target, at): (u64, u64),
+    runs: &[(Key, &[Key])],
+) -> Vec<Key> {
+    let run = |(request, parts): &(Key, &[Key])| Run {
+        request: *request,
+        parts: parts.to_vec(),
+        began: ms(at - 20),
+    };
+    let runs: Vec<_> = runs.iter().map(run).collect();
+    let culprits = ledger.observe(Crash { target, at: ms(at) }, &runs, known, ms(at));
+    culprits.iter().map(|culprit| culprit.key).collect()
+}
+
+const FIRST: Key = 100;
+const BAD: Key = 200;
+
+/// No two requests are alike, and sound ones share the first part with them.
+#[test]
+fn part_is_a_culprit_and_the_part_before_it_is_not() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    for crash in 1..=2 {
+        let runs: [(Key, &[Key]); 2] =
+            [(crash, &[FIRST, BAD]), (50 + crash, &[FIRST, 300 + crash])];
+        assert_eq!(observe_parts(&mut ledger, &known, (crash, crash * 1_000), &runs), NONE);
+    }
+    let runs: [(Key, &[Key]); 2] = [(3, &[FIRST, BAD]), (53, &[FIRST, 303])];
+    assert_eq!(observe_parts(&mut ledger, &known, (3, 3_000), &runs), [BAD]);
+}
+
+/// One request crashes three targets: it may be by itself.
+#[test]
+fn part_is_a_culprit_only_under_different_requests() {
+    let (mut ledger, mut known) = (Ledger::new(Settings::default()), Known::default());
+    for crash in 1..=2 {
+        observe_parts(&mut ledger, &known, (crash, crash * 1_000), &[(1, &[FIRST, BAD])]);
+    }
+    let culprits = observe_parts(&mut ledger, &known, (3, 3_000), &[(1, &[FIRST, BAD])]);
+    assert_eq!(culprits, [1]);
+    known.blocked.push(1);
+    let culprits = observe_parts(&mut ledger, &known, (4, 4_000), &[(2, &[FIRST, BAD])]);
+    assert_eq!(culprits, [BAD]);
+}
+
+/// The report that holds the culprit comes after one of sound requests that waited beside it.
+#[test]
+fn part_that_others_build_on_waits_for_more_crashes() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    for crash in 1..=3 {
+        let at = (crash, crash * 1_000);
+        let sound = observe_parts(&mut ledger, &known, at, &[(50 + crash, &[FIRST, 300 + crash])]);
+        assert_eq!(sound, NONE);
+        let culprits = observe_parts(&mut ledger, &known, at, &[(crash, &[FIRST, BAD])]);
+        assert_eq!(culprits, if crash == 3 { vec![BAD] } else { vec![] });
+    }
+}
+
+/// The first part crashes engines, whatever comes behind it.
+#[test]
+fn first_part_is_a_culprit_after_six_crashes_with_different_parts_behind_it() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    let crash = |number: u64, ledger: &mut Ledger| {
+        let parts = [BAD, 300 + number];
+        observe_parts(ledger, &known, (number, number * 1_000), &[(number, &parts)])
+    };
+    for number in 1..=5 {
+        assert_eq!(crash(number, &mut ledger), NONE);
+    }
+    assert_eq!(crash(6, &mut ledger), [BAD]);
+}
+
+/// Two parts only come together, and the first of them is the culprit.
+#[test]
+fn of_two_parts_that_come_together_the_later_one_is_refused() {
+    let (mut ledger, known) = (Ledger::new(Settings::default()), Known::default());
+    for crash in 1..=2 {
+        observe_parts(&mut ledger, &known, (crash, crash * 1_000), &[(crash, &[FIRST, BAD, 7])]);
+    }
+    let culprits = observe_parts(&mut ledger, &known, (3, 3_000), &[(3, &[FIRST, BAD, 7])]);
+    assert_eq!(culprits, [7]);
+}
+
+/// Sound requests with the same first part go on between the crashes.
+#[test]
+fn part_of_requests_that_run_to_their_end_is_no_culprit() {
+    let (mut ledger, mut known) = (Ledger::new(Settings::default()), Known::default());
+    for crash in 1..=20 {
+        let at = crash * 1_000;
+        let runs: [(Key, &[Key]); 1] = [(crash, &[FIRST, 300 + crash])];
+        assert_eq!(observe_parts(&mut ledger, &known, (crash, at), &runs), NONE);
+        known.completions.record(FIRST, ms(at + 500));
+        ledger.clear(FIRST, ms(at + 500));
+    }
+}
