fix(policy): verdicts are told and forgotten a few at a time

Cause: each completion counted all verdicts, each datagram of state looked for expired ones, and each told some, up to 200 times a second.

Change: a count that is kept, expiry of the verdicts whose turn it is, a turn every 100 ms, and the copy in the store only after a change. A trial that is cleared by another entry meanwhile isn't refused.

--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -33,6 +33,8 @@
     unsent: Vec<(Crash, Run)>,
     /// Requests whose target broke off and still accepts connections.
     unconfirmed: VecDeque<(Crash, Run)>,
+    /// From when on verdicts are told again.
+    next_turn: Time,
 }
 
 #[derive(Debug, Default)]
@@ -202,19 +204,28 @@
         keys.iter().filter_map(|key| state.known.verdicts.begin_trial(*key, now)).collect()
     }
 
-    /// Returns the next `count` verdicts in turn, to be told to other entries.
+    /// Returns the next `count` verdicts in turn, to be told to other entries; none if some were told
+    /// a moment ago.
     pub fn take_turn(&self, count: usize, now: Time) -> Vec<Verdict> {
         let mut state = self.lock();
+        if now < state.next_turn {
+            return Vec::new();
+        }
         let turn = state.known.verdicts.take_turn(count, now);
+        if !turn.is_empty() {
+            state.next_turn = now + TURN_INTERVAL;
+        }
         self.update(&state);
         turn
     }
 
+    /// How often a verdict has changed, if any request is refused.
+    pub fn changes(&self) -> Option<u64> {
+        self.any_blocked.load(Ordering::Relaxed).then(|| self.lock().known.verdicts.changes())
+    }
+
     /// Returns the verdicts by which requests are refused.
     pub fn blocked(&self) -> Vec<Verdict> {
-        if !self.any_blocked.load(Ordering::Relaxed) {
-            return Vec::new();
-        }
         self.lock().known.verdicts.blocked()
     }
 
@@ -227,6 +238,10 @@
     }
 }
 
+/// The shortest interval at which some verdicts are told again: state is sent up to 200 times a
+/// second.
+const TURN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The maximum number of breaks of targets that still accept connections.
 const MAX_UNCONFIRMED: usize = 256;
 
--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -90,8 +90,8 @@
     shared.origins.holders(LEDGER, &shared.peers.members())
 }
 
-/// Whether this entry is the one that allows trials.
-pub fn allows_trials(shared: &Shared) -> bool {
+/// Whether this entry is the one that allows trials and writes verdicts to the store.
+pub fn is_first_holder(shared: &Shared) -> bool {
     holders(shared).first().is_none_or(|holder| holder.address.is_none())
 }
 
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -119,18 +119,16 @@
 /// Writes which requests are refused, while this entry is the one that does: entries that are all
 /// started at once have nobody to tell them.
 pub async fn publish_verdicts(shared: Arc<Shared>, log: Arc<dyn KeyedLog>) {
-    let (mut written, mut written_at) = (0, Instant::now());
+    let (mut written, mut written_at) = (None, Instant::now());
     loop {
         tokio::time::sleep(VERDICTS_INTERVAL).await;
-        let mut verdicts = shared.suspects.blocked();
-        if verdicts.is_empty() || !crashes::allows_trials(&shared) {
-            written = 0;
-            continue;
-        }
-        if verdicts.len() == written && written_at.elapsed() < VERDICTS_REWRITE {
+        let changes = shared.suspects.changes().filter(|_| crashes::is_first_holder(&shared));
+        let is_due = changes != written || written_at.elapsed() >= VERDICTS_REWRITE;
+        if changes.is_none() || !is_due {
             continue;
         }
-        (written, written_at) = (verdicts.len(), Instant::now());
+        (written, written_at) = (changes, Instant::now());
+        let mut verdicts = shared.suspects.blocked();
         verdicts.sort_unstable_by_key(|verdict| verdict.decided_at);
         let (now, latest) = (shared.time(), verdicts.iter().rev().take(MAX_VERDICTS));
         let rows = latest.map(|verdict| VerdictRow::new(verdict, now)).collect();
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -102,13 +102,13 @@
         if !self.is_blocked() {
             return true;
         }
-        if !crashes::allows_trials(&self.shared) {
+        if !crashes::is_first_holder(&self.shared) {
             return false;
         }
         let trials = self.shared.suspects.begin_trial(&self.keys, self.shared.time());
         crashes::publish(&self.shared, &trials);
         self.in_trial.store(!trials.is_empty(), Ordering::Relaxed);
-        !trials.is_empty()
+        !self.is_blocked()
     }
 
     fn is_blocked(&self) -> bool {
@@ -116,7 +116,7 @@
     }
 
     fn is_trial_due(&self) -> bool {
-        crashes::allows_trials(&self.shared)
+        crashes::is_first_holder(&self.shared)
             && self.shared.suspects.is_trial_due(&self.keys, self.shared.time())
     }
 
--- a/crates/policy/src/poison/verdicts.rs
+++ b/crates/policy/src/poison/verdicts.rs
@@ -10,7 +10,7 @@
 
 use super::Key;
 use crate::Time;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 /// Counts the changes of the verdict on one key.
@@ -54,9 +54,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Verdicts {
     verdicts: HashMap<Key, Verdict>,
-    /// The keys in the order in which their verdicts are told to others, and the next one.
-    order: Vec<Key>,
-    next: usize,
+    /// The keys in the order in which their verdicts are told to others.
+    order: VecDeque<Key>,
+    blocked: usize,
+    changes: u64,
 }
 
 impl Verdicts {
@@ -72,7 +73,12 @@
 
     /// The number of keys that are refused.
     pub fn blocked_count(&self) -> usize {
-        self.verdicts.values().filter(|verdict| verdict.blocked).count()
+        self.blocked
+    }
+
+    /// How often a verdict has changed.
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// Applies a verdict that another entry told. Returns whether it is news.
@@ -84,7 +90,7 @@
         if self.get(verdict.key).is_some_and(|known| rank(known) >= rank(&verdict)) {
             return false;
         }
-        self.insert(verdict, now);
+        self.insert(verdict);
         true
     }
 
@@ -95,7 +101,7 @@
         }
         let version = self.next_version(key);
         let verdict = Verdict { key, version, blocked: true, since, decided_at: now, trials: 0 };
-        self.insert(verdict, now);
+        self.insert(verdict);
         Some(verdict)
     }
 
@@ -104,7 +110,7 @@
         let known = *self.get(key).filter(|known| known.blocked)?;
         let version = self.next_version(key);
         let verdict = Verdict { version, blocked: false, decided_at: now, ..known };
-        self.insert(verdict, now);
+        self.insert(verdict);
         Some(verdict)
     }
 
@@ -125,21 +131,24 @@
         let known = *self.get(key)?;
         let (version, trials) = (self.next_version(key), known.trials + 1);
         let verdict = Verdict { version, trials, decided_at: now, ..known };
-        self.insert(verdict, now);
+        self.insert(verdict);
         Some(verdict)
     }
 
-    /// Returns the next `count` verdicts in turn, to be told to others, and forgets what has
-    /// expired.
+    /// Returns the next `count` verdicts in turn, to be told to others, and forgets those among them
+    /// that have expired.
     pub fn take_turn(&mut self, count: usize, now: Time) -> Vec<Verdict> {
-        if self.verdicts.is_empty() {
-            return Vec::new();
+        let mut turn = Vec::new();
+        for _ in 0..count.min(self.order.len()) {
+            let Some(key) = self.order.pop_front() else { break };
+            match self.verdicts.get(&key) {
+                Some(verdict) if !verdict.has_expired(now) => {
+                    turn.push(*verdict);
+                    self.order.push_back(key);
+                }
+                Some(_) | None => self.remove(key),
+            }
         }
-        self.expire(now);
-        let (verdicts, order) = (&self.verdicts, &self.order);
-        let turn = order.iter().cycle().skip(self.next).take(count.min(order.len()));
-        let turn: Vec<_> = turn.filter_map(|key| verdicts.get(key).copied()).collect();
-        self.next = (self.next + turn.len()).checked_rem(self.order.len()).unwrap_or_default();
         turn
     }
 
@@ -152,26 +161,26 @@
         self.get(key).map_or(0, |known| known.version).saturating_add(1)
     }
 
-    fn insert(&mut self, verdict: Verdict, now: Time) {
-        if self.verdicts.insert(verdict.key, verdict).is_none() {
-            self.order.push(verdict.key);
-        }
-        if self.verdicts.len() > MAX_VERDICTS {
-            self.expire(now);
+    fn insert(&mut self, verdict: Verdict) {
+        self.changes += 1;
+        self.blocked += usize::from(verdict.blocked);
+        match self.verdicts.insert(verdict.key, verdict) {
+            Some(replaced) => self.blocked -= usize::from(replaced.blocked),
+            None => self.order.push_back(verdict.key),
         }
         if self.verdicts.len() > MAX_VERDICTS {
             let oldest = self.verdicts.values().min_by_key(|verdict| verdict.decided_at);
             if let Some(key) = oldest.map(|verdict| verdict.key) {
-                self.verdicts.remove(&key);
+                self.remove(key);
                 self.order.retain(|other| *other != key);
             }
         }
     }
 
-    fn expire(&mut self, now: Time) {
-        self.verdicts.retain(|_, verdict| !verdict.has_expired(now));
-        let verdicts = &self.verdicts;
-        self.order.retain(|key| verdicts.contains_key(key));
+    fn remove(&mut self, key: Key) {
+        if let Some(removed) = self.verdicts.remove(&key) {
+            self.blocked -= usize::from(removed.blocked);
+        }
     }
 }
 
