fix(policy): a planned departure lowers the least number of entries

Customers lost a share of their limit for good when one of the entries that the settings name was stopped as planned: a third of it, of three.

Evidence: twelve seconds after the stop both others still held two thirds of each partition, with two members each.

Change: entries that stopped as planned don't count towards the lower bound until as many have come. Those that are lost without notice still do.

--- a/crates/policy/src/quota/lender.rs
+++ b/crates/policy/src/quota/lender.rs
@@ -61,6 +61,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Departure {
     entries: usize,
+    /// How many of them have not come back.
+    absent: usize,
     announced: Time,
     counts_from: Time,
 }
@@ -70,6 +72,8 @@
 pub struct Lender {
     own: EntryKey,
     least: usize,
+    /// The entries that stopped as planned and have not come back. They don't count towards `least`.
+    absent: usize,
     started: Option<Time>,
     settled: bool,
     /// The counts of the entries within the longer retention, each larger than all later ones.
@@ -89,6 +93,7 @@
         Self {
             own,
             least: 1,
+            absent: 0,
             started: None,
             settled: false,
             counts: VecDeque::new(),
@@ -100,7 +105,7 @@
     }
 
     /// Divides the limits by at least this number of entries, such as that of the seeds in the
-    /// settings, this one included. Entries that depart as planned don't lower it.
+    /// settings, this one included. Entries that stop as planned lower it until others come.
     pub fn set_least_entries(&mut self, least: usize) {
         self.least = least.max(1);
     }
@@ -114,6 +119,8 @@
         } else {
             unchanged >= SETTLED && age >= SETTLED || age >= LONGEST_START
         };
+        let known = self.counts.back().map_or(0, |count| count.entries);
+        self.record_arrivals(count.saturating_sub(known));
         self.push(count, now);
         self.apply_departures(now);
         self.silent_until.retain(|_, until| now < *until);
@@ -133,7 +140,19 @@
     /// Records that so many entries stopped as planned. They count until what they lent has ended.
     pub fn observe_departures(&mut self, departed: usize, now: Time) {
         let counts_from = now + self.term(now);
-        self.departures.push(Departure { entries: departed, announced: now, counts_from });
+        let (entries, absent) = (departed, departed);
+        self.departures.push(Departure { entries, absent, announced: now, counts_from });
+    }
+
+    /// Records that entries have come. Which of them were there before isn't known.
+    fn record_arrivals(&mut self, arrived: usize) {
+        let absent = self.departures.iter_mut().map(|departure| &mut departure.absent);
+        let mut left = arrived;
+        for absent in absent.chain([&mut self.absent]) {
+            let back = left.min(*absent);
+            *absent -= back;
+            left -= back;
+        }
     }
 
     fn push(&mut self, entries: usize, now: Time) {
@@ -152,6 +171,7 @@
             for count in self.counts.iter_mut().filter(|count| count.at <= departure.announced) {
                 count.entries = count.entries.saturating_sub(departure.entries);
             }
+            self.absent += departure.absent;
         }
         // A count that was reduced may be smaller than a later one.
         let mut largest = 0;
@@ -176,7 +196,7 @@
         let largest_known = largest(MINORITY_RETENTION);
         let is_minority = known.saturating_mul(2) <= largest_known;
         let entries = if is_minority { largest_known } else { largest(COUNT_RETENTION) };
-        entries.max(self.least)
+        entries.max(self.least.saturating_sub(self.absent)).max(1)
     }
 
     /// Returns the share of each limit that this entry may lend: 0 until its view of the entries has
--- a/crates/policy/tests/quota_decisions.rs
+++ b/crates/policy/tests/quota_decisions.rs
@@ -559,3 +559,23 @@
     assert!(counts.iter().all(|count| (480..650).contains(count)), "{counts:?}");
     assert_eq!(partition(policy::hash("customer")), 3);
 }
+
+/// An entry that the settings name stops as planned, and later comes back. Its share must go to the
+/// others meanwhile, and only then.
+#[test]
+fn planned_departure_lowers_the_least_number_of_entries_until_an_entry_comes() {
+    let second = Duration::from_secs(1);
+    let mut lender = Lender::new(1);
+    lender.set_least_entries(3);
+    let observe = |lender: &mut Lender, count, at: u32| {
+        lender.observe_entries(count, second, second * at);
+        lender.entries(second * at)
+    };
+    assert_eq!(observe(&mut lender, 3, 1), 3);
+    lender.observe_departures(1, second * 2);
+    assert_eq!(observe(&mut lender, 2, 2), 3);
+    assert_eq!(observe(&mut lender, 2, 4), 2);
+    assert_eq!(observe(&mut lender, 3, 20), 3);
+    // One that is lost without notice still counts, for good.
+    assert_eq!(observe(&mut lender, 2, 2_000), 3);
+}
