--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -9,9 +9,10 @@
 //! crashes each target that runs it, so what ran to its end is sound, whatever was counted before. A
 //! crash is identified by its target and its time, and counts once, however many entries saw it
 //! under however many copies. Crashes count one after the other: those of one moment may have the
-//! same cause elsewhere, such as the loss of a rack, unless the run began only after the one before. A part is a culprit only under different requests, and a part that others build
-//! on only after twice as many crashes: refusing it costs callers most. Once a culprit is known, its
-//! crashes no longer count against what ran beside it.
+//! same cause elsewhere, such as the loss of a rack, unless the run began only after the one before.
+//! A part is a culprit only under different requests, and a part that others build on only after
+//! twice as many crashes: refusing it costs callers most. Once a culprit is known, its crashes no
+//! longer count against what ran beside it.
 //!
 //! The entries' verdicts are in [`verdicts`], what ran to its end in [`completions`].
 
@@ -31,7 +32,7 @@
     /// The number of crashes, one after the other, that make a culprit.
     pub crashes: u32,
     /// The number of them for a part that others build on.
-    pub inner_crashes: u32,
+    pub earlier_part_crashes: u32,
     /// The number of different requests among them that make a part a culprit.
     pub requests: usize,
     /// Reports of crashes of one target within this time are of one crash: entries see it at
@@ -50,7 +51,7 @@
     fn default() -> Self {
         Self {
             crashes: 3,
-            inner_crashes: 6,
+            earlier_part_crashes: 6,
             requests: 2,
             same_crash: Duration::from_millis(500),
             apart: Duration::from_millis(100),
@@ -135,12 +136,12 @@
 /// What a key stands for, in the order in which culprits are looked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Kind {
-    /// A part that no other one builds on but the request's own.
-    OuterPart,
+    /// The last of the parts that prompts share.
+    LastPart,
     /// A request.
     Request,
     /// A part that others build on.
-    InnerPart,
+    EarlierPart,
 }
 
 /// One crash that happened under a key.
@@ -272,11 +273,12 @@
             counted.iter().flat_map(|(_, charge)| &charge.requests).collect();
         requests.sort_unstable();
         requests.dedup();
-        let Settings { crashes: outer, inner_crashes, requests: different, .. } = self.settings;
+        let Settings { crashes: enough, earlier_part_crashes, requests: different, .. } =
+            self.settings;
         let is_culprit = match suspect.kind {
-            Kind::Request => crashes >= outer,
-            Kind::OuterPart => crashes >= outer && requests.len() >= different,
-            Kind::InnerPart => crashes >= inner_crashes && requests.len() >= different,
+            Kind::Request => crashes >= enough,
+            Kind::LastPart => crashes >= enough && requests.len() >= different,
+            Kind::EarlierPart => crashes >= earlier_part_crashes && requests.len() >= different,
         };
         is_culprit.then_some(Culprit { key, since, crashes })
     }
@@ -285,7 +287,7 @@
     fn convict(&mut self, key: Key, kind: Kind) {
         let explanation = match kind {
             Kind::Request => Explanation::Request(key),
-            Kind::OuterPart | Kind::InnerPart => Explanation::Part,
+            Kind::LastPart | Kind::EarlierPart => Explanation::Part,
         };
         let suspect = self.suspects.remove(&key);
         for charge in suspect.map(|suspect| suspect.charges).unwrap_or_default() {
@@ -376,8 +378,8 @@
 impl Run {
     /// What may have crashed the target.
     fn keys(&self) -> impl Iterator<Item = (Key, Kind)> + '_ {
-        let outer = self.parts.len().saturating_sub(1);
-        let kind = move |at| if at == outer { Kind::OuterPart } else { Kind::InnerPart };
+        let last = self.parts.len().saturating_sub(1);
+        let kind = move |at| if at == last { Kind::LastPart } else { Kind::EarlierPart };
         let parts = self.parts.iter().enumerate().map(move |(at, part)| (*part, kind(at)));
         std::iter::once((self.request, Kind::Request)).chain(parts)
     }
@@ -389,7 +391,7 @@
     fn counts_against(&self, kind: Kind, charge: &Charge) -> bool {
         match (self.explanation, kind) {
             (None, _) => true,
-            (Some(Explanation::Request(request)), Kind::OuterPart | Kind::InnerPart) => {
+            (Some(Explanation::Request(request)), Kind::LastPart | Kind::EarlierPart) => {
                 charge.requests.contains(&request)
             }
             (Some(Explanation::Request(_)), Kind::Request) | (Some(Explanation::Part), _) => false,
--- a/crates/policy/tests/poison_model.rs
+++ b/crates/policy/tests/poison_model.rs
@@ -174,7 +174,7 @@
         ("two crashes", Settings { crashes: 2, ..Settings::default() }),
         ("three crashes, three requests", Settings { requests: 3, ..Settings::default() }),
         ("five crashes", Settings { crashes: 5, requests: 3, ..Settings::default() }),
-        ("inner parts alike", Settings { inner_crashes: 3, ..Settings::default() }),
+        ("earlier parts alike", Settings { earlier_part_crashes: 3, ..Settings::default() }),
     ];
     for (name, settings) in ways {
         for (entries, plays) in [(4, 5), (30, 3), (390, 1)] {
