fix(direct): what is older than the process keeps its age

Callers would have seen requests refused after two crashes instead of three. Entries tell each other the ages of crashes, runs and verdicts. An entry counted its time from its own start, so what was older than its process began at zero there, and was told on as young as the process: another time of the same crash, which counts as another crash.

For verdicts it was so before: their age shrank with each entry that started.

The time of crashes begins an hour before the process now, longer than any verdict counts. entry_that_just_started_tells_verdicts_with_their_age failed with the offset set to zero and passes with it.

--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -41,7 +41,7 @@
     shared.metrics.suspects("crash");
     publish(
         shared,
-        &shared.suspects.observe_crash(crash, std::slice::from_ref(&run), shared.time()),
+        &shared.suspects.observe_crash(crash, std::slice::from_ref(&run), shared.crash_time()),
     );
     if !shared.suspects.queue(crash, run) {
         return;
@@ -55,13 +55,13 @@
 
 /// Reports what a target broke off lately: another one was found in its place.
 pub fn confirm(shared: &Arc<Shared>, target: Hash) {
-    for (crash, run) in shared.suspects.confirm(target, shared.time()) {
+    for (crash, run) in shared.suspects.confirm(target, shared.crash_time()) {
         report(shared, crash, run);
     }
 }
 
 fn send_queue(shared: &Shared) {
-    let (mut queue, now) = (shared.suspects.take_queue(), shared.time());
+    let (mut queue, now) = (shared.suspects.take_queue(), shared.crash_time());
     queue.sort_by_key(|(crash, _)| crash.target);
     for chunk in queue.chunk_by(|(one, _), (other, _)| one.target == other.target) {
         let Some((crash, _)) = chunk.first() else { continue };
@@ -97,7 +97,7 @@
 
 /// Records that keys ran to their end here, and tells the others if they were suspected.
 pub fn record_completion(shared: &Shared, keys: &[Key]) {
-    let now = shared.time();
+    let now = shared.crash_time();
     let refutation = shared.suspects.record_completion(keys, now);
     publish(shared, &refutation.cleared);
     if !refutation.suspected.is_empty() {
@@ -108,14 +108,14 @@
 
 fn tell_completions(shared: &Shared, completions: &[(Key, Time)]) {
     for completions in completions.chunks(MAX_ROWS) {
-        let evidence = CrashEvidence::of_completions(completions, shared.time());
+        let evidence = CrashEvidence::of_completions(completions, shared.crash_time());
         send_to_holders(shared, &evidence);
     }
 }
 
 /// Applies what another entry saw.
 pub fn receive_evidence(shared: &Shared, evidence: &CrashEvidence) {
-    let now = shared.time();
+    let now = shared.crash_time();
     publish(shared, &shared.suspects.observe_completions(&evidence.completions(now), now));
     if !evidence.runs.is_empty() {
         let (crash, runs) = (evidence.crash(now), evidence.runs(now));
@@ -131,7 +131,7 @@
     for verdict in verdicts {
         log_verdict(shared, verdict);
     }
-    let now = shared.time();
+    let now = shared.crash_time();
     let rows: Vec<_> = verdicts.iter().map(|verdict| VerdictRow::new(verdict, now)).collect();
     for rows in rows.chunks(MAX_ROWS) {
         dissemination::broadcast(shared, |range| {
@@ -147,7 +147,7 @@
         (true, _) => "trial",
     };
     shared.metrics.suspects(event);
-    let since_ms = shared.time().saturating_sub(verdict.since).as_millis();
+    let since_ms = shared.crash_time().saturating_sub(verdict.since).as_millis();
     log::warn!(target: "request", key = format_compact!("{:x}", verdict.key).as_str(), version = verdict.version, event, since_ms,
         trials = verdict.trials; "verdict on a suspect");
 }
@@ -168,7 +168,7 @@
     if rows.is_empty() {
         return;
     }
-    let now = shared.time();
+    let now = shared.crash_time();
     let verdicts: Vec<_> = rows.iter().map(|row| row.verdict(now)).collect();
     let refuted = shared.suspects.merge(&verdicts, now);
     if refuted.is_empty() {
@@ -180,7 +180,7 @@
 
 /// Returns the verdicts that go with the next state of this entry.
 pub fn rows(shared: &Shared) -> Vec<VerdictRow> {
-    let now = shared.time();
+    let now = shared.crash_time();
     let verdicts = shared.suspects.take_turn(MAX_VERDICTS, now);
     verdicts.iter().map(|verdict| VerdictRow::new(verdict, now)).collect()
 }
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -130,7 +130,7 @@
         (written, written_at) = (changes, Instant::now());
         let mut verdicts = shared.suspects.blocked();
         verdicts.sort_unstable_by_key(|verdict| verdict.decided_at);
-        let (now, latest) = (shared.time(), verdicts.iter().rev().take(MAX_VERDICTS));
+        let (now, latest) = (shared.crash_time(), verdicts.iter().rev().take(MAX_VERDICTS));
         let rows = latest.map(|verdict| VerdictRow::new(verdict, now)).collect();
         write(&*log, Kind::Verdicts(WrittenVerdicts { rows })).await;
     }
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -277,7 +277,7 @@
         }
         Some(Kind::SuspectedRequests(SuspectedRequests { entry, requests })) => {
             if entry != shared.settings.name {
-                let now = shared.time();
+                let now = shared.crash_time();
                 crashes::publish(shared, &shared.suspects.observe_anonymous_crash(&requests, now));
             }
             Effect::Change
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -105,7 +105,7 @@
         if !crashes::is_first_holder(&self.shared) {
             return false;
         }
-        let trials = self.shared.suspects.begin_trial(&self.keys, self.shared.time());
+        let trials = self.shared.suspects.begin_trial(&self.keys, self.shared.crash_time());
         crashes::publish(&self.shared, &trials);
         self.in_trial.store(!trials.is_empty(), Ordering::Relaxed);
         !self.is_blocked()
@@ -117,15 +117,15 @@
 
     fn is_trial_due(&self) -> bool {
         crashes::is_first_holder(&self.shared)
-            && self.shared.suspects.is_trial_due(&self.keys, self.shared.time())
+            && self.shared.suspects.is_trial_due(&self.keys, self.shared.crash_time())
     }
 
     /// Finds out whether a target crashed that broke off under the request, which was sent to it at
     /// `began`, and tells the others. Whoever sends the request again waits for this.
     pub async fn record_break(&self, target: &Arc<Target>, began: Instant, progress: Progress) {
         self.in_trial.store(false, Ordering::Relaxed);
-        let (broke_at, began) = (Instant::now(), self.shared.time_at(began));
-        let crash = Crash { target: target.key, at: self.shared.time_at(broke_at) };
+        let (broke_at, began) = (Instant::now(), self.shared.crash_time_at(began));
+        let crash = Crash { target: target.key, at: self.shared.crash_time_at(broke_at) };
         let parts = if progress.is_beginning() { self.keys[1..].to_vec() } else { Vec::new() };
         let run = Run { request: self.keys[0], parts, began };
         let crashed = target.has_crashed(broke_at).await;
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -157,6 +157,9 @@
 /// streams divided by this. Several such prompts arrive between the same two pieces.
 const GAP_DIVISOR: u32 = 10;
 
+/// The greatest age that crashes and verdicts may have.
+const MAX_CRASH_AGE: Duration = Duration::from_secs(3_600);
+
 /// Upper bound on the routes for which callers' waiting times are kept; operators add routes by the
 /// hundred.
 const MAX_ROUTES: usize = 4_096;
@@ -313,9 +316,15 @@
         self.started.elapsed()
     }
 
-    /// A point in time, for decisions in [`policy`].
-    pub fn time_at(&self, at: Instant) -> policy::Time {
-        at.saturating_duration_since(self.started)
+    /// The time for [`policy::poison`], which other entries tell as ages: it begins before the process
+    /// did, so that what is older than the process keeps its age.
+    pub fn crash_time(&self) -> policy::Time {
+        self.time() + MAX_CRASH_AGE
+    }
+
+    /// The same of a point in time.
+    pub fn crash_time_at(&self, at: Instant) -> policy::Time {
+        at.saturating_duration_since(self.started) + MAX_CRASH_AGE
     }
 
     /// The number of entries that share the work, as far as known.
