fix(direct): crashes below a verdict outlast the entries that saw them

What entries know of crashes below a verdict was held by those that had seen them and by two holders, told once. Entries that were killed, frozen or stopped one after the other took it with them.

Class: knowledge that is replicated once, when it arises, and not when those that hold it change.

When the holders change, or one of them starts again, all who know of unexplained crashes tell the new ones what ran there, unless it has run to its end since. An unchanged set of holders costs nothing; of N entries that restart in turn, each finds new holders three times.

--- a/crates/direct/src/cluster/origins.rs
+++ b/crates/direct/src/cluster/origins.rs
@@ -122,11 +122,11 @@
         datagrams.collect()
     }
 
-    /// Returns the entries that hold what is known of a key, this one included if it does.
-    pub fn holders(&self, key: Hash, members: &Arc<[Member]>) -> Vec<Member> {
+    /// Returns up to `count` entries that hold what is known of a key, this one included if it does.
+    pub fn holders(&self, key: Hash, count: usize, members: &Arc<[Member]>) -> Vec<Member> {
         let mut inner = self.lock();
         inner.renew_ring(members);
-        let holders = inner.ring.holders(key, None, HOLDERS);
+        let holders = inner.ring.holders(key, None, count);
         holders.into_iter().map(|at| inner.members[at]).collect()
     }
 
--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -3,6 +3,7 @@
 
 use crate::buffered_request::BufferedRequest;
 use crate::config::customers::Customer;
+use policy::membership::Incarnation;
 use policy::poison::completions::Completions;
 use policy::poison::verdicts::{Verdict, Verdicts};
 use policy::poison::{Crash, Culprit, Key, Knowledge, Ledger, Run};
@@ -31,12 +32,23 @@
     anonymous_crashes: u64,
     /// What other entries are yet to be told.
     unsent: Vec<(Crash, Run)>,
+    /// The holders that know all evidence, as of the last change of the holders.
+    informed: Vec<Incarnated>,
     /// Requests whose target broke off and still accepts connections.
     unconfirmed: VecDeque<(Crash, Run)>,
     /// From when on verdicts are told again.
     next_turn: Time,
 }
 
+/// An entry in one life of its process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Incarnated {
+    /// The hash of its name.
+    pub entry: Hash,
+    /// The incarnation.
+    pub incarnation: Incarnation,
+}
+
 #[derive(Debug, Default)]
 struct Known {
     verdicts: Verdicts,
@@ -99,6 +111,22 @@
         std::mem::take(&mut self.lock().unsent)
     }
 
+    /// Returns those of the present holders that have not been told of the crashes so far, and from
+    /// now on counts them as informed.
+    pub fn take_uninformed(&self, holders: &[Incarnated]) -> Vec<Incarnated> {
+        let mut state = self.lock();
+        let uninformed = holders.iter().filter(|holder| !state.informed.contains(holder));
+        let uninformed = uninformed.copied().collect();
+        state.informed = holders.to_vec();
+        uninformed
+    }
+
+    /// Returns what ran at recent crashes that nothing explains.
+    pub fn evidence(&self, now: Time) -> Vec<(Crash, Run)> {
+        let state = self.lock();
+        state.ledger.evidence(&state.known, now)
+    }
+
     /// Records that a target broke off under a request and still accepts connections. Another one
     /// may have started in its place.
     pub fn record_unconfirmed(&self, crash: Crash, run: Run) {
--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -3,13 +3,16 @@
 //!
 //! **Load pattern.** A target crashes with the requests of many entries, and each of them sees its
 //! own; the request that did it comes back at any entry, within milliseconds. **Without this**, each
-//! entry counts for itself. **Approach.** Each entry tells two holders what ran there, and these two
-//! count. Who finds a culprit sends the verdict to all along a tree; the state that entries send
-//! each other anyway repeats it, for those that missed it. Nothing is sent while nothing crashes, and
-//! the store isn't needed. It gets a copy, for the case that all entries are started at once.
+//! entry counts for itself. **Approach.** Each entry tells three holders what ran there, and these
+//! count. If one of them is replaced or starts again, all who know of crashes tell the new one, so
+//! that no crash is forgotten while entries go one after the other. Who finds a culprit sends the
+//! verdict to all along a tree; the state that entries send each other anyway repeats it, for those
+//! that missed it. Nothing is sent while nothing crashes, and the store isn't needed. It gets a copy,
+//! for the case that all entries are started at once.
 
 use crate::cluster::groups::Member;
 use crate::cluster::messages::{CrashEvidence, KeyRange, Payload, VerdictRow, Verdicts};
+use crate::cluster::suspects::Incarnated;
 use crate::exchange::dissemination;
 use crate::shared::Shared;
 use compact_str::format_compact;
@@ -23,10 +26,20 @@
 /// The place on the ring of entries whose holders count crashes.
 const LEDGER: Hash = 0x63_7261_7368_6573;
 
+/// How many entries count crashes: one may be killed while another is frozen.
+const HOLDERS: usize = 3;
+
 /// How long runs are collected before they are sent: the connections to a crashed target break
 /// within a few milliseconds.
 const COLLECT: Duration = Duration::from_millis(3);
 
+/// How often a new holder is told of earlier crashes: a datagram may be lost, and an entry that has
+/// just started ignores those of entries that it doesn't know yet.
+const HANDOVERS: usize = 3;
+
+/// The interval between them.
+const HANDOVER_INTERVAL: Duration = Duration::from_millis(300);
+
 /// The maximum number of rows in one datagram.
 const MAX_ROWS: usize = 48;
 
@@ -61,23 +74,69 @@
 }
 
 fn send_queue(shared: &Shared) {
-    let (mut queue, now) = (shared.suspects.take_queue(), shared.crash_time());
-    queue.sort_by_key(|(crash, _)| crash.target);
-    for chunk in queue.chunk_by(|(one, _), (other, _)| one.target == other.target) {
+    for evidence in datagrams(shared.suspects.take_queue(), shared.crash_time()) {
+        send_to_holders(shared, &evidence);
+    }
+}
+
+/// Encodes what ran at crashes, the runs of each crash together.
+fn datagrams(mut runs_at: Vec<(Crash, Run)>, now: Time) -> Vec<CrashEvidence> {
+    let mut datagrams = Vec::new();
+    runs_at.sort_by_key(|(crash, _)| (crash.target, crash.at));
+    for chunk in runs_at.chunk_by(|(one, _), (other, _)| one == other) {
         let Some((crash, _)) = chunk.first() else { continue };
         let mut runs: Vec<Run> = Vec::new();
         let mut keys = 0;
         for (_, run) in chunk {
             let more = run.parts.len() + 1;
             if !runs.is_empty() && (keys + more > MAX_KEYS || runs.len() == MAX_ROWS) {
-                send_to_holders(shared, &CrashEvidence::new(*crash, &runs, now));
+                datagrams.push(CrashEvidence::new(*crash, &runs, now));
                 (runs, keys) = (Vec::new(), 0);
             }
             runs.push(run.clone());
             keys += more;
         }
-        send_to_holders(shared, &CrashEvidence::new(*crash, &runs, now));
+        datagrams.push(CrashEvidence::new(*crash, &runs, now));
+    }
+    datagrams
+}
+
+/// Tells holders that are new, or have started again, what ran at earlier crashes. To be called when
+/// the live entries have changed.
+pub fn follow_holders(shared: &Arc<Shared>) {
+    if shared.suspects.evidence(shared.crash_time()).is_empty() {
+        return;
+    }
+    let directory = &shared.peers.directory;
+    let incarnated = |member: &Member| {
+        let incarnation = directory.with(|membership, _| membership.live_incarnation(member.key));
+        Some(Incarnated { entry: member.key, incarnation: incarnation.flatten()? })
+    };
+    let holders: Vec<_> = holders(shared).iter().filter_map(incarnated).collect();
+    let uninformed = shared.suspects.take_uninformed(&holders);
+    if uninformed.is_empty() {
+        return;
+    }
+    let shared = shared.clone();
+    tokio::spawn(async move {
+        for _ in 0..HANDOVERS {
+            hand_over(&shared, &uninformed);
+            tokio::time::sleep(HANDOVER_INTERVAL).await;
+        }
+    });
+}
+
+fn hand_over(shared: &Shared, uninformed: &[Incarnated]) {
+    let now = shared.crash_time();
+    let evidence = datagrams(shared.suspects.evidence(now), now);
+    let address = |holder: &Incarnated| shared.peers.directory.address(holder.entry);
+    for address in uninformed.iter().filter_map(address) {
+        for evidence in &evidence {
+            shared.peer_socket.send(Payload::CrashEvidence(evidence.clone()), address);
+        }
     }
+    log::info!(target: "request", holders = uninformed.len(), datagrams = evidence.len();
+        "crashes told to new holders");
 }
 
 fn send_to_holders(shared: &Shared, evidence: &CrashEvidence) {
@@ -87,7 +146,7 @@
 }
 
 fn holders(shared: &Shared) -> Vec<Member> {
-    shared.origins.holders(LEDGER, &shared.peers.members())
+    shared.origins.holders(LEDGER, HOLDERS, &shared.peers.members())
 }
 
 /// Whether this entry is the one that allows trials and writes verdicts to the store.
--- a/crates/direct/src/exchange/membership.rs
+++ b/crates/direct/src/exchange/membership.rs
@@ -9,7 +9,7 @@
 };
 use crate::cluster::messages::Payload;
 use crate::cluster::tail::READING;
-use crate::exchange::quota;
+use crate::exchange::{crashes, quota};
 use crate::shared::Shared;
 use policy::Hash;
 use policy::membership::{Due, Node, PageRequest, Probe, Source, Update};
@@ -67,10 +67,11 @@
 }
 
 /// Makes changes of the membership known to the rest of the process.
-fn refresh(shared: &Shared) {
+fn refresh(shared: &Arc<Shared>) {
     let directory = &shared.peers.directory;
     if directory.refresh(shared.time()) {
         shared.tail.set_rank(directory.rank(READING));
+        crashes::follow_holders(shared);
     }
     let count = directory.count();
     if count != shared.entries() {
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -259,6 +259,12 @@
         self.peers.get(key).filter(|update| update.status.is_live()).map(|update| update.node)
     }
 
+    /// Returns the incarnation of the live entry with this key.
+    pub fn live_incarnation(&self, key: Hash) -> Option<Incarnation> {
+        let update = self.peers.get(key).filter(|update| update.status.is_live());
+        update.map(|update| update.incarnation)
+    }
+
     /// Applies what another entry tells. Returns what that entry should be told in return, if it
     /// believes something older.
     pub fn apply(&mut self, update: Update, source: Source, now: Time) -> Option<Update> {
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -109,6 +109,8 @@
     crashes: VecDeque<KnownCrash>,
     /// The number of the first of `crashes`.
     first: u64,
+    /// What ran at the last crashes, each with the number of its crash.
+    runs: VecDeque<(u64, Run)>,
     suspects: HashMap<Key, Suspect>,
 }
 
@@ -158,6 +160,9 @@
 /// The maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 512;
 
+/// The maximum number of runs that are remembered to tell them to other entries.
+const MAX_RUNS: usize = 256;
+
 /// The maximum number of crashes that are remembered for one key.
 const MAX_CHARGES: usize = 16;
 
@@ -192,6 +197,7 @@
             for (key, kind) in run.keys().filter(|(key, _)| !knowledge.is_blocked(*key)) {
                 self.charge(key, kind, number, run);
             }
+            self.remember(number, run);
         }
         let culprits = self.find_culprits(runs, knowledge);
         self.limit_keys();
@@ -210,6 +216,30 @@
         true
     }
 
+    /// Returns what ran at the crashes that nothing explains, as far as it still counts, so that
+    /// another entry may go on counting.
+    pub fn evidence(&self, knowledge: &dyn Knowledge, now: Time) -> Vec<(Crash, Run)> {
+        let counts = |key: Key, number: u64, crash: Crash| {
+            let charges = self.suspects.get(&key).map(|suspect| &suspect.charges);
+            charges.is_some_and(|charges| charges.iter().any(|charge| charge.crash == number))
+                && knowledge.completed_at(key).is_none_or(|at| crash.at > at)
+        };
+        let runs = self.runs.iter().filter_map(|(number, run)| {
+            let known = self.crash(*number).filter(|known| known.explanation.is_none())?;
+            if now.saturating_sub(known.crash.at) > self.settings.memory {
+                return None;
+            }
+            let counts = |key: &Key| counts(*key, *number, known.crash);
+            let mut run = counts(&run.request).then(|| run.clone())?;
+            // Without its last part, the list would make a part that others build on the last one.
+            if !run.parts.iter().all(counts) {
+                run.parts.clear();
+            }
+            Some((known.crash, run))
+        });
+        runs.collect()
+    }
+
     /// Whether crashes count against a key.
     pub fn is_suspect(&self, key: Key) -> bool {
         self.suspects.contains_key(&key)
@@ -317,6 +347,18 @@
         self.first + u64::try_from(at).unwrap_or_default()
     }
 
+    fn remember(&mut self, number: u64, run: &Run) {
+        let is_known =
+            |(other, known): &(u64, Run)| *other == number && known.request == run.request;
+        if self.runs.iter().any(is_known) {
+            return;
+        }
+        self.runs.push_back((number, run.clone()));
+        if self.runs.len() > MAX_RUNS {
+            self.runs.pop_front();
+        }
+    }
+
     fn charge(&mut self, key: Key, kind: Kind, crash: u64, run: &Run) {
         let new = || Suspect { kind, charges: Vec::new() };
         let suspect = self.suspects.entry(key).or_insert_with(new);
@@ -353,6 +395,8 @@
             }
             self.crashes.pop_front();
             self.first += 1;
+            let first = self.first;
+            self.runs.retain(|(number, _)| *number >= first);
         }
     }
 
--- a/crates/policy/tests/poison.rs
+++ b/crates/policy/tests/poison.rs
@@ -54,6 +54,33 @@
     assert_eq!(observe(&mut ledger, &known, 2, 2_000, &[POISON]), []);
 }
 
+/// Both holders of the crashes are replaced before the third one. What the new ones are told must not
+/// count again what has run to its end, nor make a part that others build on the last one.
+#[test]
+fn another_ledger_goes_on_counting_by_the_evidence() {
+    let (mut ledger, mut known) = (Ledger::new(Settings::default()), Known::default());
+    let run = |request, parts: &[Key], began| Run { request, parts: parts.to_vec(), began };
+    let runs = [run(POISON, &[21, 22], ms(980)), run(1, &[21, 23], ms(980)), run(2, &[], ms(980))];
+    ledger.observe(Crash { target: 1, at: ms(1_000) }, &runs, &known, ms(1_000));
+    ledger.observe(Crash { target: 2, at: ms(2_000) }, &runs, &known, ms(2_000));
+    ledger.clear(2, ms(2_500));
+    known.completions.record(2, ms(2_500));
+    ledger.clear(23, ms(2_500));
+    let evidence = ledger.evidence(&known, ms(3_000));
+    insta::assert_debug_snapshot!(evidence);
+    assert_eq!(ledger.evidence(&known, ms(90_000)), []);
+
+    let mut other = Ledger::new(Settings::default());
+    for _ in 0..2 {
+        for (crash, run) in &evidence {
+            let culprits = other.observe(*crash, std::slice::from_ref(run), &known, ms(3_000));
+            assert_eq!(culprits, []);
+        }
+    }
+    let culprit = Culprit { key: POISON, since: ms(1_000), crashes: 3 };
+    assert_eq!(observe(&mut other, &known, 3, 3_000, &[POISON, 2]), [culprit]);
+}
+
 /// A rack is lost while all its targets run requests that are alike.
 #[test]
 fn targets_that_crash_together_count_once() {
