fix(direct): verdicts are written again to a store that came back older

A verdict has a copy in the store for entries that all start at once. It was written when it changed, and each eight seconds, by the first of its holders.

It is written again once a newer epoch of the log is known, and by the first holder that responds.

--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -149,7 +149,16 @@
     shared.origins.holders(LEDGER, HOLDERS, &shared.peers.members())
 }
 
-/// Whether this entry is the one that allows trials and writes verdicts to the store.
+/// Whether this entry writes verdicts to the store: the first of the holders that responds. For a
+/// moment there may be two, which does no harm.
+pub fn writes_verdicts(shared: &Shared) -> bool {
+    let holders = holders(shared);
+    let responds =
+        |holder: &&Member| holder.address.is_none() || shared.peers.directory.is_alive(holder.key);
+    holders.iter().find(responds).is_none_or(|holder| holder.address.is_none())
+}
+
+/// Whether this entry is the one that allows trials.
 pub fn is_first_holder(shared: &Shared) -> bool {
     holders(shared).first().is_none_or(|holder| holder.address.is_none())
 }
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -122,12 +122,14 @@
     let (mut written, mut written_at) = (None, Instant::now());
     loop {
         tokio::time::sleep(VERDICTS_INTERVAL).await;
-        let changes = shared.suspects.changes().filter(|_| crashes::is_first_holder(&shared));
-        let is_due = changes != written || written_at.elapsed() >= VERDICTS_REWRITE;
-        if changes.is_none() || !is_due {
+        let changes = shared.suspects.changes().filter(|_| crashes::writes_verdicts(&shared));
+        // A restored log lacks what was written last.
+        let current = changes.map(|changes| (changes, shared.tail.known_epoch()));
+        let is_due = current != written || written_at.elapsed() >= VERDICTS_REWRITE;
+        if current.is_none() || !is_due {
             continue;
         }
-        (written, written_at) = (changes, Instant::now());
+        (written, written_at) = (current, Instant::now());
         let mut verdicts = shared.suspects.blocked();
         verdicts.sort_unstable_by_key(|verdict| verdict.decided_at);
         let (now, latest) = (shared.crash_time(), verdicts.iter().rev().take(MAX_VERDICTS));
