fix(policy): the connections to a target go to the entries that have the requests

While a balancer hands most new connections to one of four entries, that one refused half of what it had read (94 of 167 served at the first attempt): it may open a quarter of the connections that a target accepts, while the connections of the others are idle. Among 30 or 300 entries the quarter is a thirtieth or none.

Entries tell each other how many requests of each service they serve at a time, two bytes a service in the state that they send anyway.

--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -133,7 +133,7 @@
     pub pause_ms: u32,
 }
 
-/// The demand that an entry has seen for one service since it started, and what it has measured.
+/// The demand for one service at an entry, and what the entry has measured.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct ServiceLoad {
     /// The service, by the lower half of the hash of its name.
@@ -148,6 +148,27 @@
     /// Seconds per token of a stream; 0 if unknown.
     #[prost(double, tag = "4")]
     pub token_time: f64,
+    /// How many requests the entry serves at a time, in tenths.
+    #[prost(uint32, tag = "5")]
+    pub demand: u32,
+}
+
+/// The unit of the demand in datagrams, in requests.
+const DEMAND_UNIT: f64 = 0.1;
+
+/// Encodes how many requests an entry serves at a time.
+pub fn encode_demand(demand: f64) -> u32 {
+    // Casting a positive float to an integer saturates.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    let units = (demand / DEMAND_UNIT).round() as u32;
+    units
+}
+
+impl ServiceLoad {
+    /// Decodes how many requests the entry serves at a time.
+    pub fn demand(&self) -> f64 {
+        f64::from(self.demand) * DEMAND_UNIT
+    }
 }
 
 /// How far an entry has read one stream of the log, see [`crate::cluster::tail::ReadStatus`].
--- a/crates/direct/src/cluster/loads.rs
+++ b/crates/direct/src/cluster/loads.rs
@@ -1,7 +1,8 @@
-//! The demand for the engines of each service and the measured speed of engines. Entries exchange
-//! both, so that each of them can plan for all.
+//! The demand for each service and the measured speed of engines. Entries exchange both, so that
+//! each of them can plan for all.
 
 use crate::cluster::entry_state::{self, ServiceLoad};
+use policy::connections::Meter;
 use policy::demand::{EngineProfile, PromptProfile, TokenTime};
 use policy::prefill::PrefillRate;
 use policy::{Time, promise};
@@ -9,7 +10,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// The loads of all services with engines.
+/// The loads of all services.
 #[derive(Debug, Default)]
 pub struct Loads(Mutex<HashMap<u32, Load>>);
 
@@ -29,6 +30,8 @@
     first_piece_excess: promise::Estimator,
     /// Mean age of streams in seconds, over the pieces that arrived.
     stream_age: f64,
+    /// The requests that this entry serves.
+    requests: Meter,
 }
 
 /// Sums over the prompts of this entry's callers, of which the last ones count most.
@@ -139,8 +142,23 @@
         self.lock().get(&key(service)).map_or(0, |load| load.own_tokens + load.peer_tokens)
     }
 
-    /// Returns the loads that this entry publishes.
-    pub fn snapshot(&self) -> Vec<ServiceLoad> {
+    /// Records that this entry begins to serve a request.
+    pub fn begin_request(&self, service: &str, now: Time) {
+        self.lock().entry(key(service)).or_default().requests.begin(now);
+    }
+
+    /// Records that it has ended.
+    pub fn end_request(&self, service: &str, now: Time) {
+        self.lock().entry(key(service)).or_default().requests.end(now);
+    }
+
+    /// Returns how many requests this entry serves at a time.
+    pub fn demand(&self, service: &str, now: Time) -> f64 {
+        self.lock().get(&key(service)).map_or(0.0, |load| load.requests.demand(now))
+    }
+
+    /// Returns the loads that this entry publishes: those of services with engines or callers.
+    pub fn snapshot(&self, now: Time) -> Vec<ServiceLoad> {
         let loads = self.lock();
         let rows = loads.iter().map(|(service, load)| {
             let rate = load.prefill_rate.as_ref().filter(|rate| rate.is_learned());
@@ -149,9 +167,11 @@
                 requested_tokens: load.own_tokens,
                 prefill_rate: rate.map_or(0.0, PrefillRate::get),
                 token_time: load.token_time.get().unwrap_or_default(),
+                demand: entry_state::encode_demand(load.requests.demand(now)),
             }
         });
-        rows.collect()
+        rows.filter(|row| *row != ServiceLoad { service: row.service, ..ServiceLoad::default() })
+            .collect()
     }
 
     /// Applies the load that a peer reports; `previous` is the last one of the same incarnation.
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -73,6 +73,8 @@
     /// How many of them have a valid state.
     valid: u32,
     totals: HashMap<u32, PeerLoad>,
+    /// The demand at them by service, in the units of [`ServiceLoad`].
+    demands: HashMap<u32, u64>,
 }
 
 #[derive(Debug)]
@@ -96,6 +98,16 @@
         self.lock().totals.get(&short_hash(engine)).copied().unwrap_or_default()
     }
 
+    /// Returns how many requests for a service another entry serves at a time, on average over those
+    /// whose state is known; `None` if there is none.
+    pub fn mean_demand(&self, service: &str) -> Option<f64> {
+        let inner = self.lock();
+        let total = inner.demands.get(&short_hash(policy::hash(service))).copied();
+        let demand = u32::try_from(total.unwrap_or_default()).unwrap_or(u32::MAX);
+        let total = ServiceLoad { demand, ..ServiceLoad::default() }.demand();
+        (inner.valid > 0).then(|| total / f64::from(inner.valid))
+    }
+
     /// Returns the number of other entries whose work is currently known.
     pub fn reachable_count(&self) -> u32 {
         self.lock().valid
@@ -156,6 +168,9 @@
             total.prefill_tokens += load.prefill_tokens;
             total.streams += load.streams;
         }
+        for load in &service_loads {
+            *self.demands.entry(load.service).or_default() += u64::from(load.demand);
+        }
         self.valid += 1;
         let (work, loads) = (Some(work), service_loads);
         self.peers.insert(entry, Peer { incarnation, sequence, received_at: now, work, loads });
@@ -164,10 +179,14 @@
 
     /// Drops the work of a peer, but not what it has counted.
     fn invalidate(&mut self, entry: u64) {
-        let Some(work) = self.peers.get_mut(&entry).and_then(|peer| peer.work.take()) else {
-            return;
-        };
+        let Some(peer) = self.peers.get_mut(&entry) else { return };
+        let Some(work) = peer.work.take() else { return };
         self.valid -= 1;
+        for load in &peer.loads {
+            if let Some(total) = self.demands.get_mut(&load.service) {
+                *total = total.saturating_sub(load.demand.into());
+            }
+        }
         for (engine, load) in work {
             if let Some(total) = self.totals.get_mut(&engine) {
                 total.prefill_tokens = total.prefill_tokens.saturating_sub(load.prefill_tokens);
@@ -222,6 +241,7 @@
         }
         self.peers.retain(|_, peer| now.duration_since(peer.received_at) < COUNTS_TTL);
         self.totals.retain(|_, load| *load != PeerLoad::default());
+        self.demands.retain(|_, demand| *demand > 0);
     }
 }
 
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -62,7 +62,8 @@
         let _ = timeout(KEEPALIVE, shared.workload.changed()).await;
         sequence += 1;
         let Recipients { addresses, turns } = shared.peers.recipients(Instant::now());
-        let (work, reads, loads) = (Some(work(&shared)), reads(&shared), shared.loads.snapshot());
+        let (work, reads, loads) =
+            (Some(work(&shared)), reads(&shared), shared.loads.snapshot(shared.time()));
         let clock = clock::time_of_day();
         let unavailable = shared.workload.availability.snapshot(Instant::now());
         let unavailable = unavailable.into_iter().map(encode_unavailable).collect();
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -69,6 +69,7 @@
         trace.end(Refusal::Stopping.name());
         return response::refuse(Refusal::Stopping, OTHER_ENTRY_RETRY_AFTER);
     }
+    trace.served = Some(request.shared.begin_request(&request.service.name));
     request.shared.record_request(&request.service.name);
     if request.subject.is_refused() {
         trace.end(Refusal::Quarantined.name());
--- a/crates/direct/src/request/trace.rs
+++ b/crates/direct/src/request/trace.rs
@@ -2,7 +2,7 @@
 
 use crate::config::route::{Route, ServiceName};
 use crate::metrics::Outcome;
-use crate::shared::Shared;
+use crate::shared::{ServedRequest, Shared};
 use crate::targets::target::Target;
 use body::{Framing, Outcome as BodyOutcome, Position};
 use compact_str::{CompactString, ToCompactString};
@@ -66,6 +66,8 @@
     /// How the body of the last response ended.
     body_end: Option<BodyEnd>,
     ended: bool,
+    /// Counts the request as served here, once its service is known.
+    pub served: Option<ServedRequest>,
     shared: Arc<Shared>,
 }
 
@@ -155,6 +157,7 @@
             takes_up: None,
             body_end: None,
             ended: false,
+            served: None,
             shared,
         }
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -24,7 +24,8 @@
 use policy::region_order::HitShares;
 use policy::retry_detection::Attempt;
 use policy::{
-    Hash, connect_timeout, extra_budget, link, prefill, retry_detection, split, succession,
+    Hash, connect_timeout, connections, extra_budget, link, prefill, retry_detection, split,
+    succession,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -149,10 +150,6 @@
     started: Instant,
 }
 
-/// The share of a target's connections that all entries together may open: a target also accepts
-/// health checks, and fewer connections while its queue is long.
-const CONNECTION_SHARE: f64 = 0.85;
-
 /// The prefill of a prompt that any decode engine takes may last as long as the longest gap of its
 /// streams divided by this. Several such prompts arrive between the same two pieces.
 const GAP_DIVISOR: u32 = 10;
@@ -164,6 +161,18 @@
 /// hundred.
 const MAX_ROUTES: usize = 4_096;
 
+/// A request that this entry serves. It counts until this is dropped.
+pub struct ServedRequest {
+    shared: Arc<Shared>,
+    service: ServiceName,
+}
+
+impl Drop for ServedRequest {
+    fn drop(&mut self) {
+        self.shared.loads.end_request(&self.service, self.shared.time());
+    }
+}
+
 impl Shared {
     /// Creates the state of an entry that has just started.
     pub fn new(mut settings: Settings, codec: Arc<dyn Codec>, seed: u64) -> Self {
@@ -340,12 +349,18 @@
 
     /// Connections that this entry may have to one target of `service`.
     pub fn connections(&self, service: &Service) -> u32 {
-        let share =
-            f64::from(service.max_connections) * CONNECTION_SHARE / f64::from(self.entries());
-        // One at least; casting a positive float to an integer saturates.
-        #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
-        let share = share as u32;
-        share.max(1)
+        let demand = connections::Demand {
+            entries: self.entries(),
+            own: self.loads.demand(&service.name, self.time()),
+            others: self.peers.mean_demand(&service.name),
+        };
+        demand.connections(service.max_connections)
+    }
+
+    /// Counts a request as served by this entry until the guard is dropped.
+    pub fn begin_request(self: &Arc<Self>, service: &ServiceName) -> ServedRequest {
+        self.loads.begin_request(service, self.time());
+        ServedRequest { shared: self.clone(), service: service.clone() }
     }
 
     /// A random number from 0 up to 1.
--- a/crates/direct/tests/loads.rs
+++ b/crates/direct/tests/loads.rs
@@ -8,7 +8,7 @@
 const WAIT: Duration = Duration::from_millis(100);
 
 fn load_of(loads: &Loads) -> ServiceLoad {
-    loads.snapshot()[0]
+    loads.snapshot(Duration::ZERO)[0]
 }
 
 /// The split of engines follows the requests to all entries. An entry that counted only its own
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod binding;
 pub mod clock;
 pub mod connect_timeout;
+pub mod connections;
 pub mod decode;
 pub mod demand;
 pub mod dissemination;
