feat(policy): a full entry closes new connections unread while the others are less full

A load balancer may hand nine in ten new connections of a region to one entry for some seconds. That entry read whatever came: what it had no processor time or link for was late, together with the requests on its kept connections, and beyond its descriptors connections waited in the kernel until their callers gave up.

An entry knows how full it is before it reads: callers' connections against half of its descriptors, how late its tasks run and for how long its link is occupied against the shortest objective of a route. It tells the others, two bytes in the state that it sends anyway. From full on it closes new connections unread while the others are at most 0.7 times as full; it stays ready, and kept connections are served. Connections that have sent nothing for half a second give way to new ones when connections run out.

--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -50,6 +50,30 @@
     /// Some of the verdicts on requests that crash targets.
     #[prost(message, repeated, tag = "12")]
     pub verdicts: Vec<VerdictRow>,
+    /// How full the entry is, in hundredths, see [`policy::overload::Fullness`].
+    #[prost(uint32, tag = "13")]
+    pub fullness: u32,
+}
+
+/// The unit of how full an entry is in datagrams.
+const FULLNESS_UNIT: f64 = 0.01;
+
+/// Encodes how full an entry is.
+pub fn encode_fullness(share: f64) -> u32 {
+    units(share, FULLNESS_UNIT)
+}
+
+/// Decodes a sum of what entries told of how full they are.
+pub fn decode_fullness(sum: u64) -> f64 {
+    f64::from(u32::try_from(sum).unwrap_or(u32::MAX)) * FULLNESS_UNIT
+}
+
+/// Rounds a positive value to a number of units.
+fn units(value: f64, unit: f64) -> u32 {
+    // Casting a positive float to an integer saturates.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
+    let units = (value / unit).round() as u32;
+    units
 }
 
 /// The time that engines take per piece, as columns of equal length: about 14 bytes per engine.
@@ -158,10 +182,7 @@
 
 /// Encodes how many requests an entry serves at a time.
 pub fn encode_demand(demand: f64) -> u32 {
-    // Casting a positive float to an integer saturates.
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "saturates")]
-    let units = (demand / DEMAND_UNIT).round() as u32;
-    units
+    units(demand, DEMAND_UNIT)
 }
 
 impl ServiceLoad {
--- a/crates/direct/src/cluster/peers.rs
+++ b/crates/direct/src/cluster/peers.rs
@@ -1,6 +1,8 @@
 //! The other entries: their addresses, and the work that they reported.
 
-use crate::cluster::entry_state::{EntryState, PeerLoad, ServiceLoad, Work, short_hash};
+use crate::cluster::entry_state::{
+    EntryState, PeerLoad, ServiceLoad, Work, decode_fullness, short_hash,
+};
 use crate::cluster::groups::Member;
 use crate::cluster::loads::Loads;
 use crate::cluster::members::{Addresses, Members};
@@ -75,6 +77,8 @@
     totals: HashMap<u32, PeerLoad>,
     /// The demand at them by service, in the units of [`ServiceLoad`].
     demands: HashMap<u32, u64>,
+    /// The sum of how full they are, as told in [`EntryState`].
+    fullness: u64,
 }
 
 #[derive(Debug)]
@@ -85,6 +89,7 @@
     /// Its work; none once its state is no longer valid.
     work: Option<Vec<(u32, PeerLoad)>>,
     loads: Vec<ServiceLoad>,
+    fullness: u32,
 }
 
 impl Peers {
@@ -108,6 +113,13 @@
         (inner.valid > 0).then(|| total / f64::from(inner.valid))
     }
 
+    /// Returns how full the other entries are on average, of those whose state is known; `None` if
+    /// there is none.
+    pub fn mean_fullness(&self) -> Option<f64> {
+        let inner = self.lock();
+        (inner.valid > 0).then(|| decode_fullness(inner.fullness) / f64::from(inner.valid))
+    }
+
     /// Returns the number of other entries whose work is currently known.
     pub fn reachable_count(&self) -> u32 {
         self.lock().valid
@@ -149,7 +161,9 @@
 impl Inner {
     /// Applies the state of a peer; returns `false` if a newer one is known.
     fn observe(&mut self, state: EntryState, loads: &Loads, now: Instant) -> bool {
-        let EntryState { entry, incarnation, sequence, work, loads: service_loads, .. } = state;
+        let EntryState {
+            entry, incarnation, sequence, work, loads: service_loads, fullness, ..
+        } = state;
         let known = self.peers.get(&entry);
         if known.is_some_and(|peer| peer.incarnation == incarnation && peer.sequence >= sequence) {
             return false;
@@ -171,9 +185,12 @@
         for load in &service_loads {
             *self.demands.entry(load.service).or_default() += u64::from(load.demand);
         }
+        self.fullness += u64::from(fullness);
         self.valid += 1;
         let (work, loads) = (Some(work), service_loads);
-        self.peers.insert(entry, Peer { incarnation, sequence, received_at: now, work, loads });
+        let received_at = now;
+        self.peers
+            .insert(entry, Peer { incarnation, sequence, received_at, work, loads, fullness });
         true
     }
 
@@ -182,6 +199,7 @@
         let Some(peer) = self.peers.get_mut(&entry) else { return };
         let Some(work) = peer.work.take() else { return };
         self.valid -= 1;
+        self.fullness = self.fullness.saturating_sub(peer.fullness.into());
         for load in &peer.loads {
             if let Some(total) = self.demands.get_mut(&load.service) {
                 *total = total.saturating_sub(load.demand.into());
--- a/crates/direct/src/config/route.rs
+++ b/crates/direct/src/config/route.rs
@@ -118,6 +118,8 @@
     hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>>,
     /// The shortest gap between pieces that any route of a service allows.
     max_gaps: HashMap<ServiceName, Duration>,
+    /// The shortest objective of a route; `None` without routes.
+    objective: Option<Duration>,
     /// `None` if requests need no key.
     customers: Option<Customers>,
 }
@@ -132,7 +134,9 @@
     ) -> Self {
         let mut hosts: HashMap<CompactString, HashMap<CompactString, Arc<Route>>> = HashMap::new();
         let mut max_gaps: HashMap<ServiceName, Duration> = HashMap::new();
+        let mut objective: Option<Duration> = None;
         for route in routes {
+            objective = Some(objective.map_or(route.objective, |known| known.min(route.objective)));
             for weighted in route.services.iter().filter(|_| route.max_gap.is_some()) {
                 let max_gap = route.max_gap.unwrap_or_default();
                 let shortest = max_gaps.entry(weighted.service.clone()).or_insert(max_gap);
@@ -143,7 +147,12 @@
         }
         let services = services.into_iter();
         let services = services.map(|service| (service.name.clone(), Arc::new(service))).collect();
-        Self { version, limits, services, hosts, max_gaps, customers: None }
+        Self { version, limits, services, hosts, max_gaps, objective, customers: None }
+    }
+
+    /// The shortest latency objective of a route; `None` without routes.
+    pub fn objective(&self) -> Option<Duration> {
+        self.objective
     }
 
     /// The same table, restricted to these customers.
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -153,6 +153,7 @@
         tasks.spawn(cache_inventory::run(shared.clone()));
         tasks.spawn(expire_targets(shared.clone()));
         tasks.spawn(watch_pace(shared.clone()));
+        tasks.spawn(watch_fullness(shared.clone()));
         tasks.spawn(log_costs(shared.clone()));
         tasks.spawn(server.clone().accept(shared.clone(), callers, stop_accepting.clone()));
         tasks.spawn(probe::serve(readiness, ready_page(shared.clone(), stop.clone())));
@@ -162,7 +163,7 @@
         stop.cancelled().await;
         let plan = plan_stop(Instant::now(), addresses.grace);
         shared.stop(plan);
-        drain(&server, &close_idle, &stop_accepting, plan).await;
+        drain(&shared, &close_idle, &stop_accepting, plan).await;
     }
 }
 
@@ -173,22 +174,22 @@
 
 /// Waits for the load balancer to notice, then for the callers' connections to end.
 async fn drain(
-    server: &CallerServer,
+    shared: &Shared,
     close_idle: &CancellationToken,
     stop_accepting: &CancellationToken,
     stop: Stop,
 ) {
     let began = Instant::now();
-    log::info!(target: "process", connections = server.open_connections(); "stopping");
+    log::info!(target: "process", connections = shared.callers.count(); "stopping");
     tokio::time::sleep_until(stop.drain_at).await;
     close_idle.cancel();
-    while server.open_connections() > 0 && Instant::now() < stop.deadline {
+    while shared.callers.count() > 0 && Instant::now() < stop.deadline {
         if Instant::now() + STOP_ACCEPTING_BEFORE >= stop.deadline {
             stop_accepting.cancel();
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    log::info!(target: "process", cut = server.open_connections(),
+    log::info!(target: "process", cut = shared.callers.count(),
         ms = began.elapsed().as_millis(); "stopped");
 }
 
@@ -208,6 +209,7 @@
         let dropped = crate::logging::dropped();
         let unknown = crate::unknown_names::count();
         shared.metrics.unknown_names.set(i64::try_from(unknown).unwrap_or(i64::MAX));
+        shared.metrics.fullness(shared.fullness().share, shared.peers.mean_fullness());
         shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
         let now = Instant::now();
         let unavailable = shared.workload.availability.counts(now);
@@ -273,6 +275,27 @@
     }
 }
 
+/// How often it is measured how much later than due tasks run.
+const DELAY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Measures how full the process is for its lifetime.
+async fn watch_fullness(shared: Arc<Shared>) {
+    let mut was_full = false;
+    loop {
+        let due = Instant::now() + DELAY_INTERVAL;
+        tokio::time::sleep_until(due).await;
+        shared.record_delay(due);
+        let (own, others) = (shared.fullness(), shared.peers.mean_fullness());
+        let is_full = own.share >= 1.0;
+        if is_full != was_full {
+            log::info!(target: "intake", full = is_full, resource = own.resource.name(),
+                share = own.share, others:? = others, connections = shared.callers.count();
+                "entry filled up or has room again");
+        }
+        was_full = is_full;
+    }
+}
+
 /// How often engines are checked against the pause limit of their service and for their regions.
 const PACE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -13,7 +13,8 @@
 
 use crate::cluster::clock;
 use crate::cluster::entry_state::{
-    EntryState, Paces, StreamRead, TOKENS_PER_UNIT, UnavailableTarget, Work, short_hash,
+    EntryState, Paces, StreamRead, TOKENS_PER_UNIT, UnavailableTarget, Work, encode_fullness,
+    short_hash,
 };
 use crate::cluster::member_updates::MemberUpdate;
 use crate::cluster::messages::{ConfigRequest, Envelope, Payload, RecordsRequest};
@@ -71,6 +72,7 @@
         let paces = shared.workload.paces.snapshot(Instant::now());
         let paces = (!paces.is_empty()).then(|| Paces::new(&paces));
         let verdicts = crashes::rows(&shared);
+        let fullness = encode_fullness(shared.fullness().share);
         let state = EntryState {
             entry,
             incarnation,
@@ -83,6 +85,7 @@
             members,
             paces,
             verdicts,
+            fullness,
         };
         let datagram = Bytes::from(state.encode_to_vec());
         shared.peer_socket.count_sent("state", datagram.len(), addresses.len());
--- a/crates/direct/src/lib.rs
+++ b/crates/direct/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`daemon`]: all of it as a process.
 
 pub mod buffered_request;
+pub mod callers;
 pub mod cluster;
 pub mod codec;
 pub mod config;
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -130,6 +130,8 @@
     orders: Family<KindLabel, Counter>,
     permits: Family<KindLabel, Counter>,
     suspects: Family<KindLabel, Counter>,
+    closed_unread: Family<KindLabel, Counter>,
+    fullness: Family<KindLabel, Gauge<f64, AtomicU64>>,
     limits: Family<TargetLabel, Gauge<f64, AtomicU64>>,
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
     ages: Family<KindLabel, Gauge<f64, AtomicU64>>,
@@ -189,6 +191,8 @@
             orders: Family::default(),
             permits: Family::default(),
             suspects: Family::default(),
+            closed_unread: Family::default(),
+            fullness: Family::default(),
             limits: Family::default(),
             piece_times: Family::default(),
             ages: Family::default(),
@@ -247,6 +251,10 @@
         let suspects =
             "Crashes of targets under requests, and verdicts on requests that crash them";
         to.register("suspects", suspects, self.suspects.clone());
+        let closed_unread = "Connections of callers that were closed unread, by what was short";
+        to.register("connections_unread", closed_unread, self.closed_unread.clone());
+        let fullness = "How full this entry is, and the others on average; full from 1 on";
+        to.register("fullness", fullness, self.fullness.clone());
         let limits = "Requests a second that targets said to take in";
         to.register("target_limit", limits, self.limits.clone());
         let piece_times = "Time per piece that engines take, usually and in bad moments";
@@ -438,6 +446,22 @@
         self.suspects.get_or_create(&KindLabel { kind: event.into() }).inc();
     }
 
+    /// Counts a connection of a caller that was closed unread, by what was short.
+    pub fn closed_unread(&self, resource: &'static str) {
+        self.closed_unread.get_or_create(&KindLabel { kind: resource.into() }).inc();
+    }
+
+    /// Sets how full this entry is, and the others on average if that is known.
+    pub fn fullness(&self, own: f64, others: Option<f64>) {
+        let gauge = |kind: &'static str| {
+            self.fullness.get_or_create_owned(&KindLabel { kind: kind.into() })
+        };
+        gauge("own").set(own);
+        if let Some(others) = others {
+            gauge("others").set(others);
+        }
+    }
+
     /// Sets the rate limit that a target reports, or removes it.
     pub fn limit(&self, target: &str, rate: Option<f64>) {
         let target = TargetLabel { target: target.into() };
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -2,6 +2,7 @@
 //! without cutting off requests.
 
 use crate::buffered_request::BufferedRequest;
+use crate::callers::Connection;
 use crate::config::route::Limits;
 use crate::request::response::{self, Body};
 use crate::request::serve;
@@ -12,9 +13,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use policy::overload::Resource;
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
@@ -40,7 +42,6 @@
 /// The server for callers' connections to this entry.
 #[derive(Debug)]
 pub struct CallerServer {
-    open_connections: AtomicUsize,
     /// Cancelled once each response is to be the last on its connection.
     close_after_response: CancellationToken,
     /// Cancelled once idle connections are to be closed.
@@ -50,12 +51,7 @@
 impl CallerServer {
     /// Creates a server without connections.
     pub fn new(close_after_response: CancellationToken, close_idle: CancellationToken) -> Self {
-        Self { open_connections: AtomicUsize::new(0), close_after_response, close_idle }
-    }
-
-    /// How many connections are open.
-    pub fn open_connections(&self) -> usize {
-        self.open_connections.load(Ordering::Relaxed)
+        Self { close_after_response, close_idle }
     }
 
     /// Accepts connections until `stop_accepting` is cancelled.
@@ -72,11 +68,17 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    self.open_connections.fetch_add(1, Ordering::Relaxed);
+                    if let Some(resource) = short_resource(&shared) {
+                        shared.metrics.closed_unread(resource.name());
+                        continue;
+                    }
+                    let connection = Arc::new(shared.callers.open(Instant::now()));
                     let (server, shared) = (self.clone(), shared.clone());
                     tokio::spawn(async move {
-                        server.serve_connection(shared, stream).await;
-                        server.open_connections.fetch_sub(1, Ordering::Relaxed);
+                        tokio::select! {
+                            () = server.serve_connection(shared, stream, &connection) => {}
+                            () = connection.evicted() => {}
+                        }
                     });
                 }
                 Err(error) => {
@@ -87,7 +89,12 @@
         }
     }
 
-    async fn serve_connection(&self, shared: Arc<Shared>, stream: TcpStream) {
+    async fn serve_connection(
+        &self,
+        shared: Arc<Shared>,
+        stream: TcpStream,
+        connection: &Arc<Connection>,
+    ) {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!(target: "intake", error:% = error; "TCP_NODELAY not set");
         }
@@ -95,7 +102,9 @@
         let close_after_response = self.close_after_response.clone();
         let is_unframed = Arc::new(AtomicBool::new(false));
         let unframed = is_unframed.clone();
+        let connection = connection.clone();
         let service = service_fn(move |request| {
+            connection.record_request();
             let (shared, close) = (shared.clone(), close_after_response.clone());
             let unframed = unframed.clone();
             async move {
@@ -132,6 +141,19 @@
     }
 }
 
+/// What this entry lacks for a new connection, whose caller is then to try another entry.
+fn short_resource(shared: &Shared) -> Option<Resource> {
+    let fullness = shared.fullness();
+    // While it stops, the load balancer sends callers to others as soon as there are any.
+    let others = shared.peers.mean_fullness().filter(|_| shared.stopping().is_none());
+    if !fullness.leaves_to_others(others) {
+        return None;
+    }
+    let has_room =
+        fullness.resource == Resource::Connections && shared.callers.evict_silent(Instant::now());
+    (!has_room).then_some(fullness.resource)
+}
+
 /// Has the connection reset once it is closed: its caller would take a regular end for the end of a
 /// response that was broken off.
 fn reset_on_close(stream: &TcpStream) {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,5 +1,6 @@
 //! State that all requests of an entry share.
 
+use crate::callers::Connections;
 use crate::cluster::coordinator::Coordinator;
 use crate::cluster::groups::{self, Groups};
 use crate::cluster::loads::Loads;
@@ -21,6 +22,7 @@
 use plat::Offset;
 use plat::epoch::Epoch;
 use policy::distance::{Distance, Topology};
+use policy::overload::{Capacity, DelayMeter, Fullness, Load};
 use policy::region_order::HitShares;
 use policy::retry_detection::Attempt;
 use policy::{
@@ -65,6 +67,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How the limits of customers are enforced; `None` if none are in force.
     pub quota: Option<quota::Settings>,
+    /// How many connections callers may have to this entry: about half of its file descriptors.
+    pub max_connections: u32,
 }
 
 /// The share of an entry's link that its datagrams to the other entries may take. Some entries have
@@ -112,6 +116,8 @@
     pub suspects: Suspects,
     /// How long requests take.
     pub durations: Durations,
+    /// The connections of callers.
+    pub callers: Arc<Connections>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// The other entries and their work.
@@ -137,6 +143,8 @@
     fleet: Mutex<Fleet>,
     groups: groups::Cache,
     link: Mutex<link::Link>,
+    /// How much later than due the process's tasks run.
+    delay: Mutex<DelayMeter>,
     connect_timeouts: Mutex<connect_timeout::ConnectTimeouts>,
     /// Detects retries, by route.
     retry_detectors: Mutex<HashMap<RouteName, retry_detection::RetryDetector>>,
@@ -194,6 +202,8 @@
             table: watch::Sender::new(None),
             suspects: Suspects::default(),
             durations: Durations::default(),
+            callers: Arc::default(),
+            delay: Mutex::default(),
             metrics: Arc::default(),
             peers,
             coordinator: Coordinator::default(),
@@ -347,6 +357,27 @@
         self.metrics.entries.set(i64::from(entries));
     }
 
+    /// How full this entry is.
+    pub fn fullness(&self) -> Fullness {
+        let load = Load {
+            connections: self.callers.count(),
+            delay: self.delay().delay(),
+            link_wait: self.link().wait(self.time()),
+        };
+        let objective = self.table.borrow().as_ref().and_then(|table| table.objective());
+        load.fullness(&Capacity { connections: self.settings.max_connections, objective })
+    }
+
+    /// Records that a task of the process which was due at `due` runs now.
+    pub fn record_delay(&self, due: Instant) {
+        let due = due.saturating_duration_since(self.started);
+        self.delay().record(due, self.time());
+    }
+
+    fn delay(&self) -> MutexGuard<'_, DelayMeter> {
+        self.delay.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Connections that this entry may have to one target of `service`.
     pub fn connections(&self, service: &Service) -> u32 {
         let demand = connections::Demand {
--- a/crates/direct/tests/layers.rs
+++ b/crates/direct/tests/layers.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 /// Layers from the bottom up; each module at the root of the crate is a layer.
-const LAYERS: [&str; 20] = [
+const LAYERS: [&str; 21] = [
     "unknown_names",
     "logging",
     "log_search",
@@ -17,6 +17,7 @@
     "buffered_request",
     "codec",
     "durations",
+    "callers",
     "targets",
     "cluster",
     "shared",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod link;
 pub mod membership;
 pub mod outlier;
+pub mod overload;
 pub mod pace;
 pub mod pacing;
 pub mod pause;
--- a/crates/policy/src/link.rs
+++ b/crates/policy/src/link.rs
@@ -83,6 +83,11 @@
         Ok(if small { Duration::ZERO } else { wait.saturating_sub(self.settings.max_in_flight) })
     }
 
+    /// Returns for how long the link is occupied.
+    pub fn wait(&self, now: Time) -> Duration {
+        self.idle_at.saturating_sub(now)
+    }
+
     /// Releases a reservation for bytes that are not sent after all.
     pub fn release(&mut self, bytes: u64) {
         self.idle_at = self.idle_at.saturating_sub(self.transmission_time(bytes));
