fix(direct): the breaks of one crash go into one datagram again

The requests that ran at a crash break within milliseconds of each other. Since crashes are told to new holders they were grouped by the exact time, so that each request cost a datagram of its own to three holders. They are grouped by target and a tenth of a second, as far apart as crashes of one target can't be. Found by reading the diff; not measured.

--- a/crates/direct/src/exchange/crashes.rs
+++ b/crates/direct/src/exchange/crashes.rs
@@ -40,6 +40,9 @@
 /// The interval between them.
 const HANDOVER_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Breaks of one target within this time are of one crash, and go into the same datagrams.
+const SAME_CRASH: Duration = Duration::from_millis(100);
+
 /// The maximum number of rows in one datagram.
 const MAX_ROWS: usize = 48;
 
@@ -83,7 +86,10 @@
 fn datagrams(mut runs_at: Vec<(Crash, Run)>, now: Time) -> Vec<CrashEvidence> {
     let mut datagrams = Vec::new();
     runs_at.sort_by_key(|(crash, _)| (crash.target, crash.at));
-    for chunk in runs_at.chunk_by(|(one, _), (other, _)| one == other) {
+    let is_same = |(one, _): &(Crash, Run), (other, _): &(Crash, Run)| {
+        one.target == other.target && other.at.saturating_sub(one.at) < SAME_CRASH
+    };
+    for chunk in runs_at.chunk_by(is_same) {
         let Some((crash, _)) = chunk.first() else { continue };
         let mut runs: Vec<Run> = Vec::new();
         let mut keys = 0;
