fix(policy): the bound on callers' connections holds whatever else is short

An entry that was out of connections and even shorter of processor time or link, while the others were as short, read new connections beyond its bound: only the scarcest resource was looked at.

The table of cases has a row for it ("all connections, late"): false without news of others or among equals before, true now.

--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -50,7 +50,7 @@
 pub struct Fullness {
     /// The share; from 1 on, what is read misses its objective.
     pub share: f64,
-    /// The resource.
+    /// The resource; the connections once there are none left.
     pub resource: Resource,
 }
 
@@ -90,6 +90,8 @@
         let [first, rest @ ..] = shares;
         let (share, resource) =
             rest.into_iter().fold(first, |most, next| if next.0 > most.0 { next } else { most });
+        // The bound on connections holds whatever else is short.
+        let resource = if connections >= 1.0 { Resource::Connections } else { resource };
         Fullness { share, resource }
     }
 }
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -12,6 +12,7 @@
         ("idle", Load::default()),
         ("half of the connections", Load { connections: 1_000, ..Load::default() }),
         ("all connections", Load { connections: 2_000, ..Load::default() }),
+        ("all connections, late", Load { connections: 2_000, delay: MS(50), ..Load::default() }),
         ("slow timers", Load { delay: MS(4), ..Load::default() }),
         ("late by 10 ms", Load { delay: MS(10), ..Load::default() }),
         ("late by 30 ms", Load { delay: MS(30), ..Load::default() }),
