--- a/crates/policy/src/connections.rs
+++ b/crates/policy/src/connections.rs
@@ -3,13 +3,15 @@
 //! **Load pattern.** A target accepts some tens of connections from all entries together and resets
 //! any beyond; a load balancer hands most callers to a few of hundreds of entries. **Without this**,
 //! equal shares leave one connection or none to an entry that has most of the requests, which then
-//! refuses what it has read while the connections of the others are idle. **Approach.** Half of the
-//! connections are shared equally, so that any entry can serve callers at once. Most of the rest goes
-//! by demand, of which entries tell each other. When a crowd moves on, the connections of the entry
-//! that it leaves stay open for a moment; its demand counts for as long, so that the target's limit
-//! holds.
+//! refuses what it has read while the connections of the others are idle. **Approach.** More than half
+//! of the connections are shared equally, so that any entry can serve callers at once. Most of the
+//! rest goes by demand, of which entries tell each other. When a crowd moves on, the connections of
+//! the entry that it leaves stay open for a moment; its demand counts for as long, so that the
+//! target's limit holds.
 
+use crate::Time;
 use crate::number::float;
+use std::time::Duration;
 
 /// The share of a target's connections that the entries share equally.
 const EQUAL_SHARE: f64 = 0.55;
@@ -52,41 +54,39 @@
     }
 }
 
-/// The demand for one service at this entry over the last seconds.
-///
-/// The number of requests at a time is noisy, so its mean over [`Meter::MEMORY`] counts, or the
-/// present number if that is higher: a crowd comes at once.
+/// Measures how many requests for one service this entry serves at a time: the mean over
+/// [`Meter::MEMORY`], or the present number if that is higher, since a crowd comes at once.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Meter {
     active: u64,
     mean: f64,
-    at: crate::Time,
+    at: Time,
 }
 
 impl Meter {
     /// The time over which the mean is taken.
-    pub const MEMORY: std::time::Duration = std::time::Duration::from_secs(2);
+    pub const MEMORY: Duration = Duration::from_secs(2);
 
     /// Records that a request has begun.
-    pub fn begin(&mut self, now: crate::Time) {
+    pub fn begin(&mut self, now: Time) {
         self.advance(now);
         self.active += 1;
     }
 
     /// Records that a request has ended.
-    pub fn end(&mut self, now: crate::Time) {
+    pub fn end(&mut self, now: Time) {
         self.advance(now);
         self.active = self.active.saturating_sub(1);
     }
 
     /// Returns how many requests are served at a time.
-    pub fn demand(&self, now: crate::Time) -> f64 {
+    pub fn demand(&self, now: Time) -> f64 {
         let mut meter = *self;
         meter.advance(now);
         meter.mean.max(float(meter.active))
     }
 
-    fn advance(&mut self, now: crate::Time) {
+    fn advance(&mut self, now: Time) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         let kept = (-elapsed / Self::MEMORY.as_secs_f64()).exp();
         self.mean = self.mean * kept + float(self.active) * (1.0 - kept);
