test(review): a resumed stream under a length looks complete without its end

Looked for: what a caller receives of a resumable stream whose first worker announced a length, once another worker goes on with it.

--- a/review/harness/length.rs
+++ b/review/harness/length.rs
@@ -60,7 +60,7 @@
             let stage = if number < 2 { "prefill" } else { "decode" };
             let style = Style::Sized { group: 1 + number % 3, tokens: TOKENS };
             let (id, zone) = (format!("i-{number:02}"), ["a", "b"][number % 2]);
-            Engine::start(&id, zone, stage, style, ANSWER_SHARE, record.clone())
+            Engine::start(&id, zone, "v1", stage, style, ANSWER_SHARE, record.clone())
         })
         .collect();
     let stop = Arc::new(AtomicBool::new(false));
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -6,6 +6,7 @@
 mod net;
 mod plain;
 mod refused;
+mod rolling;
 mod store;
 mod world;
 
@@ -24,6 +25,7 @@
     let code = match case.as_str() {
         "refused" => refused::run(program, &record, trouble),
         "length" => length::run(program, &record, trouble),
+        "rolling" => rolling::run(program, &record, trouble),
         "lists" => lists::run(program, &record, trouble),
         _ => 2,
     };
--- a/review/harness/net.rs
+++ b/review/harness/net.rs
@@ -140,6 +140,17 @@
         Ok(Some(message))
     }
 
+    /// Reads one chunk of a body, empty at its end; `None` if the connection ends.
+    pub fn chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let Some(size) = self.line()? else { return Ok(None) };
+        let Ok(size) = usize::from_str_radix(size.trim(), 16) else { return Ok(None) };
+        let mut chunk = Vec::new();
+        if !self.exact(&mut chunk, size)? || self.line()?.is_none() {
+            return Ok(None);
+        }
+        Ok(Some(chunk))
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -131,6 +131,46 @@
     }
 }
 
+/// The entries that get new connections.
+pub struct Balancer {
+    entries: Vec<(SocketAddr, SocketAddr)>,
+    is_in: Mutex<Vec<bool>>,
+    random: Random,
+}
+
+impl Balancer {
+    pub fn new(entries: &[Entry]) -> Self {
+        let random = Random::new(u64::from(std::process::id()));
+        let is_in = Mutex::new(vec![true; entries.len()]);
+        let entries = entries.iter().map(|entry| (entry.callers(), entry.readiness())).collect();
+        Self { entries, is_in, random }
+    }
+
+    /// Asks each entry each second; two misses take it out.
+    pub fn watch(&self, stop: &AtomicBool) {
+        let mut misses = vec![0; self.entries.len()];
+        while !stop.load(Ordering::Relaxed) {
+            let began = Instant::now();
+            for (at, (_, readiness)) in self.entries.iter().enumerate() {
+                let answer = net::get(*readiness, "/readyz", Duration::from_millis(150));
+                let ready = answer.is_ok_and(|answer| answer.status() == 200);
+                misses[at] = if ready { 0 } else { misses[at] + 1 };
+                self.is_in.lock().unwrap()[at] = misses[at] < 2;
+            }
+            thread::sleep(Duration::from_secs(1).saturating_sub(began.elapsed()));
+        }
+    }
+
+    pub fn pick(&self) -> (usize, SocketAddr) {
+        let is_in = self.is_in.lock().unwrap();
+        let all: Vec<_> = (0..is_in.len()).collect();
+        let ready: Vec<_> = all.iter().copied().filter(|at| is_in[*at]).collect();
+        let from = if ready.len() * 2 < all.len() { &all } else { &ready };
+        let at = from[(self.random.next() % from.len() as u64) as usize];
+        (at, self.entries[at].0)
+    }
+}
+
 /// A folder that is removed at the end.
 pub struct Folder(pub PathBuf);
 
