--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review/harness ] && [ -x target/release/lapismast-entry ] || exit 2
-target/review/harness length target/release/lapismast-entry "$here/record.txt" &
+target/review/harness rolling target/release/lapismast-entry "$here/record.txt" &
 harness=$!
 # The harness ends its entries itself, unless it is stopped early.
 trap 'pkill -KILL -P $harness; kill $harness; exit 2' TERM INT HUP
