--- a/review/harness/engine.rs
+++ b/review/harness/engine.rs
@@ -124,7 +124,10 @@
             "{{\"service\":\"lm\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\
              \"slots\":{SLOTS},\"state\":\"ready\",\"cold-remaining-ms\":0,\"stage\":\"{}\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence}}}",
-            self.address, self.zone, self.version, self.stage().0
+            self.address,
+            self.zone,
+            self.version,
+            self.stage().0
         )
     }
 
@@ -244,7 +247,8 @@
             }
             ("DELETE", _) => return whole(net::response("200 OK", "", b""), connection),
             ("POST", "/order") => {
-                let wanted = String::from_utf8_lossy(&request.body).contains("\"stage\":\"prefill\"");
+                let wanted =
+                    String::from_utf8_lossy(&request.body).contains("\"stage\":\"prefill\"");
                 let wanted = if wanted { "prefill" } else { "decode" };
                 let status = match (busy, wanted == stage) {
                     (true, _) => "409 Conflict",
--- a/review/harness/length.rs
+++ b/review/harness/length.rs
@@ -122,7 +122,13 @@
     i32::from(answers.truncated > 0)
 }
 
-fn client(number: usize, entry: SocketAddr, answers: &Mutex<Answers>, stop: &AtomicBool, record: &Record) {
+fn client(
+    number: usize,
+    entry: SocketAddr,
+    answers: &Mutex<Answers>,
+    stop: &AtomicBool,
+    record: &Record,
+) {
     let mut connection: Option<Connection> = None;
     let mut sent = 0;
     while !stop.load(Ordering::Relaxed) {
@@ -156,9 +162,13 @@
             answers.cut += usize::from(!answer.complete);
             if status == 200 && answer.complete && !is_whole {
                 answers.truncated += 1;
-                record.line(&format!("ORDER: {id} gets a complete answer that ends with {:?}", &body[body.len().saturating_sub(60)..]));
+                record.line(&format!(
+                    "ORDER: {id} gets a complete answer that ends with {:?}",
+                    &body[body.len().saturating_sub(60)..]
+                ));
             } else {
-                record.line(&format!("client gets {status}, complete {}, to {id}", answer.complete));
+                record
+                    .line(&format!("client gets {status}, complete {}, to {id}", answer.complete));
             }
         }
         if answer.complete && answer.header("connection") != Some("close") {
--- a/review/harness/lists.rs
+++ b/review/harness/lists.rs
@@ -153,12 +153,19 @@
     Some(engines.iter().map(|engine| engine.lists.load(Ordering::Relaxed)).sum())
 }
 
-fn client(number: usize, balancer: &Balancer, answers: &Mutex<Answers>, stop: &AtomicBool, record: &Record) {
+fn client(
+    number: usize,
+    balancer: &Balancer,
+    answers: &Mutex<Answers>,
+    stop: &AtomicBool,
+    record: &Record,
+) {
     let mut connection: Option<Connection> = None;
     let mut sent = 0;
     while !stop.load(Ordering::Relaxed) {
         let open = connection.take();
-        let open = open.map_or_else(|| Connection::connect(balancer.pick().1, Duration::from_secs(1)), Ok);
+        let open =
+            open.map_or_else(|| Connection::connect(balancer.pick().1, Duration::from_secs(1)), Ok);
         let Ok(mut open) = open else {
             thread::sleep(Duration::from_millis(50));
             continue;
@@ -191,7 +198,8 @@
                 answers.lost += 1;
             }
         }
-        let wait = answer.header("retry-after").and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.0);
+        let wait =
+            answer.header("retry-after").and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.0);
         if answer.complete && answer.header("connection") != Some("close") {
             connection = Some(open);
         }
--- a/review/harness/net.rs
+++ b/review/harness/net.rs
@@ -158,8 +158,8 @@
 
 /// A response with a body of known length.
 pub fn response(status: &str, headers: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes =
-        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len())
+        .into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
--- a/review/harness/plain.rs
+++ b/review/harness/plain.rs
@@ -77,13 +77,21 @@
         }
     }
 
-    fn answer(&self, request: &Message, connection: &mut Connection, late: Option<Vec<u8>>) -> Vec<u8> {
+    fn answer(
+        &self,
+        request: &Message,
+        connection: &mut Connection,
+        late: Option<Vec<u8>>,
+    ) -> Vec<u8> {
         let id = request.header("lapismast-attempt-id").unwrap_or_default().to_owned();
         let mut send_late = |what: &str| {
             if let Some(late) = &late {
                 let first = String::from_utf8_lossy(late);
                 let first = first.lines().next().unwrap_or_default().to_owned();
-                self.record.line(&format!("{} {what} {id} and sends a second copy of its last answer first: {first}", self.id));
+                self.record.line(&format!(
+                    "{} {what} {id} and sends a second copy of its last answer first: {first}",
+                    self.id
+                ));
                 let _ = connection.send(late);
             }
         };
@@ -98,7 +106,11 @@
                 drop(load);
                 send_late("sheds");
                 self.record.line(&format!("{} sheds {id}", self.id));
-                return net::response("503 Service Unavailable", "Lapismast-Not-Executed: 1\r\n", b"");
+                return net::response(
+                    "503 Service Unavailable",
+                    "Lapismast-Not-Executed: 1\r\n",
+                    b"",
+                );
             }
             load.waiting += 1;
             while load.running >= SLOTS {
--- a/review/harness/refused.rs
+++ b/review/harness/refused.rs
@@ -47,7 +47,9 @@
     store.put("keyed.op", "config", &CONFIG.replace('\n', ""));
     let faulty = (WORKERS as f64 * WORKER_SHARE) as usize;
     let workers: Vec<_> = (0..WORKERS)
-        .map(|number| Worker::start(&format!("i-{number}"), ANSWER_SHARE, number as u64 + 1, record.clone()))
+        .map(|number| {
+            Worker::start(&format!("i-{number}"), ANSWER_SHARE, number as u64 + 1, record.clone())
+        })
         .collect();
     let stop = Arc::new(AtomicBool::new(false));
     {
@@ -111,7 +113,10 @@
     }
     let summary = format!(
         "answers by status {:?}; {} promised not to have run, of which {} ran; {} ran in all",
-        answers.statuses, answers.promised.len(), broken.len(), ran.len()
+        answers.statuses,
+        answers.promised.len(),
+        broken.len(),
+        ran.len()
     );
     record.line(&summary);
     println!("{summary}");
@@ -122,11 +127,19 @@
 }
 
 /// Sends one request after the other on a kept connection, and does as it is told after a refusal.
-fn client(number: usize, entry: SocketAddr, answers: &Mutex<Answers>, stop: &AtomicBool, record: &Record) {
+fn client(
+    number: usize,
+    entry: SocketAddr,
+    answers: &Mutex<Answers>,
+    stop: &AtomicBool,
+    record: &Record,
+) {
     let mut connection: Option<Connection> = None;
     let mut sent = 0;
     while !stop.load(Ordering::Relaxed) {
-        let open = connection.take().map_or_else(|| Connection::connect(entry, Duration::from_secs(1)), Ok);
+        let open = connection
+            .take()
+            .map_or_else(|| Connection::connect(entry, Duration::from_secs(1)), Ok);
         let Ok(mut open) = open else {
             thread::sleep(Duration::from_millis(50));
             continue;
@@ -147,7 +160,8 @@
         let status = answer.status();
         let sealed = answer.header("lapismast-response-seal").is_some();
         record.line(&format!("client gets {status}, seal {sealed}, to {id}"));
-        let wait = answer.header("retry-after").and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.0);
+        let wait =
+            answer.header("retry-after").and_then(|it| it.parse::<f64>().ok()).unwrap_or(0.0);
         {
             let mut answers = answers.lock().unwrap();
             *answers.statuses.entry(status).or_default() += 1;
--- a/review/harness/rolling.rs
+++ b/review/harness/rolling.rs
@@ -183,8 +183,13 @@
     let summary = format!(
         "at machines in touch: {} of {} new streams began; {} of {} streams that were taken up went \
          on, {} of {} of those that a client had lost by itself; {} streams of two versions",
-        counts.new.went_on, counts.new.all, counts.taken_up.went_on, counts.taken_up.all,
-        counts.own_breaks.went_on, counts.own_breaks.all, counts.mixed_versions
+        counts.new.went_on,
+        counts.new.all,
+        counts.taken_up.went_on,
+        counts.taken_up.all,
+        counts.own_breaks.went_on,
+        counts.own_breaks.all,
+        counts.mixed_versions
     );
     record.line(&summary);
     println!("{summary}");
@@ -265,7 +270,11 @@
             thread::sleep(Duration::from_millis(200));
             continue;
         };
-        scene.record.line(&format!("client gets {} and {} events for {first}", answer.status, events.len()));
+        scene.record.line(&format!(
+            "client gets {} and {} events for {first}",
+            answer.status,
+            events.len()
+        ));
         if in_touch && scene.counting.load(Ordering::Relaxed) {
             scene.counts.lock().unwrap().new.add(answer.status == 200);
         }
@@ -298,7 +307,9 @@
         let id = format!("{first}t{turn}");
         let extra = format!("Last-Event-Id: {last}\r\nResumes: {first}\r\n");
         let before = events.len();
-        let Ok((in_touch, answer)) = attempt(scene, &id, number, left, &extra, &mut events, usize::MAX) else {
+        let Ok((in_touch, answer)) =
+            attempt(scene, &id, number, left, &extra, &mut events, usize::MAX)
+        else {
             scene.record.line(&format!("client gets no answer to {id}"));
             continue;
         };
@@ -313,7 +324,9 @@
         if went_on {
             break;
         }
-        thread::sleep(Duration::from_secs_f64(answer.retry_after.clamp(0.0, left.as_secs_f64() / 3.0)));
+        thread::sleep(Duration::from_secs_f64(
+            answer.retry_after.clamp(0.0, left.as_secs_f64() / 3.0),
+        ));
     }
     let versions: std::collections::HashSet<_> = events.iter().map(|(_, it)| it).collect();
     let mut counts = scene.counts.lock().unwrap();
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -49,7 +49,12 @@
         self.append(topic, vec![record], None).expect("no condition");
     }
 
-    fn append(&self, topic: &str, records: Vec<Vec<u8>>, at: Option<usize>) -> Result<usize, usize> {
+    fn append(
+        &self,
+        topic: &str,
+        records: Vec<Vec<u8>>,
+        at: Option<usize>,
+    ) -> Result<usize, usize> {
         let mut topics = self.shared.topics.lock().unwrap();
         let keyed = topic.starts_with("keyed.");
         let topic = topics.entry(topic.to_owned()).or_default();
--- a/review/harness/world.rs
+++ b/review/harness/world.rs
@@ -103,7 +103,8 @@
 
     pub fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(child.id().to_string()).status();
+            let command = format!("kill -{name} {}", child.id());
+            let _ = Command::new("sh").arg("-c").arg(command).status();
         }
     }
 
@@ -194,9 +195,9 @@
             TcpListener::bind((*ip, port)).is_ok() && UdpSocket::bind((*ip, port)).is_ok()
         })
     };
-    let first = (0..900).map(|step| start + step * 10).find(|first| {
-        (0..8).all(|port| is_free(first + port))
-    });
+    let first = (0..900)
+        .map(|step| start + step * 10)
+        .find(|first| (0..8).all(|port| is_free(first + port)));
     let first = first.expect("free ports");
     Ports { callers: first, readiness: first + 1, control: first + 2, internal: first + 3 }
 }
