--- a/review/harness/net.rs
+++ b/review/harness/net.rs
@@ -151,6 +151,13 @@
         Ok(Some(chunk))
     }
 
+    /// Reads so many bytes of a body, fewer if the connection ends.
+    pub fn bytes(&mut self, count: usize) -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        self.exact(&mut bytes, count)?;
+        Ok(bytes)
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
