fix(direct): a stream that can be resumed is not sent under the length of its first response

Cause: dispatch::forward copied the Content-Length of the first response. If that one broke off and another engine needed more bytes for the rest, the HTTP server cut the body at the announced length. The record of one such request: 120 bytes announced, 40 forwarded, 108 resumed; the caller got 120. That rules out a second break, which would leave fewer bytes, and a lost partial event, which would end at a boundary.

Other responses keep their length.

--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -1,12 +1,14 @@
 //! Bodies of responses: how they are framed, where their events end, and whether all of them has
 //! arrived.
 //!
+//! - [`content`]: headers that describe one particular body.
 //! - [`framing`]: what marks the end of a body.
 //! - [`events`]: the boundaries of server-sent events.
 //! - [`end`]: whether all of a body has arrived.
 //! - [`collected`]: bodies that are read whole.
 
 pub mod collected;
+pub mod content;
 pub mod end;
 pub mod events;
 pub mod framing;
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::targets::attempt::{self, Outcome};
 use crate::targets::engine::StreamGuard;
 use crate::targets::target::Target;
+use body::content;
 use http::{Response, StatusCode};
 use policy::signals::Closed;
 use std::sync::Arc;
@@ -58,7 +59,8 @@
     outcome
 }
 
-/// Forwards a target's response to the caller.
+/// Forwards a target's response to the caller. One that can be resumed is sent without headers that
+/// hold only for the body of its first target.
 pub fn forward(
     request: &RequestContext,
     source: Source,
@@ -69,6 +71,9 @@
     *response.status_mut() = source.responded.response.status();
     *response.headers_mut() = source.responded.response.headers().clone();
     request.shared.codec.strip_connection_headers(response.headers_mut());
+    if resume.is_some() {
+        content::remove_body_specific(response.headers_mut());
+    }
     let relay = Relay::new(source, request.deadline, request.subject.clone(), resume, trace);
     response.map(|()| Body::Relay(Box::new(relay)))
 }
