fix(direct): a stream only goes on with a body of the form that its caller was told

Found on the paths related to the length of resumed streams: any success of another engine was appended to the events that the caller had, whatever its media type or content coding. A 204 or a plain text made a cut stream look complete.

Change: body::Form is the media type and coding that headers declare. The relay keeps that of the first response; a rest of another form ends the response as broken off (resumed-in-another-form in the request's line).

--- a/crates/body/src/framing.rs
+++ b/crates/body/src/framing.rs
@@ -1,7 +1,8 @@
 //! What marks the end of a body.
 
+use crate::Form;
 use http::HeaderMap;
-use http::header::{CONTENT_TYPE, TRANSFER_ENCODING};
+use http::header::TRANSFER_ENCODING;
 use hyper::body::Body;
 
 /// What marks the end of a body.
@@ -39,7 +40,5 @@
 
 /// Returns whether a response with these headers is a stream of server-sent events.
 pub fn is_event_stream(headers: &HeaderMap) -> bool {
-    let content_type = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
-    let media_type = content_type.and_then(|value| value.split(';').next()).unwrap_or_default();
-    media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    Form::of(headers).is_event_stream()
 }
--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -1,7 +1,7 @@
 //! Bodies of responses: how they are framed, where their events end, and whether all of them has
 //! arrived.
 //!
-//! - [`content`]: headers that describe one particular body.
+//! - [`content`]: what headers say of a body.
 //! - [`framing`]: what marks the end of a body.
 //! - [`events`]: the boundaries of server-sent events.
 //! - [`end`]: whether all of a body has arrived.
@@ -14,6 +14,7 @@
 pub mod framing;
 
 pub use collected::{Collected, collect};
+pub use content::Form;
 pub use end::{End, Outcome};
 pub use events::{EventScanner, Position};
 pub use framing::Framing;
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -9,7 +9,7 @@
 use crate::targets::engine::{PrefillGuard, StreamGuard};
 use crate::targets::pool::Connection;
 use crate::targets::target::{Health, InFlightRequest, Target};
-use body::{End, Framing, Outcome, framing};
+use body::{End, Form, Framing, Outcome};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -90,6 +90,8 @@
     subject: Subject,
     resume: Option<Box<dyn Resume>>,
     events: Option<EventBuffer>,
+    /// The form of the body that the caller was told.
+    form: Form,
     /// The software version of the target that the first event came from.
     origin: Option<Version>,
     trace: Trace,
@@ -133,6 +135,7 @@
         resume: Option<Box<dyn Resume>>,
         trace: Trace,
     ) -> Self {
+        let form = Form::of(source.responded.response.headers());
         let active = ActiveResponse::new(source);
         let events = match (&resume, active.is_event_stream) {
             (Some(_), _) => Some(EventBuffer::holding()),
@@ -150,6 +153,7 @@
             subject,
             resume,
             events,
+            form,
             origin: None,
             trace,
             size_hint,
@@ -183,6 +187,9 @@
                 State::Resuming(resumed) => match resumed.as_mut().poll(context) {
                     Poll::Pending => break,
                     Poll::Ready(Some(source)) => {
+                        if Form::of(source.responded.response.headers()) != self.form {
+                            return self.abort("resumed-in-another-form", context);
+                        }
                         self.state = State::Streaming(Box::new(ActiveResponse::new(source)));
                         continue;
                     }
@@ -334,7 +341,7 @@
         let Source { responded, attempt } = source;
         let Responded { response, head, connection } = *responded;
         let is_success = response.status().is_success();
-        let is_event_stream = is_success && framing::is_event_stream(response.headers());
+        let is_event_stream = is_success && Form::of(response.headers()).is_event_stream();
         let framing = Framing::of(response.body(), response.headers());
         let body = response.into_body();
         Self {
