fix(direct): what is known of streams' origins outlasts the entries that know it

Cause: what decides where a stream may go on lives in processes alone. While one version serves nobody is told where streams begin, and the history of versions begins anew with each process, for twice the time that a caller waits. No entry runs for that long in a rolling restart. With several versions the holders of a stream are started again too, and nobody tells them anew.

Evidence: the line "stream taken up" now names how many entries were asked and answered and how long the own history is. All refusals had asked=3 answered=3 and a history of 0.3 to 9 s: the list of members is not at fault.

Change: - An entry that starts asks others for their history of versions, and takes it over if their list of targets reaches to where its own begins, so that no version can have come and gone unseen between the two. - An entry that stops hands over that history, to an incarnation, and all origins that it knows, to the entries that are asked once it is gone: at SIGTERM, and again before it cuts its last streams off. - Entries accept both from one that has left the membership, for a minute.

Simulated (policy/tests/holders.rs): all origins are found after 4, 30 and 300 entries went one after the other.

--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -4,7 +4,7 @@
 use policy::dissemination::Recipient;
 use policy::distance::{Distance, Topology};
 use policy::groups::Entry;
-use policy::membership::{Due, Incarnation, Membership, Node, Settings, Source, Update};
+use policy::membership::{Due, Incarnation, Membership, Node, Settings, Source, Status, Update};
 use policy::{Hash, Time, dissemination, succession};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -26,6 +26,9 @@
 /// the log.
 const HEARTBEAT_TTL: Duration = Duration::from_secs(21);
 
+/// For how long an entry that stops may still hand over what it knows: longer than a shutdown takes.
+const LEFT_TTL: Duration = Duration::from_secs(60);
+
 /// The live entries, including this one, as recipients of news.
 #[derive(Debug, Clone, Default)]
 pub struct Ring {
@@ -66,6 +69,8 @@
     membership: Option<(Membership, ChaCha8Rng)>,
     /// Entries of builds before the membership, with the time of their last heartbeat in the log.
     heartbeats: HashMap<Hash, (Node, Time)>,
+    /// Addresses of entries that stop, with the time at which they said so.
+    left: HashMap<IpAddr, Time>,
     snapshot: Arc<[Member]>,
     ring: Ring,
     addresses: Addresses,
@@ -188,6 +193,12 @@
             || inner.heartbeats.values().any(|(node, _)| node.address.ip() == ip)
     }
 
+    /// Returns whether an entry at this address has said lately that it stops. It may go on for as long
+    /// as its requests last.
+    pub fn has_left(&self, ip: IpAddr, now: Time) -> bool {
+        self.lock().left.get(&ip).is_some_and(|at| now < *at + LEFT_TTL)
+    }
+
     /// Returns some of the other live entries, drawn at random.
     pub fn sample(&self, max: usize) -> Vec<Node> {
         self.with(|membership, random| membership.sample(max, random)).unwrap_or_default()
@@ -195,6 +206,7 @@
 
     /// Applies what another entry tells; returns what it should be told in return.
     pub fn apply(&self, updates: &[Update], source: Source, now: Time) -> Vec<Update> {
+        self.lock().record_left(updates, now);
         let apply = |membership: &mut Membership| {
             updates.iter().filter_map(|update| membership.apply(*update, source, now)).collect()
         };
@@ -219,6 +231,14 @@
 }
 
 impl Inner {
+    fn record_left(&mut self, updates: &[Update], now: Time) {
+        let left = updates.iter().filter(|update| update.status == Status::Left);
+        for update in left {
+            self.left.retain(|_, at| now < *at + LEFT_TTL);
+            self.left.insert(update.node.address.ip(), now);
+        }
+    }
+
     fn current_version(&self) -> (u64, usize) {
         let version = self.membership.as_ref().map_or(0, |(membership, _)| membership.version());
         (version, self.heartbeats.len())
--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod origins;
 mod quota;
+mod versions;
 
 pub use crashes::{CompletionRow, CrashEvidence, RunRow, VerdictRow, Verdicts};
 pub use origins::{OriginAnswer, OriginRequest, StreamOrigins};
@@ -16,6 +17,7 @@
     CustomerLimit, QuotaDecision, QuotaGranted, QuotaRefused, QuotaRenewal, QuotaRequest,
     QuotaResponse, QuotaReturn, RefundedTokens, ShareLease, Stamp, UnspentTokens, micros,
 };
+pub use versions::{Versions, VersionsHandover, VersionsRequest};
 
 use crate::cluster::entry_state::StreamRead;
 use crate::cluster::member_updates::MembershipMessage;
@@ -33,7 +35,8 @@
     /// The message; none if the datagram is of another type or from a newer version.
     #[prost(
         oneof = "Payload",
-        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35"
+        tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, \
+                36, 37"
     )]
     pub payload: Option<Payload>,
 }
@@ -102,9 +105,20 @@
     /// Tells which requests are refused because they crash targets.
     #[prost(message, tag = "35")]
     Verdicts(Verdicts),
+    /// Requests what is known of software versions, see [`crate::exchange::version_history`].
+    #[prost(message, tag = "36")]
+    VersionsRequest(VersionsRequest),
+    /// Hands over what is known of software versions.
+    #[prost(message, tag = "37")]
+    VersionsHandover(VersionsHandover),
 }
 
 impl Payload {
+    /// Returns whether the message hands over what an entry knows that stops.
+    pub fn is_handover(&self) -> bool {
+        matches!(self, Self::StreamOrigins(_) | Self::VersionsHandover(_))
+    }
+
     /// Returns the name of the message in metrics and logs.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -128,6 +142,8 @@
             Self::OriginRequest(_) => "origin-request",
             Self::CrashEvidence(_) => "crash-evidence",
             Self::Verdicts(_) => "verdicts",
+            Self::VersionsRequest(_) => "versions-request",
+            Self::VersionsHandover(_) => "versions-handover",
         }
     }
 }
@@ -371,12 +387,12 @@
     #[prost(fixed64, tag = "1")]
     pub reservation: ReservationId,
     /// The coordinator's decision.
-    #[prost(oneof = "Decision", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "Decision", tags = "2, 3, 4, 5, 6")]
     pub decision: Option<Decision>,
 }
 
 /// The decision on a request.
-#[derive(Clone, Copy, PartialEq, Eq, prost::Oneof)]
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
 pub enum Decision {
     /// An engine was reserved.
     #[prost(message, tag = "2")]
@@ -390,6 +406,9 @@
     /// What is known of the origin of a stream.
     #[prost(message, tag = "5")]
     Origin(OriginAnswer),
+    /// What is known of software versions.
+    #[prost(message, tag = "6")]
+    Versions(Versions),
 }
 
 /// A permit for one request.
--- a/crates/direct/src/cluster/origins.rs
+++ b/crates/direct/src/cluster/origins.rs
@@ -6,7 +6,7 @@
 use crate::cluster::groups::Member;
 use crate::cluster::messages::StreamOrigins;
 use policy::Hash;
-use policy::holders::{ASKED, HOLDERS, Holder, Ring};
+use policy::holders::{ASKED, Holder, Ring};
 use policy::versions::{MEMORY, Version};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -61,6 +61,13 @@
     own_service: Option<Hash>,
 }
 
+impl Known {
+    fn origin(&self, stream: StreamKey, now: Instant) -> Option<Origin> {
+        let ttl = self.expires.checked_duration_since(now)?;
+        Some(Origin { stream, version: self.version?, ttl })
+    }
+}
+
 impl Origins {
     /// Records a stream that began at this entry.
     pub fn record(&self, origin: Origin, service: Hash, now: Instant) {
@@ -95,24 +102,28 @@
     pub fn own(&self, service: Hash, now: Instant) -> Vec<Origin> {
         let inner = self.lock();
         let own = inner.streams.iter().filter(|(_, known)| known.own_service == Some(service));
-        let origin = |(stream, known): (&StreamKey, &Known)| {
-            let ttl = known.expires.checked_duration_since(now)?;
-            Some(Origin { stream: *stream, version: known.version?, ttl })
-        };
-        own.filter_map(origin).collect()
+        own.filter_map(|(stream, known)| known.origin(*stream, now)).collect()
+    }
+
+    /// Returns all streams that are known, the latest first.
+    pub fn all(&self, now: Instant) -> Vec<Origin> {
+        let inner = self.lock();
+        let all = inner.order.iter().rev();
+        all.filter_map(|stream| inner.streams.get(stream)?.origin(*stream, now)).collect()
     }
 
-    /// Returns the datagrams that tell the holders of these streams where they began.
+    /// Returns the datagrams that tell so many holders of each of these streams where it began.
     pub fn datagrams(
         &self,
         origins: &[Origin],
+        holders: usize,
         members: &Arc<[Member]>,
     ) -> Vec<(SocketAddr, StreamOrigins)> {
         let mut inner = self.lock();
         inner.renew_ring(members);
         let mut rows: HashMap<SocketAddr, Vec<Origin>> = HashMap::new();
         for origin in origins {
-            for address in inner.addresses(origin.stream, HOLDERS) {
+            for address in inner.addresses(origin.stream, holders) {
                 rows.entry(address).or_default().push(*origin);
             }
         }
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -347,6 +347,14 @@
         if epoch::epoch(position) == epoch::epoch(next) { position.max(next) } else { next }
     }
 
+    /// Returns the offset up to which this entry knows all of a stream; `None` if no read of the log is
+    /// known that confirms what it has.
+    pub fn known_position(&self, topic: Topic) -> Option<Offset> {
+        let mut inner = self.lock();
+        let confirmation = &inner.stream(topic).confirmation;
+        Some(confirmation.read()?.position.max(confirmation.change_end()))
+    }
+
     /// Returns what this entry tells the others about each stream.
     pub fn read_statuses(&self, now: Instant) -> Vec<ReadStatus> {
         TOPICS.into_iter().filter_map(|topic| self.read_status(topic, now)).collect()
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -9,7 +9,9 @@
 use crate::exchange::follow::{self, Decode};
 use crate::exchange::gossip;
 use crate::exchange::membership;
+use crate::exchange::origins;
 use crate::exchange::quota;
+use crate::exchange::version_history;
 use crate::instrumented_log::InstrumentedLog;
 use crate::metrics::PlacedStep;
 use crate::probe;
@@ -151,6 +153,7 @@
         }
         tasks.spawn(stage_planner::run(shared.clone(), log, view));
         tasks.spawn(cache_inventory::run(shared.clone()));
+        tasks.spawn(version_history::run(shared.clone()));
         tasks.spawn(expire_targets(shared.clone()));
         tasks.spawn(watch_pace(shared.clone()));
         tasks.spawn(watch_fullness(shared.clone()));
@@ -181,18 +184,34 @@
 ) {
     let began = Instant::now();
     log::info!(target: "process", connections = shared.callers.count(); "stopping");
+    hand_over(shared, stop.drain_at).await;
     tokio::time::sleep_until(stop.drain_at).await;
     close_idle.cancel();
-    while shared.callers.count() > 0 && Instant::now() < stop.deadline {
-        if Instant::now() + STOP_ACCEPTING_BEFORE >= stop.deadline {
-            stop_accepting.cancel();
-        }
-        tokio::time::sleep(CHECK_INTERVAL).await;
-    }
+    let accepts_until = stop.deadline.checked_sub(STOP_ACCEPTING_BEFORE).unwrap_or(stop.deadline);
+    wait_for_callers(shared, accepts_until).await;
+    stop_accepting.cancel();
+    // Callers whose streams are cut off take them up at once, at entries that have to know them.
+    hand_over(shared, stop.deadline).await;
+    wait_for_callers(shared, stop.deadline).await;
     log::info!(target: "process", cut = shared.callers.count(),
         ms = began.elapsed().as_millis(); "stopped");
 }
 
+/// Waits until no caller is connected, `until` at the latest.
+async fn wait_for_callers(shared: &Shared, until: Instant) {
+    while shared.callers.count() > 0 && Instant::now() < until {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+/// Hands over what only this entry may know, until `deadline` at the latest.
+async fn hand_over(shared: &Shared, deadline: Instant) {
+    version_history::hand_over(shared);
+    if tokio::time::timeout_at(deadline, origins::hand_over(shared)).await.is_err() {
+        log::warn!(target: "process", "not all origins of streams handed over in time");
+    }
+}
+
 fn ready_page(shared: Arc<Shared>, stop: CancellationToken) -> probe::Page {
     Arc::new(move |_| {
         let has_data = shared.table.borrow().is_some() && !shared.fleet().is_empty();
--- a/crates/direct/src/exchange.rs
+++ b/crates/direct/src/exchange.rs
@@ -13,3 +13,4 @@
 pub mod notice;
 pub mod origins;
 pub mod quota;
+pub mod version_history;
--- a/crates/direct/src/exchange/coordination.rs
+++ b/crates/direct/src/exchange/coordination.rs
@@ -48,6 +48,8 @@
         | Payload::QuotaReturn(_)
         | Payload::StreamOrigins(_)
         | Payload::OriginRequest(_)
+        | Payload::VersionsRequest(_)
+        | Payload::VersionsHandover(_)
         | Payload::CrashEvidence(_)
         | Payload::Verdicts(_) => None,
     }
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -20,7 +20,9 @@
 use crate::cluster::messages::{ConfigRequest, Envelope, Payload, RecordsRequest};
 use crate::cluster::peers::Recipients;
 use crate::cluster::tail::Topic;
-use crate::exchange::{catch_up, coordination, crashes, dissemination, membership, origins, quota};
+use crate::exchange::{
+    catch_up, coordination, crashes, dissemination, membership, origins, quota, version_history,
+};
 use crate::shared::{MAX_DATAGRAM_INTERVAL, Shared};
 use crate::targets::availability::{Reason, Unavailable};
 use bytes::Bytes;
@@ -168,10 +170,14 @@
     from: SocketAddr,
 ) -> Result<(), prost::DecodeError> {
     let is_known = || shared.peers.directory.is_known(from.ip());
+    let has_left = || shared.peers.directory.has_left(from.ip(), shared.time());
     match Envelope::decode(datagram)?.payload {
         // Entries introduce themselves with this message.
         Some(Payload::Membership(message)) => membership::receive(shared, message, from),
         Some(payload) if is_known() => handle_message(shared, payload, from),
+        Some(payload) if payload.is_handover() && has_left() => {
+            handle_message(shared, payload, from);
+        }
         Some(_) => {}
         None => {
             let mut state = EntryState::decode(datagram)?;
@@ -257,6 +263,8 @@
         }
         Payload::StreamOrigins(message) => shared.origins.observe(&message, Instant::now()),
         Payload::OriginRequest(request) => origins::respond(shared, &request, from),
+        Payload::VersionsRequest(request) => version_history::respond(shared, &request, from),
+        Payload::VersionsHandover(handover) => version_history::receive(shared, &handover),
         Payload::CrashEvidence(evidence) => crashes::receive_evidence(shared, &evidence),
         Payload::Verdicts(verdicts) => crashes::receive_verdicts(shared, verdicts),
         Payload::QuotaRequest(_)
--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -7,7 +7,9 @@
 //! has.
 //!
 //! Nothing is sent while all targets of a service have one version. When another one comes, the
-//! streams that began before are told.
+//! streams that began before are told. An entry that stops hands over all that it knows to those that
+//! will be asked once it is gone, so that nothing is lost if all entries are stopped and started one
+//! after the other.
 
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::Member;
@@ -20,6 +22,7 @@
 use crate::shared::Shared;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use policy::holders::{ASKED, HOLDERS};
 use policy::versions::Version;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,6 +31,12 @@
 /// How often the holders are asked: a datagram may be lost.
 const ROUNDS: usize = 2;
 
+/// The number of datagrams that are handed over at once.
+const BURST: usize = 16;
+
+/// The interval between bursts, which keeps them from filling slow links.
+const BURST_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Returns the key of the stream of a service whose first event an attempt brought.
 pub fn stream_key(service: &str, first_attempt: &str) -> StreamKey {
     policy::mix(policy::hash(service), policy::hash(first_attempt))
@@ -43,23 +52,43 @@
     }
 }
 
-/// Tells where the streams of services began of which targets of a second version have come.
+/// Tells where the streams of services began of which a second version has become known.
 pub fn publish_mixed(shared: &Shared) {
     let mixed = shared.fleet().take_mixed();
     for service in mixed {
-        let origins = shared.origins.own(policy::hash(&service), Instant::now());
-        log::info!(target: "fleet", service = service.as_str(), streams = origins.len();
-            "several software versions");
+        let origins = shared.origins.own(service, Instant::now());
+        let name = coordination::service(shared, short_hash(service));
+        log::info!(target: "fleet", service = name.as_ref().map_or("", |it| it.name.as_str()),
+            streams = origins.len(); "several software versions");
         send(shared, &origins);
     }
 }
 
 fn send(shared: &Shared, origins: &[Origin]) {
-    for (address, message) in shared.origins.datagrams(origins, &shared.peers.members()) {
+    let members = shared.peers.members();
+    for (address, message) in shared.origins.datagrams(origins, HOLDERS, &members) {
         shared.peer_socket.send(Payload::StreamOrigins(message), address);
     }
 }
 
+/// Tells the entries that will be asked once this one is gone where all streams began that are known
+/// here. To be called by an entry that stops.
+pub async fn hand_over(shared: &Shared) {
+    let origins = shared.origins.all(Instant::now());
+    if origins.is_empty() {
+        return;
+    }
+    let datagrams = shared.origins.datagrams(&origins, ASKED, &shared.peers.members());
+    log::info!(target: "request", streams = origins.len(), datagrams = datagrams.len();
+        "origins of streams handed over");
+    for burst in datagrams.chunks(BURST) {
+        for (address, message) in burst {
+            shared.peer_socket.send(Payload::StreamOrigins(message.clone()), *address);
+        }
+        tokio::time::sleep(BURST_INTERVAL).await;
+    }
+}
+
 /// Answers another entry.
 pub fn respond(shared: &Shared, request: &OriginRequest, to: SocketAddr) {
     let service = coordination::service(shared, request.service);
@@ -70,38 +99,51 @@
     shared.peer_socket.send(Payload::Response(response), to);
 }
 
-/// Returns the version at which a stream of a service began, at most `max_age` ago; `None` if nobody
-/// knows.
+/// What the search for the origin of a stream found.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Found {
+    /// The version at which the stream began; `None` if nobody knows.
+    pub version: Option<Version>,
+    /// How many other entries were asked.
+    pub asked: usize,
+    /// How many of them answered.
+    pub answered: usize,
+}
+
+/// Finds the version at which a stream of a service began, at most `max_age` ago.
 pub async fn find(
     shared: &Shared,
     service: &ServiceName,
     stream: Option<StreamKey>,
     max_age: Duration,
     objective: Duration,
-) -> Option<Version> {
+) -> Found {
     let own = known_here(shared, service, stream, max_age);
-    if let Some(version) = own.settled() {
-        return Some(version);
+    let settled = own.settled();
+    if settled.is_some() {
+        return Found { version: settled, ..Found::default() };
     }
     let members = shared.peers.members();
     if members.iter().all(|member| member.address.is_none()) {
-        return own.sole_version;
+        return Found { version: own.sole_version, ..Found::default() };
     }
     let asked =
         shared.origins.asked(stream.unwrap_or_else(|| shared.peer_socket.unique_id()), &members);
     let mut answers = Vec::new();
     for _ in 0..ROUNDS {
         answers = ask(shared, service, stream, max_age, objective, &asked).await;
-        if let Some(version) = answers.iter().find_map(OriginAnswer::settled) {
-            return Some(version);
+        let version = answers.iter().find_map(OriginAnswer::settled);
+        if version.is_some() {
+            return Found { version, asked: asked.len(), answered: answers.len() };
         }
         if answers.len() == asked.len() {
             break;
         }
     }
     // While the log can't be read, no entry sees a new version, so that all agree.
-    let sole = own.sole_version.filter(|_| !answers.is_empty())?;
-    answers.iter().all(|answer| answer.sole_version == Some(sole)).then_some(sole)
+    let sole = own.sole_version.filter(|_| !answers.is_empty());
+    let version = sole.filter(|_| answers.iter().all(|answer| answer.sole_version == sole));
+    Found { version, asked: asked.len(), answered: answers.len() }
 }
 
 /// Asks some entries at once. Returns their answers, up to the first that settles it.
@@ -128,7 +170,10 @@
                 let response = timeout(wait, &mut pending.response).await.ok()?.ok()?;
                 match response.decision? {
                     Decision::Origin(answer) => Some(answer),
-                    Decision::Granted(_) | Decision::Refused(_) | Decision::Permitted(_) => None,
+                    Decision::Granted(_)
+                    | Decision::Refused(_)
+                    | Decision::Permitted(_)
+                    | Decision::Versions(_) => None,
                 }
             }
         })
--- /dev/null
+++ b/crates/direct/src/exchange/version_history.rs
@@ -0,0 +1,127 @@
+//! Gets what other entries know of the software versions that targets had lately.
+//!
+//! **Load pattern.** All entries are stopped and started in turn, seconds apart. **Without this**, an
+//! entry that has just been started knows of no time before, for as long as a stream may be taken up;
+//! soon no entry has run for that long, and all streams that were cut off are refused although
+//! targets have had one version all the while. **Approach.** Once an entry has the list of targets, it
+//! asks a few others what they knew before, until that reaches back far enough; an entry that stops
+//! tells a few. Only an entry whose list is up to date answers, and what it knows is taken over if
+//! its list reaches to where the recipient's begins, so that there is no gap between the two.
+//! Entries that are all started at once find nobody who knows more.
+
+use crate::cluster::messages::{
+    Decision, Payload, Response, Versions, VersionsHandover, VersionsRequest,
+};
+use crate::cluster::peer_socket::Peer;
+use crate::cluster::tail::Topic;
+use crate::exchange::origins;
+use crate::shared::Shared;
+use futures_util::future::join_all;
+use policy::membership::Node;
+use policy::versions::MEMORY;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// How many entries are asked at once: one may have just been started, too.
+const ASKED_PEERS: usize = 2;
+
+/// The first pause between requests; it doubles up to [`MAX_PAUSE`].
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// The longest pause between requests.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+
+/// How long to wait for a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The number of entries to which an entry that stops tells what it knows.
+const RECIPIENTS: usize = 8;
+
+/// Asks other entries until all versions are known for as long as they are remembered.
+pub async fn run(shared: Arc<Shared>) {
+    let mut pause = MIN_PAUSE;
+    while shared.fleet().history_span(Instant::now()) < MEMORY {
+        tokio::time::sleep(pause).await;
+        // What the others know has to be joined to what this entry sees itself.
+        let Some(position) = shared.tail.known_position(Topic::Targets) else { continue };
+        shared.fleet().begin_list(position);
+        let peers = shared.peers.directory.sample(ASKED_PEERS);
+        if peers.is_empty() {
+            continue;
+        }
+        join_all(peers.iter().map(|peer| request(&shared, peer))).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+    }
+}
+
+async fn request(shared: &Shared, node: &Node) {
+    let id = shared.peer_socket.unique_id();
+    let peer = Peer { key: node.key, distance: shared.distance_from_here(node.domain) };
+    let mut pending = shared.peer_socket.expect_response(id, peer, node.address);
+    let request = VersionsRequest { reservation: id };
+    shared.peer_socket.send(Payload::VersionsRequest(request), node.address);
+    let Ok(Ok(response)) = timeout(RESPONSE_TIMEOUT, &mut pending.response).await else { return };
+    match response.decision {
+        Some(Decision::Versions(versions)) => inherit(shared, &versions),
+        Some(
+            Decision::Granted(_)
+            | Decision::Refused(_)
+            | Decision::Permitted(_)
+            | Decision::Origin(_),
+        )
+        | None => {}
+    }
+}
+
+fn inherit(shared: &Shared, versions: &Versions) {
+    let Some(history) = versions.history() else { return };
+    if !shared.fleet().inherit_versions(&history, Instant::now()) {
+        return;
+    }
+    log::info!(target: "fleet", span_ms = history.span.as_millis(), versions = history.rows.len();
+        "software versions known from another entry");
+    origins::publish_mixed(shared);
+}
+
+/// Answers another entry, unless the list of targets here is outdated.
+pub fn respond(shared: &Shared, request: &VersionsRequest, to: SocketAddr) {
+    let Some(versions) = known_here(shared) else { return };
+    let decision = Some(Decision::Versions(versions));
+    let response = Response { reservation: request.reservation, decision };
+    shared.peer_socket.send(Payload::Response(response), to);
+}
+
+/// Tells some other entries what is known here, as this one stops.
+pub fn hand_over(shared: &Shared) {
+    let Some(versions) = known_here(shared) else { return };
+    let directory = &shared.peers.directory;
+    for node in directory.sample(RECIPIENTS) {
+        let incarnation = directory.with(|members, _| members.live_incarnation(node.key)).flatten();
+        let Some(recipient) = incarnation else { continue };
+        let handover = VersionsHandover { recipient, versions: Some(versions.clone()) };
+        shared.peer_socket.send(Payload::VersionsHandover(handover), node.address);
+    }
+}
+
+/// Takes over what an entry knows that stops.
+pub fn receive(shared: &Shared, handover: &VersionsHandover) {
+    let own = shared.peers.directory.with(|members, _| members.own().incarnation);
+    if own == Some(handover.recipient)
+        && let Some(versions) = &handover.versions
+    {
+        inherit(shared, versions);
+    }
+}
+
+/// What is known here; `None` if the list of targets is outdated.
+fn known_here(shared: &Shared) -> Option<Versions> {
+    let now = Instant::now();
+    let age = shared.tail.age(Topic::Targets, now)?;
+    if age > shared.tail.timing().change_bound {
+        return None;
+    }
+    let end = shared.tail.known_position(Topic::Targets)?;
+    Versions::new(&shared.fleet().version_history(end, now))
+}
--- a/crates/direct/src/request/coordinator_client.rs
+++ b/crates/direct/src/request/coordinator_client.rs
@@ -81,6 +81,6 @@
             engines.iter().any(|engine| short_hash(engine.key) == granted.engine)
         }
         Some(Decision::Refused(_) | Decision::Permitted(_)) => true,
-        Some(Decision::Origin(_)) | None => false,
+        Some(Decision::Origin(_) | Decision::Versions(_)) | None => false,
     }
 }
--- a/crates/direct/src/request/permits.rs
+++ b/crates/direct/src/request/permits.rs
@@ -82,7 +82,7 @@
         Some(Decision::Refused(refused)) => {
             ("refused", Some(Duration::from_micros(refused.retry_after_us)))
         }
-        Some(Decision::Granted(_) | Decision::Origin(_)) | None => {
+        Some(Decision::Granted(_) | Decision::Origin(_) | Decision::Versions(_)) | None => {
             ("unanswered", Some(UNANSWERED_BACKOFF))
         }
     };
--- a/crates/direct/src/request/prefill_placement.rs
+++ b/crates/direct/src/request/prefill_placement.rs
@@ -254,7 +254,9 @@
                 }
             }
             Some(Decision::Refused(refused)) => self.record_refusal(&refused),
-            Some(Decision::Permitted(_) | Decision::Origin(_)) | None => GroupResponse::NoResponse,
+            Some(Decision::Permitted(_) | Decision::Origin(_) | Decision::Versions(_)) | None => {
+                GroupResponse::NoResponse
+            }
         }
     }
 
@@ -267,7 +269,9 @@
             Some(Decision::Refused(refused)) => {
                 Some(refused.cached_prefix.map_or(0, |prefix| prefix.tokens.into()))
             }
-            Some(Decision::Permitted(_) | Decision::Origin(_)) | None => None,
+            Some(Decision::Permitted(_) | Decision::Origin(_) | Decision::Versions(_)) | None => {
+                None
+            }
         }
     }
 
--- a/crates/direct/src/request/take_up.rs
+++ b/crates/direct/src/request/take_up.rs
@@ -61,8 +61,10 @@
     let (max_age, objective) = (max_age(request), request.route.objective);
     let found = origins::find(&request.shared, service, stream, max_age, objective).await;
     log::info!(target: "request", id = request.attempt_id(), first = first.unwrap_or_default(),
-        found = found.is_some(); "stream taken up");
-    let version = found.ok_or(UnknownOrigin)?;
+        found = found.version.is_some(), asked = found.asked, answered = found.answered,
+        history_ms = request.shared.fleet().history_span(Instant::now()).as_millis();
+        "stream taken up");
+    let version = found.version.ok_or(UnknownOrigin)?;
     let only = request.shared.fleet().sole_version(service, Duration::ZERO, Instant::now());
     Ok(if only == Some(version) { Required::Any } else { Required::Version(version) })
 }
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -13,7 +13,7 @@
 use compact_str::CompactString;
 use plat::epoch;
 use policy::Hash;
-use policy::versions::{History, Version};
+use policy::versions::{History, MEMORY, Seen, Version};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -142,6 +142,26 @@
     sequence: u64,
 }
 
+/// What an entry knows of the software versions that targets had lately.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionHistory {
+    /// For how long all versions are known, [`MEMORY`] at most.
+    pub span: Duration,
+    /// The offset up to which the list of targets was seen.
+    pub end: Offset,
+    /// The versions of all services.
+    pub rows: Vec<VersionRow>,
+}
+
+/// A software version that targets of a service had lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct VersionRow {
+    /// The hash of the service's name.
+    pub service: Hash,
+    /// The version.
+    pub seen: Seen,
+}
+
 /// The targets of all services.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -159,12 +179,15 @@
     workload: Arc<Workload>,
     /// When the first member whose record expired is removed.
     next_expiry: Option<Instant>,
-    /// The software versions of each service's targets.
-    histories: HashMap<ServiceName, History>,
-    /// The services of which targets of a second version have come and that were not yet taken.
-    mixed: Vec<ServiceName>,
+    /// The software versions of each service's targets, by the hash of its name.
+    histories: HashMap<Hash, History>,
+    /// The services, by the hashes of their names, of which a second version has become known and
+    /// that were not yet taken.
+    mixed: Vec<Hash>,
     /// From when on the histories know all versions; none if there were no targets before.
     known_from: Option<policy::Time>,
+    /// From which offset on all changes of the list were seen.
+    list_start: Option<Offset>,
     /// The start of the times in the histories.
     started: Option<Instant>,
     /// Announced stage changes of engines that are not listed yet, each with its deadline.
@@ -186,29 +209,74 @@
     /// Starts the history of software versions now. `is_first` is set if no target was used before.
     pub fn begin_history(&mut self, is_first: bool, now: Instant) {
         self.started = Some(now);
-        self.known_from = (!is_first).then_some(policy::Time::ZERO);
+        self.known_from = (!is_first).then_some(self.time(now));
+    }
+
+    /// Returns for how long all software versions are known, [`MEMORY`] at most.
+    pub fn history_span(&self, now: Instant) -> Duration {
+        let now = self.time(now);
+        self.known_from.map_or(MEMORY, |from| now.saturating_sub(from).min(MEMORY))
     }
 
     /// Returns whether targets of a service had several software versions in the last `span`.
     pub fn has_several_versions(&self, service: &str, span: Duration, now: Instant) -> bool {
-        let history = self.histories.get(service);
+        let history = self.histories.get(&policy::hash(service));
         history.is_some_and(|history| history.is_mixed(span, self.time(now)))
     }
 
     /// Returns the only software version that targets of a service had in the last `span`, if that
     /// is known.
     pub fn sole_version(&self, service: &str, span: Duration, now: Instant) -> Option<Version> {
-        self.histories.get(service)?.sole(span, self.time(now))
+        self.histories.get(&policy::hash(service))?.sole(span, self.time(now))
+    }
+
+    /// Returns what is known of the software versions of all services, by the list up to `end`.
+    pub fn version_history(&self, end: Offset, now: Instant) -> VersionHistory {
+        let time = self.time(now);
+        let rows = self.histories.iter().flat_map(|(service, history)| {
+            history.seen(time).map(|seen| VersionRow { service: *service, seen })
+        });
+        VersionHistory { span: self.history_span(now), end, rows: rows.collect() }
+    }
+
+    /// Records from which offset on all changes of the list are seen here. Only the first call has an
+    /// effect.
+    pub fn begin_list(&mut self, offset: Offset) {
+        self.list_start.get_or_insert(offset);
+    }
+
+    /// Takes over what another entry knows of the software versions, unless there is a gap between
+    /// that and what is seen here. Returns whether it reaches further back than what was known.
+    pub fn inherit_versions(&mut self, inherited: &VersionHistory, now: Instant) -> bool {
+        let is_joined = self.list_start.is_some_and(|start| start <= inherited.end);
+        if !is_joined || inherited.span <= self.history_span(now) {
+            return false;
+        }
+        let time = self.time(now);
+        self.known_from = Some(time.saturating_sub(inherited.span));
+        for VersionRow { service, seen } in &inherited.rows {
+            let history = self.histories.entry(*service);
+            let history = history.or_insert_with(|| History::new(self.known_from));
+            if history.inherit(*seen, time) {
+                self.mixed.push(*service);
+            }
+        }
+        for history in self.histories.values_mut() {
+            history.set_known_from(self.known_from);
+        }
+        true
     }
 
-    /// Takes the services of which targets of a second software version have come since the last
-    /// call.
-    pub fn take_mixed(&mut self) -> Vec<ServiceName> {
+    /// Takes the services, by the hashes of their names, of which a second software version has become
+    /// known since the last call.
+    pub fn take_mixed(&mut self) -> Vec<Hash> {
         std::mem::take(&mut self.mixed)
     }
 
+    /// Returns a time that starts with [`MEMORY`], as inherited histories reach back before the start.
     fn time(&self, now: Instant) -> policy::Time {
-        self.started.map_or(policy::Time::ZERO, |started| now.saturating_duration_since(started))
+        let since = |started| now.saturating_duration_since(started);
+        MEMORY + self.started.map_or(Duration::ZERO, since)
     }
 
     /// Applies the result of one read of the list, in the log's order.
@@ -458,10 +526,11 @@
 
     fn record_version(&mut self, target: &Target) {
         let (now, known_from) = (self.time(Instant::now()), self.known_from);
-        let history = self.histories.entry(target.service.clone());
+        let service = policy::hash(&target.service);
+        let history = self.histories.entry(service);
         let history = history.or_insert_with(|| History::new(known_from));
         if history.add(target.software_key, now) {
-            self.mixed.push(target.service.clone());
+            self.mixed.push(service);
         }
     }
 
@@ -469,7 +538,7 @@
         if let Some(member) = self.members.remove(id) {
             self.ids.remove(&member.target.key);
             let now = self.time(Instant::now());
-            if let Some(history) = self.histories.get_mut(&member.target.service) {
+            if let Some(history) = self.histories.get_mut(&policy::hash(&member.target.service)) {
                 history.remove(member.target.software_key, now);
             }
         }
--- a/crates/direct/tests/origins.rs
+++ b/crates/direct/tests/origins.rs
@@ -68,7 +68,7 @@
     let members: Arc<[Member]> =
         [member(1, None), member(2, Some(2)), member(3, Some(3)), member(4, Some(4))].into();
     let all: Vec<Origin> = (0..240).map(|stream| origin(policy::mix(stream, 1), 7)).collect();
-    let datagrams = Origins::default().datagrams(&all, &members);
+    let datagrams = Origins::default().datagrams(&all, 2, &members);
     let rows: usize = datagrams.iter().map(|(_, message)| message.rows().count()).sum();
     assert_eq!(rows, 2 * all.len());
     assert!(datagrams.len() <= 3 * 6, "{} datagrams", datagrams.len());
--- /dev/null
+++ b/crates/direct/tests/version_history.rs
@@ -0,0 +1,90 @@
+//! What an entry that has just been started takes over of the software versions that targets had.
+
+use direct::cluster::members::Members;
+use direct::cluster::messages::Versions;
+use direct::targets::fleet::{Fleet, VersionHistory, VersionRow};
+use policy::distance::Topology;
+use policy::membership::{Node, Source, Status, Update};
+use policy::versions::{MEMORY, Seen};
+use std::net::IpAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SPAN: Duration = Duration::from_secs(30);
+
+/// A history of one service up to an offset, with versions and their ages in seconds.
+fn history(span: Duration, end: u64, versions: &[(u64, u64)]) -> VersionHistory {
+    let row = |(version, age): &(u64, u64)| {
+        let seen = Seen { version: *version, age: Duration::from_secs(*age) };
+        VersionRow { service: policy::hash("lm"), seen }
+    };
+    VersionHistory { span, end, rows: versions.iter().map(row).collect() }
+}
+
+fn started(now: Instant) -> Fleet {
+    let mut fleet = Fleet::default();
+    fleet.begin_history(false, now);
+    fleet
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_longer_history_is_taken_over() {
+    let now = Instant::now();
+    let mut fleet = started(now);
+    fleet.begin_list(100);
+    assert!(fleet.inherit_versions(&history(MEMORY, 100, &[(7, 0)]), now));
+    assert_eq!(fleet.sole_version("lm", SPAN, now), Some(7));
+    assert!(!fleet.inherit_versions(&history(SPAN, 100, &[(8, 0)]), now));
+    assert_eq!(fleet.sole_version("lm", SPAN, now), Some(7));
+}
+
+/// A version came and went after the other entry last saw the list and before this one got it: neither
+/// has seen it, so that what the other one knows must not be taken for all.
+#[tokio::test(start_paused = true)]
+async fn a_history_with_a_gap_is_not_taken_over() {
+    let now = Instant::now();
+    let mut fleet = started(now);
+    assert!(!fleet.inherit_versions(&history(MEMORY, 100, &[(7, 0)]), now));
+    fleet.begin_list(101);
+    fleet.begin_list(50);
+    assert!(!fleet.inherit_versions(&history(MEMORY, 100, &[(7, 0)]), now));
+    assert_eq!(fleet.sole_version("lm", Duration::ZERO, now), None);
+}
+
+/// A version that is gone still counts for as long as streams may have begun at it.
+#[tokio::test(start_paused = true)]
+async fn a_former_version_is_taken_over() {
+    let now = Instant::now();
+    let mut fleet = started(now);
+    fleet.begin_list(1);
+    assert!(fleet.inherit_versions(&history(MEMORY, 9, &[(7, 0), (8, 20)]), now));
+    assert_eq!(fleet.sole_version("lm", SPAN, now), None);
+    assert!(fleet.has_several_versions("lm", SPAN, now));
+    assert_eq!(fleet.take_mixed(), [policy::hash("lm")]);
+}
+
+#[test]
+fn a_history_survives_its_datagram() {
+    let all = history(SPAN, 12, &[(7, 0), (8, 20)]);
+    assert_eq!(Versions::new(&all).unwrap().history(), Some(all));
+    let many: Vec<_> = (0..49).map(|version| (version, 0)).collect();
+    assert_eq!(Versions::new(&history(SPAN, 12, &many)), None);
+    let truncated = Versions { ages_ms: vec![1], ..Versions::new(&history(SPAN, 1, &[])).unwrap() };
+    assert_eq!(truncated.history(), None);
+}
+
+/// An entry that stops serves on for seconds after it has left, and then hands over what it knows.
+#[test]
+fn an_entry_that_left_is_remembered() {
+    let (own, other): (IpAddr, IpAddr) = ([10, 0, 0, 1].into(), [10, 0, 0, 2].into());
+    let node = |key, ip: IpAddr| Node { key, domain: 1, address: (ip, 7).into(), link_rate: 1.0 };
+    let members = Members::new(Topology::default());
+    members.start(node(1, own), 1, 1);
+    let update = |status| Update { node: node(2, other), incarnation: 1, status };
+    members.apply(&[update(Status::Alive)], Source::News, Duration::ZERO);
+    assert!(!members.has_left(other, Duration::ZERO));
+    members.apply(&[update(Status::Left)], Source::News, Duration::from_secs(1));
+    assert!(members.has_left(other, Duration::from_secs(60)));
+    assert!(!members.has_left(other, Duration::from_secs(61)));
+    assert!(!members.has_left(own, Duration::from_secs(1)));
+}
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -2,7 +2,8 @@
 //!
 //! What targets of two versions write doesn't fit together, so a stream may only go on at the
 //! version that began it. Where all targets of a service have had one version for longer than a
-//! stream can be taken up, that version began it, and nobody has to be asked.
+//! stream can be taken up, that version began it, and nobody has to be asked. A process that has
+//! just been started takes over what others know of the time before.
 
 use crate::{Hash, Time};
 use std::collections::HashMap;
@@ -19,6 +20,15 @@
     versions: HashMap<Version, Presence>,
 }
 
+/// A version that targets had lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// The version.
+    pub version: Version,
+    /// How long ago its last target was removed; zero if one is listed.
+    pub age: Duration,
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Presence {
     /// Targets of the version that are listed.
@@ -69,6 +79,31 @@
         present.next().is_none().then_some(first)
     }
 
+    /// Returns the versions that are remembered.
+    pub fn seen(&self, now: Time) -> impl Iterator<Item = Seen> + '_ {
+        let age = move |seen: &Presence| match seen.targets {
+            0 => now.saturating_sub(seen.removed_at),
+            _ => Duration::ZERO,
+        };
+        let all = self.versions.iter();
+        all.map(move |(version, seen)| Seen { version: *version, age: age(seen) })
+            .filter(|seen| seen.age < MEMORY)
+    }
+
+    /// Records a version that another history remembers. Returns whether it is another one than all
+    /// that are known.
+    pub fn inherit(&mut self, seen: Seen, now: Time) -> bool {
+        let is_new = !self.versions.contains_key(&seen.version);
+        let presence = self.versions.entry(seen.version).or_default();
+        presence.removed_at = presence.removed_at.max(now.saturating_sub(seen.age));
+        is_new && self.versions.len() > 1
+    }
+
+    /// Sets from when on all versions are known.
+    pub fn set_known_from(&mut self, known_from: Option<Time>) {
+        self.known_from = known_from;
+    }
+
     fn present(&self, span: Duration, now: Time) -> impl Iterator<Item = Version> + '_ {
         let is_present =
             move |seen: &Presence| seen.targets > 0 || now < seen.removed_at.saturating_add(span);
--- a/crates/policy/tests/holders.rs
+++ b/crates/policy/tests/holders.rs
@@ -131,3 +131,39 @@
     let same_domain = vec![Holder { key: 1, domain: 9 }, Holder { key: 2, domain: 9 }];
     assert_eq!(Ring::new(same_domain).holders(1, None, HOLDERS).len(), 2);
 }
+
+/// All entries are stopped and started one after the other, and each hands over what it knows to the
+/// entries that are asked once it is gone: the origin of every stream is still found.
+#[test]
+fn origins_outlast_a_restart_of_all_entries_in_turn() {
+    for count in [4_usize, 30, 300] {
+        let all = entries(count as u64);
+        let ring = Ring::new(all.clone());
+        let mut known: Vec<HashSet<Hash>> = vec![HashSet::new(); count];
+        let streams: Vec<Hash> = (0..STREAMS / 4).map(|number| mix(number, 7)).collect();
+        for (number, stream) in streams.iter().enumerate() {
+            let origin = number % count;
+            let told = ring.holders(*stream, Some(origin), HOLDERS);
+            for at in told.into_iter().chain([origin]) {
+                known[at].insert(*stream);
+            }
+        }
+        for stopped in 0..count {
+            let rest: Vec<usize> = (0..count).filter(|at| *at != stopped).collect();
+            let after = Ring::new(rest.iter().map(|&at| all[at]).collect());
+            for stream in std::mem::take(&mut known[stopped]) {
+                for at in after.holders(stream, None, ASKED) {
+                    known[rest[at]].insert(stream);
+                }
+            }
+        }
+        let is_found = |stream: &&Hash| {
+            let taker = usize::try_from(**stream % count as u64).unwrap_or(0);
+            let asked = ring.holders(**stream, Some(taker), ASKED);
+            asked.into_iter().chain([taker]).any(|at| known[at].contains(*stream))
+        };
+        assert_eq!(streams.iter().filter(is_found).count(), streams.len(), "{count} entries");
+        let copies: usize = known.iter().map(HashSet::len).sum();
+        assert!(copies <= 2 * ASKED * streams.len(), "{copies} copies at {count} entries");
+    }
+}
--- a/crates/policy/tests/versions.rs
+++ b/crates/policy/tests/versions.rs
@@ -67,3 +67,23 @@
     assert_eq!(history.sole(MEMORY, seconds(500)), Some(1));
     assert_eq!(history.sole(MEMORY + SPAN, seconds(500)), None);
 }
+
+/// A process that has just been started takes over what another one has seen: it knows as much as
+/// that one, and not that a version was absent which the other has seen.
+#[test]
+fn a_history_is_inherited() {
+    let mut old = History::new(None);
+    old.add(1, seconds(0));
+    old.add(2, seconds(0));
+    old.remove(2, seconds(98));
+    let mut new = History::new(Some(seconds(100)));
+    new.add(1, seconds(100));
+    for seen in old.seen(seconds(100)) {
+        assert_eq!(new.inherit(seen, seconds(101)), seen.version == 2);
+    }
+    new.set_known_from(Some(seconds(100) - MEMORY));
+    assert_eq!((new.sole(SPAN, seconds(104)), new.is_mixed(SPAN, seconds(104))), (None, true));
+    assert_eq!(new.sole(SPAN, seconds(105)), Some(1));
+    assert_eq!(new.seen(seconds(101)).count(), 2);
+    assert_eq!(new.seen(seconds(99) + MEMORY).count(), 1);
+}
