fix(direct): what an entry that stops has counted is billed

Change: messages that only tell what their sender has seen are accepted from an entry that said within the last minute that it stops. Requests, grants and everything about quotas are not.

Tests missed it since all entries of a test had one address.

--- a/crates/direct/src/cluster/messages.rs
+++ b/crates/direct/src/cluster/messages.rs
@@ -114,9 +114,33 @@
 }
 
 impl Payload {
-    /// Returns whether the message hands over what an entry knows that stops.
-    pub fn is_handover(&self) -> bool {
-        matches!(self, Self::StreamOrigins(_) | Self::VersionsHandover(_))
+    /// Returns whether the message tells what the sender has seen, and neither requests anything nor
+    /// grants it. It holds even if the sender has left the membership.
+    pub fn is_observation(&self) -> bool {
+        match self {
+            Self::Report(_)
+            | Self::UsageCounts(_)
+            | Self::BillingProgress(_)
+            | Self::TargetLimit(_)
+            | Self::StreamOrigins(_)
+            | Self::CrashEvidence(_)
+            | Self::VersionsHandover(_) => true,
+            Self::PrefillRequest(_)
+            | Self::Response(_)
+            | Self::LogRecords(_)
+            | Self::DecodeRequest(_)
+            | Self::ConfigRequest(_)
+            | Self::PermitRequest(_)
+            | Self::Membership(_)
+            | Self::RecordsRequest(_)
+            | Self::QuotaRequest(_)
+            | Self::QuotaResponse(_)
+            | Self::QuotaRenewal(_)
+            | Self::QuotaReturn(_)
+            | Self::OriginRequest(_)
+            | Self::Verdicts(_)
+            | Self::VersionsRequest(_) => false,
+        }
     }
 
     /// Returns the name of the message in metrics and logs.
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -175,7 +175,7 @@
         // Entries introduce themselves with this message.
         Some(Payload::Membership(message)) => membership::receive(shared, message, from),
         Some(payload) if is_known() => handle_message(shared, payload, from),
-        Some(payload) if payload.is_handover() && has_left() => {
+        Some(payload) if payload.is_observation() && has_left() => {
             handle_message(shared, payload, from);
         }
         Some(_) => {}
