fix(direct): a response that bears no id is nobody's answer on a kept connection

Cause: a second copy of a response comes where the next one is expected. The id was compared only where there was one. A refusal has none; the copy of an answer that an internal call took left that call's own answer for the next caller on the connection.

Change: a connection with a refusal without an id carries no other request; a response without an id that is no refusal is dropped, but for prefilled prompts; an internal call drops a response with an id.

--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to send a request to one target, and its outcome.
 
 use crate::buffered_request::BufferedRequest;
-use crate::codec::{AttemptHead, Codec, ResponseHead};
+use crate::codec::{AttemptHead, Codec, ResponseHead, Step};
 use crate::costs;
 use crate::targets::pool::{self, Connection};
 use crate::targets::target::{Health, Target};
@@ -188,12 +188,17 @@
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(|error| error.to_compact_string())?;
         let (status, headers) = (response.status(), response.headers().clone());
+        let response_head = codec.decode_response(status, &headers);
+        if response_head.attempt_id.is_some() {
+            // Internal calls have no id, nor have their responses.
+            target.record_health(Health::Failing, Instant::now());
+            return Err("the response belongs to another request".into());
+        }
         if status != StatusCode::MISDIRECTED_REQUEST {
-            let response_head = codec.decode_response(status, &headers);
             target.observe_signals(&response_head.signals, sent, Instant::now());
         }
         let body = body::collect(response).await.map_err(|error| error.to_compact_string())?;
-        if body.end == End::Complete {
+        if body.end == End::Complete && !is_refusal(status, &response_head) {
             connection.keep(None, Instant::now());
         }
         Ok((status, headers, body.bytes))
@@ -241,10 +246,12 @@
     let now = Instant::now();
     let status = response.status();
     let response_head = codec.decode_response(status, response.headers());
-    let refused = response_head.not_run || status == StatusCode::MISDIRECTED_REQUEST;
-    let is_for_other_request =
-        response_head.attempt_id.is_some() && response_head.attempt_id != head.attempt_id;
-    if is_for_other_request {
+    let refused = is_refusal(status, &response_head);
+    let is_identified = response_head.attempt_id.is_some();
+    let is_for_other_request = is_identified && response_head.attempt_id != head.attempt_id;
+    // Neither refusals nor prefilled prompts bear an id.
+    let lacks_id = !is_identified && head.attempt_id.is_some() && head.step != Step::Prefill;
+    if is_for_other_request || (lacks_id && !refused) {
         // A duplicate or late response arrived in place of this one. The connection is dropped, and
         // the right response with it, since the responses on it can no longer be matched to
         // requests.
@@ -264,7 +271,11 @@
                 "another answers in its place");
             target.mark_misdirected(now);
         }
-        drain(response, connection, response_head);
+        // A second copy of a refusal without an id could not be told from a refusal of the next
+        // request, so that the connection carries no other one.
+        if is_identified {
+            drain(response, connection, response_head);
+        }
         return Outcome::NotRun(status);
     }
     let health = if status.is_server_error() { Health::Failing } else { Health::Healthy };
@@ -272,6 +283,11 @@
     Outcome::Responded(Box::new(Responded { response, head: response_head, connection }))
 }
 
+/// Whether the target states that it did not run the request.
+fn is_refusal(status: StatusCode, head: &ResponseHead) -> bool {
+    head.not_run || status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// The largest body of a refusal, in bytes, that is read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: u64 = 4_096;
 
