fix(direct): a stream is not resumed at more live engines than its route allows

Cause: engines were counted anew after each event, so that a stream outlives engines that crash one after the other. One whose connection was reset has not crashed and still works on the stream.

Change: engines that were sent the stream and have not crashed since count for as long as it lasts. Attempts since the last event are bounded as before.

--- a/crates/direct/src/request/generate/resume.rs
+++ b/crates/direct/src/request/generate/resume.rs
@@ -13,6 +13,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::time::Instant;
 
 /// The maximum number of engines that are asked to resume one stream. The next one is asked only if
@@ -28,13 +29,20 @@
     attempts: u32,
     /// The last event when it was last resumed.
     resumed_after: Option<u64>,
+    /// Engines that it was sent to and that have not crashed since, as far as known.
+    live_engines: Arc<AtomicU32>,
 }
 
 impl StreamResumer {
     /// For a request that was sent to this many engines.
     pub(super) fn boxed(request: &Arc<RequestContext>, attempts: u32) -> Box<dyn Resume> {
-        let first_attempts = attempts;
-        Box::new(Self { request: request.clone(), first_attempts, attempts, resumed_after: None })
+        Box::new(Self {
+            request: request.clone(),
+            first_attempts: attempts,
+            attempts,
+            resumed_after: None,
+            live_engines: Arc::new(AtomicU32::new(attempts)),
+        })
     }
 }
 
@@ -58,9 +66,14 @@
         self.attempts += 1;
         self.resumed_after = last_event_id;
         let required = origin.map_or(request.required, Required::Version);
+        let live_engines = self.live_engines.clone();
         Box::pin(async move {
-            request.subject.record_break(&failed, broken.began, broken.progress).await;
-            if !allowed {
+            if request.subject.record_break(&failed, broken.began, broken.progress).await {
+                live_engines.fetch_sub(1, Ordering::Relaxed);
+            }
+            // An engine that lost only the connection may still work on the stream.
+            let is_spent = live_engines.load(Ordering::Relaxed) >= request.route.max_attempts;
+            if !allowed || is_spent {
                 return None;
             }
             let mut tried = vec![failed.clone()];
@@ -73,6 +86,9 @@
                 }
                 let attempt = dispatch::begin(&engine, Some(engine.engine.begin_stream()));
                 let outcome = resume(&request, &engine, last_event_id, &failed).await;
+                if !matches!(outcome, Outcome::Closed(_)) {
+                    live_engines.fetch_add(1, Ordering::Relaxed);
+                }
                 match outcome {
                     Outcome::Responded(responded) if responded.response.status().is_success() => {
                         return Some(Source { responded, attempt });
--- a/crates/direct/src/request/subject.rs
+++ b/crates/direct/src/request/subject.rs
@@ -121,8 +121,14 @@
     }
 
     /// Finds out whether a target crashed that broke off under the request, which was sent to it at
-    /// `began`, and tells the others. Whoever sends the request again waits for this.
-    pub async fn record_break(&self, target: &Arc<Target>, began: Instant, progress: Progress) {
+    /// `began`, and tells the others. Returns whether it crashed. Whoever sends the request again
+    /// waits for this.
+    pub async fn record_break(
+        &self,
+        target: &Arc<Target>,
+        began: Instant,
+        progress: Progress,
+    ) -> bool {
         self.in_trial.store(false, Ordering::Relaxed);
         let (broke_at, began) = (Instant::now(), self.shared.crash_time_at(began));
         let crash = Crash { target: target.key, at: self.shared.crash_time_at(broke_at) };
@@ -138,12 +144,15 @@
         } else {
             self.shared.suspects.record_unconfirmed(crash, run);
         }
+        crashed
     }
 
     /// As [`Self::record_break`], without waiting.
     pub fn spawn_record_break(&self, target: &Arc<Target>, began: Instant, progress: Progress) {
         let (subject, target) = (self.clone(), target.clone());
-        tokio::spawn(async move { subject.record_break(&target, began, progress).await });
+        tokio::spawn(async move {
+            subject.record_break(&target, began, progress).await;
+        });
     }
 
     /// Records that the request ran to its end.
