fix(direct): changes of the list that were missed restart the history of versions

An entry that is cut off or frozen for longer than the log keeps changes reads the whole list anew. A version may have come and gone meanwhile, and the entry still claimed to know all versions of the last minute: it would go on with a stream at another version than the one that began it (ORDER), and since the last change it would pass that claim on to entries that start.

Change: a whole list after the first one restarts the history, unless the log was restored, and others are asked for what they know, as after a start. Names and comments of the shutdown in the terms of the field.

--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -26,7 +26,7 @@
 /// the log.
 const HEARTBEAT_TTL: Duration = Duration::from_secs(21);
 
-/// For how long an entry that stops may still hand over what it knows: longer than a shutdown takes.
+/// For how long observations of an entry that shuts down are accepted: longer than a shutdown takes.
 const LEFT_TTL: Duration = Duration::from_secs(60);
 
 /// The live entries, including this one, as recipients of news.
@@ -69,7 +69,7 @@
     membership: Option<(Membership, ChaCha8Rng)>,
     /// Entries of builds before the membership, with the time of their last heartbeat in the log.
     heartbeats: HashMap<Hash, (Node, Time)>,
-    /// Addresses of entries that stop, with the time at which they said so.
+    /// Addresses of entries that shut down, with the time of the announcement.
     left: HashMap<IpAddr, Time>,
     snapshot: Arc<[Member]>,
     ring: Ring,
@@ -193,8 +193,8 @@
             || inner.heartbeats.values().any(|(node, _)| node.address.ip() == ip)
     }
 
-    /// Returns whether an entry at this address has said lately that it stops. It may go on for as long
-    /// as its requests last.
+    /// Returns whether an entry at this address has lately announced its shutdown. It serves on until
+    /// its requests have ended.
     pub fn has_left(&self, ip: IpAddr, now: Time) -> bool {
         self.lock().left.get(&ip).is_some_and(|at| now < *at + LEFT_TTL)
     }
--- a/crates/direct/src/cluster/messages/versions.rs
+++ b/crates/direct/src/cluster/messages/versions.rs
@@ -19,13 +19,13 @@
     pub reservation: ReservationId,
 }
 
-/// Tells an entry what one that stops knows of software versions.
+/// Hands over the history of an entry that shuts down.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct VersionsHandover {
-    /// The incarnation of the recipient, so that none that starts later takes it for itself.
+    /// The incarnation of the recipient. Its successor has another list and must not merge this.
     #[prost(uint64, tag = "1")]
     pub recipient: u64,
-    /// What the sender knows.
+    /// The history of the sender.
     #[prost(message, optional, tag = "2")]
     pub versions: Option<Versions>,
 }
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -190,7 +190,7 @@
     let accepts_until = stop.deadline.checked_sub(STOP_ACCEPTING_BEFORE).unwrap_or(stop.deadline);
     wait_for_callers(shared, accepts_until).await;
     stop_accepting.cancel();
-    // Callers whose streams are cut off take them up at once, at entries that have to know them.
+    // Callers take their streams up at other entries as soon as these are cut off.
     hand_over(shared, stop.deadline).await;
     wait_for_callers(shared, stop.deadline).await;
     log::info!(target: "process", cut = shared.callers.count(),
@@ -204,7 +204,8 @@
     }
 }
 
-/// Hands over what only this entry may know, until `deadline` at the latest.
+/// Hands over origins of streams and the version history, which may be known to this entry alone, until
+/// `deadline` at the latest.
 async fn hand_over(shared: &Shared, deadline: Instant) {
     version_history::hand_over(shared);
     if tokio::time::timeout_at(deadline, origins::hand_over(shared)).await.is_err() {
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -80,6 +80,14 @@
             Self::AllReceived(..) | Self::Forwarded(_) => false,
         }
     }
+
+    /// Whether it holds the newest records alone, not all changes.
+    fn is_whole(&self) -> bool {
+        match self {
+            Self::All(..) | Self::AllReceived(..) => true,
+            Self::Changes(_) | Self::Forwarded(_) => false,
+        }
+    }
 }
 
 /// A stream that this entry follows.
@@ -340,9 +348,16 @@
     let read_wait = timing.targets_read_wait();
     let mut stream = Stream::new(shared.clone(), log, Topic::Targets, name, read_wait);
     let mut invalid = InvalidRecords::default();
+    let mut has_list = false;
     loop {
         let update = stream.read().await;
         let own = update.is_own_read();
+        // Targets may have come and gone unseen. After a restore nothing was missed but what the log
+        // itself has lost.
+        if update.is_whole() && std::mem::replace(&mut has_list, true) && !stream.restored {
+            log::info!(target: "fleet", "history of software versions restarted");
+            shared.fleet().restart_history(Instant::now());
+        }
         let span = apply_targets(&shared, &*decode, update, &mut stream, &mut invalid);
         let count = {
             let fleet = shared.fleet();
--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -31,7 +31,7 @@
 /// How often the holders are asked: a datagram may be lost.
 const ROUNDS: usize = 2;
 
-/// The number of datagrams that are handed over at once.
+/// The number of datagrams that are sent at once on shutdown.
 const BURST: usize = 16;
 
 /// The interval between bursts, which keeps them from filling slow links.
@@ -71,8 +71,8 @@
     }
 }
 
-/// Tells the entries that will be asked once this one is gone where all streams began that are known
-/// here. To be called by an entry that stops.
+/// Sends all known origins to the entries that will be asked for them once this one is gone. Called on
+/// shutdown.
 pub async fn hand_over(shared: &Shared) {
     let origins = shared.origins.all(Instant::now());
     if origins.is_empty() {
--- a/crates/direct/src/exchange/version_history.rs
+++ b/crates/direct/src/exchange/version_history.rs
@@ -30,21 +30,28 @@
 /// The first pause between requests; it doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(50);
 
+/// How often an entry checks whether its history has been restarted.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The longest pause between requests.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
 /// How long to wait for a response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The number of entries to which an entry that stops tells what it knows.
+/// The number of entries to which the history is sent on shutdown.
 const RECIPIENTS: usize = 8;
 
-/// Asks other entries until all versions are known for as long as they are remembered.
+/// Asks other entries whenever the versions are not known for as long as they are remembered.
 pub async fn run(shared: Arc<Shared>) {
     let mut pause = MIN_PAUSE;
-    while shared.fleet().history_span(Instant::now()) < MEMORY {
+    loop {
         tokio::time::sleep(pause).await;
-        // What the others know has to be joined to what this entry sees itself.
+        if shared.fleet().history_span(Instant::now()) >= MEMORY {
+            pause = CHECK_INTERVAL;
+            continue;
+        }
+        // A history can only be merged once this entry sees all changes itself.
         let Some(position) = shared.tail.known_position(Topic::Targets) else { continue };
         shared.fleet().begin_list(position);
         let peers = shared.peers.directory.sample(ASKED_PEERS);
@@ -87,15 +94,15 @@
 
 /// Answers another entry, unless the list of targets here is outdated.
 pub fn respond(shared: &Shared, request: &VersionsRequest, to: SocketAddr) {
-    let Some(versions) = known_here(shared) else { return };
+    let Some(versions) = own_history(shared) else { return };
     let decision = Some(Decision::Versions(versions));
     let response = Response { reservation: request.reservation, decision };
     shared.peer_socket.send(Payload::Response(response), to);
 }
 
-/// Tells some other entries what is known here, as this one stops.
+/// Sends the history to some other entries. Called on shutdown.
 pub fn hand_over(shared: &Shared) {
-    let Some(versions) = known_here(shared) else { return };
+    let Some(versions) = own_history(shared) else { return };
     let directory = &shared.peers.directory;
     for node in directory.sample(RECIPIENTS) {
         let incarnation = directory.with(|members, _| members.live_incarnation(node.key)).flatten();
@@ -105,7 +112,7 @@
     }
 }
 
-/// Takes over what an entry knows that stops.
+/// Merges the history of an entry that shuts down.
 pub fn receive(shared: &Shared, handover: &VersionsHandover) {
     let own = shared.peers.directory.with(|members, _| members.own().incarnation);
     if own == Some(handover.recipient)
@@ -115,8 +122,8 @@
     }
 }
 
-/// What is known here; `None` if the list of targets is outdated.
-fn known_here(shared: &Shared) -> Option<Versions> {
+/// Returns the history of this entry; `None` if its list of targets is outdated.
+fn own_history(shared: &Shared) -> Option<Versions> {
     let now = Instant::now();
     let age = shared.tail.age(Topic::Targets, now)?;
     if age > shared.tail.timing().change_bound {
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -90,7 +90,7 @@
     subject: Subject,
     resume: Option<Box<dyn Resume>>,
     events: Option<EventBuffer>,
-    /// The form of the body that the caller was told.
+    /// The form of the body, as announced to the caller.
     form: Form,
     /// The software version of the target that the first event came from.
     origin: Option<Version>,
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -239,14 +239,22 @@
         VersionHistory { span: self.history_span(now), end, rows: rows.collect() }
     }
 
+    /// Restarts the history now: changes of the list were missed. The versions that are known stay.
+    pub fn restart_history(&mut self, now: Instant) {
+        (self.known_from, self.list_start) = (Some(self.time(now)), None);
+        for history in self.histories.values_mut() {
+            history.set_known_from(self.known_from);
+        }
+    }
+
     /// Records from which offset on all changes of the list are seen here. Only the first call has an
     /// effect.
     pub fn begin_list(&mut self, offset: Offset) {
         self.list_start.get_or_insert(offset);
     }
 
-    /// Takes over what another entry knows of the software versions, unless there is a gap between
-    /// that and what is seen here. Returns whether it reaches further back than what was known.
+    /// Merges the history of another entry, unless there is a gap between its list and this one.
+    /// Returns whether it reaches further back than what was known.
     pub fn inherit_versions(&mut self, inherited: &VersionHistory, now: Instant) -> bool {
         let is_joined = self.list_start.is_some_and(|start| start <= inherited.end);
         if !is_joined || inherited.span <= self.history_span(now) {
--- a/crates/direct/tests/version_history.rs
+++ b/crates/direct/tests/version_history.rs
@@ -51,6 +51,24 @@
     assert_eq!(fleet.sole_version("lm", Duration::ZERO, now), None);
 }
 
+/// The entry was cut off for longer than the log keeps changes, and reads the whole list anew: a version
+/// may have come and gone meanwhile. What others know of that time fills the gap.
+#[tokio::test(start_paused = true)]
+async fn missed_changes_restart_the_history() {
+    let now = Instant::now();
+    let mut fleet = started(now);
+    fleet.begin_list(1);
+    assert!(fleet.inherit_versions(&history(MEMORY, 9, &[(7, 0)]), now));
+    let later = now + SPAN;
+    fleet.restart_history(later);
+    assert_eq!(fleet.sole_version("lm", SPAN, later), None);
+    assert!(!fleet.inherit_versions(&history(MEMORY, 99, &[(7, 0), (8, 5)]), later));
+    fleet.begin_list(50);
+    assert!(fleet.inherit_versions(&history(MEMORY, 99, &[(7, 0), (8, 5)]), later));
+    assert!(fleet.has_several_versions("lm", SPAN, later));
+    assert_eq!(fleet.sole_version("lm", SPAN, later), None);
+}
+
 /// A version that is gone still counts for as long as streams may have begun at it.
 #[tokio::test(start_paused = true)]
 async fn a_former_version_is_taken_over() {
