--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -22,7 +22,7 @@
     pub version: String,
     zone: &'static str,
     stage: Mutex<&'static str>,
-    born: u128,
+    born: AtomicU64,
     address: String,
     server: Mutex<Option<Server>>,
     store: Store,
@@ -33,8 +33,19 @@
     handles: AtomicU64,
     running: AtomicU64,
     runs: AtomicU64,
+    /// Whether it is down after a crash, to start again under its id.
+    down: AtomicBool,
+    /// When requests with a harmful part reached it, and when it crashed under them.
+    pub harmful: Mutex<Vec<Instant>>,
+    pub crashes: Mutex<Vec<Instant>>,
 }
 
+/// The part of prompts that crashes each worker which begins an answer on it.
+pub const HARMFUL_PART: &str = "dead";
+
+/// How long a worker is down after a crash.
+const DOWN: Duration = Duration::from_millis(3_000);
+
 impl Engine {
     /// Starts a worker, which registers itself.
     pub fn start(
@@ -53,7 +64,7 @@
             version: version.into(),
             zone,
             stage: Mutex::new(stage),
-            born: since.as_millis(),
+            born: AtomicU64::new(u64::try_from(since.as_millis()).unwrap_or(0)),
             address: address.to_string(),
             server: Mutex::default(),
             store: store.clone(),
@@ -64,6 +75,9 @@
             handles: AtomicU64::new(0),
             running: AtomicU64::new(0),
             runs: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            harmful: Mutex::default(),
+            crashes: Mutex::default(),
         });
         let serving = engine.clone();
         let serve: Serve = Arc::new(move |connection| serving.serve(connection));
@@ -74,7 +88,8 @@
         thread::spawn(move || {
             while !beating.ended.load(Ordering::SeqCst) {
                 thread::sleep(HEARTBEAT);
-                if !beating.ended.load(Ordering::SeqCst) {
+                let down = beating.down.load(Ordering::SeqCst);
+                if !down && !beating.ended.load(Ordering::SeqCst) {
                     beating.register();
                 }
             }
@@ -90,7 +105,7 @@
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
         let (address, zone, version) = (&self.address, self.zone, &self.version);
-        let born = self.born;
+        let born = self.born.load(Ordering::SeqCst);
         let stage = *self.stage.lock().unwrap();
         format!(
             "{{\"service\":\"lm\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
@@ -134,8 +149,40 @@
         self.store.put("keyed.servers", &self.id, "");
     }
 
-    fn serve(&self, mut connection: Connection) {
+    /// Crashes, and starts again under its id some seconds later.
+    fn crash(self: &Arc<Self>) {
+        if self.down.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.record.line(&format!("worker {} crashes", self.id));
+        self.crashes.lock().unwrap().push(Instant::now());
+        let server = self.server.lock().unwrap().take();
+        let engine = self.clone();
+        thread::spawn(move || {
+            if let Some(server) = server {
+                server.close();
+            }
+            thread::sleep(DOWN);
+            let Ok(listener) = TcpListener::bind(&engine.address) else { return };
+            let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+            let born = since.unwrap_or_default().as_millis();
+            engine.born.store(u64::try_from(born).unwrap_or(0), Ordering::SeqCst);
+            engine.sequence.store(0, Ordering::SeqCst);
+            engine.running.store(0, Ordering::SeqCst);
+            engine.down.store(false, Ordering::SeqCst);
+            let serving = engine.clone();
+            let serve: Serve = Arc::new(move |connection| serving.serve(connection));
+            *engine.server.lock().unwrap() = Some(Server::start(listener, serve));
+            engine.record.line(&format!("worker {} starts again", engine.id));
+            engine.register();
+        });
+    }
+
+    fn serve(self: &Arc<Self>, mut connection: Connection) {
         while let Ok(Some(request)) = connection.read_message() {
+            if self.down.load(Ordering::SeqCst) {
+                return;
+            }
             if self.ended.load(Ordering::SeqCst) || self.respond(&mut connection, &request).is_err()
             {
                 return;
@@ -143,7 +190,11 @@
         }
     }
 
-    fn respond(&self, connection: &mut Connection, request: &Message) -> std::io::Result<()> {
+    fn respond(
+        self: &Arc<Self>,
+        connection: &mut Connection,
+        request: &Message,
+    ) -> std::io::Result<()> {
         let id = request.header("lapismast-attempt-id").unwrap_or_default().to_owned();
         let stage = *self.stage.lock().unwrap();
         let json = "Content-Type: application/json\r\n";
@@ -160,7 +211,7 @@
                      \"adapters\":[]}}],\"busy\":false,\"sequence\":0,\"queued\":0,\
                      \"active\":{running},\"kv-used\":0,\"kv-total\":232000,\"kv-handles\":0,\
                      \"born\":{}}}",
-                    self.born
+                    self.born.load(Ordering::SeqCst)
                 );
                 return connection.stream.write_all(&response(200, json, body.as_bytes()));
             }
@@ -193,6 +244,13 @@
         if stage != "decode" {
             return connection.stream.write_all(&response(421, &head, b""));
         }
+        let parts = request.header("lapismast-prefix-hash").unwrap_or_default();
+        if parts.split(',').any(|part| part.split(':').next() == Some(HARMFUL_PART)) {
+            self.record.line(&format!("worker {} gets {id} with the harmful part", self.id));
+            self.harmful.lock().unwrap().push(Instant::now());
+            self.crash();
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         self.running.fetch_add(1, Ordering::SeqCst);
         self.runs.fetch_add(1, Ordering::SeqCst);
         let streamed = self.stream(connection, request, &head);
@@ -225,7 +283,8 @@
         );
         connection.stream.write_all(head.as_bytes())?;
         for event in after + 1..=count {
-            if self.ended.load(Ordering::SeqCst) || began.elapsed() > deadline {
+            let gone = self.ended.load(Ordering::SeqCst) || self.down.load(Ordering::SeqCst);
+            if gone || began.elapsed() > deadline {
                 return Err(std::io::ErrorKind::TimedOut.into());
             }
             let text = format!("id: {event}\ndata: {} {}\n\n", self.version, self.id);
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod history;
 mod http;
+mod poison;
 mod service;
 mod store;
 mod versions;
@@ -46,6 +47,7 @@
         "billing" => billing::run(&record, trouble),
         "history" => history::run(&record, Before::Deletion, trouble),
         "restart" => history::run(&record, Before::Restart, trouble),
+        "poison" => poison::run(&record, trouble),
         "versions" => versions::run(&record, trouble),
         _ => cannot_run("no such case"),
     });
