--- a/review/harness-2/history.rs
+++ b/review/harness-2/history.rs
@@ -165,5 +165,5 @@
     if taken_up.len() < ENOUGH || begun == 0 {
         crate::cannot_run("too few streams were taken up");
     }
-    taken < fresh / 2.0 || !ended.is_empty()
+    taken < fresh / 2.0
 }
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,8 +1,8 @@
 //! Stand-ins and cases of the second review. Prints what it saw; the exit code is 1 if the rule was
 //! broken, 0 if it held, and 2 if the case couldn't run.
 //!
-//! Usage: harness-2 CASE RECORD, in the root of the repository. With TROUBLE=0 in the environment
-//! there is no disruption.
+//! Usage: harness-2 CASE RECORD TROUBLE, in the root of the repository. With 0 for TROUBLE there is no
+//! disruption.
 
 mod billing;
 mod callers;
@@ -37,11 +37,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record] = &arguments[..] else {
-        eprintln!("usage: harness-2 CASE RECORD");
+    let [_, case, record, trouble] = &arguments[..] else {
+        eprintln!("usage: harness-2 CASE RECORD TROUBLE");
         exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let trouble = trouble != "0";
     let record = Arc::new(Record::create(&PathBuf::from(record)));
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "billing" => billing::run(&record, trouble),
--- a/review/harness-2/poison.rs
+++ b/review/harness-2/poison.rs
@@ -158,5 +158,5 @@
         crate::cannot_run("too few sound requests");
     }
     let share = |(part, all): (usize, usize)| part as f64 / all.max(1) as f64;
-    share(after) < share(before) / 2.0 || !ended.is_empty()
+    share(after) < share(before) / 2.0
 }
