fix(direct): a stream of a new version is not taken up at the old one by an entry that learns of it late

Cause: origins::find takes the only version that an entry knows for the origin of any stream, if its list is at most 2 s old. Another entry may have learned of a second version up to 0.45 s earlier (a designated reader sleeps between its reads and applies nothing that others send) and begun streams at it.

Change: a version beside others begins resumable streams only after it has been known for 1 s, and a list counts as current for 0.75 s since the start of the read that brought it. Then a current list with one version shows that no stream can have begun at another, however differently entries poll. A reader applies what others send between its reads. Entries tell each other how long a read took.

Ruled out: the entry's own resumption (the attempts that cross are the callers').

--- a/crates/direct/src/cluster/entry_state.rs
+++ b/crates/direct/src/cluster/entry_state.rs
@@ -213,6 +213,9 @@
     /// How far that read went.
     #[prost(uint64, tag = "6")]
     pub position: u64,
+    /// How long that read took, in milliseconds; 0 from a build that doesn't tell.
+    #[prost(uint32, tag = "7")]
+    pub duration_ms: u32,
 }
 
 impl StreamRead {
@@ -223,6 +226,7 @@
             topic: topic.map_or(u32::MAX, |(index, _)| index),
             change_end: status.change_end,
             age_ms: u32::try_from(status.age.as_millis()).unwrap_or(u32::MAX),
+            duration_ms: u32::try_from(status.duration.as_millis()).unwrap_or(u32::MAX),
             reader: status.read.reader,
             number: status.read.number,
             position: status.position,
@@ -237,6 +241,7 @@
             change_end: self.change_end,
             read: ReadId { reader: self.reader, number: self.number },
             age: Duration::from_millis(self.age_ms.into()),
+            duration: Duration::from_millis(self.duration_ms.into()),
             position: self.position,
         })
     }
--- a/crates/direct/src/cluster/messages/versions.rs
+++ b/crates/direct/src/cluster/messages/versions.rs
@@ -48,6 +48,9 @@
     /// The offset up to which the sender has seen the list of targets.
     #[prost(uint64, tag = "5")]
     pub end: u64,
+    /// Whether streams may begin at each; earlier builds don't tell.
+    #[prost(bool, repeated, tag = "6")]
+    pub settled: Vec<bool>,
 }
 
 impl Versions {
@@ -63,18 +66,21 @@
             services: history.rows.iter().map(|row| row.service).collect(),
             versions: history.rows.iter().map(|row| row.seen.version).collect(),
             ages_ms: history.rows.iter().map(|row| ms(row.seen.age)).collect(),
+            settled: history.rows.iter().map(|row| row.seen.settled).collect(),
         })
     }
 
     /// Decodes it; `None` if columns differ in length.
     pub fn history(&self) -> Option<VersionHistory> {
-        let Self { span_ms, services, versions, ages_ms, end } = self;
+        let Self { span_ms, services, versions, ages_ms, end, settled } = self;
         if services.len() != versions.len() || services.len() != ages_ms.len() {
             return None;
         }
-        let rows = services.iter().zip(versions).zip(ages_ms);
-        let row = |((service, version), age_ms): ((&u64, &Version), &u32)| {
-            let seen = Seen { version: *version, age: Duration::from_millis((*age_ms).into()) };
+        let settled = settled.iter().copied().chain(std::iter::repeat(false));
+        let rows = services.iter().zip(versions).zip(ages_ms).zip(settled);
+        let row = |(((service, version), age_ms), settled): (((&u64, &Version), &u32), bool)| {
+            let age = Duration::from_millis((*age_ms).into());
+            let seen = Seen { version: *version, age, settled };
             VersionRow { service: *service, seen }
         };
         let span = Duration::from_millis((*span_ms).into()).min(MEMORY);
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -332,11 +332,12 @@
         topic: Topic,
         change_end: Offset,
         position: Offset,
+        began: Instant,
         now: Instant,
     ) -> bool {
         let mut inner = self.lock();
         inner.reached_at = Some(now);
-        inner.stream(topic).confirmation.record_read(change_end, position, now)
+        inner.stream(topic).confirmation.record_read(change_end, position, began, now)
     }
 
     /// Returns from where this entry, which has applied the stream up to `next`, has to read it in
@@ -364,9 +365,10 @@
     pub fn read_status(&self, topic: Topic, now: Instant) -> Option<ReadStatus> {
         let mut inner = self.lock();
         let confirmation = &inner.stream(topic).confirmation;
-        let Read { id, at, position } = confirmation.read()?;
+        let Read { id, at, began, position } = confirmation.read()?;
         let (change_end, age) = (confirmation.change_end(), now.saturating_duration_since(at));
-        Some(ReadStatus { topic, change_end, read: id, age, position })
+        let duration = at.saturating_duration_since(began);
+        Some(ReadStatus { topic, change_end, read: id, age, duration, position })
     }
 
     /// Records what another entry tells about a stream.
@@ -388,6 +390,12 @@
         Some(now.saturating_duration_since(at))
     }
 
+    /// Returns the same age since that read was started.
+    pub fn age_since_start(&self, topic: Topic, now: Instant) -> Option<Duration> {
+        let began = self.lock().stream(topic).confirmation.began()?;
+        Some(now.saturating_duration_since(began))
+    }
+
     /// Returns whether an entry that has the records before `next` has all that any entry is known
     /// to have.
     pub fn is_complete(&self, topic: Topic, next: Offset) -> bool {
--- a/crates/direct/src/cluster/tail/confirmation.rs
+++ b/crates/direct/src/cluster/tail/confirmation.rs
@@ -24,6 +24,8 @@
     pub id: ReadId,
     /// When it was made, by this process's clock.
     pub at: Instant,
+    /// When it was started. A reader may have been suspended before it used the response.
+    pub began: Instant,
     /// How far it went. Records between the last change and here changed nothing.
     pub position: Offset,
 }
@@ -62,6 +64,10 @@
         self.read.map(|read| read.at)
     }
 
+    pub(super) fn began(&self) -> Option<Instant> {
+        self.read.map(|read| read.began)
+    }
+
     /// Returns whether the records before `next` are all that any known read has found.
     pub(super) fn is_complete(&self, next: Offset) -> bool {
         (self.read.is_some() || self.pending.is_some()) && next >= self.known_end()
@@ -85,6 +91,7 @@
         &mut self,
         change_end: Offset,
         position: Offset,
+        began: Instant,
         now: Instant,
     ) -> bool {
         let is_news = self.read.is_none() || self.change_end < change_end;
@@ -92,7 +99,7 @@
         let id = ReadId { reader: self.reader, number: self.reads };
         self.numbers.insert(id.reader, id.number);
         self.change_end = self.change_end.max(change_end);
-        self.confirm(Read { id, at: now, position });
+        self.confirm(Read { id, at: now, began, position });
         is_news
     }
 
--- a/crates/direct/src/cluster/tail/followed.rs
+++ b/crates/direct/src/cluster/tail/followed.rs
@@ -96,8 +96,9 @@
         at: Instant,
         now: Instant,
     ) -> bool {
-        let ReadStatus { read: id, position, change_end, .. } = *status;
-        self.confirmation.observe(change_end, Read { id, at, position });
+        let ReadStatus { read: id, position, change_end, duration, .. } = *status;
+        let began = at.checked_sub(duration).unwrap_or(at);
+        self.confirmation.observe(change_end, Read { id, at, began, position });
         let own = self.confirmation.change_end();
         let known = self.ahead.filter(|ahead| ahead.change_end > own);
         if change_end <= own || known.is_some_and(|known| known.change_end > change_end) {
--- a/crates/direct/src/cluster/tail/step.rs
+++ b/crates/direct/src/cluster/tail/step.rs
@@ -64,6 +64,8 @@
     pub read: ReadId,
     /// How long ago that read was made.
     pub age: Duration,
+    /// How long that read took.
+    pub duration: Duration,
     /// How far it went.
     pub position: Offset,
 }
--- a/crates/direct/src/exchange/coordination/decode.rs
+++ b/crates/direct/src/exchange/coordination/decode.rs
@@ -56,7 +56,10 @@
         let allowed = !request.avoid.contains(&short_hash(engine.key));
         let able = engine.stage() != Some(Stage::Prefill) && !engine.is_changing_stage(now);
         let permits = &shared.coordinator.permits;
-        let fits = request.software.is_none_or(|software| software == engine.software_key);
+        let fits = match request.software {
+            Some(software) => software == engine.software_key,
+            None => engine.begins_streams(),
+        };
         allowed
             && able
             && fits
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -26,6 +26,8 @@
     next: Offset,
     /// The offset after the last record that changed something.
     change_end: Offset,
+    /// When the last read of the log was started.
+    read_began: Instant,
     reread: Reread,
     /// After a failed call, when to call again although no peer has read the stream.
     retry: Option<Retry>,
@@ -60,7 +62,8 @@
         view: watch::Sender<StreamView>,
     ) -> Self {
         let reread = Reread::Nothing;
-        Self { shared, log, view, next: 0, change_end: 0, reread, retry: None }
+        let read_began = Instant::now();
+        Self { shared, log, view, next: 0, change_end: 0, read_began, reread, retry: None }
     }
 
     pub(super) async fn run(mut self) {
@@ -72,6 +75,7 @@
                 self.apply_span(span);
                 continue;
             }
+            self.read_began = Instant::now();
             match self.log.read(STREAM, self.next, MAX_RECORDS, READ_WAIT).await {
                 Ok(batch) => self.apply_batch(batch),
                 Err(plat::Error::Gone { oldest, .. }) => self.restart(oldest),
@@ -189,7 +193,7 @@
         }
         self.update_reread(reread_end);
         self.shared.tail.keep(Topic::Notices, changed.iter().cloned());
-        self.shared.record_read(Topic::Notices, self.change_end, self.next);
+        self.shared.record_read(Topic::Notices, self.change_end, self.next, self.read_began);
         // Others may not know that records before the first read have expired.
         let (start, records) =
             if is_first { (self.change_end, Vec::new()) } else { (start, changed) };
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -106,6 +106,10 @@
     lost_at: Option<Instant>,
     /// After a failed call, when to call again although no peer has read the stream.
     retry: Option<Retry>,
+    /// When the last call to the log was started.
+    began: Instant,
+    /// Before this, only what peers send is applied.
+    pause_until: Option<Instant>,
     /// Whether the log was restored from an older copy since the stream was last read.
     restored: bool,
     /// Whether the changes since the last read have expired in the log. Another entry can't tell
@@ -134,6 +138,8 @@
             failed_at,
             lost_at,
             retry,
+            began: Instant::now(),
+            pause_until: None,
             restored,
             expired,
         }
@@ -160,6 +166,10 @@
 
     async fn try_read(&mut self) -> plat::Result<Update> {
         let Some(next) = self.next else { return self.try_read_all().await };
+        if let Some(span) = self.next_forwarded(next).await {
+            self.next = Some(span.end.max(next));
+            return Ok(Update::Forwarded(span));
+        }
         let from = loop {
             match self.shared.tail.next_step(self.topic, next, self.retry).await {
                 FollowStep::Read(reason) => {
@@ -185,11 +195,28 @@
                 }
             }
         };
+        self.began = Instant::now();
         let (records, end) = self.log.changes(self.name, from, self.read_wait).await?;
         self.advance(end.max(from));
         Ok(Update::Changes(records))
     }
 
+    /// Returns what peers send while this entry pauses between its own reads.
+    async fn next_forwarded(&mut self, next: Offset) -> Option<RecordSpan> {
+        let until = self.pause_until?;
+        loop {
+            if let Some(span) = self.shared.tail.take_offered(self.topic, next) {
+                return Some(span);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                self.pause_until = None;
+                return None;
+            }
+            self.shared.tail.wait_for_update(left).await;
+        }
+    }
+
     async fn try_read_all(&mut self) -> plat::Result<Update> {
         if !self.expired
             && let Some(newest) = catch_up::fetch_first(&self.shared, self.topic).await
@@ -198,6 +225,7 @@
             return Ok(Update::AllReceived(newest.records, newest.end));
         }
         self.shared.metrics.stream_read(self.topic.name(), "all");
+        self.began = Instant::now();
         let newest = self.read_list().await?;
         self.expired = false;
         self.advance(newest.end);
@@ -289,7 +317,7 @@
             whole: false,
             records: versions,
         };
-        record_span(&shared, span, stream.next.filter(|_| own));
+        record_span(&shared, span, own_read(&stream, own));
     }
 }
 
@@ -311,11 +339,24 @@
     }
 }
 
-/// Records how far a stream was applied, and sends what this entry read itself, up to `read_end`, to
-/// the others.
-fn record_span(shared: &Arc<Shared>, span: RecordSpan, read_end: Option<Offset>) {
-    if let Some(read_end) = read_end {
-        shared.record_read(span.topic, span.end, read_end);
+/// A read of the log by this entry.
+struct OwnRead {
+    /// How far it went.
+    end: Offset,
+    /// When it was started.
+    began: Instant,
+}
+
+/// The last read of a stream, if it was this entry that made it.
+fn own_read(stream: &Stream, own: bool) -> Option<OwnRead> {
+    let end = stream.next.filter(|_| own)?;
+    Some(OwnRead { end, began: stream.began })
+}
+
+/// Records how far a stream was applied, and sends what this entry read itself to the others.
+fn record_span(shared: &Arc<Shared>, span: RecordSpan, read: Option<OwnRead>) {
+    if let Some(read) = read {
+        shared.record_read(span.topic, span.end, read.end, read.began);
         dissemination::publish(shared, span);
     } else {
         shared.tail.record_forwarded(span.topic, span.end);
@@ -364,11 +405,11 @@
             shared.metrics.forget_targets(|id| fleet.get(id).is_some());
             fleet.len()
         };
-        record_span(&shared, span, stream.next.filter(|_| own));
+        record_span(&shared, span, own_read(&stream, own));
         origins::publish_mixed(&shared);
         shared.metrics.targets.set(i64::try_from(count).unwrap_or(i64::MAX));
         if own {
-            tokio::time::sleep(timing.targets_read_interval()).await;
+            stream.pause_until = Some(Instant::now() + timing.targets_read_interval());
         }
     }
 }
--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -23,7 +23,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use policy::holders::{ASKED, HOLDERS};
-use policy::versions::Version;
+use policy::versions::{MAX_CURRENT_AGE, Version};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
@@ -199,8 +199,8 @@
     let now = Instant::now();
     let version = stream.and_then(|stream| shared.origins.get(stream, now));
     let sole_version = shared.fleet().sole_version(service, max_age, now);
-    let age = shared.tail.age(Topic::Targets, now);
-    let is_current = age.is_some_and(|age| age <= shared.tail.timing().change_bound);
+    let age = shared.tail.age_since_start(Topic::Targets, now);
+    let is_current = age.is_some_and(|age| age <= MAX_CURRENT_AGE);
     OriginAnswer { version, sole_version, is_current }
 }
 
--- a/crates/direct/src/request/generate.rs
+++ b/crates/direct/src/request/generate.rs
@@ -31,8 +31,12 @@
     let Some(prompt) = request.head.prompt.clone().filter(|_| disaggregated) else {
         return plain::run(request, trace).await;
     };
+    let decodes = |engine: &Target| engine.stage() != Some(Stage::Prefill);
+    if let Some(retry_after) = take_up::time_until_possible(&request, decodes) {
+        return request.refuse(&mut trace, request.required.refusal(), retry_after);
+    }
     let piece_tokens = request.service.engine.as_ref().and_then(|engine| engine.piece_tokens);
-    if request.required != Required::Any {
+    if matches!(request.required, Required::Version(_)) {
         return take_up(request, prompt, trace).await;
     }
     trace.generation = piece_tokens.map(|tokens| (request.service.name.clone(), tokens));
@@ -58,11 +62,7 @@
 
 /// Goes on with a stream at an engine of the version that began it, which also prefills the prompt:
 /// KV cache of another version might not fit to it either.
-async fn take_up(request: Arc<RequestContext>, prompt: Prompt, mut trace: Trace) -> Response<Body> {
-    let decodes = |engine: &Target| engine.stage() != Some(Stage::Prefill);
-    if let Some(retry_after) = take_up::time_until_possible(&request, decodes) {
-        return request.refuse(&mut trace, Refusal::VersionGone, retry_after);
-    }
+async fn take_up(request: Arc<RequestContext>, prompt: Prompt, trace: Trace) -> Response<Body> {
     request.shared.record_bytes_sent(request.buffered.body.len());
     decode_step::run(request, prompt, PromptState::AnyEngine, trace).await
 }
--- a/crates/direct/src/request/generate/decode_step.rs
+++ b/crates/direct/src/request/generate/decode_step.rs
@@ -86,7 +86,9 @@
         let chosen = reserved.as_ref().map(|reserved| reserved.engine.clone());
         let engine = attempts.next_target(request, |tried| {
             chosen.or_else(|| match prompt_state {
-                PromptState::Engine(placement) if tried.is_empty() => {
+                PromptState::Engine(placement)
+                    if tried.is_empty() && request.required.allows(&placement.engine) =>
+                {
                     permit = placement.permit;
                     Some(placement.engine.clone())
                 }
--- a/crates/direct/src/request/plain.rs
+++ b/crates/direct/src/request/plain.rs
@@ -5,7 +5,7 @@
 use crate::request::context::RequestContext;
 use crate::request::permits::Permit;
 use crate::request::relay::Source;
-use crate::request::response::{Body, Refusal};
+use crate::request::response::Body;
 use crate::request::trace::Trace;
 use crate::request::{dispatch, take_up};
 use crate::targets::attempt::Outcome;
@@ -18,7 +18,7 @@
 /// Sends the request to a target, and retries at others where that is safe and may help.
 pub async fn run(request: Arc<RequestContext>, mut trace: Trace) -> Response<Body> {
     if let Some(retry_after) = take_up::time_until_possible(&request, |_| true) {
-        return request.refuse(&mut trace, Refusal::VersionGone, retry_after);
+        return request.refuse(&mut trace, request.required.refusal(), retry_after);
     }
     let mut attempts = Attempts::default();
     let mut last = None;
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -38,6 +38,8 @@
     OriginUnknown,
     /// No target of the version that began the stream can go on with it.
     VersionGone,
+    /// All targets have a version that has just become known.
+    VersionNew,
     /// The request crashed several targets.
     Quarantined,
     /// This process stops before the request could end.
@@ -70,6 +72,7 @@
             Self::Unreachable => "unreachable",
             Self::OriginUnknown => "origin-unknown",
             Self::VersionGone => "version-gone",
+            Self::VersionNew => "version-new",
             Self::Quarantined => "quarantined",
             Self::Stopping => "stopping",
         }
@@ -91,6 +94,7 @@
             | Self::Unreachable
             | Self::OriginUnknown
             | Self::VersionGone
+            | Self::VersionNew
             | Self::Quarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
         }
--- a/crates/direct/src/request/take_up.rs
+++ b/crates/direct/src/request/take_up.rs
@@ -4,18 +4,23 @@
 use crate::config::route::RetryPolicy;
 use crate::exchange::origins;
 use crate::request::context::RequestContext;
+use crate::request::response::Refusal;
 use crate::targets::target::Target;
-use policy::versions::Version;
+use policy::versions::{SETTLE_DELAY, Version};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// The version at which a request has to run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Required {
-    /// It may run at any version, or all targets have the one that it requires.
+    /// It may run at any version.
     #[default]
     Any,
-    /// It takes up a stream that began at this version.
+    /// It begins a stream that may be taken up elsewhere, at any version at which streams may begin.
+    New,
+    /// It takes up a stream that began at this version, which all targets have so far.
+    Sole(Version),
+    /// It takes up a stream that began at this version, while others are listed as well.
     Version(Version),
 }
 
@@ -36,25 +41,34 @@
     pub fn allows(self, target: &Target) -> bool {
         match self {
             Self::Any => true,
-            Self::Version(version) => target.software_key == version,
+            Self::New => target.begins_streams(),
+            Self::Sole(version) | Self::Version(version) => target.software_key == version,
         }
     }
 
-    /// The version, if it matters.
+    /// Why the request is refused while no target of such a version can run it.
+    pub fn refusal(self) -> Refusal {
+        match self {
+            Self::Any | Self::New => Refusal::VersionNew,
+            Self::Sole(_) | Self::Version(_) => Refusal::VersionGone,
+        }
+    }
+
+    /// The version at which it has to run.
     pub fn version(self) -> Option<Version> {
         match self {
-            Self::Any => None,
-            Self::Version(version) => Some(version),
+            Self::Any | Self::New => None,
+            Self::Sole(version) | Self::Version(version) => Some(version),
         }
     }
 }
 
 /// Finds out at which version a request has to run.
 pub async fn required(request: &RequestContext) -> Result<Required> {
-    let Some(take_up) = &request.head.take_up else { return Ok(Required::Any) };
     if request.route.retry_policy != RetryPolicy::Resumable {
         return Ok(Required::Any);
     }
+    let Some(take_up) = &request.head.take_up else { return Ok(Required::New) };
     let service = &request.service.name;
     let first = take_up.first_attempt.as_deref();
     let stream = first.map(|first| origins::stream_key(service, first));
@@ -66,7 +80,7 @@
         "stream taken up");
     let version = found.version.ok_or(UnknownOrigin)?;
     let only = request.shared.fleet().sole_version(service, Duration::ZERO, Instant::now());
-    Ok(if only == Some(version) { Required::Any } else { Required::Version(version) })
+    Ok(if only == Some(version) { Required::Sole(version) } else { Required::Version(version) })
 }
 
 /// Records that the first event of a request's stream came from `target`.
@@ -92,15 +106,22 @@
 /// back after seconds.
 const VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// How long until the request can run at the version that it requires, if no target of that version
+/// How long until the request can run at a version that it may run at, if no target of such a version
 /// that is `able` to is listed now.
 pub fn time_until_possible(
     request: &RequestContext,
     able: impl Fn(&Target) -> bool,
 ) -> Option<Duration> {
-    request.required.version()?;
+    let retry_after = match request.required {
+        Required::Any => return None,
+        Required::New => SETTLE_DELAY,
+        Required::Sole(_) | Required::Version(_) => VERSION_RETRY_AFTER,
+    };
     let targets = request.shared.usable(&request.service.name);
-    let mut possible = targets.iter().filter(|target| request.required.allows(target));
-    let any = possible.any(|target| able(target));
-    (!any).then_some(VERSION_RETRY_AFTER)
+    let mut able = targets.iter().filter(|target| able(target)).peekable();
+    // A lack of targets of any version is answered elsewhere.
+    if request.required == Required::New && able.peek().is_none() {
+        return None;
+    }
+    (!able.any(|target| request.required.allows(target))).then_some(retry_after)
 }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -265,8 +265,8 @@
     }
 
     /// Records a read, and informs the other entries at once if it brought changes.
-    pub fn record_read(&self, topic: Topic, change_end: Offset, position: Offset) {
-        if self.tail.record_read(topic, change_end, position, Instant::now()) {
+    pub fn record_read(&self, topic: Topic, change_end: Offset, position: Offset, began: Instant) {
+        if self.tail.record_read(topic, change_end, position, began, Instant::now()) {
             self.workload.notify_changed();
         }
     }
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -14,7 +14,7 @@
 use plat::epoch;
 use policy::Hash;
 use policy::versions::{History, MEMORY, Seen, Version};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -184,6 +184,9 @@
     /// The services, by the hashes of their names, of which a second version has become known and
     /// that were not yet taken.
     mixed: Vec<Hash>,
+    /// When streams may begin at versions that have just become known, see
+    /// [`policy::versions::SETTLE_DELAY`]; in order of time.
+    unsettled: VecDeque<Instant>,
     /// From when on the histories know all versions; none if there were no targets before.
     known_from: Option<policy::Time>,
     /// From which offset on all changes of the list were seen.
@@ -272,9 +275,30 @@
         for history in self.histories.values_mut() {
             history.set_known_from(self.known_from);
         }
+        self.let_streams_begin(now);
         true
     }
 
+    /// Lets streams begin at all versions that are listed: at the first start of a system no entry
+    /// relies on an earlier list.
+    fn settle_all(&mut self, now: Instant) {
+        let time = self.time(now);
+        self.histories.values_mut().for_each(|history| history.settle(time));
+        self.let_streams_begin(now);
+    }
+
+    /// Lets streams begin at the targets whose versions have been known for long enough.
+    fn let_streams_begin(&mut self, now: Instant) {
+        let time = self.time(now);
+        for member in self.members.values() {
+            let target = &member.target;
+            let history = self.histories.get(&policy::hash(&target.service));
+            if history.is_some_and(|it| it.unsettled_for(target.software_key, time).is_zero()) {
+                target.let_streams_begin();
+            }
+        }
+    }
+
     /// Takes the services, by the hashes of their names, of which a second software version has become
     /// known since the last call.
     pub fn take_mixed(&mut self) -> Vec<Hash> {
@@ -340,7 +364,11 @@
         // written there next.
         let at = if epoch::index(end) > 0 { end - 1 } else { end };
         let missing: Vec<_> = missing.map(|id| (at, FleetUpdate::Removed(id.clone()))).collect();
+        let is_first = self.known_from.is_none() && self.histories.is_empty();
         self.apply(all.into_iter().chain(missing).collect(), now, log_state);
+        if is_first {
+            self.settle_all(now);
+        }
         if log_state == LogState::Restored {
             // The other entries have to read it as well, though nothing may have changed.
             self.change_end = self.change_end.max(end);
@@ -365,6 +393,11 @@
 
     /// Removes targets whose expired records did not return in time.
     pub fn expire(&mut self, now: Instant) {
+        let due = self.unsettled.partition_point(|at| *at <= now);
+        if due > 0 {
+            self.unsettled.drain(..due);
+            self.let_streams_begin(now);
+        }
         if self.next_expiry.is_none_or(|first| now < first) {
             return;
         }
@@ -533,13 +566,20 @@
     }
 
     fn record_version(&mut self, target: &Target) {
-        let (now, known_from) = (self.time(Instant::now()), self.known_from);
+        let at = Instant::now();
+        let (now, known_from) = (self.time(at), self.known_from);
         let service = policy::hash(&target.service);
         let history = self.histories.entry(service);
         let history = history.or_insert_with(|| History::new(known_from));
         if history.add(target.software_key, now) {
             self.mixed.push(service);
         }
+        let unsettled_for = history.unsettled_for(target.software_key, now);
+        if unsettled_for.is_zero() {
+            target.let_streams_begin();
+        } else {
+            self.unsettled.push_back(at + unsettled_for);
+        }
     }
 
     fn drop_member(&mut self, id: &TargetId) {
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -54,6 +54,8 @@
     pub engine: Engine,
     state: Mutex<State>,
     workload: Arc<Workload>,
+    /// Whether streams that may be resumed elsewhere may begin there, see [`policy::versions`].
+    begins_streams: AtomicBool,
     /// Whether a task is probing it.
     probed: AtomicBool,
     /// The last check whether it had crashed, and its result.
@@ -150,6 +152,7 @@
             engine,
             state,
             workload,
+            begins_streams: AtomicBool::new(false),
             probed: AtomicBool::new(false),
             crash_check: tokio::sync::Mutex::default(),
             first_seen,
@@ -161,6 +164,17 @@
         Self { software_key: software_key(software.as_deref()), software, ..self }
     }
 
+    /// Whether streams that may be resumed elsewhere may begin there: its version has been known for
+    /// long enough.
+    pub fn begins_streams(&self) -> bool {
+        self.begins_streams.load(Ordering::Relaxed)
+    }
+
+    /// Lets streams that may be resumed elsewhere begin there.
+    pub fn let_streams_begin(&self) {
+        self.begins_streams.store(true, Ordering::Relaxed);
+    }
+
     /// The stage, if this is an engine that has one.
     pub fn stage(&self) -> Option<Stage> {
         self.state().role.stage()
--- a/crates/direct/tests/tail.rs
+++ b/crates/direct/tests/tail.rs
@@ -18,7 +18,7 @@
 fn follower(next: u64) -> Tail {
     let tail = Tail::new(7, Timing::default());
     tail.set_rank(FOLLOWER_RANK);
-    tail.record_read(Topic::Config, next, next, Instant::now());
+    tail.record_read(Topic::Config, next, next, Instant::now(), Instant::now());
     tail
 }
 
@@ -27,7 +27,8 @@
     static READS: AtomicU64 = AtomicU64::new(1);
     let number = READS.fetch_add(1, Ordering::Relaxed);
     let read = ReadId { reader: PEER, number };
-    ReadStatus { topic: Topic::Config, change_end, read, age, position: change_end }
+    let duration = Duration::ZERO;
+    ReadStatus { topic: Topic::Config, change_end, read, age, duration, position: change_end }
 }
 
 #[test]
@@ -80,7 +81,7 @@
     for seconds in [2, 5] {
         let tail = Tail::new(7, Timing { change_bound: Duration::from_secs(seconds) });
         tail.set_rank(1_039);
-        tail.record_read(Topic::Config, 5, 5, Instant::now());
+        tail.record_read(Topic::Config, 5, 5, Instant::now(), Instant::now());
         for _ in 0..200 {
             tokio::time::advance(Duration::from_millis(100)).await;
             tail.observe(PEER, status(5, Duration::ZERO), Instant::now());
@@ -175,7 +176,7 @@
     let other = tail.clone();
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_millis(700)).await;
-        other.record_read(Topic::Targets, 9, 9, Instant::now());
+        other.record_read(Topic::Targets, 9, 9, Instant::now(), Instant::now());
     });
     let began = Instant::now();
     let retry = Retry { failed_at: began, at: began + Duration::from_secs(20) };
@@ -294,7 +295,7 @@
     let tail = Tail::new(7, Timing::default());
     assert!(tail.kept_list(Topic::Targets, 0).is_none(), "it knows nothing yet");
     tail.keep_all(Topic::Targets, [record(1, "a", Some("a1")), record(2, "b", Some("b1"))], 3);
-    tail.record_read(Topic::Targets, 3, 3, Instant::now());
+    tail.record_read(Topic::Targets, 3, 3, Instant::now(), Instant::now());
     tail.keep(Topic::Targets, [record(4, "a", Some("a2")), record(6, "b", None)]);
     tail.keep(Topic::Targets, [record(3, "a", Some("late"))]);
     assert_eq!(offsets(tail.kept_list(Topic::Targets, 0)), Some(vec![4, 6]));
@@ -314,7 +315,7 @@
 fn whole_list_is_no_substitute_for_changes() {
     let tail = Tail::new(7, Timing::default());
     tail.keep_all(Topic::Targets, [record(9, "a", Some("a1"))], 10);
-    tail.record_read(Topic::Targets, 10, 10, Instant::now());
+    tail.record_read(Topic::Targets, 10, 10, Instant::now(), Instant::now());
     assert_eq!(offsets(tail.kept_changes(Topic::Targets, 4)), None);
     assert_eq!(offsets(tail.kept_changes(Topic::Targets, 10)), Some(vec![]));
     offer(&tail, RecordSpan { whole: true, ..record_span(0, &[4, 9]) });
--- a/crates/direct/tests/version_history.rs
+++ b/crates/direct/tests/version_history.rs
@@ -2,10 +2,13 @@
 
 use direct::cluster::members::Members;
 use direct::cluster::messages::Versions;
-use direct::targets::fleet::{Fleet, VersionHistory, VersionRow};
+use direct::codec::TargetId;
+use direct::targets::fleet::{
+    Fleet, FleetUpdate, LogState, TargetRecord, VersionHistory, VersionRow,
+};
 use policy::distance::Topology;
 use policy::membership::{Node, Source, Status, Update};
-use policy::versions::{MEMORY, Seen};
+use policy::versions::{MEMORY, SETTLE_DELAY, Seen};
 use std::net::IpAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -15,7 +18,8 @@
 /// A history of one service up to an offset, with versions and their ages in seconds.
 fn history(span: Duration, end: u64, versions: &[(u64, u64)]) -> VersionHistory {
     let row = |(version, age): &(u64, u64)| {
-        let seen = Seen { version: *version, age: Duration::from_secs(*age) };
+        let age = Duration::from_secs(*age);
+        let seen = Seen { version: *version, age, settled: true };
         VersionRow { service: policy::hash("lm"), seen }
     };
     VersionHistory { span, end, rows: versions.iter().map(row).collect() }
@@ -106,3 +110,59 @@
     assert!(!members.has_left(other, Duration::from_secs(61)));
     assert!(!members.has_left(own, Duration::from_secs(1)));
 }
+
+fn registered(id: &str, software: &str) -> FleetUpdate {
+    let record = TargetRecord {
+        software: Some(software.into()),
+        service: "lm".into(),
+        address: "10.0.0.1:80".parse().expect("a valid address"),
+        domain: "a".into(),
+        slots: 4,
+        leaving: false,
+        stage: None,
+        incarnation: None,
+        sequence: 1,
+    };
+    FleetUpdate::Registered(id.into(), record)
+}
+
+fn begins_streams(fleet: &Fleet, id: &str) -> bool {
+    fleet.get(&TargetId::from(id)).expect("the target is listed").begins_streams()
+}
+
+/// Entries whose lists are younger than the delay, and lack the version, take the only one that they
+/// know for the origin of all streams.
+#[tokio::test(start_paused = true)]
+async fn a_further_version_begins_streams_only_after_a_delay() {
+    let mut fleet = Fleet::default();
+    fleet.begin_history(true, Instant::now());
+    fleet.replace(vec![(0, registered("a", "1"))], 1, Instant::now(), LogState::Healthy);
+    fleet.apply(vec![(1, registered("b", "2"))], Instant::now(), LogState::Healthy);
+    assert!(begins_streams(&fleet, "a"));
+    assert!(!begins_streams(&fleet, "b"));
+    tokio::time::advance(SETTLE_DELAY).await;
+    fleet.expire(Instant::now());
+    fleet.apply(vec![(2, registered("c", "2"))], Instant::now(), LogState::Healthy);
+    assert!(begins_streams(&fleet, "b"));
+    assert!(begins_streams(&fleet, "c"));
+}
+
+/// An entry that starts during a rollout has known no version for long, but others have.
+#[tokio::test(start_paused = true)]
+async fn a_version_at_which_streams_begin_elsewhere_is_used_at_once() {
+    let now = Instant::now();
+    let mut fleet = started(now);
+    let both = vec![(0, registered("a", "1")), (1, registered("b", "2"))];
+    fleet.replace(both, 2, now, LogState::Healthy);
+    fleet.begin_list(2);
+    let settled = [("a", "1"), ("b", "2")].map(|(id, _)| begins_streams(&fleet, id));
+    assert_eq!(settled, [true, false]);
+    let rows = ["a", "b"].map(|id| {
+        let version = fleet.get(&TargetId::from(id)).expect("the target is listed").software_key;
+        let seen = Seen { version, age: Duration::ZERO, settled: true };
+        VersionRow { service: policy::hash("lm"), seen }
+    });
+    let history = VersionHistory { span: MEMORY, end: 2, rows: rows.into() };
+    assert!(fleet.inherit_versions(&history, now));
+    assert!(begins_streams(&fleet, "b"));
+}
--- a/crates/policy/src/versions.rs
+++ b/crates/policy/src/versions.rs
@@ -27,6 +27,8 @@
     pub version: Version,
     /// How long ago its last target was removed; zero if one is listed.
     pub age: Duration,
+    /// Whether streams may begin at it.
+    pub settled: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -35,8 +37,18 @@
     targets: u32,
     /// When the last one was removed.
     removed_at: Time,
+    /// From when on streams may begin at it.
+    settled_at: Time,
 }
 
+/// How long a further version is known before a stream may begin at it. A list of targets that is
+/// younger than this, and has one version alone, shows that no stream can have begun at another.
+pub const SETTLE_DELAY: Duration = Duration::from_millis(1_000);
+
+/// The age up to which a list of targets counts as current, since the start of the read that brought
+/// it. The rest of [`SETTLE_DELAY`] covers the transit of the datagrams that tell the age.
+pub const MAX_CURRENT_AGE: Duration = Duration::from_millis(750);
+
 /// For how long a version is remembered after its last target was removed: longer than a stream
 /// lasts.
 pub const MEMORY: Duration = Duration::from_secs(60);
@@ -53,7 +65,9 @@
     pub fn add(&mut self, version: Version, now: Time) -> bool {
         self.versions.retain(|_, seen| seen.targets > 0 || now < seen.removed_at + MEMORY);
         let is_new = !self.versions.contains_key(&version);
-        self.versions.entry(version).or_default().targets += 1;
+        let settled_at = if self.versions.is_empty() { now } else { now + SETTLE_DELAY };
+        let new = Presence { settled_at, ..Presence::default() };
+        self.versions.entry(version).or_insert(new).targets += 1;
         is_new && self.versions.len() > 1
     }
 
@@ -65,6 +79,19 @@
         }
     }
 
+    /// Lets streams begin at all known versions from now on.
+    pub fn settle(&mut self, now: Time) {
+        for presence in self.versions.values_mut() {
+            presence.settled_at = presence.settled_at.min(now);
+        }
+    }
+
+    /// Returns for how much longer no stream may begin at a version; zero if one may.
+    pub fn unsettled_for(&self, version: Version, now: Time) -> Duration {
+        let known = self.versions.get(&version);
+        known.map_or(SETTLE_DELAY, |presence| presence.settled_at.saturating_sub(now))
+    }
+
     /// Returns whether targets of several versions were listed at some time in the last `span`.
     pub fn is_mixed(&self, span: Duration, now: Time) -> bool {
         self.present(span, now).nth(1).is_some()
@@ -86,16 +113,24 @@
             _ => Duration::ZERO,
         };
         let all = self.versions.iter();
-        all.map(move |(version, seen)| Seen { version: *version, age: age(seen) })
-            .filter(|seen| seen.age < MEMORY)
+        all.map(move |(version, seen)| Seen {
+            version: *version,
+            age: age(seen),
+            settled: seen.settled_at <= now,
+        })
+        .filter(|seen| seen.age < MEMORY)
     }
 
     /// Records a version that another history remembers. Returns whether it is another one than all
     /// that are known.
     pub fn inherit(&mut self, seen: Seen, now: Time) -> bool {
         let is_new = !self.versions.contains_key(&seen.version);
-        let presence = self.versions.entry(seen.version).or_default();
+        let new = Presence { settled_at: now + SETTLE_DELAY, ..Presence::default() };
+        let presence = self.versions.entry(seen.version).or_insert(new);
         presence.removed_at = presence.removed_at.max(now.saturating_sub(seen.age));
+        if seen.settled {
+            presence.settled_at = presence.settled_at.min(now);
+        }
         is_new && self.versions.len() > 1
     }
 
