fix(direct): an entry that newly may bill does not bill again what a restored log has lost

Cause: only four entries are told which windows are billed. An entry that moves up among them after a restore knows no window; skip_lost_windows did nothing then, and the oldest window with counts was billed with what the entry had counted itself. A process of the first start also took the lease for free, at any time in its life.

Change: without a known window, windows that have ended are left out if the log may lack records (restored, or expired unread). "First start" ends with the first restore; the lease then has to run out. The stage planner treats plans that were lost unread as plans (same class, found by reading).

Ruled out: the holder billing twice (two holders in the reports).

--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -172,6 +172,11 @@
         self.epoch.borrow().unwrap_or_default()
     }
 
+    /// Returns whether the log was restored from an older copy during the lifetime of this process.
+    pub fn was_restored(&self) -> bool {
+        self.lock().restored.is_some()
+    }
+
     /// Waits until the log has been restored from an older copy since the epoch `seen`, and then
     /// for this entry's turn to read it.
     pub async fn wait_for_restore(&self, seen: &mut Option<Epoch>) {
--- a/crates/direct/src/duty/billing.rs
+++ b/crates/direct/src/duty/billing.rs
@@ -10,7 +10,9 @@
 //!
 //! **A log restored from an older copy** has lost bills that may have been reported. Another count
 //! for such a window would contradict them, so windows that ended before the restore are billed
-//! only by an entry that still has their counts; the others are skipped.
+//! only by an entry that still has their counts; the others are skipped. The same holds for records
+//! that have expired unread. An entry that has just become one of those that may bill knows of no
+//! window that was billed: it doesn't take that for none, unless the stream shows it.
 
 mod record;
 
@@ -101,8 +103,9 @@
         overdue: Duration::from_millis(1_600),
         stagger: Duration::from_millis(600),
     };
+    let may_lack_records = !shared.settings.first_start;
     let mut lease = Lease::default();
-    if !shared.settings.first_start {
+    if may_lack_records {
         // A restored log may lack the record of a holder that goes on billing. The others know of
         // it, and one of them takes over if it is gone.
         lease.observe_record(0, since_boot());
@@ -119,6 +122,8 @@
         unreported: BTreeMap::new(),
         append_started: None,
         committed_epoch: 0,
+        may_lack_records,
+        has_expired: false,
     };
     loop {
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -146,6 +151,11 @@
     append_started: Option<Duration>,
     /// The epoch of the log in which the last record was written.
     committed_epoch: Epoch,
+    /// Whether a restored log may lack records that this entry never read: false from the first start
+    /// of the system until the log is restored.
+    may_lack_records: bool,
+    /// Whether records have expired unread.
+    has_expired: bool,
 }
 
 impl Biller {
@@ -158,6 +168,7 @@
             return Ok(());
         }
         self.observe_peers();
+        self.observe_restore();
         self.report_committed().await?;
         let now = self.shared.usage.clock.now();
         let Some(overdue) = self.overdue(now) else { return Ok(()) };
@@ -195,6 +206,14 @@
         }
     }
 
+    /// Notes that the log was restored: it may lack the record of a holder that goes on billing.
+    fn observe_restore(&mut self) {
+        if !self.may_lack_records && self.shared.tail.was_restored() {
+            self.may_lack_records = true;
+            self.lease.await_holder(since_boot());
+        }
+    }
+
     /// Reads the bills that are committed.
     async fn read_records(&mut self) -> plat::Result<()> {
         let batch = match self
@@ -211,7 +230,7 @@
             }
             Err(plat::Error::Gone { oldest, .. }) => {
                 log::warn!(target: "billing", oldest; "bills expired before they were read");
-                self.stream_end = oldest;
+                (self.stream_end, self.has_expired) = (oldest, true);
                 return Ok(());
             }
             batch => batch?,
@@ -226,18 +245,25 @@
             }
         }
         self.append_started = None;
-        if self.committed_epoch < epoch(self.stream_end) {
+        // The streams that this entry follows may not have shown it yet.
+        self.shared.observe_epoch(epoch(self.stream_end), "bills");
+        self.observe_restore();
+        let is_restored = self.committed_epoch < epoch(self.stream_end);
+        let lacks_records = is_restored && self.may_lack_records || self.has_expired;
+        let is_unknown = self.next_window.is_none() && lacks_records;
+        if is_unknown || (is_restored && self.next_window.is_some()) {
             self.skip_lost_windows();
         }
+        self.has_expired = false;
         Ok(())
     }
 
-    /// Skips windows that have ended and whose bills may have been lost with the log's records:
-    /// none was committed yet since the log was restored from an older copy.
+    /// Skips windows that have ended and whose bills may have been lost: none was committed yet since
+    /// the log was restored from an older copy, or records have expired unread.
     fn skip_lost_windows(&mut self) {
         let usage = &self.shared.usage;
         let current = usage.window_at(usage.clock.now());
-        if self.next_window.is_some() && self.next_window < current {
+        if self.next_window < current {
             log::warn!(target: "billing", next:? = self.next_window, after:? = current;
                 "windows left out: their bills may be lost");
             self.next_window = current;
--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -239,7 +239,7 @@
     /// How many engines should prefill in a system that starts for the first time, if that many
     /// don't yet.
     fn first_prefill(&self, engines: &[Engine]) -> Option<usize> {
-        let first = self.shared.settings.first_start && !self.stream_view.borrow().has_plan;
+        let first = self.shared.settings.first_start && !self.stream_view.borrow().may_have_plan;
         let unbalanced = split::is_unbalanced(engines.len(), split::count_prefill(engines));
         (first && unbalanced).then(|| split::initial_prefill(engines.len()))
     }
@@ -341,7 +341,7 @@
         let name = &self.shared.settings.name;
         let turns = self.shared.peers.directory.planning_rank();
         // At the first start there can't be plans older than those in the stream.
-        let first = self.shared.settings.first_start && !view.has_plan;
+        let first = self.shared.settings.first_start && !view.may_have_plan;
         let has_all_plans = first || now.duration_since(complete) >= QUIET_PERIOD;
         let duration = now.duration_since(since);
         match imbalance {
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -60,8 +60,8 @@
     /// When the last plan was read. If there was none, when the stream was first read, because
     /// older plans may have expired from it.
     pub last_plan_at: Option<Instant>,
-    /// Whether any plan was read.
-    pub has_plan: bool,
+    /// Whether there may have been a plan: one was read, or records were lost unread.
+    pub may_have_plan: bool,
     /// The time since which no plan was missed: there may have been plans before the first read,
     /// and among records that expired unread.
     pub complete_since: Option<Instant>,
@@ -147,7 +147,7 @@
 impl StreamView {
     /// Records a plan that was read.
     fn record_plan(&mut self, plan: &Plan, now: Instant) {
-        (self.last_plan_at, self.has_plan) = (Some(now), true);
+        (self.last_plan_at, self.may_have_plan) = (Some(now), true);
         let planner = CompactString::from(plan.planner.as_str());
         let engines = plan.changes().map(|(engine, _)| PlannedEngine {
             engine,
@@ -160,6 +160,7 @@
     /// Records that plans may have expired unread.
     fn mark_incomplete(&mut self) {
         (self.last_plan_at, self.complete_since) = (None, None);
+        self.may_have_plan = true;
     }
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -56,6 +56,14 @@
         }
     }
 
+    /// Records that another entry may hold the lease although the stream has no record of it.
+    pub fn await_holder(&mut self, now: Time) {
+        if self.held.is_none() {
+            let end = self.last_record.map_or(0, |last| last.end);
+            self.last_record = Some(LastRecord { end, known_since: now });
+        }
+    }
+
     /// Acquires or renews the lease by this entry's own record at `offset`, whose append started at
     /// `started_at`.
     pub fn renew(&mut self, settings: &Settings, offset: u64, started_at: Time) {
