fix(direct): the holders of a stream are told where it began also while one version serves

Cause: with one version the origin of a stream is known to its entry alone; the others infer it from the history of versions, which a whole list that is read after a gap restarts, and which begins with the processes after a start of all.

Change: two holders are told of each stream when it begins. Weighed against a record of versions in the log: docs/design/versions.md. Streams that began before all entries were killed are still refused; the record would mend that.

Ruled out: targets out of use (new streams begin), entries that don't know each other (the tests wait until they do).

Evidence: versions::stream_begun_after_all_entries_were_started_at_once_is_taken_up and versions::stream_is_taken_up_after_all_entries_missed_changes_of_the_list on: a0: status: 503, body: "origin-unknown".

--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -6,8 +6,9 @@
 //! entry that isn't told goes on at no version: what it guessed would not fit to what the caller
 //! has.
 //!
-//! Nothing is sent while all targets of a service have one version. When another one comes, the
-//! streams that began before are told. An entry that stops hands over all that it knows to those that
+//! Holders are told also while all targets of a service have one version: what entries know of versions
+//! may be lost with the log's records, or with all processes. A second version that becomes known makes
+//! them all be told again, as a datagram may have been lost. An entry that stops hands over all that it knows to those that
 //! will be asked once it is gone, so that nothing is lost if all entries are stopped and started one
 //! after the other.
 
@@ -42,14 +43,10 @@
     policy::mix(policy::hash(service), policy::hash(first_attempt))
 }
 
-/// Records that a stream of a service began here, and tells its holders if targets of several
-/// versions serve.
+/// Records that a stream of a service began here, and tells its holders.
 pub fn record(shared: &Shared, service: &ServiceName, origin: Origin) {
-    let now = Instant::now();
-    shared.origins.record(origin, policy::hash(service), now);
-    if shared.fleet().has_several_versions(service, origin.ttl, now) {
-        send(shared, &[origin]);
-    }
+    shared.origins.record(origin, policy::hash(service), Instant::now());
+    send(shared, &[origin]);
 }
 
 /// Tells where the streams of services began of which a second version has become known.
