fix(body): bodies of targets that are read whole have a bound in bytes

Change: collect takes the most bytes: 16 KiB for a handle, 4 KiB for a refusal, 1 MiB for an internal call, 8 MiB for the agents' calls. What exceeds it closes the connection; an internal call counts as the target's failure and is logged with target, path and bytes.

Not measured on whole entries. Open: a stream that sends bytes and never an event is forwarded until the route's timeout.

--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -421,13 +421,17 @@
     }
 }
 
+/// The largest body with a handle, in bytes: it has three short fields.
+const MAX_HANDLE_BYTES: usize = 16_384;
+
 /// Reads the handle from the response and keeps the connection for reuse.
 async fn read_handle(
     request: &RequestContext,
     responded: attempt::Responded,
 ) -> Option<CompactString> {
     let attempt::Responded { response, head, connection } = responded;
-    let body = tokio::time::timeout_at(request.response_deadline(), body::collect(response)).await;
+    let read = body::collect(response, MAX_HANDLE_BYTES);
+    let body = tokio::time::timeout_at(request.response_deadline(), read).await;
     let body = match body {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -197,7 +197,13 @@
         if status != StatusCode::MISDIRECTED_REQUEST {
             target.observe_signals(&response_head.signals, sent, Instant::now());
         }
-        let body = body::collect(response).await.map_err(|error| error.to_compact_string())?;
+        let body = body::collect(response, MAX_INTERNAL_BYTES).await;
+        let body = body.map_err(|error| {
+            target.record_health(Health::Failing, Instant::now());
+            log::warn!(target: "request", target_id = target.id.as_str(), step = path, error:% = error;
+                "body of an internal call not read");
+            error.to_compact_string()
+        })?;
         if body.end == End::Complete && !is_refusal(status, &response_head) {
             connection.keep(None, Instant::now());
         }
@@ -289,7 +295,11 @@
 }
 
 /// The largest body of a refusal, in bytes, that is read so that its connection can be reused.
-const MAX_REFUSAL_BYTES: u64 = 4_096;
+const MAX_REFUSAL_BYTES: usize = 4_096;
+
+/// The largest body of the response to an internal call, in bytes: the list of an engine's cached parts
+/// has some ten bytes for each of a few thousand.
+const MAX_INTERNAL_BYTES: usize = 1 << 20;
 
 /// Timeout for reading the rest of a refusal.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
@@ -297,7 +307,8 @@
 /// Reads the rest of a refusal in the background, so that its connection can be reused.
 fn drain(response: Response<Incoming>, connection: Connection, response_head: ResponseHead) {
     use hyper::body::Body;
-    if response.body().size_hint().upper().is_none_or(|size| size > MAX_REFUSAL_BYTES) {
+    let max_bytes = u64::try_from(MAX_REFUSAL_BYTES).unwrap_or(u64::MAX);
+    if response.body().size_hint().upper().is_none_or(|size| size > max_bytes) {
         return;
     }
     if response.body().is_end_stream() {
@@ -305,7 +316,8 @@
         return;
     }
     tokio::spawn(async move {
-        let read = tokio::time::timeout(REFUSAL_TIMEOUT, body::collect(response)).await;
+        let read =
+            tokio::time::timeout(REFUSAL_TIMEOUT, body::collect(response, MAX_REFUSAL_BYTES)).await;
         if let Ok(Ok(Collected { end: End::Complete, .. })) = read {
             connection.keep(response_head.keep_alive, Instant::now());
         }
--- a/crates/target/src/http/exchange.rs
+++ b/crates/target/src/http/exchange.rs
@@ -20,6 +20,9 @@
 /// The maximum number of bytes of a refusal's body that are copied into an error.
 const MAX_REASON_BYTES: usize = 512;
 
+/// The most bytes of a body that is read whole: reports and lists, of some hundred kilobytes at most.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
 impl Exchange {
     /// Creates a client of the target at `peer` (`host:port`).
     pub(super) fn new(peer: CompactString) -> Self {
@@ -59,13 +62,13 @@
         })
     }
 
-    /// Reads a whole body.
+    /// Reads a whole body, [`MAX_BODY_BYTES`] at most.
     pub(super) async fn collect(
         &self,
         step: &'static str,
         response: Response<Incoming>,
     ) -> Result<Collected> {
-        body::collect(response).await.map_err(|error| self.broken(step, &error))
+        body::collect(response, MAX_BODY_BYTES).await.map_err(|error| self.broken(step, &error))
     }
 
     /// Sends a request with a JSON body and returns the body of the response; a status other than
