--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -7,10 +7,10 @@
 //! has.
 //!
 //! Holders are told also while all targets of a service have one version: what entries know of versions
-//! may be lost with the log's records, or with all processes. A second version that becomes known makes
-//! them all be told again, as a datagram may have been lost. An entry that stops hands over all that it knows to those that
-//! will be asked once it is gone, so that nothing is lost if all entries are stopped and started one
-//! after the other.
+//! may be lost with the log's records, or with all processes. When another version comes, they are
+//! told again, as datagrams may have been lost. An entry that stops hands over all that it knows to
+//! those that will be asked once it is gone, so that nothing is lost if all entries are stopped and
+//! started one after the other.
 
 use crate::cluster::entry_state::short_hash;
 use crate::cluster::groups::Member;
