--- a/crates/cli/tests/processes/fleet.rs
+++ b/crates/cli/tests/processes/fleet.rs
@@ -57,6 +57,16 @@
         Self { child }
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process is still running.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal by process id, such as `KILL`, `STOP`, `CONT` or `TERM`.
     pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
--- a/crates/cli/tests/processes/main.rs
+++ b/crates/cli/tests/processes/main.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes that are killed, paused and replaced by process id. The tests assert
 //! no timing, only the answers that callers received and how often calls were executed.
 
+#[allow(dead_code, reason = "the tests of clients use more of it")]
 mod fleet;
 
 use conf::{Kind, settings::Backend};
