fix(body): chunks of request bodies do not keep the buffers that they were read into

Callers saw an entry end: a crowd that sent bodies in chunks of one byte took many times the bytes that it sent.

Cause: the body was collected as a list of its chunks. Each is a slice of a read buffer of 8 KiB or more and keeps it alive; at the end all were copied into one piece.

Evidence: 400 bodies of 64 KiB (26 MB) took 104 MB, 40 MB of these unread; with chunks of 32 KiB the memory is that of the bodies.

Change: body::Buffered copies into segments of 4 to 64 KiB, which are sent as they are. Nothing that is kept refers to the read buffer, so the memory is bounded by the body's length and one segment.

The crowd's tests print what was unread.

--- /dev/null
+++ b/crates/body/src/buffered.rs
@@ -0,0 +1,168 @@
+//! Bodies of requests, kept as a whole until their request is complete.
+
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use std::convert::Infallible;
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+/// The result of reading a body.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why a body could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It is longer than allowed.
+    #[error("the body has more than {max_bytes} bytes")]
+    TooLong {
+        /// The number of bytes that are allowed.
+        max_bytes: usize,
+    },
+    /// It was broken off.
+    #[error("{0}")]
+    BrokenOff(Box<dyn std::error::Error + Send + Sync>),
+}
+
+/// The size of the first segment, in bytes, if the body is not known to be shorter.
+const MIN_SEGMENT_BYTES: usize = 4 * 1024;
+
+/// The size of the largest segments, in bytes. Segments of equal size leave no gaps in the heap that
+/// other bodies could not use.
+const MAX_SEGMENT_BYTES: usize = 64 * 1024;
+
+/// A body, in segments. Clones share its bytes, which are kept until the last of them is dropped.
+#[derive(Debug, Clone, Default)]
+pub struct Buffered {
+    segments: Arc<Vec<Bytes>>,
+    length: usize,
+    /// The segments and bytes that were polled.
+    polled: (usize, usize),
+}
+
+impl Buffered {
+    /// Reads a body of at most `max_bytes`.
+    ///
+    /// Each chunk is copied, so that it does not keep the buffer alive that it was read into.
+    pub async fn read<B>(body: B, max_bytes: usize) -> Result<Self>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let too_long = || Error::TooLong { max_bytes };
+        let announced = body.size_hint().exact().and_then(|exact| usize::try_from(exact).ok());
+        let end = announced.map_or(max_bytes, |announced| announced.min(max_bytes));
+        let mut body = pin!(body);
+        let mut writer = Writer { segments: Vec::new(), current: BytesMut::new(), length: 0 };
+        loop {
+            let Some(frame) = body.frame().await else { return Ok(writer.finish()) };
+            let frame = frame.map_err(|error| Error::BrokenOff(error.into()))?;
+            let Ok(bytes) = frame.into_data() else { continue };
+            if bytes.len() > max_bytes - writer.length {
+                return Err(too_long());
+            }
+            writer.write(&bytes, end);
+        }
+    }
+
+    /// Returns its length in bytes.
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Returns whether it has no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// Returns its segments.
+    pub fn segments(&self) -> impl Iterator<Item = &Bytes> {
+        self.segments.iter()
+    }
+
+    /// Joins its segments; copies them if there are several.
+    pub fn to_bytes(&self) -> Bytes {
+        match self.segments.as_slice() {
+            [] => Bytes::new(),
+            [only] => only.clone(),
+            several => several.concat().into(),
+        }
+    }
+}
+
+impl From<Vec<u8>> for Buffered {
+    /// A body that was made here.
+    fn from(bytes: Vec<u8>) -> Self {
+        let length = bytes.len();
+        let segments = if bytes.is_empty() { Vec::new() } else { vec![bytes.into()] };
+        Self { segments: Arc::new(segments), length, ..Self::default() }
+    }
+}
+
+impl Body for Buffered {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let this = self.get_mut();
+        let (index, bytes) = this.polled;
+        let Some(segment) = this.segments.get(index).cloned() else { return Poll::Ready(None) };
+        this.polled = (index + 1, bytes + segment.len());
+        Poll::Ready(Some(Ok(Frame::data(segment))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.polled.0 == self.segments.len()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(u64::try_from(self.length - self.polled.1).unwrap_or(u64::MAX))
+    }
+}
+
+/// Writes what arrives into segments.
+struct Writer {
+    segments: Vec<Bytes>,
+    current: BytesMut,
+    /// The bytes written so far.
+    length: usize,
+}
+
+impl Writer {
+    /// Writes bytes of a body that ends at `end` bytes, or before.
+    fn write(&mut self, mut bytes: &[u8], end: usize) {
+        while !bytes.is_empty() {
+            let room = self.current.capacity() - self.current.len();
+            if room == 0 {
+                self.add_segment(bytes.len(), end);
+                continue;
+            }
+            let (now, later) = bytes.split_at(room.min(bytes.len()));
+            self.current.put_slice(now);
+            self.length += now.len();
+            bytes = later;
+        }
+    }
+
+    fn add_segment(&mut self, arrived: usize, end: usize) {
+        let doubled = (2 * self.current.capacity()).max(MIN_SEGMENT_BYTES);
+        let size = doubled.max(arrived).min(MAX_SEGMENT_BYTES).min(end - self.length);
+        self.close_segment();
+        self.current = BytesMut::with_capacity(size);
+    }
+
+    fn close_segment(&mut self) {
+        if !self.current.is_empty() {
+            self.segments.push(std::mem::take(&mut self.current).freeze());
+        }
+    }
+
+    fn finish(mut self) -> Buffered {
+        self.close_segment();
+        Buffered { segments: Arc::new(self.segments), length: self.length, polled: (0, 0) }
+    }
+}
--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -1,18 +1,21 @@
-//! Bodies of responses: how they are framed, where their events end, and whether all of them has
+//! Bodies: how they are framed, where their events end, and whether all of them has
 //! arrived.
 //!
 //! - [`content`]: what headers say of a body.
 //! - [`framing`]: what marks the end of a body.
 //! - [`events`]: the boundaries of server-sent events.
 //! - [`end`]: whether all of a body has arrived.
-//! - [`collected`]: bodies that are read whole.
+//! - [`collected`]: bodies of responses that are read whole.
+//! - [`buffered`]: bodies of requests, kept until the request is complete.
 
+pub mod buffered;
 pub mod collected;
 pub mod content;
 pub mod end;
 pub mod events;
 pub mod framing;
 
+pub use buffered::Buffered;
 pub use collected::{Collected, collect};
 pub use content::Form;
 pub use end::{End, Outcome};
--- /dev/null
+++ b/crates/body/tests/buffered.rs
@@ -0,0 +1,65 @@
+//! Tests of bodies of requests that are kept as a whole.
+
+use body::{Buffered, buffered};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Body, Frame};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+fn body_of(chunks: Vec<Bytes>) -> impl Body<Data = Bytes, Error = Infallible> {
+    StreamBody::new(stream::iter(chunks.into_iter().map(|chunk| Ok(Frame::data(chunk)))))
+}
+
+/// Counts the buffers that are alive.
+struct CountedBuffer(Arc<AtomicUsize>, [u8; 8192]);
+
+impl AsRef<[u8]> for CountedBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.1
+    }
+}
+
+impl Drop for CountedBuffer {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Chunks of one byte, each a part of a read buffer: a body that keeps them keeps all the buffers.
+#[tokio::test]
+async fn small_chunks_do_not_keep_the_buffers_that_they_were_read_into() {
+    let alive = Arc::<AtomicUsize>::default();
+    let chunks = (0..100).map(|_| {
+        alive.fetch_add(1, Ordering::Relaxed);
+        Bytes::from_owner(CountedBuffer(alive.clone(), [b'x'; 8192])).slice(..1)
+    });
+    let read = Buffered::read(body_of(chunks.collect()), 1_000).await.unwrap();
+    assert_eq!(alive.load(Ordering::Relaxed), 0);
+    assert_eq!(read.to_bytes(), "x".repeat(100));
+}
+
+#[tokio::test]
+async fn body_is_forwarded_as_it_arrived() {
+    let text: String = (0..60_000).map(|number| format!("{number},")).collect();
+    for size in [7, 5_000, 100_000, text.len()] {
+        let chunks = text.as_bytes().chunks(size).map(Bytes::copy_from_slice).collect();
+        let read = Buffered::read(body_of(chunks), text.len()).await.unwrap();
+        assert_eq!(read.size_hint().exact(), u64::try_from(text.len()).ok());
+        assert_eq!(read.to_bytes(), text);
+        let again = read.clone().collect().await.unwrap().to_bytes();
+        assert_eq!((again, read.len()), (Bytes::from(text.clone()), text.len()));
+    }
+    let empty = Buffered::read(body_of(Vec::new()), 10).await.unwrap();
+    assert!(empty.is_empty() && empty.is_end_stream());
+}
+
+#[tokio::test]
+async fn body_of_the_allowed_length_is_read_and_a_longer_one_is_not() {
+    let read = |bytes: usize| Buffered::read(body_of(vec![vec![0; bytes].into()]), 5_000);
+    assert_eq!(read(5_000).await.unwrap().len(), 5_000);
+    let longer = read(5_001).await;
+    assert!(matches!(longer, Err(buffered::Error::TooLong { max_bytes: 5_000 })), "{longer:?}");
+}
--- a/crates/cli/tests/clients/main.rs
+++ b/crates/cli/tests/clients/main.rs
@@ -117,8 +117,12 @@
 }
 
 fn check(process: &mut Process, usage: Usage) {
-    let Usage { memory_bytes, descriptors, .. } = usage;
-    println!("at most {} KB of memory, {descriptors} descriptors", memory_bytes / 1024);
+    let Usage { memory_bytes, unread_bytes, descriptors } = usage;
+    println!(
+        "at most {} KB of memory, {} KB unread, {descriptors} descriptors",
+        memory_bytes / 1024,
+        unread_bytes / 1024
+    );
     assert!(process.is_running(), "the process has ended");
     assert!(
         memory_bytes <= MEMORY_BYTES,
--- a/crates/direct/src/buffered_request.rs
+++ b/crates/direct/src/buffered_request.rs
@@ -1,6 +1,6 @@
 //! A caller's request, buffered as a whole.
 
-use bytes::Bytes;
+use body::Buffered;
 use http::{HeaderMap, Method, Uri};
 
 /// A caller's request as it is forwarded: unchanged except for its headers.
@@ -13,5 +13,5 @@
     /// The caller's headers.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: Buffered,
 }
--- a/crates/direct/src/cluster/suspects.rs
+++ b/crates/direct/src/cluster/suspects.rs
@@ -3,6 +3,7 @@
 
 use crate::buffered_request::BufferedRequest;
 use crate::config::customers::Customer;
+use body::Buffered;
 use policy::membership::Incarnation;
 use policy::poison::completions::Completions;
 use policy::poison::verdicts::{Verdict, Verdicts};
@@ -305,6 +306,17 @@
 /// no customer can get another one's requests blocked.
 pub fn fingerprint(buffered: &BufferedRequest, customer: Option<&Arc<Customer>>) -> Fingerprint {
     let path = xxhash_rust::xxh3::xxh3_64(buffered.path.to_string().as_bytes());
-    let request = policy::mix(path, xxhash_rust::xxh3::xxh3_64(&buffered.body));
+    let request = policy::mix(path, hash_body(&buffered.body));
     customer.map_or(request, |customer| policy::mix(request, policy::hash(&customer.name)))
 }
+
+/// Hashes a body as if it were in one piece.
+fn hash_body(body: &Buffered) -> Hash {
+    let mut segments = body.segments();
+    if let (Some(only), None) = (segments.next(), segments.next()) {
+        return xxhash_rust::xxh3::xxh3_64(only);
+    }
+    let mut hasher = xxhash_rust::xxh3::Xxh3Default::new();
+    body.segments().for_each(|segment| hasher.update(segment));
+    hasher.digest()
+}
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -7,8 +7,8 @@
 use crate::request::response::{self, Body};
 use crate::request::serve;
 use crate::shared::Shared;
+use body::{Buffered, buffered};
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -187,13 +187,15 @@
     request: Request<Incoming>,
 ) -> Result<BufferedRequest, Response<Body>> {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = Buffered::read(body, limits.body_bytes);
     let body = match tokio::time::timeout(limits.idle_timeout, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+        Ok(Ok(body)) => body,
+        Ok(Err(buffered::Error::TooLong { .. })) => {
             return Err(response::local(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
         }
-        Ok(Err(_)) => return Err(response::local(StatusCode::BAD_REQUEST, "body cut off")),
+        Ok(Err(buffered::Error::BrokenOff(_))) => {
+            return Err(response::local(StatusCode::BAD_REQUEST, "body cut off"));
+        }
         Err(_) => return Err(response::local(StatusCode::REQUEST_TIMEOUT, "body too slow")),
     };
     Ok(BufferedRequest { method: head.method, path: head.uri, headers: head.headers, body })
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -5,11 +5,10 @@
 use crate::costs;
 use crate::targets::pool::{self, Connection};
 use crate::targets::target::{Health, Target};
-use body::{Collected, End};
+use body::{Buffered, Collected, End};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use policy::signals::Closed;
 use std::sync::Arc;
@@ -174,7 +173,7 @@
         let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .body(Full::new(Bytes::from(body)))
+            .body(Buffered::from(body))
             .map_err(|error| error.to_compact_string())?;
         *request.headers_mut() = headers;
         let host = HeaderValue::from_str(&target.address.to_string());
@@ -229,12 +228,8 @@
     Ok(response.0)
 }
 
-fn request(
-    codec: &dyn Codec,
-    buffered: &BufferedRequest,
-    head: &AttemptHead,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(buffered.body.clone()));
+fn request(codec: &dyn Codec, buffered: &BufferedRequest, head: &AttemptHead) -> Request<Buffered> {
+    let mut request = Request::new(buffered.body.clone());
     *request.method_mut() = buffered.method.clone();
     *request.uri_mut() = buffered.path.clone();
     *request.headers_mut() = codec.attempt_headers(&buffered.headers, head);
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -4,9 +4,8 @@
 //! A connection carries one request at a time and is reused only after a regular exchange: a late
 //! or duplicate response on it would otherwise reach another caller.
 
-use bytes::Bytes;
+use body::Buffered;
 use compact_str::{CompactString, ToCompactString};
-use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
@@ -73,7 +72,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Buffered>,
     until: Instant,
     count: OpenCount,
 }
@@ -83,7 +82,7 @@
 #[derive(Debug)]
 pub struct Connection {
     /// Sends the request.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<Buffered>,
     /// Whether it has carried requests before.
     pub reused: bool,
     /// How long it took to open, if this request opened it.
