fix(body): bodies that announce too much are refused on their head

Callers saw an entry end that others sent bodies over the limit to.

Cause: the announced length was not compared with the limit; the body was read up to the limit first.

Evidence: 400 clients that announce 16 MiB of 256 KiB allowed: 96 to 116 MB, as many as bodies of the legal size.

Change: Buffered::read returns TooLong at once, without polling the body, so that 100 Continue is not sent either.

--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -42,7 +42,7 @@
 }
 
 impl Buffered {
-    /// Reads a body of at most `max_bytes`.
+    /// Reads a body of at most `max_bytes`. One that announces more is not read at all.
     ///
     /// Each chunk is copied, so that it does not keep the buffer alive that it was read into.
     pub async fn read<B>(body: B, max_bytes: usize) -> Result<Self>
@@ -51,8 +51,11 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let too_long = || Error::TooLong { max_bytes };
-        let announced = body.size_hint().exact().and_then(|exact| usize::try_from(exact).ok());
-        let end = announced.map_or(max_bytes, |announced| announced.min(max_bytes));
+        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if announced > max_bytes {
+            return Err(too_long());
+        }
+        let end = if body.size_hint().exact().is_some() { announced } else { max_bytes };
         let mut body = pin!(body);
         let mut writer = Writer { segments: Vec::new(), current: BytesMut::new(), length: 0 };
         loop {
--- a/crates/body/tests/buffered.rs
+++ b/crates/body/tests/buffered.rs
@@ -4,10 +4,12 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body, Frame};
+use hyper::body::{Body, Frame, SizeHint};
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll};
 
 fn body_of(chunks: Vec<Bytes>) -> impl Body<Data = Bytes, Error = Infallible> {
     StreamBody::new(stream::iter(chunks.into_iter().map(|chunk| Ok(Frame::data(chunk)))))
@@ -56,6 +58,30 @@
     assert!(empty.is_empty() && empty.is_end_stream());
 }
 
+/// A body that announces more than is allowed: read up to the limit, it takes memory and time before
+/// it is refused.
+#[tokio::test]
+async fn body_that_announces_too_much_is_not_read() {
+    struct Announced;
+    impl Body for Announced {
+        type Data = Bytes;
+        type Error = Infallible;
+
+        fn poll_frame(
+            self: Pin<&mut Self>,
+            _: &mut Context<'_>,
+        ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+            panic!("it is not read");
+        }
+
+        fn size_hint(&self) -> SizeHint {
+            SizeHint::with_exact(5_001)
+        }
+    }
+    let read = Buffered::read(Announced, 5_000).await;
+    assert!(matches!(read, Err(buffered::Error::TooLong { max_bytes: 5_000 })), "{read:?}");
+}
+
 #[tokio::test]
 async fn body_of_the_allowed_length_is_read_and_a_longer_one_is_not() {
     let read = |bytes: usize| Buffered::read(body_of(vec![vec![0; bytes].into()]), 5_000);
