fix(direct): the bodies of all requests together have a bound in memory

Callers saw an entry end: it ran out of memory under many bodies of legal size, most of which never ended.

Cause: max-body-bytes bounds one body. Nothing bounded their sum, neither while they arrive nor while their requests are served, and limits.memory-mb was not read.

Change: body::Budget, half of limits.memory-mb. Bytes are charged as they arrive; guards release them on every path. If it is used up, the upload that has taken no memory for the longest time yields and is refused with 503, not run, and Retry-After: large ones first, small ones only to small ones, and the last quarter is for small ones. So stalled bodies can't shut others out, and bodies that wait for slow targets leave room for small ones. Whole bodies don't yield, since their requests may run.

Metrics: held_bytes, bodies_refused.

--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -1,5 +1,6 @@
 //! Bodies of requests, kept as a whole until their request is complete.
 
+use crate::budget::{Budget, Holding, NoRoom, Upload};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
@@ -20,6 +21,9 @@
         /// The number of bytes that are allowed.
         max_bytes: usize,
     },
+    /// There is no memory for it.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
     /// It was broken off.
     #[error("{0}")]
     BrokenOff(Box<dyn std::error::Error + Send + Sync>),
@@ -32,20 +36,22 @@
 /// other bodies could not use.
 const MAX_SEGMENT_BYTES: usize = 64 * 1024;
 
-/// A body, in segments. Clones share its bytes, which are kept until the last of them is dropped.
+/// A body, in segments. Clones share its bytes, which are held until the last of them is dropped.
 #[derive(Debug, Clone, Default)]
 pub struct Buffered {
     segments: Arc<Vec<Bytes>>,
     length: usize,
     /// The segments and bytes that were polled.
     polled: (usize, usize),
+    _holding: Option<Arc<Holding>>,
 }
 
 impl Buffered {
-    /// Reads a body of at most `max_bytes`. One that announces more is not read at all.
+    /// Reads a body of at most `max_bytes`, charged to `budget` as it arrives. One that announces
+    /// more is not read at all.
     ///
     /// Each chunk is copied, so that it does not keep the buffer alive that it was read into.
-    pub async fn read<B>(body: B, max_bytes: usize) -> Result<Self>
+    pub async fn read<B>(body: B, max_bytes: usize, budget: &Arc<Budget>) -> Result<Self>
     where
         B: Body<Data = Bytes>,
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -55,17 +61,27 @@
         if announced > max_bytes {
             return Err(too_long());
         }
-        let end = if body.size_hint().exact().is_some() { announced } else { max_bytes };
+        let is_exact = body.size_hint().exact().is_some();
+        let upload = budget.begin();
+        let yields = upload.yields();
+        let mut yielded = pin!(yields.cancelled());
         let mut body = pin!(body);
-        let mut writer = Writer { segments: Vec::new(), current: BytesMut::new(), length: 0 };
+        let mut writer =
+            Writer { upload, segments: Vec::new(), current: BytesMut::new(), length: 0 };
         loop {
-            let Some(frame) = body.frame().await else { return Ok(writer.finish()) };
+            let frame = tokio::select! {
+                biased;
+                () = &mut yielded => return Err(NoRoom.into()),
+                frame = body.frame() => frame,
+            };
+            let Some(frame) = frame else { return writer.finish() };
             let frame = frame.map_err(|error| Error::BrokenOff(error.into()))?;
             let Ok(bytes) = frame.into_data() else { continue };
             if bytes.len() > max_bytes - writer.length {
                 return Err(too_long());
             }
-            writer.write(&bytes, end);
+            let end = if is_exact { announced } else { max_bytes };
+            writer.write(&bytes, end).await?;
         }
     }
 
@@ -95,7 +111,7 @@
 }
 
 impl From<Vec<u8>> for Buffered {
-    /// A body that was made here.
+    /// A body that was made here and is charged to no budget.
     fn from(bytes: Vec<u8>) -> Self {
         let length = bytes.len();
         let segments = if bytes.is_empty() { Vec::new() } else { vec![bytes.into()] };
@@ -129,6 +145,7 @@
 
 /// Writes what arrives into segments.
 struct Writer {
+    upload: Upload,
     segments: Vec<Bytes>,
     current: BytesMut,
     /// The bytes written so far.
@@ -137,11 +154,11 @@
 
 impl Writer {
     /// Writes bytes of a body that ends at `end` bytes, or before.
-    fn write(&mut self, mut bytes: &[u8], end: usize) {
+    async fn write(&mut self, mut bytes: &[u8], end: usize) -> Result<()> {
         while !bytes.is_empty() {
             let room = self.current.capacity() - self.current.len();
             if room == 0 {
-                self.add_segment(bytes.len(), end);
+                self.add_segment(bytes.len(), end).await?;
                 continue;
             }
             let (now, later) = bytes.split_at(room.min(bytes.len()));
@@ -149,13 +166,16 @@
             self.length += now.len();
             bytes = later;
         }
+        Ok(())
     }
 
-    fn add_segment(&mut self, arrived: usize, end: usize) {
+    async fn add_segment(&mut self, arrived: usize, end: usize) -> Result<()> {
         let doubled = (2 * self.current.capacity()).max(MIN_SEGMENT_BYTES);
         let size = doubled.max(arrived).min(MAX_SEGMENT_BYTES).min(end - self.length);
+        self.upload.grow(size).await?;
         self.close_segment();
         self.current = BytesMut::with_capacity(size);
+        Ok(())
     }
 
     fn close_segment(&mut self) {
@@ -164,8 +184,13 @@
         }
     }
 
-    fn finish(mut self) -> Buffered {
+    fn finish(mut self) -> Result<Buffered> {
         self.close_segment();
-        Buffered { segments: Arc::new(self.segments), length: self.length, polled: (0, 0) }
+        Ok(Buffered {
+            segments: Arc::new(self.segments),
+            length: self.length,
+            polled: (0, 0),
+            _holding: Some(Arc::new(self.upload.finish()?)),
+        })
     }
 }
--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -1,5 +1,5 @@
-//! Bodies: how they are framed, where their events end, and whether all of them has
-//! arrived.
+//! Bodies: how they are framed, where their events end, whether all of them has arrived, and how
+//! much memory they may take.
 //!
 //! - [`content`]: what headers say of a body.
 //! - [`framing`]: what marks the end of a body.
@@ -7,7 +7,9 @@
 //! - [`end`]: whether all of a body has arrived.
 //! - [`collected`]: bodies of responses that are read whole.
 //! - [`buffered`]: bodies of requests, kept until the request is complete.
+//! - [`budget`]: the memory that callers make a process hold.
 
+pub mod budget;
 pub mod buffered;
 pub mod collected;
 pub mod content;
@@ -15,6 +17,7 @@
 pub mod events;
 pub mod framing;
 
+pub use budget::{Budget, Holding};
 pub use buffered::Buffered;
 pub use collected::{Collected, collect};
 pub use content::Form;
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -230,6 +230,8 @@
         let unknown = crate::unknown_names::count();
         shared.metrics.unknown_names.set(i64::try_from(unknown).unwrap_or(i64::MAX));
         shared.metrics.fullness(shared.fullness().share, shared.peers.mean_fullness());
+        let held = i64::try_from(shared.memory.held()).unwrap_or(i64::MAX);
+        shared.metrics.held_bytes.set(held);
         shared.metrics.dropped_lines.set(i64::try_from(dropped).unwrap_or(i64::MAX));
         let now = Instant::now();
         let unavailable = shared.workload.availability.counts(now);
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -131,6 +131,7 @@
     permits: Family<KindLabel, Counter>,
     suspects: Family<KindLabel, Counter>,
     closed_unread: Family<KindLabel, Counter>,
+    bodies_refused: Family<KindLabel, Counter>,
     fullness: Family<KindLabel, Gauge<f64, AtomicU64>>,
     limits: Family<TargetLabel, Gauge<f64, AtomicU64>>,
     piece_times: Family<TargetLabels, Gauge<f64, AtomicU64>>,
@@ -153,6 +154,8 @@
     pub paused: Gauge,
     /// Entries that share the work, this one included.
     pub entries: Gauge,
+    /// Memory that callers make this entry hold, in bytes.
+    pub held_bytes: Gauge,
     /// Log lines that were dropped.
     pub dropped_lines: Gauge,
     /// Names that no decoder knows.
@@ -192,6 +195,7 @@
             permits: Family::default(),
             suspects: Family::default(),
             closed_unread: Family::default(),
+            bodies_refused: Family::default(),
             fullness: Family::default(),
             limits: Family::default(),
             piece_times: Family::default(),
@@ -208,6 +212,7 @@
             leaving: Gauge::default(),
             paused: Gauge::default(),
             entries: Gauge::default(),
+            held_bytes: Gauge::default(),
             dropped_lines: Gauge::default(),
             unknown_names: Gauge::default(),
         };
@@ -232,6 +237,8 @@
         to.register("promises", promises, self.promises.clone());
         let parts = "Time of first pieces that were promised in time, as promised and by part";
         to.register("promise_seconds", parts, self.promise_seconds.clone());
+        let held = "Memory that callers make this entry hold, in bytes";
+        to.register("held_bytes", held, self.held_bytes.clone());
         to.register("log_lines_dropped", "Log lines dropped", self.dropped_lines.clone());
     }
 
@@ -253,6 +260,8 @@
         to.register("suspects", suspects, self.suspects.clone());
         let closed_unread = "Connections of callers that were closed unread, by what was short";
         to.register("connections_unread", closed_unread, self.closed_unread.clone());
+        let refused = "Requests that were refused before their body was read, by reason";
+        to.register("bodies_refused", refused, self.bodies_refused.clone());
         let fullness = "How full this entry is, and the others on average; full from 1 on";
         to.register("fullness", fullness, self.fullness.clone());
         let limits = "Requests a second that targets said to take in";
@@ -451,6 +460,11 @@
         self.closed_unread.get_or_create(&KindLabel { kind: resource.into() }).inc();
     }
 
+    /// Counts a request that was refused before its body was read, by reason.
+    pub fn body_refused(&self, reason: &'static str) {
+        self.bodies_refused.get_or_create(&KindLabel { kind: reason.into() }).inc();
+    }
+
     /// Sets how full this entry is, and the others on average if that is known.
     pub fn fullness(&self, own: f64, others: Option<f64>) {
         let gauge = |kind: &'static str| {
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -24,6 +24,8 @@
     NoDecodeEngine,
     /// This process's own link has too much queued.
     LinkFull,
+    /// This process has no memory for the body.
+    MemoryFull,
     /// A target was tried and refused.
     TargetRefused,
     /// All targets that could be tried have a rate limit and accept no more now.
@@ -65,6 +67,7 @@
             Self::PrefillFull => "prompts-full",
             Self::NoDecodeEngine => "no-writer",
             Self::LinkFull => "link-full",
+            Self::MemoryFull => "memory-full",
             Self::TargetRefused => "target-refused",
             Self::RateLimited => "limited",
             Self::QuotaExceeded => "quota-exceeded",
@@ -88,6 +91,7 @@
             | Self::PrefillFull
             | Self::NoDecodeEngine
             | Self::LinkFull
+            | Self::MemoryFull
             | Self::TargetRefused
             | Self::RateLimited
             | Self::QuotaUnavailable
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -4,7 +4,7 @@
 use crate::buffered_request::BufferedRequest;
 use crate::callers::Connection;
 use crate::config::route::Limits;
-use crate::request::response::{self, Body};
+use crate::request::response::{self, Body, Refusal};
 use crate::request::serve;
 use crate::shared::Shared;
 use body::{Buffered, buffered};
@@ -36,6 +36,9 @@
 /// The smallest buffer for a head that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
+/// `Retry-After` when this entry has no memory for a body: by then others have read and sent theirs.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The pause after a connection could not be accepted, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -172,9 +175,12 @@
     close_after_response: &CancellationToken,
 ) -> Response<Body> {
     let arrived = Instant::now();
-    let mut response = match read_request(limits(&shared), request).await {
+    let mut response = match read_request(&shared, request).await {
         Ok(buffered) => serve::serve(shared, buffered, arrived).await,
-        Err(response) => response,
+        Err(reason) => {
+            shared.metrics.body_refused(reason.name());
+            reason.response()
+        }
     };
     if close_after_response.is_cancelled() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -183,20 +189,47 @@
 }
 
 async fn read_request(
-    limits: Limits,
+    shared: &Shared,
     request: Request<Incoming>,
-) -> Result<BufferedRequest, Response<Body>> {
+) -> Result<BufferedRequest, Unreadable> {
     let (head, body) = request.into_parts();
-    let body = Buffered::read(body, limits.body_bytes);
+    let limits = limits(shared);
+    let body = Buffered::read(body, limits.body_bytes, &shared.memory);
     let body = match tokio::time::timeout(limits.idle_timeout, body).await {
         Ok(Ok(body)) => body,
-        Ok(Err(buffered::Error::TooLong { .. })) => {
-            return Err(response::local(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
-        }
-        Ok(Err(buffered::Error::BrokenOff(_))) => {
-            return Err(response::local(StatusCode::BAD_REQUEST, "body cut off"));
-        }
-        Err(_) => return Err(response::local(StatusCode::REQUEST_TIMEOUT, "body too slow")),
+        Ok(Err(buffered::Error::TooLong { .. })) => return Err(Unreadable::TooLarge),
+        Ok(Err(buffered::Error::NoRoom(_))) => return Err(Unreadable::NoMemory),
+        Ok(Err(buffered::Error::BrokenOff(_))) => return Err(Unreadable::CutOff),
+        Err(_) => return Err(Unreadable::TooSlow),
     };
     Ok(BufferedRequest { method: head.method, path: head.uri, headers: head.headers, body })
 }
+
+/// Why the body of a request was not read to its end. The request has not run.
+#[derive(Debug, Clone, Copy)]
+enum Unreadable {
+    TooLarge,
+    NoMemory,
+    CutOff,
+    TooSlow,
+}
+
+impl Unreadable {
+    fn name(self) -> &'static str {
+        match self {
+            Self::TooLarge => "too-large",
+            Self::NoMemory => Refusal::MemoryFull.name(),
+            Self::CutOff => "cut-off",
+            Self::TooSlow => "too-slow",
+        }
+    }
+
+    fn response(self) -> Response<Body> {
+        match self {
+            Self::TooLarge => response::local(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+            Self::NoMemory => response::refuse(Refusal::MemoryFull, MEMORY_RETRY_AFTER),
+            Self::CutOff => response::local(StatusCode::BAD_REQUEST, "body cut off"),
+            Self::TooSlow => response::local(StatusCode::REQUEST_TIMEOUT, "body too slow"),
+        }
+    }
+}
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -18,6 +18,7 @@
 use crate::targets::fleet::Fleet;
 use crate::targets::target::Target;
 use crate::targets::workload::Workload;
+use body::Budget;
 use compact_str::CompactString;
 use plat::Offset;
 use plat::epoch::Epoch;
@@ -69,6 +70,8 @@
     pub quota: Option<quota::Settings>,
     /// How many connections callers may have to this entry: about half of its file descriptors.
     pub max_connections: u32,
+    /// How much memory callers may make this entry hold, in bytes: about half of its process's.
+    pub caller_memory: usize,
 }
 
 /// The share of an entry's link that its datagrams to the other entries may take. Some entries have
@@ -118,6 +121,8 @@
     pub durations: Durations,
     /// The connections of callers.
     pub callers: Arc<Connections>,
+    /// The memory that callers make this entry hold.
+    pub memory: Arc<Budget>,
     /// Counters and histograms.
     pub metrics: Arc<Metrics>,
     /// The other entries and their work.
@@ -195,6 +200,7 @@
         let quota = settings.quota.as_ref();
         let quota = quota.map(|quota| Quota::new(quota, policy::hash(&settings.name), first_id));
         let mut fleet = Fleet::new(workload.clone());
+        let memory = Arc::new(Budget::new(settings.caller_memory));
         fleet.begin_history(settings.first_start, Instant::now());
         Self {
             settings,
@@ -203,6 +209,7 @@
             suspects: Suspects::default(),
             durations: Durations::default(),
             callers: Arc::default(),
+            memory,
             delay: Mutex::default(),
             metrics: Arc::default(),
             peers,
