fix(direct): callers' connections have receive buffers of bounded size

Callers saw an entry end although the bodies that it held were bounded: bytes that have been received and not read count as its memory.

Cause: the kernel sizes each receive buffer by itself, up to megabytes; neither these nor the buffers for heads were counted.

Evidence: crowds of 400 clients had 16 to 40 MB unread at an entry of 64 MB, those with refused bodies as well. With pieces of 8 KiB the sum was 66 MB.

Change: the listening socket has a fixed receive buffer, a quarter of the memory for callers over all connections, 8 to 64 KiB; connections inherit it. It is charged to the budget with the read buffer; uploads yield to a connection that finds no room.

--- a/crates/body/src/budget.rs
+++ b/crates/body/src/budget.rs
@@ -104,12 +104,13 @@
         self.lock().held
     }
 
-    /// Holds a number of bytes that does not grow; `None` if there is no room.
+    /// Holds a number of bytes that does not grow. Uploads yield to it, and the budget may be exceeded
+    /// until they have; `None` if they hold too little.
     pub fn hold(self: &Arc<Self>, bytes: usize) -> Option<Holding> {
         let mut state = self.lock();
-        if state.held + bytes > self.total {
-            return None;
-        }
+        let after = state.held + bytes;
+        let needed = after.saturating_sub(self.total + state.yielding);
+        state.make_room(None, false, needed).ok()?;
         state.held += bytes;
         Some(Holding { budget: self.clone(), bytes })
     }
@@ -165,7 +166,7 @@
         }
         let after = state.held + state.waiting_bytes() + bytes;
         let needed = after.saturating_sub(limit + state.yielding);
-        state.make_room(id, is_large, needed)?;
+        state.make_room(Some(id), is_large, needed)?;
         let (granted, grant) = oneshot::channel();
         let class = state.class(is_large);
         class.waiting.push_back((id, granted));
@@ -240,9 +241,9 @@
         }
     }
 
-    /// Tells uploads other than `id` to yield `needed` bytes.
-    fn make_room(&mut self, id: UploadId, is_large: bool, needed: usize) -> Result<()> {
-        let own = self.uploads.get(&id).map_or(0, |entry| entry.bytes);
+    /// Tells uploads other than `id` to yield `needed` bytes; small ones only if `is_large` is not set.
+    fn make_room(&mut self, id: Option<UploadId>, is_large: bool, needed: usize) -> Result<()> {
+        let own = id.and_then(|id| self.uploads.get(&id)).map_or(0, |entry| entry.bytes);
         let others = match (is_large, own > SMALL_BYTES) {
             (false, _) => self.small.bytes + self.large.bytes - own,
             (true, true) => self.large.bytes - own,
@@ -253,7 +254,8 @@
         }
         let mut freed = 0;
         while freed < needed {
-            let other = |class: &Class| class.order.values().find(|other| **other != id).copied();
+            let other =
+                |class: &Class| class.order.values().find(|other| Some(**other) != id).copied();
             let victim = other(&self.large);
             let victim = victim.or_else(|| if is_large { None } else { other(&self.small) });
             let Some(victim) = victim else { return Err(NoRoom) };
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -6,7 +6,7 @@
 use crate::config::route::Limits;
 use crate::request::response::{self, Body, Refusal};
 use crate::request::serve;
-use crate::shared::Shared;
+use crate::shared::{Settings, Shared};
 use body::{Buffered, buffered};
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use hyper::body::{Body as _, Incoming};
@@ -39,6 +39,16 @@
 /// `Retry-After` when this entry has no memory for a body: by then others have read and sent theirs.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// The receive buffers of all connections that callers may have take at most the memory for callers
+/// divided by this.
+const RECEIVE_SHARE_DIVISOR: usize = 4;
+
+/// The smallest receive buffer of a connection, in bytes. A smaller one holds up bodies of usual size.
+const MIN_RECEIVE_BYTES: usize = 8 * 1024;
+
+/// The largest receive buffer of a connection, in bytes.
+const MAX_RECEIVE_BYTES: usize = 64 * 1024;
+
 /// The pause after a connection could not be accepted, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -64,6 +74,7 @@
         listener: TcpListener,
         stop_accepting: CancellationToken,
     ) {
+        let receive_buffer = limit_receive_buffers(&listener, &shared.settings);
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -75,9 +86,15 @@
                         shared.metrics.closed_unread(resource.name());
                         continue;
                     }
+                    let bytes = receive_buffer + read_buffer_bytes(&limits(&shared));
+                    let Some(buffers) = shared.memory.hold(bytes) else {
+                        shared.metrics.closed_unread(Resource::Memory.name());
+                        continue;
+                    };
                     let connection = Arc::new(shared.callers.open(Instant::now()));
                     let (server, shared) = (self.clone(), shared.clone());
                     tokio::spawn(async move {
+                        let _buffers = buffers;
                         tokio::select! {
                             () = server.serve_connection(shared, stream, &connection) => {}
                             () = connection.evicted() => {}
@@ -122,7 +139,7 @@
         builder
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
-            .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES));
+            .max_buf_size(read_buffer_bytes(&limits));
         let mut connection = builder.serve_connection(TokioIo::new(stream), service);
         // A connection accepted after idle ones have been closed is new: its caller has a request
         // to send, and the response is its last. Closed before that, it would look like a failure
@@ -144,6 +161,24 @@
     }
 }
 
+/// The most bytes of a connection that are read but not processed.
+fn read_buffer_bytes(limits: &Limits) -> usize {
+    limits.header_bytes.max(MIN_BUFFER_BYTES)
+}
+
+/// Limits what the kernel receives on each of the callers' connections before it is read, which counts
+/// as memory of the process. Returns the limit in bytes.
+fn limit_receive_buffers(listener: &TcpListener, settings: &Settings) -> usize {
+    let connections = usize::try_from(settings.max_connections).unwrap_or(usize::MAX).max(1);
+    let share = settings.caller_memory / RECEIVE_SHARE_DIVISOR / connections;
+    let bytes = share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
+    // Connections inherit it from the socket that accepts them.
+    if let Err(error) = socket2::SockRef::from(listener).set_recv_buffer_size(bytes) {
+        log::warn!(target: "intake", error:% = error; "receive buffers not limited");
+    }
+    bytes
+}
+
 /// What this entry lacks for a new connection, whose caller is then to try another entry.
 fn short_resource(shared: &Shared) -> Option<Resource> {
     let fullness = shared.fullness();
--- a/crates/policy/src/overload.rs
+++ b/crates/policy/src/overload.rs
@@ -43,6 +43,8 @@
     Processor,
     /// The network link.
     Link,
+    /// Memory that callers make it hold.
+    Memory,
 }
 
 /// How full an entry is, as the share of what it can bear of the scarcest resource.
@@ -114,6 +116,7 @@
             Self::Connections => "connections",
             Self::Processor => "processor",
             Self::Link => "link",
+            Self::Memory => "memory",
         }
     }
 }
