fix(direct): bodies that do not grow yield their connection

Callers saw an entry close their connections unread for as long as a crowd held connections with bodies that never ended.

Cause: once connections run out, only those gave way on which no head had arrived. A body of a few bytes kept its connection until idle-timeout-ms.

Evidence: 912 such clients at 512 connections: an ordinary request was closed unread in 20 of 20 tries, with 16 MB in use: memory is not what was short.

Change: the upload that has taken no memory for the longest time, half a second at least, yields, and is refused with 503. An upload that makes progress or ends is not affected.

--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -49,6 +49,9 @@
 /// The largest receive buffer of a connection, in bytes.
 const MAX_RECEIVE_BYTES: usize = 64 * 1024;
 
+/// For how long an upload must not have grown until it yields its connection.
+const MIN_STALL: Duration = Duration::from_millis(500);
+
 /// The pause after a connection could not be accepted, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -187,11 +190,16 @@
     if !fullness.leaves_to_others(others) {
         return None;
     }
-    let has_room =
-        fullness.resource == Resource::Connections && shared.callers.evict_silent(Instant::now());
+    let has_room = fullness.resource == Resource::Connections && evict_connection(shared);
     (!has_room).then_some(fullness.resource)
 }
 
+/// Closes a connection whose caller makes no progress with its request. Returns whether there was one.
+fn evict_connection(shared: &Shared) -> bool {
+    let now = Instant::now();
+    shared.callers.evict_silent(now) || shared.memory.yield_oldest(MIN_STALL, now)
+}
+
 /// Has the connection reset once it is closed: its caller would take a regular end for the end of a
 /// response that was broken off.
 fn reset_on_close(stream: &TcpStream) {
