fix(direct): refusals of bodies are not followed by a reset

A caller that still sends its body when it is refused could lose the refusal, and with it the promise that nothing has run and when to come back.

Cause: closing a connection with unread bytes resets it; the response did not say that the connection closes either.

Change: Connection: close, and the rest of the body is read and discarded for a second and 256 KiB at most, on an eighth of the connections at most.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -1,6 +1,7 @@
 //! The open connections of callers to this entry, and those among them that have sent no request.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -92,3 +93,27 @@
         inner.silent.remove(&self.id);
     }
 }
+
+/// Bounds how many connections are in some state at a time.
+#[derive(Debug, Clone, Default)]
+pub struct Gate {
+    entered: Arc<AtomicU32>,
+}
+
+/// Counts one connection until dropped.
+#[derive(Debug)]
+pub struct GateGuard(Arc<AtomicU32>);
+
+impl Gate {
+    /// Lets one more in, unless `most` are in already.
+    pub fn enter(&self, most: u32) -> Option<GateGuard> {
+        let guard = GateGuard(self.entered.clone());
+        (guard.0.fetch_add(1, Ordering::Relaxed) < most).then_some(guard)
+    }
+}
+
+impl Drop for GateGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -2,7 +2,7 @@
 //! without cutting off requests.
 
 use crate::buffered_request::BufferedRequest;
-use crate::callers::Connection;
+use crate::callers::{Connection, Gate};
 use crate::config::route::Limits;
 use crate::request::response::{self, Body, Refusal};
 use crate::request::serve;
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -52,6 +53,19 @@
 /// For how long an upload must not have grown until it yields its connection.
 const MIN_STALL: Duration = Duration::from_millis(500);
 
+/// How long the rest of a refused body is read, so that its caller receives the refusal.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// The most bytes that are read of it.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
+
+/// The bytes of it that are read at a time.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+
+/// At most the number of connections divided by this may be kept open to read the rest of a refused
+/// body. Others are closed at once.
+const DISCARD_DIVISOR: u32 = 8;
+
 /// The pause after a connection could not be accepted, such as for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -62,12 +76,14 @@
     close_after_response: CancellationToken,
     /// Cancelled once idle connections are to be closed.
     close_idle: CancellationToken,
+    /// The connections from which the rest of a refused body is read.
+    discarding: Gate,
 }
 
 impl CallerServer {
     /// Creates a server without connections.
     pub fn new(close_after_response: CancellationToken, close_idle: CancellationToken) -> Self {
-        Self { close_after_response, close_idle }
+        Self { close_after_response, close_idle, discarding: Gate::default() }
     }
 
     /// Accepts connections until `stop_accepting` is cancelled.
@@ -122,17 +138,20 @@
             log::debug!(target: "intake", error:% = error; "TCP_NODELAY not set");
         }
         let limits = limits(&shared);
+        let max_connections = shared.settings.max_connections;
         let close_after_response = self.close_after_response.clone();
         let is_unframed = Arc::new(AtomicBool::new(false));
         let unframed = is_unframed.clone();
+        let has_unread_body = Arc::new(AtomicBool::new(false));
+        let unread = has_unread_body.clone();
         let connection = connection.clone();
         let service = service_fn(move |request| {
             connection.record_request();
             let (shared, close) = (shared.clone(), close_after_response.clone());
-            let unframed = unframed.clone();
+            let (unframed, unread) = (unframed.clone(), unread.clone());
             async move {
                 let has_chunks = request.version() >= Version::HTTP_11;
-                let response = respond(shared, request, &close).await;
+                let response = respond(shared, request, &close, &unread).await;
                 let has_length = response.body().size_hint().exact().is_some();
                 unframed.store(!has_chunks && !has_length, Ordering::Relaxed);
                 Ok::<_, Infallible>(response)
@@ -160,8 +179,28 @@
             if is_unframed.load(Ordering::Relaxed) {
                 reset_on_close(&connection.into_parts().io.into_inner());
             }
+        } else if has_unread_body.load(Ordering::Relaxed) {
+            self.discard_rest(connection.into_parts().io.into_inner(), max_connections).await;
         }
     }
+
+    /// Reads what the caller still sends of a body that was refused. A connection that is closed before
+    /// that is reset, and the caller may lose the refusal.
+    async fn discard_rest(&self, mut stream: TcpStream, max_connections: u32) {
+        let Some(_guard) = self.discarding.enter(max_connections / DISCARD_DIVISOR) else { return };
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        let discarding = async {
+            let mut discarded = 0;
+            while discarded < MAX_DISCARDED_BYTES {
+                match stream.read(&mut buffer).await {
+                    Ok(0) | Err(_) => return,
+                    Ok(read) => discarded += read,
+                }
+            }
+        };
+        // Whoever still sends then has not read the refusal for some round trips.
+        let _ = tokio::time::timeout(DISCARD_TIME, discarding).await;
+    }
 }
 
 /// The most bytes of a connection that are read but not processed.
@@ -216,16 +255,18 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
     close_after_response: &CancellationToken,
+    has_unread_body: &AtomicBool,
 ) -> Response<Body> {
     let arrived = Instant::now();
     let mut response = match read_request(&shared, request).await {
         Ok(buffered) => serve::serve(shared, buffered, arrived).await,
         Err(reason) => {
             shared.metrics.body_refused(reason.name());
+            has_unread_body.store(true, Ordering::Relaxed);
             reason.response()
         }
     };
-    if close_after_response.is_cancelled() {
+    if close_after_response.is_cancelled() || has_unread_body.load(Ordering::Relaxed) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
