fix(entry): bodies count with what has arrived, not with what they announce

Callers were refused by an entry at which others had announced bodies and sent nothing more; with chunks of one byte an entry ended.

Cause: the capacity for bodies was reserved by Content-Length, 1 MiB without one, before anything arrived: eight callers held all of it for 20 s. What a body takes was not counted: its chunks kept their read buffers. Both are in the call that reads the body.

Change: body::Buffered reads them, charged to a body::Budget of the same 64 MiB; uploads that stall yield with entry-full, which promises that nothing has run.

--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -43,7 +43,8 @@
     length: usize,
     /// The segments and bytes that were polled.
     polled: (usize, usize),
-    _holding: Option<Arc<Holding>>,
+    /// Nothing for a body that was made here.
+    holding: Option<Arc<Holding>>,
 }
 
 impl Buffered {
@@ -108,10 +109,15 @@
             several => several.concat().into(),
         }
     }
+
+    /// Joins its segments, and returns what it holds apart.
+    pub fn into_parts(self) -> (Bytes, Option<Arc<Holding>>) {
+        (self.to_bytes(), self.holding)
+    }
 }
 
 impl From<Vec<u8>> for Buffered {
-    /// A body that was made here and is charged to no budget.
+    /// Makes a body that is charged to no budget.
     fn from(bytes: Vec<u8>) -> Self {
         let length = bytes.len();
         let segments = if bytes.is_empty() { Vec::new() } else { vec![bytes.into()] };
@@ -190,7 +196,7 @@
             segments: Arc::new(self.segments),
             length: self.length,
             polled: (0, 0),
-            _holding: Some(Arc::new(self.upload.finish()?)),
+            holding: Some(Arc::new(self.upload.finish()?)),
         })
     }
 }
--- a/crates/entry/src/capacity.rs
+++ b/crates/entry/src/capacity.rs
@@ -1,12 +1,14 @@
 //! Limits the requests and body bytes that an entry holds at a time.
 //!
 //! Without these limits, many requests at once, or a few callers with large bodies, could use up
-//! the VM's memory and fail the requests in progress.
+//! the VM's memory and fail the requests in progress. Bodies count with what has arrived: counted
+//! with what they announce, callers that send nothing more would leave no room for others.
 
 use crate::Reason;
 use crate::decisions::Decisions;
 use crate::outcome::Failure;
 use crate::view::ConfiguredCaller;
+use body::{Budget, Holding};
 use conf::Name;
 use policy::estimate::Cost;
 use std::sync::Arc;
@@ -24,16 +26,22 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Counts open requests and their body bytes.
-#[derive(Default)]
 pub(crate) struct Capacity {
     open_requests: AtomicUsize,
-    body_bytes: AtomicUsize,
+    bodies: Arc<Budget>,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        let bodies = Arc::new(Budget::new(MAX_BODY_BYTES));
+        Self { open_requests: AtomicUsize::default(), bodies }
+    }
 }
 
 /// Holds the capacity for one request and releases it on drop.
 pub(crate) struct CapacityGuard {
     capacity: Arc<Capacity>,
-    bytes: usize,
+    body: Option<Arc<Holding>>,
     reservation: Option<LimitReservation>,
 }
 
@@ -46,18 +54,18 @@
 }
 
 impl Capacity {
-    /// Acquires capacity for a request with a body of up to `bytes`.
-    pub(crate) fn acquire(self: &Arc<Self>, bytes: usize) -> Result<CapacityGuard, Failure> {
+    /// Acquires capacity for a request, whose body is charged to [`Self::bodies`].
+    pub(crate) fn acquire(self: &Arc<Self>) -> Result<CapacityGuard, Failure> {
         let open = self.open_requests.fetch_add(1, Ordering::Relaxed) + 1;
-        let held_bytes = self.body_bytes.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        // Created before the check, so that dropping it reverts the counters if a limit is
+        // Created before the check, so that dropping it reverts the counter if the limit is
         // exceeded.
-        let guard = CapacityGuard { capacity: self.clone(), bytes, reservation: None };
-        if open > MAX_OPEN_REQUESTS || held_bytes > MAX_BODY_BYTES {
-            let failure = Failure::not_run(Reason::EntryFull, "this entry holds all it can");
-            return Err(failure.with_retry_after(FULL_RETRY_AFTER));
-        }
-        Ok(guard)
+        let guard = CapacityGuard { capacity: self.clone(), body: None, reservation: None };
+        if open > MAX_OPEN_REQUESTS { Err(full()) } else { Ok(guard) }
+    }
+
+    /// The memory for bodies.
+    pub(crate) fn bodies(&self) -> &Arc<Budget> {
+        &self.bodies
     }
 
     /// Returns the number of open requests.
@@ -66,7 +74,18 @@
     }
 }
 
+/// Returns the refusal of a request that this entry has no room for.
+pub(crate) fn full() -> Failure {
+    let failure = Failure::not_run(Reason::EntryFull, "this entry holds all it can");
+    failure.with_retry_after(FULL_RETRY_AFTER)
+}
+
 impl CapacityGuard {
+    /// Holds the memory of the request's body until the guard is dropped.
+    pub(crate) fn hold_body(&mut self, body: Option<Arc<Holding>>) {
+        self.body = body;
+    }
+
     /// Counts the request against its caller's limits until the guard is dropped.
     pub(crate) fn reserve(
         &mut self,
@@ -98,6 +117,5 @@
 impl Drop for CapacityGuard {
     fn drop(&mut self) {
         self.capacity.open_requests.fetch_sub(1, Ordering::Relaxed);
-        self.capacity.body_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
--- a/crates/entry/src/routes/admission.rs
+++ b/crates/entry/src/routes/admission.rs
@@ -2,14 +2,15 @@
 //! capacity, and the size and time limits of the body.
 
 use super::trace;
-use crate::capacity::CapacityGuard;
+use crate::capacity::{self, CapacityGuard};
 use crate::daemon::Shared;
 use crate::outcome::Failure;
 use crate::problem::Problem;
 use crate::view::ConfiguredCaller;
 use crate::{Reason, auth, headers};
+use body::{Budget, Buffered, Holding, buffered};
 use bytes::Bytes;
-use salvo::http::{HeaderMap, ParseError, header};
+use salvo::http::{HeaderMap, header};
 use salvo::{Depot, Request};
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 /// Maximum time for a body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Bytes reserved for a body without a declared length, which is also its maximum.
+/// Maximum size of a body without a declared length, in bytes.
 const UNSIZED_BODY_BYTES: usize = 1024 * 1024;
 
 /// Maximum deadline that a caller may request.
@@ -50,11 +51,10 @@
     let time_limit = time_limit(http.headers(), &caller).ok_or_else(|| {
         bad_header("x-deadline-ms is a number of milliseconds, from 1 to 3600000")
     })?;
-    let size = declared_body_size(http.headers(), max_bytes)?;
-    let guard = shared.capacity.acquire(size);
-    let guard = guard
-        .map_err(|failure| Problem::new(failure, &crate::outcome::AttemptHistory::new(true)))?;
-    let body = read_body(http, size).await?;
+    let max_bytes = max_body_bytes(http.headers(), max_bytes)?;
+    let mut guard = shared.capacity.acquire().map_err(refused)?;
+    let (body, holding) = read_body(http, max_bytes, shared.capacity.bodies()).await?;
+    guard.hold_body(holding);
     let header = |name: &str| http.headers().get(name).and_then(|value| value.to_str().ok());
     let request = wire::Request {
         id: trace::request_id(depot).into(),
@@ -91,8 +91,12 @@
     (millis > 0 && requested <= MAX_DEADLINE).then_some(requested)
 }
 
-/// Returns the number of bytes to reserve for the body.
-fn declared_body_size(headers: &HeaderMap, max_bytes: usize) -> Result<usize, Problem> {
+fn refused(failure: Failure) -> Problem {
+    Problem::new(failure, &crate::outcome::AttemptHistory::new(true))
+}
+
+/// Returns the number of bytes that the body may have, by its framing.
+fn max_body_bytes(headers: &HeaderMap, max_bytes: usize) -> Result<usize, Problem> {
     let Some(length) = headers.get(header::CONTENT_LENGTH) else {
         return Ok(max_bytes.min(UNSIZED_BODY_BYTES));
     };
@@ -104,15 +108,23 @@
     }
 }
 
-async fn read_body(http: &mut Request, max_bytes: usize) -> Result<Bytes, Problem> {
+async fn read_body(
+    http: &mut Request,
+    max_bytes: usize,
+    budget: &Arc<Budget>,
+) -> Result<(Bytes, Option<Arc<Holding>>), Problem> {
     // Without a timeout, a caller that sends its body one byte at a time would hold memory for
     // hours.
-    let body = tokio::time::timeout(BODY_TIMEOUT, http.payload_with_max_size(max_bytes)).await;
+    let body = Buffered::read(http.take_body(), max_bytes, budget);
+    let body = tokio::time::timeout(BODY_TIMEOUT, body).await;
     let timed_out = || Problem::not_run(Reason::BodyTimeout, "the body took too long to arrive");
     match body.map_err(|_| timed_out())? {
-        Ok(body) => Ok(body.clone()),
-        Err(ParseError::PayloadTooLarge) => Err(too_large(max_bytes)),
-        Err(error) => Err(Problem::not_run(Reason::BadBody, error.to_string())),
+        Ok(body) => Ok(body.into_parts()),
+        Err(buffered::Error::TooLong { .. }) => Err(too_large(max_bytes)),
+        Err(buffered::Error::NoRoom(_)) => Err(refused(capacity::full())),
+        Err(buffered::Error::BrokenOff(error)) => {
+            Err(Problem::not_run(Reason::BadBody, error.to_string()))
+        }
     }
 }
 
