fix(wire): peers that have not proved the key can't send large frames

An agent ended, and with it the answers that it streamed, when connections to its port began large frames.

Cause: the codec accepts frames of up to 16 MiB and allocates what a frame's length says, also before the handshake, which ends such a connection after five seconds only.

Change: a connection accepts 4 KiB until the handshake is done.

--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -9,6 +9,10 @@
 /// The largest accepted frame, in bytes; above the largest request body that an entry accepts.
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// The largest accepted frame of a handshake, in bytes. Its sender may be anyone, and a buffer is
+/// allocated for the length that a frame begins with.
+pub const MAX_HANDSHAKE_FRAME_BYTES: usize = 4 * 1024;
+
 /// Encodes and decodes [`Frame`]s for one peer.
 #[derive(Debug)]
 pub struct Codec {
@@ -17,12 +21,19 @@
 }
 
 impl Codec {
-    /// Makes the codec of the connection to `peer`, an address used only in errors.
+    /// Makes the codec of the connection to `peer`, an address used only in errors. It accepts the
+    /// frames of a handshake only.
     pub fn new(peer: CompactString) -> Self {
-        let lengths = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+        let mut builder = LengthDelimitedCodec::builder();
+        let lengths = builder.max_frame_length(MAX_HANDSHAKE_FRAME_BYTES).new_codec();
         Self { lengths, peer }
     }
 
+    /// Accepts frames of up to [`MAX_FRAME_BYTES`] from now on.
+    pub(crate) fn trust_peer(&mut self) {
+        self.lengths.set_max_frame_length(MAX_FRAME_BYTES);
+    }
+
     fn io(&self, step: &'static str, source: std::io::Error) -> Error {
         Error::Io { step, peer: self.peer.clone(), source }
     }
--- a/crates/wire/src/connection.rs
+++ b/crates/wire/src/connection.rs
@@ -34,6 +34,11 @@
         &self.peer
     }
 
+    /// Accepts large frames, once the peer has proved that it has the key.
+    pub(crate) fn trust_peer(&mut self) {
+        self.framed.codec_mut().trust_peer();
+    }
+
     /// Sends one frame and flushes it.
     pub async fn send(&mut self, frame: Frame) -> Result<()> {
         self.framed.send(frame).await
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -85,6 +85,7 @@
         connection,
         key.verify(LISTENER, &ours.challenge, &theirs.challenge, &proof.mac),
     )?;
+    connection.trust_peer();
     Ok(theirs)
 }
 
@@ -95,6 +96,7 @@
     let proof = expect_proof(connection).await?;
     require_valid(connection, key.verify(DIALLER, &theirs.challenge, &ours.challenge, &proof.mac))?;
     let mac = key.proof(LISTENER, &theirs.challenge, &ours.challenge);
+    connection.trust_peer();
     connection.send(Frame::new(Body::Proof(Proof { mac }))).await?;
     Ok(theirs)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 mod request;
 mod socket;
 
-pub use codec::{Codec, MAX_FRAME_BYTES};
+pub use codec::{Codec, MAX_FRAME_BYTES, MAX_HANDSHAKE_FRAME_BYTES};
 pub use connection::{Connection, Reader, Writer};
 pub use error::{Error, Result};
 pub use frame::{
