fix(agent): requests that wait or run have a bound in bytes

Callers of a slow service saw its agent end under many large calls, also those whose calls had begun.

Cause: the queue is bounded in predicted work; a call counts 50 tokens whatever its size, so that 1,200 of 8 MiB may wait. A job cloned its work, which keeps prompts twice.

Evidence: 80 calls of 8 MiB from five entries: 341 MB of 256.

Change: 64 MiB for requests that wait or run, charged at submission and held by the job, and by the call where that outlives it; further ones are refused with queue-full, not run. The work is moved out of the job.

--- a/crates/agent/src/attempts.rs
+++ b/crates/agent/src/attempts.rs
@@ -2,9 +2,11 @@
 
 use crate::answer::{Answer, Reader, is_last};
 use crate::job::{self, Job};
-use crate::refusal::{not_run, unknown};
+use crate::refusal::{not_run, retry_after, unknown};
 use crate::shared::Shared;
 use crate::tasks::Tasks;
+use body::Holding;
+use prost::Message;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -41,6 +43,9 @@
 /// the system is designed for, 4,700 requests per second over 390 entries, each open for minutes.
 const MAX_ATTEMPTS: usize = 4_096;
 
+/// When to retry a request for which there is no memory: others complete continuously.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Upper bound of an attempt's credit in events.
 const MAX_CREDIT: u32 = 65_536;
 
@@ -64,11 +69,16 @@
         if let Some(refusal) = self.check_new(attempt) {
             return self.refuse(attempt, refusal).await;
         }
+        let bytes = request.encoded_len();
+        let Some(memory) = self.shared.request_memory.hold(bytes) else {
+            let refusal = not_run("queue-full", "the requests here take all memory");
+            return self.refuse(attempt, retry_after(refusal, FULL_RETRY_AFTER)).await;
+        };
         let retain = matches!(request.work, Some(Work::Prompt(_)));
         let (answer, reader) = Answer::new(&request.id, &request.caller, retain);
         let (begin, begun) = oneshot::channel();
         self.forward(attempt, reader, credit, hold.then_some(begin));
-        let job = self.job(attempt, request, answer, hold.then_some(begun));
+        let job = self.job(attempt, request, memory, answer, hold.then_some(begun));
         self.tasks.spawn_job(job::run(self.shared.clone(), job));
     }
 
@@ -136,13 +146,19 @@
         &self,
         attempt: AttemptId,
         request: Request,
+        memory: Holding,
         answer: Arc<Answer>,
         begin: Option<oneshot::Receiver<()>>,
     ) -> Job {
         let deadline = Instant::now() + Duration::from_millis(request.deadline_ms);
         // Two entries may use the same attempt id, so each connection adds its random offset.
         let attempt = self.id_offset.wrapping_add(attempt);
-        Job { request, answer, begin, attempt, deadline }
+        let resumed = match &request.work {
+            Some(Work::Prompt(prompt)) => prompt.resume_tokens > 0,
+            Some(Work::Call(_)) | None => false,
+        };
+        let memory = Arc::new(memory);
+        Job { request, answer, resumed, memory, begin, attempt, deadline }
     }
 
     /// Starts to send the events that `reader` reads, as far as credit permits.
--- a/crates/agent/src/daemon.rs
+++ b/crates/agent/src/daemon.rs
@@ -12,6 +12,7 @@
 use crate::suspects::Suspects;
 use crate::tasks::Tasks;
 use crate::{Context, Result, claim, metrics, orders, plan, session};
+use body::Budget;
 use conf::resource::Phase;
 use state::{Appender, Calls, Config, Follower, System};
 use std::sync::Arc;
@@ -29,6 +30,10 @@
 /// How many requests a target runs concurrently until its resource is read.
 const DEFAULT_SLOTS: u32 = 16;
 
+/// Maximum bytes of the requests that wait or run, a quarter of an agent's 256 MB. The queue itself is
+/// bounded in work, which says nothing of the size of a call.
+const MAX_REQUEST_BYTES: usize = 64 * 1024 * 1024;
+
 /// How long a stopping agent waits until its last frames are sent to entries.
 const FLUSH_TIME: Duration = Duration::from_millis(200);
 
@@ -66,6 +71,7 @@
             dialler,
             config: follower.state(),
             dispatcher: Dispatcher::new(DEFAULT_SLOTS),
+            request_memory: Arc::new(Budget::new(MAX_REQUEST_BYTES)),
             meter: Meter::default(),
             health: Health::default(),
             answers: Answers::default(),
--- a/crates/agent/src/flight.rs
+++ b/crates/agent/src/flight.rs
@@ -8,6 +8,7 @@
 use crate::refusal::{self, not_run, unknown};
 use crate::shared::{CALL_TOKENS, Shared};
 use crate::{Backend, service_call};
+use body::Holding;
 use bytes::{Bytes, BytesMut};
 use compact_str::{CompactString, ToCompactString};
 use futures_util::StreamExt;
@@ -30,6 +31,8 @@
     urgent: bool,
     deadline: Instant,
     traceparent: String,
+    /// The memory of the call, which may outlive its job.
+    _memory: Arc<Holding>,
 }
 
 /// Largest body that is recorded. The log stores every recorded answer, and the confirmation of a
@@ -54,6 +57,7 @@
     ) -> Self {
         Self {
             shared: shared.clone(),
+            _memory: job.memory.clone(),
             key,
             call,
             held,
--- a/crates/agent/src/job.rs
+++ b/crates/agent/src/job.rs
@@ -5,6 +5,7 @@
 use crate::refusal::{self, not_run};
 use crate::shared::Shared;
 use crate::{Backend, keyed_calls, prompt, service_call};
+use body::Holding;
 use compact_str::ToCompactString;
 use policy::admission::{self, Admission, TargetState};
 use policy::estimate::Cost;
@@ -20,6 +21,10 @@
     pub(crate) request: Request,
     /// Receives the events of the request.
     pub(crate) answer: Arc<Answer>,
+    /// Whether part of the output was already generated at another target.
+    pub(crate) resumed: bool,
+    /// The memory that the request holds.
+    pub(crate) memory: Arc<Holding>,
     /// Receives the entry's consent to an offered request; `None` if no offer is needed.
     pub(crate) begin: Option<oneshot::Receiver<()>>,
     /// Identifies the job at the engine, together with the request's id.
@@ -68,7 +73,7 @@
 const DRAIN_RETRY: Duration = Duration::from_secs(5);
 
 async fn dispatch(shared: &Arc<Shared>, job: &mut Job) -> Result<(), Refusal> {
-    match job.request.work.clone() {
+    match job.request.work.take() {
         Some(Work::Prompt(work)) => prompt::run(shared, job, work).await?,
         Some(Work::Call(work)) if is_repeatable(shared, &work) => {
             service_call::run(shared, job, work).await?;
@@ -116,17 +121,13 @@
 fn slot_request(shared: &Shared, job: &Job, cost: Cost, alone: bool) -> SlotRequest {
     let caller = job.request.caller.to_compact_string();
     let weight = shared.weight(&caller);
-    let resumed = match &job.request.work {
-        Some(Work::Prompt(prompt)) => prompt.resume_tokens > 0,
-        Some(Work::Call(_)) | None => false,
-    };
     SlotRequest {
         caller,
         weight,
         urgent: job.request.urgent,
         cost,
         deadline: job.deadline,
-        resumed,
+        resumed: job.resumed,
         alone,
     }
 }
--- a/crates/agent/src/shared.rs
+++ b/crates/agent/src/shared.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::suspects::Suspects;
 use crate::tasks::Tasks;
+use body::Budget;
 use compact_str::{CompactString, format_compact};
 use conf::Kind;
 use conf::Spec;
@@ -33,6 +34,8 @@
     pub(crate) dialler: Arc<dyn Dialler>,
     pub(crate) config: watch::Receiver<Arc<Config>>,
     pub(crate) dispatcher: Arc<Dispatcher>,
+    /// The memory for requests that wait or run.
+    pub(crate) request_memory: Arc<Budget>,
     pub(crate) meter: Meter,
     pub(crate) health: Health,
     pub(crate) answers: Answers,
