fix(direct): an evicted connection is closed before another one takes its place

An entry exceeded its descriptors when a crowd connected: from then on it could reach neither its targets nor the store.

Cause: a connection was accepted as soon as another had been told to close; in a burst many are accepted before the first has closed. Callers could have half of all descriptors, and targets as many, which leaves none for the rest of the process.

Evidence: 706 descriptors with 912 clients at 512 connections; with clients that don't read their answers, and so hold a connection to a target each, 1,041 to 1,159 of 1,024.

Change: the accept loop waits until the evicted connection has closed, at most 100 ms. The rest of refused bodies is not read meanwhile.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -1,9 +1,11 @@
 //! The open connections of callers to this entry, and those among them that have sent no request.
 
 use std::collections::BTreeMap;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +19,7 @@
 #[derive(Debug, Default)]
 pub struct Connections {
     inner: Mutex<Inner>,
+    closed: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +50,18 @@
         self.lock().open
     }
 
+    /// Waits until fewer than `most` are open.
+    pub async fn fewer_than(&self, most: u32) {
+        loop {
+            let mut closed = pin!(self.closed.notified());
+            closed.as_mut().enable();
+            if self.count() < most {
+                return;
+            }
+            closed.await;
+        }
+    }
+
     /// Counts a new connection.
     pub fn open(self: &Arc<Self>, now: Instant) -> Connection {
         let mut inner = self.lock();
@@ -91,6 +106,8 @@
         let mut inner = self.connections.lock();
         inner.open -= 1;
         inner.silent.remove(&self.id);
+        drop(inner);
+        self.connections.closed.notify_waiters();
     }
 }
 
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -53,6 +53,9 @@
 /// For how long an upload must not have grown until it yields its connection.
 const MIN_STALL: Duration = Duration::from_millis(500);
 
+/// How long an evicted connection may take to close.
+const EVICTION_TIME: Duration = Duration::from_millis(100);
+
 /// How long the rest of a refused body is read, so that its caller receives the refusal.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -101,7 +104,7 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    if let Some(resource) = short_resource(&shared) {
+                    if let Some(resource) = short_resource(&shared).await {
                         shared.metrics.closed_unread(resource.name());
                         continue;
                     }
@@ -139,6 +142,7 @@
         }
         let limits = limits(&shared);
         let max_connections = shared.settings.max_connections;
+        let callers = shared.callers.clone();
         let close_after_response = self.close_after_response.clone();
         let is_unframed = Arc::new(AtomicBool::new(false));
         let unframed = is_unframed.clone();
@@ -179,13 +183,14 @@
             if is_unframed.load(Ordering::Relaxed) {
                 reset_on_close(&connection.into_parts().io.into_inner());
             }
-        } else if has_unread_body.load(Ordering::Relaxed) {
+        } else if has_unread_body.load(Ordering::Relaxed) && callers.count() < max_connections {
             self.discard_rest(connection.into_parts().io.into_inner(), max_connections).await;
         }
     }
 
-    /// Reads what the caller still sends of a body that was refused. A connection that is closed before
-    /// that is reset, and the caller may lose the refusal.
+    /// Reads what the caller still sends of a body that was refused, while there is no lack of
+    /// connections. A connection that is closed before that is reset, and the caller may lose the
+    /// refusal.
     async fn discard_rest(&self, mut stream: TcpStream, max_connections: u32) {
         let Some(_guard) = self.discarding.enter(max_connections / DISCARD_DIVISOR) else { return };
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
@@ -222,21 +227,27 @@
 }
 
 /// What this entry lacks for a new connection, whose caller is then to try another entry.
-fn short_resource(shared: &Shared) -> Option<Resource> {
+async fn short_resource(shared: &Shared) -> Option<Resource> {
     let fullness = shared.fullness();
     // While it stops, the load balancer sends callers to others as soon as there are any.
     let others = shared.peers.mean_fullness().filter(|_| shared.stopping().is_none());
     if !fullness.leaves_to_others(others) {
         return None;
     }
-    let has_room = fullness.resource == Resource::Connections && evict_connection(shared);
+    let has_room = fullness.resource == Resource::Connections && evict_connection(shared).await;
     (!has_room).then_some(fullness.resource)
 }
 
-/// Closes a connection whose caller makes no progress with its request. Returns whether there was one.
-fn evict_connection(shared: &Shared) -> bool {
+/// Closes a connection whose caller makes no progress with its request or its response. Returns whether
+/// there is room then.
+async fn evict_connection(shared: &Shared) -> bool {
     let now = Instant::now();
-    shared.callers.evict_silent(now) || shared.memory.yield_oldest(MIN_STALL, now)
+    if !shared.callers.evict_silent(now) && !shared.memory.yield_oldest(MIN_STALL, now) {
+        return false;
+    }
+    // An entry that accepted at once would exceed its descriptors by those that have yet to close.
+    let closed = shared.callers.fewer_than(shared.settings.max_connections);
+    tokio::time::timeout(EVICTION_TIME, closed).await.is_ok()
 }
 
 /// Has the connection reset once it is closed: its caller would take a regular end for the end of a
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -54,8 +54,8 @@
 /// no request is sent while the target closes it.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
 
-/// The largest head of a target's response, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// The largest head of a target's response, in bytes, and the most of it that is read at a time.
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// The connections to one target.
 #[derive(Debug)]
