fix(direct): responses that are not read yield, and end

An entry ran out of memory and descriptors under callers that asked for large answers and read nothing of them.

Cause: a request's deadline is checked when the server asks for the next piece of its body, which it does not while nothing can be sent. Such a response never ended, and held two buffers of 64 KiB and a connection to its target, which nothing counted.

Evidence: 912 such clients: 118 MB of 64 and 1,044 of 1,024 descriptors.

Change: CallerStream charges a response to the budget while nothing can be sent, as a large upload that does not grow; it yields as one, also for lack of connections, and ends after idle-timeout-ms.

--- a/crates/body/src/budget.rs
+++ b/crates/body/src/budget.rs
@@ -1,7 +1,7 @@
 //! The memory that callers make a process hold.
 //!
-//! **Load pattern.** Many callers send large bodies at once, and some never end them. **Without
-//! this**, a process that bounds each body but not their sum runs out of memory, and one that
+//! **Load pattern.** Many callers send large bodies at once, and some never end them, or don't read
+//! what they asked for. **Without this**, a process that bounds each body but not their sum runs out of memory, and one that
 //! reserves what was announced refuses ordinary callers while nothing arrives. **Approach.** Bytes
 //! are charged to one budget as they arrive. If it is used up, the upload that has taken no memory
 //! for the longest time yields: large uploads first, and a small one only to another small one.
@@ -23,10 +23,10 @@
 #[error("no memory for the body")]
 pub struct NoRoom;
 
-/// Identifies an upload; later ones have higher ids.
-type UploadId = u64;
+/// Identifies what can be told to yield.
+type HoldingId = u64;
 
-/// The order in which uploads took memory.
+/// The order in which they took memory.
 type Position = u64;
 
 /// Up to this size a body is small, in bytes.
@@ -47,9 +47,9 @@
     held: usize,
     /// The part of what is held that uploads will release which were told to yield.
     yielding: usize,
-    next_id: UploadId,
+    next_id: HoldingId,
     next_position: Position,
-    uploads: HashMap<UploadId, Entry>,
+    revocable: HashMap<HoldingId, Entry>,
     small: Class,
     large: Class,
 }
@@ -58,11 +58,11 @@
 #[derive(Debug, Default)]
 struct Class {
     /// Those that can yield, the one that has taken no memory for the longest time first.
-    order: BTreeMap<Position, UploadId>,
+    order: BTreeMap<Position, HoldingId>,
     /// What they hold.
     bytes: usize,
     /// Those that wait until there is room.
-    waiting: VecDeque<(UploadId, oneshot::Sender<()>)>,
+    waiting: VecDeque<(HoldingId, oneshot::Sender<()>)>,
     /// What they wait for.
     waiting_bytes: usize,
 }
@@ -85,11 +85,12 @@
     bytes: usize,
 }
 
-/// A body that is arriving. What it holds is released when this is dropped.
+/// Bytes that grow and can be told to yield: a body that is arriving, or an answer that is not read.
+/// They are held until this is dropped.
 #[derive(Debug)]
-pub struct Upload {
+pub struct Revocable {
     budget: Arc<Budget>,
-    id: UploadId,
+    id: HoldingId,
     yields: CancellationToken,
 }
 
@@ -116,8 +117,22 @@
     }
 
     /// Begins an upload, which holds nothing yet.
-    pub fn begin(self: &Arc<Self>) -> Upload {
+    pub fn begin(self: &Arc<Self>) -> Revocable {
+        self.register(&mut self.lock())
+    }
+
+    /// Holds `bytes`, more than [`SMALL_BYTES`], of an answer that is not read. Others yield to it as
+    /// to a large upload, and the budget may be exceeded until they have.
+    pub fn hold_unread(self: &Arc<Self>, bytes: usize) -> Option<Revocable> {
         let mut state = self.lock();
+        let needed = (state.held + bytes).saturating_sub(self.limit(true) + state.yielding);
+        state.make_room(None, true, needed).ok()?;
+        let revocable = self.register(&mut state);
+        state.charge(revocable.id, bytes);
+        Some(revocable)
+    }
+
+    fn register(self: &Arc<Self>, state: &mut State) -> Revocable {
         let (id, yields) = (state.next_id, CancellationToken::new());
         state.next_id += 1;
         let position = state.take_position();
@@ -128,9 +143,9 @@
             since: Instant::now(),
             yields: yields.clone(),
         };
-        state.uploads.insert(id, entry);
+        state.revocable.insert(id, entry);
         state.small.order.insert(position, id);
-        Upload { budget: self.clone(), id, yields }
+        Revocable { budget: self.clone(), id, yields }
     }
 
     /// Tells the upload to yield that has taken no memory for the longest time, if that is at least
@@ -139,8 +154,8 @@
         let mut state = self.lock();
         let oldest = [&state.large, &state.small].map(|class| class.order.first_key_value());
         let oldest = oldest.into_iter().flatten().min().map(|(_, id)| *id);
-        let is_due = |id: &UploadId| {
-            let entry = state.uploads.get(id);
+        let is_due = |id: &HoldingId| {
+            let entry = state.revocable.get(id);
             entry.is_some_and(|entry| now.saturating_duration_since(entry.since) >= min_age)
         };
         let Some(id) = oldest.filter(is_due) else { return false };
@@ -153,9 +168,9 @@
         if is_large { self.total - self.total / RESERVE_DIVISOR } else { self.total }
     }
 
-    fn grow(&self, id: UploadId, bytes: usize) -> Result<Option<oneshot::Receiver<()>>> {
+    fn grow(&self, id: HoldingId, bytes: usize) -> Result<Option<oneshot::Receiver<()>>> {
         let mut state = self.lock();
-        let entry = state.uploads.get(&id).filter(|entry| !entry.yields.is_cancelled());
+        let entry = state.revocable.get(&id).filter(|entry| !entry.yields.is_cancelled());
         let held = entry.ok_or(NoRoom)?.bytes;
         let is_large = held + bytes > SMALL_BYTES;
         let limit = self.limit(is_large);
@@ -171,7 +186,7 @@
         let class = state.class(is_large);
         class.waiting.push_back((id, granted));
         class.waiting_bytes += bytes;
-        if let Some(entry) = state.uploads.get_mut(&id) {
+        if let Some(entry) = state.revocable.get_mut(&id) {
             entry.waits_for = bytes;
         }
         Ok(Some(grant))
@@ -181,7 +196,7 @@
         state.held -= bytes;
         for is_large in [false, true] {
             while let Some((id, granted)) = state.class(is_large).waiting.pop_front() {
-                let waits_for = state.uploads.get(&id).map_or(0, |entry| entry.waits_for);
+                let waits_for = state.revocable.get(&id).map_or(0, |entry| entry.waits_for);
                 // It has ended, or was told to yield.
                 if waits_for == 0 {
                     continue;
@@ -218,11 +233,11 @@
     }
 
     /// Charges an upload, which becomes the last one to yield.
-    fn charge(&mut self, id: UploadId, bytes: usize) {
+    fn charge(&mut self, id: HoldingId, bytes: usize) {
         self.held += bytes;
         self.remove_from_order(id);
         let position = self.take_position();
-        let Some(entry) = self.uploads.get_mut(&id) else { return };
+        let Some(entry) = self.revocable.get_mut(&id) else { return };
         entry.bytes += bytes;
         entry.position = position;
         entry.since = Instant::now();
@@ -232,8 +247,8 @@
         class.bytes += held;
     }
 
-    fn remove_from_order(&mut self, id: UploadId) {
-        let Some(entry) = self.uploads.get(&id) else { return };
+    fn remove_from_order(&mut self, id: HoldingId) {
+        let Some(entry) = self.revocable.get(&id) else { return };
         let (position, bytes) = (entry.position, entry.bytes);
         let class = self.class(bytes > SMALL_BYTES);
         if class.order.remove(&position).is_some() {
@@ -242,8 +257,8 @@
     }
 
     /// Tells uploads other than `id` to yield `needed` bytes; small ones only if `is_large` is not set.
-    fn make_room(&mut self, id: Option<UploadId>, is_large: bool, needed: usize) -> Result<()> {
-        let own = id.and_then(|id| self.uploads.get(&id)).map_or(0, |entry| entry.bytes);
+    fn make_room(&mut self, id: Option<HoldingId>, is_large: bool, needed: usize) -> Result<()> {
+        let own = id.and_then(|id| self.revocable.get(&id)).map_or(0, |entry| entry.bytes);
         let others = match (is_large, own > SMALL_BYTES) {
             (false, _) => self.small.bytes + self.large.bytes - own,
             (true, true) => self.large.bytes - own,
@@ -264,20 +279,20 @@
         Ok(())
     }
 
-    fn tell_to_yield(&mut self, id: UploadId) -> usize {
+    fn tell_to_yield(&mut self, id: HoldingId) -> usize {
         self.remove_from_order(id);
         self.stop_waiting(id);
-        let Some(entry) = self.uploads.get(&id) else { return 0 };
+        let Some(entry) = self.revocable.get(&id) else { return 0 };
         entry.yields.cancel();
         self.yielding += entry.bytes;
         entry.bytes
     }
 
     /// Removes an upload that has ended. Returns what it held.
-    fn remove(&mut self, id: UploadId) -> usize {
+    fn remove(&mut self, id: HoldingId) -> usize {
         self.remove_from_order(id);
         self.stop_waiting(id);
-        let Some(entry) = self.uploads.remove(&id) else { return 0 };
+        let Some(entry) = self.revocable.remove(&id) else { return 0 };
         if entry.yields.is_cancelled() {
             self.yielding -= entry.bytes;
         }
@@ -285,15 +300,15 @@
     }
 
     /// Takes back what an upload waits for. Its place in the queue stays until its turn.
-    fn stop_waiting(&mut self, id: UploadId) {
-        let Some(entry) = self.uploads.get_mut(&id) else { return };
+    fn stop_waiting(&mut self, id: HoldingId) {
+        let Some(entry) = self.revocable.get_mut(&id) else { return };
         let waits_for = std::mem::take(&mut entry.waits_for);
         let is_large = entry.bytes + waits_for > SMALL_BYTES;
         self.class(is_large).waiting_bytes -= waits_for;
     }
 }
 
-impl Upload {
+impl Revocable {
     /// Holds `bytes` more, once there is room.
     pub async fn grow(&mut self, bytes: usize) -> Result<()> {
         let Some(grant) = self.budget.grow(self.id, bytes)? else { return Ok(()) };
@@ -321,7 +336,7 @@
     }
 }
 
-impl Drop for Upload {
+impl Drop for Revocable {
     fn drop(&mut self) {
         let mut state = self.budget.lock();
         let bytes = state.remove(self.id);
--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -1,6 +1,6 @@
 //! Bodies of requests, kept as a whole until their request is complete.
 
-use crate::budget::{Budget, Holding, NoRoom, Upload};
+use crate::budget::{Budget, Holding, NoRoom, Revocable};
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
@@ -151,7 +151,7 @@
 
 /// Writes what arrives into segments.
 struct Writer {
-    upload: Upload,
+    upload: Revocable,
     segments: Vec<Bytes>,
     current: BytesMut,
     /// The bytes written so far.
--- a/crates/body/tests/budget.rs
+++ b/crates/body/tests/budget.rs
@@ -1,6 +1,6 @@
 //! Tests of the memory that callers make a process hold.
 
-use body::budget::{Budget, NoRoom, SMALL_BYTES, Upload};
+use body::budget::{Budget, NoRoom, Revocable, SMALL_BYTES};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
@@ -21,7 +21,7 @@
     tokio::spawn(async move { upload.yields().cancelled().await })
 }
 
-async fn upload(budget: &Arc<Budget>, bytes: usize) -> Result<Upload, NoRoom> {
+async fn upload(budget: &Arc<Budget>, bytes: usize) -> Result<Revocable, NoRoom> {
     let mut upload = budget.begin();
     upload.grow(bytes).await?;
     Ok(upload)
@@ -91,6 +91,22 @@
     stalls.remove(0).await.unwrap();
 }
 
+/// Answers that are not read: like uploads that stall, they must leave room for others, and not take
+/// the reserve for small bodies.
+#[tokio::test]
+async fn unread_answers_yield_like_large_uploads() {
+    let budget = budget();
+    let unread: Vec<_> = (0..6).map(|_| budget.hold_unread(LARGE).unwrap()).collect();
+    upload(&budget, SMALL_BYTES).await.unwrap();
+    let newest = budget.hold_unread(LARGE).unwrap();
+    assert!(unread[0].yields().is_cancelled() && !unread[1].yields().is_cancelled());
+    assert!(!newest.yields().is_cancelled());
+    drop((unread, newest));
+    assert_eq!(budget.held(), 0);
+    let _whole = upload(&budget, 6 * LARGE).await.unwrap().finish().unwrap();
+    assert!(budget.hold_unread(LARGE).is_none(), "bodies that have arrived do not yield");
+}
+
 /// An upload whose caller leaves while it waits for memory must not keep its turn.
 #[tokio::test]
 async fn waiting_upload_that_is_dropped_releases_all() {
--- a/crates/cli/tests/clients/main.rs
+++ b/crates/cli/tests/clients/main.rs
@@ -157,6 +157,7 @@
         piece_bytes: 1,
         body_bytes: 512 * 1024,
         complete_one_in: 4,
+        reads: true,
     };
     entry_withstands("tiny-chunks", upload, 64).await;
 }
@@ -171,6 +172,7 @@
         piece_bytes: 64 * 1024,
         body_bytes: 1024 * 1024,
         complete_one_in: 4,
+        reads: true,
     };
     entry_withstands("large-chunks", upload, 128).await;
 }
@@ -184,6 +186,7 @@
         piece_bytes: 64 * 1024,
         body_bytes: 2 * MAX_BODY_BYTES,
         complete_one_in: 0,
+        reads: true,
     };
     entry_withstands("unannounced-excess", upload, 64).await;
 }
@@ -198,6 +201,7 @@
         piece_bytes: 64 * 1024,
         body_bytes: MAX_BODY_BYTES,
         complete_one_in: 4,
+        reads: true,
     };
     entry_withstands("large-bodies", upload, 64).await;
 }
@@ -212,6 +216,7 @@
         piece_bytes: 16,
         body_bytes: 64,
         complete_one_in: 0,
+        reads: true,
     };
     entry_withstands("announced-bodies", upload, 64).await;
 }
@@ -232,6 +237,7 @@
         piece_bytes: 64 * 1024,
         body_bytes: MAX_BODY_BYTES,
         complete_one_in: 1,
+        reads: true,
     };
     let addresses = entries.iter().map(|(_, address)| address.parse().unwrap());
     let crowds: Vec<_> = addresses.map(|address| Crowd::start(address, upload, 16)).collect();
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -3,6 +3,7 @@
 //! `context` holds the state that all steps share.
 
 pub mod attempts;
+pub mod caller_stream;
 pub mod context;
 pub mod coordinator_client;
 pub mod decode_placement;
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -4,6 +4,7 @@
 use crate::buffered_request::BufferedRequest;
 use crate::callers::{Connection, Gate};
 use crate::config::route::Limits;
+use crate::request::caller_stream::CallerStream;
 use crate::request::response::{self, Body, Refusal};
 use crate::request::serve;
 use crate::shared::{Settings, Shared};
@@ -141,7 +142,7 @@
             log::debug!(target: "intake", error:% = error; "TCP_NODELAY not set");
         }
         let limits = limits(&shared);
-        let max_connections = shared.settings.max_connections;
+        let (max_connections, memory) = (shared.settings.max_connections, shared.memory.clone());
         let callers = shared.callers.clone();
         let close_after_response = self.close_after_response.clone();
         let is_unframed = Arc::new(AtomicBool::new(false));
@@ -166,6 +167,7 @@
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout.mul_f64(IDLE_TIMEOUT_FACTOR))
             .max_buf_size(read_buffer_bytes(&limits));
+        let stream = CallerStream::new(stream, memory, limits.idle_timeout);
         let mut connection = builder.serve_connection(TokioIo::new(stream), service);
         // A connection accepted after idle ones have been closed is new: its caller has a request
         // to send, and the response is its last. Closed before that, it would look like a failure
@@ -181,7 +183,7 @@
         if let Err(error) = result {
             log::debug!(target: "intake", error:% = error; "connection failed");
             if is_unframed.load(Ordering::Relaxed) {
-                reset_on_close(&connection.into_parts().io.into_inner());
+                reset_on_close(connection.into_parts().io.into_inner().stream());
             }
         } else if has_unread_body.load(Ordering::Relaxed) && callers.count() < max_connections {
             self.discard_rest(connection.into_parts().io.into_inner(), max_connections).await;
@@ -191,7 +193,7 @@
     /// Reads what the caller still sends of a body that was refused, while there is no lack of
     /// connections. A connection that is closed before that is reset, and the caller may lose the
     /// refusal.
-    async fn discard_rest(&self, mut stream: TcpStream, max_connections: u32) {
+    async fn discard_rest(&self, mut stream: CallerStream, max_connections: u32) {
         let Some(_guard) = self.discarding.enter(max_connections / DISCARD_DIVISOR) else { return };
         let mut buffer = [0; DISCARD_BUFFER_BYTES];
         let discarding = async {
