--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -72,8 +72,8 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                () = &mut yielded => return Err(NoRoom.into()),
                 frame = body.frame() => frame,
+                () = &mut yielded => return Err(NoRoom.into()),
             };
             let Some(frame) = frame else { return writer.finish() };
             let frame = frame.map_err(|error| Error::BrokenOff(error.into()))?;
