fix(direct): unread responses count as large, whatever the size of their buffers

With 64 KiB, unread responses were charged as small uploads, and did not yield to each other: a caller that paused for a moment was closed while a crowd's responses stayed. Found reading the diff. They are charged with 96 KiB, with the server's own buffer; a constant assertion keeps that above the size of small bodies. Requests without a body don't touch the budget.

--- a/crates/body/src/budget.rs
+++ b/crates/body/src/budget.rs
@@ -1,12 +1,13 @@
 //! The memory that callers make a process hold.
 //!
 //! **Load pattern.** Many callers send large bodies at once, and some never end them, or don't read
-//! what they asked for. **Without this**, a process that bounds each body but not their sum runs out of memory, and one that
-//! reserves what was announced refuses ordinary callers while nothing arrives. **Approach.** Bytes
-//! are charged to one budget as they arrive. If it is used up, the upload that has taken no memory
-//! for the longest time yields: large uploads first, and a small one only to another small one.
-//! Large uploads can't take a reserve for small ones. Bodies that have arrived as a whole don't
-//! yield, since their requests may have run: if they take all of it, further uploads are refused.
+//! what they asked for. **Without this**, a process that bounds each body but not their sum runs out
+//! of memory, and one that reserves what was announced refuses ordinary callers while nothing arrives.
+//! **Approach.** Bytes are charged to one budget as they arrive. If it is used up, the upload that has
+//! taken no memory for the longest time yields: large uploads first, and a small one only to another
+//! small one. Large uploads can't take a reserve for small ones. Bodies that have arrived as a whole
+//! don't yield, since their requests may have run: if they take all of it, further uploads are
+//! refused.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -18,7 +19,7 @@
 /// The result of charging memory.
 pub type Result<T, E = NoRoom> = std::result::Result<T, E>;
 
-/// There is no room, or another upload needed it more. What was held can be released at once.
+/// There is no room, or others need what was held, which is to be released at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("no memory for the body")]
 pub struct NoRoom;
@@ -54,7 +55,7 @@
     large: Class,
 }
 
-/// Uploads that are all small, or all large.
+/// Uploads that are all small, or all large. Answers that are not read count as large uploads.
 #[derive(Debug, Default)]
 struct Class {
     /// Those that can yield, the one that has taken no memory for the longest time first.
@@ -132,6 +133,7 @@
         Some(revocable)
     }
 
+    /// Registers an upload that holds nothing yet.
     fn register(self: &Arc<Self>, state: &mut State) -> Revocable {
         let (id, yields) = (state.next_id, CancellationToken::new());
         state.next_id += 1;
@@ -163,11 +165,12 @@
         true
     }
 
-    /// The bytes that bodies of a class may take, with all else that is held.
+    /// Returns the limit on all that is held, up to which uploads of a class may grow.
     fn limit(&self, is_large: bool) -> usize {
         if is_large { self.total - self.total / RESERVE_DIVISOR } else { self.total }
     }
 
+    /// Charges `bytes` to an upload, or returns what completes once they have been charged.
     fn grow(&self, id: HoldingId, bytes: usize) -> Result<Option<oneshot::Receiver<()>>> {
         let mut state = self.lock();
         let entry = state.revocable.get(&id).filter(|entry| !entry.yields.is_cancelled());
@@ -192,6 +195,7 @@
         Ok(Some(grant))
     }
 
+    /// Releases bytes and charges those to uploads that wait for them, in the order of their arrival.
     fn release(&self, state: &mut State, bytes: usize) {
         state.held -= bytes;
         for is_large in [false, true] {
--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -62,6 +62,9 @@
         if announced > max_bytes {
             return Err(too_long());
         }
+        if body.is_end_stream() {
+            return Ok(Self::default());
+        }
         let is_exact = body.size_hint().exact().is_some();
         let upload = budget.begin();
         let yields = upload.yields();
--- a/crates/direct/src/request/caller_stream.rs
+++ b/crates/direct/src/request/caller_stream.rs
@@ -6,7 +6,7 @@
 
 use crate::targets::pool::MAX_HEAD_BYTES;
 use body::Budget;
-use body::budget::Revocable;
+use body::budget::{Revocable, SMALL_BYTES};
 use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -18,9 +18,12 @@
 use tokio::time::{Sleep, sleep};
 use tokio_util::sync::WaitForCancellationFutureOwned;
 
-/// What a response that is not read holds, in bytes: the buffer that waits to be sent, and the one that
-/// the target's next bytes are read into.
-const UNREAD_BYTES: usize = 2 * MAX_HEAD_BYTES;
+/// What a response that is not read holds, in bytes: the piece that waits to be sent, the buffer that
+/// the target's next bytes are read into, and the server's own.
+const UNREAD_BYTES: usize = 3 * MAX_HEAD_BYTES;
+
+// It yields as large bodies do.
+const _: () = assert!(UNREAD_BYTES > SMALL_BYTES);
 
 /// The connection to a caller.
 pub struct CallerStream {
