fix(direct): idle connections give way once connections run out

Callers found their connections closed unread while a crowd kept idle ones.

Cause: only connections that never sent a request, and bodies that don't grow, gave way. One whose request is complete kept its place until idle-timeout-ms.

Change: a connection is idle from the end of its response to its next request; the one that is idle for longest gives way, half a second at least, after silent ones and stalled bodies.

--- a/crates/direct/src/callers.rs
+++ b/crates/direct/src/callers.rs
@@ -1,4 +1,4 @@
-//! The open connections of callers to this entry, and those among them that have sent no request.
+//! The open connections of callers to this entry, and those among them without a request.
 
 use std::collections::BTreeMap;
 use std::pin::pin;
@@ -12,6 +12,9 @@
 /// Identifies a connection; later ones have higher ids.
 type ConnectionId = u64;
 
+/// Identifies a time in which a connection is idle; later ones have higher ids.
+type IdleId = u64;
+
 /// A caller sends its request together with the connection, or a round trip later.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
@@ -27,20 +30,31 @@
     open: u32,
     next: ConnectionId,
     /// Connections on which no request has arrived yet.
-    silent: BTreeMap<ConnectionId, Silent>,
+    silent: BTreeMap<ConnectionId, Unused>,
+    /// Connections whose last response has ended, in this order.
+    idle: BTreeMap<IdleId, Unused>,
+    next_idle: IdleId,
 }
 
+/// A connection without a request.
 #[derive(Debug)]
-struct Silent {
+struct Unused {
     since: Instant,
     evicted: CancellationToken,
 }
 
+/// A request in progress on a connection, until the end of its response. The connection is idle once
+/// this is dropped.
+#[derive(Debug)]
+pub struct ActiveRequest(Arc<Connection>);
+
 /// A connection. It counts as open until this is dropped.
 #[derive(Debug)]
 pub struct Connection {
     connections: Arc<Connections>,
     id: ConnectionId,
+    /// Its entry among the idle ones.
+    idle: Mutex<Option<IdleId>>,
     evicted: CancellationToken,
 }
 
@@ -68,20 +82,20 @@
         let (id, evicted) = (inner.next, CancellationToken::new());
         inner.next += 1;
         inner.open += 1;
-        inner.silent.insert(id, Silent { since: now, evicted: evicted.clone() });
-        Connection { connections: self.clone(), id, evicted }
+        inner.silent.insert(id, Unused { since: now, evicted: evicted.clone() });
+        Connection { connections: self.clone(), id, idle: Mutex::default(), evicted }
     }
 
     /// Closes the connection that has been open for longest without a request, if it should have
     /// sent one by now. Returns whether there was one.
     pub fn evict_silent(&self, now: Instant) -> bool {
-        let mut inner = self.lock();
-        let Some(oldest) = inner.silent.first_entry() else { return false };
-        if now.duration_since(oldest.get().since) < MIN_SILENCE {
-            return false;
-        }
-        oldest.remove().evicted.cancel();
-        true
+        evict_oldest(&mut self.lock().silent, now)
+    }
+
+    /// Closes the connection that has been idle for longest since a response ended. Returns whether
+    /// there was one.
+    pub fn evict_idle(&self, now: Instant) -> bool {
+        evict_oldest(&mut self.lock().idle, now)
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -89,10 +103,32 @@
     }
 }
 
+fn evict_oldest<Id: Ord>(unused: &mut BTreeMap<Id, Unused>, now: Instant) -> bool {
+    let Some(oldest) = unused.first_entry() else { return false };
+    if now.duration_since(oldest.get().since) < MIN_SILENCE {
+        return false;
+    }
+    oldest.remove().evicted.cancel();
+    true
+}
+
 impl Connection {
     /// Records that a request has arrived on it.
-    pub fn record_request(&self) {
-        self.connections.lock().silent.remove(&self.id);
+    pub fn begin_request(self: &Arc<Self>) -> ActiveRequest {
+        let mut inner = self.connections.lock();
+        inner.silent.remove(&self.id);
+        self.leave_idle(&mut inner);
+        ActiveRequest(self.clone())
+    }
+
+    fn leave_idle(&self, inner: &mut Inner) {
+        if let Some(id) = self.idle().take() {
+            inner.idle.remove(&id);
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Option<IdleId>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Waits until it is to be closed for lack of a request.
@@ -101,11 +137,24 @@
     }
 }
 
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        let mut inner = self.0.connections.lock();
+        self.0.leave_idle(&mut inner);
+        let id = inner.next_idle;
+        inner.next_idle += 1;
+        let evicted = self.0.evicted.clone();
+        inner.idle.insert(id, Unused { since: Instant::now(), evicted });
+        *self.0.idle() = Some(id);
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         let mut inner = self.connections.lock();
         inner.open -= 1;
         inner.silent.remove(&self.id);
+        self.leave_idle(&mut inner);
         drop(inner);
         self.connections.closed.notify_waiters();
     }
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -1,6 +1,7 @@
 //! The responses that this process makes itself: refusals, which guarantee that the request has not
 //! run, and failures, which guarantee nothing.
 
+use crate::callers::ActiveRequest;
 use crate::request::relay::{Error, Relay, Result};
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
@@ -153,6 +154,40 @@
     }
 }
 
+/// The body of a response, with the request that it ends.
+#[derive(Debug)]
+pub struct TrackedBody {
+    body: Body,
+    _request: ActiveRequest,
+}
+
+impl TrackedBody {
+    /// Ends the request together with its response.
+    pub fn new(body: Body, request: ActiveRequest) -> Self {
+        Self { body, _request: request }
+    }
+}
+
+impl hyper::body::Body for TrackedBody {
+    type Data = Bytes;
+    type Error = Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<hyper::body::Frame<Bytes>>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A refusal with the time after which the caller should retry.
 pub fn refuse(refusal: Refusal, retry_after: Duration) -> Response<Body> {
     let mut response = local(refusal.status(), refusal.name());
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -5,7 +5,7 @@
 use crate::callers::{Connection, Gate};
 use crate::config::route::Limits;
 use crate::request::caller_stream::CallerStream;
-use crate::request::response::{self, Body, Refusal};
+use crate::request::response::{self, Body, Refusal, TrackedBody};
 use crate::request::serve;
 use crate::shared::{Settings, Shared};
 use body::{Buffered, buffered};
@@ -151,7 +151,7 @@
         let unread = has_unread_body.clone();
         let connection = connection.clone();
         let service = service_fn(move |request| {
-            connection.record_request();
+            let active = connection.begin_request();
             let (shared, close) = (shared.clone(), close_after_response.clone());
             let (unframed, unread) = (unframed.clone(), unread.clone());
             async move {
@@ -159,7 +159,7 @@
                 let response = respond(shared, request, &close, &unread).await;
                 let has_length = response.body().size_hint().exact().is_some();
                 unframed.store(!has_chunks && !has_length, Ordering::Relaxed);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, active)))
             }
         });
         let mut builder = http1::Builder::new();
@@ -240,11 +240,14 @@
     (!has_room).then_some(fullness.resource)
 }
 
-/// Closes a connection whose caller makes no progress with its request or its response. Returns whether
-/// there is room then.
+/// Closes a connection whose caller makes no progress with its request or its response, or else one that
+/// is idle. Returns whether there is room then.
 async fn evict_connection(shared: &Shared) -> bool {
     let now = Instant::now();
-    if !shared.callers.evict_silent(now) && !shared.memory.yield_oldest(MIN_STALL, now) {
+    let evicted = shared.callers.evict_silent(now)
+        || shared.memory.yield_oldest(MIN_STALL, now)
+        || shared.callers.evict_idle(now);
+    if !evicted {
         return false;
     }
     // An entry that accepted at once would exceed its descriptors by those that have yet to close.
