refactor(direct): what accepts connections is a module of its own; an upload never waits in vain

request::intake has the limits on connections, request::server reads and responds.

Cause, found reading the diff: an upload that waits for memory was told that others would release it; connections and small bodies may take that first, and then nobody owes it any. It waited until idle-timeout-ms. On each release, what the first in the queue lacks is now asked for again, or it is refused (upload_whose_room_was_taken_gets_another_or_is_refused).

--- a/crates/body/src/budget.rs
+++ b/crates/body/src/budget.rs
@@ -205,7 +205,14 @@
                 if waits_for == 0 {
                     continue;
                 }
-                if state.held + waits_for > self.limit(is_large) {
+                let excess = (state.held + waits_for).saturating_sub(self.limit(is_large));
+                if excess > 0 {
+                    // Others may have taken what it was to get.
+                    let needed = excess.saturating_sub(state.yielding);
+                    if state.make_room(Some(id), is_large, needed).is_err() {
+                        state.tell_to_yield(id);
+                        continue;
+                    }
                     state.class(is_large).waiting.push_front((id, granted));
                     break;
                 }
--- a/crates/body/tests/budget.rs
+++ b/crates/body/tests/budget.rs
@@ -125,6 +125,38 @@
     assert_eq!(budget.held(), 0);
 }
 
+/// Connections take the memory that an upload waits for before it is released: the upload must not
+/// wait for a release that nobody owes.
+#[tokio::test]
+async fn upload_whose_room_was_taken_gets_another_or_is_refused() {
+    let budget = budget();
+    let mut stalls = Vec::new();
+    for _ in 0..6 {
+        stalls.push(stalled(&budget, LARGE).await);
+    }
+    let waits = tokio::spawn({
+        let budget = budget.clone();
+        async move { upload(&budget, LARGE).await.map(|_| ()) }
+    });
+    // The upload has told the oldest to yield, which has not ended yet.
+    tokio::task::yield_now().await;
+    let connections = budget.hold(2 * LARGE).unwrap();
+    let waited = tokio::time::timeout(Duration::from_secs(10), waits).await;
+    assert_eq!(waited.unwrap().unwrap(), Ok(()), "two more yield");
+    drop(stalls);
+
+    let oldest = upload(&budget, LARGE).await.unwrap();
+    let _whole = upload(&budget, 3 * LARGE).await.unwrap().finish().unwrap();
+    let mut waits = budget.begin();
+    let growing = tokio::spawn(async move { waits.grow(LARGE).await });
+    tokio::task::yield_now().await;
+    let _more = budget.hold(2 * LARGE).unwrap();
+    drop(oldest);
+    let refused = tokio::time::timeout(Duration::from_secs(10), growing).await;
+    assert_eq!(refused.unwrap().unwrap(), Err(NoRoom));
+    drop(connections);
+}
+
 /// The last chunk arrives after the upload was told to yield: if it counted as complete, the one that
 /// waits for its memory would wait for as long as its request takes.
 #[tokio::test]
--- a/crates/direct/src/request.rs
+++ b/crates/direct/src/request.rs
@@ -1,4 +1,4 @@
-//! The handling of a request: `server` reads it, `serve` routes it, `plain` or `generate` chooses
+//! The handling of a request: `intake` accepts its connection, `server` reads it, `serve` routes it, `plain` or `generate` chooses
 //! targets, `dispatch` sends it, and the response is forwarded by `relay` or made by `response`. A
 //! `context` holds the state that all steps share.
 
@@ -10,6 +10,7 @@
 pub mod dispatch;
 pub mod events;
 pub mod generate;
+pub mod intake;
 pub mod permits;
 pub mod plain;
 pub mod prefill_placement;
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -6,8 +6,8 @@
 use crate::config::route::Limits;
 use crate::request::caller_stream::CallerStream;
 use crate::request::response::{self, Body, Refusal, TrackedBody};
-use crate::request::serve;
-use crate::shared::{Settings, Shared};
+use crate::request::{intake, serve};
+use crate::shared::Shared;
 use body::{Buffered, buffered};
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
 use hyper::body::{Body as _, Incoming};
@@ -41,22 +41,6 @@
 /// `Retry-After` when this entry has no memory for a body: by then others have read and sent theirs.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// The receive buffers of all connections that callers may have take at most the memory for callers
-/// divided by this.
-const RECEIVE_SHARE_DIVISOR: usize = 4;
-
-/// The smallest receive buffer of a connection, in bytes. A smaller one holds up bodies of usual size.
-const MIN_RECEIVE_BYTES: usize = 8 * 1024;
-
-/// The largest receive buffer of a connection, in bytes.
-const MAX_RECEIVE_BYTES: usize = 64 * 1024;
-
-/// For how long an upload must not have grown until it yields its connection.
-const MIN_STALL: Duration = Duration::from_millis(500);
-
-/// How long an evicted connection may take to close.
-const EVICTION_TIME: Duration = Duration::from_millis(100);
-
 /// How long the rest of a refused body is read, so that its caller receives the refusal.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 
@@ -97,7 +81,7 @@
         listener: TcpListener,
         stop_accepting: CancellationToken,
     ) {
-        let receive_buffer = limit_receive_buffers(&listener, &shared.settings);
+        let receive_buffer = intake::limit_receive_buffers(&listener, &shared.settings);
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -105,7 +89,7 @@
             };
             match accepted {
                 Ok((stream, _)) => {
-                    if let Some(resource) = short_resource(&shared).await {
+                    if let Some(resource) = intake::short_resource(&shared).await {
                         shared.metrics.closed_unread(resource.name());
                         continue;
                     }
@@ -215,46 +199,6 @@
     limits.header_bytes.max(MIN_BUFFER_BYTES)
 }
 
-/// Limits what the kernel receives on each of the callers' connections before it is read, which counts
-/// as memory of the process. Returns the limit in bytes.
-fn limit_receive_buffers(listener: &TcpListener, settings: &Settings) -> usize {
-    let connections = usize::try_from(settings.max_connections).unwrap_or(usize::MAX).max(1);
-    let share = settings.caller_memory / RECEIVE_SHARE_DIVISOR / connections;
-    let bytes = share.clamp(MIN_RECEIVE_BYTES, MAX_RECEIVE_BYTES);
-    // Connections inherit it from the socket that accepts them.
-    if let Err(error) = socket2::SockRef::from(listener).set_recv_buffer_size(bytes) {
-        log::warn!(target: "intake", error:% = error; "receive buffers not limited");
-    }
-    bytes
-}
-
-/// What this entry lacks for a new connection, whose caller is then to try another entry.
-async fn short_resource(shared: &Shared) -> Option<Resource> {
-    let fullness = shared.fullness();
-    // While it stops, the load balancer sends callers to others as soon as there are any.
-    let others = shared.peers.mean_fullness().filter(|_| shared.stopping().is_none());
-    if !fullness.leaves_to_others(others) {
-        return None;
-    }
-    let has_room = fullness.resource == Resource::Connections && evict_connection(shared).await;
-    (!has_room).then_some(fullness.resource)
-}
-
-/// Closes a connection whose caller makes no progress with its request or its response, or else one that
-/// is idle. Returns whether there is room then.
-async fn evict_connection(shared: &Shared) -> bool {
-    let now = Instant::now();
-    let evicted = shared.callers.evict_silent(now)
-        || shared.memory.yield_oldest(MIN_STALL, now)
-        || shared.callers.evict_idle(now);
-    if !evicted {
-        return false;
-    }
-    // An entry that accepted at once would exceed its descriptors by those that have yet to close.
-    let closed = shared.callers.fewer_than(shared.settings.max_connections);
-    tokio::time::timeout(EVICTION_TIME, closed).await.is_ok()
-}
-
 /// Has the connection reset once it is closed: its caller would take a regular end for the end of a
 /// response that was broken off.
 fn reset_on_close(stream: &TcpStream) {
