--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -139,7 +139,7 @@
     }
 
     async fn tick(&mut self) {
-        if self.shared.stopping().is_some() {
+        if self.shared.stopping().is_some() || !self.shared.fleet().has_list() {
             return;
         }
         let Some(table) = self.shared.table.borrow().clone() else { return };
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -90,6 +90,9 @@
     }
 }
 
+/// The newest records of some keys: the read of the list failed after these.
+struct PartialList(Vec<Record>);
+
 /// A stream that this entry follows.
 struct Stream {
     shared: Arc<Shared>,
@@ -100,6 +103,8 @@
     /// The offset of the next record to read; none if the newest records have to be read.
     next: Option<Offset>,
     backoff: Duration,
+    /// No call is made before this.
+    backoff_until: Option<Instant>,
     /// When a call last failed.
     failed_at: Option<Instant>,
     /// Since when the log has been unavailable.
@@ -112,6 +117,11 @@
     pause_until: Option<Instant>,
     /// Whether the log was restored from an older copy since the stream was last read.
     restored: bool,
+    /// What the last read of the list returned before it failed.
+    part: Option<PartialList>,
+    /// The offset after the records of all lists that were read in part. The lists that others have
+    /// may be older.
+    part_end: Offset,
     /// Whether the changes since the last read have expired in the log. Another entry can't tell
     /// from where to read on.
     expired: bool,
@@ -135,31 +145,42 @@
             read_wait,
             next,
             backoff,
+            backoff_until: None,
             failed_at,
             lost_at,
             retry,
             began: Instant::now(),
             pause_until: None,
             restored,
+            part: None,
+            part_end: 0,
             expired,
         }
     }
 
-    /// Returns the next update, retrying until a call succeeds.
-    async fn read(&mut self) -> Update {
+    /// Returns the next update, retrying until a call succeeds or a list was read in part.
+    async fn read(&mut self) -> std::result::Result<Update, PartialList> {
         loop {
+            if let Some(until) = self.backoff_until.take() {
+                tokio::time::sleep_until(until).await;
+            }
             match self.try_read().await {
                 // What a peer sends doesn't show whether this entry reaches the log.
-                Ok(update) if !update.is_own_read() => return update,
+                Ok(update) if !update.is_own_read() => return Ok(update),
                 Ok(update) => {
                     (self.backoff, self.retry) = (MIN_BACKOFF, None);
                     if let Some(lost_at) = self.lost_at.take() {
                         let lost_ms = lost_at.elapsed().as_millis();
                         log::info!(target: "store", stream = self.name, lost_ms; "log regained");
                     }
-                    return update;
+                    return Ok(update);
+                }
+                Err(error) => {
+                    self.handle_failure(error);
+                    if let Some(part) = self.part.take() {
+                        return Err(part);
+                    }
                 }
-                Err(error) => self.handle_failure(error).await,
             }
         }
     }
@@ -220,6 +241,7 @@
     async fn try_read_all(&mut self) -> plat::Result<Update> {
         if !self.expired
             && let Some(newest) = catch_up::fetch_first(&self.shared, self.topic).await
+            && newest.end >= self.part_end
         {
             self.next = Some(newest.end);
             return Ok(Update::AllReceived(newest.records, newest.end));
@@ -227,7 +249,13 @@
         self.shared.metrics.stream_read(self.topic.name(), "all");
         self.began = Instant::now();
         let newest = self.read_list().await?;
-        self.expired = false;
+        if let Some(error) = newest.cut_short {
+            let ends = newest.records.iter().map(|record| record.offset + 1);
+            self.part_end = ends.max().unwrap_or_default().max(self.part_end);
+            self.part = Some(PartialList(newest.records));
+            return Err(error);
+        }
+        (self.expired, self.part_end) = (false, 0);
         self.advance(newest.end);
         Ok(Update::All(newest.records, newest.end))
     }
@@ -254,7 +282,7 @@
         self.next = Some(end);
     }
 
-    async fn handle_failure(&mut self, error: plat::Error) {
+    fn handle_failure(&mut self, error: plat::Error) {
         if let plat::Error::Gone { oldest, .. } = error {
             let next = self.next.take().unwrap_or_default();
             if epoch::epoch(oldest) == epoch::epoch(next) {
@@ -273,9 +301,14 @@
             self.lost_at = Some(now);
             log::warn!(target: "store", stream = self.name, error:% = error; "log lost");
         }
-        tokio::time::sleep(self.backoff).await;
-        self.retry =
-            Some(Retry { failed_at: now, at: now + self.shared.log_retry_delay(self.topic) });
+        let retry_delay = self.shared.log_retry_delay(self.topic);
+        let backoff = match error {
+            // The same call is likely to be refused again, at all entries that make it.
+            plat::Error::Refused { .. } if self.next.is_none() => self.backoff.max(retry_delay),
+            _ => self.backoff,
+        };
+        self.backoff_until = Some(now + backoff);
+        self.retry = Some(Retry { failed_at: now, at: now + backoff + retry_delay });
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
     }
 
@@ -291,7 +324,15 @@
     let mut stream = Stream::new(shared.clone(), log, Topic::Config, name, read_wait);
     let mut change_end = 0;
     loop {
-        let update = stream.read().await;
+        let update = match stream.read().await {
+            Ok(update) => update,
+            Err(PartialList(records)) => {
+                // Versions never decrease, whatever the order in which they are read.
+                let versions = records.iter().filter(|record| record.key == key);
+                versions.for_each(|record| apply_version(&shared, &*decode, record));
+                continue;
+            }
+        };
         let (own, start) = (update.is_own_read(), change_end);
         let (records, end) = match update {
             Update::All(records, end) | Update::AllReceived(records, end) => (records, end),
@@ -391,7 +432,13 @@
     let mut invalid = InvalidRecords::default();
     let mut has_list = false;
     loop {
-        let update = stream.read().await;
+        let update = match stream.read().await {
+            Ok(update) => update,
+            Err(list) => {
+                apply_part(&shared, &*decode, list, &mut invalid);
+                continue;
+            }
+        };
         let own = update.is_own_read();
         // Targets may have come and gone unseen. After a restore nothing was missed but what the log
         // itself has lost.
@@ -414,6 +461,22 @@
     }
 }
 
+/// Applies the records of a list that was read in part: its targets serve meanwhile, and none is
+/// removed. Nothing is passed on, and no stage is changed, before the whole list is known.
+fn apply_part(
+    shared: &Shared,
+    decode: &dyn Decode,
+    PartialList(records): PartialList,
+    invalid: &mut InvalidRecords,
+) {
+    let updates = fleet_updates(decode, records, invalid);
+    let (mut fleet, now) = (shared.fleet(), Instant::now());
+    fleet.apply(updates, now, LogState::Degraded);
+    // Targets that are not known may run other software.
+    fleet.restart_history(now);
+    drop(fleet.take_changed());
+}
+
 /// Applies an update of the list of targets; returns the records that changed something.
 fn apply_targets(
     shared: &Shared,
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -189,6 +189,8 @@
     unsettled: VecDeque<Instant>,
     /// From when on the histories know all versions; none if there were no targets before.
     known_from: Option<policy::Time>,
+    /// Whether a whole list was applied.
+    has_list: bool,
     /// From which offset on all changes of the list were seen.
     list_start: Option<Offset>,
     /// The start of the times in the histories.
@@ -364,6 +366,7 @@
         // written there next.
         let at = if epoch::index(end) > 0 { end - 1 } else { end };
         let missing: Vec<_> = missing.map(|id| (at, FleetUpdate::Removed(id.clone()))).collect();
+        self.has_list = true;
         let is_first = self.known_from.is_none() && self.histories.is_empty();
         self.apply(all.into_iter().chain(missing).collect(), now, log_state);
         if is_first {
@@ -482,6 +485,11 @@
         self.members.len()
     }
 
+    /// Whether the whole list is known; until then there may be more targets.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Whether there are no targets.
     pub fn is_empty(&self) -> bool {
         self.members.is_empty()
--- a/crates/fake/src/log.rs
+++ b/crates/fake/src/log.rs
@@ -249,7 +249,8 @@
         let inner = self.lock();
         let Some(state) = inner.streams.get(stream) else { return Ok(Newest::default()) };
         let end = state.first + state.records.len() as u64;
-        Ok(Newest { records: state.newest.values().cloned().collect(), end })
+        let records = state.newest.values().cloned().collect();
+        Ok(Newest { records, end, cut_short: None })
     }
 
     async fn changes(
--- a/crates/plat/src/keyed.rs
+++ b/crates/plat/src/keyed.rs
@@ -1,6 +1,6 @@
 //! Compacted streams of the log, which retain the newest record of each key.
 
-use crate::{Entry, Log, Offset, Result};
+use crate::{Entry, Error, Log, Offset, Result};
 use async_trait::async_trait;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use compact_str::CompactString;
@@ -42,18 +42,21 @@
 }
 
 /// The newest record of each key.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Newest {
     /// The records, by key.
     pub records: Vec<Record>,
     /// The offset from which to read changes: all newer records are at or above it.
     pub end: Offset,
+    /// The error that ended the read early; other keys may have records then.
+    pub cut_short: Option<Error>,
 }
 
 /// A log with keyed streams and conditional appends.
 #[async_trait]
 pub trait KeyedLog: Log {
-    /// Reads the newest record of each key.
+    /// Reads the newest record of each key. A read that fails after some records returns these, with
+    /// the error in [`Newest::cut_short`].
     async fn newest(&self, stream: &str) -> Result<Newest>;
 
     /// Reads records from offset `from`, as [`Log::read`] does; returns them and the next offset.
