fix: ids, names and handles of others are encoded in URIs, and checked for headers

The id of a target that can't be sent in a header was left out of the request: then a target that has replaced another at its address runs the other's requests.

Paths are encoded by the crate uri. A record under an id that can't be sent is not readable.

--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -120,7 +120,7 @@
 
     /// Reads where a request was sent and why.
     pub async fn explain(&self, request: &str) -> Result<Explanation> {
-        self.query("explain", &format!("/v1/requests/{request}")).await
+        self.query("explain", &format!("/v1/requests/{}", uri::encode(request))).await
     }
 
     /// Reads the entry's metrics.
@@ -196,5 +196,5 @@
 
 fn path_of(kind: Kind, name: &str, expects: Option<Generation>) -> String {
     let expects = expects.map(|expects| format!("?expects={expects}")).unwrap_or_default();
-    format!("/v1/resources/{}/{name}{expects}", kind.name())
+    format!("/v1/resources/{}/{}{expects}", kind.name(), uri::encode(name))
 }
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -580,6 +580,16 @@
     }
 }
 
+/// Checks that targets can be sent the id: without it, one that has replaced another at its address
+/// would run the other's requests.
+fn check_id(id: &TargetId) -> Result<(), CompactString> {
+    let is_trimmed = id.trim_matches([' ', '\t']) == id.as_str();
+    if id.is_empty() || !is_trimmed || http::HeaderValue::from_bytes(id.as_bytes()).is_err() {
+        return Err("the id can't be sent to targets".into());
+    }
+    Ok(())
+}
+
 fn fleet_updates(
     decode: &dyn Decode,
     records: Vec<Record>,
@@ -588,7 +598,8 @@
     let decoded = records.into_iter().map(|record| {
         let id: TargetId = record.key;
         let Some(value) = record.value else { return (record.offset, FleetUpdate::Removed(id)) };
-        let update = match decode.target_record(&value) {
+        let record_value = check_id(&id).and_then(|()| decode.target_record(&value));
+        let update = match record_value {
             Ok(target) => FleetUpdate::Registered(id, target),
             Err(detail) => {
                 let stream = decode.target_stream().into();
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -128,7 +128,7 @@
         const STEP: &str = "append";
         let body = AppendBody { records: records.iter().map(|bytes| bytes.to_vec()).collect() };
         let body = serde_json::to_vec(&body).map_err(|error| self.refused(STEP, &error))?;
-        let path = format!("/streams/{stream}");
+        let path = format!("/streams/{}", uri::encode(stream));
         let (status, body) =
             self.call(STEP, Method::POST, &path, body.into(), Duration::ZERO).await?;
         self.check_status(STEP, status, &body)?;
@@ -144,7 +144,8 @@
     ) -> Result<Batch> {
         const STEP: &str = "read";
         let wait_ms = wait.as_millis();
-        let path = format!("/streams/{stream}?from={from}&limit={limit}&wait_ms={wait_ms}");
+        let path =
+            format!("/streams/{}?from={from}&limit={limit}&wait_ms={wait_ms}", uri::encode(stream));
         let (status, body) = self.call(STEP, Method::GET, &path, Bytes::new(), wait).await?;
         if status == StatusCode::GONE {
             let oldest = self.parse::<ReadBody>(STEP, &body)?.oldest;
@@ -173,7 +174,7 @@
 impl WeightStore for HttpClient {
     async fn stat(&self, name: &str) -> Result<Artifact> {
         const STEP: &str = "look up weights";
-        let path = format!("/artifacts/{name}");
+        let path = format!("/artifacts/{}", uri::encode(name));
         let (status, body) =
             self.call(STEP, Method::GET, &path, Bytes::new(), Duration::ZERO).await?;
         self.check_status(STEP, status, &body)?;
--- a/crates/target/src/http/engine.rs
+++ b/crates/target/src/http/engine.rs
@@ -55,7 +55,7 @@
     }
 
     async fn cancel(&self, id: &str) -> Result<()> {
-        let path = format!("/v1/requests/{id}");
+        let path = format!("/v1/requests/{}", uri::encode(id));
         self.exchange.json("cancel", "DELETE", &path, Bytes::new()).await.map(drop)
     }
 
@@ -87,15 +87,19 @@
 
     async fn export_kv(&self, id: &str) -> Result<Bytes> {
         const STEP: &str = "export KV";
-        let cache = self.exchange.json(STEP, "GET", &format!("/kv/{id}"), Bytes::new()).await?;
+        let cache = self.exchange.json(STEP, "GET", &kv_path(id), Bytes::new()).await?;
         self.exchange.complete(STEP, cache)
     }
 
     async fn import_kv(&self, id: &str, cache: Bytes) -> Result<()> {
-        self.exchange.json("import KV", "PUT", &format!("/kv/{id}"), cache).await.map(drop)
+        self.exchange.json("import KV", "PUT", &kv_path(id), cache).await.map(drop)
     }
 }
 
+fn kv_path(id: &str) -> String {
+    format!("/kv/{}", uri::encode(id))
+}
+
 fn completion_body(job: &Job) -> CompletionBody {
     CompletionBody {
         model: job.serve.clone(),
