fix(stages): the split outlasts the engines that it was decided for

Cause: a plan is a list of orders to engines. Which split they were to have was kept nowhere else. Engines that replace others start in the stage that they are launched in, 3 prefill and 6 decode in place of 6 and 3, and nothing led back: the first split is decided once, without load and before any plan; under load a change has to outweigh what it interrupts.

Change: a plan that decides a split says so, heartbeats in the entries' stream repeat it, and all entries keep it. While a pool differs from it by a whole engine, engines that have joined since are ordered to change, those with the least work first; a pool that lacks an engine for a moment, or has the old and the new one, is left as it is. A pool that needs no plan keeps the split that it starts with. Planner, fence and lease are as before; nothing is ordered before the whole list is known.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod quota;
 pub mod replica;
+pub mod splits;
 pub mod suspects;
 pub mod tail;
 pub mod usage;
--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -12,12 +12,16 @@
 //! the last one. Plans that can wait are `QUIET_PERIOD` apart, so that the effect of each shows
 //! first.
 //!
+//! The split that a plan decides outlasts its engines, see [`crate::cluster::splits`]: engines that
+//! join in another role than it requires change as long as they have little work.
+//!
 //! Which split the load requires is decided by [`policy::split`]. Plans for it are announced by
 //! datagram. The first entry in the order of planning makes them; the next one takes its place only
 //! if the split stays wrong for `TAKEOVER_STAGGER`.
 
 mod orders;
 
+use crate::cluster::splits::SplitRow;
 use crate::codec::TargetId;
 use crate::config::route::{Service, ServiceName, Stage};
 use crate::exchange::entry_stream::StreamView;
@@ -27,7 +31,7 @@
 use plat::KeyedLog;
 use policy::demand::{DemandTracker, EngineProfile, PromptProfile};
 use policy::pace::slow_engines;
-use policy::split::{self, ChangeTime, Engine, EngineRole, History, Pool};
+use policy::split::{self, ChangeTime, Engine, EngineRole, History, Pool, Ratio};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -51,6 +55,14 @@
 /// the system starts.
 const REGULAR_DELAY: Duration = Duration::from_millis(1_500);
 
+/// How long a pool may differ from its split before engines that have joined change. Those that they
+/// replace leave meanwhile.
+const JOIN_DELAY: Duration = Duration::from_millis(500);
+
+/// For how long an engine that the split was not decided for counts as one that has just joined: an
+/// entry that starts may not plan for the first third of it.
+const JOIN_SPAN: Duration = Duration::from_secs(30);
+
 /// How long no engine may be seen to decode, or to prefill, before that is changed: an engine that
 /// broke a connection is tried once more within this time.
 const URGENT_DELAY: Duration = Duration::from_millis(500);
@@ -122,6 +134,16 @@
     Short(EngineRole),
     /// A pool of so many engines that starts without load has too few with this role.
     Uneven { role: EngineRole, of: usize },
+    /// Engines have joined, and the pool now has too few with this role for its split.
+    Joined(EngineRole),
+}
+
+/// What is wrong with a split, and how to correct it.
+struct Correction {
+    imbalance: Imbalance,
+    changes: StageChanges,
+    /// The split that is decided; none if the present one is kept.
+    ratio: Option<Ratio>,
 }
 
 impl Planner {
@@ -149,31 +171,63 @@
             self.sample_demand(service, &mut state, now);
             let idle = state.demand.is_idle();
             let found = self.find_imbalance(service, &state, now);
-            state.imbalance = found.as_ref().map(|(imbalance, _)| match state.imbalance {
-                Some((before, since)) if before == *imbalance => (before, since),
-                _ => (*imbalance, now),
+            state.imbalance = found.as_ref().map(|found| match state.imbalance {
+                Some((before, since)) if before == found.imbalance => (before, since),
+                _ => (found.imbalance, now),
             });
             let due = state
                 .imbalance
                 .is_some_and(|(imbalance, since)| self.is_our_turn(imbalance, since, idle, now));
             self.services.insert(service.name.clone(), state);
-            if let Some((imbalance, changes)) = found.filter(|_| due) {
-                log::info!(target: "stages", service = service.name.as_str(), wrong:? = imbalance;
+            if found.is_none() && self.shared.splits.ratio(&service.name).is_none() {
+                self.adopt_split(service, now);
+            }
+            if let Some(Correction { imbalance, changes, ratio }) = found.filter(|_| due) {
+                let known = self.shared.splits.ratio(&service.name).map(|(ratio, _)| ratio);
+                log::info!(target: "stages", service = service.name.as_str(), wrong:? = imbalance,
+                    engines = changes.len(), known:? = known, decided:? = ratio;
                     "split to be changed");
                 // Where no request can be served, or none is sent, no work has to be kept away from
                 // the engines first.
                 let skip_announcement = idle || matches!(imbalance, Imbalance::Lacks(_));
                 let announcement_time = match imbalance {
                     _ if skip_announcement => Duration::ZERO,
-                    Imbalance::Short(_) => DATAGRAM_ANNOUNCEMENT_TIME,
+                    Imbalance::Short(_) | Imbalance::Joined(_) => DATAGRAM_ANNOUNCEMENT_TIME,
                     Imbalance::Lacks(_) | Imbalance::Uneven { .. } => ANNOUNCEMENT_TIME,
                 };
-                self.execute(changes, announcement_time).await;
+                let split = ratio.map(|Ratio { prefill, engines }| SplitRow {
+                    service: service.name.to_string(),
+                    prefill,
+                    engines,
+                    decided_at: 0,
+                });
+                self.execute(changes, split, announcement_time).await;
                 return;
             }
         }
     }
 
+    /// Keeps the split of a pool that needs no change, where no plan has decided one.
+    fn adopt_split(&self, service: &Service, now: Instant) {
+        if !self.has_all_plans(now) {
+            return;
+        }
+        let targets = self.shared.usable(&service.name);
+        let stages: Vec<Stage> =
+            targets.iter().filter_map(|target| target.next_stage(now)).collect();
+        let prefill = stages.iter().filter(|stage| **stage == Stage::Prefill).count();
+        // More engines may be about to be listed.
+        let is_settled = targets.iter().all(|target| target.known_for(now) >= REGULAR_DELAY);
+        if is_settled
+            && (1..stages.len()).contains(&prefill)
+            && let Some(ratio) = Ratio::new(prefill, stages.len())
+        {
+            log::info!(target: "stages", service = service.name.as_str(), split:? = ratio;
+                "split kept");
+            self.shared.splits.record(&service.name, ratio, 0);
+        }
+    }
+
     /// Records the tokens requested since the last check, and the current number of streams.
     fn sample_demand(&self, service: &Service, state: &mut ServiceState, now: Instant) {
         let requested = self.shared.loads.requested_tokens(&service.name);
@@ -197,7 +251,7 @@
         service: &Service,
         state: &ServiceState,
         now: Instant,
-    ) -> Option<(Imbalance, StageChanges)> {
+    ) -> Option<Correction> {
         let targets = self.shared.usable(&service.name);
         let max_gap = self.shared.max_gap(&service.name);
         let staged = targets.iter().filter_map(|target| Some((target, target.next_stage(now)?)));
@@ -216,6 +270,24 @@
         }
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
         let prefill = split::count_prefill(&engines);
+        let to_changes = |indexes: Vec<usize>| -> StageChanges {
+            let allowed = indexes.into_iter().filter(|&at| self.may_order(&staged[at].0.id, now));
+            allowed.map(|at| (staged[at].0.clone(), other_stage(staged[at].1))).collect()
+        };
+        let role_for =
+            |desired| if desired > prefill { EngineRole::Prefill } else { EngineRole::Decode };
+        let split = self.shared.splits.ratio(&service.name).filter(|_| missing.is_none());
+        let restored = split.and_then(|(ratio, since)| {
+            let span = now.saturating_duration_since(since).min(JOIN_SPAN);
+            let joined: Vec<bool> =
+                staged.iter().map(|(target, ..)| target.known_for(now) < span).collect();
+            split::joined_to_change(&engines, &joined, ratio)
+        });
+        if let Some((indexes, desired)) = restored {
+            let (imbalance, changes) = (Imbalance::Joined(role_for(desired)), to_changes(indexes));
+            let correction = Correction { imbalance, changes, ratio: None };
+            return (!correction.changes.is_empty()).then_some(correction);
+        }
         let history = self.history(service, state);
         let settings = &self.shared.settings.split;
         let desired = match missing {
@@ -223,23 +295,21 @@
             None if state.demand.is_idle() => self.first_prefill(&engines)?,
             None => self.required_prefill(service, &engines, &history)?,
         };
-        let changes = split::engines_to_change(&engines, desired);
-        let allowed = changes.into_iter().filter(|&at| self.may_order(&staged[at].0.id, now));
-        let changes: StageChanges =
-            allowed.map(|at| (staged[at].0.clone(), other_stage(staged[at].1))).collect();
-        let role = if desired > prefill { EngineRole::Prefill } else { EngineRole::Decode };
+        let changes = to_changes(split::engines_to_change(&engines, desired));
+        let role = role_for(desired);
+        let ratio = Ratio::new(desired, engines.len()).filter(|_| missing.is_none());
         let imbalance = match missing {
             Some(missing) => Imbalance::Lacks(missing),
             None if state.demand.is_idle() => Imbalance::Uneven { role, of: engines.len() },
             None => Imbalance::Short(role),
         };
-        (!changes.is_empty()).then_some((imbalance, changes))
+        (!changes.is_empty()).then_some(Correction { imbalance, changes, ratio })
     }
 
     /// How many engines should prefill in a system that starts for the first time, if that many
     /// don't yet.
     fn first_prefill(&self, engines: &[Engine]) -> Option<usize> {
-        let first = self.shared.settings.first_start && !self.stream_view.borrow().may_have_plan;
+        let first = self.is_first_start(&self.stream_view.borrow());
         let unbalanced = split::is_unbalanced(engines.len(), split::count_prefill(engines));
         (first && unbalanced).then(|| split::initial_prefill(engines.len()))
     }
@@ -332,17 +402,27 @@
         })
     }
 
+    /// Whether no plan can be in force that this entry has not read.
+    fn has_all_plans(&self, now: Instant) -> bool {
+        let view = self.stream_view.borrow();
+        view.complete_since.is_some_and(|complete| {
+            self.is_first_start(&view) || now.duration_since(complete) >= QUIET_PERIOD
+        })
+    }
+
+    /// Whether the system starts for the first time: no plan is older than those in the stream.
+    fn is_first_start(&self, view: &StreamView) -> bool {
+        self.shared.settings.first_start && !view.may_have_plan
+    }
+
     /// Whether it is this entry's turn to plan against an imbalance that has lasted since `since`.
     fn is_our_turn(&self, imbalance: Imbalance, since: Instant, idle: bool, now: Instant) -> bool {
         let view = self.stream_view.borrow();
-        let (Some(last_plan_at), Some(complete)) = (view.last_plan_at, view.complete_since) else {
-            return false;
-        };
+        let Some(last_plan_at) = view.last_plan_at else { return false };
         let name = &self.shared.settings.name;
         let turns = self.shared.peers.directory.planning_rank();
-        // At the first start there can't be plans older than those in the stream.
-        let first = self.shared.settings.first_start && !view.may_have_plan;
-        let has_all_plans = first || now.duration_since(complete) >= QUIET_PERIOD;
+        let first = self.is_first_start(&view);
+        let has_all_plans = self.has_all_plans(now);
         let duration = now.duration_since(since);
         match imbalance {
             // While nothing is to be served, a missing role may be one whose engines are not listed
@@ -353,6 +433,9 @@
             Imbalance::Lacks(_) | Imbalance::Uneven { .. } => {
                 has_all_plans && duration >= URGENT_DELAY + URGENT_STAGGER * turns
             }
+            Imbalance::Joined(_) => {
+                has_all_plans && duration >= JOIN_DELAY + TAKEOVER_STAGGER * turns
+            }
             Imbalance::Short(_) => {
                 let own = view.planned_engines.iter().all(|planned| planned.planner == *name);
                 let quiet = first
--- a/crates/direct/src/duty/stage_planner/orders.rs
+++ b/crates/direct/src/duty/stage_planner/orders.rs
@@ -5,6 +5,7 @@
 
 use super::Planner;
 use crate::cluster::clock::since_boot;
+use crate::cluster::splits::SplitRow;
 use crate::cluster::tail::{RecordSpan, Topic};
 use crate::codec::{EngineReport, StageOrder};
 use crate::config::route::Stage;
@@ -45,7 +46,13 @@
 impl Planner {
     /// Appends the plan, and sends its orders after `announcement_time`, when the other entries
     /// have read it.
-    pub(super) async fn execute(&self, changes: StageChanges, announcement_time: Duration) {
+    /// They lead to `split`, if they are made to change it.
+    pub(super) async fn execute(
+        &self,
+        changes: StageChanges,
+        split: Option<SplitRow>,
+        announcement_time: Duration,
+    ) {
         let Some(end) = self.stream_view.borrow().end else { return };
         let engines_for = |planned: Stage| {
             let ids = changes.iter().filter(|(_, stage)| *stage == planned);
@@ -57,6 +64,7 @@
             to_decode: engines_for(Stage::Decode),
             created_us: u64::try_from(self.shared.usage.clock.now().as_micros())
                 .unwrap_or_default(),
+            split,
         };
         let began = since_boot();
         let record = notice::encode(Kind::Plan(plan.clone()));
@@ -65,6 +73,9 @@
             self.shared.entry_stream_changed.notify_one();
             return;
         };
+        if let Some(split) = &plan.split {
+            self.shared.splits.merge(split, plan_offset);
+        }
         entry_stream::expect_changes(&self.shared, &plan, STAGE_CHANGE_TIMEOUT);
         let (topic, start) = (Topic::Notices, self.shared.tail.change_end(Topic::Notices));
         let record =
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -100,7 +100,9 @@
         if shared.peers.directory.is_anchor() {
             let (name, address) = (shared.settings.name.to_string(), address.to_string());
             let link_rate = shared.settings.link.bytes_per_second;
-            let heartbeat = Heartbeat { name, leaving, address, link_rate, takes_part: true };
+            let splits = shared.splits.rows();
+            let heartbeat =
+                Heartbeat { name, leaving, address, link_rate, takes_part: true, splits };
             write(&*log, Kind::Heartbeat(heartbeat)).await;
         }
         if leaving {
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -152,7 +152,7 @@
     ) {
         for record in records {
             let value = record.value.clone().unwrap_or_default();
-            if let Effect::Plan(plan) = apply_record(&self.shared, &value, age) {
+            if let Effect::Plan(plan) = apply_record(&self.shared, &value, record.offset, age) {
                 view.record_plan(&plan, now);
             }
             self.shared.tail.keep(Topic::Notices, [record]);
@@ -182,7 +182,7 @@
             self.next = entry.offset + 1;
             // The records of a process's first read may be minutes old.
             let age = if is_first { Age::FromRecord } else { Age::New };
-            let effect = apply_record(&self.shared, &entry.bytes, age);
+            let effect = apply_record(&self.shared, &entry.bytes, entry.offset, age);
             if effect != Effect::Nothing {
                 self.change_end = self.next;
                 changed.push(record(entry));
@@ -263,7 +263,7 @@
 }
 
 /// Applies one record.
-fn apply_record(shared: &Shared, record: &[u8], age: Age) -> Effect {
+fn apply_record(shared: &Shared, record: &[u8], offset: Offset, age: Age) -> Effect {
     let notice = match Notice::decode(record) {
         Ok(notice) => notice,
         Err(error) => {
@@ -274,6 +274,9 @@
     match notice.kind {
         Some(Kind::Heartbeat(heartbeat)) => apply_heartbeat(shared, &heartbeat),
         Some(Kind::Plan(plan)) => {
+            if let Some(split) = &plan.split {
+                shared.splits.merge(split, offset);
+            }
             if plan.planner != shared.settings.name {
                 expect_changes(shared, &plan, remaining(shared, &plan, age));
             }
@@ -299,11 +302,13 @@
 /// Applies a heartbeat: joins an entry that takes part in the membership and isn't known yet, and
 /// counts any other as live.
 fn apply_heartbeat(shared: &Shared, heartbeat: &Heartbeat) -> Effect {
-    let Heartbeat { name, leaving, address, link_rate, takes_part } = heartbeat;
+    let Heartbeat { name, leaving, address, link_rate, takes_part, splits } = heartbeat;
     let (key, directory) = (policy::hash(name), &shared.peers.directory);
     if *name == shared.settings.name {
         return Effect::Nothing;
     }
+    let new_splits = splits.iter().filter(|split| shared.splits.merge(split, split.decided_at));
+    let has_new_split = new_splits.count() > 0;
     let address = match address.parse() {
         Ok(address) => address,
         Err(error) => {
@@ -323,7 +328,9 @@
             directory.record_heartbeat(node, shared.time());
         }
     }
-    if *takes_part || (is_known && !leaving) { Effect::Nothing } else { Effect::Change }
+    let is_unchanged = *takes_part || (is_known && !leaving);
+    // Entries that start are told by others, who have to keep it.
+    if is_unchanged && !has_new_split { Effect::Nothing } else { Effect::Change }
 }
 
 /// How old a record is.
--- a/crates/direct/src/exchange/notice.rs
+++ b/crates/direct/src/exchange/notice.rs
@@ -1,6 +1,7 @@
 //! The records of the entries' stream, see [`crate::exchange::entry_stream`].
 
 use crate::cluster::messages::VerdictRow;
+use crate::cluster::splits::SplitRow;
 use crate::codec::TargetId;
 use crate::config::route::Stage;
 use bytes::Bytes;
@@ -52,6 +53,9 @@
     /// that doesn't is live for as long as its heartbeats arrive.
     #[prost(bool, tag = "5")]
     pub takes_part: bool,
+    /// How the engines of services are divided, as far as the entry knows.
+    #[prost(message, repeated, tag = "6")]
+    pub splits: Vec<SplitRow>,
 }
 
 /// The announcement of stage changes by an entry.
@@ -70,6 +74,9 @@
     /// 1970; 0 if unknown.
     #[prost(fixed64, tag = "4")]
     pub created_us: u64,
+    /// The split that the plan decides, if it does so.
+    #[prost(message, optional, tag = "5")]
+    pub split: Option<SplitRow>,
 }
 
 /// Requests that were running when a target crashed.
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -8,6 +8,7 @@
 use crate::cluster::peer_socket::PeerSocket;
 use crate::cluster::peers::Peers;
 use crate::cluster::quota::{self, Quota};
+use crate::cluster::splits::Splits;
 use crate::cluster::suspects::Suspects;
 use crate::cluster::tail::{Tail, Timing, Topic};
 use crate::cluster::usage::Usage;
@@ -133,6 +134,8 @@
     pub usage: Usage,
     /// At which software versions streams began.
     pub origins: Origins,
+    /// How engines are divided between prefill and decode.
+    pub splits: Splits,
     /// The limits of customers; `None` if none are in force.
     pub quota: Option<Quota>,
     /// The socket for messages to the other entries.
@@ -216,6 +219,7 @@
             coordinator: Coordinator::default(),
             usage: Usage::default(),
             origins: Origins::default(),
+            splits: Splits::default(),
             quota,
             peer_socket: PeerSocket::new(first_id),
             loads: Loads::default(),
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -164,6 +164,11 @@
         Self { software_key: software_key(software.as_deref()), software, ..self }
     }
 
+    /// For how long this process has known it.
+    pub fn known_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.first_seen)
+    }
+
     /// Whether streams that may be resumed elsewhere may begin there: its version has been known for
     /// long enough.
     pub fn begins_streams(&self) -> bool {
--- a/crates/policy/src/split.rs
+++ b/crates/policy/src/split.rs
@@ -13,6 +13,10 @@
 //! change. A pool that starts without any demand is divided so that a first phase of either kind
 //! loses the same.
 
+pub mod ratio;
+
+pub use ratio::{Ratio, joined_to_change};
+
 use crate::number::float;
 use crate::versions::Version;
 use crate::{Hash, prefill};
--- a/crates/policy/tests/split.rs
+++ b/crates/policy/tests/split.rs
@@ -3,9 +3,9 @@
 use policy::demand::{DemandTracker, EngineProfile, PromptProfile};
 use policy::prefill;
 use policy::split::{
-    ChangeTime, Demand, Engine, EngineRole, History, Pool, Settings, choose, colocated_share,
-    desired_prefill, engines_to_change, horizon, is_unbalanced, missing_role, prefill_utilization,
-    shortage,
+    self, ChangeTime, Demand, Engine, EngineRole, History, Pool, Ratio, Settings, choose,
+    colocated_share, desired_prefill, engines_to_change, horizon, is_unbalanced, missing_role,
+    prefill_utilization, shortage,
 };
 use std::time::Duration;
 
@@ -316,3 +316,97 @@
     let streams = time_to_decide((31, 11), (300_000, 160, 0), (300_000, 160, 55));
     assert!(prompts.max(streams) <= MAX_TIME_TO_DECIDE, "prompts {prompts:?}, streams {streams:?}");
 }
+
+/// The engines of a pool of `count` in their launch roles: each third one prefills.
+fn launched(count: usize) -> Vec<Engine> {
+    let engine = |at: usize| Engine {
+        role: if at.is_multiple_of(3) { EngineRole::Prefill } else { EngineRole::Decode },
+        work: 0,
+        domain: (at % 4) as u64,
+        available: true,
+        unfit: false,
+        software: 1,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn flip(engine: &mut Engine) {
+    engine.role = match engine.role {
+        EngineRole::Prefill => EngineRole::Decode,
+        EngineRole::Decode => EngineRole::Prefill,
+    };
+}
+
+/// Replaces the engines `at_once` at a time, each by one in its launch role that joins before the old
+/// one leaves; returns the pool and how many changes were ordered.
+fn replace_all(count: usize, at_once: usize, ratio: Ratio) -> (Vec<Engine>, usize) {
+    let mut pool: Vec<(Engine, bool)> = launched(count).into_iter().map(|it| (it, false)).collect();
+    let mut divided = 0;
+    for (engine, _) in &mut pool {
+        if divided < ratio.prefill as usize {
+            engine.role = EngineRole::Prefill;
+            divided += 1;
+        } else {
+            engine.role = EngineRole::Decode;
+        }
+    }
+    let (mut orders, fresh) = (0, launched(count));
+    let mut settle = |pool: &mut Vec<(Engine, bool)>| {
+        let engines: Vec<Engine> = pool.iter().map(|(engine, _)| *engine).collect();
+        let joined: Vec<bool> = pool.iter().map(|(_, joined)| *joined).collect();
+        if let Some((changes, _)) = split::joined_to_change(&engines, &joined, ratio) {
+            orders += changes.len();
+            changes.into_iter().for_each(|at| flip(&mut pool[at].0));
+        }
+    };
+    for group in fresh.chunks(at_once) {
+        pool.extend(group.iter().map(|engine| (*engine, true)));
+        settle(&mut pool);
+        pool.drain(..group.len());
+        settle(&mut pool);
+    }
+    (pool.into_iter().map(|(engine, _)| engine).collect(), orders)
+}
+
+/// Guards against a split that is lost when a release replaces all engines, at once or in groups of
+/// any size, in pools of any size; and against orders to and fro meanwhile.
+#[test]
+fn split_outlasts_the_engines_that_it_was_decided_for() {
+    for count in [2_usize, 3, 6, 9, 17, 300] {
+        for prefill in (1..count).step_by((count / 8).max(1)) {
+            let ratio = Ratio::new(prefill, count).unwrap();
+            let expected = split::clamp_prefill(count, prefill).unwrap();
+            if expected != prefill {
+                continue;
+            }
+            for at_once in [1, 2, 5, count] {
+                let (pool, orders) = replace_all(count, at_once, ratio);
+                assert_eq!(pool.len(), count);
+                assert_eq!(split::count_prefill(&pool), prefill, "{prefill}/{count} by {at_once}");
+                assert!(orders <= 2 * count, "{prefill}/{count} by {at_once}: {orders} orders");
+            }
+        }
+    }
+}
+
+/// A pool that has lost an engine, or has one more for a moment, is left as it is.
+#[test]
+fn split_is_not_restored_for_less_than_one_engine() {
+    let ratio = Ratio::new(6, 9).unwrap();
+    for (engines, prefill, restored) in [
+        (9, 6, None),
+        (8, 6, None),
+        (8, 5, None),
+        (10, 6, None),
+        (10, 7, None),
+        (9, 5, Some(6)),
+        (9, 7, Some(6)),
+        (9, 3, Some(6)),
+        (18, 9, Some(12)),
+        (11, 6, Some(7)),
+        (1, 0, None),
+        (300, 150, Some(200)),
+    ] {
+        assert_eq!(ratio.restored(engines, prefill), restored, "{prefill} of {engines}");
+    }
+}
