fix(body): heads that don't tell where the body ends give no complete response

Cause: the head was read leniently. Beside chunks a length was passed on: 4 of 10 bytes, complete. A coding that is not known, or a misspelt name of its field, gave the sizes of chunks as content. A length that is too short gave a part. Status 101, and 204 with a length, made the server panic or drop the connection without a response; 777 and 999 were passed on.

Change: body::head::check refuses these: other statuses than 200 to 599, a length beside a coding, any coding but chunked, a body announced for 204, and, where there is neither, a field whose value is chunked or whose name is within two edits of the two. Bytes after a body of known length that are no response show that the length is wrong: the response is broken off. A second response there is none of it. What can't be known: a field that is damaged beyond recognition in a response that ends with its connection, and bytes that arrive later.

--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -2,6 +2,7 @@
 //! much memory they may take.
 //!
 //! - [`content`]: what headers say of a body.
+//! - [`head`]: whether the head of a response tells where its body ends.
 //! - [`framing`]: what marks the end of a body.
 //! - [`events`]: the boundaries of server-sent events.
 //! - [`end`]: whether all of a body has arrived.
@@ -16,6 +17,7 @@
 pub mod end;
 pub mod events;
 pub mod framing;
+pub mod head;
 
 pub use budget::{Budget, Holding};
 pub use buffered::Buffered;
--- a/crates/direct/src/request/dispatch.rs
+++ b/crates/direct/src/request/dispatch.rs
@@ -12,7 +12,7 @@
 use crate::targets::engine::StreamGuard;
 use crate::targets::target::Target;
 use body::content;
-use http::{Response, StatusCode};
+use http::{Response, StatusCode, header};
 use policy::signals::Closed;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -71,6 +71,10 @@
     *response.status_mut() = source.responded.response.status();
     *response.headers_mut() = source.responded.response.headers().clone();
     request.shared.codec.strip_connection_headers(response.headers_mut());
+    if response.status() == StatusCode::NO_CONTENT {
+        // Some targets send a length of zero, which this status does not allow.
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+    }
     if resume.is_some() {
         content::remove_body_specific(response.headers_mut());
     }
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -122,6 +122,9 @@
     last_piece: Option<Instant>,
 }
 
+/// The detail of a response whose body does not end where its length says.
+const SURPLUS: &str = "more bytes than the length";
+
 /// How long after its deadline the target's own failure response is waited for. That response is
 /// more informative than one made here, and takes a round trip.
 pub const RESPONSE_GRACE: Duration = Duration::from_millis(150);
@@ -206,17 +209,25 @@
                     // The server polls for no further piece once the known length is reached. The
                     // end has to be noticed here, or the connection would be lost.
                     if self.is_end_of_response() {
+                        if self.has_surplus() {
+                            self.judge_end(Outcome::Failed);
+                            self.start_resume(SURPLUS);
+                            return self.abort("broken-off", context);
+                        }
                         self.judge_end(Outcome::Ended);
                         self.finish();
                     }
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 None => {
-                    let end = self.judge_end(Outcome::Ended);
+                    let surplus = self.has_surplus();
+                    let outcome = if surplus { Outcome::Failed } else { Outcome::Ended };
+                    let end = self.judge_end(outcome);
                     if !end.is_broken_off() {
                         return self.complete();
                     }
-                    if !self.start_resume("ended within an event") {
+                    let detail = if surplus { SURPLUS } else { "ended within an event" };
+                    if !self.start_resume(detail) {
                         return self.abort("broken-off", context);
                     }
                 }
@@ -271,6 +282,16 @@
         }
     }
 
+    /// Whether the body has a length, and more follows: the length is wrong.
+    fn has_surplus(&mut self) -> bool {
+        match &mut self.state {
+            State::Streaming(active) => {
+                active.framing == Framing::Length && active.connection.has_surplus()
+            }
+            State::Resuming(_) | State::Aborting(_) | State::Done => false,
+        }
+    }
+
     fn finish(&mut self) {
         if let State::Streaming(active) = std::mem::replace(&mut self.state, State::Done) {
             if active.is_success {
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use policy::signals::Closed;
 use std::sync::Arc;
 use std::time::Duration;
@@ -187,6 +187,10 @@
         let response = connection.sender.send_request(request).await;
         let response = response.map_err(|error| error.to_compact_string())?;
         let (status, headers) = (response.status(), response.headers().clone());
+        if let Err(error) = body::head::check(status, &headers) {
+            target.record_health(Health::Failing, Instant::now());
+            return Err(error.to_compact_string());
+        }
         let response_head = codec.decode_response(status, &headers);
         if response_head.attempt_id.is_some() {
             // Internal calls have no id, nor have their responses.
@@ -242,10 +246,16 @@
     head: &AttemptHead,
     sent: Instant,
     response: Response<Incoming>,
-    connection: Connection,
+    mut connection: Connection,
 ) -> Outcome {
     let now = Instant::now();
     let status = response.status();
+    if let Err(error) = body::head::check(status, response.headers()) {
+        return reject_head(target, &error, now);
+    }
+    if response.body().is_end_stream() && connection.has_surplus() {
+        return reject_head(target, &"more bytes than the length", now);
+    }
     let response_head = codec.decode_response(status, response.headers());
     let refused = is_refusal(status, &response_head);
     let is_identified = response_head.attempt_id.is_some();
@@ -284,6 +294,15 @@
     Outcome::Responded(Box::new(Responded { response, head: response_head, connection }))
 }
 
+/// The outcome of a response whose head can't be relied on, nor what it states. The connection is
+/// dropped with the rest of it.
+fn reject_head(target: &Arc<Target>, error: &dyn std::fmt::Display, now: Instant) -> Outcome {
+    log::warn!(target: "request", target_id = target.id.as_str(), error:% = error;
+        "head of a response not usable");
+    target.record_health(Health::Failing, now);
+    Outcome::Unknown(error.to_compact_string())
+}
+
 /// Whether the target states that it did not run the request.
 fn is_refusal(status: StatusCode, head: &ResponseHead) -> bool {
     head.not_run || status == StatusCode::MISDIRECTED_REQUEST
@@ -301,7 +320,6 @@
 
 /// Reads the rest of a refusal in the background, so that its connection can be reused.
 fn drain(response: Response<Incoming>, connection: Connection, response_head: ResponseHead) {
-    use hyper::body::Body;
     let max_bytes = u64::try_from(MAX_REFUSAL_BYTES).unwrap_or(u64::MAX);
     if response.body().size_hint().upper().is_none_or(|size| size > max_bytes) {
         return;
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -8,9 +8,11 @@
 use compact_str::{CompactString, ToCompactString};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 struct Idle {
     sender: SendRequest<Buffered>,
+    surplus: Surplus,
     until: Instant,
     count: OpenCount,
 }
@@ -87,10 +90,32 @@
     pub reused: bool,
     /// How long it took to open, if this request opened it.
     pub connect_time: Option<Duration>,
+    surplus: Surplus,
     count: OpenCount,
     pool: Arc<Inner>,
 }
 
+/// Whether a connection ended with bytes that are no part of a response.
+#[derive(Debug, Clone, Default)]
+struct Surplus(Arc<AtomicBool>);
+
+impl Surplus {
+    /// Judges what had been read and not used when the connection ended. A second response is
+    /// none: targets may send one after a complete response.
+    fn judge(&self, unused: &[u8]) {
+        let length = unused.len().min(RESPONSE_START.len());
+        let is_response = unused[..length] == RESPONSE_START[..length];
+        self.0.store(!is_response, Ordering::Release);
+    }
+
+    fn is_found(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// The start of each response.
+const RESPONSE_START: &[u8] = b"HTTP/1.";
+
 /// Counts a connection as open until it is dropped.
 #[derive(Debug)]
 struct OpenCount(Arc<Inner>);
@@ -149,8 +174,9 @@
             unready.push(next);
         };
         idle.append(&mut unready);
-        let Idle { sender, count, .. } = found?;
-        Some(Connection { sender, reused: true, connect_time: None, count, pool: self.0.clone() })
+        let Idle { sender, surplus, count, .. } = found?;
+        let (reused, connect_time, pool) = (true, None, self.0.clone());
+        Some(Connection { sender, reused, connect_time, surplus, count, pool })
     }
 
     async fn open(&self, max: u32, connect_timeout: Duration) -> Result<Connection> {
@@ -166,16 +192,21 @@
         let failed = |detail| Error::Connect { target, detail };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
-        let (sender, connection) = builder
+        let (sender, mut connection) = builder
             .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| failed(error.to_compact_string()))?;
+        let surplus = Surplus::default();
+        let found = surplus.clone();
         tokio::spawn(async move {
-            if let Err(error) = connection.await {
+            let ended = poll_fn(|context| connection.poll_without_shutdown(context)).await;
+            if let Err(error) = ended {
                 log::debug!(target: "pool", target:% = target, error:% = error; "connection ended");
             }
+            found.judge(&connection.into_parts().read_buf);
         });
-        Ok(Connection { sender, reused: false, connect_time, count, pool: self.0.clone() })
+        let (reused, pool) = (false, self.0.clone());
+        Ok(Connection { sender, reused, connect_time, surplus, count, pool })
     }
 }
 
@@ -207,6 +238,15 @@
 }
 
 impl Connection {
+    /// Returns whether the response whose body has just ended was followed by bytes that are no
+    /// response. What arrives later is not seen.
+    pub fn has_surplus(&mut self) -> bool {
+        // The connection looks for such bytes once the response is over, and ends if there are any.
+        let mut context = Context::from_waker(Waker::noop());
+        let is_ready = self.sender.poll_ready(&mut context);
+        matches!(is_ready, Poll::Ready(Err(_))) && self.surplus.is_found()
+    }
+
     /// Returns the connection to the pool for another request; `idle_timeout` is the target's own.
     pub fn keep(self, idle_timeout: Option<Duration>, now: Instant) {
         if self.sender.is_closed() {
@@ -215,10 +255,11 @@
         let until = now
             + idle_timeout
                 .map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.mul_f64(IDLE_TIMEOUT_SHARE));
-        let mut idle = self.pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.push(Idle { sender: self.sender, until, count: self.count });
+        let Self { sender, surplus, count, pool, .. } = self;
+        let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.push(Idle { sender, surplus, until, count });
         drop(idle);
-        self.pool.expire_when_due();
+        pool.expire_when_due();
     }
 }
 
--- a/crates/target/src/http/exchange.rs
+++ b/crates/target/src/http/exchange.rs
@@ -53,13 +53,16 @@
         }
         let request =
             request.body(Full::new(body)).map_err(|error| self.not_reached(step, &error))?;
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             if error.is_connect() {
                 self.not_reached(step, &error)
             } else {
                 self.broken(step, &error)
             }
-        })
+        })?;
+        body::head::check(response.status(), response.headers())
+            .map_err(|error| self.broken(step, &error))?;
+        Ok(response)
     }
 
     /// Reads a whole body, [`MAX_BODY_BYTES`] at most.
