fix(direct): an entry that stood still or is cut off does not guess where a stream began

Cause: a list of targets with one version proves that no stream began at another if it is younger than 0.75 s. After a freeze it only seemed so. Datagrams that waited in the socket tell ages as of when they were sent, and what would have told of the new version was lost with a full buffer; the runtime's clock does not count the time for which a VM is suspended. And an entry that knows no other entry any more took the only version of its list for the origin, however old the list.

Change: cluster::freeze notices gaps in the time since boot. A read that was started before the process went on is not recent, and a datagram that is received within 0.25 s of that counts as one that arrived when the freeze began. An entry that is alone, and has known others, waits for its own next read, a second at most, and refuses then.

The suspended clock is tested with a clock of the test (direct/tests/freeze.rs): a VM can't be suspended here.

--- a/crates/direct/src/cluster.rs
+++ b/crates/direct/src/cluster.rs
@@ -4,6 +4,7 @@
 pub mod clock;
 pub mod coordinator;
 pub mod entry_state;
+pub mod freeze;
 pub mod groups;
 pub mod loads;
 pub mod member_updates;
--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -74,6 +74,8 @@
     snapshot: Arc<[Member]>,
     ring: Ring,
     addresses: Addresses,
+    /// Whether any other entry was ever live.
+    met_others: bool,
     /// The version of the membership and the number of heartbeats in the snapshot.
     version: (u64, usize),
     /// When the snapshot last changed.
@@ -146,6 +148,11 @@
         self.lock().addresses.count() == 0
     }
 
+    /// Returns whether this entry has ever known another one.
+    pub fn has_met_others(&self) -> bool {
+        self.lock().met_others
+    }
+
     /// Returns whether this entry writes heartbeats to the log: a few do, so that an entry that
     /// knows no other finds them there, and all do while an entry reads nothing else.
     pub fn is_anchor(&self) -> bool {
@@ -273,6 +280,7 @@
             far: addresses(false),
             other_regions: Arc::new(other_regions),
         };
+        self.met_others |= self.addresses.count() > 0;
         let recipient = |member: &Member| {
             let position = dissemination::position(member.domain, member.key);
             Recipient { position, link_rate: member.link_rate }
--- a/crates/direct/src/cluster/tail.rs
+++ b/crates/direct/src/cluster/tail.rs
@@ -395,10 +395,9 @@
         Some(now.saturating_duration_since(at))
     }
 
-    /// Returns the same age since that read was started.
-    pub fn age_since_start(&self, topic: Topic, now: Instant) -> Option<Duration> {
-        let began = self.lock().stream(topic).confirmation.began()?;
-        Some(now.saturating_duration_since(began))
+    /// Returns when that read was started.
+    pub fn began(&self, topic: Topic) -> Option<Instant> {
+        self.lock().stream(topic).confirmation.began()
     }
 
     /// Returns whether an entry that has the records before `next` has all that any entry is known
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -1,5 +1,6 @@
 //! The process: its tasks, its readiness, and its shutdown.
 
+use crate::cluster::freeze;
 use crate::config::route::ServiceName;
 use crate::duty::billing::{self, UsageReporter};
 use crate::duty::cache_inventory;
@@ -156,6 +157,7 @@
         tasks.spawn(version_history::run(shared.clone()));
         tasks.spawn(expire_targets(shared.clone()));
         tasks.spawn(watch_pace(shared.clone()));
+        tasks.spawn(watch_freezes(shared.clone()));
         tasks.spawn(watch_fullness(shared.clone()));
         tasks.spawn(log_costs(shared.clone()));
         tasks.spawn(server.clone().accept(shared.clone(), callers, stop_accepting.clone()));
@@ -322,6 +324,13 @@
 const PACE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Follows which engines miss the pause limit of their service for the lifetime of the process.
+async fn watch_freezes(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(freeze::CHECK_INTERVAL).await;
+        shared.freezes.check(Instant::now());
+    }
+}
+
 async fn watch_pace(shared: Arc<Shared>) {
     let mut without_region = HashSet::new();
     loop {
--- a/crates/direct/src/exchange/gossip.rs
+++ b/crates/direct/src/exchange/gossip.rs
@@ -128,9 +128,10 @@
 
 /// Applies what another entry knows of the log.
 fn apply_reads(shared: &Shared, entry: u64, reads: &[StreamRead], now: Instant) {
+    let arrived = shared.freezes.arrival(now);
     for status in reads.iter().filter_map(StreamRead::status) {
         shared.observe_epoch(plat::epoch::epoch(status.change_end), "peer");
-        shared.tail.observe(entry, status, now);
+        shared.tail.observe(entry, status, arrived);
     }
 }
 
--- a/crates/direct/src/exchange/origins.rs
+++ b/crates/direct/src/exchange/origins.rs
@@ -122,7 +122,7 @@
     }
     let members = shared.peers.members();
     if members.iter().all(|member| member.address.is_none()) {
-        return Found { version: own.sole_version, ..Found::default() };
+        return find_alone(shared, service, stream, max_age, own).await;
     }
     let asked =
         shared.origins.asked(stream.unwrap_or_else(|| shared.peer_socket.unique_id()), &members);
@@ -143,6 +143,35 @@
     Found { version, asked: asked.len(), answered: answers.len() }
 }
 
+/// The same where no other entry can be asked. Others that this one can't reach may have begun streams
+/// at a version that it does not know, unless it reaches the log.
+async fn find_alone(
+    shared: &Shared,
+    service: &ServiceName,
+    stream: Option<StreamKey>,
+    max_age: Duration,
+    own: OriginAnswer,
+) -> Found {
+    if !shared.peers.directory.has_met_others() {
+        return Found { version: own.sole_version, ..Found::default() };
+    }
+    let deadline = Instant::now() + OWN_READ_WAIT;
+    loop {
+        let settled = known_here(shared, service, stream, max_age).settled();
+        let left = deadline.saturating_duration_since(Instant::now());
+        if settled.is_some() || left.is_zero() {
+            return Found { version: settled, ..Found::default() };
+        }
+        shared.tail.wait_for_update(left.min(OWN_READ_CHECK)).await;
+    }
+}
+
+/// How long an entry that is alone waits for its own next read of the list.
+const OWN_READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// How often it looks whether it has read.
+const OWN_READ_CHECK: Duration = Duration::from_millis(50);
+
 /// Asks some entries at once. Returns their answers, up to the first that settles it.
 async fn ask(
     shared: &Shared,
@@ -196,9 +225,15 @@
     let now = Instant::now();
     let version = stream.and_then(|stream| shared.origins.get(stream, now));
     let sole_version = shared.fleet().sole_version(service, max_age, now);
-    let age = shared.tail.age_since_start(Topic::Targets, now);
-    let is_current = age.is_some_and(|age| age <= MAX_CURRENT_AGE);
-    OriginAnswer { version, sole_version, is_current }
+    OriginAnswer { version, sole_version, is_current: has_current_list(shared, now) }
+}
+
+/// Whether a version that is not listed here can't have begun a stream yet.
+fn has_current_list(shared: &Shared, now: Instant) -> bool {
+    shared.tail.began(Topic::Targets).is_some_and(|began| {
+        now.saturating_duration_since(began) <= MAX_CURRENT_AGE
+            && !shared.freezes.ended_since(began, now)
+    })
 }
 
 impl OriginAnswer {
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -1,7 +1,9 @@
 //! State that all requests of an entry share.
 
 use crate::callers::Connections;
+use crate::cluster::clock::SuspendClock;
 use crate::cluster::coordinator::Coordinator;
+use crate::cluster::freeze;
 use crate::cluster::groups::{self, Groups};
 use crate::cluster::loads::Loads;
 use crate::cluster::origins::Origins;
@@ -73,6 +75,8 @@
     pub max_connections: u32,
     /// How much memory callers may make this entry hold, in bytes: about half of its process's.
     pub caller_memory: usize,
+    /// By which freezes of the process and its VM are noticed.
+    pub clock: Arc<dyn SuspendClock>,
 }
 
 /// The share of an entry's link that its datagrams to the other entries may take. Some entries have
@@ -134,6 +138,8 @@
     pub usage: Usage,
     /// At which software versions streams began.
     pub origins: Origins,
+    /// When this process stood still.
+    pub freezes: freeze::Detector,
     /// How engines are divided between prefill and decode.
     pub splits: Splits,
     /// The limits of customers; `None` if none are in force.
@@ -204,6 +210,7 @@
         let quota = quota.map(|quota| Quota::new(quota, policy::hash(&settings.name), first_id));
         let mut fleet = Fleet::new(workload.clone());
         let memory = Arc::new(Budget::new(settings.caller_memory));
+        let freezes = freeze::Detector::new(settings.clock.clone());
         fleet.begin_history(settings.first_start, Instant::now());
         Self {
             settings,
@@ -219,6 +226,7 @@
             coordinator: Coordinator::default(),
             usage: Usage::default(),
             origins: Origins::default(),
+            freezes,
             splits: Splits::default(),
             quota,
             peer_socket: PeerSocket::new(first_id),
