fix(direct): bytes without end are cut off, in heads, events and the store's responses

Another operator's machine ran out of memory on a worker that sent bytes without end.

Change: targets::head_limit bounds what is read before the final head; a stream with more than 4 MiB since its last event is broken off, and resumed where that is possible; bodies that are read whole have a limit.

--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString};
 use conf::{Generation, Kind};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request};
 use hyper_util::client::legacy::{self, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
@@ -52,6 +52,9 @@
 /// The timeout of a call, in addition to the time that it asks the entry to wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// The largest body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 impl Client {
     /// Creates a client of the entry whose API is at `address` (`host:port`). If `token` is empty,
     /// requests carry none. `operator` is the author of changes in the audit trail.
@@ -169,7 +172,7 @@
                 cause.map_or_else(|| self.failed(step, &error), |cause| self.failed(step, &cause))
             })?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|error| self.failed(step, &error))?.to_bytes();
             if status.is_success() { Ok(body) } else { Err(self.refused(step, status, &body)) }
         };
--- a/crates/direct/src/request/events.rs
+++ b/crates/direct/src/request/events.rs
@@ -16,6 +16,8 @@
     /// Whether any bytes were forwarded.
     has_forwarded: bool,
     last_id: Option<u64>,
+    /// The bytes since the last event ended.
+    event_bytes: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +32,9 @@
 /// arrives, and its stream can't be resumed any more.
 const MAX_HELD_BYTES: usize = 1024 * 1024;
 
+/// The largest event, in bytes. What is longer is no event, and may never end.
+const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
+
 /// The field that holds an event's id.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -46,12 +51,14 @@
 
     fn new(mode: Mode) -> Self {
         let (scanner, partial) = (EventScanner::default(), BytesMut::new());
-        Self { scanner, mode, partial, has_forwarded: false, last_id: None }
+        Self { scanner, mode, partial, has_forwarded: false, last_id: None, event_bytes: 0 }
     }
 
     /// Adds received bytes and returns those to forward.
     pub fn push(&mut self, bytes: &Bytes) -> Bytes {
         let boundary = self.scanner.scan(bytes);
+        let before = if boundary == 0 { self.event_bytes } else { 0 };
+        self.event_bytes = before + bytes.len() - boundary;
         let forwarded = match self.mode {
             Mode::Holding => self.hold_back(bytes, boundary),
             Mode::Passing => bytes.clone(),
@@ -89,6 +96,11 @@
         self.scanner.position()
     }
 
+    /// Returns whether the bytes since the last event are more than an event can have.
+    pub fn is_oversized(&self) -> bool {
+        self.event_bytes > MAX_EVENT_BYTES
+    }
+
     /// Returns whether the stream can be resumed: only whole events have been forwarded, and the last
     /// id is known if there were any.
     pub fn can_resume(&self) -> bool {
@@ -109,6 +121,7 @@
     pub fn discard_partial(&mut self) {
         self.partial.clear();
         self.scanner = EventScanner::default();
+        self.event_bytes = 0;
     }
 
     /// The id of the last complete event.
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -201,7 +201,13 @@
             };
             match frame {
                 Some(Ok(frame)) => {
-                    let Some(bytes) = self.accept_frame(frame) else { continue };
+                    let accepted = self.accept_frame(frame);
+                    if self.events.as_ref().is_some_and(EventBuffer::is_oversized) {
+                        self.judge_end(Outcome::Failed);
+                        self.start_resume("an event without end");
+                        return self.abort("broken-off", context);
+                    }
+                    let Some(bytes) = accepted else { continue };
                     if let State::Streaming(active) = &self.state {
                         self.trace.record_piece(&active.attempt.target);
                     }
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -123,7 +123,7 @@
         counted = true;
         let request = request(codec, buffered, head);
         let (reused, sent) = (connection.reused, Instant::now());
-        match timeout_at(bounds.deadline, connection.sender.try_send_request(request)).await {
+        match timeout_at(bounds.deadline, connection.send(request)).await {
             Err(_) => {
                 return Outcome::TimedOut;
             }
@@ -184,8 +184,8 @@
             return Err(format_compact!("not sent: {closed:?}"));
         }
         let sent = Instant::now();
-        let response = connection.sender.send_request(request).await;
-        let response = response.map_err(|error| error.to_compact_string())?;
+        let response = connection.send(request).await;
+        let response = response.map_err(|error| error.error().to_compact_string())?;
         let (status, headers) = (response.status(), response.headers().clone());
         if let Err(error) = body::head::check(status, &headers) {
             target.record_health(Health::Failing, Instant::now());
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -4,9 +4,13 @@
 //! A connection carries one request at a time and is reused only after a regular exchange: a late
 //! or duplicate response on it would otherwise reach another caller.
 
+use crate::targets::head_limit::{Allowance, Stream};
 use body::Buffered;
 use compact_str::{CompactString, ToCompactString};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -59,6 +63,9 @@
 /// The largest head of a target's response, in bytes, and the most of it that is read at a time.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
+/// The most bytes that are read before the final head: some interim responses, and one buffer.
+const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
+
 /// The connections to one target.
 #[derive(Debug)]
 pub struct Pool(Arc<Inner>);
@@ -76,6 +83,7 @@
 struct Idle {
     sender: SendRequest<Buffered>,
     surplus: Surplus,
+    allowance: Allowance,
     until: Instant,
     count: OpenCount,
 }
@@ -84,13 +92,13 @@
 /// pool.
 #[derive(Debug)]
 pub struct Connection {
-    /// Sends the request.
-    pub sender: SendRequest<Buffered>,
+    sender: SendRequest<Buffered>,
     /// Whether it has carried requests before.
     pub reused: bool,
     /// How long it took to open, if this request opened it.
     pub connect_time: Option<Duration>,
     surplus: Surplus,
+    allowance: Allowance,
     count: OpenCount,
     pool: Arc<Inner>,
 }
@@ -174,9 +182,9 @@
             unready.push(next);
         };
         idle.append(&mut unready);
-        let Idle { sender, surplus, count, .. } = found?;
+        let Idle { sender, surplus, allowance, count, .. } = found?;
         let (reused, connect_time, pool) = (true, None, self.0.clone());
-        Some(Connection { sender, reused, connect_time, surplus, count, pool })
+        Some(Connection { sender, reused, connect_time, surplus, allowance, count, pool })
     }
 
     async fn open(&self, max: u32, connect_timeout: Duration) -> Result<Connection> {
@@ -190,10 +198,12 @@
         let stream = connect(target, connect_timeout).await?;
         let connect_time = Some(began.elapsed());
         let failed = |detail| Error::Connect { target, detail };
+        let allowance = Allowance::default();
+        allowance.lift();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, mut connection) = builder
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(Stream::new(stream, allowance.clone())))
             .await
             .map_err(|error| failed(error.to_compact_string()))?;
         let surplus = Surplus::default();
@@ -206,7 +216,7 @@
             found.judge(&connection.into_parts().read_buf);
         });
         let (reused, pool) = (false, self.0.clone());
-        Ok(Connection { sender, reused, connect_time, surplus, count, pool })
+        Ok(Connection { sender, reused, connect_time, surplus, allowance, count, pool })
     }
 }
 
@@ -238,6 +248,17 @@
 }
 
 impl Connection {
+    /// Sends a request and waits for the head of the response.
+    pub async fn send(
+        &mut self,
+        request: Request<Buffered>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Buffered>>> {
+        self.allowance.limit(MAX_BYTES_BEFORE_HEAD);
+        let response = self.sender.try_send_request(request).await;
+        self.allowance.lift();
+        response
+    }
+
     /// Returns whether the response whose body has just ended was followed by bytes that are no
     /// response. What arrives later is not seen.
     pub fn has_surplus(&mut self) -> bool {
@@ -255,9 +276,9 @@
         let until = now
             + idle_timeout
                 .map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.mul_f64(IDLE_TIMEOUT_SHARE));
-        let Self { sender, surplus, count, pool, .. } = self;
+        let Self { sender, surplus, allowance, count, pool, .. } = self;
         let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.push(Idle { sender, surplus, until, count });
+        idle.push(Idle { sender, surplus, allowance, until, count });
         drop(idle);
         pool.expire_when_due();
     }
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -4,7 +4,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::TokioExecutor;
@@ -12,6 +12,9 @@
 use serde_with::{base64::Base64, serde_as};
 use std::time::Duration;
 
+/// The largest body of a response, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// A client of one of the platform's services.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
@@ -83,7 +86,7 @@
                 }
             })?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
             let body = body.map_err(|error| self.unsettled(step, &error))?;
             Ok((status, body.to_bytes()))
         };
