fix(direct): an answer that ends before the upload was sent is not complete

Cause: a body that has neither a length nor chunks is complete when its connection ends regularly. Change: not while the request has not been taken whole. What the socket's buffers hold of it can't be told from what the worker has read; an upload that fits into them is not noticed.

Evidence: answer_that_ends_before_the_upload_is_read_is_not_complete fails before the change for the regular end (resets after 0, 30, 150 ms pass); answer_that_ends_after_the_upload_was_read_is_complete passes on both.

--- a/crates/body/src/buffered.rs
+++ b/crates/body/src/buffered.rs
@@ -7,6 +7,7 @@
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
 /// The result of reading a body.
@@ -45,6 +46,19 @@
     polled: (usize, usize),
     /// Nothing for a body that was made here.
     holding: Option<Arc<Holding>>,
+    /// Set once all segments were polled, if that is followed.
+    taken: Option<Taken>,
+}
+
+/// Whether all of a body was taken to be sent.
+#[derive(Debug, Clone, Default)]
+pub struct Taken(Arc<AtomicBool>);
+
+impl Taken {
+    /// Returns whether it was. What the last buffers hold may not have been sent yet.
+    pub fn is_whole(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
 }
 
 impl Buffered {
@@ -104,6 +118,12 @@
         self.segments.iter()
     }
 
+    /// Returns the same body, to be sent from its start, and whether all of it was taken.
+    pub fn followed(&self) -> (Self, Taken) {
+        let taken = Taken(Arc::new(AtomicBool::new(self.segments.is_empty())));
+        (Self { polled: (0, 0), taken: Some(taken.clone()), ..self.clone() }, taken)
+    }
+
     /// Joins its segments; copies them if there are several.
     pub fn to_bytes(&self) -> Bytes {
         match self.segments.as_slice() {
@@ -140,6 +160,9 @@
         let (index, bytes) = this.polled;
         let Some(segment) = this.segments.get(index).cloned() else { return Poll::Ready(None) };
         this.polled = (index + 1, bytes + segment.len());
+        if let Some(Taken(whole)) = this.taken.as_ref().filter(|_| this.is_end_stream()) {
+            whole.store(true, Ordering::Relaxed);
+        }
         Poll::Ready(Some(Ok(Frame::data(segment))))
     }
 
@@ -200,6 +223,7 @@
             length: self.length,
             polled: (0, 0),
             holding: Some(Arc::new(self.upload.finish()?)),
+            taken: None,
         })
     }
 }
--- a/crates/body/src/lib.rs
+++ b/crates/body/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod head;
 
 pub use budget::{Budget, Holding};
-pub use buffered::Buffered;
+pub use buffered::{Buffered, Taken};
 pub use collected::{Collected, collect};
 pub use content::Form;
 pub use end::{End, Outcome};
--- a/crates/direct/src/request/generate/prefill_step.rs
+++ b/crates/direct/src/request/generate/prefill_step.rs
@@ -429,7 +429,7 @@
     request: &RequestContext,
     responded: attempt::Responded,
 ) -> Option<CompactString> {
-    let attempt::Responded { response, head, connection } = responded;
+    let attempt::Responded { response, head, connection, upload: _ } = responded;
     let read = body::collect(response, MAX_HANDLE_BYTES);
     let body = tokio::time::timeout_at(request.response_deadline(), read).await;
     let body = match body {
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -9,7 +9,7 @@
 use crate::targets::engine::{PrefillGuard, StreamGuard};
 use crate::targets::pool::Connection;
 use crate::targets::target::{Health, InFlightRequest, Target};
-use body::{End, Form, Framing, Outcome};
+use body::{End, Form, Framing, Outcome, Taken};
 use bytes::Bytes;
 use compact_str::ToCompactString;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -116,6 +116,7 @@
     /// Whether it is known to have gone on beyond its beginning.
     is_begun: bool,
     connection: Connection,
+    upload: Taken,
     keep_alive: Option<Duration>,
     attempt: ActiveAttempt,
     /// When the last piece of a stream arrived.
@@ -342,6 +343,9 @@
     fn judge_end(&mut self, outcome: Outcome) -> End {
         let State::Streaming(active) = &self.state else { return End::BrokenOff };
         let (framing, events) = (active.framing, self.events.as_ref());
+        // A target that ends its connection without having read the request has failed.
+        let is_unread = framing == Framing::Connection && !active.upload.is_whole();
+        let outcome = if is_unread { Outcome::Failed } else { outcome };
         let position = events.filter(|_| active.is_event_stream).map(EventBuffer::position);
         let held_bytes = events.map_or(0, EventBuffer::partial_bytes);
         self.trace.record_body_end(BodyEnd { framing, outcome, position, held_bytes });
@@ -366,7 +370,7 @@
 impl ActiveResponse {
     fn new(source: Source) -> Self {
         let Source { responded, attempt } = source;
-        let Responded { response, head, connection } = *responded;
+        let Responded { response, head, connection, upload } = *responded;
         let is_success = response.status().is_success();
         let is_event_stream = is_success && Form::of(response.headers()).is_event_stream();
         let framing = Framing::of(response.body(), response.headers());
@@ -379,6 +383,7 @@
             answered_at: Instant::now(),
             is_begun: false,
             connection,
+            upload,
             keep_alive: head.keep_alive,
             attempt,
             last_piece: None,
--- a/crates/direct/src/targets/attempt.rs
+++ b/crates/direct/src/targets/attempt.rs
@@ -5,7 +5,7 @@
 use crate::costs;
 use crate::targets::pool::{self, Connection};
 use crate::targets::target::{Health, Target};
-use body::{Buffered, Collected, End};
+use body::{Buffered, Collected, End, Taken};
 use bytes::Bytes;
 use compact_str::{CompactString, ToCompactString, format_compact};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -69,6 +69,8 @@
     pub head: ResponseHead,
     /// The connection, to be returned to the pool once the body is complete.
     pub connection: Connection,
+    /// Whether all of the request was sent.
+    pub upload: Taken,
 }
 
 /// Bounds on one attempt.
@@ -121,7 +123,7 @@
             return Outcome::Closed(closed);
         }
         counted = true;
-        let request = request(codec, buffered, head);
+        let (request, upload) = request(codec, buffered, head);
         let (reused, sent) = (connection.reused, Instant::now());
         match timeout_at(bounds.deadline, connection.send(request)).await {
             Err(_) => {
@@ -137,7 +139,7 @@
                 }
             }
             Ok(Ok(response)) => {
-                return classify(codec, target, head, sent, response, connection);
+                return classify(codec, target, head, sent, response, connection, upload);
             }
         }
     }
@@ -232,12 +234,17 @@
     Ok(response.0)
 }
 
-fn request(codec: &dyn Codec, buffered: &BufferedRequest, head: &AttemptHead) -> Request<Buffered> {
-    let mut request = Request::new(buffered.body.clone());
+fn request(
+    codec: &dyn Codec,
+    buffered: &BufferedRequest,
+    head: &AttemptHead,
+) -> (Request<Buffered>, Taken) {
+    let (body, upload) = buffered.body.followed();
+    let mut request = Request::new(body);
     *request.method_mut() = buffered.method.clone();
     *request.uri_mut() = buffered.path.clone();
     *request.headers_mut() = codec.attempt_headers(&buffered.headers, head);
-    request
+    (request, upload)
 }
 
 fn classify(
@@ -247,6 +254,7 @@
     sent: Instant,
     response: Response<Incoming>,
     mut connection: Connection,
+    upload: Taken,
 ) -> Outcome {
     let now = Instant::now();
     let status = response.status();
@@ -291,7 +299,7 @@
     }
     let health = if status.is_server_error() { Health::Failing } else { Health::Healthy };
     target.record_health(health, now);
-    Outcome::Responded(Box::new(Responded { response, head: response_head, connection }))
+    Outcome::Responded(Box::new(Responded { response, head: response_head, connection, upload }))
 }
 
 /// The outcome of a response whose head can't be relied on, nor what it states. The connection is
