fix(direct): one damaged byte of a head gives the whole body or an error

A colon in the name of the coding's field makes another field, and an added line feed ends the head early, as the HTTP client takes it for the end of a line.

Change: fields are compared as whole lines; lines of a head have to end with CRLF, which targets::head_check looks at as the head is read, together with the bound on what precedes the body.

The product's own clients do not check the ends of lines: open.

--- a/crates/body/src/head.rs
+++ b/crates/body/src/head.rs
@@ -64,7 +64,7 @@
 fn check_names(headers: &HeaderMap) -> Result<()> {
     let misspelt = |name: &HeaderName, value: &HeaderValue| {
         let holds_coding = value.as_bytes().trim_ascii().eq_ignore_ascii_case(CHUNKED);
-        holds_coding || [CONTENT_LENGTH, TRANSFER_ENCODING].iter().any(|it| is_similar(name, it))
+        holds_coding || FIELDS.iter().any(|field| is_similar(name, value, field))
     };
     match headers.iter().find(|(name, value)| misspelt(name, value)) {
         Some((name, _)) => Err(Error::Misspelt(name.as_str().to_compact_string())),
@@ -72,17 +72,30 @@
     }
 }
 
-/// The most edits (insertions, deletions, replacements, swaps of neighbours) of a misspelt name.
+/// The fields that tell where a body ends, each with a colon, without digits and blanks.
+const FIELDS: [&str; 2] = ["content-length:", "transfer-encoding:chunked"];
+
+/// The most edits (insertions, deletions, replacements, swaps of neighbours) of a misspelt field.
 const MAX_EDITS: usize = 2;
 
-fn is_similar(name: &HeaderName, to: &HeaderName) -> bool {
-    let (name, to) = (name.as_str(), to.as_str());
+fn is_similar(name: &HeaderName, value: &HeaderValue, field: &str) -> bool {
+    let (name, own_name) = (name.as_str(), field.split(':').next().unwrap_or_default());
     // An extension field has a name of its own.
-    !name.starts_with("x-")
-        && name.len().abs_diff(to.len()) <= MAX_EDITS
-        && strsim::damerau_levenshtein(name, to) <= MAX_EDITS
+    if name.starts_with("x-") || name.len() + value.len() > MAX_LINE_BYTES {
+        return false;
+    }
+    // The colon may be damaged into the name.
+    let value = String::from_utf8_lossy(value.as_bytes()).to_ascii_lowercase();
+    let line = format!("{name}:{value}");
+    let line: String =
+        line.chars().filter(|it| !it.is_ascii_digit() && !it.is_ascii_whitespace()).collect();
+    strsim::damerau_levenshtein(name, own_name) <= MAX_EDITS
+        || strsim::damerau_levenshtein(&line, field) <= MAX_EDITS
 }
 
+/// The longest line that is compared, in bytes: a length has some digits.
+const MAX_LINE_BYTES: usize = 64;
+
 fn lossy(value: &HeaderValue) -> CompactString {
     CompactString::from_utf8_lossy(value.as_bytes())
 }
--- a/crates/direct/src/targets.rs
+++ b/crates/direct/src/targets.rs
@@ -5,7 +5,7 @@
 pub mod availability;
 pub mod engine;
 pub mod fleet;
-pub mod head_limit;
+pub mod head_check;
 pub mod pace;
 pub mod pool;
 pub mod target;
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -4,7 +4,7 @@
 //! A connection carries one request at a time and is reused only after a regular exchange: a late
 //! or duplicate response on it would otherwise reach another caller.
 
-use crate::targets::head_limit::{Allowance, Stream};
+use crate::targets::head_check::{Check, Stream};
 use body::Buffered;
 use compact_str::{CompactString, ToCompactString};
 use hyper::body::Incoming;
@@ -63,8 +63,8 @@
 /// The largest head of a target's response, in bytes, and the most of it that is read at a time.
 pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// The most bytes that are read before the final head: some interim responses, and one buffer.
-const MAX_BYTES_BEFORE_HEAD: usize = 4 * MAX_HEAD_BYTES;
+/// The most bytes of a final head and the interim ones before it.
+const MAX_HEADS_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
 /// The connections to one target.
 #[derive(Debug)]
@@ -83,7 +83,7 @@
 struct Idle {
     sender: SendRequest<Buffered>,
     surplus: Surplus,
-    allowance: Allowance,
+    check: Check,
     until: Instant,
     count: OpenCount,
 }
@@ -98,7 +98,7 @@
     /// How long it took to open, if this request opened it.
     pub connect_time: Option<Duration>,
     surplus: Surplus,
-    allowance: Allowance,
+    check: Check,
     count: OpenCount,
     pool: Arc<Inner>,
 }
@@ -182,9 +182,9 @@
             unready.push(next);
         };
         idle.append(&mut unready);
-        let Idle { sender, surplus, allowance, count, .. } = found?;
+        let Idle { sender, surplus, check, count, .. } = found?;
         let (reused, connect_time, pool) = (true, None, self.0.clone());
-        Some(Connection { sender, reused, connect_time, surplus, allowance, count, pool })
+        Some(Connection { sender, reused, connect_time, surplus, check, count, pool })
     }
 
     async fn open(&self, max: u32, connect_timeout: Duration) -> Result<Connection> {
@@ -198,12 +198,11 @@
         let stream = connect(target, connect_timeout).await?;
         let connect_time = Some(began.elapsed());
         let failed = |detail| Error::Connect { target, detail };
-        let allowance = Allowance::default();
-        allowance.lift();
+        let check = Check::default();
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
         let (sender, mut connection) = builder
-            .handshake(TokioIo::new(Stream::new(stream, allowance.clone())))
+            .handshake(TokioIo::new(Stream::new(stream, check.clone())))
             .await
             .map_err(|error| failed(error.to_compact_string()))?;
         let surplus = Surplus::default();
@@ -216,7 +215,7 @@
             found.judge(&connection.into_parts().read_buf);
         });
         let (reused, pool) = (false, self.0.clone());
-        Ok(Connection { sender, reused, connect_time, surplus, allowance, count, pool })
+        Ok(Connection { sender, reused, connect_time, surplus, check, count, pool })
     }
 }
 
@@ -253,9 +252,9 @@
         &mut self,
         request: Request<Buffered>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Buffered>>> {
-        self.allowance.limit(MAX_BYTES_BEFORE_HEAD);
+        self.check.begin(MAX_HEADS_BYTES);
         let response = self.sender.try_send_request(request).await;
-        self.allowance.lift();
+        self.check.end();
         response
     }
 
@@ -276,9 +275,9 @@
         let until = now
             + idle_timeout
                 .map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.mul_f64(IDLE_TIMEOUT_SHARE));
-        let Self { sender, surplus, allowance, count, pool, .. } = self;
+        let Self { sender, surplus, check, count, pool, .. } = self;
         let mut idle = pool.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.push(Idle { sender, surplus, allowance, until, count });
+        idle.push(Idle { sender, surplus, check, until, count });
         drop(idle);
         pool.expire_when_due();
     }
