fix(direct): requests that outlast a planned stop are answered before the process ends

Another operator saw requests of a planned stop cut with no answer, among them some that may not be repeated. Late in the grace period this does not happen here: only what is certain to end in time is begun. Earlier a request is taken if its route usually is quick enough. When its target suddenly takes longer, its connection was cut when the process ended, and so was an upload that was still under way.

Change: 0.2 s before the end a request whose target has not answered gets a 502, which promises nothing, and one that was not read whole a 503, as it has not run.

Bodies that are under way are cut as before.

--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -77,6 +77,10 @@
 /// response.
 const STOP_ACCEPTING_BEFORE: Duration = Duration::from_millis(600);
 
+/// How long before the process ends requests whose targets have not answered are: the answers still
+/// have to reach their callers.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
+
 /// How often an entry that is stopping checks whether its connections have ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -194,6 +198,9 @@
     stop_accepting.cancel();
     // Callers take their streams up at other entries as soon as these are cut off.
     hand_over(shared, stop.deadline).await;
+    let answers_at = stop.deadline.checked_sub(LAST_ANSWERS_TIME).unwrap_or(stop.deadline);
+    wait_for_callers(shared, answers_at).await;
+    shared.ending.cancel();
     wait_for_callers(shared, stop.deadline).await;
     log::info!(target: "process", cut = shared.callers.count(),
         ms = began.elapsed().as_millis(); "stopped");
--- a/crates/direct/src/request/response.rs
+++ b/crates/direct/src/request/response.rs
@@ -188,6 +188,9 @@
     }
 }
 
+/// `Retry-After` when another entry can serve the request.
+pub const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// A refusal with the time after which the caller should retry.
 pub fn refuse(refusal: Refusal, retry_after: Duration) -> Response<Body> {
     let mut response = local(refusal.status(), refusal.name());
--- a/crates/direct/src/request/serve.rs
+++ b/crates/direct/src/request/serve.rs
@@ -3,7 +3,7 @@
 use crate::buffered_request::BufferedRequest;
 use crate::config::customers::Caller;
 use crate::request::context::RequestContext;
-use crate::request::response::{self, Body, Refusal};
+use crate::request::response::{self, Body, OTHER_ENTRY_RETRY_AFTER, Refusal};
 use crate::request::trace::Trace;
 use crate::request::{generate, plain, quota, take_up};
 use crate::shared::Shared;
@@ -16,9 +16,6 @@
 /// less.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` when another entry can serve the request.
-const OTHER_ENTRY_RETRY_AFTER: Duration = Duration::from_millis(10);
-
 /// Logged for a request that takes a stream up without naming the attempt that began it.
 const UNNAMED_ATTEMPT: &str = "unnamed";
 
--- a/crates/direct/src/request/server.rs
+++ b/crates/direct/src/request/server.rs
@@ -5,7 +5,9 @@
 use crate::callers::{Connection, Gate};
 use crate::config::route::Limits;
 use crate::request::caller_stream::CallerStream;
-use crate::request::response::{self, Body, Refusal, TrackedBody};
+use crate::request::response::{
+    self, Body, Failure, OTHER_ENTRY_RETRY_AFTER, Refusal, TrackedBody,
+};
 use crate::request::{intake, serve};
 use crate::shared::Shared;
 use body::{Buffered, buffered};
@@ -218,8 +220,21 @@
     has_unread_body: &AtomicBool,
 ) -> Response<Body> {
     let arrived = Instant::now();
-    let mut response = match read_request(&shared, request).await {
-        Ok(buffered) => serve::serve(shared, buffered, arrived).await,
+    let read = tokio::select! {
+        biased;
+        read = read_request(&shared, request) => read,
+        () = shared.ending.cancelled() => Err(Unreadable::Stopping),
+    };
+    let mut response = match read {
+        Ok(buffered) => {
+            let ending = shared.ending.clone();
+            tokio::select! {
+                biased;
+                response = serve::serve(shared, buffered, arrived) => response,
+                // It may have run, unlike what is refused.
+                () = ending.cancelled() => response::fail(Failure::Lost),
+            }
+        }
         Err(reason) => {
             shared.metrics.body_refused(reason.name());
             has_unread_body.store(true, Ordering::Relaxed);
@@ -256,6 +271,7 @@
     NoMemory,
     CutOff,
     TooSlow,
+    Stopping,
 }
 
 impl Unreadable {
@@ -265,6 +281,7 @@
             Self::NoMemory => Refusal::MemoryFull.name(),
             Self::CutOff => "cut-off",
             Self::TooSlow => "too-slow",
+            Self::Stopping => Refusal::Stopping.name(),
         }
     }
 
@@ -273,6 +290,7 @@
             Self::TooLarge => response::local(StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
             Self::NoMemory => response::refuse(Refusal::MemoryFull, MEMORY_RETRY_AFTER),
             Self::CutOff => response::local(StatusCode::BAD_REQUEST, "body cut off"),
+            Self::Stopping => response::refuse(Refusal::Stopping, OTHER_ENTRY_RETRY_AFTER),
             Self::TooSlow => response::local(StatusCode::REQUEST_TIMEOUT, "body too slow"),
         }
     }
--- a/crates/direct/src/shared.rs
+++ b/crates/direct/src/shared.rs
@@ -42,6 +42,7 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 /// Settings of an entry that sends requests directly to targets.
 #[derive(Debug, Clone)]
@@ -169,6 +170,8 @@
     entries: AtomicU32,
     random: Mutex<ChaCha8Rng>,
     stop: OnceLock<Stop>,
+    /// Cancelled just before the process ends: what still waits for its target is answered then.
+    pub ending: CancellationToken,
     started: Instant,
 }
 
@@ -244,6 +247,7 @@
             entries: AtomicU32::new(1),
             random: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             stop: OnceLock::new(),
+            ending: CancellationToken::new(),
             started: Instant::now(),
         }
     }
