feat(stages): entries that may plan log how many engines prefill and decode

prompts-full alone did not tell whether engines of the role are lacking, unavailable or idle; the planner logged what it changes, not what it sees. One line when the counts change, with the split that was decided.

--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -123,6 +123,17 @@
     last_sample: Option<(u64, Instant)>,
     /// What has been wrong with the split, and since when.
     imbalance: Option<(Imbalance, Instant)>,
+    /// How many engines there were by role at the last check.
+    counts: Counts,
+}
+
+/// How many engines of a service there are by role; available ones can be reached and accept work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+struct Counts {
+    prefill: usize,
+    available_prefill: usize,
+    decode: usize,
+    available_decode: usize,
 }
 
 /// What is wrong with a split; the names of the variants are logged.
@@ -170,7 +181,7 @@
             let mut state = self.services.remove(&service.name).unwrap_or_default();
             self.sample_demand(service, &mut state, now);
             let idle = state.demand.is_idle();
-            let found = self.find_imbalance(service, &state, now);
+            let found = self.find_imbalance(service, &mut state, now);
             state.imbalance = found.as_ref().map(|found| match state.imbalance {
                 Some((before, since)) if before == found.imbalance => (before, since),
                 _ => (found.imbalance, now),
@@ -249,7 +260,7 @@
     fn find_imbalance(
         &self,
         service: &Service,
-        state: &ServiceState,
+        state: &mut ServiceState,
         now: Instant,
     ) -> Option<Correction> {
         let targets = self.shared.usable(&service.name);
@@ -263,6 +274,7 @@
             engine.unfit = slow;
         }
         let engines: Vec<Engine> = staged.iter().map(|(_, _, engine)| *engine).collect();
+        self.log_counts(service, state, &engines);
         let missing = split::missing_role(&engines);
         if missing.is_some() {
             // The available engines have to fill both roles.
@@ -306,6 +318,26 @@
         (!changes.is_empty()).then_some(Correction { imbalance, changes, ratio })
     }
 
+    /// Logs how the pool is divided, when that changes.
+    fn log_counts(&self, service: &Service, state: &mut ServiceState, engines: &[Engine]) {
+        let mut counts = Counts::default();
+        for engine in engines {
+            let (all, available) = match engine.role {
+                EngineRole::Prefill => (&mut counts.prefill, &mut counts.available_prefill),
+                EngineRole::Decode => (&mut counts.decode, &mut counts.available_decode),
+            };
+            *all += 1;
+            *available += usize::from(engine.available);
+        }
+        if std::mem::replace(&mut state.counts, counts) != counts {
+            let Counts { prefill, available_prefill, decode, available_decode } = counts;
+            let split = self.shared.splits.ratio(&service.name).map(|(ratio, _)| ratio);
+            log::info!(target: "stages", service = service.name.as_str(), prefill,
+                available_prefill, decode, available_decode, split:? = split;
+                "engines by stage");
+        }
+    }
+
     /// How many engines should prefill in a system that starts for the first time, if that many
     /// don't yet.
     fn first_prefill(&self, engines: &[Engine]) -> Option<usize> {
