--- a/crates/direct/tests/logging.rs
+++ b/crates/direct/tests/logging.rs
@@ -35,3 +35,45 @@
     assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
     assert!(direct::logging::dropped() > 90_000);
 }
+
+/// Collects what is written.
+#[derive(Clone, Default)]
+struct Collected(std::sync::Arc<std::sync::Mutex<Vec<u8>>>);
+
+impl Write for Collected {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().expect("no writer panics").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Text that others write: it ends a line or a string.
+const FOREIGN: &str = "a\nb\" level=ERROR c\r\u{1}";
+
+/// Guards against a key that forges a line of the log, or a field.
+#[test]
+fn text_of_others_stays_in_its_field() {
+    let output = Collected::default();
+    let appender = QueuedAppender::new(output.clone());
+    appender
+        .append(&Record::builder().payload(format_args!("key {FOREIGN}")).build(), &[])
+        .unwrap();
+    std::thread::sleep(direct::logging::FLUSH_INTERVAL * 4);
+    let text = String::from_utf8(output.0.lock().unwrap().clone()).unwrap();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(!text.contains("b\" level=ERROR"), "{text}");
+}
+
+/// Guards against a name that forges a line of the metrics, or a label.
+#[test]
+fn text_of_others_stays_in_its_label() {
+    let metrics = direct::metrics::Metrics::default();
+    metrics.piece_time(FOREIGN, Duration::from_millis(1), Duration::from_millis(2));
+    let text = metrics.text();
+    assert!(text.contains(r#"a\nb\" level=ERROR c"#), "{text}");
+    assert!(!text.lines().any(|line| line.starts_with('b')), "{text}");
+}
