feat(direct): streams of one version go on after all entries were killed at once

What entries know of versions was lost with them.

Change: heartbeats in the entries' stream tell the versions of the last minute and up to which offset of the list of targets, and are written at once when the versions change. The first two entries that start read the changes of the list since then; if they are all there, nothing has been missed, as no entry was alive that could have begun a stream elsewhere. The others ask these two, as before.

--- a/crates/direct/src/cluster/messages/versions.rs
+++ b/crates/direct/src/cluster/messages/versions.rs
@@ -2,9 +2,11 @@
 //! [`crate::exchange::version_history`].
 
 use crate::targets::fleet::{VersionHistory, VersionRow};
+use policy::Hash;
 use policy::reservations::ReservationId;
 use policy::versions::{MEMORY, Seen, Version};
 use prost::Message;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The maximum number of versions in one datagram. A history with more of them is not sent, as a
@@ -70,6 +72,11 @@
         })
     }
 
+    /// Returns the services, by the hashes of their names, each with its versions.
+    pub fn set(&self) -> BTreeSet<(Hash, Version)> {
+        self.services.iter().copied().zip(self.versions.iter().copied()).collect()
+    }
+
     /// Decodes it; `None` if columns differ in length.
     pub fn history(&self) -> Option<VersionHistory> {
         let Self { span_ms, services, versions, ages_ms, end, settled } = self;
--- a/crates/direct/src/daemon.rs
+++ b/crates/direct/src/daemon.rs
@@ -136,7 +136,7 @@
         let server = Arc::new(CallerServer::new(stop.clone(), close_idle.clone()));
         let mut tasks = JoinSet::new();
         tasks.spawn(follow::config(shared.clone(), log.clone(), decode.clone()));
-        tasks.spawn(follow::targets(shared.clone(), log.clone(), decode));
+        tasks.spawn(follow::targets(shared.clone(), log.clone(), decode.clone()));
         let (updates, view) = watch::channel(StreamView::default());
         tasks.spawn(entry_stream::publish_heartbeats(
             shared.clone(),
@@ -156,9 +156,9 @@
             tasks.spawn(metering::run(shared.clone()));
             tasks.spawn(billing::run(shared.clone(), log.clone(), reporter, settings, incarnation));
         }
-        tasks.spawn(stage_planner::run(shared.clone(), log, view));
+        tasks.spawn(stage_planner::run(shared.clone(), log.clone(), view));
         tasks.spawn(cache_inventory::run(shared.clone()));
-        tasks.spawn(version_history::run(shared.clone()));
+        tasks.spawn(version_history::run(shared.clone(), log.clone(), decode.clone()));
         tasks.spawn(expire_targets(shared.clone()));
         tasks.spawn(watch_pace(shared.clone()));
         tasks.spawn(watch_freezes(shared.clone()));
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -7,14 +7,18 @@
 
 mod reader;
 
-use crate::cluster::messages::VerdictRow;
+use crate::cluster::messages::{VerdictRow, Versions};
 use crate::codec::TargetId;
 use crate::exchange::crashes;
 use crate::exchange::notice::{self, Heartbeat, Kind, Plan, WrittenVerdicts};
+use crate::exchange::version_history;
 use crate::shared::Shared;
 use compact_str::CompactString;
 use plat::{KeyedLog, Offset};
+use policy::Hash;
+use policy::versions::Version;
 use reader::Reader;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -42,6 +46,9 @@
 /// The maximum number of records per read.
 const MAX_RECORDS: usize = 512;
 
+/// The interval at which it is checked whether targets have other software versions.
+const VERSIONS_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The interval at which it is checked whether verdicts are to be written.
 const VERDICTS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -91,7 +98,7 @@
     address: SocketAddr,
     stop: CancellationToken,
 ) {
-    let mut epoch = None;
+    let (mut epoch, mut written) = (None, None);
     if !shared.settings.seeds.is_empty() {
         tokio::time::sleep(FIRST_HEARTBEAT_DELAY).await;
     }
@@ -100,9 +107,11 @@
         if shared.peers.directory.is_anchor() {
             let (name, address) = (shared.settings.name.to_string(), address.to_string());
             let link_rate = shared.settings.link.bytes_per_second;
-            let splits = shared.splits.rows();
+            let (takes_part, splits) = (true, shared.splits.rows());
+            let versions = version_history::own_history(&shared);
+            written = versions.as_ref().map(Versions::set);
             let heartbeat =
-                Heartbeat { name, leaving, address, link_rate, takes_part: true, splits };
+                Heartbeat { name, leaving, address, link_rate, takes_part, splits, versions };
             write(&*log, Kind::Heartbeat(heartbeat)).await;
         }
         if leaving {
@@ -110,6 +119,9 @@
         }
         tokio::select! {
             () = tokio::time::sleep(HEARTBEAT_INTERVAL) => {}
+            // If all entries are killed now, the next ones learn from the log which versions there
+            // were.
+            () = other_versions(&shared, written.as_ref()) => {}
             // The restored log lacks recent heartbeats: an entry that starts now would see no
             // others.
             () = shared.tail.wait_for_restore(&mut epoch) => {}
@@ -118,6 +130,17 @@
     }
 }
 
+/// Waits until targets have other software versions than those that were written last.
+async fn other_versions(shared: &Shared, written: Option<&BTreeSet<(Hash, Version)>>) {
+    loop {
+        tokio::time::sleep(VERSIONS_INTERVAL).await;
+        let current = version_history::own_history(shared).map(|versions| versions.set());
+        if current.is_some() && current.as_ref() != written {
+            return;
+        }
+    }
+}
+
 /// Writes which requests are refused, while this entry is the one that does: entries that are all
 /// started at once have nobody to tell them.
 pub async fn publish_verdicts(shared: Arc<Shared>, log: Arc<dyn KeyedLog>) {
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -3,6 +3,7 @@
 use super::{
     MAX_RECORDS, PLAN_RETENTION, READ_INTERVAL, READ_WAIT, STREAM, StreamView, expect_changes,
 };
+use crate::cluster::messages::Versions;
 use crate::cluster::tail::{self, FollowStep, Retry, Topic};
 use crate::exchange::notice::{Heartbeat, Kind, Notice, Plan, SuspectedRequests, WrittenVerdicts};
 use crate::exchange::{catch_up, crashes, dissemination, membership};
@@ -302,8 +303,12 @@
 /// Applies a heartbeat: joins an entry that takes part in the membership and isn't known yet, and
 /// counts any other as live.
 fn apply_heartbeat(shared: &Shared, heartbeat: &Heartbeat) -> Effect {
-    let Heartbeat { name, leaving, address, link_rate, takes_part, splits } = heartbeat;
+    let Heartbeat { name, leaving, address, link_rate, takes_part, splits, versions } = heartbeat;
     let (key, directory) = (policy::hash(name), &shared.peers.directory);
+    // What an earlier process of this entry wrote counts as well.
+    if let Some(history) = versions.as_ref().and_then(Versions::history) {
+        shared.fleet().offer_logged_history(history);
+    }
     if *name == shared.settings.name {
         return Effect::Nothing;
     }
--- a/crates/direct/src/exchange/notice.rs
+++ b/crates/direct/src/exchange/notice.rs
@@ -1,6 +1,6 @@
 //! The records of the entries' stream, see [`crate::exchange::entry_stream`].
 
-use crate::cluster::messages::VerdictRow;
+use crate::cluster::messages::{VerdictRow, Versions};
 use crate::cluster::splits::SplitRow;
 use crate::codec::TargetId;
 use crate::config::route::Stage;
@@ -56,6 +56,9 @@
     /// How the engines of services are divided, as far as the entry knows.
     #[prost(message, repeated, tag = "6")]
     pub splits: Vec<SplitRow>,
+    /// The software versions that targets had lately, if the entry's list is up to date.
+    #[prost(message, optional, tag = "7")]
+    pub versions: Option<Versions>,
 }
 
 /// The announcement of stage changes by an entry.
--- a/crates/direct/src/targets/fleet.rs
+++ b/crates/direct/src/targets/fleet.rs
@@ -162,6 +162,13 @@
     pub seen: Seen,
 }
 
+impl VersionRow {
+    /// Whether it is of the same service and version.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.service == other.service && self.seen.version == other.seen.version
+    }
+}
+
 /// The targets of all services.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -195,6 +202,8 @@
     list_start: Option<Offset>,
     /// The start of the times in the histories.
     started: Option<Instant>,
+    /// The history that an entry last wrote to the log, until it was merged.
+    logged_history: Option<VersionHistory>,
     /// Announced stage changes of engines that are not listed yet, each with its deadline.
     expected: HashMap<TargetId, (Stage, Instant)>,
 }
@@ -281,6 +290,22 @@
         true
     }
 
+    /// Keeps a history that an entry wrote to the log, if it reaches further than the one kept, or as far
+    /// and is newer.
+    pub fn offer_logged_history(&mut self, history: VersionHistory) {
+        let rank = |history: &VersionHistory| (history.span, history.end);
+        if self.logged_history.as_ref().is_none_or(|kept| rank(kept) < rank(&history)) {
+            self.logged_history = Some(history);
+        }
+    }
+
+    /// Takes the history that was last written to the log, and from which offset on all changes of the
+    /// list were seen here, if both are known.
+    pub fn take_logged_history(&mut self) -> Option<(VersionHistory, Offset)> {
+        let start = self.list_start?;
+        Some((self.logged_history.take()?, start))
+    }
+
     /// Lets streams begin at all versions that are listed: at the first start of a system no entry
     /// relies on an earlier list.
     fn settle_all(&mut self, now: Instant) {
--- a/crates/direct/src/targets/target.rs
+++ b/crates/direct/src/targets/target.rs
@@ -510,7 +510,8 @@
     }
 }
 
-fn software_key(software: Option<&str>) -> policy::Hash {
+/// Returns the key of a software version; targets that report none have the same.
+pub fn software_key(software: Option<&str>) -> policy::Hash {
     policy::hash(software.unwrap_or_default())
 }
 
