--- a/crates/direct/src/instrumented_log.rs
+++ b/crates/direct/src/instrumented_log.rs
@@ -34,9 +34,19 @@
             Err(Error::Conflict { .. }) => "moved",
             Err(_) => "failed",
         };
+        self.record_outcome(call, stream, began, outcome);
+        result
+    }
+
+    fn record_outcome(
+        &self,
+        call: &'static str,
+        stream: &str,
+        began: Instant,
+        outcome: &'static str,
+    ) {
         self.metrics.log_call(call, outcome, began.elapsed());
         costs::log_call(call, stream, outcome, began.elapsed());
-        result
     }
 }
 
@@ -63,7 +73,12 @@
 impl KeyedLog for InstrumentedLog {
     async fn newest(&self, stream: &str) -> Result<Newest> {
         let began = Instant::now();
-        self.record("newest", stream, began, self.log.newest(stream).await)
+        let result = self.log.newest(stream).await;
+        if result.as_ref().is_ok_and(|newest| newest.cut_short.is_some()) {
+            self.record_outcome("newest", stream, began, "part");
+            return result;
+        }
+        self.record("newest", stream, began, result)
     }
 
     async fn changes(
