feat(stages): entries that start plan at once if the log still holds all plans

After a loss of power of all entries none planned for 10 s: a plan that it had not read could be in force. Where the entries' stream is read from its first record, none can be missed. Entries that may plan and got the records from others read what precedes them once. Engines that a plan names are still left alone for 10 s after it was read; after a restore from an older copy it is as before.

--- a/crates/direct/src/cluster/members.rs
+++ b/crates/direct/src/cluster/members.rs
@@ -22,6 +22,9 @@
 /// How many entries write heartbeats to the log for those that know no other entry.
 const ANCHORS: u32 = 3;
 
+/// How many entries may plan stage changes: one plans, and the others are standbys.
+const MAX_PLANNERS: u32 = 6;
+
 /// For how long an entry that takes no part in the membership counts as live after a heartbeat in
 /// the log.
 const HEARTBEAT_TTL: Duration = Duration::from_secs(21);
@@ -165,6 +168,11 @@
         self.lock().planning_rank
     }
 
+    /// Returns whether this entry is among the first in that order, of which one plans.
+    pub fn may_plan(&self) -> bool {
+        self.planning_rank() < MAX_PLANNERS
+    }
+
     /// Returns this entry's rank in the order for a task, among the live entries.
     pub fn rank(&self, task: Hash) -> u32 {
         self.lock().rank(task)
--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -47,9 +47,6 @@
 /// The longest interval between two checks.
 const MAX_CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// How many entries check it at all: one plans, and the others are standbys.
-const MAX_PLANNERS: u32 = 6;
-
 /// How long the same number of engines must have the wrong split before it is changed: longer than
 /// the heartbeat interval of an engine that has just changed, or of one that is not listed yet when
 /// the system starts.
@@ -99,7 +96,7 @@
     let mut planner = Planner { shared, log, stream_view, services: HashMap::new() };
     loop {
         tokio::time::sleep(planner.check_interval()).await;
-        if planner.may_plan() {
+        if planner.shared.peers.directory.may_plan() {
             planner.tick().await;
         } else {
             // What it has observed is out of date by the time that it plans.
@@ -166,11 +163,6 @@
         (CHECK_INTERVAL * (engines / ENGINES_PER_INTERVAL).max(1)).min(MAX_CHECK_INTERVAL)
     }
 
-    /// Whether this entry is among the first in the order of planning, of which one plans.
-    fn may_plan(&self) -> bool {
-        self.shared.peers.directory.planning_rank() < MAX_PLANNERS
-    }
-
     async fn tick(&mut self) {
         if self.shared.stopping().is_some() || !self.shared.fleet().has_list() {
             return;
@@ -438,7 +430,9 @@
     fn has_all_plans(&self, now: Instant) -> bool {
         let view = self.stream_view.borrow();
         view.complete_since.is_some_and(|complete| {
-            self.is_first_start(&view) || now.duration_since(complete) >= QUIET_PERIOD
+            self.is_first_start(&view)
+                || view.is_whole
+                || now.duration_since(complete) >= QUIET_PERIOD
         })
     }
 
--- a/crates/direct/src/exchange/entry_stream.rs
+++ b/crates/direct/src/exchange/entry_stream.rs
@@ -72,6 +72,8 @@
     /// The time since which no plan was missed: there may have been plans before the first read,
     /// and among records that expired unread.
     pub complete_since: Option<Instant>,
+    /// Whether all records since the stream's first one are known, and with them all plans.
+    pub is_whole: bool,
     /// Engines named by plans that were read within the last `PLAN_RETENTION`.
     pub planned_engines: Vec<PlannedEngine>,
 }
@@ -184,7 +186,7 @@
 
     /// Records that plans may have expired unread.
     fn mark_incomplete(&mut self) {
-        (self.last_plan_at, self.complete_since) = (None, None);
+        (self.last_plan_at, self.complete_since, self.is_whole) = (None, None, false);
         self.may_have_plan = true;
     }
 }
--- a/crates/direct/src/exchange/entry_stream/reader.rs
+++ b/crates/direct/src/exchange/entry_stream/reader.rs
@@ -32,6 +32,8 @@
     reread: Reread,
     /// After a failed call, when to call again although no peer has read the stream.
     retry: Option<Retry>,
+    /// Whether it was tried to read the stream from its first record.
+    has_read_start: bool,
 }
 
 /// The records that may have been read before, after the log was restored from an older copy.
@@ -64,7 +66,8 @@
     ) -> Self {
         let reread = Reread::Nothing;
         let read_began = Instant::now();
-        Self { shared, log, view, next: 0, change_end: 0, read_began, reread, retry: None }
+        let (next, change_end, retry, has_read_start) = (0, 0, None, false);
+        Self { shared, log, view, next, change_end, read_began, reread, retry, has_read_start }
     }
 
     pub(super) async fn run(mut self) {
@@ -72,6 +75,7 @@
             self.apply_received(newest);
         }
         loop {
+            self.read_start().await;
             if let Some(span) = self.forwarded_span().await {
                 self.apply_span(span);
                 continue;
@@ -92,6 +96,35 @@
         }
     }
 
+    /// Reads what precedes the records that others sent, once, if this entry may plan stage changes: a
+    /// plan may be among them.
+    async fn read_start(&mut self) {
+        let is_received = self.view.borrow().end.is_some() && !self.view.borrow().is_whole;
+        if self.has_read_start || !is_received || !self.shared.peers.directory.may_plan() {
+            return;
+        }
+        self.has_read_start = true;
+        let (mut from, mut view) = (0, self.view.borrow().clone());
+        while from < self.next {
+            let read = self.log.read(STREAM, from, MAX_RECORDS, Duration::ZERO).await;
+            let batch = match read {
+                Ok(batch) if batch.oldest == 0 && !batch.entries.is_empty() => batch,
+                Ok(_) => return,
+                Err(error) => {
+                    log::debug!(target: "bulletin", error:% = error; "start of the stream not read");
+                    return;
+                }
+            };
+            let now = Instant::now();
+            for entry in batch.entries {
+                from = entry.offset + 1;
+                apply_reread(&entry, &mut view, now);
+            }
+        }
+        view.is_whole = true;
+        self.publish(view);
+    }
+
     /// Waits until this entry should read the stream, or a peer forwards its next records.
     async fn forwarded_span(&mut self) -> Option<tail::RecordSpan> {
         // Peers can't forward the records before the first read.
@@ -169,6 +202,8 @@
         let is_first = view.end.is_none();
         view.last_plan_at.get_or_insert(now);
         view.complete_since.get_or_insert(now);
+        // A log that was restored from an older copy may have lost plans.
+        view.is_whole |= is_first && batch.oldest == 0 && epoch::epoch(batch.end) == 0;
         view.planned_engines.retain(|planned| now.duration_since(planned.read_at) < PLAN_RETENTION);
         let reread_end = self.reread.before(batch.end);
         self.next = self.next.max(batch.oldest);
