refactor(stages): what restores a split is a function of its own; a broken stream is resumed where it can be

A stream that was broken off for surplus bytes or an event without end started to be resumed and was aborted all the same. Neither can be resumed today: a stream that can has no known length towards its caller, and an event of 1 MiB ends that.

--- a/crates/direct/src/duty/stage_planner.rs
+++ b/crates/direct/src/duty/stage_planner.rs
@@ -280,17 +280,12 @@
         };
         let role_for =
             |desired| if desired > prefill { EngineRole::Prefill } else { EngineRole::Decode };
-        let split = self.shared.splits.ratio(&service.name).filter(|_| missing.is_none());
-        let restored = split.and_then(|(ratio, since)| {
-            let span = now.saturating_duration_since(since).min(JOIN_SPAN);
-            let joined: Vec<bool> =
-                staged.iter().map(|(target, ..)| target.known_for(now) < span).collect();
-            split::joined_to_change(&engines, &joined, ratio)
-        });
-        if let Some((indexes, desired)) = restored {
+        let ages = staged.iter().map(|(target, ..)| target.known_for(now));
+        if missing.is_none()
+            && let Some((indexes, desired)) = self.restore_split(service, &engines, ages, now)
+        {
             let (imbalance, changes) = (Imbalance::Joined(role_for(desired)), to_changes(indexes));
-            let correction = Correction { imbalance, changes, ratio: None };
-            return (!correction.changes.is_empty()).then_some(correction);
+            return (!changes.is_empty()).then_some(Correction { imbalance, changes, ratio: None });
         }
         let history = self.history(service, state);
         let settings = &self.shared.settings.split;
@@ -310,6 +305,21 @@
         (!changes.is_empty()).then_some(Correction { imbalance, changes, ratio })
     }
 
+    /// The engines that have joined, by how long they are known, and have to change for the split that
+    /// was decided; and how many then prefill.
+    fn restore_split(
+        &self,
+        service: &Service,
+        engines: &[Engine],
+        ages: impl Iterator<Item = Duration>,
+        now: Instant,
+    ) -> Option<(Vec<usize>, usize)> {
+        let (ratio, since) = self.shared.splits.ratio(&service.name)?;
+        let span = now.saturating_duration_since(since).min(JOIN_SPAN);
+        let joined: Vec<bool> = ages.map(|age| age < span).collect();
+        split::joined_to_change(engines, &joined, ratio)
+    }
+
     /// Logs how the pool is divided, when that changes.
     fn log_counts(&self, service: &Service, state: &mut ServiceState, engines: &[Engine]) {
         let mut counts = Counts::default();
--- a/crates/direct/src/exchange/follow.rs
+++ b/crates/direct/src/exchange/follow.rs
@@ -159,7 +159,7 @@
     }
 
     /// Returns the next update, retrying until a call succeeds or a list was read in part.
-    async fn read(&mut self) -> std::result::Result<Update, PartialList> {
+    async fn read(&mut self) -> Result<Update, PartialList> {
         loop {
             if let Some(until) = self.backoff_until.take() {
                 tokio::time::sleep_until(until).await;
--- a/crates/direct/src/request/relay.rs
+++ b/crates/direct/src/request/relay.rs
@@ -205,8 +205,10 @@
                     let accepted = self.accept_frame(frame);
                     if self.events.as_ref().is_some_and(EventBuffer::is_oversized) {
                         self.judge_end(Outcome::Failed);
-                        self.start_resume("an event without end");
-                        return self.abort("broken-off", context);
+                        if !self.start_resume("an event without end") {
+                            return self.abort("broken-off", context);
+                        }
+                        continue;
                     }
                     let Some(bytes) = accepted else { continue };
                     if let State::Streaming(active) = &self.state {
@@ -218,8 +220,10 @@
                     if self.is_end_of_response() {
                         if self.has_surplus() {
                             self.judge_end(Outcome::Failed);
-                            self.start_resume(SURPLUS);
-                            return self.abort("broken-off", context);
+                            if !self.start_resume(SURPLUS) {
+                                return self.abort("broken-off", context);
+                            }
+                            continue;
                         }
                         self.judge_end(Outcome::Ended);
                         self.finish();
