--- a/crates/direct/src/exchange/version_history.rs
+++ b/crates/direct/src/exchange/version_history.rs
@@ -7,8 +7,8 @@
 //! asks a few others what they knew before, until that reaches back far enough; an entry that stops
 //! tells a few. Only an entry whose list is up to date answers, and what it knows is taken over if
 //! its list reaches to where the recipient's begins, so that there is no gap between the two.
-//! Entries that are all started at once find nobody who knows more. Heartbeats in the entries' stream tell
-//! what was known when they were written; what has changed in the list since then is read from the log.
+//! Entries that are all started at once find nobody who knows more. They take what heartbeats in the
+//! entries' stream say, and read in the log what has changed in the list since these were written.
 
 use crate::cluster::messages::{
     Decision, Payload, Response, Versions, VersionsHandover, VersionsRequest,
--- a/crates/direct/src/targets/head_check.rs
+++ b/crates/direct/src/targets/head_check.rs
@@ -82,7 +82,7 @@
             b'\n' if !after_cr => {
                 return Err(Error::other("a line of the head ends without a carriage return"));
             }
-            // A caller's own end of a line may precede the first one.
+            // An empty line may precede the status line.
             b'\n' if self.line_length == 0 && self.length > 2 => {
                 let is_final = !self.is_interim;
                 (self.length, self.is_interim) = (0, false);
--- a/crates/direct/src/targets/pool.rs
+++ b/crates/direct/src/targets/pool.rs
@@ -108,8 +108,8 @@
 struct Surplus(Arc<AtomicBool>);
 
 impl Surplus {
-    /// Judges what had been read and not used when the connection ended. A second response is
-    /// none: targets may send one after a complete response.
+    /// Judges what had been read and not used when the connection ended. A second response is no
+    /// surplus: targets may send one after a complete response.
     fn judge(&self, unused: &[u8]) {
         let length = unused.len().min(RESPONSE_START.len());
         let is_response = unused[..length] == RESPONSE_START[..length];
